--- /dev/null
+++ b/crates/ctl/src/bin/linnetdrift.rs
@@ -0,0 +1,2 @@
+//! The command line.
+fn main() {}
--- /dev/null
+++ b/crates/ctl/src/bin/linnetdriftd.rs
@@ -0,0 +1,2 @@
+//! The daemon.
+fn main() {}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Work in progress.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,19 @@
+//! What the platform gives: table service, object store, weight store and list of VMs.
+//!
+//! Each is a small trait, so that a test can put a fake at the interface, with one HTTP client
+//! behind it.
+//!
+//! * [`table`]: the transactional table service
+//! * [`object`]: the object store
+//! * [`vm`]: the lagging list of live and leaving VMs
+//! * [`client`]: the HTTP clients of all of them
+
+pub mod client;
+pub mod object;
+pub mod table;
+pub mod vm;
+
+pub use client::Client;
+pub use object::Objects;
+pub use table::{Check, Error, Put, Row, Table, Transaction};
+pub use vm::{Role, Vm, Vms};
--- /dev/null
+++ b/crates/record/src/workspace.rs
@@ -0,0 +1,12 @@
+//! Customers' shares.
+
+use serde::{Deserialize, Serialize};
+
+/// A customer of the deployment.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Workspace {
+    /// Name that callers send.
+    pub name: String,
+    /// Share of each pool relative to other workspaces.
+    pub share: u32,
+}
--- /dev/null
+++ b/crates/setting/src/shared.rs
@@ -0,0 +1,57 @@
+//! Parts that the settings of both roles have.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Where a process runs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// Region, such as `ee-north`.
+    pub region: String,
+    /// Failure domain within the region.
+    pub domain: String,
+}
+
+/// Where the platform's services listen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Platform {
+    /// Table service.
+    pub table: SocketAddr,
+    /// Object store.
+    pub objects: SocketAddr,
+    /// List of VMs.
+    pub vms: SocketAddr,
+    /// Weight store, where engines load models.
+    #[serde(default)]
+    pub weights: Option<SocketAddr>,
+}
+
+/// Certificate and key of a listener.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tls {
+    /// PEM file with the certificate chain.
+    pub certificate: PathBuf,
+    /// PEM file with the private key.
+    pub key: PathBuf,
+}
+
+/// An operator who may change records.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Operator {
+    /// Name in the change log.
+    pub name: String,
+    /// Bearer token.
+    pub token: String,
+}
+
+/// Which decisions a process takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Policy {
+    /// Round robin, unbounded queues, retry on every error: the baseline.
+    Naive,
+    /// The decisions of the `decide` crate.
+    #[default]
+    Shipped,
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,176 @@
+//! What entries and agents say to each other about calls.
+
+use bytes::Bytes;
+use protocol::{CallId, Incarnation, Revision, Sequence};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// One message on a link.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Entry to agent: take this call into the queue.
+    Offer {
+        /// The attempt.
+        call: CallId,
+        /// What to run.
+        work: Box<Work>,
+    },
+    /// Entry to agent: the call may start.
+    Grant {
+        /// The attempt.
+        call: CallId,
+    },
+    /// Entry to agent: the call may never start.
+    Deny {
+        /// The attempt.
+        call: CallId,
+    },
+    /// Entry to agent: hand the call back unless it has started.
+    Revoke {
+        /// The attempt.
+        call: CallId,
+    },
+    /// Entry to agent: the answer is no longer wanted; stop the runner's work if it can be.
+    Cancel {
+        /// The attempt.
+        call: CallId,
+    },
+    /// Entry to agent, after a link was lost: send the answer again from this chunk on.
+    Recall {
+        /// The attempt.
+        call: CallId,
+        /// First chunk that the entry lacks.
+        from: Sequence,
+    },
+    /// Agent to entry: a slot is free, may the call start?
+    Ask {
+        /// The attempt.
+        call: CallId,
+    },
+    /// Agent to entry: the call did not start and never will.
+    Refuse {
+        /// The attempt.
+        call: CallId,
+        /// Why it did not start.
+        reason: Refusal,
+        /// How long the agent would wait before it tried again.
+        retry_after: Duration,
+        /// The agent's load at that moment.
+        load: Load,
+    },
+    /// Agent to entry: the runner has the work.
+    Start {
+        /// The attempt.
+        call: CallId,
+    },
+    /// Agent to entry: part of the answer.
+    Chunk {
+        /// The attempt.
+        call: CallId,
+        /// Position in the answer.
+        sequence: Sequence,
+        /// Content.
+        data: Bytes,
+    },
+    /// Agent to entry: end mark of a whole answer.
+    Done {
+        /// The attempt.
+        call: CallId,
+        /// Chunks in the whole answer.
+        chunks: Sequence,
+        /// Bytes in the chunks that this attempt sent.
+        length: u64,
+        /// Time the runner was busy with the call.
+        busy: Duration,
+        /// The agent's load at that moment.
+        load: Load,
+    },
+    /// Agent to entry: the runner answered with an error.
+    Fail {
+        /// The attempt.
+        call: CallId,
+        /// HTTP status of the runner's answer.
+        status: u16,
+        /// Body of the runner's answer.
+        body: Bytes,
+        /// The agent's load at that moment.
+        load: Load,
+    },
+    /// Agent to entry: the call started, but its answer was lost, cut short or another's.
+    Break {
+        /// The attempt.
+        call: CallId,
+        /// What went wrong, for logs.
+        reason: String,
+        /// The agent's load at that moment.
+        load: Load,
+    },
+    /// Agent to entry: this agent takes no new work from now on.
+    Leave {
+        /// Life of the agent that leaves.
+        incarnation: Incarnation,
+    },
+}
+
+/// What a runner is asked to do.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Work {
+    /// Workspace of the caller.
+    pub workspace: String,
+    /// Class of the request within its workspace.
+    pub class: String,
+    /// Service that the stage calls.
+    pub service: String,
+    /// Name of the stage.
+    pub stage: String,
+    /// Whether the call may run more than once; if not, it needs a grant.
+    pub repeatable: bool,
+    /// Whether the runner should stream its answer.
+    pub stream: bool,
+    /// Priority at the runner; higher goes first.
+    pub priority: u8,
+    /// Time left until the end-to-end deadline, at the moment of sending.
+    pub remaining: Duration,
+    /// Hashes of the prompt's prefix blocks, longest last.
+    pub prefix: Vec<u64>,
+    /// First chunk to send; earlier ones have reached the caller already.
+    pub resume: Sequence,
+    /// Configuration revision that the request began with.
+    pub revision: Revision,
+    /// JSON input of the stage.
+    pub input: Bytes,
+}
+
+/// Why an agent refused a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Refusal {
+    /// The queue is full.
+    Full,
+    /// The agent is leaving.
+    Leaving,
+    /// The entry revoked the call.
+    Revoked,
+    /// The entry denied the call.
+    Denied,
+    /// The runner could not be reached, so that nothing was sent to it.
+    Unreachable,
+    /// The agent serves another service.
+    Misdirected,
+    /// The agent has no memory of the call and will not start it.
+    Forgotten,
+}
+
+/// An agent's load; rides on its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Calls that wait for a slot.
+    pub queued: u32,
+    /// Calls at the runner.
+    pub running: u32,
+    /// Calls that the runner is given at once at most.
+    pub limit: u32,
+    /// Prefix blocks of the call that the runner found in its cache.
+    pub prefix_hits: u32,
+    /// Prefix blocks of the call.
+    pub prefix_blocks: u32,
+}
