--- a/crates/record/src/document.rs
+++ b/crates/record/src/document.rs
@@ -15,6 +15,8 @@
     Service,
     /// A customer's share.
     Workspace,
+    /// A VM that an operator wants to get no new work.
+    Drain,
 }
 
 /// A record as it is written, stored and handed out.
@@ -51,6 +53,7 @@
             Kind::Current => format!("current/{}", self.name),
             Kind::Service => format!("service/{}", self.name),
             Kind::Workspace => format!("workspace/{}", self.name),
+            Kind::Drain => format!("drain/{}", self.name),
         }
     }
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -48,6 +48,12 @@
     pub fn new(bytes: impl Into<Vec<u8>>) -> Self {
         Self(bytes.into())
     }
+
+    /// The bytes of the key.
+    #[must_use]
+    pub fn bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 /// Sending end of a link; clones share the link.
