--- a/crates/record/src/document.rs
+++ b/crates/record/src/document.rs
@@ -1,7 +1,9 @@
 //! The document that every record is kept as.
 
-use crate::{Schema, Version};
+use crate::{Pipeline, Schema, Service, Version, Workspace};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu, ensure};
 
 /// Kind of a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -19,6 +21,43 @@
     Drain,
 }
 
+impl Kind {
+    /// Name in documents and keys.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Pipeline => "pipeline",
+            Self::Current => "current",
+            Self::Service => "service",
+            Self::Workspace => "workspace",
+            Self::Drain => "drain",
+        }
+    }
+}
+
+/// Why a document could not be read.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The document is of another kind.
+    #[snafu(display("{key} is a {found:?}, not a {expected:?}"))]
+    Kind {
+        /// Key of the document.
+        key: String,
+        /// Its kind.
+        found: Kind,
+        /// Kind that was asked for.
+        expected: Kind,
+    },
+    /// A field is missing or has the wrong type.
+    #[snafu(display("{key}: {source}"))]
+    Field {
+        /// Key of the document.
+        key: String,
+        /// Cause given by the decoder.
+        source: serde_json::Error,
+    },
+}
+
 /// A record as it is written, stored and handed out.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Document {
@@ -28,7 +67,7 @@
     pub kind: Kind,
     /// Name within the kind.
     pub name: String,
-    /// Version, for pipelines; zero for the other kinds.
+    /// Version of a pipeline, or the one that a `current` record names; zero for other kinds.
     #[serde(default)]
     pub version: Version,
     /// All other fields, known or not.
@@ -48,12 +87,60 @@
     /// ```
     #[must_use]
     pub fn key(&self) -> String {
+        let (kind, name) = (self.kind.name(), &self.name);
         match self.kind {
-            Kind::Pipeline => format!("pipeline/{}@{}", self.name, self.version),
-            Kind::Current => format!("current/{}", self.name),
-            Kind::Service => format!("service/{}", self.name),
-            Kind::Workspace => format!("workspace/{}", self.name),
-            Kind::Drain => format!("drain/{}", self.name),
+            Kind::Pipeline => format!("{kind}/{name}@{}", self.version),
+            _ => format!("{kind}/{name}"),
         }
     }
+    /// Reads a version of a pipeline.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Kind`] for another kind, [`Error::Field`] for a field that cannot be read.
+    pub fn pipeline(&self) -> Result<Pipeline, Error> {
+        self.read(Kind::Pipeline)
+    }
+
+    /// Reads a service.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Kind`] for another kind, [`Error::Field`] for a field that cannot be read.
+    pub fn service(&self) -> Result<Service, Error> {
+        self.read(Kind::Service)
+    }
+
+    /// Reads a workspace.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Kind`] for another kind, [`Error::Field`] for a field that cannot be read.
+    pub fn workspace(&self) -> Result<Workspace, Error> {
+        self.read(Kind::Workspace)
+    }
+
+    /// The whole document as JSON.
+    #[must_use]
+    pub fn value(&self) -> serde_json::Value {
+        let mut fields = self.body.clone();
+        fields.insert("schema".into(), self.schema.into());
+        fields.insert("kind".into(), self.kind.name().into());
+        fields.insert("name".into(), self.name.clone().into());
+        fields.insert("version".into(), self.version.into());
+        fields.into()
+    }
+
+    fn read<T: DeserializeOwned>(&self, expected: Kind) -> Result<T, Error> {
+        let (key, found) = (self.key(), self.kind);
+        ensure!(
+            found == expected,
+            KindSnafu {
+                key,
+                found,
+                expected
+            }
+        );
+        serde_json::from_value(self.value()).context(FieldSnafu { key })
+    }
 }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -6,15 +6,19 @@
 pub mod document;
 pub mod pipeline;
 pub mod service;
+pub mod set;
 pub mod workspace;
 
 pub use document::{Document, Kind};
 pub use pipeline::{Pipeline, Stage};
 pub use service::{Fencing, Service};
+pub use set::Set;
 pub use workspace::Workspace;
 
 /// Hash map with a fast hasher.
 pub type Map<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
+/// Number of an accepted configuration change; grows by one with each.
+pub type Revision = u64;
 /// Number of a schema.
 pub type Schema = u32;
 /// Number of a pipeline's version.
