Settings files are checked as a whole, findings with path and position

One table-driven checker (record::shape) serves settings and records; setting::check is the same code, because setting depends on record and not the other way round.

--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -4,15 +4,21 @@
 //! the fields of a newer one; the types here are what the processes read out of them.
 
 pub mod document;
+pub mod finding;
 pub mod pipeline;
 pub mod service;
 pub mod set;
+pub mod shape;
+pub mod text;
 pub mod workspace;
 
 pub use document::{Document, Kind};
+pub use finding::{Finding, Findings, Position};
 pub use pipeline::{Pipeline, Stage};
 pub use service::{Fencing, Service};
 pub use set::Set;
+pub use shape::{Field, Shape};
+pub use text::Text;
 pub use workspace::Workspace;
 
 /// Hash map with a fast hasher.
--- a/crates/setting/src/agent.rs
+++ b/crates/setting/src/agent.rs
@@ -1,9 +1,36 @@
 //! Settings of an agent.
 
-use crate::shared::{Place, Platform, Policy};
+use crate::check::{self, Field, Findings, Shape};
+use crate::shared::{self, Place, Platform, Policy};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// Bounds of the calls that a runner is given at once.
+const CONCURRENCY: Shape = Shape::Count {
+    min: 1,
+    max: 65_536,
+};
+/// Bounds of the calls that wait.
+const QUEUE: Shape = Shape::Count {
+    min: 0,
+    max: 1_000_000,
+};
+
+const FIELDS: &[Field] = &[
+    Field::required("id", Shape::Name),
+    Field::required("place", shared::PLACE),
+    Field::required("listen", Shape::Listen),
+    Field::required("metrics", Shape::Listen),
+    Field::required("platform", shared::PLATFORM),
+    Field::required("key", Shape::Text),
+    Field::required("service", Shape::Name),
+    Field::required("runner", Shape::Address),
+    Field::required("concurrency", CONCURRENCY),
+    Field::required("queue", QUEUE),
+    Field::optional("policy", shared::POLICY),
+    Field::optional("news", Shape::Listen).nullable(),
+];
+
 /// Settings of an agent.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Agent {
@@ -30,4 +57,23 @@
     /// Which decisions are taken.
     #[serde(default)]
     pub policy: Policy,
+    /// Where news is published to other processes; port 0 takes a free one, none publishes none.
+    #[serde(default)]
+    pub news: Option<SocketAddr>,
+}
+
+/// Reads the settings of an agent.
+///
+/// # Errors
+///
+/// Everything that is wrong with the file, each with its path and position.
+///
+/// # Examples
+///
+/// ```
+/// let findings = setting::agent::parse("{\"runner\": 9}", "agent.jsonc").unwrap_err();
+/// assert!(findings.to_string().contains("agent.jsonc:1:2: runner: expected an address"));
+/// ```
+pub fn parse(text: &str, origin: &str) -> Result<Agent, Findings> {
+    check::read(text, origin, &Shape::Object(FIELDS)).map(|(agent, _)| agent)
 }
--- a/crates/setting/src/entry.rs
+++ b/crates/setting/src/entry.rs
@@ -1,9 +1,32 @@
 //! Settings of an entry.
 
-use crate::shared::{Operator, Place, Platform, Policy, Tls};
+use crate::check::{self, Field, Findings, Shape, Text};
+use crate::shared::{self, Operator, Place, Platform, Policy, Tls};
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
+/// Shortest and longest time between two readings, in milliseconds.
+const POLL_MS: Shape = Shape::Count {
+    min: 10,
+    max: 60_000,
+};
+
+const FIELDS: &[Field] = &[
+    Field::required("id", Shape::Name),
+    Field::required("place", shared::PLACE),
+    Field::required("listen", Shape::Listen),
+    Field::required("metrics", Shape::Listen),
+    Field::required("platform", shared::PLATFORM),
+    Field::required("key", Shape::Text),
+    Field::optional("operators", Shape::List(&shared::OPERATOR)),
+    Field::optional("tls", shared::TLS).nullable(),
+    Field::optional("policy", shared::POLICY),
+    Field::optional("vms_poll_ms", POLL_MS),
+    Field::optional("head_poll_ms", POLL_MS),
+    Field::optional("news", Shape::Listen).nullable(),
+];
+
 /// Settings of an entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -34,6 +57,9 @@
     /// How often the head of the change log is read, in milliseconds.
     #[serde(default = "default_head_poll_ms")]
     pub head_poll_ms: u64,
+    /// Where news is published to other processes; port 0 takes a free one, none publishes none.
+    #[serde(default)]
+    pub news: Option<SocketAddr>,
 }
 
 fn default_vms_poll_ms() -> u64 {
@@ -43,3 +69,41 @@
 fn default_head_poll_ms() -> u64 {
     1_000
 }
+
+/// Reads the settings of an entry.
+///
+/// # Errors
+///
+/// Everything that is wrong with the file, each with its path and position.
+///
+/// # Examples
+///
+/// ```
+/// let findings = setting::entry::parse("{\"id\": \"\"}", "entry.jsonc").unwrap_err();
+/// assert!(findings.to_string().contains("entry.jsonc:1:2: id: expected a name"));
+/// ```
+pub fn parse(text: &str, origin: &str) -> Result<Entry, Findings> {
+    let entry = check::read(text, origin, &Shape::Object(FIELDS));
+    entry.and_then(|(entry, text)| check_operators(&entry, &text).map(|()| entry))
+}
+
+/// Two operators of one name could not be told apart in the change log, and two of one token
+/// would both be taken for the first.
+fn check_operators(entry: &Entry, text: &Text) -> Result<(), Findings> {
+    let (mut names, mut tokens) = (HashSet::new(), HashSet::new());
+    let mut findings = Findings::default();
+    for (index, operator) in entry.operators.iter().enumerate() {
+        let mut find = |field: &str| {
+            let path = format!("operators[{index}].{field}");
+            let message = format!("another operator has this {field}");
+            findings.0.push(text.finding(&path, message));
+        };
+        if !names.insert(&operator.name) {
+            find("name");
+        }
+        if !tokens.insert(&operator.token) {
+            find("token");
+        }
+    }
+    findings.into_result()
+}
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! * [`entry`]: settings of an entry
 //! * [`agent`]: settings of an agent
+//! * [`check`]: the checker that settings share with records
 //! * [`shared`]: parts that both have
 
 pub mod agent;
+pub mod check;
 pub mod entry;
 pub mod shared;
 
 pub use agent::Agent;
+pub use check::{Finding, Findings};
 pub use entry::Entry;
 pub use shared::{Operator, Place, Platform, Policy, Tls};
--- a/crates/setting/src/shared.rs
+++ b/crates/setting/src/shared.rs
@@ -1,9 +1,30 @@
 //! Parts that the settings of both roles have.
 
+use crate::check::{Field, Shape};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+pub(crate) const PLACE: Shape = Shape::Object(&[
+    Field::required("region", Shape::Name),
+    Field::required("domain", Shape::Name),
+]);
+pub(crate) const PLATFORM: Shape = Shape::Object(&[
+    Field::required("table", Shape::Address),
+    Field::required("objects", Shape::Address),
+    Field::required("vms", Shape::Address),
+    Field::optional("weights", Shape::Address).nullable(),
+]);
+pub(crate) const TLS: Shape = Shape::Object(&[
+    Field::required("certificate", Shape::Text),
+    Field::required("key", Shape::Text),
+]);
+pub(crate) const OPERATOR: Shape = Shape::Object(&[
+    Field::required("name", Shape::Name),
+    Field::required("token", Shape::Text),
+]);
+pub(crate) const POLICY: Shape = Shape::Word(&["naive", "shipped"]);
+
 /// Where a process runs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Place {
--- /dev/null
+++ b/crates/setting/tests/file_findings.rs
@@ -0,0 +1,62 @@
+//! Findings of settings files, with their places.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+const ENTRY: &str = r#"{
+  // an entry with nothing but what it needs
+  "id": "entry-1",
+  "place": {"region": "ee-north", "domain": "a"},
+  "listen": "127.0.0.1:0",
+  "metrics": "127.0.0.1:0",
+  "platform": {"table": "127.0.0.1:1", "objects": "127.0.0.1:2", "vms": "127.0.0.1:3"},
+  "key": "shared"
+}"#;
+
+const BAD_ENTRY: &str = r#"{
+  "id": "entry 1",
+  "palce": {"region": "ee-north"},
+  "listen": "localhost:80",
+  "metrics": "127.0.0.1:0",
+  "metrics": "127.0.0.1:1",
+  "platform": {"table": "127.0.0.1:0", "objects": "127.0.0.1:2", "vms": 3},
+  "key": "",
+  "operators": [{"name": "maia"}],
+  "tls": {"certificate": "a.pem", "kye": "b.pem"},
+  "policy": "clever",
+  "head_poll_ms": 5
+}"#;
+
+#[test]
+fn defaults_filled() {
+    let entry = setting::entry::parse(ENTRY, "entry.jsonc").unwrap();
+    assert_eq!(entry.head_poll_ms, 1_000);
+    assert_eq!(entry.policy, setting::Policy::Shipped);
+    assert_eq!(entry.news, None);
+}
+
+/// An operator who mends one fault per start needs as many starts as there are faults, so that a
+/// fleet stays down longer than it has to. All faults of the file come at once.
+#[test]
+fn all_at_once() {
+    let findings = setting::entry::parse(BAD_ENTRY, "entry.jsonc").unwrap_err();
+    insta::assert_snapshot!(findings);
+}
+
+/// A brace is lost while a file is edited. The daemon does not start, and the operator sees the
+/// line on which reading stopped.
+#[test]
+fn broken_text() {
+    let findings = setting::agent::parse("{\n  \"id\": \"a\",\n  \"place\": ]\n", "agent.jsonc");
+    insta::assert_snapshot!(findings.unwrap_err());
+}
+
+/// Two operators are given one token by copy and paste. The change log would name the first for
+/// what the second did.
+#[test]
+fn shared_token() {
+    let operators = r#""operators": [
+    {"name": "maia", "token": "t"},
+    {"name": "juhan", "token": "t"}], "key""#;
+    let text = ENTRY.replace("\"key\"", operators);
+    insta::assert_snapshot!(setting::entry::parse(&text, "entry.jsonc").unwrap_err());
+}
