--- /dev/null
+++ b/crates/record/src/check.rs
@@ -0,0 +1,168 @@
+//! Checks of records: each by itself, and all of them against each other.
+
+use crate::finding::{Finding, Findings};
+use crate::service::Runner;
+use crate::{Document, Fencing, Kind, Pipeline, Service, Version, schema, shape};
+use std::collections::HashSet;
+
+/// Checks one document: its fields, as of its own schema, and the rules between them.
+///
+/// # Examples
+///
+/// ```
+/// let text = r#"{"schema": 1, "kind": "workspace", "name": "ferry-yard", "share": 0}"#;
+/// let document: record::Document = serde_json::from_str(text).unwrap();
+/// let findings = record::check::document(&document);
+/// assert_eq!(findings.0[0].path, "share");
+/// ```
+#[must_use]
+pub fn document(document: &Document) -> Findings {
+    let key = document.key();
+    let mut findings = Vec::new();
+    let mut report = |path: &str, message: String| {
+        findings.push(Finding::new(&key, path, message));
+    };
+    let shape = schema::shape(document.kind);
+    shape::check(&document.value(), shape, document.schema, "", &mut report);
+    if findings.is_empty() {
+        let mut report = |path: &str, message: String| {
+            findings.push(Finding::new(&key, path, message));
+        };
+        rules(document, &mut report);
+    }
+    Findings(findings)
+}
+
+/// Checks documents against each other: unique keys, names that refer to something.
+///
+/// A document that cannot be read is passed over: it may be of a schema newer than this program,
+/// and must not keep operators from changing the others.
+#[must_use]
+pub fn across(documents: &[Document]) -> Findings {
+    let mut findings = Vec::new();
+    references(documents, &mut |index, path, message| {
+        findings.push(Finding::new(documents[index].key(), path, message));
+    });
+    Findings(findings)
+}
+
+/// Checks each document by itself and all against each other.
+#[must_use]
+pub fn all(documents: &[Document]) -> Findings {
+    let single = documents.iter().flat_map(|each| document(each).0);
+    Findings(single.chain(across(documents).0).collect())
+}
+
+/// Rules between the fields of a document whose fields are well by themselves.
+pub(crate) fn rules(document: &Document, report: &mut impl FnMut(&str, String)) {
+    if let Ok(pipeline) = document.pipeline() {
+        check_pipeline(&pipeline, report);
+    }
+    if let Ok(service) = document.service() {
+        check_service(&service, report);
+    }
+}
+
+fn check_pipeline(pipeline: &Pipeline, report: &mut impl FnMut(&str, String)) {
+    if pipeline.stages.is_empty() {
+        report("stages", "a pipeline has at least one stage".to_owned());
+    }
+    let mut names = HashSet::new();
+    let mut claimed = None;
+    let last = pipeline.stages.len().saturating_sub(1);
+    for (index, stage) in pipeline.stages.iter().enumerate() {
+        let path = |field: &str| format!("stages[{index}].{field}");
+        if !names.insert(&stage.name) {
+            report(&path("name"), format!("another stage is `{}`", stage.name));
+        }
+        if stage.stream && index != last {
+            report(
+                &path("stream"),
+                "only the last stage may be streamed".to_owned(),
+            );
+        }
+        if stage.repeatable {
+            continue;
+        }
+        // A stream that breaks is resumed by asking the runner anew, which would repeat the call.
+        if stage.stream {
+            let message = "a stage that may not be repeated cannot be streamed";
+            report(&path("stream"), message.to_owned());
+        }
+        // One claim guards one request; two stages under it could not be told apart.
+        if let Some(first) = claimed.replace(&stage.name) {
+            let message = format!("only one stage may be not repeatable, and `{first}` is");
+            report(&path("repeatable"), message);
+        }
+    }
+}
+
+fn check_service(service: &Service, report: &mut impl FnMut(&str, String)) {
+    if service.runner != Runner::Engine && service.fencing == Fencing::Checked {
+        report("fencing", "only engines check fencing numbers".to_owned());
+    }
+    if service.runner != Runner::Engine && !service.models.is_empty() {
+        report("models", "only engines load models".to_owned());
+    }
+    let mut names = HashSet::new();
+    for (index, model) in service.models.iter().enumerate() {
+        let path = |field: &str| format!("models[{index}].{field}");
+        if !names.insert(&model.name) {
+            report(&path("name"), format!("another model is `{}`", model.name));
+        }
+        if model.min > model.max {
+            let message = format!("{} is more than max, {}", model.min, model.max);
+            report(&path("min"), message);
+        }
+    }
+}
+
+/// Reports the index of a document, a path within it and a message.
+pub(crate) fn references(documents: &[Document], report: &mut impl FnMut(usize, &str, String)) {
+    check_keys(documents, report);
+    let services: HashSet<&str> = documents
+        .iter()
+        .filter(|document| document.kind == Kind::Service)
+        .map(|document| document.name.as_str())
+        .collect();
+    let versions: HashSet<(&str, Version)> = documents
+        .iter()
+        .filter(|document| document.kind == Kind::Pipeline)
+        .map(|document| (document.name.as_str(), document.version))
+        .collect();
+    for (index, document) in documents.iter().enumerate() {
+        if let Ok(pipeline) = document.pipeline() {
+            let mut report = |path: &str, message| report(index, path, message);
+            check_services(&pipeline, &services, &mut report);
+        }
+        let chosen = (document.name.as_str(), document.version);
+        if document.kind == Kind::Current && !versions.contains(&chosen) {
+            let message = format!("there is no pipeline `{}@{}`", chosen.0, chosen.1);
+            report(index, "version", message);
+        }
+    }
+}
+
+fn check_keys(documents: &[Document], report: &mut impl FnMut(usize, &str, String)) {
+    let mut keys = HashSet::new();
+    for (index, document) in documents.iter().enumerate() {
+        let key = document.key();
+        if keys.contains(&key) {
+            report(index, "name", format!("another record is `{key}`"));
+        }
+        keys.insert(key);
+    }
+}
+
+fn check_services(
+    pipeline: &Pipeline,
+    services: &HashSet<&str>,
+    report: &mut impl FnMut(&str, String),
+) {
+    for (index, stage) in pipeline.stages.iter().enumerate() {
+        if !services.contains(stage.service.as_str()) {
+            let message = format!("there is no service `{}`", stage.service);
+            report(&format!("stages[{index}].service"), message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/record/src/directory.rs
@@ -0,0 +1,142 @@
+//! Records in files: JSON with comments, one document or a list of them per file.
+
+use crate::finding::{Finding, Findings};
+use crate::text::Text;
+use crate::{Document, Kind, check, schema, shape};
+use serde::Deserialize;
+use serde_json::Value;
+use snafu::{ResultExt, Snafu};
+use std::path::{Path, PathBuf};
+
+/// Endings of the files that hold records.
+const ENDINGS: [&str; 2] = ["json", "jsonc"];
+
+/// Why files could not be read at all.
+#[derive(Debug, Snafu)]
+#[snafu(display("{}: {source}", path.display()))]
+pub struct Error {
+    path: PathBuf,
+    source: std::io::Error,
+}
+
+/// Documents read from files, with their places for findings.
+#[derive(Debug, Default)]
+pub struct Directory {
+    documents: Vec<Document>,
+    places: Vec<Place>,
+    texts: Vec<Text>,
+    findings: Vec<Finding>,
+}
+
+/// Where a document stands.
+#[derive(Debug)]
+struct Place {
+    text: usize,
+    path: String,
+}
+
+/// Reads a file, or all `*.json` and `*.jsonc` files of a directory in the order of their names.
+///
+/// # Errors
+///
+/// [`Error`] if a file cannot be read; what is wrong within files is given by
+/// [`Directory::check`].
+pub fn load(path: impl AsRef<Path>) -> Result<Directory, Error> {
+    let mut directory = Directory::default();
+    for path in files(path.as_ref())? {
+        let text = std::fs::read_to_string(&path).context(Snafu { path: &path })?;
+        directory.add(&text, &path.display().to_string());
+    }
+    Ok(directory)
+}
+
+fn files(path: &Path) -> Result<Vec<PathBuf>, Error> {
+    if !path.is_dir() {
+        return Ok(vec![path.to_owned()]);
+    }
+    let entries = std::fs::read_dir(path).context(Snafu { path })?;
+    let paths: Result<Vec<PathBuf>, _> = entries.map(|entry| entry.map(|e| e.path())).collect();
+    let mut paths = paths.context(Snafu { path })?;
+    paths.retain(|path| {
+        let ending = path.extension().and_then(|ending| ending.to_str());
+        path.is_file() && ending.is_some_and(|ending| ENDINGS.contains(&ending))
+    });
+    paths.sort();
+    Ok(paths)
+}
+
+impl Directory {
+    /// The documents that could be read.
+    #[must_use]
+    pub fn documents(&self) -> &[Document] {
+        &self.documents
+    }
+
+    /// Reads one more text.
+    pub fn add(&mut self, text: &str, origin: &str) {
+        let text = match Text::parse(text, origin) {
+            Ok(text) => text,
+            Err(finding) => return self.findings.push(finding),
+        };
+        self.findings.extend(text.findings.iter().cloned());
+        match &text.value {
+            Value::Array(elements) => {
+                for (index, element) in elements.iter().enumerate() {
+                    self.add_document(&text, element, format!("[{index}]"));
+                }
+            }
+            value => self.add_document(&text, value, String::new()),
+        }
+        self.texts.push(text);
+    }
+
+    /// Everything that is wrong with the files: each document by itself, and all of them against
+    /// each other.
+    #[must_use]
+    pub fn check(&self) -> Findings {
+        let mut findings = self.findings.clone();
+        for (index, document) in self.documents.iter().enumerate() {
+            check::rules(document, &mut |path, message| {
+                findings.push(self.finding(index, path, message));
+            });
+        }
+        check::references(&self.documents, &mut |index, path, message| {
+            findings.push(self.finding(index, path, message));
+        });
+        findings.sort_by(|a, b| (&a.origin, a.position).cmp(&(&b.origin, b.position)));
+        Findings(findings)
+    }
+
+    fn finding(&self, index: usize, path: &str, message: String) -> Finding {
+        let Place { text, path: parent } = &self.places[index];
+        self.texts[*text].finding(&join(parent, path), message)
+    }
+
+    fn add_document(&mut self, text: &Text, value: &Value, path: String) {
+        let kind = value
+            .get("kind")
+            .and_then(|kind| Kind::deserialize(kind).ok());
+        let shape = kind.map_or(&schema::HEAD, schema::shape);
+        let schema = value.get("schema").and_then(Value::as_u64);
+        let schema = schema.and_then(|schema| schema.try_into().ok());
+        let newest = schema.unwrap_or(schema::NEWEST);
+        shape::check(value, shape, newest, &path, &mut |path, message| {
+            self.findings.push(text.finding(path, message));
+        });
+        if let Ok(document) = Document::deserialize(value) {
+            self.documents.push(document);
+            self.places.push(Place {
+                text: self.texts.len(),
+                path,
+            });
+        }
+    }
+}
+
+fn join(parent: &str, path: &str) -> String {
+    match (parent, path) {
+        (_, "") => parent.to_owned(),
+        ("", _) => path.to_owned(),
+        _ => format!("{parent}.{path}"),
+    }
+}
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -2,19 +2,33 @@
 //!
 //! Records are kept as JSON documents, so that a writer that knows only an old schema cannot drop
 //! the fields of a newer one; the types here are what the processes read out of them.
+//!
+//! * [`document`], [`pipeline`], [`service`], [`workspace`]: the records
+//! * [`set`]: the records in force at one revision
+//! * [`schema`], [`shape`], [`check`]: what a record must look like
+//! * [`text`], [`directory`], [`finding`]: records in files and what is wrong with them
+//! * [`merge`](mod@merge), [`plan`]: writers of different schemas, and what a change would do
 
+pub mod check;
+pub mod directory;
 pub mod document;
 pub mod finding;
+pub mod merge;
 pub mod pipeline;
+pub mod plan;
+pub mod schema;
 pub mod service;
 pub mod set;
 pub mod shape;
 pub mod text;
 pub mod workspace;
 
+pub use directory::Directory;
 pub use document::{Document, Kind};
 pub use finding::{Finding, Findings, Position};
+pub use merge::merge;
 pub use pipeline::{Pipeline, Stage};
+pub use plan::Plan;
 pub use service::{Fencing, Service};
 pub use set::Set;
 pub use shape::{Field, Shape};
--- /dev/null
+++ b/crates/record/src/schema.rs
@@ -0,0 +1,133 @@
+//! The fields that each schema has, for each kind of record.
+//!
+//! Schema 1 has the fields without a mark; a field marked `since(2)` belongs to schema 2 and
+//! later. Documents of both live side by side.
+
+use crate::shape::{Field, Shape};
+use crate::{Kind, Schema};
+
+/// Oldest schema that is read.
+pub const OLDEST: Schema = 1;
+/// Newest schema that is known.
+pub const NEWEST: Schema = 2;
+/// Longest end-to-end deadline, in milliseconds: a day.
+const MAX_DEADLINE_MS: u64 = 86_400_000;
+/// Most calls that one runner is given at once.
+const MAX_CONCURRENCY: u64 = 65_536;
+/// Greatest share of a workspace.
+const MAX_SHARE: u64 = 1_000_000;
+/// Most replicas of a model.
+const MAX_REPLICAS: u64 = 100_000;
+
+const SCHEMA: Field = Field::required(
+    "schema",
+    Shape::Count {
+        min: OLDEST as u64,
+        max: NEWEST as u64,
+    },
+);
+const KIND: Field = Field::required(
+    "kind",
+    Shape::Word(&["pipeline", "current", "service", "workspace", "drain"]),
+);
+const NAME: Field = Field::required("name", Shape::Name);
+const VERSION: Field = Field::required(
+    "version",
+    Shape::Count {
+        min: 1,
+        max: u32::MAX as u64,
+    },
+);
+const NO_VERSION: Field = Field::optional("version", Shape::Count { min: 0, max: 0 });
+
+const STAGE: Shape = Shape::Object(&[
+    NAME,
+    Field::required("service", Shape::Name),
+    Field::optional("repeatable", Shape::Flag),
+    Field::optional("stream", Shape::Flag),
+]);
+
+const MODEL: Shape = Shape::Object(&[
+    NAME,
+    Field::required(
+        "min",
+        Shape::Count {
+            min: 0,
+            max: MAX_REPLICAS,
+        },
+    ),
+    Field::required(
+        "max",
+        Shape::Count {
+            min: 1,
+            max: MAX_REPLICAS,
+        },
+    ),
+]);
+
+const PIPELINE: Shape = Shape::Object(&[
+    SCHEMA,
+    KIND,
+    NAME,
+    VERSION,
+    Field::required(
+        "deadline_ms",
+        Shape::Count {
+            min: 1,
+            max: MAX_DEADLINE_MS,
+        },
+    ),
+    Field::required("stages", Shape::List(&STAGE)),
+    Field::optional("durable", Shape::Flag).since(2),
+    Field::optional("attainment", Shape::Ratio).since(2),
+]);
+
+const CURRENT: Shape = Shape::Object(&[SCHEMA, KIND, NAME, VERSION]);
+
+const SERVICE: Shape = Shape::Object(&[
+    SCHEMA,
+    KIND,
+    NAME,
+    NO_VERSION,
+    Field::required("runner", Shape::Word(&["engine", "pool", "plain"])),
+    Field::required(
+        "concurrency",
+        Shape::Count {
+            min: 1,
+            max: MAX_CONCURRENCY,
+        },
+    ),
+    Field::optional("fencing", Shape::Word(&["checked", "unchecked"])),
+    Field::optional("models", Shape::List(&MODEL)).since(2),
+]);
+
+const WORKSPACE: Shape = Shape::Object(&[
+    SCHEMA,
+    KIND,
+    NAME,
+    NO_VERSION,
+    Field::required(
+        "share",
+        Shape::Count {
+            min: 1,
+            max: MAX_SHARE,
+        },
+    ),
+]);
+
+const DRAIN: Shape = Shape::Object(&[SCHEMA, KIND, NAME, NO_VERSION]);
+
+/// Shape of a whole document of a kind, in all schemas.
+#[must_use]
+pub fn shape(kind: Kind) -> &'static Shape {
+    match kind {
+        Kind::Pipeline => &PIPELINE,
+        Kind::Current => &CURRENT,
+        Kind::Service => &SERVICE,
+        Kind::Workspace => &WORKSPACE,
+        Kind::Drain => &DRAIN,
+    }
+}
+
+/// Shape of what every document has, whatever its kind.
+pub(crate) const HEAD: Shape = Shape::Open(&[SCHEMA, KIND, NAME]);
--- a/crates/record/src/shape.rs
+++ b/crates/record/src/shape.rs
@@ -36,6 +36,8 @@
     Word(&'static [&'static str]),
     /// An object with these fields.
     Object(&'static [Field]),
+    /// An object with these fields and any others.
+    Open(&'static [Field]),
     /// A list of values of one shape.
     List(&'static Shape),
 }
@@ -117,7 +119,11 @@
 ) {
     match (shape, value) {
         (Shape::Object(fields), Value::Object(object)) => {
-            check_object(object, fields, schema, path, report);
+            check_unknown(object, fields, path, report);
+            check_fields(object, fields, schema, path, report);
+        }
+        (Shape::Open(fields), Value::Object(object)) => {
+            check_fields(object, fields, schema, path, report);
         }
         (Shape::List(shape), Value::Array(elements)) => {
             for (index, element) in elements.iter().enumerate() {
@@ -135,28 +141,38 @@
     }
 }
 
-fn check_object(
+fn check_unknown(
+    object: &serde_json::Map<String, Value>,
+    fields: &[Field],
+    path: &str,
+    report: &mut impl FnMut(&str, String),
+) {
+    let known = |name: &str| fields.iter().any(|field| field.name == name);
+    object
+        .keys()
+        .filter(|name| !known(name))
+        .for_each(|name| report(&field_path(path, name), unknown(name, fields)));
+}
+
+fn check_fields(
     object: &serde_json::Map<String, Value>,
     fields: &[Field],
     schema: Schema,
     path: &str,
     report: &mut impl FnMut(&str, String),
 ) {
-    for (name, value) in object {
-        let path = field_path(path, name);
-        match fields.iter().find(|field| field.name == name) {
-            None => report(&path, unknown(name, fields)),
-            Some(field) if field.since > schema => {
+    for field in fields {
+        let path = field_path(path, field.name);
+        match object.get(field.name) {
+            None if field.required => report(&path, "missing".to_owned()),
+            None => {}
+            Some(_) if field.since > schema => {
                 report(&path, format!("needs schema {}", field.since));
             }
-            Some(field) if field.nullable && value.is_null() => {}
-            Some(field) => check(value, &field.shape, schema, &path, report),
+            Some(Value::Null) if field.nullable => {}
+            Some(value) => check(value, &field.shape, schema, &path, report),
         }
     }
-    fields
-        .iter()
-        .filter(|field| field.required && !object.contains_key(field.name))
-        .for_each(|field| report(&field_path(path, field.name), "missing".to_owned()));
 }
 
 fn check_scalar(value: &Value, shape: &Shape) -> Result<(), String> {
@@ -191,7 +207,7 @@
             text.is_some_and(|text| words.contains(&text)),
             format!("one of {}", words.join(", ")),
         ),
-        Shape::Object(_) => (false, "an object".to_owned()),
+        Shape::Object(_) | Shape::Open(_) => (false, "an object".to_owned()),
         Shape::List(_) => (false, "a list".to_owned()),
     };
     if well { Ok(()) } else { Err(expected) }
