--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -1,1 +1,13 @@
-//! Work in progress.
+//! Metrics and logs that every role shares.
+//!
+//! * [`bound`]: keeps the number of label values bounded
+//! * [`serve()`]: the `/metrics` endpoint
+//! * [`log`]: the structured logger
+
+pub mod bound;
+pub mod log;
+pub mod serve;
+
+pub use bound::Bound;
+pub use prometheus_client::registry::Registry;
+pub use serve::{Error, serve};
