--- a/crates/metric/src/log.rs
+++ b/crates/metric/src/log.rs
@@ -6,7 +6,6 @@
 const QUEUE: usize = 4096;
 
 /// A logger whose lines bear the process's role and identity.
-#[must_use]
 pub fn logger(role: &'static str, id: &str) -> Logger {
     let lines = slog_json::Json::new(std::io::stderr())
         .add_default_keys()
@@ -21,7 +20,6 @@
 }
 
 /// A logger that drops everything, for tests and examples.
-#[must_use]
 pub fn silent() -> Logger {
     Logger::root(slog::Discard, o!())
 }
