Stage, claim, lease, fence, follower and member state machines

The entry, the agent and the configuration need the rest of the core protocol as pure machines, so that one test drives the code that ships.

Ruled out: trusting a row that is absent after a lost answer (the write may yet take effect, so every write names the revision it expects); numbers of 128 bits as JSON numbers (refused or rounded, so tokens are hex text).

Not yet model checked.

--- a/crates/protocol/src/id.rs
+++ b/crates/protocol/src/id.rs
@@ -12,6 +12,10 @@
 pub type Sequence = u32;
 /// Number of an accepted configuration change; grows by one with each.
 pub type Revision = u64;
+/// Number of the table service's transaction that last wrote a row.
+pub type RowRevision = u64;
+/// Unique mark of one writer's row, drawn at random.
+pub type Token = u128;
 /// Fencing number of a lease; grows with each new holder.
 pub type Fence = u64;
 /// Number of a process's life on its VM; grows with each restart.
@@ -88,3 +92,28 @@
         }
     }
 }
+
+/// Serializes a 128-bit number as hex text: JSON numbers of that size are refused or rounded by
+/// most libraries, and a rounded token would pass for another writer's.
+pub mod hex {
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    /// Writes the number as 32 hex digits.
+    ///
+    /// # Errors
+    ///
+    /// Those of the serializer.
+    pub fn serialize<S: Serializer>(number: &u128, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&format_args!("{number:032x}"))
+    }
+
+    /// Reads hex digits.
+    ///
+    /// # Errors
+    ///
+    /// Those of the deserializer, or that the text is not a hex number of 128 bits.
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u128, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        u128::from_str_radix(&text, 16).map_err(serde::de::Error::custom)
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,11 +6,31 @@
 //! * [`id`]: identities of requests, stages and attempts
 //! * [`call`]: the entry's view of one attempt of one stage
 //! * [`gate`]: the agent's view of the same attempt
+//! * [`stage`]: one stage over all its attempts
+//! * [`claim`]: at most once across entries for calls with an idempotency key
+//! * [`lease`]: one holder at a time for work that one process must do
+//! * [`fence`]: the agent as the fence before engines that check nothing
+//! * [`follower`]: a process that follows the accepted configuration
+//! * [`member`]: which VMs may get new work
 
 pub mod call;
+pub mod claim;
+pub mod fence;
+pub mod follower;
 pub mod gate;
 pub mod id;
+pub mod lease;
+pub mod member;
+pub mod stage;
 
 pub use call::Call;
+pub use claim::Claim;
+pub use follower::Follower;
 pub use gate::Gate;
-pub use id::{Attempt, CallId, Fence, Incarnation, RequestId, Revision, Sequence, StageIndex};
+pub use id::{
+    Attempt, CallId, Fence, Incarnation, RequestId, Revision, RowRevision, Sequence, StageIndex,
+    Token,
+};
+pub use lease::Lease;
+pub use member::Members;
+pub use stage::Stage;
