An agent that forgot an attempt does not make it not run

A restarted agent answers a question about an attempt of its earlier life with 'forgotten'. The attempt's only event for that was Refuse, which ends a granted attempt as not run, though the earlier life may have started it. Counterexample: ask, grant, start, restart, 'forgotten'; the test failed with Refuse (left Ended(NotRun)) before Event::Forget was there, and passes with it: after a grant, or for an attempt that needs none, the end is unknown.

Ruled out: agents that remember over a restart (their VMs keep nothing).

For users of call.rs: wire::Refusal::Forgotten has to be fed as Event::Forget, not Refuse.

--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -38,6 +38,8 @@
     Ask,
     /// The agent says that it did not start the attempt and never will.
     Refuse,
+    /// The agent has no memory of the attempt and will not start it.
+    Forget,
     /// A chunk of the answer.
     Chunk {
         /// Position in the answer.
@@ -137,7 +139,7 @@
             Event::Done { chunks, length } => self.done(chunks, length),
             Event::Fail => self.end(End::Failed),
             Event::Break => self.end(End::Unknown),
-            Event::Lost => self.lost(),
+            Event::Forget | Event::Lost => self.lost(),
             Event::GiveUp => self.give_up(),
         }
     }
@@ -181,6 +183,9 @@
         self.end(End::Unknown)
     }
 
+    /// A restarted agent remembers nothing, so its word that it does not know the attempt says
+    /// nothing about whether it started it before. Only an attempt that needed a grant and got
+    /// none has certainly not run.
     fn lost(&mut self) -> Actions {
         if self.state == State::Offered && !self.repeatable {
             return self.end(End::NotRun);
