--- a/crates/ctl/src/bin/linnetdrift.rs
+++ b/crates/ctl/src/bin/linnetdrift.rs
@@ -1,2 +1,9 @@
-//! The command line.
-fn main() {}
+//! The command line of operators and developers.
+
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    ctl::command::main(&arguments).await
+}
--- /dev/null
+++ b/crates/ctl/src/call.rs
@@ -0,0 +1,184 @@
+//! `call`: one request to a pipeline.
+
+use crate::client::{Client, collect};
+use crate::command::{Command, Help};
+use crate::error::{FileSnafu, Problem};
+use crate::event::{Event, Parser};
+use crate::{Common, Error, Format, option, output};
+use bytes::Bytes;
+use getopts::{Matches, Options};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{ACCEPT, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use snafu::ResultExt;
+
+/// Workspace of the caller.
+pub const WORKSPACE: HeaderName = HeaderName::from_static("linnetdrift-workspace");
+/// Class of the request within its workspace.
+pub const CLASS: HeaderName = HeaderName::from_static("linnetdrift-class");
+/// End-to-end deadline in milliseconds.
+pub const DEADLINE: HeaderName = HeaderName::from_static("linnetdrift-deadline-ms");
+/// Key under which a request runs once, however often it is sent.
+pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Media type of a streamed answer.
+const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
+/// Event that ends a whole stream.
+const DONE: &str = "done";
+/// Event that ends a stream that failed; its data is a problem document.
+const PROBLEM: &str = "problem";
+/// Version that callers get who name none.
+const CURRENT: &str = "@current";
+
+/// Sends one request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    path: String,
+    headers: HeaderMap,
+    stream: bool,
+    input: Bytes,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Answer {
+    /// Identity of the request.
+    pub request: String,
+    /// Whether it arrived after its deadline.
+    pub late: bool,
+    /// Output of the last stage.
+    pub output: Value,
+}
+
+impl Command for Call {
+    const HELP: Help = Help {
+        name: "call",
+        arguments: "PIPELINE",
+        about: "Send one request to a pipeline and print its answer",
+    };
+    const VERSION_FLAG: bool = false;
+
+    fn declare(options: &mut Options) {
+        options.optopt("", "version", "version of the pipeline (@current)", "V");
+        options.optopt("", "workspace", "workspace of the caller", "W");
+        options.optopt("", "class", "class of the request", "C");
+        options.optopt("", "deadline", "end-to-end deadline in milliseconds", "MS");
+        options.optopt("", "key", "key under which the request runs once", "K");
+        options.optflag("", "stream", "print parts of the answer as they arrive");
+        options.optopt(
+            "",
+            "input",
+            "JSON input, or a file that holds it ({})",
+            "JSON|@FILE",
+        );
+    }
+
+    fn parse(matches: &Matches) -> Result<Self, Error> {
+        let name = option::path_safe(option::single(matches, "PIPELINE")?, "PIPELINE")?;
+        let version = match matches.opt_str("version") {
+            Some(text) if text == CURRENT => text,
+            _ => option::parse::<record::Version>(matches, "version")?
+                .map_or(CURRENT.to_owned(), |version| version.to_string()),
+        };
+        let mut headers = HeaderMap::new();
+        for (name, option) in [(WORKSPACE, "workspace"), (CLASS, "class"), (KEY, "key")] {
+            if let Some(value) = matches.opt_str(option) {
+                headers.insert(name, header(option, &value)?);
+            }
+        }
+        if let Some(deadline) = option::parse::<u64>(matches, "deadline")? {
+            headers.insert(DEADLINE, deadline.into());
+        }
+        let stream = matches.opt_present("stream");
+        if stream {
+            headers.insert(ACCEPT, EVENTS);
+        }
+        Ok(Self {
+            path: format!("/v1/pipelines/{name}/versions/{version}/run"),
+            headers,
+            stream,
+            input: input(matches.opt_str("input"))?,
+        })
+    }
+
+    async fn run(self, common: &Common) -> Result<(), Error> {
+        let client = Client::new(common)?;
+        let response = client
+            .send(Method::POST, &self.path, self.headers, self.input)
+            .await?;
+        if self.stream && response.status() == StatusCode::OK {
+            return stream(common.format, response).await;
+        }
+        let answer = collect(response).await?;
+        if answer.status != StatusCode::OK {
+            let problem = answer.problem();
+            return Err(Error::Refused { problem });
+        }
+        let answer: Answer = answer.json()?;
+        output::print(common.format, show(&answer), &answer)
+    }
+}
+
+fn header(option: &str, value: &str) -> Result<HeaderValue, Error> {
+    HeaderValue::from_str(value)
+        .map_err(|_| Error::usage(format!("--{option} holds characters that no header may")))
+}
+
+fn input(text: Option<String>) -> Result<Bytes, Error> {
+    let text = match text {
+        None => "{}".to_owned(),
+        Some(text) => match text.strip_prefix('@') {
+            Some(path) => std::fs::read_to_string(path).context(FileSnafu { path })?,
+            None => text,
+        },
+    };
+    serde_json::from_str::<serde::de::IgnoredAny>(&text)
+        .map_err(|error| Error::usage(format!("--input is not JSON: {error}")))?;
+    Ok(text.into())
+}
+
+fn show(answer: &Answer) -> String {
+    let late = if answer.late { ", late" } else { "" };
+    format!("{:#}\nrequest {}{late}", answer.output, answer.request)
+}
+
+/// Prints a stream. Only its end mark makes it whole; one that ends without it is reported as
+/// lost, because a cut-short answer looks whole to whoever reads only its parts.
+async fn stream(format: Format, response: Response<Incoming>) -> Result<(), Error> {
+    let mut parser = Parser::default();
+    let mut body = response.into_body();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Error::Lost {
+            reason: error.to_string(),
+        })?;
+        let bytes = frame.into_data().unwrap_or_default();
+        for event in parser.push(&bytes) {
+            if print(format, &event)? {
+                return Ok(());
+            }
+        }
+    }
+    Err(Error::Lost {
+        reason: "the stream ended without its end mark".to_owned(),
+    })
+}
+
+/// Prints an event and says whether it is the end.
+fn print(format: Format, event: &Event) -> Result<bool, Error> {
+    let data: Value = serde_json::from_str(&event.data).map_err(|error| Error::Garbled {
+        reason: format!("event {}: {error}", event.id),
+    })?;
+    if event.name == PROBLEM {
+        let problem: Problem = serde_json::from_value(data).unwrap_or_default();
+        return Err(Error::Refused { problem });
+    }
+    let json = serde_json::json!({"event": event.name, "id": event.id, "data": data});
+    let text = match &data {
+        Value::String(text) => text.clone(),
+        data => data.to_string(),
+    };
+    output::print(format, text, &json)?;
+    Ok(event.name == DONE)
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,30 @@
-//! Work in progress.
+//! The command line `linnetdrift` and the daemon `linnetdriftd`.
+//!
+//! * [`command`]: commands of `linnetdrift` and their common options
+//! * [`daemon`]: roles of `linnetdriftd`
+//! * [`client`], [`operator`]: calls to entries
+//! * [`error`]: what can go wrong, with the exit codes
+
+pub mod apply;
+pub mod call;
+pub mod check;
+pub mod client;
+pub mod command;
+pub mod daemon;
+pub mod drain;
+pub mod error;
+pub mod event;
+pub mod get;
+pub mod history;
+pub mod operator;
+pub mod option;
+pub mod output;
+pub mod plan;
+pub mod signal;
+pub mod standin;
+pub mod status;
+
+pub use client::Client;
+pub use error::Error;
+pub use operator::Operator;
+pub use option::{Common, Format};
--- /dev/null
+++ b/crates/ctl/src/output.rs
@@ -0,0 +1,38 @@
+//! Printing of answers.
+
+use crate::{Error, Format};
+use serde::Serialize;
+use std::fmt::Display;
+use std::io::Write;
+
+/// Prints a value: as text for people, as one line of JSON for scripts.
+///
+/// # Errors
+///
+/// [`Error::Failed`] if the output is closed.
+pub fn print(format: Format, text: impl Display, json: &impl Serialize) -> Result<(), Error> {
+    match format {
+        Format::Text => line(text),
+        Format::Json => line(to_json(json)?),
+    }
+}
+
+/// Prints one line at once, so that a reader sees it while the command goes on.
+///
+/// # Errors
+///
+/// [`Error::Failed`] if the output is closed.
+pub fn line(text: impl Display) -> Result<(), Error> {
+    let mut output = std::io::stdout().lock();
+    writeln!(output, "{text}")
+        .and_then(|()| output.flush())
+        .map_err(|error| Error::Failed {
+            reason: format!("output: {error}"),
+        })
+}
+
+fn to_json(value: &impl Serialize) -> Result<String, Error> {
+    serde_json::to_string(value).map_err(|error| Error::Failed {
+        reason: error.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/ctl/tests/bad_arguments.rs
@@ -0,0 +1,121 @@
+//! Bad arguments of both programs: a clear message and exit code 2.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::fmt::Write;
+use std::process::{Command, Output};
+
+const DESK: &str = env!("CARGO_BIN_EXE_linnetdrift");
+const DAEMON: &str = env!("CARGO_BIN_EXE_linnetdriftd");
+
+fn run(program: &str, arguments: &[&str]) -> Output {
+    let mut command = Command::new(program);
+    command.args(arguments).env_remove("LINNETDRIFT_TOKEN");
+    command.output().unwrap()
+}
+
+/// Exit code and message of each command line.
+fn transcript(program: &str, lines: &[&[&str]]) -> String {
+    let mut text = String::new();
+    for line in lines {
+        let output = run(program, line);
+        let message = String::from_utf8(output.stderr).unwrap();
+        let first = message.lines().next().unwrap_or_default();
+        let code = output.status.code().unwrap();
+        writeln!(text, "{}\n  {code}: {first}", line.join(" ")).unwrap();
+        assert!(output.stdout.is_empty(), "{line:?}");
+    }
+    text
+}
+
+/// A script passes an option that a newer version has renamed. It must stop there, rather than
+/// go on with defaults that nobody asked for.
+#[test]
+fn desk_arguments() {
+    let entry = "--entry=127.0.0.1:1";
+    insta::assert_snapshot!(transcript(
+        DESK,
+        &[
+            &[],
+            &["aply"],
+            &["get", "--entri", "x"],
+            &["get", "a", "b", entry],
+            &["get", "a b", entry],
+            &["get"],
+            &["get", "--entry", "localhost"],
+            &["get", "--entry", "ftp://127.0.0.1:1"],
+            &["get", "--entry", "https://127.0.0.1:1"],
+            &["get", entry, "--ca", "missing.pem"],
+            &["get", entry, "--format", "xml"],
+            &["get", entry, "--token", "a\nb"],
+            &["check"],
+            &["check", "missing.jsonc"],
+            &["plan", entry],
+            &["apply", "missing", entry],
+            &["drain", entry],
+            &["history", "--after", "x", entry],
+            &["status", "extra", entry],
+            &["call", entry],
+            &["call", "review", "--version", "x", entry],
+            &["call", "review", "--deadline", "-1", entry],
+            &["call", "review", "--input", "{", entry],
+            &["call", "review", "--input", "@missing.json", entry],
+            &["call", "review", "--workspace", "a\nb", entry],
+            &["standin"],
+            &["standin", "tabel"],
+            &["standin", "table", "--listen", "x"],
+            &["standin", "table", "--options", "{"],
+        ]
+    ));
+}
+
+#[test]
+fn daemon_arguments() {
+    insta::assert_snapshot!(transcript(
+        DAEMON,
+        &[
+            &[],
+            &["entri"],
+            &["entry"],
+            &["entri", "settings.jsonc"],
+            &["entry", "missing.jsonc"],
+            &["agent", "settings.jsonc", "extra"],
+            &["--verbose"],
+        ]
+    ));
+}
+
+/// A script reads errors of a command that it runs with `--format json`; prose on standard error
+/// would have to be guessed at.
+#[test]
+fn json_errors() {
+    let output = run(
+        DESK,
+        &["get", "a b", "--entry", "127.0.0.1:1", "--format", "json"],
+    );
+    let error: serde_json::Value = serde_json::from_slice(&output.stderr).unwrap();
+    assert_eq!(error["exit"], 2);
+    assert_eq!(output.status.code(), Some(2));
+}
+
+/// Nothing listens where the operator points the command. Nothing was sent, so the change has
+/// certainly not been made, and the exit code says failed rather than unknown.
+#[test]
+fn nobody_listens() {
+    // Nothing can listen on port 0.
+    let output = run(DESK, &["get", "--entry", "127.0.0.1:0"]);
+    assert_eq!(output.status.code(), Some(1));
+}
+
+#[test]
+fn help_and_version() {
+    for program in [DESK, DAEMON] {
+        for flag in ["--help", "--version"] {
+            let output = run(program, &[flag]);
+            assert_eq!(output.status.code(), Some(0));
+            assert!(output.stderr.is_empty());
+        }
+    }
+    let help = run(DESK, &["--help"]);
+    insta::assert_snapshot!(String::from_utf8(help.stdout).unwrap());
+}
