--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,307 @@
+//! Callers' interface: run a pipeline, come back for an answer.
+
+pub mod stream;
+
+use crate::answer::{Answer, End};
+use crate::core::{Core, Platform};
+use crate::execute;
+use crate::job::Job;
+use crate::peers::{self, FORWARDED};
+use crate::problem::Problem;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use protocol::RequestId;
+use record::{Pipeline, Set};
+use serde::Serialize;
+use serde_json::value::RawValue;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use viz::{Request, RequestExt, Response, ResponseExt, StatusCode};
+
+/// Largest input in bytes.
+const MAX_INPUT: usize = 16 << 20;
+/// Longest deadline that a caller may name.
+const MAX_DEADLINE: Duration = Duration::from_secs(3600);
+/// When a caller may come back to an entry that is stopping: at once, to another one.
+const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(100);
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Header that names the request in every answer.
+pub const REQUEST: &str = "linnetdrift-request";
+
+/// A whole answer.
+#[derive(Serialize)]
+struct Whole<'a> {
+    request: String,
+    late: bool,
+    output: &'a RawValue,
+}
+
+/// Text of a request's identity.
+#[must_use]
+pub fn format_id(request: RequestId) -> String {
+    format!("{request:032x}")
+}
+
+/// What a caller asks for besides the input.
+struct Ask {
+    workspace: String,
+    class: String,
+    key: Option<String>,
+    deadline: Option<Duration>,
+    stream: bool,
+    wait: Option<Duration>,
+}
+
+impl Ask {
+    fn read(request: &Request) -> Result<Self, Problem> {
+        let text = |name: &str| -> Option<String> { request.header(name) };
+        let Some(workspace) = text("linnetdrift-workspace").filter(|name| !name.is_empty()) else {
+            return Err(bad("header Linnetdrift-Workspace is missing"));
+        };
+        let deadline = match text("linnetdrift-deadline-ms") {
+            Some(value) => Some(deadline(&value)?),
+            None => None,
+        };
+        Ok(Self {
+            workspace,
+            class: text("linnetdrift-class").unwrap_or_else(|| "default".to_owned()),
+            key: text("idempotency-key").filter(|key| !key.is_empty()),
+            deadline,
+            stream: accepts_stream(request),
+            wait: prefer_wait(request),
+        })
+    }
+}
+
+fn bad(detail: impl Into<String>) -> Problem {
+    Problem::bad(StatusCode::BAD_REQUEST, detail)
+}
+
+fn deadline(value: &str) -> Result<Duration, Problem> {
+    value
+        .parse()
+        .ok()
+        .filter(|millis| *millis > 0)
+        .map(Duration::from_millis)
+        .filter(|deadline| *deadline <= MAX_DEADLINE)
+        .ok_or_else(|| {
+            bad(format!(
+                "header Linnetdrift-Deadline-Ms: {value:?} is no number of milliseconds from 1 to {}",
+                MAX_DEADLINE.as_millis()
+            ))
+        })
+}
+
+fn accepts_stream(request: &Request) -> bool {
+    request
+        .header::<_, String>("accept")
+        .is_some_and(|accept| accept.contains(EVENT_STREAM))
+}
+
+/// Reads `Prefer: wait=SECONDS` (RFC 7240): a caller that would rather come back than wait.
+fn prefer_wait(request: &Request) -> Option<Duration> {
+    let prefer: String = request.header("prefer")?;
+    let seconds = prefer
+        .split([',', ';'])
+        .find_map(|part| part.trim().strip_prefix("wait="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
+/// `POST /v1/pipelines/{name}/versions/{version}/run`.
+pub async fn run<P: Platform>(core: Arc<Core<P>>, request: Request) -> Response {
+    match accept(&core, request).await {
+        Ok((job, wait)) => respond(job, wait, 0).await,
+        Err(problem) => {
+            core.telemetry.refused();
+            problem.response()
+        }
+    }
+}
+
+async fn accept<P: Platform>(
+    core: &Arc<Core<P>>,
+    request: Request,
+) -> Result<(Arc<Job>, Option<Duration>), Problem> {
+    if core.is_draining() {
+        return Err(Problem::not_run("this entry is stopping", COME_BACK_ELSEWHERE));
+    }
+    if !core.config.is_ready() {
+        return Err(Problem::not_run(
+            "this entry has not read the configuration yet",
+            Duration::from_secs(1),
+        ));
+    }
+    let ask = Ask::read(&request)?;
+    let set = core.config.current();
+    let pipeline = find(&set, &request)?;
+    let input = input(request).await?;
+    let now = Instant::now();
+    let deadline = ask
+        .deadline
+        .unwrap_or(Duration::from_millis(pipeline.deadline_ms));
+    let job = Arc::new(Job {
+        id: peers::draw(&core.settings.id, &mut rand::rng()),
+        workspace: ask.workspace,
+        class: ask.class,
+        key: ask.key,
+        pipeline,
+        set,
+        accepted: now,
+        deadline: now + deadline,
+        stream: ask.stream,
+        input,
+        answer: Answer::default(),
+    });
+    core.spawn(job.clone());
+    Ok((job, ask.wait))
+}
+
+fn find(set: &Arc<Set>, request: &Request) -> Result<Arc<Pipeline>, Problem> {
+    let name: String = request.param("name").map_err(|_| bad("no pipeline named"))?;
+    let version: String = request.param("version").map_err(|_| bad("no version named"))?;
+    let pipeline = if version == "@current" {
+        set.current(&name)
+    } else {
+        let version = version
+            .parse()
+            .map_err(|_| bad(format!("{version:?} is neither a version nor @current")))?;
+        set.pipeline(&name, version)
+    };
+    pipeline.cloned().ok_or_else(|| {
+        Problem::bad(
+            StatusCode::NOT_FOUND,
+            format!("no pipeline {name} in version {version}"),
+        )
+    })
+}
+
+async fn input(request: Request) -> Result<Bytes, Problem> {
+    let body = Limited::new(request.into_body(), MAX_INPUT).collect().await;
+    let body = body.map_err(|error| bad(format!("input: {error}")))?.to_bytes();
+    serde_json::from_slice::<&RawValue>(&body)
+        .map_err(|error| bad(format!("input is no JSON: {error}")))?;
+    Ok(body)
+}
+
+/// `GET /v1/requests/{id}`.
+pub async fn fetch<P: Platform>(core: Arc<Core<P>>, request: Request) -> Response {
+    let text: String = request.param("id").unwrap_or_default();
+    let Ok(id) = RequestId::from_str_radix(&text, 16) else {
+        return bad(format!("{text:?} is no request")).response();
+    };
+    let Some(job) = core.jobs.get(id) else {
+        return elsewhere(&core, &request, id).await;
+    };
+    let from = request
+        .header::<_, usize>("last-event-id")
+        .map_or(0, |last| last + 1);
+    if accepts_stream(&request) {
+        return stream::response(job, from);
+    }
+    respond_json(&job, prefer_wait(&request)).await
+}
+
+/// Asks the entry that accepted a request; the balancer may have brought the caller here instead.
+async fn elsewhere<P: Platform>(
+    core: &Arc<Core<P>>,
+    request: &Request,
+    id: RequestId,
+) -> Response {
+    let unknown = || {
+        Problem {
+            request: Some(format_id(id)),
+            ..Problem::bad(
+                StatusCode::NOT_FOUND,
+                "no entry that can be reached has this request",
+            )
+        }
+        .response()
+    };
+    if request.headers().contains_key(FORWARDED) {
+        return unknown();
+    }
+    let Some(owner) = core.peers.owner(id) else {
+        return unknown();
+    };
+    let path = format!("/v1/requests/{}", format_id(id));
+    match core.peers.ask(owner, request, &path).await {
+        Some(answer) => answer.map(viz::Body::Incoming),
+        None => unknown(),
+    }
+}
+
+/// Answers with what a job brings: as a stream from a chunk on, or whole.
+async fn respond(job: Arc<Job>, wait: Option<Duration>, from: usize) -> Response {
+    if job.stream {
+        return stream::response(job, from);
+    }
+    respond_json(&job, wait).await
+}
+
+async fn respond_json(job: &Arc<Job>, wait: Option<Duration>) -> Response {
+    let end = match wait {
+        None => job.answer.ended().await,
+        Some(wait) => match tokio::time::timeout(wait, job.answer.ended()).await {
+            Ok(end) => end,
+            Err(_) => return accepted(job),
+        },
+    };
+    let mut response = match &end {
+        End::Whole { late } => whole(job, *late),
+        _ => Problem::from_end(job.id, &end)
+            .unwrap_or_else(|| Problem::unknown("no end"))
+            .response(),
+    };
+    name_request(&mut response, job.id);
+    response
+}
+
+/// `202 Accepted`: the caller chose to come back.
+fn accepted(job: &Job) -> Response {
+    let id = format_id(job.id);
+    let mut response = Response::with(
+        format!("{{\"request\":\"{id}\"}}").into(),
+        "application/json",
+    );
+    *response.status_mut() = StatusCode::ACCEPTED;
+    if let Ok(location) = format!("/v1/requests/{id}").parse() {
+        response.headers_mut().insert("location", location);
+    }
+    name_request(&mut response, job.id);
+    response
+}
+
+fn whole(job: &Job, late: bool) -> Response {
+    let chunks = job.answer.chunks();
+    let joined = if job.stream {
+        execute::join(&chunks)
+    } else {
+        chunks.into_iter().next().unwrap_or_default()
+    };
+    let Ok(output) = serde_json::from_slice::<&RawValue>(&joined) else {
+        let end = End::Failed {
+            stage: "last".to_owned(),
+            status: 502,
+            body: Bytes::from_static(b"the runner's answer is no JSON"),
+        };
+        return Problem::from_end(job.id, &end)
+            .unwrap_or_else(|| Problem::unknown("no end"))
+            .response();
+    };
+    let whole = Whole {
+        request: format_id(job.id),
+        late,
+        output,
+    };
+    let body = serde_json::to_vec(&whole).unwrap_or_default();
+    Response::with(body.into(), "application/json")
+}
+
+fn name_request(response: &mut Response, id: RequestId) {
+    if let Ok(value) = format_id(id).parse() {
+        response.headers_mut().insert(REQUEST, value);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller/stream.rs
@@ -0,0 +1,102 @@
+//! Answers as server-sent events.
+//!
+//! Each chunk is one event whose `id` is its position. The last event is `done`, with the number
+//! of chunks, or `problem`; a stream without either was cut off, and the caller goes on with
+//! `GET /v1/requests/{id}` and `Last-Event-ID`.
+
+use super::{EVENT_STREAM, format_id, name_request};
+use crate::answer::{End, Progress};
+use crate::job::Job;
+use crate::problem::Problem;
+use bytes::Bytes;
+use futures::Stream;
+use std::convert::Infallible;
+use std::sync::Arc;
+use tokio::sync::watch;
+use viz::{Body, Response, ResponseExt};
+
+/// Reader of one answer.
+struct Reader {
+    job: Arc<Job>,
+    next: usize,
+    progress: watch::Receiver<Progress>,
+    over: bool,
+}
+
+/// Streams a job's answer from a chunk on.
+pub(super) fn response(job: Arc<Job>, from: usize) -> Response {
+    let id = job.id;
+    let reader = Reader {
+        progress: job.answer.follow(),
+        next: from,
+        job,
+        over: false,
+    };
+    let mut response = Response::with(Body::from_stream(events(reader)), EVENT_STREAM);
+    let headers = response.headers_mut();
+    headers.insert("cache-control", viz::header::HeaderValue::from_static("no-store"));
+    name_request(&mut response, id);
+    response
+}
+
+fn events(reader: Reader) -> impl Stream<Item = Result<Bytes, Infallible>> {
+    futures::stream::unfold(reader, |mut reader| async {
+        let event = reader.next_event().await?;
+        Some((Ok(event), reader))
+    })
+}
+
+impl Reader {
+    /// All events that are due, so that a burst of chunks is written at once.
+    async fn next_event(&mut self) -> Option<Bytes> {
+        while !self.over {
+            self.progress.borrow_and_update();
+            // The end is read before the chunks: none can be added after it.
+            let end = self.job.answer.end();
+            let mut text = self.due();
+            if let Some(end) = end {
+                self.over = true;
+                text.push_str(&self.last(&end));
+            }
+            if !text.is_empty() {
+                return Some(Bytes::from(text));
+            }
+            // The sender lives in the job that this reader holds.
+            let _ = self.progress.changed().await;
+        }
+        None
+    }
+
+    fn due(&mut self) -> String {
+        let mut text = String::new();
+        while let Some(chunk) = self.job.answer.chunk(self.next) {
+            text.push_str(&format!("id: {}\n", self.next));
+            // A line break inside the data would end the event's line.
+            for line in String::from_utf8_lossy(&chunk).lines() {
+                text.push_str("data: ");
+                text.push_str(line);
+                text.push('\n');
+            }
+            text.push('\n');
+            self.next += 1;
+        }
+        text
+    }
+
+    fn last(&self, end: &End) -> String {
+        match Problem::from_end(self.job.id, end) {
+            Some(problem) => {
+                let problem = serde_json::to_string(&problem).unwrap_or_default();
+                format!("event: problem\ndata: {problem}\n\n")
+            }
+            None => {
+                let late = matches!(end, End::Whole { late: true });
+                let id = format_id(self.job.id);
+                let chunks = self.job.answer.len();
+                format!(
+                    "event: done\ndata: {{\"request\":\"{id}\",\"chunks\":{chunks},\"late\":{late}}}\n\n"
+                )
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/operator.rs
@@ -0,0 +1,232 @@
+//! Operators' interface: records, changes, history, status.
+
+use crate::config::accept::{self, Refusal};
+use crate::config::rows::{Change, Stored};
+use crate::core::{Core, Platform};
+use crate::problem::Problem;
+use http_body_util::{BodyExt, Limited};
+use protocol::Revision;
+use serde::{Deserialize, Serialize};
+use slog::info;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use viz::{Request, RequestExt, Response, ResponseExt, StatusCode};
+
+/// Largest change in bytes.
+const MAX_CHANGE: usize = 16 << 20;
+/// Entries of the change log handed out at once at most.
+const HISTORY_MOST: usize = 1000;
+/// When to come back while the table service is away, unless it says so itself.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+#[derive(Serialize)]
+struct Listing {
+    revision: Revision,
+    records: Vec<Stored>,
+}
+
+#[derive(Deserialize)]
+struct One {
+    key: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Span {
+    after: Option<Revision>,
+    limit: Option<usize>,
+}
+
+#[derive(Serialize)]
+struct Accepted {
+    revision: Revision,
+}
+
+#[derive(Serialize)]
+struct History {
+    changes: Vec<Change>,
+}
+
+#[derive(Serialize)]
+struct Conflicts {
+    conflicts: Vec<accept::Conflict>,
+}
+
+#[derive(Serialize)]
+struct Findings {
+    findings: Vec<record::check::Finding>,
+}
+
+/// What an entry says of itself.
+#[derive(Serialize)]
+struct Status {
+    id: String,
+    revision: Revision,
+    ready: bool,
+    head_age_ms: Option<u64>,
+    draining: bool,
+    targets: Vec<TargetStatus>,
+}
+
+/// What an entry knows of a target.
+#[derive(Serialize)]
+struct TargetStatus {
+    id: String,
+    service: String,
+    domain: String,
+    state: &'static str,
+    in_flight: u32,
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Response {
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::with(body.into(), "application/json");
+    *response.status_mut() = status;
+    response
+}
+
+/// `GET /v1/records`.
+pub async fn records<P: Platform>(core: Arc<Core<P>>, request: Request) -> Response {
+    if !core.config.is_ready() {
+        return Problem::not_run("no configuration has been read yet", COME_BACK).response();
+    }
+    let one = request.query::<One>().ok().and_then(|query| query.key);
+    let records = core.config.records();
+    let listing = Listing {
+        revision: core.config.revision(),
+        records: records
+            .into_iter()
+            .filter(|(key, _)| one.as_ref().is_none_or(|one| one == key))
+            .map(|(_, stored)| stored)
+            .collect(),
+    };
+    json(StatusCode::OK, &listing)
+}
+
+/// `POST /v1/apply`.
+pub async fn apply<P: Platform>(core: Arc<Core<P>>, request: Request) -> Response {
+    let Some(operator) = operator(&core, &request) else {
+        let detail = "no operator of this deployment has this token";
+        return Problem::bad(StatusCode::UNAUTHORIZED, detail).response();
+    };
+    let change = match read(request).await {
+        Ok(change) => change,
+        Err(problem) => return problem.response(),
+    };
+    match core.config.accept(&operator, &change).await {
+        Ok(revision) => {
+            info!(core.log, "change accepted"; "operator" => operator, "revision" => revision);
+            core.announce(revision);
+            json(StatusCode::OK, &Accepted { revision })
+        }
+        Err(refusal) => refused(refusal),
+    }
+}
+
+async fn read(request: Request) -> Result<accept::Request, Problem> {
+    let bad = |detail: String| Problem::bad(StatusCode::BAD_REQUEST, detail);
+    let body = Limited::new(request.into_body(), MAX_CHANGE)
+        .collect()
+        .await
+        .map_err(|error| bad(format!("change: {error}")))?
+        .to_bytes();
+    let change: accept::Request =
+        serde_json::from_slice(&body).map_err(|error| bad(format!("change: {error}")))?;
+    if change.token.is_empty() {
+        return Err(bad("change: token is empty".to_owned()));
+    }
+    Ok(change)
+}
+
+fn refused(refusal: Refusal) -> Response {
+    match refusal {
+        Refusal::Conflicts { conflicts } => json(StatusCode::CONFLICT, &Conflicts { conflicts }),
+        Refusal::Findings { findings } => {
+            json(StatusCode::UNPROCESSABLE_ENTITY, &Findings { findings })
+        }
+        Refusal::Unavailable { source } => {
+            let retry_after = match &source {
+                platform::Error::Unavailable { retry_after, .. } => *retry_after,
+                _ => None,
+            };
+            Problem::not_run(source.to_string(), retry_after.unwrap_or(COME_BACK)).response()
+        }
+        Refusal::Unknown => {
+            let problem = Problem::unknown("the change may be accepted: apply it again with the same token");
+            Problem {
+                status: StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+                retry_after: Some(COME_BACK.as_secs_f64()),
+                ..problem
+            }
+            .response()
+        }
+    }
+}
+
+/// `GET /v1/history`.
+pub async fn history<P: Platform>(core: Arc<Core<P>>, request: Request) -> Response {
+    let span = request.query::<Span>().ok();
+    let after = span.as_ref().and_then(|span| span.after).unwrap_or(0);
+    let limit = span.and_then(|span| span.limit).unwrap_or(HISTORY_MOST);
+    match core.config.changes(after).await {
+        Ok(mut changes) => {
+            changes.truncate(limit.min(HISTORY_MOST));
+            json(StatusCode::OK, &History { changes })
+        }
+        Err(error) => Problem::not_run(error.to_string(), COME_BACK).response(),
+    }
+}
+
+/// `GET /v1/status`.
+pub async fn status<P: Platform>(core: Arc<Core<P>>) -> Response {
+    let set = core.config.current();
+    let targets = core.pool.all().into_iter().map(|target| TargetStatus {
+        state: match (target.is_linked(), target.is_open()) {
+            (false, _) => "unlinked",
+            (true, false) => "leaving",
+            (true, true) if set.drained(&target.vm.id) => "drained",
+            (true, true) => "live",
+        },
+        in_flight: target.in_flight.load(Ordering::Relaxed),
+        id: target.vm.id.clone(),
+        service: target.vm.service.clone(),
+        domain: target.vm.domain.clone(),
+    });
+    let status = Status {
+        id: core.settings.id.clone(),
+        revision: core.config.revision(),
+        ready: core.config.is_ready(),
+        head_age_ms: core
+            .config
+            .head_age()
+            .and_then(|age| u64::try_from(age.as_millis()).ok()),
+        draining: core.is_draining(),
+        targets: targets.collect(),
+    };
+    json(StatusCode::OK, &status)
+}
+
+/// `GET /ready`: what the balancer asks.
+pub async fn ready<P: Platform>(core: Arc<Core<P>>) -> Response {
+    if core.is_draining() || !core.config.is_ready() {
+        return Problem::not_run("not ready", COME_BACK).response();
+    }
+    Response::text("ready\n")
+}
+
+/// The operator whose token a request bears.
+fn operator<P: Platform>(core: &Core<P>, request: &Request) -> Option<String> {
+    let given: String = request.header("authorization")?;
+    let given = given.strip_prefix("Bearer ")?;
+    core.settings
+        .operators
+        .iter()
+        .find(|operator| equal(operator.token.as_bytes(), given.as_bytes()))
+        .map(|operator| operator.name.clone())
+}
+
+/// Compares without telling by its duration how many bytes agree.
+fn equal(one: &[u8], other: &[u8]) -> bool {
+    let differing = one.iter().zip(other).fold(0, |sum, (a, b)| sum | (a ^ b));
+    one.len() == other.len() && differing == 0
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,135 @@
+//! The other entries: whom to ask for answers and records that this entry does not have.
+
+use crate::config::Records;
+use crate::config::rows::Stored;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use platform::Vm;
+use protocol::{RequestId, Revision};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::sync::{PoisonError, RwLock};
+use std::time::Duration;
+
+/// Header that keeps a forwarded question from being forwarded again.
+pub const FORWARDED: &str = "linnetdrift-forwarded";
+/// How long a peer may take to answer a question that needs no waiting.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Number of low bits of a request's identity that are drawn at random; the high bits name the
+/// entry that accepted it, so that any other entry knows whom to ask.
+const RANDOM_BITS: u32 = 96;
+
+/// Records as an entry hands them out.
+#[derive(Debug, Deserialize)]
+struct Listing {
+    revision: Revision,
+    records: Vec<Stored>,
+}
+
+/// The other entries of the deployment.
+#[derive(Debug)]
+pub struct Peers {
+    entries: RwLock<Vec<Vm>>,
+    http: Client<HttpConnector, Empty<Bytes>>,
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Self {
+            entries: RwLock::default(),
+            http: Client::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+}
+
+/// Tag of an entry in the identities of the requests it accepts.
+#[must_use]
+pub fn tag(entry: &str) -> u32 {
+    // FNV-1a: stable across builds and processes, which a seeded hasher is not.
+    entry.bytes().fold(0x811c_9dc5, |hash: u32, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+    })
+}
+
+/// Draws the identity of a new request at an entry.
+pub fn draw(entry: &str, rng: &mut impl rand::Rng) -> RequestId {
+    let random: u128 = rng.random();
+    (u128::from(tag(entry)) << RANDOM_BITS) | (random >> (128 - RANDOM_BITS))
+}
+
+impl Peers {
+    /// Takes in the entries that the platform lists, less this one.
+    pub fn update(&self, listed: Vec<Vm>, own: &str) {
+        let others = listed.into_iter().filter(|vm| vm.id != own).collect();
+        *self.entries.write().unwrap_or_else(PoisonError::into_inner) = others;
+    }
+
+    /// Addresses of the other entries.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.read().iter().map(|vm| vm.address).collect()
+    }
+
+    /// Address of the entry that accepted a request.
+    pub fn owner(&self, request: RequestId) -> Option<SocketAddr> {
+        let owner = u32::try_from(request >> RANDOM_BITS).unwrap_or(0);
+        self.read()
+            .iter()
+            .find(|vm| tag(&vm.id) == owner)
+            .map(|vm| vm.address)
+    }
+
+    /// Passes a caller's question about a request on to the entry that accepted it.
+    pub async fn ask(
+        &self,
+        address: SocketAddr,
+        request: &viz::Request,
+        path: &str,
+    ) -> Option<hyper::Response<hyper::body::Incoming>> {
+        let mut question = Request::get(format!("http://{address}{path}"));
+        for name in ["accept", "last-event-id", "prefer"] {
+            if let Some(value) = request.headers().get(name) {
+                question = question.header(name, value);
+            }
+        }
+        let question = question.header(FORWARDED, "1").body(Empty::new()).ok()?;
+        self.http.request(question).await.ok()
+    }
+
+    /// Records of the peer that has seen most, for a fresh process while the table is down.
+    pub async fn records(&self) -> Option<(Revision, Records)> {
+        let addresses = self.addresses();
+        let questions = addresses.into_iter().map(|address| self.listing(address));
+        futures::future::join_all(questions)
+            .await
+            .into_iter()
+            .flatten()
+            .max_by_key(|listing| listing.revision)
+            .map(|listing| {
+                let records = listing.records.into_iter();
+                let records = records.map(|stored| (stored.document.key(), stored));
+                (listing.revision, records.collect())
+            })
+    }
+
+    async fn listing(&self, address: SocketAddr) -> Option<Listing> {
+        let question = Request::get(format!("http://{address}/v1/records"))
+            .body(Empty::new())
+            .ok()?;
+        let answer = tokio::time::timeout(TIMEOUT, self.http.request(question));
+        let answer = answer.await.ok()?.ok()?;
+        if !answer.status().is_success() {
+            return None;
+        }
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice(&body).ok()
+    }
+
+    fn read(&self) -> std::sync::RwLockReadGuard<'_, Vec<Vm>> {
+        self.entries.read().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,151 @@
+//! Starts an entry and stops it gracefully.
+
+use crate::core::{Core, Platform};
+use crate::telemetry::Telemetry;
+use crate::{discovery, server};
+use metric::Registry;
+use slog::{Logger, info};
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Pause between a fresh entry's questions to its peers while the table service is away.
+const PEERS_PAUSE: Duration = Duration::from_millis(500);
+
+/// Why an entry could not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address could not be bound.
+    #[snafu(display("listen on {address}: {source}"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// Cause given by the operating system.
+        source: std::io::Error,
+    },
+    /// Certificate or key cannot be used.
+    #[snafu(display("tls: {source}"))]
+    Certificate {
+        /// What is wrong with it.
+        source: std::io::Error,
+    },
+}
+
+/// Addresses that an entry has bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ready {
+    /// Callers and operators connect here.
+    pub listen: SocketAddr,
+    /// Metrics are served here.
+    pub metrics: SocketAddr,
+}
+
+/// Runs an entry against the platform in its settings until `shutdown`, then stops gracefully.
+///
+/// # Errors
+///
+/// [`Error`] if it could not start.
+pub async fn run(
+    settings: setting::Entry,
+    log: Logger,
+    ready: impl FnOnce(Ready) + Send,
+    shutdown: impl Future<Output = ()> + Send,
+) -> Result<(), Error> {
+    let services = &settings.platform;
+    let platform = platform::Client::new(services.table, services.objects, services.vms);
+    run_with(settings, platform, log, ready, shutdown).await
+}
+
+/// Runs an entry against any platform.
+///
+/// # Errors
+///
+/// [`Error`] if it could not start.
+pub async fn run_with<P: Platform>(
+    settings: setting::Entry,
+    platform: P,
+    log: Logger,
+    ready: impl FnOnce(Ready) + Send,
+    shutdown: impl Future<Output = ()> + Send,
+) -> Result<(), Error> {
+    let tls = settings.tls.as_ref().map(server::acceptor).transpose();
+    let tls = tls.context(CertificateSnafu)?;
+    let address = settings.listen;
+    let listener = TcpListener::bind(address)
+        .await
+        .context(BindSnafu { address })?;
+    let listen = listener.local_addr().context(BindSnafu { address })?;
+    let mut registry = Registry::with_prefix("linnetdrift");
+    let telemetry = Telemetry::new(&mut registry);
+    let address = settings.metrics;
+    let metrics = metric::serve(address, Arc::new(registry))
+        .await
+        .context(BindSnafu { address })?;
+
+    let core = Arc::new(Core::new(settings, platform, telemetry, log));
+    let background = CancellationToken::new();
+    start_background(&core, &background);
+    let stop = CancellationToken::new();
+    let serving = tokio::spawn(server::serve(core.clone(), listener, tls, stop.clone()));
+    info!(core.log, "started"; "listen" => %listen);
+    ready(Ready { listen, metrics });
+    shutdown.await;
+    stop_gracefully(&core, &stop, serving).await;
+    background.cancel();
+    Ok(())
+}
+
+fn start_background<P: Platform>(core: &Arc<Core<P>>, stop: &CancellationToken) {
+    let pause = Duration::from_millis(core.settings.head_poll_ms);
+    let follower = core.clone();
+    spawn_until(stop, async move { follower.config.follow(pause).await });
+    spawn_until(stop, discovery::follow(core.clone()));
+    spawn_until(stop, learn_from_peers(core.clone()));
+}
+
+fn spawn_until(stop: &CancellationToken, work: impl Future<Output = ()> + Send + 'static) {
+    let stop = stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = work => {}
+            () = stop.cancelled() => {}
+        }
+    });
+}
+
+/// A fresh entry that cannot read the table service takes the records from its peers.
+async fn learn_from_peers<P: Platform>(core: Arc<Core<P>>) {
+    while !core.config.is_ready() {
+        tokio::time::sleep(PEERS_PAUSE).await;
+        if core.config.is_ready() {
+            break;
+        }
+        if let Some((revision, records)) = core.peers.records().await {
+            core.config.adopt(revision, records);
+        }
+    }
+}
+
+/// Refuses new work, finishes what runs, then closes the connections.
+///
+/// The listener stays open meanwhile: a caller that the balancer still sends here is told *not
+/// run* and goes elsewhere, instead of finding its connection refused.
+async fn stop_gracefully<P: Platform>(
+    core: &Arc<Core<P>>,
+    stop: &CancellationToken,
+    serving: tokio::task::JoinHandle<()>,
+) {
+    info!(core.log, "draining");
+    core.drain();
+    core.tasks.close();
+    core.tasks.wait().await;
+    stop.cancel();
+    // The server ends by itself once its connections have; only a panic in it is an error.
+    let _ = serving.await;
+    // A request that was accepted at the moment the stop began is waited for as well.
+    core.tasks.wait().await;
+    info!(core.log, "stopped");
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,161 @@
+//! Listener, TLS and routes.
+
+use crate::core::{Core, Platform};
+use crate::{caller, operator};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_rustls::TlsAcceptor;
+use tokio_util::sync::CancellationToken;
+use viz::{Request, Responder, Response, Router, Tree};
+
+/// How long a client may take over the TLS handshake.
+const HANDSHAKE: Duration = Duration::from_secs(5);
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Routes of an entry.
+pub fn routes<P: Platform>(core: &Arc<Core<P>>) -> Router {
+    macro_rules! handler {
+        ($function:path) => {{
+            let core = core.clone();
+            move |request: Request| {
+                let core = core.clone();
+                async move { Ok::<Response, viz::Error>($function(core, request).await) }
+            }
+        }};
+        ($function:path, bare) => {{
+            let core = core.clone();
+            move |_: Request| {
+                let core = core.clone();
+                async move { Ok::<Response, viz::Error>($function(core).await) }
+            }
+        }};
+    }
+    Router::new()
+        .post(
+            "/v1/pipelines/:name/versions/:version/run",
+            handler!(caller::run),
+        )
+        .get("/v1/requests/:id", handler!(caller::fetch))
+        .get("/v1/records", handler!(operator::records))
+        .post("/v1/apply", handler!(operator::apply))
+        .get("/v1/history", handler!(operator::history))
+        .get("/v1/status", handler!(operator::status, bare))
+        .get("/ready", handler!(operator::ready, bare))
+}
+
+/// Serves until `stop`, then lets every open connection finish what it has.
+///
+/// No timeout ends a connection: the library's own server gives up after ten seconds, which would
+/// cut streams off at a planned stop.
+pub async fn serve<P: Platform>(
+    core: Arc<Core<P>>,
+    listener: TcpListener,
+    tls: Option<TlsAcceptor>,
+    stop: CancellationToken,
+) {
+    let tree: Arc<Tree> = Arc::new(routes(&core).into());
+    let graceful = Arc::new(GracefulShutdown::new());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, address)) => {
+                let tree = tree.clone();
+                let graceful = graceful.clone();
+                tokio::spawn(connection(stream, address, tls.clone(), tree, graceful));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    drop(listener);
+    let Some(graceful) = wait_alone(graceful).await else {
+        return;
+    };
+    graceful.shutdown().await;
+}
+
+/// Waits until no connection that is still in its TLS handshake holds the watcher.
+async fn wait_alone(mut graceful: Arc<GracefulShutdown>) -> Option<GracefulShutdown> {
+    loop {
+        match Arc::try_unwrap(graceful) {
+            Ok(graceful) => return Some(graceful),
+            Err(shared) => graceful = shared,
+        }
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
+async fn connection(
+    stream: TcpStream,
+    address: SocketAddr,
+    tls: Option<TlsAcceptor>,
+    tree: Arc<Tree>,
+    graceful: Arc<GracefulShutdown>,
+) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    match tls {
+        None => http(stream, address, tree, graceful).await,
+        Some(acceptor) => {
+            let handshake = tokio::time::timeout(HANDSHAKE, acceptor.accept(stream));
+            if let Ok(Ok(stream)) = handshake.await {
+                http(stream, address, tree, graceful).await;
+            }
+        }
+    }
+}
+
+async fn http(
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    address: SocketAddr,
+    tree: Arc<Tree>,
+    graceful: Arc<GracefulShutdown>,
+) {
+    let builder = Builder::new(TokioExecutor::new());
+    let responder = Responder::new(tree, Some(address));
+    let connection = builder
+        .serve_connection(TokioIo::new(stream), responder)
+        .into_owned();
+    let connection = graceful.watch(connection);
+    drop(graceful);
+    // What a client does to its own connection is no event of this process.
+    let _ = connection.await;
+}
+
+/// Reads the certificate and key of the callers' and operators' listener.
+///
+/// # Errors
+///
+/// An [`io::Error`] that names the file that cannot be used.
+pub fn acceptor(tls: &setting::Tls) -> io::Result<TlsAcceptor> {
+    use rustls_pki_types::pem::PemObject;
+    use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+    let invalid = |path: &std::path::Path, error: String| {
+        io::Error::new(
+            io::ErrorKind::InvalidData,
+            format!("{}: {error}", path.display()),
+        )
+    };
+    let chain = CertificateDer::pem_file_iter(&tls.certificate)
+        .and_then(Iterator::collect::<Result<Vec<_>, _>>)
+        .map_err(|error| invalid(&tls.certificate, error.to_string()))?;
+    let key = PrivateKeyDer::from_pem_file(&tls.key)
+        .map_err(|error| invalid(&tls.key, error.to_string()))?;
+    let mut config = rustls::ServerConfig::builder()
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .map_err(|error| invalid(&tls.certificate, error.to_string()))?;
+    config.alpn_protocols = vec![b"h2".to_vec(), b"http/1.1".to_vec()];
+    Ok(TlsAcceptor::from(Arc::new(config)))
+}
--- /dev/null
+++ b/crates/entry/src/telemetry.rs
@@ -0,0 +1,131 @@
+//! Counters and histograms of an entry.
+
+use crate::answer::End;
+use crate::attempt::Outcome;
+use crate::job::Job;
+use metric::{Bound, Registry};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use std::time::Duration;
+
+/// Workspaces with a label of their own; the rest share one. At 14 buckets, 4 classes and 256
+/// workspaces a scrape stays near 1 MB whatever callers send.
+const WORKSPACES: usize = 256;
+/// Classes with a label of their own.
+const CLASSES: usize = 4;
+/// Stages with a label of their own.
+const STAGES: usize = 128;
+/// Smallest latency bucket in seconds.
+const BUCKET_FIRST: f64 = 0.001;
+/// Ratio between neighbouring latency buckets.
+const BUCKET_FACTOR: f64 = 2.0;
+/// Number of latency buckets; the last ends at 8 s, twice the usual deadline.
+const BUCKETS: u16 = 14;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Request {
+    workspace: String,
+    class: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ended {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Attempted {
+    stage: String,
+    outcome: &'static str,
+}
+
+/// Counters and histograms of an entry.
+#[derive(Debug)]
+pub struct Telemetry {
+    workspaces: Bound,
+    classes: Bound,
+    stages: Bound,
+    latency: Family<Request, Histogram>,
+    ended: Family<Ended, Counter>,
+    attempts: Family<Attempted, Histogram>,
+    refused: Counter,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(BUCKET_FIRST, BUCKET_FACTOR, BUCKETS))
+}
+
+impl Telemetry {
+    /// Metrics registered under the names that the operators' page explains.
+    pub fn new(registry: &mut Registry) -> Self {
+        let telemetry = Self {
+            workspaces: Bound::new(WORKSPACES),
+            classes: Bound::new(CLASSES),
+            stages: Bound::new(STAGES),
+            latency: Family::new_with_constructor(histogram),
+            ended: Family::default(),
+            attempts: Family::new_with_constructor(histogram),
+            refused: Counter::default(),
+        };
+        registry.register(
+            "entry_request_seconds",
+            "Time from acceptance to the end of a request",
+            telemetry.latency.clone(),
+        );
+        registry.register(
+            "entry_requests",
+            "Requests that ended, by outcome",
+            telemetry.ended.clone(),
+        );
+        registry.register(
+            "entry_attempt_seconds",
+            "Time of one attempt of a stage, by outcome",
+            telemetry.attempts.clone(),
+        );
+        registry.register(
+            "entry_refused",
+            "Requests refused before they were accepted",
+            telemetry.refused.clone(),
+        );
+        telemetry
+    }
+
+    /// Counts a request that was refused before it was accepted.
+    pub fn refused(&self) {
+        self.refused.inc();
+    }
+
+    /// Counts a request that has ended.
+    pub fn ended(&self, job: &Job, end: &End) {
+        let outcome = match end {
+            End::Whole { late: false } => "on_time",
+            End::Whole { late: true } => "late",
+            End::NotRun { .. } => "not_run",
+            End::Unknown { .. } => "unknown",
+            End::Failed { .. } => "failed",
+        };
+        self.ended.get_or_create(&Ended { outcome }).inc();
+        let labels = Request {
+            workspace: self.workspaces.label(&job.workspace).to_owned(),
+            class: self.classes.label(&job.class).to_owned(),
+        };
+        let taken = job.accepted.elapsed().as_secs_f64();
+        self.latency.get_or_create(&labels).observe(taken);
+    }
+
+    /// Counts an attempt that has ended.
+    pub fn attempt(&self, stage: &str, outcome: &Outcome, taken: Duration) {
+        let outcome = match outcome {
+            Outcome::Whole { .. } => "whole",
+            Outcome::NotRun { .. } => "not_run",
+            Outcome::Failed { .. } => "failed",
+            Outcome::Unknown => "unknown",
+        };
+        let stage = self.stages.label(stage).to_owned();
+        self.attempts
+            .get_or_create(&Attempted { stage, outcome })
+            .observe(taken.as_secs_f64());
+    }
+}
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -40,6 +40,8 @@
     Refuse,
     /// The agent has no memory of the attempt and will not start it.
     Forget,
+    /// The agent says that the runner has the work.
+    Started,
     /// A chunk of the answer.
     Chunk {
         /// Position in the answer.
@@ -121,6 +123,12 @@
         self.state
     }
 
+    /// Whether the call may run more than once, so that it needs no grant.
+    #[must_use]
+    pub fn is_repeatable(&self) -> bool {
+        self.repeatable
+    }
+
     /// Number of the chunk that is due next.
     #[must_use]
     pub fn next(&self) -> Sequence {
@@ -135,6 +143,7 @@
         match event {
             Event::Ask => self.ask(),
             Event::Refuse => self.end(End::NotRun),
+            Event::Started => self.started(),
             Event::Chunk { sequence, length } => self.chunk(sequence, length),
             Event::Done { chunks, length } => self.done(chunks, length),
             Event::Fail => self.end(End::Failed),
@@ -164,6 +173,11 @@
         [Some(Action::Deny), None]
     }
 
+    fn started(&mut self) -> Actions {
+        self.state = State::Granted;
+        [None, None]
+    }
+
     fn chunk(&mut self, sequence: Sequence, length: u32) -> Actions {
         if sequence != self.next {
             return [Some(Action::Drop), None];
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -112,6 +112,29 @@
     },
 }
 
+impl Frame {
+    /// The attempt that the message is about, if it is about one.
+    #[must_use]
+    pub fn call(&self) -> Option<CallId> {
+        match self {
+            Self::Offer { call, .. }
+            | Self::Grant { call }
+            | Self::Deny { call }
+            | Self::Revoke { call }
+            | Self::Cancel { call }
+            | Self::Recall { call, .. }
+            | Self::Ask { call }
+            | Self::Refuse { call, .. }
+            | Self::Start { call }
+            | Self::Chunk { call, .. }
+            | Self::Done { call, .. }
+            | Self::Fail { call, .. }
+            | Self::Break { call, .. } => Some(*call),
+            Self::Leave { .. } => None,
+        }
+    }
+}
+
 /// What a runner is asked to do.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Work {
