Shared-key handshake, keepalives and exact frame limits on links

A peer without the key was served, and a vanished peer was never noticed. A frame over the limit fails its sender alone. Sender::flush waits until earlier frames are with the operating system. Order and OrderDone are added at the end of Frame.

--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,7 +1,7 @@
 //! What entries and agents say to each other about calls.
 
 use bytes::Bytes;
-use protocol::{CallId, Incarnation, Revision, Sequence};
+use protocol::{CallId, Fence, Incarnation, Revision, Sequence};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -110,6 +110,21 @@
         /// Life of the agent that leaves.
         incarnation: Incarnation,
     },
+    /// Entry to agent: pass an order on to the engine; orders of one link are carried out in
+    /// turn.
+    Order {
+        /// Fencing number of the lease under which the order is given.
+        fence: Fence,
+        /// JSON body of the order.
+        body: Bytes,
+    },
+    /// Agent to entry: what became of the oldest order of this link that is still open.
+    OrderDone {
+        /// HTTP status of the engine's answer, or 412 if the agent refused an old number.
+        status: u16,
+        /// Body of the engine's answer.
+        body: Bytes,
+    },
 }
 
 /// What a runner is asked to do.
--- /dev/null
+++ b/crates/wire/src/handshake.rs
@@ -0,0 +1,133 @@
+//! Proof that both ends of a new link hold the shared key.
+//!
+//! The connecting side sends a nonce; the accepting side answers with its own nonce and a proof
+//! over both; the connecting side then sends its proof. The two proofs are made under different
+//! labels, because a peer without the key could otherwise send an end its own proof back.
+
+use crate::link::{Error, Key, SocketSnafu};
+use hmac::{Hmac, Mac};
+use rand::TryRngCore;
+use rand::rngs::OsRng;
+use sha2::Sha256;
+use snafu::ResultExt;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::time::timeout;
+
+/// Longest time a handshake may take; a peer that connects and stays silent is dropped then.
+pub const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Version of the handshake and of the frames behind it.
+const VERSION: u8 = 1;
+const NONCE: usize = 32;
+const PROOF: usize = 32;
+const ACCEPTING: &[u8] = b"linnetdrift link accepting";
+const CONNECTING: &[u8] = b"linnetdrift link connecting";
+
+type Nonce = [u8; NONCE];
+type Proof = [u8; PROOF];
+
+/// The two nonces that both proofs cover.
+struct Challenge {
+    connecting: Nonce,
+    accepting: Nonce,
+}
+
+impl Challenge {
+    fn mac(&self, key: &Key, label: &[u8]) -> Hmac<Sha256> {
+        let mut mac = mac(key);
+        mac.update(label);
+        mac.update(&[VERSION]);
+        mac.update(&self.connecting);
+        mac.update(&self.accepting);
+        mac
+    }
+
+    fn prove(&self, key: &Key, label: &[u8]) -> Proof {
+        self.mac(key, label).finalize().into_bytes().into()
+    }
+
+    /// Compares in constant time.
+    fn verify(&self, key: &Key, label: &[u8], proof: &Proof) -> Result<(), Error> {
+        self.mac(key, label)
+            .verify_slice(proof)
+            .map_err(|_| Error::Unauthorized)
+    }
+}
+
+/// A fresh keyed hash under the shared key.
+pub(crate) fn mac(key: &Key) -> Hmac<Sha256> {
+    // HMAC takes keys of every length, so this cannot fail.
+    Hmac::new_from_slice(key.bytes()).unwrap_or_else(|_| unreachable!("HMAC takes any key"))
+}
+
+/// Carries out the connecting side within [`TIMEOUT`].
+pub(crate) async fn connect(
+    stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
+    key: &Key,
+) -> Result<(), Error> {
+    in_time(async {
+        let connecting = nonce()?;
+        let mut hello = [VERSION; 1 + NONCE];
+        hello[1..].copy_from_slice(&connecting);
+        send(stream, &hello).await?;
+        let accepting: Nonce = receive(stream).await?;
+        let proof: Proof = receive(stream).await?;
+        let challenge = Challenge {
+            connecting,
+            accepting,
+        };
+        challenge.verify(key, ACCEPTING, &proof)?;
+        send(stream, &challenge.prove(key, CONNECTING)).await
+    })
+    .await
+}
+
+/// Carries out the accepting side within [`TIMEOUT`].
+pub(crate) async fn accept(
+    stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
+    key: &Key,
+) -> Result<(), Error> {
+    in_time(async {
+        let [version] = receive(stream).await?;
+        snafu::ensure!(version == VERSION, crate::link::UnauthorizedSnafu);
+        let connecting: Nonce = receive(stream).await?;
+        let challenge = Challenge {
+            connecting,
+            accepting: nonce()?,
+        };
+        let mut answer = [0; NONCE + PROOF];
+        answer[..NONCE].copy_from_slice(&challenge.accepting);
+        answer[NONCE..].copy_from_slice(&challenge.prove(key, ACCEPTING));
+        send(stream, &answer).await?;
+        let proof: Proof = receive(stream).await?;
+        challenge.verify(key, CONNECTING, &proof)
+    })
+    .await
+}
+
+async fn in_time(work: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
+    timeout(TIMEOUT, work)
+        .await
+        .map_err(std::io::Error::from)
+        .context(SocketSnafu)?
+}
+
+fn nonce() -> Result<Nonce, Error> {
+    let mut nonce = [0; NONCE];
+    OsRng
+        .try_fill_bytes(&mut nonce)
+        .map_err(std::io::Error::other)
+        .context(SocketSnafu)?;
+    Ok(nonce)
+}
+
+async fn send(stream: &mut (impl AsyncWrite + Unpin), bytes: &[u8]) -> Result<(), Error> {
+    stream.write_all(bytes).await.context(SocketSnafu)
+}
+
+async fn receive<const N: usize>(stream: &mut (impl AsyncRead + Unpin)) -> Result<[u8; N], Error> {
+    let mut bytes = [0; N];
+    stream.read_exact(&mut bytes).await.context(SocketSnafu)?;
+    Ok(bytes)
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,9 +2,13 @@
 //!
 //! * [`frame`]: what entries and agents say to each other about calls
 //! * [`link`]: an ordered link between one entry and one agent
+//! * [`handshake`]: proof that both ends hold the shared key
+//! * [`silence`]: detection of a dead peer
 
 pub mod frame;
+pub mod handshake;
 pub mod link;
+pub mod silence;
 
 pub use frame::{Frame, Load, Refusal, Work};
 pub use link::{Error, Key, Listener, Receiver, Sender, connect};
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,19 +1,32 @@
 //! An ordered link between one entry and one agent: length-delimited postcard frames over TCP.
+//!
+//! A link starts with a [handshake](crate::handshake) and is watched for
+//! [silence](crate::silence). An empty frame only says that the peer is alive.
 
 use crate::frame::Frame;
+use crate::handshake;
+use crate::silence::{KEEPALIVE, Watch};
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, Semaphore, mpsc, oneshot};
+use tokio::time::{sleep, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::sync::{CancellationToken, DropGuard};
 
-/// Largest frame in bytes; a longer one closes the link.
+/// Largest frame in bytes, without its length: one of this size is carried, one byte more is
+/// refused by the sender with [`Error::Oversize`] and closes the link at the receiver.
 pub const MAX_FRAME: usize = 64 << 20;
 /// Frames that wait for the writer before senders wait.
 const QUEUE: usize = 1024;
+/// Bytes that are written together at most.
+const BATCH: usize = 64 << 10;
+/// Connections in their handshake at once; further ones wait in the system's backlog.
+const HANDSHAKES: usize = 64;
 
 /// What can go wrong with a link.
 #[derive(Debug, Snafu)]
@@ -31,6 +44,12 @@
         /// Cause given by the codec.
         source: postcard::Error,
     },
+    /// The frame is longer than [`MAX_FRAME`]; the link goes on without it.
+    #[snafu(display("frame of {length} bytes is longer than {MAX_FRAME}"))]
+    Oversize {
+        /// Length of the frame in bytes.
+        length: usize,
+    },
     /// The link is closed.
     #[snafu(display("link closed"))]
     Closed,
@@ -56,10 +75,17 @@
     }
 }
 
+/// What the writer is given.
+#[derive(Debug)]
+enum Item {
+    Frame(Bytes),
+    Flush(oneshot::Sender<()>),
+}
+
 /// Sending end of a link; clones share the link.
 #[derive(Clone, Debug)]
 pub struct Sender {
-    queue: mpsc::Sender<Frame>,
+    queue: mpsc::Sender<Item>,
 }
 
 impl Sender {
@@ -67,37 +93,73 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Closed`] if the link is gone; the frame may or may not have been sent otherwise.
+    /// [`Error::Closed`] if the link is gone, [`Error::Oversize`] if the frame is too long; the
+    /// frame may or may not have been sent otherwise.
     pub async fn send(&self, frame: Frame) -> Result<(), Error> {
-        self.queue.send(frame).await.map_err(|_| Error::Closed)
+        let bytes = postcard::to_stdvec(&frame).context(CodecSnafu)?;
+        let length = bytes.len();
+        ensure!(length <= MAX_FRAME, OversizeSnafu { length });
+        self.queue(Item::Frame(bytes.into())).await
+    }
+
+    /// Waits until all frames sent before have been handed to the operating system.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Closed`] if the link was lost before.
+    pub async fn flush(&self) -> Result<(), Error> {
+        let (done, flushed) = oneshot::channel();
+        self.queue(Item::Flush(done)).await?;
+        flushed.await.map_err(|_| Error::Closed)
+    }
+
+    async fn queue(&self, item: Item) -> Result<(), Error> {
+        self.queue.send(item).await.map_err(|_| Error::Closed)
     }
 }
 
 /// Receiving end of a link.
 #[derive(Debug)]
 pub struct Receiver {
-    frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    frames: FramedRead<Watch<OwnedReadHalf>, LengthDelimitedCodec>,
+    lost: CancellationToken,
 }
 
 impl Receiver {
-    /// The next frame, or `None` once the link is closed.
+    /// The next frame, or `None` once the link is closed. Dropping the future loses no frame.
     ///
     /// # Errors
     ///
-    /// [`Error::Socket`] or [`Error::Codec`]; the link is of no further use after either.
+    /// [`Error::Socket`] or [`Error::Codec`]; the link is of no further use after either, and
+    /// its [`Sender`]s fail.
     pub async fn recv(&mut self) -> Result<Option<Frame>, Error> {
-        let Some(bytes) = self.frames.next().await else {
-            return Ok(None);
-        };
-        let bytes = bytes.context(SocketSnafu)?;
-        postcard::from_bytes(&bytes).context(CodecSnafu).map(Some)
+        let received = self.read().await;
+        if received.is_err() {
+            self.lost.cancel();
+        }
+        received
+    }
+
+    async fn read(&mut self) -> Result<Option<Frame>, Error> {
+        while let Some(bytes) = self.frames.next().await {
+            let bytes = bytes.context(SocketSnafu)?;
+            if !bytes.is_empty() {
+                return postcard::from_bytes(&bytes).context(CodecSnafu).map(Some);
+            }
+        }
+        Ok(None)
     }
 }
 
+/// Both ends of a link.
+type Link = (Sender, Receiver);
+
 /// Accepts links from entries.
 #[derive(Debug)]
 pub struct Listener {
-    socket: TcpListener,
+    address: SocketAddr,
+    links: Mutex<mpsc::Receiver<Result<Link, Error>>>,
+    _accepting: DropGuard,
 }
 
 impl Listener {
@@ -106,47 +168,97 @@
     /// # Errors
     ///
     /// [`Error::Socket`] if the address cannot be bound.
-    pub async fn bind(address: SocketAddr, _key: Key) -> Result<Self, Error> {
+    pub async fn bind(address: SocketAddr, key: Key) -> Result<Self, Error> {
         let socket = TcpListener::bind(address).await.context(SocketSnafu)?;
-        Ok(Self { socket })
+        let address = socket.local_addr().context(SocketSnafu)?;
+        let (ready, links) = mpsc::channel(HANDSHAKES);
+        let stop = CancellationToken::new();
+        let accepting = accept_all(socket, key, ready);
+        tokio::spawn(stop.clone().run_until_cancelled_owned(accepting));
+        Ok(Self {
+            address,
+            links: Mutex::new(links),
+            _accepting: stop.drop_guard(),
+        })
     }
 
     /// The address that peers connect to.
     ///
     /// # Errors
     ///
-    /// [`Error::Socket`] if the socket has none.
+    /// None today; kept for listeners that learn their address late.
     pub fn address(&self) -> Result<SocketAddr, Error> {
-        self.socket.local_addr().context(SocketSnafu)
+        Ok(self.address)
     }
 
-    /// Waits for the next link.
+    /// Waits for the next link whose peer has shown that it holds the key.
     ///
     /// # Errors
     ///
-    /// [`Error::Socket`] if this link failed; the listener goes on.
-    pub async fn accept(&self) -> Result<(Sender, Receiver), Error> {
-        let (stream, _) = self.socket.accept().await.context(SocketSnafu)?;
-        split(stream)
+    /// [`Error::Socket`] or [`Error::Unauthorized`] if one connection failed; the listener goes
+    /// on.
+    pub async fn accept(&self) -> Result<Link, Error> {
+        self.links.lock().await.recv().await.ok_or(Error::Closed)?
+    }
+}
+
+/// Takes connections and carries out each handshake in a task of its own, so that a peer that
+/// connects and stays silent does not keep others waiting.
+async fn accept_all(socket: TcpListener, key: Key, ready: mpsc::Sender<Result<Link, Error>>) {
+    let handshakes = Arc::new(Semaphore::new(HANDSHAKES));
+    while let Ok(permit) = handshakes.clone().acquire_owned().await {
+        let stream = match socket.accept().await {
+            Ok((stream, _)) => stream,
+            Err(source) => {
+                // Out of descriptors, say: accepting again at once would spin on the same error.
+                sleep(KEEPALIVE).await;
+                let _ = ready.send(Err(Error::Socket { source })).await;
+                continue;
+            }
+        };
+        let (key, ready) = (key.clone(), ready.clone());
+        tokio::spawn(async move {
+            let _ = ready.send(shake(stream, &key).await).await;
+            drop(permit);
+        });
     }
 }
 
+async fn shake(mut stream: TcpStream, key: &Key) -> Result<Link, Error> {
+    stream.set_nodelay(true).context(SocketSnafu)?;
+    handshake::accept(&mut stream, key).await?;
+    Ok(split(stream))
+}
+
 /// Opens a link to an agent.
 ///
 /// # Errors
 ///
-/// [`Error::Socket`] if the agent cannot be reached, [`Error::Unauthorized`] if the keys differ.
-pub async fn connect(address: SocketAddr, _key: &Key) -> Result<(Sender, Receiver), Error> {
-    split(TcpStream::connect(address).await.context(SocketSnafu)?)
+/// [`Error::Socket`] if the agent cannot be reached in time, [`Error::Unauthorized`] if the keys
+/// differ.
+pub async fn connect(address: SocketAddr, key: &Key) -> Result<Link, Error> {
+    let mut stream = timeout(handshake::TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(std::io::Error::from)
+        .context(SocketSnafu)?
+        .context(SocketSnafu)?;
+    stream.set_nodelay(true).context(SocketSnafu)?;
+    handshake::connect(&mut stream, key).await?;
+    Ok(split(stream))
 }
 
-fn split(stream: TcpStream) -> Result<(Sender, Receiver), Error> {
-    stream.set_nodelay(true).context(SocketSnafu)?;
+fn split(stream: TcpStream) -> Link {
     let (read, write) = stream.into_split();
-    let (queue, frames) = mpsc::channel(QUEUE);
-    tokio::spawn(write_all(FramedWrite::new(write, codec()), frames));
-    let frames = FramedRead::new(read, codec());
-    Ok((Sender { queue }, Receiver { frames }))
+    let (queue, items) = mpsc::channel(QUEUE);
+    let mut sink = FramedWrite::new(write, codec());
+    sink.set_backpressure_boundary(BATCH);
+    let lost = CancellationToken::new();
+    let writing = lost
+        .clone()
+        .run_until_cancelled_owned(write_all(sink, items));
+    tokio::spawn(writing);
+    let frames = FramedRead::new(Watch::new(read), codec());
+    (Sender { queue }, Receiver { frames, lost })
 }
 
 fn codec() -> LengthDelimitedCodec {
@@ -155,30 +267,40 @@
         .new_codec()
 }
 
+type Sink = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
+
 /// Writes what is queued and flushes once the queue is empty, so that a burst of tokens costs one
 /// system call.
-async fn write_all(
-    mut sink: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
-    mut frames: mpsc::Receiver<Frame>,
-) -> Result<(), Error> {
-    while let Some(first) = frames.recv().await {
-        feed(&mut sink, &first).await?;
-        while let Ok(frame) = frames.try_recv() {
-            feed(&mut sink, &frame).await?;
+async fn write_all(mut sink: Sink, mut items: mpsc::Receiver<Item>) -> Result<(), Error> {
+    loop {
+        match timeout(KEEPALIVE, items.recv()).await {
+            Ok(Some(first)) => write_batch(&mut sink, first, &mut items).await?,
+            Ok(None) => break,
+            Err(_) => sink.send(Bytes::new()).await.context(SocketSnafu)?,
         }
-        SinkExt::<Bytes>::flush(&mut sink)
-            .await
-            .context(SocketSnafu)?;
     }
     SinkExt::<Bytes>::close(&mut sink)
         .await
         .context(SocketSnafu)
 }
 
-async fn feed(
-    sink: &mut FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
-    frame: &Frame,
+async fn write_batch(
+    sink: &mut Sink,
+    first: Item,
+    items: &mut mpsc::Receiver<Item>,
 ) -> Result<(), Error> {
-    let bytes = postcard::to_stdvec(frame).context(CodecSnafu)?;
-    sink.feed(Bytes::from(bytes)).await.context(SocketSnafu)
+    let mut next = Some(first);
+    let mut waiting = Vec::new();
+    while let Some(item) = next {
+        match item {
+            Item::Frame(bytes) => sink.feed(bytes).await.context(SocketSnafu)?,
+            Item::Flush(done) => waiting.push(done),
+        }
+        next = items.try_recv().ok();
+    }
+    SinkExt::<Bytes>::flush(sink).await.context(SocketSnafu)?;
+    waiting.into_iter().for_each(|done| {
+        let _ = done.send(());
+    });
+    Ok(())
 }
