Decide: routing, admission, limits, budgets, retries, demand and placement

The decisions stand behind small traits, each with a naive version that Either selects. No I/O, no clocks: time and randomness are passed in.

--- /dev/null
+++ b/crates/decide/src/admit/unbounded.rs
@@ -0,0 +1,75 @@
+//! The baseline: first in, first out, without bound.
+
+use super::{Admission, Ask, Call, Verdict};
+use rand::Rng;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Accepts everything and starts it in the order in which it came.
+#[derive(Clone, Debug)]
+pub struct Unbounded<T> {
+    queue: VecDeque<T>,
+    in_flight: u32,
+}
+
+impl<T> Default for Unbounded<T> {
+    fn default() -> Self {
+        Self {
+            queue: VecDeque::new(),
+            in_flight: 0,
+        }
+    }
+}
+
+impl<T> Admission<T> for Unbounded<T> {
+    fn overload(
+        &mut self,
+        _ask: &Ask<'_>,
+        _limit: u32,
+        _now: Duration,
+        _rng: &mut impl Rng,
+    ) -> Option<Duration> {
+        None
+    }
+
+    fn offer(
+        &mut self,
+        call: Call<T>,
+        limit: u32,
+        now: Duration,
+        _rng: &mut impl Rng,
+    ) -> Verdict<T> {
+        self.push(call, limit, now)
+            .map_or(Verdict::Queued, Verdict::Start)
+    }
+
+    fn push(&mut self, call: Call<T>, limit: u32, now: Duration) -> Option<T> {
+        if self.queue.is_empty() && self.in_flight < limit {
+            self.in_flight += 1;
+            return Some(call.item);
+        }
+        self.queue.push_back(call.item);
+        self.next(limit, now)
+    }
+
+    fn next(&mut self, limit: u32, _now: Duration) -> Option<T> {
+        if self.in_flight >= limit {
+            return None;
+        }
+        let item = self.queue.pop_front()?;
+        self.in_flight += 1;
+        Some(item)
+    }
+
+    fn finished(&mut self, _workspace: &str, _busy: Duration, _elapsed: Option<Duration>) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+}
--- /dev/null
+++ b/crates/decide/src/demand/mean.rs
@@ -0,0 +1,33 @@
+//! An exponentially weighted mean of each class.
+
+use super::{Class, Demand};
+use crate::smooth::Mean;
+use std::time::Duration;
+
+/// Mean busy time of each class, the newest answers weighing most.
+#[derive(Clone, Debug)]
+pub struct Weighted {
+    classes: Vec<Mean>,
+}
+
+impl Weighted {
+    /// An estimator for so many classes, in which one answer has this weight, above 0 and up to 1.
+    #[must_use]
+    pub fn new(classes: usize, weight: f64) -> Self {
+        Self {
+            classes: vec![Mean::new(weight); classes],
+        }
+    }
+}
+
+impl Demand for Weighted {
+    fn answered(&mut self, class: Class, busy: Duration) {
+        self.classes[class].add(busy.as_secs_f64());
+    }
+
+    fn close(&mut self) {}
+
+    fn estimate(&self, class: Class) -> Duration {
+        Duration::from_secs_f64(self.classes[class].get().unwrap_or(0.0))
+    }
+}
--- /dev/null
+++ b/crates/decide/src/demand/quantile.rs
@@ -0,0 +1,70 @@
+//! A quantile sketch of each class.
+
+use super::{Class, Demand};
+use hdrhistogram::Histogram;
+use std::time::Duration;
+
+/// Longest busy time told apart from longer ones, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+/// Answers in the window below which the last full window is used instead.
+const MIN_ANSWERS: u64 = 20;
+
+/// A quantile of each class's busy times over the current and the last window.
+#[derive(Clone, Debug)]
+pub struct Sketch {
+    quantile: f64,
+    size: u64,
+    classes: Vec<Windows>,
+}
+
+#[derive(Clone, Debug)]
+struct Windows {
+    current: Histogram<u64>,
+    last: Duration,
+}
+
+impl Sketch {
+    /// An estimator for so many classes that gives this quantile, from 0 to 1, of windows of
+    /// `size` answers.
+    #[must_use]
+    pub fn new(classes: usize, quantile: f64, size: u64) -> Self {
+        let windows = Windows {
+            current: Histogram::new_with_max(LONGEST_US, 2).expect("bounds are valid"),
+            last: Duration::ZERO,
+        };
+        Self {
+            quantile,
+            size,
+            classes: vec![windows; classes],
+        }
+    }
+}
+
+impl Windows {
+    fn get(&self, quantile: f64) -> Duration {
+        Duration::from_micros(self.current.value_at_quantile(quantile))
+    }
+}
+
+impl Demand for Sketch {
+    fn answered(&mut self, class: Class, busy: Duration) {
+        let windows = &mut self.classes[class];
+        let micros = u64::try_from(busy.as_micros()).unwrap_or(LONGEST_US);
+        windows.current.saturating_record(micros);
+        if windows.current.len() >= self.size {
+            windows.last = windows.get(self.quantile);
+            windows.current.reset();
+        }
+    }
+
+    fn close(&mut self) {}
+
+    fn estimate(&self, class: Class) -> Duration {
+        let windows = &self.classes[class];
+        let enough = windows.current.len() >= MIN_ANSWERS || windows.last.is_zero();
+        if enough {
+            return windows.get(self.quantile);
+        }
+        windows.last
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,1 +1,30 @@
-//! Work in progress.
+//! Decisions under load and faults: state in, choices out, no I/O and no clocks.
+//!
+//! Time is passed in as a [`Duration`](std::time::Duration) since the process started, randomness
+//! as an `&mut impl Rng`. Each decision is a small trait with a naive version and the one that
+//! ships; a setting selects one of the two through [`Either`].
+//!
+//! * [`route`]: which target a call goes to
+//! * [`admit`]: whether a request is accepted, and in which order calls start
+//! * [`limit`]: how many calls may be in flight at once
+//! * [`budget`]: by when a stage must start so that the request meets its deadline
+//! * [`retry`]: retries, hedges and ejection of outliers
+//! * [`demand`]: estimates of service time by class
+//! * [`place`]: which models are loaded where
+
+pub mod admit;
+pub mod budget;
+pub mod demand;
+mod either;
+pub mod limit;
+pub mod place;
+pub mod retry;
+pub mod route;
+pub mod smooth;
+
+pub use either::Either;
+
+/// Hash map with a fast hasher.
+pub type Map<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
+/// Name of a workspace.
+pub type WorkspaceId = std::sync::Arc<str>;
--- /dev/null
+++ b/crates/decide/src/limit.rs
@@ -0,0 +1,154 @@
+//! How many calls may be in flight at once.
+
+use crate::either::{Either, either};
+use crate::smooth::Mean;
+use std::time::Duration;
+
+/// One answered call, as its sender saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// Time from sending the call to its whole answer.
+    pub elapsed: Duration,
+    /// Time the runner was busy with it; zero if it did not say.
+    pub busy: Duration,
+    /// Calls in flight when it was sent, itself included.
+    pub in_flight: u32,
+}
+
+/// A limit on calls in flight.
+pub trait Limit {
+    /// Calls that may be in flight now.
+    fn limit(&self) -> u32;
+    /// Takes in an answered call.
+    fn answered(&mut self, sample: Sample);
+    /// Takes in a call that the other side refused because it was full.
+    fn refused(&mut self);
+    /// Sets the bounds within which the limit moves, as targets come and go.
+    fn resize(&mut self, least: u32, most: u32);
+}
+
+/// A limit that never moves by itself: the baseline.
+#[derive(Clone, Debug)]
+pub struct Fixed {
+    limit: u32,
+}
+
+impl Fixed {
+    /// A fixed limit.
+    #[must_use]
+    pub fn new(limit: u32) -> Self {
+        Self { limit }
+    }
+}
+
+impl Limit for Fixed {
+    fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    fn answered(&mut self, _sample: Sample) {}
+
+    fn refused(&mut self) {}
+
+    fn resize(&mut self, _least: u32, most: u32) {
+        self.limit = most;
+    }
+}
+
+/// Weight of one sample in the short-term mean of the stretch.
+const SHORT_WEIGHT: f64 = 0.1;
+/// Stretch (elapsed over undisturbed time) that is taken as no queueing at all.
+const TOLERANCE: f64 = 1.25;
+/// Share by which the limit moves towards its goal with one sample.
+const STEP: f64 = 0.05;
+/// Share of the limit that is left after a refusal.
+const BACKOFF: f64 = 0.95;
+/// Share by which the remembered undisturbed time rises with each slower sample, so that a lasting
+/// change of the work is learnt within some thousands of calls.
+const FLOOR_RISE: f64 = 0.000_5;
+
+/// A limit that follows the gradient of latency: it grows while calls take no longer than
+/// undisturbed ones, and shrinks in proportion once they queue.
+///
+/// Where the runner tells its busy time, the undisturbed time is that; where it does not, it is a
+/// slowly rising minimum of the elapsed times.
+#[derive(Clone, Debug)]
+pub struct Gradient {
+    limit: f64,
+    least: f64,
+    most: f64,
+    stretch: Mean,
+    floor: Option<f64>,
+}
+
+impl Gradient {
+    /// A limit that starts at `start` and stays within the bounds.
+    #[must_use]
+    pub fn new(start: u32, least: u32, most: u32) -> Self {
+        Self {
+            limit: f64::from(start),
+            least: f64::from(least),
+            most: f64::from(most),
+            stretch: Mean::new(SHORT_WEIGHT),
+            floor: None,
+        }
+    }
+
+    fn undisturbed(&mut self, sample: &Sample) -> f64 {
+        if !sample.busy.is_zero() {
+            return sample.busy.as_secs_f64();
+        }
+        let elapsed = sample.elapsed.as_secs_f64();
+        let floor = self.floor.unwrap_or(elapsed);
+        let floor = (floor + FLOOR_RISE * (elapsed - floor)).min(elapsed);
+        self.floor = Some(floor);
+        floor
+    }
+}
+
+impl Limit for Gradient {
+    fn limit(&self) -> u32 {
+        self.limit as u32
+    }
+
+    fn answered(&mut self, sample: Sample) {
+        let undisturbed = self.undisturbed(&sample).max(f64::MIN_POSITIVE);
+        self.stretch.add(sample.elapsed.as_secs_f64() / undisturbed);
+        let gradient = (TOLERANCE / self.stretch.get().unwrap_or(1.0)).clamp(0.5, 1.0);
+        let in_use = f64::from(sample.in_flight) * 2.0 >= self.limit;
+        if gradient >= 1.0 && !in_use {
+            return;
+        }
+        let goal = self.limit * gradient + self.limit.sqrt();
+        let next = self.limit + STEP * (goal - self.limit);
+        self.limit = next.clamp(self.least, self.most);
+    }
+
+    fn refused(&mut self) {
+        self.limit = (self.limit * BACKOFF).max(self.least);
+    }
+
+    fn resize(&mut self, least: u32, most: u32) {
+        self.least = f64::from(least);
+        self.most = f64::from(most);
+        self.limit = self.limit.clamp(self.least, self.most);
+    }
+}
+
+impl<N: Limit, S: Limit> Limit for Either<N, S> {
+    fn limit(&self) -> u32 {
+        either!(self, inner => inner.limit())
+    }
+
+    fn answered(&mut self, sample: Sample) {
+        either!(self, inner => inner.answered(sample));
+    }
+
+    fn refused(&mut self) {
+        either!(self, inner => inner.refused());
+    }
+
+    fn resize(&mut self, least: u32, most: u32) {
+        either!(self, inner => inner.resize(least, most));
+    }
+}
--- /dev/null
+++ b/crates/decide/src/route/pool.rs
@@ -0,0 +1,312 @@
+//! What is known of a service's targets.
+
+use super::prefix::Belief;
+use super::target::{Answer, Norm, Report, Target, TargetId};
+use super::{Block, Call};
+use crate::Map;
+use crate::retry::eject::Ejection;
+use crate::smooth::Mean;
+use std::time::Duration;
+
+/// Service time in seconds that is assumed before the first answer.
+const FIRST_BUSY: f64 = 0.05;
+/// Weight of one answer in the pool's means.
+const POOL_WEIGHT: f64 = 0.05;
+/// Share of the service time that a whole prefix in cache is assumed to save before it is known.
+const FIRST_SAVING: f64 = 0.5;
+/// Largest share of the service time that a prefix in cache can be learnt to save.
+const MOST_SAVING: f64 = 0.9;
+
+/// The targets of one service, as one process sees them.
+///
+/// Those that take new work stand first in the vector, so that a router can draw from them
+/// without a look at the others.
+///
+/// # Examples
+///
+/// ```
+/// use decide::route::{Pool, Target};
+/// use std::time::Duration;
+///
+/// let mut pool = Pool::default();
+/// pool.insert(Target::new("gen-1", "a", 8));
+/// pool.sent("gen-1", Duration::ZERO);
+/// assert_eq!(pool.get("gen-1").unwrap().in_flight(), 1);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Pool {
+    targets: Vec<Target>,
+    index: Map<TargetId, usize>,
+    live: usize,
+    capacity: u32,
+    due: Option<Duration>,
+    others: f64,
+    busy: Mean,
+    cold: Mean,
+    warm: Mean,
+    belief: Belief,
+    ejection: Ejection,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::new(Ejection::default())
+    }
+}
+
+impl Pool {
+    /// An empty pool that ejects outliers as told.
+    #[must_use]
+    pub fn new(ejection: Ejection) -> Self {
+        Self {
+            targets: Vec::new(),
+            index: Map::default(),
+            live: 0,
+            capacity: 0,
+            due: None,
+            others: 0.0,
+            busy: Mean::new(POOL_WEIGHT),
+            cold: Mean::new(POOL_WEIGHT),
+            warm: Mean::new(POOL_WEIGHT),
+            belief: Belief::default(),
+            ejection,
+        }
+    }
+
+    /// Adds a target; one of that name keeps what is known of it.
+    pub fn insert(&mut self, target: Target) {
+        if self.index.contains_key(&target.id) {
+            return;
+        }
+        let place = self.targets.len();
+        self.index.insert(target.id.clone(), place);
+        self.targets.push(target);
+        self.enlist(place);
+    }
+
+    /// Forgets a target.
+    pub fn remove(&mut self, id: &str) -> Option<Target> {
+        let place = *self.index.get(id)?;
+        let place = self.delist(place);
+        let last = self.targets.len() - 1;
+        self.swap(place, last);
+        let target = self.targets.pop()?;
+        self.index.remove(id);
+        self.others -= target.others;
+        Some(target)
+    }
+
+    /// The target of that name.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Target> {
+        self.index.get(id).map(|&place| &self.targets[place])
+    }
+
+    /// All targets.
+    #[must_use]
+    pub fn targets(&self) -> &[Target] {
+        &self.targets
+    }
+
+    /// The targets that take new work.
+    #[must_use]
+    pub fn live(&self) -> &[Target] {
+        &self.targets[..self.live]
+    }
+
+    /// Calls that the runners of all targets that take new work are given at once at most.
+    #[must_use]
+    pub fn capacity(&self) -> u32 {
+        self.capacity
+    }
+
+    /// A call was sent to the target.
+    pub fn sent(&mut self, id: &str, now: Duration) {
+        self.readmit(now);
+        if let Some(target) = self.get_mut(id) {
+            target.in_flight += 1;
+        }
+    }
+
+    /// A sent call was refused, revoked or cancelled, which says nothing about the target's health.
+    pub fn returned(&mut self, id: &str) {
+        if let Some(target) = self.get_mut(id) {
+            target.in_flight = target.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// A sent call was answered whole.
+    pub fn answered(&mut self, id: &str, now: Duration, answer: &Answer<'_>) {
+        self.returned(id);
+        self.learn_saving(answer);
+        self.busy.add(answer.busy.as_secs_f64());
+        let Some(&place) = self.index.get(id) else {
+            return;
+        };
+        let target = &mut self.targets[place];
+        let believed = self.belief.overlap(id, answer.prefix, now);
+        target.learn_busy(now, answer.busy);
+        target.learn_hits(believed, answer.hits);
+        target.health.succeeded();
+        self.belief.stored(&target.id, answer.prefix, now);
+        self.readmit(now);
+    }
+
+    /// A sent call failed, or its answer was lost; too many of these eject the target.
+    pub fn failed(&mut self, id: &str, now: Duration) {
+        self.returned(id);
+        self.readmit(now);
+        let Some(&place) = self.index.get(id) else {
+            return;
+        };
+        let (live, all) = (self.live, self.targets.len());
+        let target = &mut self.targets[place];
+        if target.leaving || target.health.ejected() {
+            return;
+        }
+        if let Some(until) = target.health.failed(&self.ejection, now, live, all) {
+            self.due = Some(self.due.map_or(until, |due| due.min(until)));
+            self.delist(place);
+        }
+    }
+
+    /// The target's agent told its load, on an answer or on its own.
+    pub fn reported(&mut self, id: &str, now: Duration, report: Report) {
+        let Some(&place) = self.index.get(id) else {
+            return;
+        };
+        let target = &mut self.targets[place];
+        let before = target.others;
+        let limit = target.limit;
+        target.learn_load(now, report);
+        self.others += target.others - before;
+        if place < self.live {
+            self.capacity = self.capacity - limit + target.limit;
+        }
+    }
+
+    /// The target is leaving and gets no new work; no older news puts it back.
+    pub fn leave(&mut self, id: &str) {
+        let Some(&place) = self.index.get(id) else {
+            return;
+        };
+        self.targets[place].leaving = true;
+        self.delist(place);
+    }
+
+    /// The target's engine said that it has stored these blocks.
+    pub fn stored(&mut self, id: &str, now: Duration, blocks: &[Block]) {
+        if let Some(&place) = self.index.get(id) {
+            let id = self.targets[place].id.clone();
+            self.belief.stored(&id, blocks, now);
+        }
+    }
+
+    /// The target's engine said that it has dropped this block.
+    pub fn evicted(&mut self, id: &str, block: Block) {
+        self.belief.evicted(id, block);
+    }
+
+    /// Puts targets whose ejection is over back to work, on probation.
+    pub fn readmit(&mut self, now: Duration) {
+        if self.due.is_none_or(|due| now < due) {
+            return;
+        }
+        for place in self.live..self.targets.len() {
+            let target = &mut self.targets[place];
+            if !target.leaving && target.health.due(now) {
+                target.health.readmit();
+                self.enlist(place);
+            }
+        }
+        let out = &self.targets[self.live..];
+        self.due = out.iter().filter_map(|target| target.health.until()).min();
+    }
+
+    /// Which prefixes the targets are believed to have in cache.
+    #[must_use]
+    pub fn belief(&self) -> &Belief {
+        &self.belief
+    }
+
+    /// Expected time in seconds until the target would answer the call.
+    #[must_use]
+    pub fn expected(&self, target: &Target, call: &Call<'_>) -> f64 {
+        let norm = self.norm();
+        let finish = target.finish(call.now, norm);
+        finish - target.busy(call.now, norm) * self.saving() * self.overlap(target, call)
+    }
+
+    /// Means over the pool.
+    #[must_use]
+    pub fn norm(&self) -> Norm {
+        let count = self.targets.len().max(1) as f64;
+        Norm {
+            busy: self.busy.get().unwrap_or(FIRST_BUSY),
+            others: (self.others / count).max(0.0),
+        }
+    }
+
+    /// Share of the call's prefix that the target is believed to hold, from 0 to 1.
+    fn overlap(&self, target: &Target, call: &Call<'_>) -> f64 {
+        if call.prefix.is_empty() {
+            return 0.0;
+        }
+        let held = self.belief.overlap(&target.id, call.prefix, call.now);
+        target.credit() * held as f64 / call.prefix.len() as f64
+    }
+
+    fn saving(&self) -> f64 {
+        match (self.warm.get(), self.cold.get()) {
+            (Some(warm), Some(cold)) if cold > 0.0 => (1.0 - warm / cold).clamp(0.0, MOST_SAVING),
+            _ => FIRST_SAVING,
+        }
+    }
+
+    fn learn_saving(&mut self, answer: &Answer<'_>) {
+        if answer.prefix.is_empty() {
+            return;
+        }
+        let half_held = answer.hits as usize * 2 >= answer.prefix.len();
+        let mean = if half_held {
+            &mut self.warm
+        } else {
+            &mut self.cold
+        };
+        mean.add(answer.busy.as_secs_f64());
+    }
+
+    fn get_mut(&mut self, id: &str) -> Option<&mut Target> {
+        self.index.get(id).map(|&place| &mut self.targets[place])
+    }
+
+    fn enlist(&mut self, place: usize) {
+        if place >= self.live {
+            self.capacity += self.targets[place].limit;
+            self.swap(place, self.live);
+            self.live += 1;
+        }
+    }
+
+    /// Moves a target behind those that take new work and gives its new place.
+    fn delist(&mut self, place: usize) -> usize {
+        if place >= self.live {
+            return place;
+        }
+        self.capacity -= self.targets[place].limit;
+        self.live -= 1;
+        self.swap(place, self.live);
+        self.live
+    }
+
+    fn swap(&mut self, one: usize, other: usize) {
+        if one == other {
+            return;
+        }
+        self.targets.swap(one, other);
+        for place in [one, other] {
+            let id = self.targets[place].id.clone();
+            self.index.insert(id, place);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/route/target.rs
@@ -0,0 +1,172 @@
+//! What is known of one target.
+
+use super::Block;
+use crate::retry::eject::Health;
+use crate::smooth::{Mean, decay};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Name of a target's VM.
+pub type TargetId = Arc<str>;
+
+/// Weight of one answer in a target's smoothed service time.
+const BUSY_WEIGHT: f64 = 0.2;
+/// Weight of one answer in the share of believed prefix blocks that were hit.
+const CREDIT_WEIGHT: f64 = 0.1;
+/// Age at which half of a load report is replaced by the mean of the pool. Entries that all trusted
+/// the same old report would all send to the same target.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(250);
+/// Age at which half of a target's service time is replaced by that of the pool. A straggler that
+/// has recovered gets no calls by which it could show it, so old evidence must fade.
+const BUSY_HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// Load that a target's agent told on an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Calls that wait for a slot.
+    pub queued: u32,
+    /// Calls at the runner.
+    pub running: u32,
+    /// Calls that the runner is given at once at most; zero if not known.
+    pub limit: u32,
+}
+
+/// A whole answer, as the router learns from it.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer<'a> {
+    /// Time the runner was busy with the call.
+    pub busy: Duration,
+    /// Hashes of the call's prefix blocks, longest last.
+    pub prefix: &'a [Block],
+    /// How many of these blocks the runner found in its cache.
+    pub hits: u32,
+}
+
+/// One target of a service.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Name of its VM.
+    pub id: TargetId,
+    /// Failure domain that it runs in.
+    pub domain: Arc<str>,
+    pub(super) in_flight: u32,
+    pub(super) limit: u32,
+    pub(super) others: f64,
+    pub(super) reported: Option<Duration>,
+    pub(super) leaving: bool,
+    pub(super) health: Health,
+    busy: Mean,
+    answered: Duration,
+    credit: Mean,
+}
+
+/// Means over a pool that stand in for what is not, or no longer, known of one target.
+#[derive(Clone, Copy, Debug)]
+pub struct Norm {
+    /// Service time in seconds.
+    pub busy: f64,
+    /// Calls of other senders.
+    pub others: f64,
+}
+
+impl Target {
+    /// A target that nothing is known of yet and whose runner takes `limit` calls at once.
+    pub fn new(id: impl Into<TargetId>, domain: impl Into<Arc<str>>, limit: u32) -> Self {
+        Self {
+            id: id.into(),
+            domain: domain.into(),
+            in_flight: 0,
+            limit: limit.max(1),
+            others: 0.0,
+            reported: None,
+            leaving: false,
+            health: Health::default(),
+            busy: Mean::new(BUSY_WEIGHT),
+            answered: Duration::ZERO,
+            credit: Mean::new(CREDIT_WEIGHT),
+        }
+    }
+
+    /// Calls that this process has sent to it and that are not over.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Whether it takes no new work because it is about to go.
+    #[must_use]
+    pub fn leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether it gets no new work because it failed too often.
+    #[must_use]
+    pub fn ejected(&self) -> bool {
+        self.health.ejected()
+    }
+
+    /// Expected calls at the target: the own ones exactly, those of other senders by the last
+    /// report and, as that gets older, by the mean of the pool.
+    #[must_use]
+    pub fn load(&self, now: Duration, norm: Norm) -> f64 {
+        let trust = self.reported.map_or(0.0, |then| {
+            decay(now.saturating_sub(then), REPORT_HALF_LIFE)
+        });
+        let others = trust * self.others + (1.0 - trust) * norm.others;
+        f64::from(self.in_flight) + others
+    }
+
+    /// Expected time in seconds that the runner is busy with one call.
+    #[must_use]
+    pub fn busy(&self, now: Duration, norm: Norm) -> f64 {
+        let Some(own) = self.busy.get() else {
+            return norm.busy;
+        };
+        let trust = decay(now.saturating_sub(self.answered), BUSY_HALF_LIFE);
+        trust * own + (1.0 - trust) * norm.busy
+    }
+
+    /// Expected time in seconds until one more call would be answered, queueing included.
+    #[must_use]
+    pub fn finish(&self, now: Duration, norm: Norm) -> f64 {
+        let limit = f64::from(self.limit);
+        let load = self.load(now, norm);
+        let waiting = (load + 1.0 - limit).max(0.0);
+        let crowding = load.min(limit) / limit * CROWDING;
+        self.busy(now, norm) * (1.0 + waiting / limit + crowding)
+    }
+
+    pub(super) fn learn_busy(&mut self, now: Duration, busy: Duration) {
+        self.busy.add(busy.as_secs_f64());
+        self.answered = now;
+    }
+
+    /// Share of the prefix blocks believed in the target's cache that were found there of late.
+    #[must_use]
+    pub fn credit(&self) -> f64 {
+        self.credit.get().unwrap_or(1.0)
+    }
+
+    /// A cache too small for its traffic evicts what is believed held, and the events that say so
+    /// come late or never; without this correction calls would go on to queue for blocks that are
+    /// gone.
+    pub(super) fn learn_hits(&mut self, believed: usize, hits: u32) {
+        if believed > 0 {
+            let share = f64::from(hits) / believed as f64;
+            self.credit.add(share.min(1.0));
+        }
+    }
+
+    pub(super) fn learn_load(&mut self, now: Duration, report: Report) {
+        let total = f64::from(report.queued) + f64::from(report.running);
+        self.others = (total - f64::from(self.in_flight)).max(0.0);
+        self.reported = Some(now);
+        if report.limit > 0 {
+            self.limit = report.limit;
+        }
+    }
+}
+
+/// How much slower than an idle one a runner is expected to be that has all its slots in use, as a
+/// share of the service time; it spreads calls while no runner queues.
+const CROWDING: f64 = 0.25;
--- /dev/null
+++ b/crates/decide/src/smooth.rs
@@ -0,0 +1,60 @@
+//! Exponentially weighted means.
+
+use std::time::Duration;
+
+/// Mean of a stream of values that weighs the newest most.
+///
+/// # Examples
+///
+/// ```
+/// let mut mean = decide::smooth::Mean::new(0.5);
+/// assert_eq!(mean.get(), None);
+/// mean.add(10.0);
+/// mean.add(20.0);
+/// assert_eq!(mean.get(), Some(15.0));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Mean {
+    weight: f64,
+    value: Option<f64>,
+}
+
+impl Mean {
+    /// A mean in which the newest value has this weight, above 0 and up to 1.
+    #[must_use]
+    pub fn new(weight: f64) -> Self {
+        Self {
+            weight,
+            value: None,
+        }
+    }
+
+    /// Takes in a value.
+    pub fn add(&mut self, value: f64) {
+        self.value = Some(match self.value {
+            Some(old) => old + self.weight * (value - old),
+            None => value,
+        });
+    }
+
+    /// The mean, or `None` before the first value.
+    #[must_use]
+    pub fn get(&self) -> Option<f64> {
+        self.value
+    }
+}
+
+/// Share of an old value that still counts after `age`, from 1 down to 0.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// let share = decide::smooth::decay(Duration::from_secs(2), Duration::from_secs(1));
+/// assert!((share - 0.25).abs() < 1e-9);
+/// ```
+#[must_use]
+pub fn decay(age: Duration, half_life: Duration) -> f64 {
+    (-age.as_secs_f64() / half_life.as_secs_f64().max(f64::MIN_POSITIVE)).exp2()
+}
