--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -4,6 +4,7 @@
 //! caller after its connection broke, and a repeated request with the same idempotency key.
 
 use bytes::Bytes;
+use protocol::RequestId;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -28,6 +29,13 @@
         /// What is not known.
         detail: String,
     },
+    /// Another request with the same idempotency key has, or will have, the answer.
+    Elsewhere {
+        /// That request.
+        request: RequestId,
+    },
+    /// The idempotency key was used for another call; nothing ran.
+    Mismatch,
     /// A runner answered with an error.
     Failed {
         /// Stage that failed.
@@ -42,6 +50,8 @@
 /// How far an answer has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
+    /// Whether the request may run: its claim, if it needs one, is settled.
+    pub admitted: bool,
     /// Chunks so far.
     pub chunks: usize,
     /// Whether the request has ended.
@@ -50,6 +60,7 @@
 
 #[derive(Debug, Default)]
 struct State {
+    admitted: bool,
     chunks: Vec<Bytes>,
     bytes: usize,
     end: Option<End>,
@@ -72,6 +83,11 @@
 }
 
 impl Answer {
+    /// Says that the request may run.
+    pub fn admit(&self) {
+        self.change(|state| state.admitted = true);
+    }
+
     /// Adds the next chunk.
     pub fn push(&self, chunk: Bytes) {
         self.change(|state| {
@@ -122,6 +138,15 @@
         self.progress.subscribe()
     }
 
+    /// Waits until the request may run or has ended.
+    pub async fn admitted(&self) {
+        let mut progress = self.follow();
+        // The sender lives in `self`, so that the channel cannot close meanwhile.
+        let _ = progress
+            .wait_for(|progress| progress.admitted || progress.ended)
+            .await;
+    }
+
     /// Waits until the request has ended.
     pub async fn ended(&self) -> End {
         let mut progress = self.follow();
@@ -139,6 +164,7 @@
             let mut state = self.lock();
             change(&mut state);
             Progress {
+                admitted: state.admitted,
                 chunks: state.chunks.len(),
                 ended: state.end.is_some(),
             }
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -7,9 +7,10 @@
 use crate::execute;
 use crate::job::Job;
 use crate::peers::{self, FORWARDED};
-use crate::problem::Problem;
+use crate::kept::{self, Kept};
+use crate::problem::{Outcome, Problem};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use protocol::RequestId;
 use record::{Pipeline, Set};
 use serde::Serialize;
@@ -26,7 +27,7 @@
 /// When a caller may come back to an entry that is stopping: at once, to another one.
 const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(100);
 /// Media type of event streams.
-const EVENT_STREAM: &str = "text/event-stream";
+pub const EVENT_STREAM: &str = "text/event-stream";
 
 /// Header that names the request in every answer.
 pub const REQUEST: &str = "linnetdrift-request";
@@ -52,7 +53,32 @@
     key: Option<String>,
     deadline: Option<Duration>,
     stream: bool,
-    wait: Option<Duration>,
+}
+
+/// How a caller wants to follow an answer.
+#[derive(Clone, Debug)]
+pub struct Follow {
+    /// As a stream of events.
+    pub stream: bool,
+    /// First chunk that the caller lacks.
+    pub from: usize,
+    /// How long it waits for a whole answer before it would rather come back.
+    pub wait: Option<Duration>,
+    /// Whether another entry asks on the caller's behalf.
+    pub forwarded: bool,
+}
+
+impl Follow {
+    fn read(request: &Request) -> Self {
+        Self {
+            stream: accepts_stream(request),
+            from: request
+                .header::<_, usize>("last-event-id")
+                .map_or(0, |last| last.saturating_add(1)),
+            wait: prefer_wait(request),
+            forwarded: request.headers().contains_key(FORWARDED),
+        }
+    }
 }
 
 impl Ask {
@@ -71,7 +97,6 @@
             key: text("idempotency-key").filter(|key| !key.is_empty()),
             deadline,
             stream: accepts_stream(request),
-            wait: prefer_wait(request),
         })
     }
 }
@@ -112,8 +137,15 @@
 
 /// `POST /v1/pipelines/{name}/versions/{version}/run`.
 pub async fn run<P: Platform>(core: Arc<Core<P>>, request: Request) -> Response {
+    let follow = Follow::read(&request);
     match accept(&core, request).await {
-        Ok((job, wait)) => respond(job, wait, 0).await,
+        Ok(job) => {
+            job.answer.admitted().await;
+            if let Some(End::Elsewhere { request }) = job.answer.end() {
+                return find_answer(&core, request, &follow).await;
+            }
+            respond(&job, &follow).await
+        }
         Err(problem) => {
             core.telemetry.refused();
             problem.response()
@@ -124,7 +156,7 @@
 async fn accept<P: Platform>(
     core: &Arc<Core<P>>,
     request: Request,
-) -> Result<(Arc<Job>, Option<Duration>), Problem> {
+) -> Result<Arc<Job>, Problem> {
     if core.is_draining() {
         return Err(Problem::not_run("this entry is stopping", COME_BACK_ELSEWHERE));
     }
@@ -156,7 +188,7 @@
         answer: Answer::default(),
     });
     core.spawn(job.clone());
-    Ok((job, ask.wait))
+    Ok(job)
 }
 
 fn find(set: &Arc<Set>, request: &Request) -> Result<Arc<Pipeline>, Problem> {
@@ -192,70 +224,71 @@
     let Ok(id) = RequestId::from_str_radix(&text, 16) else {
         return bad(format!("{text:?} is no request")).response();
     };
-    let Some(job) = core.jobs.get(id) else {
-        return elsewhere(&core, &request, id).await;
-    };
-    let from = request
-        .header::<_, usize>("last-event-id")
-        .map_or(0, |last| last + 1);
-    if accepts_stream(&request) {
-        return stream::response(job, from);
-    }
-    respond_json(&job, prefer_wait(&request)).await
+    find_answer(&core, id, &Follow::read(&request)).await
 }
 
-/// Asks the entry that accepted a request; the balancer may have brought the caller here instead.
-async fn elsewhere<P: Platform>(
+/// Finds the answer to a request here, at the entry that accepted it, or in the object store; the
+/// balancer may have brought the caller to any entry, and the one it spoke to may be gone.
+async fn find_answer<P: Platform>(
     core: &Arc<Core<P>>,
-    request: &Request,
     id: RequestId,
+    follow: &Follow,
 ) -> Response {
-    let unknown = || {
-        Problem {
-            request: Some(format_id(id)),
-            ..Problem::bad(
-                StatusCode::NOT_FOUND,
-                "no entry that can be reached has this request",
-            )
-        }
-        .response()
-    };
-    if request.headers().contains_key(FORWARDED) {
-        return unknown();
+    if let Some(job) = core.jobs.get(id) {
+        return respond(&job, follow).await;
     }
-    let Some(owner) = core.peers.owner(id) else {
-        return unknown();
-    };
-    let path = format!("/v1/requests/{}", format_id(id));
-    match core.peers.ask(owner, request, &path).await {
-        Some(answer) => answer.map(viz::Body::Incoming),
-        None => unknown(),
+    let owner = core.peers.owner(id).filter(|_| !follow.forwarded);
+    if let Some(owner) = owner
+        && let Some(answer) = core.peers.ask(owner, id, follow).await
+    {
+        return answer.map(viz::Body::Incoming);
+    }
+    match kept::load(core, id).await {
+        Some(kept) => respond_kept(id, &kept),
+        None => lost(id),
     }
 }
 
-/// Answers with what a job brings: as a stream from a chunk on, or whole.
-async fn respond(job: Arc<Job>, wait: Option<Duration>, from: usize) -> Response {
-    if job.stream {
-        return stream::response(job, from);
-    }
-    respond_json(&job, wait).await
+fn lost(id: RequestId) -> Response {
+    let problem = Problem::unknown("no entry that can be reached has this request");
+    let problem = Problem {
+        request: Some(format_id(id)),
+        status: StatusCode::NOT_FOUND.as_u16(),
+        ..problem
+    };
+    problem.response()
 }
 
-async fn respond_json(job: &Arc<Job>, wait: Option<Duration>) -> Response {
-    let end = match wait {
+/// Answers with what a job brings: as a stream from a chunk on, or whole.
+async fn respond(job: &Arc<Job>, follow: &Follow) -> Response {
+    let refused = matches!(
+        job.answer.end(),
+        Some(End::NotRun { .. } | End::Mismatch | End::Elsewhere { .. })
+    );
+    if follow.stream && !refused {
+        return stream::response(job.clone(), follow.from);
+    }
+    let end = match follow.wait {
         None => job.answer.ended().await,
         Some(wait) => match tokio::time::timeout(wait, job.answer.ended()).await {
             Ok(end) => end,
             Err(_) => return accepted(job),
         },
     };
-    let mut response = match &end {
-        End::Whole { late } => whole(job, *late),
-        _ => Problem::from_end(job.id, &end)
-            .unwrap_or_else(|| Problem::unknown("no end"))
-            .response(),
+    render(job.id, &end, job.streams(), &job.answer.chunks())
+}
+
+fn respond_kept(id: RequestId, kept: &Kept) -> Response {
+    let chunks: Vec<Bytes> = kept.chunks.iter().cloned().map(Bytes::from).collect();
+    render(id, &kept.end(), kept.stream, &chunks)
+}
+
+fn render(id: RequestId, end: &End, streamed: bool, chunks: &[Bytes]) -> Response {
+    let mut response = match Problem::from_end(id, end) {
+        Some(problem) => problem.response(),
+        None => whole(id, matches!(end, End::Whole { late: true }), streamed, chunks),
     };
-    name_request(&mut response, job.id);
+    name_request(&mut response, id);
     response
 }
 
@@ -263,7 +296,7 @@
 fn accepted(job: &Job) -> Response {
     let id = format_id(job.id);
     let mut response = Response::with(
-        format!("{{\"request\":\"{id}\"}}").into(),
+        Full::from(format!("{{\"request\":\"{id}\"}}")),
         "application/json",
     );
     *response.status_mut() = StatusCode::ACCEPTED;
@@ -274,30 +307,35 @@
     response
 }
 
-fn whole(job: &Job, late: bool) -> Response {
-    let chunks = job.answer.chunks();
-    let joined = if job.stream {
-        execute::join(&chunks)
+fn whole(id: RequestId, late: bool, streamed: bool, chunks: &[Bytes]) -> Response {
+    let joined = if streamed {
+        execute::join(chunks)
     } else {
-        chunks.into_iter().next().unwrap_or_default()
+        chunks.first().cloned().unwrap_or_default()
     };
     let Ok(output) = serde_json::from_slice::<&RawValue>(&joined) else {
-        let end = End::Failed {
-            stage: "last".to_owned(),
-            status: 502,
-            body: Bytes::from_static(b"the runner's answer is no JSON"),
-        };
-        return Problem::from_end(job.id, &end)
-            .unwrap_or_else(|| Problem::unknown("no end"))
-            .response();
+        return unreadable(id);
     };
     let whole = Whole {
-        request: format_id(job.id),
+        request: format_id(id),
         late,
         output,
     };
     let body = serde_json::to_vec(&whole).unwrap_or_default();
-    Response::with(body.into(), "application/json")
+    Response::with(Full::from(body), "application/json")
+}
+
+fn unreadable(id: RequestId) -> Response {
+    let problem = Problem::bad(
+        StatusCode::BAD_GATEWAY,
+        "the last stage's answer is no JSON",
+    );
+    let problem = Problem {
+        outcome: Outcome::Failed,
+        request: Some(format_id(id)),
+        ..problem
+    };
+    problem.response()
 }
 
 fn name_request(response: &mut Response, id: RequestId) {
--- a/crates/entry/src/config/accept.rs
+++ b/crates/entry/src/config/accept.rs
@@ -53,10 +53,10 @@
         conflicts: Vec<Conflict>,
     },
     /// The records contradict themselves or one another.
-    #[snafu(display("{} finding(s)", findings.len()))]
+    #[snafu(display("{} finding(s)", findings.0.len()))]
     Findings {
         /// What is wrong, each with its place.
-        findings: Vec<record::check::Finding>,
+        findings: record::Findings,
     },
     /// The table service refused; nothing was accepted.
     #[snafu(display("{source}"))]
@@ -122,7 +122,7 @@
             .map(|document| merged(&state.records, document))
             .collect();
         let findings = findings(&state.records, &documents, &request.delete);
-        if !findings.is_empty() {
+        if !findings.0.is_empty() {
             return Err(Refusal::Findings { findings });
         }
         let change = Change {
@@ -198,14 +198,15 @@
     records: &Records,
     documents: &[Document],
     delete: &[String],
-) -> Vec<record::check::Finding> {
-    let mut after: BTreeMap<String, &Document> = records
+) -> record::Findings {
+    let mut after: BTreeMap<String, Document> = records
         .iter()
         .filter(|(key, _)| !delete.contains(key))
-        .map(|(key, stored)| (key.clone(), &stored.document))
+        .map(|(key, stored)| (key.clone(), stored.document.clone()))
         .collect();
-    after.extend(documents.iter().map(|document| (document.key(), document)));
-    record::check::all(after.into_values())
+    after.extend(documents.iter().map(|document| (document.key(), document.clone())));
+    let after: Vec<Document> = after.into_values().collect();
+    record::check::all(&after)
 }
 
 fn transaction(change: &Change, head_row: Option<platform::table::RowRevision>) -> Transaction {
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,5 +1,6 @@
 //! What the parts of an entry share.
 
+use crate::claim::Claims;
 use crate::config::Config;
 use crate::job::Jobs;
 use crate::peers::Peers;
@@ -26,6 +27,8 @@
     pub platform: P,
     /// Records in force.
     pub config: Config<P>,
+    /// Claims on idempotency keys.
+    pub claims: Claims<P>,
     /// Targets and the links to their agents.
     pub pool: Pool,
     /// The other entries.
@@ -46,6 +49,7 @@
     pub fn new(settings: setting::Entry, platform: P, telemetry: Telemetry, log: Logger) -> Self {
         Self {
             config: Config::new(platform.clone(), log.clone()),
+            claims: Claims::start(platform.clone()),
             settings,
             platform,
             pool: Pool::default(),
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -2,10 +2,13 @@
 
 use crate::answer::End;
 use crate::attempt::{self, Outcome, Sink};
+use crate::claim as claims;
 use crate::core::{Core, Platform};
 use crate::job::Job;
+use crate::kept;
 use crate::target::Target;
 use bytes::{Bytes, BytesMut};
+use protocol::claim::{self, Verdict};
 use protocol::{CallId, StageIndex};
 use rand::Rng;
 use record::Stage;
@@ -22,17 +25,72 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Attempts of one repeatable stage that may end with an error or without a word.
 const FAILURES_MOST: u32 = 4;
+/// When to come back while the table service is away.
+const STORE_AWAY: Duration = Duration::from_secs(1);
 /// Lowest HTTP status that blames the runner rather than the input.
 const SERVER_ERROR: u16 = 500;
 
 /// Runs a job to its end and leaves the end in its answer.
 pub async fn run<P: Platform>(core: &Arc<Core<P>>, job: &Job) {
+    match &job.key {
+        Some(key) if !job.repeatable() => run_once(core, job, key).await,
+        _ => {
+            run_stages(core, job).await;
+        }
+    }
+}
+
+/// Runs a job whose key nobody else has run, and keeps its answer where every entry finds it.
+async fn run_once<P: Platform>(core: &Arc<Core<P>>, job: &Job, key: &str) {
+    let digest = kept::digest(job);
+    let settled = core
+        .claims
+        .claim(&job.workspace, key, job.id, digest)
+        .await;
+    let refusal = match settled.verdict {
+        Verdict::Granted => {
+            let end = run_stages(core, job).await;
+            return close(core, job, settled, &end).await;
+        }
+        Verdict::Running(request) | Verdict::Answered(request) => End::Elsewhere { request },
+        Verdict::Mismatch => End::Mismatch,
+        Verdict::Unavailable => End::NotRun {
+            detail: "the table service is away".to_owned(),
+            retry_after: STORE_AWAY,
+        },
+    };
+    finish(core, job, refusal);
+    if !settled.is_settled() {
+        core.claims.close(settled, claim::Event::Retry).await;
+    }
+}
+
+/// A claim of a request that may have run stays: no entry runs it again.
+async fn close<P: Platform>(core: &Arc<Core<P>>, job: &Job, settled: claims::Settled, end: &End) {
+    let event = match end {
+        End::NotRun { .. } => claim::Event::NotRun,
+        End::Whole { .. } | End::Failed { .. } => {
+            kept::store(core, job, end).await;
+            claim::Event::Answered
+        }
+        _ => return,
+    };
+    core.claims.close(settled, event).await;
+}
+
+async fn run_stages<P: Platform>(core: &Arc<Core<P>>, job: &Job) -> End {
+    job.answer.admit();
     let end = match stages(core, job).await {
         Ok(()) => End::Whole {
             late: Instant::now() > job.deadline,
         },
         Err(end) => end,
     };
+    finish(core, job, end.clone());
+    end
+}
+
+fn finish<P: Platform>(core: &Core<P>, job: &Job, end: End) {
     core.telemetry.ended(job, &end);
     job.answer.finish(end);
 }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -51,6 +51,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Whether the answer comes in chunks that are JSON values of their own.
+    #[must_use]
+    pub fn streams(&self) -> bool {
+        self.stream && self.pipeline.stages.last().is_some_and(|stage| stage.stream)
+    }
+
     /// Whether every stage may run more than once.
     #[must_use]
     pub fn repeatable(&self) -> bool {
--- /dev/null
+++ b/crates/entry/src/kept.rs
@@ -0,0 +1,108 @@
+//! Answers kept in the object store, where every entry finds them.
+
+use crate::answer::End;
+use crate::caller::format_id;
+use crate::core::{Core, Platform};
+use crate::job::Job;
+use bytes::Bytes;
+use protocol::RequestId;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Pause before an answer that could not be kept is tried again.
+const PAUSE: Duration = Duration::from_millis(500);
+/// How long a stopping entry goes on trying; its callers have their answers.
+const STOPPING: Duration = Duration::from_secs(30);
+
+/// An answer as it is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    /// Whether it came after its deadline.
+    pub late: bool,
+    /// Whether the caller wanted a stream.
+    pub stream: bool,
+    /// Stage and HTTP status of a failure.
+    pub failure: Option<(String, u16)>,
+    /// Chunks of the answer, or the body of the failure.
+    pub chunks: Vec<String>,
+}
+
+impl Kept {
+    fn new(job: &Job, end: &End) -> Option<Self> {
+        let text = |bytes: &Bytes| String::from_utf8_lossy(bytes).into_owned();
+        let (late, failure, chunks) = match end {
+            End::Whole { late } => (*late, None, job.answer.chunks()),
+            End::Failed {
+                stage,
+                status,
+                body,
+            } => (false, Some((stage.clone(), *status)), vec![body.clone()]),
+            _ => return None,
+        };
+        Some(Self {
+            late,
+            stream: job.streams(),
+            failure,
+            chunks: chunks.iter().map(text).collect(),
+        })
+    }
+
+    /// How the request ended.
+    #[must_use]
+    pub fn end(&self) -> End {
+        match &self.failure {
+            None => End::Whole { late: self.late },
+            Some((stage, status)) => End::Failed {
+                stage: stage.clone(),
+                status: *status,
+                body: Bytes::from(self.chunks.concat()),
+            },
+        }
+    }
+}
+
+fn name(request: RequestId) -> String {
+    format!("answer-{}", format_id(request))
+}
+
+/// Hash of what a job asks for; the same in every process and build.
+#[must_use]
+pub fn digest(job: &Job) -> u64 {
+    let mut hasher = Sha256::new();
+    hasher.update(job.pipeline.name.as_bytes());
+    hasher.update([0]);
+    hasher.update(&job.input);
+    let hash = hasher.finalize();
+    hash.iter()
+        .take(size_of::<u64>())
+        .fold(0, |sum, byte| (sum << 8) | u64::from(*byte))
+}
+
+/// Keeps a job's answer, for as many attempts as it takes.
+pub async fn store<P: Platform>(core: &Core<P>, job: &Job, end: &End) {
+    let Some(kept) = Kept::new(job, end) else {
+        return;
+    };
+    let content = Bytes::from(serde_json::to_vec(&kept).unwrap_or_default());
+    let name = name(job.id);
+    let since = Instant::now();
+    while core
+        .platform
+        .put_object(&name, content.clone())
+        .await
+        .is_err()
+    {
+        if core.is_draining() && since.elapsed() > STOPPING {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Reads a kept answer.
+pub async fn load<P: Platform>(core: &Core<P>, request: RequestId) -> Option<Kept> {
+    let content = core.platform.get_object(&name(request)).await.ok()??;
+    serde_json::from_slice(&content).ok()
+}
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -4,7 +4,7 @@
 use crate::config::rows::{Change, Stored};
 use crate::core::{Core, Platform};
 use crate::problem::Problem;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use protocol::Revision;
 use serde::{Deserialize, Serialize};
 use slog::info;
@@ -54,7 +54,7 @@
 
 #[derive(Serialize)]
 struct Findings {
-    findings: Vec<record::check::Finding>,
+    findings: record::Findings,
 }
 
 /// What an entry says of itself.
@@ -80,7 +80,7 @@
 
 fn json(status: StatusCode, body: &impl Serialize) -> Response {
     let body = serde_json::to_vec(body).unwrap_or_default();
-    let mut response = Response::with(body.into(), "application/json");
+    let mut response = Response::with(Full::from(body), "application/json");
     *response.status_mut() = status;
     response
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,5 +1,6 @@
 //! The other entries: whom to ask for answers and records that this entry does not have.
 
+use crate::caller::{EVENT_STREAM, Follow, format_id};
 use crate::config::Records;
 use crate::config::rows::Stored;
 use bytes::Bytes;
@@ -87,16 +88,21 @@
     pub async fn ask(
         &self,
         address: SocketAddr,
-        request: &viz::Request,
-        path: &str,
+        request: RequestId,
+        follow: &Follow,
     ) -> Option<hyper::Response<hyper::body::Incoming>> {
-        let mut question = Request::get(format!("http://{address}{path}"));
-        for name in ["accept", "last-event-id", "prefer"] {
-            if let Some(value) = request.headers().get(name) {
-                question = question.header(name, value);
-            }
+        let path = format!("http://{address}/v1/requests/{}", format_id(request));
+        let mut question = Request::get(path).header(FORWARDED, "1");
+        if follow.stream {
+            question = question.header("accept", EVENT_STREAM);
         }
-        let question = question.header(FORWARDED, "1").body(Empty::new()).ok()?;
+        if let Some(last) = follow.from.checked_sub(1) {
+            question = question.header("last-event-id", last);
+        }
+        if let Some(wait) = follow.wait {
+            question = question.header("prefer", format!("wait={}", wait.as_secs()));
+        }
+        let question = question.body(Empty::new()).ok()?;
         self.http.request(question).await.ok()
     }
 
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -1,6 +1,7 @@
 //! Problem documents (RFC 9457) with an outcome that the caller can act on.
 
 use crate::answer::End;
+use http_body_util::Full;
 use protocol::RequestId;
 use serde::Serialize;
 use std::time::Duration;
@@ -79,6 +80,14 @@
                 retry_after,
             } => Self::not_run(detail, *retry_after),
             End::Unknown { detail } => Self::unknown(detail),
+            End::Elsewhere { request } => Self::unknown(format!(
+                "request {} has this idempotency key",
+                crate::caller::format_id(*request)
+            )),
+            End::Mismatch => Self::bad(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "this idempotency key was used for another call",
+            ),
             End::Failed {
                 stage,
                 status,
@@ -104,7 +113,7 @@
     #[must_use]
     pub fn response(&self) -> Response {
         let mut response = Response::with(
-            serde_json::to_vec(self).unwrap_or_default().into(),
+            Full::from(serde_json::to_vec(self).unwrap_or_default()),
             PROBLEM_JSON,
         );
         *response.status_mut() =
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -104,6 +104,8 @@
             End::Whole { late: true } => "late",
             End::NotRun { .. } => "not_run",
             End::Unknown { .. } => "unknown",
+            End::Elsewhere { .. } => "repeated",
+            End::Mismatch => "mismatch",
             End::Failed { .. } => "failed",
         };
         self.ended.get_or_create(&Ended { outcome }).inc();
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -145,7 +145,7 @@
             | Self::Done { call, .. }
             | Self::Fail { call, .. }
             | Self::Break { call, .. } => Some(*call),
-            Self::Leave { .. } => None,
+            Self::Leave { .. } | Self::Order { .. } | Self::OrderDone { .. } => None,
         }
     }
 }
