--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,13 +7,18 @@
 //! * [`object`]: the object store
 //! * [`vm`]: the lagging list of live and leaving VMs
 //! * [`client`]: the HTTP clients of all of them
+//! * [`memory`]: all of them in memory, for tests
+//! * [`settle`]: commits a transaction even if its answer is lost
 
 pub mod client;
+pub mod memory;
 pub mod object;
+pub mod settle;
 pub mod table;
 pub mod vm;
 
 pub use client::Client;
+pub use memory::Memory;
 pub use object::Objects;
 pub use table::{Check, Error, Put, Row, Table, Transaction};
 pub use vm::{Role, Vm, Vms};
--- /dev/null
+++ b/crates/standin/src/call.rs
@@ -0,0 +1,69 @@
+//! A call of `POST /v1/run` as it arrives.
+
+use crate::answer::Input;
+use crate::reply::Broken;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::ACCEPT;
+use hyper::{HeaderMap, Request};
+
+/// Priority of a call that names none.
+const PRIORITY: u8 = 128;
+
+/// A call with everything that its headers say.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) id: String,
+    pub(crate) workspace: String,
+    pub(crate) priority: u8,
+    pub(crate) resume: u32,
+    pub(crate) prefix: Vec<u64>,
+    pub(crate) stream: bool,
+    pub(crate) raw: Bytes,
+}
+
+impl Call {
+    /// Reads the whole call; fails if the caller goes away meanwhile.
+    pub(crate) async fn read(request: Request<Incoming>) -> Result<Self, Broken> {
+        let (parts, body) = request.into_parts();
+        let raw = body.collect().await.map_err(|_| Broken)?.to_bytes();
+        let headers = &parts.headers;
+        let number = |name| text(headers, name).parse::<u32>().ok();
+        let priority = number("x-priority").and_then(|priority| u8::try_from(priority).ok());
+        Ok(Self {
+            id: text(headers, "x-call").to_owned(),
+            workspace: text(headers, "x-workspace").to_owned(),
+            priority: priority.unwrap_or(PRIORITY),
+            resume: number("x-resume").unwrap_or(0),
+            prefix: blocks(text(headers, "x-prefix")),
+            stream: text(headers, ACCEPT.as_str()).contains("text/event-stream"),
+            raw,
+        })
+    }
+
+    pub(crate) fn input(&self) -> Result<Input, serde_json::Error> {
+        serde_json::from_slice(&self.raw)
+    }
+
+    /// The part of `REQUEST-STAGE-ATTEMPT` that names the request.
+    pub(crate) fn request(&self) -> &str {
+        self.id.split('-').next().unwrap_or_default()
+    }
+}
+
+/// A hash of a prefix block in hex.
+pub(crate) fn block(text: &str) -> Option<u64> {
+    u64::from_str_radix(text.trim(), 16).ok()
+}
+
+fn blocks(list: &str) -> Vec<u64> {
+    list.split(',').filter_map(block).collect()
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name);
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standin/src/engine/batch.rs
@@ -0,0 +1,287 @@
+//! Sequences that wait and run, step by step.
+
+use super::cache::Cache;
+use crate::call::Call;
+use crate::fault::Switch;
+use crate::lag::Lag;
+use crate::log::Entry;
+use crate::options::{Options, millis};
+use crate::runner::Runner;
+use crate::slot::Load;
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Lateness that later steps make up for; a longer stall shifts them.
+const CATCH_UP: Duration = Duration::from_millis(50);
+
+/// What the batch says about a sequence.
+pub(super) enum Progress {
+    /// It has a place in the batch.
+    Start {
+        /// Its execution.
+        entry: Entry,
+        /// Leading prefix blocks that were in the cache.
+        hits: usize,
+        /// Time that its prefill takes, in microseconds.
+        busy_us: u64,
+    },
+    /// Token of this number.
+    Token(u32),
+    /// All tokens are out.
+    Done {
+        /// Its share of the time of all its steps, in microseconds.
+        busy_us: u64,
+    },
+}
+
+/// A call that wants a place in the batch.
+pub(super) struct Request {
+    pub(super) call: Call,
+    /// Tokens of the whole answer.
+    pub(super) total: u32,
+    pub(super) cancelled: CancellationToken,
+}
+
+/// Number of a request in order of arrival.
+pub(super) type Ticket = u64;
+
+/// The sequences and the times of their steps.
+pub(super) struct Batch {
+    state: Mutex<State>,
+    wake: Notify,
+    load: Lag<Load>,
+    switch: Arc<Switch>,
+    runner: Arc<Runner>,
+    cache: Arc<Mutex<Cache>>,
+    limit: usize,
+    step_ms: f64,
+    step_growth: f64,
+    prefill_ms: f64,
+}
+
+#[derive(Default)]
+struct State {
+    arrivals: Ticket,
+    waiting: BinaryHeap<Waiting>,
+    running: Vec<Running>,
+}
+
+struct Waiting {
+    /// Higher priority first, then earlier arrival.
+    rank: (u8, Reverse<Ticket>),
+    request: Request,
+    sink: UnboundedSender<Progress>,
+}
+
+struct Running {
+    position: u32,
+    total: u32,
+    busy: Duration,
+    cancelled: CancellationToken,
+    sink: UnboundedSender<Progress>,
+}
+
+impl Batch {
+    pub(super) fn new(
+        options: &Options,
+        switch: Arc<Switch>,
+        runner: Arc<Runner>,
+        cache: Arc<Mutex<Cache>>,
+    ) -> Self {
+        let limit = options.batch.max(1);
+        let idle = Load {
+            limit,
+            ..Load::default()
+        };
+        Self {
+            state: Mutex::default(),
+            wake: Notify::new(),
+            load: Lag::new(options.lag(), idle),
+            switch,
+            runner,
+            cache,
+            limit,
+            step_ms: options.step_ms,
+            step_growth: options.step_growth,
+            prefill_ms: options.prefill_ms,
+        }
+    }
+
+    pub(super) fn load(&self) -> Load {
+        self.load.get().unwrap_or_default()
+    }
+
+    /// Queues a request; its progress comes through the channel, which is closed without `Done`
+    /// if it is cancelled.
+    pub(super) fn enter(&self, request: Request) -> (Ticket, UnboundedReceiver<Progress>) {
+        let (sink, progress) = unbounded_channel();
+        let mut state = self.state();
+        state.arrivals += 1;
+        let ticket = state.arrivals;
+        let rank = (request.call.priority, Reverse(ticket));
+        state.waiting.push(Waiting {
+            rank,
+            request,
+            sink,
+        });
+        self.report(&state);
+        drop(state);
+        self.wake.notify_one();
+        (ticket, progress)
+    }
+
+    /// Takes a request out of the queue; `false` if it is no longer there.
+    pub(super) fn leave(&self, ticket: Ticket) -> bool {
+        let mut state = self.state();
+        let before = state.waiting.len();
+        let Reverse(ticket) = Reverse(ticket);
+        state.waiting.retain(|waiting| waiting.rank.1.0 != ticket);
+        self.report(&state);
+        state.waiting.len() < before
+    }
+
+    /// Steps the batch, and sleeps while it is empty.
+    pub(super) async fn drive(&self) {
+        let mut due = Instant::now();
+        loop {
+            let Some(time) = self.admit() else {
+                self.wake.notified().await;
+                due = Instant::now();
+                continue;
+            };
+            due += time;
+            tokio::time::sleep_until(due).await;
+            self.emit(time);
+            if due.elapsed() > CATCH_UP {
+                due = Instant::now();
+            }
+        }
+    }
+
+    /// Fills the batch and gives the time of its next step; `None` if it is empty.
+    fn admit(&self) -> Option<Duration> {
+        let mut state = self.state();
+        state.running.retain(|running| !running.is_gone());
+        let mut prefill = Duration::ZERO;
+        while state.running.len() < self.limit {
+            let Some(waiting) = state.waiting.pop() else {
+                break;
+            };
+            if let Some((running, time)) = self.start(waiting) {
+                prefill += time;
+                state.running.push(running);
+            }
+        }
+        self.report(&state);
+        let others = state.running.len().checked_sub(1)?;
+        let step = self.step_ms * (1.0 + self.step_growth * others as f64);
+        Some(prefill + millis(self.runner.spread(step) * self.switch.factor()))
+    }
+
+    /// Starts a sequence unless its caller has gone; gives the time of its prefill too.
+    fn start(&self, waiting: Waiting) -> Option<(Running, Duration)> {
+        let Waiting { request, sink, .. } = waiting;
+        if sink.is_closed() || request.cancelled.is_cancelled() {
+            return None;
+        }
+        let blocks = &request.call.prefix;
+        let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        let hits = cache.touch(blocks);
+        drop(cache);
+        let misses = (blocks.len() - hits) as f64;
+        let prefill = millis(misses * self.prefill_ms * self.switch.factor());
+        let start = Progress::Start {
+            entry: self.runner.log.start(&request.call),
+            hits,
+            busy_us: micros(prefill),
+        };
+        sink.send(start).ok()?;
+        let running = Running {
+            position: request.call.resume,
+            total: request.total,
+            busy: prefill,
+            cancelled: request.cancelled,
+            sink,
+        };
+        Some((running, prefill))
+    }
+
+    /// Gives each sequence its next token.
+    fn emit(&self, time: Duration) {
+        let mut state = self.state();
+        let sequences = u32::try_from(state.running.len()).unwrap_or(u32::MAX);
+        let share = time / sequences.max(1);
+        state.running.retain_mut(|running| running.step(share));
+        self.report(&state);
+    }
+
+    fn report(&self, state: &State) {
+        self.load.set(Load {
+            running: state.running.len(),
+            queued: state.waiting.len(),
+            limit: self.limit,
+        });
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Running {
+    fn is_gone(&self) -> bool {
+        self.sink.is_closed() || self.cancelled.is_cancelled()
+    }
+
+    /// Sends the next token; `false` once the sequence is over.
+    fn step(&mut self, share: Duration) -> bool {
+        if self.is_gone() {
+            return false;
+        }
+        self.busy += share;
+        if self.position < self.total {
+            let token = Progress::Token(self.position);
+            self.position += 1;
+            if self.sink.send(token).is_err() {
+                return false;
+            }
+        }
+        if self.position < self.total {
+            return true;
+        }
+        let busy_us = micros(self.busy);
+        // A caller that has gone needs no end mark.
+        let _ = self.sink.send(Progress::Done { busy_us });
+        false
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+impl PartialEq for Waiting {
+    fn eq(&self, other: &Self) -> bool {
+        self.rank == other.rank
+    }
+}
+
+impl Eq for Waiting {}
+
+impl PartialOrd for Waiting {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Waiting {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.rank.cmp(&other.rank)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,130 @@
+//! The prefix cache and its events.
+
+use crate::options::Options;
+use foldhash::fast::RandomState;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Events that are kept; the oldest are dropped beyond it.
+const EVENTS: usize = 65_536;
+
+/// The blocks in the cache, the least recently used first to go.
+pub(super) struct Cache {
+    limit: usize,
+    tick: u64,
+    used: HashMap<u64, u64, RandomState>,
+    by_use: BTreeMap<u64, u64>,
+    events: VecDeque<(Instant, Event)>,
+    sequence: u64,
+    lag: Duration,
+    loss: f64,
+    rng: SmallRng,
+}
+
+/// What became of a block.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "lowercase")]
+enum Kind {
+    Stored,
+    Evicted,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Event {
+    sequence: u64,
+    kind: Kind,
+    block: String,
+}
+
+/// Events that have been published by now.
+#[derive(Debug, Serialize)]
+pub(super) struct Page {
+    events: Vec<Event>,
+    next: u64,
+}
+
+impl Cache {
+    pub(super) fn new(options: &Options) -> Self {
+        Self {
+            limit: options.cache_blocks,
+            tick: 0,
+            used: HashMap::default(),
+            by_use: BTreeMap::new(),
+            events: VecDeque::new(),
+            sequence: 0,
+            lag: options.lag(),
+            loss: options.event_loss.clamp(0.0, 1.0),
+            rng: SmallRng::seed_from_u64(options.seed),
+        }
+    }
+
+    pub(super) fn has(&self, block: u64) -> bool {
+        self.used.contains_key(&block)
+    }
+
+    /// Uses the blocks of a prompt and gives how many leading ones were there.
+    pub(super) fn touch(&mut self, blocks: &[u64]) -> usize {
+        let hits = blocks.iter().take_while(|block| self.has(**block)).count();
+        for block in blocks {
+            self.use_block(*block);
+        }
+        while self.used.len() > self.limit {
+            self.evict();
+        }
+        hits
+    }
+
+    /// Events after number `after` that are old enough to be seen.
+    pub(super) fn events(&self, after: u64) -> Page {
+        let seen = self
+            .events
+            .iter()
+            .take_while(|(time, _)| time.elapsed() >= self.lag);
+        let events: Vec<_> = seen
+            .map(|(_, event)| event)
+            .filter(|event| event.sequence > after)
+            .cloned()
+            .collect();
+        let next = events.last().map_or(after, |event| event.sequence);
+        Page { events, next }
+    }
+
+    fn use_block(&mut self, block: u64) {
+        self.tick += 1;
+        self.by_use.insert(self.tick, block);
+        match self.used.insert(block, self.tick) {
+            Some(before) => {
+                self.by_use.remove(&before);
+            }
+            None => self.publish(Kind::Stored, block),
+        }
+    }
+
+    fn evict(&mut self) {
+        if let Some((_, block)) = self.by_use.pop_first() {
+            self.used.remove(&block);
+            self.publish(Kind::Evicted, block);
+        }
+    }
+
+    /// A lost event still takes a number, so that the gap shows.
+    fn publish(&mut self, kind: Kind, block: u64) {
+        self.sequence += 1;
+        if self.loss > 0.0 && self.rng.random_bool(self.loss) {
+            return;
+        }
+        let event = Event {
+            sequence: self.sequence,
+            kind,
+            block: format!("{block:016x}"),
+        };
+        self.events.push_back((Instant::now(), event));
+        if self.events.len() > EVENTS {
+            self.events.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,235 @@
+//! A model engine that batches continuously.
+//!
+//! * [`batch`]: sequences that wait and run, step by step
+//! * [`cache`]: the prefix cache and its events
+//! * [`order`]: models, adapters, versions and roles
+//! * [`stream`]: the events of one answer
+
+mod batch;
+mod cache;
+mod order;
+mod stream;
+
+pub(crate) use stream::Stream;
+
+use crate::answer;
+use crate::call::{self, Call};
+use crate::fault::{Fate, Switch};
+use crate::options::Options;
+use crate::reply::{self, Body, Broken, Reply};
+use crate::runner::{self, Cancel, Runner};
+use crate::slot::Load;
+use batch::{Batch, Progress, Request};
+use bytes::Bytes;
+use cache::Cache;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use order::Orders;
+use serde::Serialize;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// Bytes of an exported block.
+const BLOCK: usize = 1024;
+
+/// The engine; clones share it.
+#[derive(Clone)]
+pub(crate) struct Engine {
+    pub(crate) runner: Arc<Runner>,
+    batch: Arc<Batch>,
+    cache: Arc<Mutex<Cache>>,
+    orders: Arc<Orders>,
+    tokens: u32,
+}
+
+#[derive(Serialize)]
+struct Output {
+    text: String,
+    tokens: u32,
+}
+
+/// An execution that has begun.
+struct Begun {
+    entry: crate::log::Entry,
+    hits: usize,
+    busy_us: u64,
+    receiver: UnboundedReceiver<Progress>,
+    cancel: Cancel,
+}
+
+impl Engine {
+    pub(crate) fn new(options: &Options, switch: Arc<Switch>) -> Self {
+        let runner = Arc::new(Runner::new(options));
+        let cache = Arc::new(Mutex::new(Cache::new(options)));
+        let batch = Batch::new(options, switch, Arc::clone(&runner), Arc::clone(&cache));
+        Self {
+            runner,
+            batch: Arc::new(batch),
+            cache,
+            orders: Arc::new(Orders::new(options)),
+            tokens: options.tokens,
+        }
+    }
+
+    /// Steps the batch for as long as the engine lives.
+    pub(crate) async fn drive(self) {
+        self.batch.drive().await;
+    }
+
+    pub(crate) fn load(&self) -> Load {
+        self.batch.load()
+    }
+
+    pub(crate) async fn run(&self, call: Call, fate: Fate) -> Reply {
+        let input = match call.input() {
+            Ok(input) => input,
+            Err(error) => return Ok(reply::error(StatusCode::BAD_REQUEST, error)),
+        };
+        let model = input.model.as_deref();
+        if model.is_some_and(|model| !self.orders.has(model)) {
+            return Ok(reply::not_run());
+        }
+        let total = input.max_tokens.unwrap_or(self.tokens);
+        let Some(begun) = self.begin(&call, total).await else {
+            return Ok(reply::not_run());
+        };
+        let other = self.runner.other(&call, &input.text);
+        let (id, text) = match fate.cross {
+            true => (other.id, other.text),
+            false => (call.id.clone(), input.text),
+        };
+        let hits = begun.hits;
+        let reply = match call.stream && !fate.lose && !fate.fail {
+            true => self.stream(begun, &call, text, total, fate).await,
+            false => self.whole(begun, &call, &text, total, fate).await,
+        };
+        reply.map(|mut response| {
+            runner::insert(&mut response, "x-call", &id);
+            runner::insert(&mut response, "x-prefix-hits", &hits.to_string());
+            response
+        })
+    }
+
+    /// Waits until the call has a place in the batch; `None` if it is cancelled before.
+    async fn begin(&self, call: &Call, total: u32) -> Option<Begun> {
+        let cancel = self.runner.watch(&call.id);
+        let (ticket, mut receiver) = self.batch.enter(Request {
+            call: call.clone(),
+            total,
+            cancelled: cancel.token.clone(),
+        });
+        let mut first = tokio::select! {
+            first = receiver.recv() => first,
+            () = cancel.token.cancelled() => None,
+        };
+        if first.is_none() {
+            // The batch may have admitted the call at this very moment, and "not run" would then
+            // be a lie: only a call that is still found among the waiting ones has not run.
+            if self.batch.leave(ticket) {
+                return None;
+            }
+            first = receiver.recv().await;
+        }
+        match first {
+            Some(Progress::Start {
+                entry,
+                hits,
+                busy_us,
+            }) => Some(Begun {
+                entry,
+                hits,
+                busy_us,
+                receiver,
+                cancel,
+            }),
+            _ => None,
+        }
+    }
+
+    async fn stream(
+        &self,
+        begun: Begun,
+        call: &Call,
+        text: String,
+        total: u32,
+        fate: Fate,
+    ) -> Reply {
+        if !fate.late.is_zero() {
+            tokio::time::sleep(fate.late).await;
+        }
+        let busy_us = begun.busy_us;
+        let stream = Stream::new(begun, text, call.resume, total, fate);
+        let mut response = Response::new(Body::Stream(Box::new(stream)));
+        let kind = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        runner::insert(&mut response, "x-busy-us", &busy_us.to_string());
+        Ok(response)
+    }
+
+    async fn whole(&self, begun: Begun, call: &Call, text: &str, total: u32, fate: Fate) -> Reply {
+        let Begun {
+            entry,
+            mut receiver,
+            cancel: _cancel,
+            ..
+        } = begun;
+        let busy_us = loop {
+            match receiver.recv().await {
+                Some(Progress::Done { busy_us }) => break busy_us,
+                Some(_) => {}
+                None => return Ok(runner::cancelled(&call.id)),
+            }
+        };
+        let output = Output {
+            text: answer::tokens(text, total),
+            tokens: total,
+        };
+        let response = reply::json(StatusCode::OK, &output);
+        runner::deliver(response, fate, entry, busy_us).await
+    }
+
+    pub(crate) async fn order(&self, body: &[u8]) -> Reply {
+        match serde_json::from_slice(body) {
+            Ok(order) => {
+                let orders = Arc::clone(&self.orders);
+                // Loading goes on if the sender of the order goes away.
+                let done = tokio::spawn(async move { orders.carry_out(order).await }).await;
+                done.map(reply::empty).map_err(|_| Broken)
+            }
+            Err(error) => Ok(reply::error(StatusCode::BAD_REQUEST, error)),
+        }
+    }
+
+    pub(crate) fn orders(&self) -> Response<Body> {
+        reply::json(StatusCode::OK, &self.orders.journal())
+    }
+
+    pub(crate) fn models(&self) -> Response<Body> {
+        reply::json(StatusCode::OK, &self.orders.models())
+    }
+
+    pub(crate) fn cache_events(&self, after: u64) -> Response<Body> {
+        let cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        reply::json(StatusCode::OK, &cache.events(after))
+    }
+
+    pub(crate) fn export(&self, block: &str) -> Response<Body> {
+        let cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        match call::block(block).filter(|block| cache.has(*block)) {
+            Some(block) => {
+                let bytes = block.to_be_bytes().repeat(BLOCK / size_of::<u64>());
+                reply::bytes(StatusCode::OK, Bytes::from(bytes))
+            }
+            None => reply::empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    pub(crate) fn import(&self, block: &str) -> Response<Body> {
+        let Some(block) = call::block(block) else {
+            return reply::error(StatusCode::BAD_REQUEST, "not a hash in hex");
+        };
+        let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        cache.touch(&[block]);
+        reply::empty(StatusCode::NO_CONTENT)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/order.rs
@@ -0,0 +1,177 @@
+//! Orders to load and unload models and to change the role.
+
+use crate::log::now_us;
+use crate::options::{Options, millis};
+use hyper::StatusCode;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// What is loaded, and every order that came.
+#[derive(Debug)]
+pub(super) struct Orders {
+    fencing: bool,
+    load: Duration,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fence: u64,
+    role: String,
+    models: BTreeSet<String>,
+    journal: Vec<Received>,
+}
+
+/// An order as it arrives.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Order {
+    fence: u64,
+    order: Verb,
+    #[serde(default)]
+    model: Option<String>,
+    #[serde(default)]
+    version: Option<serde_json::Value>,
+    #[serde(default)]
+    adapter: Option<String>,
+    #[serde(default)]
+    role: Option<String>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Verb {
+    Load,
+    Unload,
+    Role,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Received {
+    #[serde(flatten)]
+    order: Order,
+    /// Whether it was carried out; otherwise its fencing number was old.
+    carried_out: bool,
+    /// Highest fencing number that had been seen before it.
+    highest: u64,
+    /// Microseconds since the Unix epoch.
+    at_us: u64,
+}
+
+/// Ground truth of `GET /standin/orders`.
+#[derive(Debug, Serialize)]
+pub(super) struct Journal {
+    orders: Vec<Received>,
+}
+
+/// Answer of `GET /v1/models`.
+#[derive(Debug, Serialize)]
+pub(super) struct Models {
+    models: BTreeSet<String>,
+    role: String,
+    fence: u64,
+}
+
+impl Orders {
+    pub(super) fn new(options: &Options) -> Self {
+        let state = State {
+            role: options.role.clone(),
+            models: options.models.iter().cloned().collect(),
+            ..State::default()
+        };
+        Self {
+            fencing: options.fencing,
+            load: millis(options.load_ms),
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Carries out an order, or refuses it with `412`.
+    pub(super) async fn carry_out(&self, order: Order) -> StatusCode {
+        if !self.receive(&order) {
+            return StatusCode::PRECONDITION_FAILED;
+        }
+        if order.order == Verb::Load && !self.load.is_zero() {
+            tokio::time::sleep(self.load).await;
+        }
+        self.state().apply(&order);
+        StatusCode::OK
+    }
+
+    /// Whether a model is loaded, given as `MODEL`, `MODEL@VERSION` or `MODEL@VERSION+ADAPTER`.
+    pub(super) fn has(&self, model: &str) -> bool {
+        let state = self.state();
+        state.models.iter().any(|loaded| {
+            let rest = loaded.strip_prefix(model);
+            rest.is_some_and(|rest| rest.is_empty() || rest.starts_with(['@', '+']))
+        })
+    }
+
+    pub(super) fn journal(&self) -> Journal {
+        Journal {
+            orders: self.state().journal.clone(),
+        }
+    }
+
+    pub(super) fn models(&self) -> Models {
+        let state = self.state();
+        Models {
+            models: state.models.clone(),
+            role: state.role.clone(),
+            fence: state.fence,
+        }
+    }
+
+    /// Notes an order; `false` if its fencing number is old and numbers are checked.
+    fn receive(&self, order: &Order) -> bool {
+        let mut state = self.state();
+        let highest = state.fence;
+        let carried_out = !self.fencing || order.fence >= highest;
+        state.fence = highest.max(order.fence);
+        state.journal.push(Received {
+            order: order.clone(),
+            carried_out,
+            highest,
+            at_us: now_us(),
+        });
+        carried_out
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn apply(&mut self, order: &Order) {
+        match order.order {
+            Verb::Load => {
+                self.models.insert(order.name());
+            }
+            Verb::Unload => {
+                self.models.remove(&order.name());
+            }
+            Verb::Role => self.role = order.role.clone().unwrap_or_default(),
+        }
+    }
+}
+
+impl Order {
+    /// `MODEL`, then `@VERSION` and `+ADAPTER` if they are given.
+    fn name(&self) -> String {
+        let mut name = self.model.clone().unwrap_or_default();
+        if let Some(version) = &self.version {
+            let version = version
+                .as_str()
+                .map_or_else(|| version.to_string(), str::to_owned);
+            name.push('@');
+            name.push_str(&version);
+        }
+        if let Some(adapter) = &self.adapter {
+            name.push('+');
+            name.push_str(adapter);
+        }
+        name
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/stream.rs
@@ -0,0 +1,81 @@
+//! The events of one answer, as a body.
+
+use super::Begun;
+use super::batch::Progress;
+use crate::answer;
+use crate::fault::Fate;
+use crate::log::{Ended, Entry};
+use crate::reply::Broken;
+use crate::runner::Cancel;
+use bytes::Bytes;
+use hyper::body::Frame;
+use std::task::{Context, Poll, ready};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// A stream of events; dropping it cancels the work.
+pub(crate) struct Stream {
+    entry: Entry,
+    receiver: UnboundedReceiver<Progress>,
+    text: String,
+    total: u32,
+    /// Token before which a cut stream breaks off.
+    middle: u32,
+    fate: Fate,
+    _cancel: Cancel,
+}
+
+impl Stream {
+    pub(super) fn new(begun: Begun, text: String, resume: u32, total: u32, fate: Fate) -> Self {
+        Self {
+            entry: begun.entry,
+            receiver: begun.receiver,
+            text,
+            total,
+            middle: resume + total.saturating_sub(resume) / 2,
+            fate,
+            _cancel: begun.cancel,
+        }
+    }
+
+    /// The next event; a stream that was cancelled ends without an end mark.
+    pub(crate) fn poll(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let Some(progress) = ready!(self.receiver.poll_recv(context)) else {
+            return Poll::Ready(None);
+        };
+        Poll::Ready(match progress {
+            Progress::Token(k) if self.fate.cut && k >= self.middle => {
+                self.entry.end(Ended::Cut, 0);
+                Some(Err(Broken))
+            }
+            Progress::Token(k) => Some(Ok(self.frame(&self.token(k)))),
+            Progress::Done { busy_us } if self.fate.truncate => {
+                self.entry.end(Ended::Cut, busy_us);
+                None
+            }
+            Progress::Done { busy_us } => {
+                self.entry.end(Ended::Answered, busy_us);
+                Some(Ok(self.frame(&self.done())))
+            }
+            // The start has been taken before the stream was made.
+            Progress::Start { .. } => Some(Ok(Frame::data(Bytes::new()))),
+        })
+    }
+
+    fn token(&self, k: u32) -> String {
+        // Tokens hold hex digits and a point only, so that they need no escapes.
+        let token = answer::token(&self.text, k);
+        format!("id: {k}\ndata: {{\"token\":\"{token}\"}}\n\n")
+    }
+
+    fn done(&self) -> String {
+        format!("event: done\ndata: {{\"chunks\":{}}}\n\n", self.total)
+    }
+
+    fn frame(&self, event: &str) -> Frame<Bytes> {
+        let times = 1 + usize::from(self.fate.double);
+        Frame::data(Bytes::from(event.repeat(times)))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fault.rs
@@ -0,0 +1,187 @@
+//! The fault switch: what goes wrong with the calls to a stand-in.
+
+use crate::options::millis;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Share of calls, from 0 to 1; `true` stands for all and `false` for none.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Share {
+    /// All or none.
+    All(bool),
+    /// This share.
+    Part(f64),
+}
+
+/// Answers to lose.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Loss {
+    /// Those of the next calls, this many.
+    Next(u64),
+    /// Those of a share of the calls.
+    Share(Share),
+}
+
+/// What goes wrong, as `POST /standin/faults` sets it.
+///
+/// # Examples
+///
+/// ```
+/// let faults: standin::Faults = serde_json::from_str(r#"{"down": true, "cut": 0.1}"#).unwrap();
+/// assert_eq!(faults.down, standin::fault::Share::All(true));
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Answered with `503` before anything is done.
+    pub down: Share,
+    /// Connection closed before anything is done.
+    pub reset: Share,
+    /// Time before each call is looked at, in milliseconds.
+    pub slow_ms: f64,
+    /// Carried out, but the connection is closed without an answer; counts only calls that write
+    /// or run.
+    pub lose_answers: Loss,
+    /// Times at work are multiplied by this.
+    pub factor: f64,
+    /// Carried out, but answered with `500`.
+    pub fail: Share,
+    /// Answer broken off in the middle.
+    pub cut: Share,
+    /// Stream ended cleanly without its end mark; a JSON answer shorter than its declared length.
+    pub truncate: Share,
+    /// Answer that bears identity and content of another call.
+    pub cross: Share,
+    /// Time before each finished answer is sent, in milliseconds.
+    pub late_ms: f64,
+    /// Runners: answered with `503` and `X-Not-Run: 1`.
+    pub refuse: Share,
+    /// Stream with each event sent twice.
+    pub double: Share,
+}
+
+const NONE: Share = Share::All(false);
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            down: NONE,
+            reset: NONE,
+            slow_ms: 0.0,
+            lose_answers: Loss::Next(0),
+            factor: 1.0,
+            fail: NONE,
+            cut: NONE,
+            truncate: NONE,
+            cross: NONE,
+            late_ms: 0.0,
+            refuse: NONE,
+            double: NONE,
+        }
+    }
+}
+
+/// What is in store for one call.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Fate {
+    pub(crate) down: bool,
+    pub(crate) reset: bool,
+    pub(crate) slow: Duration,
+    pub(crate) lose: bool,
+    pub(crate) fail: bool,
+    pub(crate) cut: bool,
+    pub(crate) truncate: bool,
+    pub(crate) cross: bool,
+    pub(crate) late: Duration,
+    pub(crate) refuse: bool,
+    pub(crate) double: bool,
+}
+
+/// The switch and the dice behind it.
+#[derive(Debug)]
+pub(crate) struct Switch {
+    /// Spares the calls of a sound stand-in the lock.
+    sound: AtomicBool,
+    state: Mutex<(Faults, SmallRng)>,
+}
+
+impl Switch {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            sound: AtomicBool::new(true),
+            state: Mutex::new((Faults::default(), SmallRng::seed_from_u64(seed))),
+        }
+    }
+
+    pub(crate) fn get(&self) -> Faults {
+        self.state().0.clone()
+    }
+
+    pub(crate) fn set(&self, faults: Faults) {
+        let sound = faults == Faults::default();
+        self.state().0 = faults;
+        self.sound.store(sound, Ordering::Release);
+    }
+
+    /// Factor on times at work.
+    pub(crate) fn factor(&self) -> f64 {
+        if self.sound.load(Ordering::Acquire) {
+            return 1.0;
+        }
+        self.state().0.factor
+    }
+
+    /// Throws the dice for one call; `effect` says whether it writes or runs something.
+    pub(crate) fn draw(&self, effect: bool) -> Fate {
+        if self.sound.load(Ordering::Acquire) {
+            return Fate::default();
+        }
+        let mut state = self.state();
+        let (faults, rng) = &mut *state;
+        Fate {
+            down: faults.down.draw(rng),
+            reset: faults.reset.draw(rng),
+            slow: millis(faults.slow_ms),
+            lose: effect && faults.lose_answers.draw(rng),
+            fail: faults.fail.draw(rng),
+            cut: faults.cut.draw(rng),
+            truncate: faults.truncate.draw(rng),
+            cross: faults.cross.draw(rng),
+            late: millis(faults.late_ms),
+            refuse: faults.refuse.draw(rng),
+            double: faults.double.draw(rng),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, (Faults, SmallRng)> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Share {
+    fn draw(self, rng: &mut SmallRng) -> bool {
+        match self {
+            Self::All(all) => all,
+            Self::Part(share) => share > 0.0 && rng.random_bool(share.min(1.0)),
+        }
+    }
+}
+
+impl Loss {
+    fn draw(&mut self, rng: &mut SmallRng) -> bool {
+        match self {
+            Self::Next(0) => false,
+            Self::Next(left) => {
+                *left -= 1;
+                true
+            }
+            Self::Share(share) => share.draw(rng),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,145 @@
+//! Ground truth: every execution of a runner, in order of start.
+
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Executions that are kept; the oldest are dropped beyond it.
+pub const LIMIT: usize = 2_000_000;
+
+/// How an execution ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ended {
+    /// Still at work.
+    Running,
+    /// The whole answer was sent.
+    Answered,
+    /// Done, but the answer was lost or sent in part.
+    Cut,
+    /// Stopped before it was done.
+    Cancelled,
+    /// Answered with an error.
+    Failed,
+}
+
+/// One execution.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Execution {
+    /// Identity of the attempt, as in `X-Call`.
+    pub call: String,
+    /// Request that the attempt belongs to.
+    pub request: String,
+    /// Workspace, as in `X-Workspace`.
+    pub workspace: String,
+    /// First event asked for, as in `X-Resume`.
+    pub resume: u32,
+    /// Start in microseconds since the Unix epoch.
+    pub started_us: u64,
+    /// How it ended.
+    pub ended: Ended,
+    /// Hash of the input, as [`crate::answer::input_hash`] gives it.
+    pub input_hash: String,
+    /// Time at work in microseconds, once it has ended.
+    pub busy_us: u64,
+}
+
+/// Part of a log, as `GET /standin/log` gives it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// Executions in order of start.
+    pub executions: Vec<Execution>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    first: usize,
+    executions: VecDeque<Execution>,
+}
+
+/// The log of a runner; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Log {
+    state: Arc<Mutex<State>>,
+}
+
+impl Log {
+    /// Enters an execution that starts now.
+    pub(crate) fn start(&self, call: &crate::call::Call) -> Entry {
+        let mut state = self.state();
+        state.executions.push_back(Execution {
+            call: call.id.clone(),
+            request: call.request().to_owned(),
+            workspace: call.workspace.clone(),
+            resume: call.resume,
+            started_us: now_us(),
+            ended: Ended::Running,
+            input_hash: crate::answer::input_hash(&call.raw),
+            busy_us: 0,
+        });
+        if state.executions.len() > LIMIT {
+            state.executions.pop_front();
+            state.first += 1;
+        }
+        let index = state.first + state.executions.len() - 1;
+        drop(state);
+        Entry {
+            log: self.clone(),
+            index,
+            over: false,
+        }
+    }
+
+    /// All executions from number `since` on.
+    pub(crate) fn page(&self, since: usize) -> Page {
+        let state = self.state();
+        let skipped = since.saturating_sub(state.first);
+        let executions = state.executions.iter().skip(skipped).cloned().collect();
+        Page { executions }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An execution that runs; it counts as cancelled if it is dropped before it has ended.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    log: Log,
+    index: usize,
+    over: bool,
+}
+
+impl Entry {
+    /// Number of the execution, from zero.
+    pub(crate) fn serial(&self) -> usize {
+        self.index
+    }
+
+    pub(crate) fn end(&mut self, ended: Ended, busy_us: u64) {
+        self.over = true;
+        let mut state = self.log.state();
+        let first = state.first;
+        let place = self.index.checked_sub(first);
+        if let Some(execution) = place.and_then(|place| state.executions.get_mut(place)) {
+            execution.ended = ended;
+            execution.busy_us = busy_us;
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if !self.over {
+            self.end(Ended::Cancelled, 0);
+        }
+    }
+}
+
+/// Microseconds since the Unix epoch.
+pub(crate) fn now_us() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| u64::try_from(now.as_micros()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/standin/src/reply.rs
@@ -0,0 +1,142 @@
+//! Answers and their bodies, whole or broken.
+
+use crate::engine::Stream;
+use bytes::Bytes;
+use hyper::body::{Frame, SizeHint};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+use std::fmt::{self, Display, Formatter};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// Time to come back that a refusal names, in seconds.
+const RETRY_SECONDS: &str = "1";
+
+/// An answer, or the order to close the connection without one.
+pub(crate) type Reply = Result<Response<Body>, Broken>;
+
+/// The connection is closed at this point.
+#[derive(Debug)]
+pub(crate) struct Broken;
+
+impl Display for Broken {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.write_str("connection closed by a fault switch")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// Body of an answer.
+pub(crate) enum Body {
+    /// Sent as it is.
+    Whole(Option<Bytes>),
+    /// The first part is sent, then the connection is closed.
+    Part(Option<Bytes>),
+    /// As `Part`, once the part has been handed over.
+    Gone { flushed: bool },
+    /// Events of an engine.
+    Stream(Box<Stream>),
+    /// Bytes at a limited rate.
+    Slow(Box<crate::weight::Download>),
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(Frame::data).map(Ok)),
+            Self::Part(bytes) => {
+                let bytes = bytes.take().unwrap_or_default();
+                *self = Self::Gone { flushed: false };
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
+            // The server drops what it has not flushed when a body fails, so the failure waits
+            // until it has been polled once more; otherwise the part would never leave.
+            Self::Gone { flushed } if !*flushed => {
+                *flushed = true;
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Self::Gone { .. } => Poll::Ready(Some(Err(Broken))),
+            Self::Stream(stream) => stream.poll(context),
+            Self::Slow(download) => download.poll(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            _ => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer with these bytes.
+pub(crate) fn bytes(status: StatusCode, bytes: impl Into<Bytes>) -> Response<Body> {
+    let bytes = bytes.into();
+    let body = (!bytes.is_empty()).then_some(bytes);
+    let mut response = Response::new(Body::Whole(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer without a body.
+pub(crate) fn empty(status: StatusCode) -> Response<Body> {
+    bytes(status, Bytes::new())
+}
+
+/// An answer in JSON.
+pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let Ok(body) = serde_json::to_vec(value) else {
+        return empty(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    let mut response = bytes(status, body);
+    let kind = hyper::header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+/// A refusal that says when to come back.
+pub(crate) fn refusal(status: StatusCode) -> Response<Body> {
+    let mut response = empty(status);
+    let wait = hyper::header::HeaderValue::from_static(RETRY_SECONDS);
+    response.headers_mut().insert(RETRY_AFTER, wait);
+    response
+}
+
+/// `503` that says that the call did not start.
+pub(crate) fn not_run() -> Response<Body> {
+    let mut response = refusal(StatusCode::SERVICE_UNAVAILABLE);
+    let one = hyper::header::HeaderValue::from_static("1");
+    response.headers_mut().insert("x-not-run", one);
+    response
+}
+
+/// An answer that says in words what is wrong.
+pub(crate) fn error(status: StatusCode, reason: impl Display) -> Response<Body> {
+    json(status, &serde_json::json!({ "error": reason.to_string() }))
+}
+
+/// Declares the whole length but sends only the first half.
+pub(crate) fn cut(response: Response<Body>) -> Response<Body> {
+    let (mut parts, body) = response.into_parts();
+    let Body::Whole(Some(bytes)) = body else {
+        return Response::from_parts(parts, body);
+    };
+    parts.headers.insert(CONTENT_LENGTH, bytes.len().into());
+    let half = bytes.slice(..bytes.len() / 2);
+    Response::from_parts(parts, Body::Part(Some(half)))
+}
--- /dev/null
+++ b/crates/standin/src/runner.rs
@@ -0,0 +1,175 @@
+//! What pools, plain services and engines have in common: log, cancelling, answers.
+
+use crate::call::Call;
+use crate::fault::Fate;
+use crate::log::{Ended, Entry, Log};
+use crate::options::Options;
+use crate::reply::{self, Body, Broken, Reply};
+use foldhash::fast::RandomState;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio_util::sync::CancellationToken;
+
+/// Identity that a crossed answer bears if no other call has been answered yet.
+const STRANGER: &str = "00000000000000000000000000000000-0-0";
+
+/// State that every runner has.
+#[derive(Debug)]
+pub(crate) struct Runner {
+    pub(crate) log: Log,
+    cancels: Mutex<HashMap<String, CancellationToken, RandomState>>,
+    latest: Mutex<Option<Other>>,
+    rng: Mutex<SmallRng>,
+    jitter: f64,
+}
+
+/// Another call, whose answer a crossed one bears.
+#[derive(Clone, Debug)]
+pub(crate) struct Other {
+    pub(crate) id: String,
+    pub(crate) text: String,
+}
+
+/// A call that can be cancelled while this is held.
+pub(crate) struct Cancel {
+    runner: Arc<Runner>,
+    id: String,
+    pub(crate) token: CancellationToken,
+}
+
+impl Runner {
+    pub(crate) fn new(options: &Options) -> Self {
+        Self {
+            log: Log::default(),
+            cancels: Mutex::default(),
+            latest: Mutex::default(),
+            rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
+            jitter: options.jitter,
+        }
+    }
+
+    /// Makes a call known to [`Runner::cancel`].
+    pub(crate) fn watch(self: &Arc<Self>, id: &str) -> Cancel {
+        let token = CancellationToken::new();
+        let mut cancels = self.cancels.lock().unwrap_or_else(PoisonError::into_inner);
+        cancels.insert(id.to_owned(), token.clone());
+        drop(cancels);
+        Cancel {
+            runner: Arc::clone(self),
+            id: id.to_owned(),
+            token,
+        }
+    }
+
+    pub(crate) fn cancel(&self, id: &str) -> Reply {
+        let mut cancels = self.cancels.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(token) = cancels.remove(id) {
+            token.cancel();
+        }
+        Ok(reply::empty(StatusCode::NO_CONTENT))
+    }
+
+    /// A time at work around `median`, spread as the logarithm of a normal distribution.
+    pub(crate) fn spread(&self, median: f64) -> f64 {
+        if self.jitter <= 0.0 {
+            return median;
+        }
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        // The sum of twelve uniform draws less six is close to a standard normal draw.
+        let normal = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+        median * (self.jitter * normal).exp()
+    }
+
+    /// Remembers a call for crossed answers and gives the one before it.
+    pub(crate) fn other(&self, call: &Call, text: &str) -> Other {
+        let this = Other {
+            id: call.id.clone(),
+            text: text.to_owned(),
+        };
+        let mut latest = self.latest.lock().unwrap_or_else(PoisonError::into_inner);
+        latest.replace(this).unwrap_or_else(|| Other {
+            id: STRANGER.to_owned(),
+            text: STRANGER.to_owned(),
+        })
+    }
+}
+
+impl Drop for Cancel {
+    fn drop(&mut self) {
+        let cancels = self.runner.cancels.lock();
+        let mut cancels = cancels.unwrap_or_else(PoisonError::into_inner);
+        cancels.remove(&self.id);
+    }
+}
+
+/// Turns a finished JSON answer into what is sent, and logs how the execution ended.
+pub(crate) async fn deliver(
+    mut response: Response<Body>,
+    fate: Fate,
+    mut entry: Entry,
+    busy_us: u64,
+) -> Reply {
+    if !fate.late.is_zero() {
+        tokio::time::sleep(fate.late).await;
+    }
+    insert(&mut response, "x-busy-us", &busy_us.to_string());
+    if fate.lose {
+        entry.end(Ended::Cut, busy_us);
+        return Err(Broken);
+    }
+    if fate.fail {
+        entry.end(Ended::Failed, busy_us);
+        let failure = reply::error(StatusCode::INTERNAL_SERVER_ERROR, "failed by a switch");
+        return Ok(Response::from_parts(
+            with_headers(&failure, &response),
+            failure.into_body(),
+        ));
+    }
+    if fate.cut || fate.truncate {
+        entry.end(Ended::Cut, busy_us);
+        return Ok(reply::cut(response));
+    }
+    entry.end(Ended::Answered, busy_us);
+    Ok(response)
+}
+
+/// Head of a failure that bears the identity of the answer it replaces.
+fn with_headers(failure: &Response<Body>, answer: &Response<Body>) -> hyper::http::response::Parts {
+    let (mut parts, ()) = Response::new(()).into_parts();
+    parts.status = failure.status();
+    parts.headers = answer.headers().clone();
+    parts.headers.extend(failure.headers().clone());
+    parts
+}
+
+/// Sets a header; a value that is no header value is left out.
+pub(crate) fn insert(response: &mut Response<Body>, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+}
+
+/// The answer to a call that was stopped after its start.
+pub(crate) fn cancelled(id: &str) -> Response<Body> {
+    let mut response = reply::error(StatusCode::INTERNAL_SERVER_ERROR, "cancelled");
+    insert(&mut response, "x-call", id);
+    response
+}
+
+/// A JSON answer as a stream of one event, without those before `resume`.
+pub(crate) fn single_event(json: &[u8], resume: u32) -> Response<Body> {
+    let json = String::from_utf8_lossy(json);
+    let event = match resume {
+        0 => format!("id: 0\ndata: {json}\n\n"),
+        _ => String::new(),
+    };
+    let body = format!("{event}event: done\ndata: {{\"chunks\":1}}\n\n");
+    let mut response = reply::bytes(StatusCode::OK, body);
+    let kind = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,265 @@
+//! Takes requests to the stand-in of the right kind.
+
+use crate::call::Call;
+use crate::engine::Engine;
+use crate::fault::{Fate, Faults, Switch};
+use crate::kind::Kind;
+use crate::object::Object;
+use crate::options::Options;
+use crate::pool::Pool;
+use crate::query;
+use crate::reply::{self, Body, Broken, Reply};
+use crate::runner::Runner;
+use crate::table::{Query, Table};
+use crate::vm::Vms;
+use crate::weight::Weight;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use std::sync::Arc;
+
+/// What the calls of the fault switch, the log and the true list of VMs begin with.
+const ADMIN: &str = "/standin/";
+
+/// A stand-in with its fault switch; clones share it.
+#[derive(Clone)]
+pub(crate) struct Service {
+    switch: Arc<Switch>,
+    backend: Backend,
+}
+
+#[derive(Clone)]
+enum Backend {
+    Table(Arc<Table>),
+    Object(Arc<Object>),
+    Weight(Arc<Weight>),
+    Vm(Arc<Vms>),
+    Engine(Engine),
+    Pool(Pool),
+}
+
+impl Service {
+    pub(crate) fn new(kind: Kind, options: &Options) -> Self {
+        let switch = Arc::new(Switch::new(options.seed));
+        let backend = match kind {
+            Kind::Table => Backend::Table(Arc::new(Table::new(options))),
+            Kind::Object => Backend::Object(Arc::default()),
+            Kind::Weight => Backend::Weight(Arc::new(Weight::new(options))),
+            Kind::Vm => Backend::Vm(Arc::new(Vms::new(options))),
+            Kind::Engine => Backend::Engine(Engine::new(options, Arc::clone(&switch))),
+            Kind::Pool => Backend::Pool(Pool::new(options, Arc::clone(&switch), false)),
+            Kind::Plain => Backend::Pool(Pool::new(options, Arc::clone(&switch), true)),
+        };
+        Self { switch, backend }
+    }
+
+    /// Work that goes on while the stand-in lives, if it has any.
+    pub(crate) async fn drive(self) {
+        if let Backend::Engine(engine) = self.backend {
+            engine.drive().await;
+        }
+    }
+
+    /// Answers one request.
+    pub(crate) async fn handle(self, request: Request<Incoming>) -> Reply {
+        if request.uri().path().starts_with(ADMIN) {
+            return self.admin(request).await;
+        }
+        let fate = self.switch.draw(request.method() != Method::GET);
+        if fate.reset {
+            return Err(Broken);
+        }
+        if request.uri().path() == "/v1/run" {
+            return self.run(request, fate).await;
+        }
+        let call = Plain::read(request).await?;
+        if fate.slow.is_zero() && fate.late.is_zero() {
+            return self.serve(call, fate).await;
+        }
+        // A slow service carries out what reached it even if the caller stops waiting.
+        let served = tokio::spawn(async move { self.serve(call, fate).await });
+        served.await.unwrap_or(Err(Broken))
+    }
+
+    async fn run(&self, request: Request<Incoming>, fate: Fate) -> Reply {
+        if !fate.slow.is_zero() {
+            tokio::time::sleep(fate.slow).await;
+        }
+        if fate.down {
+            return Ok(reply::refusal(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        if request.method() != Method::POST {
+            return Ok(reply::empty(StatusCode::METHOD_NOT_ALLOWED));
+        }
+        let call = Call::read(request).await?;
+        if fate.refuse {
+            return Ok(reply::not_run());
+        }
+        match &self.backend {
+            Backend::Engine(engine) => engine.run(call, fate).await,
+            Backend::Pool(pool) => pool.run(call, fate).await,
+            _ => Ok(reply::empty(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    async fn serve(&self, call: Plain, fate: Fate) -> Reply {
+        if !fate.slow.is_zero() {
+            tokio::time::sleep(fate.slow).await;
+        }
+        if fate.down {
+            return Ok(reply::refusal(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        let reply = self.answer(&call).await;
+        if !fate.late.is_zero() {
+            tokio::time::sleep(fate.late).await;
+        }
+        if fate.lose {
+            return Err(Broken);
+        }
+        if fate.fail {
+            return Ok(reply::empty(StatusCode::INTERNAL_SERVER_ERROR));
+        }
+        if fate.cut || fate.truncate {
+            return reply.map(reply::cut);
+        }
+        reply
+    }
+
+    async fn answer(&self, call: &Plain) -> Reply {
+        let path: Vec<_> = call.path.split('/').skip(1).collect();
+        let response = match (&self.backend, &call.method, path.as_slice()) {
+            (Backend::Table(table), &Method::POST, ["v1", "transact"]) => {
+                table.transact(&call.body)
+            }
+            (Backend::Table(table), &Method::GET, ["v1", "rows", name]) => {
+                table.read(&query::decode(name), &call.rows())
+            }
+            (Backend::Object(object), &Method::PUT, ["v1", "objects", name]) => {
+                object.put(&query::decode(name), call.body.clone())
+            }
+            (Backend::Object(object), &Method::GET, ["v1", "objects", name]) => {
+                object.get(&query::decode(name))
+            }
+            (Backend::Weight(weight), &Method::GET, ["v1", "weights", _]) => weight.get(),
+            (Backend::Vm(vms), &Method::GET, ["v1", "vms"]) => vms.get(),
+            (Backend::Engine(engine), &Method::POST, ["v1", "orders"]) => {
+                return engine.order(&call.body).await;
+            }
+            (Backend::Engine(engine), method, path) => {
+                return engine_call(engine, method, path, call);
+            }
+            (Backend::Pool(pool), method, path) => {
+                return runner_call(&pool.runner, method, path, || {
+                    reply::json(StatusCode::OK, &pool.load())
+                });
+            }
+            _ => reply::empty(StatusCode::NOT_FOUND),
+        };
+        Ok(response)
+    }
+
+    async fn admin(&self, request: Request<Incoming>) -> Reply {
+        let call = Plain::read(request).await?;
+        let path = call.path.strip_prefix(ADMIN).unwrap_or_default();
+        let query = call.query.as_deref();
+        Ok(match (&self.backend, &call.method, path) {
+            (_, &Method::GET, "faults") => reply::json(StatusCode::OK, &self.switch.get()),
+            (_, &Method::POST, "faults") => self.set_faults(&call.body),
+            (Backend::Vm(vms), &Method::POST, "vms") => vms.replace(&call.body),
+            (Backend::Vm(vms), &Method::POST, "vm") => vms.put(&call.body),
+            (Backend::Vm(vms), &Method::DELETE, "vm") => {
+                vms.delete(&query::get(query, "id").unwrap_or_default())
+            }
+            (Backend::Engine(engine), &Method::GET, "orders") => engine.orders(),
+            (backend, &Method::GET, "log") => {
+                let since = usize::try_from(query::number(query, "since")).unwrap_or(usize::MAX);
+                let page = backend.runner().map(|runner| runner.log.page(since));
+                reply::json(StatusCode::OK, &page.unwrap_or_default())
+            }
+            _ => reply::empty(StatusCode::NOT_FOUND),
+        })
+    }
+
+    fn set_faults(&self, body: &[u8]) -> Response<Body> {
+        match serde_json::from_slice::<Faults>(body) {
+            Ok(faults) => {
+                self.switch.set(faults);
+                reply::empty(StatusCode::NO_CONTENT)
+            }
+            Err(error) => reply::error(StatusCode::BAD_REQUEST, error),
+        }
+    }
+}
+
+impl Backend {
+    fn runner(&self) -> Option<&Runner> {
+        match self {
+            Self::Engine(engine) => Some(&engine.runner),
+            Self::Pool(pool) => Some(&pool.runner),
+            _ => None,
+        }
+    }
+}
+
+/// Calls that every runner answers.
+fn runner_call(
+    runner: &Runner,
+    method: &Method,
+    path: &[&str],
+    load: impl FnOnce() -> Response<Body>,
+) -> Reply {
+    match (method, path) {
+        (&Method::POST, ["v1", "cancel", id]) => runner.cancel(&query::decode(id)),
+        (&Method::GET, ["v1", "load"]) => Ok(load()),
+        _ => Ok(reply::empty(StatusCode::NOT_FOUND)),
+    }
+}
+
+/// Calls that only engines answer, besides orders.
+fn engine_call(engine: &Engine, method: &Method, path: &[&str], call: &Plain) -> Reply {
+    let query = call.query.as_deref();
+    Ok(match (method, path) {
+        (&Method::GET, ["v1", "cache", "events"]) => {
+            engine.cache_events(query::number(query, "after"))
+        }
+        (&Method::GET, ["v1", "kv", block]) => engine.export(block),
+        (&Method::PUT, ["v1", "kv", block]) => engine.import(block),
+        (&Method::GET, ["v1", "models"]) => engine.models(),
+        _ => {
+            return runner_call(&engine.runner, method, path, || {
+                reply::json(StatusCode::OK, &engine.load())
+            });
+        }
+    })
+}
+
+/// A request that has been read whole.
+struct Plain {
+    method: Method,
+    path: String,
+    query: Option<String>,
+    body: Bytes,
+}
+
+impl Plain {
+    async fn read(request: Request<Incoming>) -> Result<Self, Broken> {
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.map_err(|_| Broken)?.to_bytes();
+        Ok(Self {
+            method: parts.method,
+            path: parts.uri.path().to_owned(),
+            query: parts.uri.query().map(str::to_owned),
+            body,
+        })
+    }
+
+    fn rows(&self) -> Query {
+        let query = self.query.as_deref();
+        Query {
+            key: query::get(query, "key"),
+            after: query::get(query, "after").unwrap_or_default(),
+            limit: query::get(query, "limit").and_then(|limit| limit.parse().ok()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/vm.rs
@@ -0,0 +1,72 @@
+//! The lagging list of VMs.
+
+use crate::lag::Lag;
+use crate::options::Options;
+use crate::reply::{self, Body};
+use hyper::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+/// The true list and its recent past.
+#[derive(Debug)]
+pub(crate) struct Vms {
+    list: Lag<List>,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct List {
+    vms: Vec<Vm>,
+}
+
+/// A VM; the fields besides its name are handed out as they were given.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Vm {
+    id: String,
+    #[serde(flatten)]
+    rest: Map<String, Value>,
+}
+
+impl Vms {
+    pub(crate) fn new(options: &Options) -> Self {
+        Self {
+            list: Lag::new(options.lag(), List::default()),
+        }
+    }
+
+    /// The list as it was some time ago.
+    pub(crate) fn get(&self) -> Response<Body> {
+        reply::json(StatusCode::OK, &self.list.get().unwrap_or_default())
+    }
+
+    pub(crate) fn replace(&self, body: &[u8]) -> Response<Body> {
+        self.change(body, |list: &mut List, new: List| *list = new)
+    }
+
+    pub(crate) fn put(&self, body: &[u8]) -> Response<Body> {
+        self.change(body, |list: &mut List, new: Vm| {
+            match list.vms.iter_mut().find(|vm| vm.id == new.id) {
+                Some(vm) => *vm = new,
+                None => list.vms.push(new),
+            }
+        })
+    }
+
+    pub(crate) fn delete(&self, id: &str) -> Response<Body> {
+        self.list.update(|list| list.vms.retain(|vm| vm.id != id));
+        reply::empty(StatusCode::NO_CONTENT)
+    }
+
+    fn change<'a, T: Deserialize<'a>>(
+        &self,
+        body: &'a [u8],
+        change: impl FnOnce(&mut List, T),
+    ) -> Response<Body> {
+        match serde_json::from_slice(body) {
+            Ok(new) => {
+                self.list.update(|list| change(list, new));
+                reply::empty(StatusCode::NO_CONTENT)
+            }
+            Err(error) => reply::error(StatusCode::BAD_REQUEST, error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/weight.rs
@@ -0,0 +1,99 @@
+//! The rate-limited weight store.
+
+use crate::options::Options;
+use crate::reply::{self, Body, Broken};
+use bytes::Bytes;
+use hyper::body::Frame;
+use hyper::{Response, StatusCode};
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, Sleep};
+
+/// Bytes sent at once.
+const CHUNK: usize = 16 << 10;
+
+/// The store; all downloads share its rate.
+#[derive(Debug)]
+pub(crate) struct Weight {
+    bytes: usize,
+    per_second: f64,
+    downloads: Arc<Semaphore>,
+    /// When the bytes handed out so far will have passed.
+    free: Arc<Mutex<Instant>>,
+}
+
+/// A download in progress.
+pub(crate) struct Download {
+    left: usize,
+    per_second: f64,
+    free: Arc<Mutex<Instant>>,
+    sleep: Option<Pin<Box<Sleep>>>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Weight {
+    pub(crate) fn new(options: &Options) -> Self {
+        Self {
+            bytes: options.weight_bytes,
+            per_second: options.weight_bytes_per_second,
+            downloads: Arc::new(Semaphore::new(options.slots)),
+            free: Arc::new(Mutex::new(Instant::now())),
+        }
+    }
+
+    pub(crate) fn get(&self) -> Response<Body> {
+        let Ok(permit) = Arc::clone(&self.downloads).try_acquire_owned() else {
+            return reply::refusal(StatusCode::TOO_MANY_REQUESTS);
+        };
+        let download = Download {
+            left: self.bytes,
+            per_second: self.per_second,
+            free: Arc::clone(&self.free),
+            sleep: None,
+            _permit: permit,
+        };
+        Response::new(Body::Slow(Box::new(download)))
+    }
+}
+
+impl Download {
+    pub(crate) fn poll(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if self.left == 0 {
+            return Poll::Ready(None);
+        }
+        let length = self.left.min(CHUNK);
+        let sleep = match &mut self.sleep {
+            Some(sleep) => sleep,
+            empty => {
+                let until = reserve(&self.free, length, self.per_second);
+                empty.insert(Box::pin(tokio::time::sleep_until(until)))
+            }
+        };
+        if sleep.as_mut().poll(context).is_pending() {
+            return Poll::Pending;
+        }
+        self.sleep = None;
+        self.left -= length;
+        let chunk = Bytes::from_static(&[0; CHUNK]).slice(..length);
+        Poll::Ready(Some(Ok(Frame::data(chunk))))
+    }
+}
+
+/// Takes the next free time for `length` bytes and gives its end.
+fn reserve(free: &Mutex<Instant>, length: usize, per_second: f64) -> Instant {
+    let mut free = free.lock().unwrap_or_else(PoisonError::into_inner);
+    let start = (*free).max(Instant::now());
+    let time = match per_second > 0.0 {
+        true => Duration::try_from_secs_f64(length as f64 / per_second).unwrap_or_default(),
+        false => Duration::ZERO,
+    };
+    *free = start + time;
+    *free
+}
