--- /dev/null
+++ b/crates/entry/src/budgets.rs
@@ -0,0 +1,62 @@
+//! Time budgets of the pipelines' stages.
+
+use decide::Either;
+use decide::budget::{Budget, Slot, Split, Whole};
+use foldhash::fast::RandomState;
+use record::{Pipeline, Version};
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+type Key = (String, Version);
+type Choice = Either<Whole, Split>;
+
+/// Time budgets by pipeline and version.
+#[derive(Debug)]
+pub struct Budgets {
+    policy: setting::Policy,
+    by_pipeline: Mutex<HashMap<Key, Choice, RandomState>>,
+}
+
+impl Budgets {
+    /// Nothing has been measured yet.
+    #[must_use]
+    pub fn new(policy: setting::Policy) -> Self {
+        Self {
+            policy,
+            by_pipeline: Mutex::default(),
+        }
+    }
+
+    /// By when a stage should start.
+    pub fn slot(
+        &self,
+        pipeline: &Pipeline,
+        stage: usize,
+        now: Duration,
+        arrived: Duration,
+        deadline: Duration,
+    ) -> Slot {
+        self.with(pipeline, |budget| {
+            budget.slot(stage, now, arrived, deadline)
+        })
+    }
+
+    /// Takes in how long the stages of a whole request took.
+    pub fn finished(&self, pipeline: &Pipeline, stages: &[Duration]) {
+        self.with(pipeline, |budget| budget.finished(stages));
+    }
+
+    fn with<T>(&self, pipeline: &Pipeline, work: impl FnOnce(&mut Choice) -> T) -> T {
+        let mut budgets = self
+            .by_pipeline
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let key = (pipeline.name.clone(), pipeline.version);
+        let budget = budgets.entry(key).or_insert_with(|| match self.policy {
+            setting::Policy::Naive => Either::Naive(Whole),
+            setting::Policy::Shipped => Either::Shipped(Split::new(pipeline.stages.len())),
+        });
+        work(budget)
+    }
+}
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -6,8 +6,8 @@
 use crate::core::{Core, Platform};
 use crate::execute;
 use crate::job::Job;
-use crate::peers::{self, FORWARDED};
 use crate::kept::{self, Kept};
+use crate::peers::{self, FORWARDED};
 use crate::problem::{Outcome, Problem};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -153,12 +153,12 @@
     }
 }
 
-async fn accept<P: Platform>(
-    core: &Arc<Core<P>>,
-    request: Request,
-) -> Result<Arc<Job>, Problem> {
+async fn accept<P: Platform>(core: &Arc<Core<P>>, request: Request) -> Result<Arc<Job>, Problem> {
     if core.is_draining() {
-        return Err(Problem::not_run("this entry is stopping", COME_BACK_ELSEWHERE));
+        return Err(Problem::not_run(
+            "this entry is stopping",
+            COME_BACK_ELSEWHERE,
+        ));
     }
     if !core.config.is_ready() {
         return Err(Problem::not_run(
@@ -192,8 +192,12 @@
 }
 
 fn find(set: &Arc<Set>, request: &Request) -> Result<Arc<Pipeline>, Problem> {
-    let name: String = request.param("name").map_err(|_| bad("no pipeline named"))?;
-    let version: String = request.param("version").map_err(|_| bad("no version named"))?;
+    let name: String = request
+        .param("name")
+        .map_err(|_| bad("no pipeline named"))?;
+    let version: String = request
+        .param("version")
+        .map_err(|_| bad("no version named"))?;
     let pipeline = if version == "@current" {
         set.current(&name)
     } else {
@@ -212,7 +216,9 @@
 
 async fn input(request: Request) -> Result<Bytes, Problem> {
     let body = Limited::new(request.into_body(), MAX_INPUT).collect().await;
-    let body = body.map_err(|error| bad(format!("input: {error}")))?.to_bytes();
+    let body = body
+        .map_err(|error| bad(format!("input: {error}")))?
+        .to_bytes();
     serde_json::from_slice::<&RawValue>(&body)
         .map_err(|error| bad(format!("input is no JSON: {error}")))?;
     Ok(body)
@@ -229,11 +235,7 @@
 
 /// Finds the answer to a request here, at the entry that accepted it, or in the object store; the
 /// balancer may have brought the caller to any entry, and the one it spoke to may be gone.
-async fn find_answer<P: Platform>(
-    core: &Arc<Core<P>>,
-    id: RequestId,
-    follow: &Follow,
-) -> Response {
+async fn find_answer<P: Platform>(core: &Arc<Core<P>>, id: RequestId, follow: &Follow) -> Response {
     if let Some(job) = core.jobs.get(id) {
         return respond(&job, follow).await;
     }
@@ -286,7 +288,12 @@
 fn render(id: RequestId, end: &End, streamed: bool, chunks: &[Bytes]) -> Response {
     let mut response = match Problem::from_end(id, end) {
         Some(problem) => problem.response(),
-        None => whole(id, matches!(end, End::Whole { late: true }), streamed, chunks),
+        None => whole(
+            id,
+            matches!(end, End::Whole { late: true }),
+            streamed,
+            chunks,
+        ),
     };
     name_request(&mut response, id);
     response
--- a/crates/entry/src/caller/stream.rs
+++ b/crates/entry/src/caller/stream.rs
@@ -34,7 +34,10 @@
     };
     let mut response = Response::with(Body::from_stream(events(reader)), EVENT_STREAM);
     let headers = response.headers_mut();
-    headers.insert("cache-control", viz::header::HeaderValue::from_static("no-store"));
+    headers.insert(
+        "cache-control",
+        viz::header::HeaderValue::from_static("no-store"),
+    );
     name_request(&mut response, id);
     response
 }
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -5,8 +5,8 @@
 
 use crate::config::rows;
 use platform::{Check, Error, Objects, Put, Row, Table, Transaction};
-use protocol::claim::{self, Action, Claim, Event, Kept, Verdict};
 use protocol::RequestId;
+use protocol::claim::{self, Action, Claim, Event, Kept, Verdict};
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/entry/src/config/accept.rs
+++ b/crates/entry/src/config/accept.rs
@@ -194,17 +194,17 @@
     }
 }
 
-fn findings(
-    records: &Records,
-    documents: &[Document],
-    delete: &[String],
-) -> record::Findings {
+fn findings(records: &Records, documents: &[Document], delete: &[String]) -> record::Findings {
     let mut after: BTreeMap<String, Document> = records
         .iter()
         .filter(|(key, _)| !delete.contains(key))
         .map(|(key, stored)| (key.clone(), stored.document.clone()))
         .collect();
-    after.extend(documents.iter().map(|document| (document.key(), document.clone())));
+    after.extend(
+        documents
+            .iter()
+            .map(|document| (document.key(), document.clone())),
+    );
     let after: Vec<Document> = after.into_values().collect();
     record::check::all(&after)
 }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,16 +1,22 @@
 //! What the parts of an entry share.
 
+use crate::budgets::Budgets;
 use crate::claim::Claims;
 use crate::config::Config;
 use crate::job::Jobs;
 use crate::peers::Peers;
-use crate::pool::Pool;
+use crate::prefix;
+use crate::service::Demand;
+use crate::services::Services;
 use crate::telemetry::Telemetry;
 use crate::{execute, job::Job};
+use decide::budget::Slot;
 use platform::{Objects, Table, Vms};
+use record::service::Runner;
 use slog::Logger;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
 /// Everything that an entry needs of the platform.
@@ -29,8 +35,10 @@
     pub config: Config<P>,
     /// Claims on idempotency keys.
     pub claims: Claims<P>,
-    /// Targets and the links to their agents.
-    pub pool: Pool,
+    /// Services, their targets and the links to their agents.
+    pub services: Services,
+    /// Time budgets of the pipelines' stages.
+    pub budgets: Budgets,
     /// The other entries.
     pub peers: Peers,
     /// Requests that run and answers that are kept.
@@ -41,23 +49,27 @@
     pub log: Logger,
     /// Work that a planned stop waits for.
     pub tasks: TaskTracker,
+    started: Instant,
     draining: AtomicBool,
 }
 
 impl<P: Platform> Core<P> {
     /// An entry that has not yet read anything.
     pub fn new(settings: setting::Entry, platform: P, telemetry: Telemetry, log: Logger) -> Self {
+        let started = Instant::now();
         Self {
             config: Config::new(platform.clone(), log.clone()),
             claims: Claims::start(platform.clone()),
+            services: Services::new(&settings, started),
+            budgets: Budgets::new(settings.policy),
             settings,
             platform,
-            pool: Pool::default(),
             peers: Peers::default(),
             jobs: Jobs::default(),
             telemetry,
             log,
             tasks: TaskTracker::new(),
+            started,
             draining: AtomicBool::new(false),
         }
     }
@@ -72,6 +84,32 @@
         self.draining.store(true, Ordering::Release);
     }
 
+    /// By when a stage of a job should start, and how urgent it is.
+    pub fn slot(&self, job: &Job, position: usize) -> Slot {
+        let since = |moment: Instant| moment.saturating_duration_since(self.started);
+        let now = since(Instant::now());
+        let (arrived, deadline) = (since(job.accepted), since(job.deadline));
+        self.budgets
+            .slot(&job.pipeline, position, now, arrived, deadline)
+    }
+
+    /// What the decisions need to know of a stage of a job with this input.
+    pub fn demand(&self, job: &Job, position: usize, slot: &Slot, input: &[u8]) -> Demand {
+        let workspace = job.set.workspace(&job.workspace);
+        let service = job.set.service(&job.pipeline.stages[position].service);
+        let cached = service.is_some_and(|service| service.runner == Runner::Engine);
+        Demand {
+            workspace: job.workspace.as_str().into(),
+            share: workspace.map_or(1, |workspace| workspace.share),
+            latest_start: slot.latest_start,
+            prefix: if cached {
+                prefix::blocks(input)
+            } else {
+                Vec::new()
+            },
+        }
+    }
+
     /// Tells the peers that a change was accepted, so that they need not wait for their next poll.
     pub fn announce(&self, revision: protocol::Revision) {
         let _ = revision;
--- a/crates/entry/src/discovery.rs
+++ b/crates/entry/src/discovery.rs
@@ -4,6 +4,7 @@
 use crate::target::Target;
 use platform::{Role, Vm};
 use slog::{o, warn};
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 use wire::Key;
@@ -21,6 +22,7 @@
         if let Ok(listed) = result {
             update(&core, listed);
         }
+        core.services.configure(&core.config.current());
         tokio::time::sleep(pause).await;
     }
 }
@@ -28,10 +30,16 @@
 fn update<P: Platform>(core: &Arc<Core<P>>, listed: Vec<Vm>) {
     let (targets, entries): (Vec<Vm>, Vec<Vm>) =
         listed.into_iter().partition(|vm| vm.role == Role::Target);
+    core.peers.update(entries, &core.settings.id);
     let key = Key::new(core.settings.key.as_bytes());
-    core.pool.update(&targets, |vm| {
+    for vm in &targets {
+        let service = core.services.get(&vm.service);
+        let observer = service.clone();
         let log = core.log.new(o!("service" => vm.service.clone()));
-        Target::start(vm, key.clone(), log)
-    });
-    core.peers.update(entries, &core.settings.id);
+        service.list(vm, |vm| Target::start(vm, key.clone(), log, observer));
+    }
+    let ids: HashSet<&str> = targets.iter().map(|vm| vm.id.as_str()).collect();
+    for service in core.services.all() {
+        service.retain(|id| ids.contains(id));
+    }
 }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -54,7 +54,12 @@
     /// Whether the answer comes in chunks that are JSON values of their own.
     #[must_use]
     pub fn streams(&self) -> bool {
-        self.stream && self.pipeline.stages.last().is_some_and(|stage| stage.stream)
+        self.stream
+            && self
+                .pipeline
+                .stages
+                .last()
+                .is_some_and(|stage| stage.stream)
     }
 
     /// Whether every stage may run more than once.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,15 +6,16 @@
 //! * [`server`]: listener, TLS and routes
 //! * [`caller`]: callers' interface; [`operator`]: operators' interface; [`problem`]: their errors
 //! * [`job`] and [`answer`]: one accepted request and what its caller gets
-//! * [`execute`]: stages of a job; [`attempt`]: one attempt at one target
+//! * [`execute`]: a job from admission to its end; [`stage`]: one stage with all its attempts
 //! * [`claim`] and [`kept`]: idempotency keys and the answers kept for them
-//! * [`target`], [`pool`] and [`discovery`]: links to agents and who may get work
+//! * [`target`], [`service`], [`services`] and [`discovery`]: links to agents and who gets work
+//! * [`budgets`] and [`prefix`]: what the decisions are fed with
 //! * [`peers`]: the other entries
 //! * [`config`]: records in force, the change log and accepted changes
 //! * [`telemetry`]: counters and histograms
 
 pub mod answer;
-pub mod attempt;
+pub mod budgets;
 pub mod caller;
 pub mod claim;
 pub mod config;
@@ -25,10 +26,13 @@
 pub mod kept;
 pub mod operator;
 pub mod peers;
-pub mod pool;
+pub mod prefix;
 pub mod problem;
 pub mod run;
 pub mod server;
+pub mod service;
+pub mod services;
+pub mod stage;
 pub mod target;
 pub mod telemetry;
 
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -4,12 +4,13 @@
 use crate::config::rows::{Change, Stored};
 use crate::core::{Core, Platform};
 use crate::problem::Problem;
+use crate::target::Target;
 use http_body_util::{BodyExt, Full, Limited};
 use protocol::Revision;
+use record::Set;
 use serde::{Deserialize, Serialize};
 use slog::info;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use viz::{Request, RequestExt, Response, ResponseExt, StatusCode};
 
@@ -152,7 +153,8 @@
             Problem::not_run(source.to_string(), retry_after.unwrap_or(COME_BACK)).response()
         }
         Refusal::Unknown => {
-            let problem = Problem::unknown("the change may be accepted: apply it again with the same token");
+            let problem =
+                Problem::unknown("the change may be accepted: apply it again with the same token");
             Problem {
                 status: StatusCode::SERVICE_UNAVAILABLE.as_u16(),
                 retry_after: Some(COME_BACK.as_secs_f64()),
@@ -180,17 +182,16 @@
 /// `GET /v1/status`.
 pub async fn status<P: Platform>(core: Arc<Core<P>>) -> Response {
     let set = core.config.current();
-    let targets = core.pool.all().into_iter().map(|target| TargetStatus {
-        state: match (target.is_linked(), target.is_open()) {
-            (false, _) => "unlinked",
-            (true, false) => "leaving",
-            (true, true) if set.drained(&target.vm.id) => "drained",
-            (true, true) => "live",
-        },
-        in_flight: target.in_flight.load(Ordering::Relaxed),
-        id: target.vm.id.clone(),
-        service: target.vm.service.clone(),
-        domain: target.vm.domain.clone(),
+    let services = core.services.all();
+    let targets = services.iter().flat_map(|service| {
+        let targets = service.targets().into_iter();
+        targets.map(|target| TargetStatus {
+            state: state(&target, &set),
+            in_flight: service.in_flight(&target.vm.id),
+            id: target.vm.id.clone(),
+            service: target.vm.service.clone(),
+            domain: target.vm.domain.clone(),
+        })
     });
     let status = Status {
         id: core.settings.id.clone(),
@@ -206,6 +207,15 @@
     json(StatusCode::OK, &status)
 }
 
+fn state(target: &Target, set: &Set) -> &'static str {
+    match (target.is_linked(), target.is_open()) {
+        (false, _) => "unlinked",
+        (true, false) => "leaving",
+        (true, true) if set.drained(&target.vm.id) => "drained",
+        (true, true) => "live",
+    }
+}
+
 /// `GET /ready`: what the balancer asks.
 pub async fn ready<P: Platform>(core: Arc<Core<P>>) -> Response {
     if core.is_draining() || !core.config.is_ready() {
--- /dev/null
+++ b/crates/entry/src/service.rs
@@ -0,0 +1,425 @@
+//! One service's targets and the decisions about them, under one lock.
+
+pub mod policy;
+
+use crate::service::policy::Policy;
+use crate::target::{Change, Observer, Target};
+use decide::admit::{Admission, Ask, Verdict};
+use decide::limit::{Limit, Sample};
+use decide::retry::{Failure, Retry};
+use decide::route::{self, Block, Report, Router, TargetId};
+use foldhash::fast::RandomState;
+use platform::Vm;
+use rand::Rng;
+use record::Set;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use wire::Load;
+
+/// Targets that are looked at and passed over, because an operator has drained them, before a
+/// choice is given up.
+const PASSED_OVER: usize = 8;
+
+/// Wakes a call whose turn it is.
+pub type Ticket = oneshot::Sender<()>;
+
+/// A call of a stage, as the decisions need to know it.
+#[derive(Clone, Debug)]
+pub struct Demand {
+    /// Workspace of the caller.
+    pub workspace: Arc<str>,
+    /// Its share relative to others.
+    pub share: u32,
+    /// Latest moment, since the process started, at which the call may start in time.
+    pub latest_start: Duration,
+    /// Hashes of the prompt's prefix blocks, longest last.
+    pub prefix: Vec<Block>,
+}
+
+/// One service's targets.
+#[derive(Debug)]
+pub struct Service {
+    name: String,
+    domain: String,
+    started: Instant,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    targets: HashMap<TargetId, Arc<Target>, RandomState>,
+    pool: route::Pool,
+    policy: Policy,
+    concurrency: u32,
+}
+
+/// A call's turn to be in flight; given back when dropped.
+#[derive(Debug)]
+pub struct Turn {
+    service: Arc<Service>,
+    workspace: Arc<str>,
+    spent: Option<(Duration, Duration)>,
+}
+
+impl Turn {
+    /// Says how long the runner was busy with the call and how long it took in all.
+    pub fn spent(&mut self, busy: Duration, elapsed: Duration) {
+        self.spent = Some((busy, elapsed));
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.service.give_back(&self.workspace, self.spent);
+    }
+}
+
+/// A refusal, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Overload {
+    /// When a retry may succeed; differs from caller to caller.
+    pub retry_after: Duration,
+}
+
+impl Service {
+    /// A service without targets.
+    pub fn new(name: &str, domain: &str, started: Instant, policy: setting::Policy) -> Arc<Self> {
+        Arc::new(Self {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            started,
+            state: Mutex::new(State {
+                targets: HashMap::default(),
+                pool: policy::pool(policy),
+                policy: Policy::new(policy),
+                concurrency: 1,
+            }),
+        })
+    }
+
+    /// Takes in what the records say of the service.
+    pub fn configure(&self, set: &Set) {
+        let attainment = set
+            .pipelines()
+            .filter(|pipeline| {
+                pipeline
+                    .stages
+                    .iter()
+                    .any(|stage| stage.service == self.name)
+            })
+            .map(|pipeline| pipeline.attainment)
+            .fold(0.0, f64::max);
+        let mut state = self.lock();
+        if let Some(service) = set.service(&self.name) {
+            state.concurrency = service.concurrency;
+        }
+        state.policy.weigh(attainment);
+    }
+
+    /// Takes in one target that the platform lists; `start` opens the link to one that is new.
+    ///
+    /// The list lags: a mark of leaving is never taken back within one life of the VM.
+    pub fn list(&self, vm: &Vm, start: impl FnOnce(Vm) -> Arc<Target>) {
+        let mut state = self.lock();
+        let id = TargetId::from(vm.id.as_str());
+        match state.targets.get(&id) {
+            Some(known) if known.vm.incarnation > vm.incarnation => {}
+            Some(known) if known.vm.incarnation == vm.incarnation => {
+                if vm.leaving {
+                    known.leave();
+                    state.pool.leave(&id);
+                }
+            }
+            known => {
+                if let Some(known) = known {
+                    known.stop();
+                }
+                state.pool.remove(&id);
+                state.targets.insert(id, start(vm.clone()));
+            }
+        }
+    }
+
+    /// Forgets targets that are neither listed nor linked.
+    pub fn retain(&self, listed: impl Fn(&str) -> bool) {
+        let mut state = self.lock();
+        state.targets.retain(|id, target| {
+            let keep = target.is_linked() || listed(id);
+            if !keep {
+                target.stop();
+            }
+            keep
+        });
+    }
+
+    /// All targets.
+    pub fn targets(&self) -> Vec<Arc<Target>> {
+        self.lock().targets.values().cloned().collect()
+    }
+
+    /// Calls of this entry at a target.
+    pub fn in_flight(&self, id: &str) -> u32 {
+        self.lock().pool.get(id).map_or(0, route::Target::in_flight)
+    }
+
+    /// Whether the service is too far behind for one more request.
+    pub fn overload(&self, demand: &Demand) -> Option<Overload> {
+        let now = self.now();
+        let mut state = self.lock();
+        let limit = state.limit();
+        let ask = Ask {
+            workspace: &demand.workspace,
+            share: demand.share,
+            latest_start: demand.latest_start,
+        };
+        let admission = &mut state.policy.admission;
+        let retry_after = admission.overload(&ask, limit, now, &mut rand::rng());
+        retry_after.map(|retry_after| Overload { retry_after })
+    }
+
+    /// Waits for the first call of a new request to get its turn.
+    ///
+    /// # Errors
+    ///
+    /// [`Overload`] if the request is refused instead.
+    pub async fn offer(self: &Arc<Self>, demand: &Demand) -> Result<Turn, Overload> {
+        let (ticket, turn) = oneshot::channel();
+        let verdict = {
+            let now = self.now();
+            let mut state = self.lock();
+            let limit = state.limit();
+            let call = call(demand, ticket);
+            let admission = &mut state.policy.admission;
+            admission.offer(call, limit, now, &mut rand::rng())
+        };
+        match verdict {
+            Verdict::Start(ticket) => self.wake(ticket),
+            Verdict::Queued => {}
+            Verdict::Refused { retry_after, .. } => return Err(Overload { retry_after }),
+        }
+        Ok(self.wait(turn, demand).await)
+    }
+
+    /// Waits for a call of an accepted request to get its turn.
+    pub async fn push(self: &Arc<Self>, demand: &Demand) -> Turn {
+        let (ticket, turn) = oneshot::channel();
+        let started = {
+            let now = self.now();
+            let mut state = self.lock();
+            let limit = state.limit();
+            state
+                .policy
+                .admission
+                .push(call(demand, ticket), limit, now)
+        };
+        if let Some(ticket) = started {
+            self.wake(ticket);
+        }
+        self.wait(turn, demand).await
+    }
+
+    /// Wakes a call whose turn it is; the queue may give out another than the one just pushed.
+    fn wake(&self, ticket: Ticket) {
+        if ticket.send(()).is_err() {
+            self.give_back("", None);
+        }
+    }
+
+    async fn wait(self: &Arc<Self>, turn: oneshot::Receiver<()>, demand: &Demand) -> Turn {
+        // The queue lives as long as the service, and this call holds the service.
+        let _ = turn.await;
+        self.turn(demand)
+    }
+
+    fn turn(self: &Arc<Self>, demand: &Demand) -> Turn {
+        Turn {
+            service: self.clone(),
+            workspace: demand.workspace.clone(),
+            spent: None,
+        }
+    }
+
+    /// Ends a turn and gives the free place to the next calls in the queue.
+    fn give_back(&self, workspace: &str, spent: Option<(Duration, Duration)>) {
+        let now = self.now();
+        let mut state = self.lock();
+        let (busy, elapsed) = spent.unzip();
+        let admission = &mut state.policy.admission;
+        admission.finished(workspace, busy.unwrap_or_default(), elapsed);
+        state.start_waiting(now);
+    }
+
+    /// Chooses a target for a call and counts the call as sent there.
+    pub fn choose(
+        &self,
+        demand: &Demand,
+        tried: &[TargetId],
+        set: &Set,
+        rng: &mut impl Rng,
+    ) -> Option<Arc<Target>> {
+        let now = self.now();
+        let mut state = self.lock();
+        let mut tried = tried.to_vec();
+        for _ in 0..PASSED_OVER {
+            let call = route::Call {
+                now,
+                domain: &self.domain,
+                prefix: &demand.prefix,
+                tried: &tried,
+                slack: demand.latest_start.saturating_sub(now),
+            };
+            let State { pool, policy, .. } = &mut *state;
+            let id = policy.router.pick(pool, &call, rng)?;
+            match state.targets.get(&id).cloned() {
+                Some(target) if target.is_open() && !set.drained(&id) => {
+                    state.pool.sent(&id, now);
+                    return Some(target);
+                }
+                _ => tried.push(id),
+            }
+        }
+        None
+    }
+
+    /// A call was answered whole.
+    pub fn answered(
+        &self,
+        id: &str,
+        demand: &Demand,
+        busy: Duration,
+        elapsed: Duration,
+        load: Load,
+    ) {
+        let now = self.now();
+        let mut state = self.lock();
+        let answer = route::Answer {
+            busy,
+            prefix: &demand.prefix,
+            hits: load.prefix_hits,
+        };
+        let in_flight = state.policy.admission.in_flight();
+        state.pool.answered(id, now, &answer);
+        state.pool.reported(id, now, report(load));
+        state.policy.limit.answered(Sample {
+            elapsed,
+            busy,
+            in_flight,
+        });
+        state.policy.retry.succeeded(now, elapsed);
+    }
+
+    /// A call was refused, revoked or cancelled.
+    pub fn returned(&self, id: &str, load: Option<Load>, full: bool) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.pool.returned(id);
+        if let Some(load) = load {
+            state.pool.reported(id, now, report(load));
+        }
+        if full {
+            state.policy.limit.refused();
+        }
+    }
+
+    /// A call failed, or its answer was lost.
+    pub fn failed(&self, id: &str) {
+        let now = self.now();
+        self.lock().pool.failed(id, now);
+    }
+
+    /// Whether a stage may be tried again, and after which pause.
+    pub fn retry(&self, failure: Failure, attempt: u16, rng: &mut impl Rng) -> Option<Duration> {
+        let now = self.now();
+        let mut state = self.lock();
+        let retry = &mut state.policy.retry;
+        retry
+            .retry(now, failure, attempt)
+            .then(|| retry.backoff(attempt, rng))
+    }
+
+    /// How long after sending a call a second copy may be sent.
+    pub fn hedge_after(&self) -> Option<Duration> {
+        self.lock().policy.retry.hedge_after()
+    }
+
+    /// Whether a second copy may be sent now.
+    pub fn hedge(&self) -> bool {
+        let now = self.now();
+        self.lock().policy.retry.hedge(now)
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn limit(&self) -> u32 {
+        self.policy.limit.limit()
+    }
+
+    /// Fits the limit to the targets that take new work.
+    fn resize(&mut self, now: Duration) {
+        let live = u32::try_from(self.pool.live().len()).unwrap_or(u32::MAX);
+        let capacity = self.pool.capacity();
+        // One call more for each target keeps its runner busy while an answer travels.
+        self.policy
+            .limit
+            .resize(live.max(1), capacity.saturating_add(live).max(1));
+        self.start_waiting(now);
+    }
+
+    fn start_waiting(&mut self, now: Duration) {
+        while let Some(ticket) = self.policy.admission.next(self.policy.limit.limit(), now) {
+            // A call that no longer waits gives its place to the next.
+            if ticket.send(()).is_err() {
+                self.policy.admission.finished("", Duration::ZERO, None);
+            }
+        }
+    }
+}
+
+impl Observer for Service {
+    fn changed(&self, target: &Arc<Target>, change: Change) {
+        let now = self.now();
+        let mut state = self.lock();
+        let id = target.vm.id.as_str();
+        match change {
+            Change::Up if !target.is_leaving() => {
+                let domain = target.vm.domain.as_str();
+                let known = route::Target::new(id, domain, state.concurrency);
+                state.pool.insert(known);
+            }
+            Change::Up => {}
+            Change::Down => {
+                state.pool.remove(id);
+            }
+            Change::Leaving => state.pool.leave(id),
+        }
+        state.resize(now);
+    }
+}
+
+fn call(demand: &Demand, item: Ticket) -> decide::admit::Call<Ticket> {
+    decide::admit::Call {
+        workspace: demand.workspace.clone(),
+        share: demand.share,
+        latest_start: demand.latest_start,
+        item,
+    }
+}
+
+fn report(load: Load) -> Report {
+    Report {
+        queued: load.queued,
+        running: load.running,
+        limit: load.limit,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/service/policy.rs
@@ -0,0 +1,67 @@
+//! Which decisions a service is run with: the naive ones or those that ship.
+
+use super::Ticket;
+use decide::Either;
+use decide::admit::{Predictive, Unbounded, predictive::Bounds};
+use decide::limit::{Fixed, Gradient};
+use decide::retry::eject::Ejection;
+use decide::retry::{Always, Budgeted, Share};
+use decide::route::{Pool, RoundRobin, Sampled};
+
+/// Calls in flight that a service starts with before its targets are known.
+const FIRST_LIMIT: u32 = 1;
+
+/// Decisions of one service.
+#[derive(Debug)]
+pub struct Policy {
+    /// Which target a call goes to.
+    pub router: Either<RoundRobin, Sampled>,
+    /// Whether a request is accepted, and whose turn it is.
+    pub admission: Either<Unbounded<Ticket>, Predictive<Ticket>>,
+    /// Calls in flight at once.
+    pub limit: Either<Fixed, Gradient>,
+    /// Second attempts.
+    pub retry: Either<Always, Budgeted>,
+    attainment: f64,
+}
+
+/// The targets' table; the naive decisions eject nobody.
+pub fn pool(policy: setting::Policy) -> Pool {
+    match policy {
+        setting::Policy::Naive => Pool::new(Ejection::never()),
+        setting::Policy::Shipped => Pool::default(),
+    }
+}
+
+impl Policy {
+    /// Decisions before anything is known.
+    pub fn new(policy: setting::Policy) -> Self {
+        match policy {
+            setting::Policy::Naive => Self {
+                router: Either::Naive(RoundRobin::default()),
+                admission: Either::Naive(Unbounded::default()),
+                limit: Either::Naive(Fixed::new(u32::MAX)),
+                retry: Either::Naive(Always),
+                attainment: 0.0,
+            },
+            setting::Policy::Shipped => Self {
+                router: Either::Shipped(Sampled),
+                admission: Either::Shipped(Predictive::new(Bounds::default())),
+                limit: Either::Shipped(Gradient::new(FIRST_LIMIT, FIRST_LIMIT, FIRST_LIMIT)),
+                retry: Either::Shipped(Budgeted::new(Share::weighted(0.0))),
+                attainment: 0.0,
+            },
+        }
+    }
+
+    /// Takes in how much the pipelines that use the service weigh attainment against cost.
+    pub fn weigh(&mut self, attainment: f64) {
+        if (attainment - self.attainment).abs() < f64::EPSILON {
+            return;
+        }
+        self.attainment = attainment;
+        if let Either::Shipped(retry) = &mut self.retry {
+            *retry = Budgeted::new(Share::weighted(attainment));
+        }
+    }
+}
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -1,11 +1,11 @@
-//! One target's agent: the link to it, the calls on that link and what is known of its load.
+//! One target's agent: the link to it and the calls on that link.
 
 use foldhash::fast::RandomState;
 use platform::Vm;
 use protocol::CallId;
 use slog::{Logger, info};
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -17,41 +17,62 @@
 /// Longest pause between attempts to open a link.
 const RECONNECT_MOST: Duration = Duration::from_secs(1);
 
-/// Frames of one call; the channel closes when the link is lost.
-pub type Frames = mpsc::UnboundedReceiver<Frame>;
+/// What reaches a stage about one of its calls.
+#[derive(Debug)]
+pub enum Message {
+    /// The agent's word.
+    Frame(CallId, Frame),
+    /// The link that the call was sent on is gone.
+    Lost(CallId),
+}
+
+/// Where a stage takes in what reaches it about its calls.
+pub type Inbox = mpsc::UnboundedSender<Message>;
+
+/// What changes in a target's willingness to work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The link is up.
+    Up,
+    /// The link is lost.
+    Down,
+    /// The agent takes no new work.
+    Leaving,
+}
+
+/// Takes in changes of the targets.
+pub trait Observer: Send + Sync + 'static {
+    /// Takes in a change of one target.
+    fn changed(&self, target: &Arc<Target>, change: Change);
+}
 
 /// A target with an agent beside it, in one life of its VM.
 #[derive(Debug)]
 pub struct Target {
     /// What the platform lists.
     pub vm: Vm,
-    /// Work that this entry has given it and that has not ended.
-    pub in_flight: AtomicU32,
-    /// Whether it takes no new work, by its own word or the platform's.
-    pub leaving: AtomicBool,
     /// Frames that belonged to no current call.
     pub strays: AtomicU64,
+    leaving: AtomicBool,
     link: Mutex<Option<Sender>>,
     up: watch::Sender<bool>,
-    calls: Mutex<HashMap<CallId, mpsc::UnboundedSender<Frame>, RandomState>>,
+    calls: Mutex<HashMap<CallId, Inbox, RandomState>>,
     stop: CancellationToken,
 }
 
 impl Target {
     /// A target whose link is opened in the background and kept open until [`Target::stop`].
-    #[must_use]
-    pub fn start(vm: Vm, key: Key, log: Logger) -> Arc<Self> {
+    pub fn start(vm: Vm, key: Key, log: Logger, observer: Arc<impl Observer>) -> Arc<Self> {
         let target = Arc::new(Self {
             leaving: AtomicBool::new(vm.leaving),
             vm,
-            in_flight: AtomicU32::default(),
             strays: AtomicU64::default(),
             link: Mutex::default(),
             up: watch::Sender::new(false),
             calls: Mutex::default(),
             stop: CancellationToken::new(),
         });
-        tokio::spawn(keep_linked(target.clone(), key, log));
+        tokio::spawn(keep_linked(target.clone(), key, log, observer));
         target
     }
 
@@ -67,7 +88,12 @@
 
     /// Whether new work may go there.
     pub fn is_open(&self) -> bool {
-        self.is_linked() && !self.leaving.load(Ordering::Relaxed)
+        self.is_linked() && !self.is_leaving()
+    }
+
+    /// Whether it takes no new work, by its own word or the platform's.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
     }
 
     /// Marks the target as leaving; nothing clears the mark in this life of the VM.
@@ -84,18 +110,17 @@
         }
     }
 
-    /// Registers a call and gives its frames and the link to send on.
+    /// Registers a call and gives the link to send it on.
     ///
-    /// The call is registered before the link is read: a link lost in between closes the frames,
-    /// so that no call can wait for an answer on a link that is gone.
-    pub fn open(&self, call: CallId) -> Option<(Sender, Frames)> {
-        let (frames, receiver) = mpsc::unbounded_channel();
-        self.calls().insert(call, frames);
+    /// The call is registered before the link is read: a link lost in between tells the inbox, so
+    /// that no call can wait for an answer on a link that is gone.
+    pub fn open(&self, call: CallId, inbox: Inbox) -> Option<Sender> {
+        self.calls().insert(call, inbox);
         let link = self.link().clone();
         if link.is_none() {
             self.close(call);
         }
-        link.map(|link| (link, receiver))
+        link
     }
 
     /// Forgets a call; later frames for it are strays.
@@ -103,10 +128,9 @@
         self.calls().remove(&call);
     }
 
-    /// Sends a frame without waiting, if there is a link with room.
-    pub fn send_now(&self, frame: Frame) {
-        let link = self.link().clone();
-        if let Some(link) = link {
+    /// Sends a frame from where nothing can be awaited, if there is a link.
+    pub fn send_later(&self, frame: Frame) {
+        if let Some(link) = self.link().clone() {
             tokio::spawn(async move { link.send(frame).await });
         }
     }
@@ -114,60 +138,57 @@
     fn lose_link(&self) {
         self.link().take();
         self.up.send_replace(false);
-        self.calls().clear();
+        let calls = std::mem::take(&mut *self.calls());
+        for (call, inbox) in calls {
+            // A stage that no longer listens has its answer.
+            let _ = inbox.send(Message::Lost(call));
+        }
     }
 
     fn link(&self) -> MutexGuard<'_, Option<Sender>> {
         self.link.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn calls(
-        &self,
-    ) -> MutexGuard<'_, HashMap<CallId, mpsc::UnboundedSender<Frame>, RandomState>> {
+    fn calls(&self) -> MutexGuard<'_, HashMap<CallId, Inbox, RandomState>> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn dispatch(&self, link: &Sender, frame: Frame) {
-        if let Frame::Leave { incarnation } = frame {
-            if incarnation >= self.vm.incarnation {
-                self.leave();
-            }
-            return;
-        }
-        let Some(call) = frame.call() else {
-            return;
+    async fn dispatch(&self, link: &Sender, call: CallId, frame: Frame) {
+        let inbox = self.calls().get(&call).cloned();
+        let stray = match inbox {
+            Some(inbox) => match inbox.send(Message::Frame(call, frame)) {
+                Ok(()) => None,
+                Err(error) => Some(error.0),
+            },
+            None => Some(Message::Frame(call, frame)),
         };
-        let frames = self.calls().get(&call).cloned();
-        let stray = match frames {
-            Some(frames) => frames.send(frame).err().map(|error| error.0),
-            None => Some(frame),
+        let Some(Message::Frame(call, frame)) = stray else {
+            return;
         };
-        if let Some(frame) = stray {
-            self.stray(link, frame).await;
-        }
-    }
-
-    /// Denies a question about a call that is over: an agent that was frozen with the offer must
-    /// not start what the caller was told had not run.
-    async fn stray(&self, link: &Sender, frame: Frame) {
         self.strays.fetch_add(1, Ordering::Relaxed);
-        if let Frame::Ask { call } = frame {
+        // A question about a call that is over is denied: an agent that was frozen with the offer
+        // must not start what the caller was told had not run.
+        if matches!(frame, Frame::Ask { .. }) {
             // A link that fails here is noticed by its receiver.
             let _ = link.send(Frame::Deny { call }).await;
         }
     }
 }
 
-async fn keep_linked(target: Arc<Target>, key: Key, log: Logger) {
+async fn keep_linked(target: Arc<Target>, key: Key, log: Logger, observer: Arc<impl Observer>) {
     let mut pause = RECONNECT_FIRST;
     while !target.stop.is_cancelled() {
         match wire::connect(target.vm.address, &key).await {
             Ok((sender, receiver)) => {
                 pause = RECONNECT_FIRST;
                 info!(log, "link up"; "vm" => &target.vm.id);
-                serve(&target, sender, receiver).await;
+                serve(&target, sender, receiver, &observer).await;
                 info!(log, "link lost"; "vm" => &target.vm.id);
             }
+            Err(wire::Error::Unauthorized) => {
+                slog::error!(log, "agent does not hold the shared key"; "vm" => &target.vm.id);
+                pause = RECONNECT_MOST;
+            }
             Err(_) => pause = (pause * 2).min(RECONNECT_MOST),
         }
         tokio::select! {
@@ -175,21 +196,34 @@
             () = target.stop.cancelled() => {}
         }
     }
-    target.lose_link();
 }
 
-async fn serve(target: &Target, sender: Sender, mut receiver: Receiver) {
+async fn serve(
+    target: &Arc<Target>,
+    sender: Sender,
+    mut receiver: Receiver,
+    observer: &Arc<impl Observer>,
+) {
     *target.link() = Some(sender.clone());
     target.up.send_replace(true);
+    observer.changed(target, Change::Up);
     loop {
         let frame = tokio::select! {
             frame = receiver.recv() => frame,
             () = target.stop.cancelled() => break,
         };
-        match frame {
-            Ok(Some(frame)) => target.dispatch(&sender, frame).await,
-            Ok(None) | Err(_) => break,
+        let Ok(Some(frame)) = frame else {
+            break;
+        };
+        if let Frame::Leave { incarnation } = frame {
+            if incarnation >= target.vm.incarnation {
+                target.leave();
+                observer.changed(target, Change::Leaving);
+            }
+        } else if let Some(call) = frame.call() {
+            target.dispatch(&sender, call, frame).await;
         }
     }
+    observer.changed(target, Change::Down);
     target.lose_link();
 }
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -1,7 +1,6 @@
 //! Counters and histograms of an entry.
 
 use crate::answer::End;
-use crate::attempt::Outcome;
 use crate::job::Job;
 use metric::{Bound, Registry};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -51,6 +50,8 @@
     ended: Family<Ended, Counter>,
     attempts: Family<Attempted, Histogram>,
     refused: Counter,
+    hedges: Counter,
+    dropped: Counter,
 }
 
 fn histogram() -> Histogram {
@@ -68,6 +69,8 @@
             ended: Family::default(),
             attempts: Family::new_with_constructor(histogram),
             refused: Counter::default(),
+            hedges: Counter::default(),
+            dropped: Counter::default(),
         };
         registry.register(
             "entry_request_seconds",
@@ -89,6 +92,16 @@
             "Requests refused before they were accepted",
             telemetry.refused.clone(),
         );
+        registry.register(
+            "entry_hedges",
+            "Second copies of calls sent while the first was under way",
+            telemetry.hedges.clone(),
+        );
+        registry.register(
+            "entry_dropped_messages",
+            "Messages that were duplicates or belonged to no current attempt",
+            telemetry.dropped.clone(),
+        );
         telemetry
     }
 
@@ -118,16 +131,20 @@
     }
 
     /// Counts an attempt that has ended.
-    pub fn attempt(&self, stage: &str, outcome: &Outcome, taken: Duration) {
-        let outcome = match outcome {
-            Outcome::Whole { .. } => "whole",
-            Outcome::NotRun { .. } => "not_run",
-            Outcome::Failed { .. } => "failed",
-            Outcome::Unknown => "unknown",
-        };
+    pub fn attempt(&self, stage: &str, outcome: &'static str, taken: Duration) {
         let stage = self.stages.label(stage).to_owned();
         self.attempts
             .get_or_create(&Attempted { stage, outcome })
             .observe(taken.as_secs_f64());
     }
+
+    /// Counts a second copy of a call.
+    pub fn hedged(&self) {
+        self.hedges.inc();
+    }
+
+    /// Counts a message that was a duplicate or belonged to no current attempt.
+    pub fn dropped(&self) {
+        self.dropped.inc();
+    }
 }
