Agent: last hop with grants, checked answers, recall and graceful stop

Serves entries over links, orders held calls by priority and slack, starts them within the runner's limit and under a grant where one is needed, and passes on only whole answers that bear the call's own X-Call. Answers are kept in bounded memory for entries that lost their link.

A recall of a call that is known not to have started is refused with the reason known; only a call of which there is no memory gets Forgotten, since an earlier life of the agent may have started it. A request counts as not sent only if the connection never took its body; with connect errors alone, a reused connection that the runner closes would count as unknown.

--- /dev/null
+++ b/crates/agent/src/core.rs
@@ -0,0 +1,370 @@
+//! The agent's calls and what happens to them.
+
+use crate::answer::{End, Fault};
+use crate::job::{self, Job};
+use crate::output::Output;
+use crate::runner::Runner;
+use crate::state::{Bounds, Found, LinkId, State, Turn};
+use crate::telemetry::{Outcome, Telemetry};
+use futures::future::join_all;
+use protocol::gate::Event;
+use protocol::{CallId, Incarnation, Sequence};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wire::{Frame, Load, Refusal, Sender, Work};
+
+/// Longest wait for a grant. An entry that is alive but does not answer would otherwise hold a
+/// slot of the runner for ever.
+const GRANT: Duration = Duration::from_secs(5);
+/// How long a repeatable call runs on after its link was lost, in case the entry comes back.
+const RECALL: Duration = Duration::from_secs(5);
+/// Time for the runner to end a cancelled call by itself before its connection is cut.
+const CANCEL: Duration = Duration::from_secs(2);
+
+/// What all tasks of an agent share.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) runner: Runner,
+    pub(crate) telemetry: Telemetry,
+    pub(crate) incarnation: Incarnation,
+    /// Set once all work is over and links are to be closed.
+    pub(crate) closing: CancellationToken,
+    state: Mutex<State>,
+    /// Calls at the runner and answers on their way to entries.
+    work: TaskTracker,
+    links: AtomicU64,
+}
+
+impl Core {
+    pub(crate) fn new(
+        runner: Runner,
+        telemetry: Telemetry,
+        incarnation: Incarnation,
+        bounds: Bounds,
+    ) -> Self {
+        Self {
+            runner,
+            telemetry,
+            incarnation,
+            closing: CancellationToken::new(),
+            state: Mutex::new(State::new(bounds)),
+            work: TaskTracker::new(),
+            links: AtomicU64::new(0),
+        }
+    }
+
+    /// A panic in another task leaves the state usable: each change under the lock is whole.
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in a new link.
+    pub(crate) async fn join(&self, sender: &Sender) -> LinkId {
+        let link = self.links.fetch_add(1, Ordering::Relaxed);
+        let leaving = {
+            let mut state = self.state();
+            state.links.insert(link, sender.clone());
+            state.leaving()
+        };
+        self.telemetry.links.inc();
+        if leaving {
+            let _ = sender.send(self.leave_frame()).await;
+        }
+        link
+    }
+
+    /// Drops what a lost link held. Running calls go on: those that may not be repeated to their
+    /// end, the others until [`RECALL`] is over.
+    pub(crate) fn lost(self: &Arc<Self>, link: LinkId) {
+        self.telemetry.links.dec();
+        let mut state = self.state();
+        state.links.remove(&link);
+        let mut orphans = Vec::new();
+        for call in state.of_link(link) {
+            let dropped = state.withdraw(call, Event::Lost, Refusal::Revoked);
+            if dropped.is_none() && state.running(call).is_some_and(|(_, cut)| cut) {
+                orphans.push(call);
+            }
+        }
+        self.proceed(state);
+        if !orphans.is_empty() {
+            tokio::spawn(self.clone().abandon(link, orphans));
+        }
+    }
+
+    async fn abandon(self: Arc<Self>, link: LinkId, orphans: Vec<CallId>) {
+        sleep(RECALL).await;
+        for call in orphans {
+            if self.state().belongs(call, link) {
+                self.stop(call);
+            }
+        }
+    }
+
+    /// Starts what has got a slot and shows the load.
+    fn proceed(self: &Arc<Self>, mut state: MutexGuard<'_, State>) -> Load {
+        let turns = state.turns();
+        let load = state.load();
+        drop(state);
+        self.telemetry.queued.set(i64::from(load.queued));
+        self.telemetry.running.set(i64::from(load.running));
+        for turn in turns {
+            match turn {
+                Turn::Ask(job) => drop(tokio::spawn(self.clone().ask(job))),
+                Turn::Start(job) => self.start(job),
+            }
+        }
+        load
+    }
+
+    fn start(self: &Arc<Self>, job: Arc<Job>) {
+        self.work.spawn(job::run(self.clone(), job));
+    }
+
+    async fn ask(self: Arc<Self>, job: Arc<Job>) {
+        job.output.send(Frame::Ask { call: job.call }).await;
+        sleep(GRANT).await;
+        self.revoke(job.call).await;
+    }
+
+    /// Takes an offered call in or refuses it.
+    pub(crate) async fn offer(
+        self: &Arc<Self>,
+        link: LinkId,
+        sender: &Sender,
+        call: CallId,
+        work: Box<Work>,
+    ) {
+        self.telemetry.offers.inc();
+        let first = if work.stream { work.resume } else { 0 };
+        let job = Arc::new(Job {
+            call,
+            work,
+            offered: Instant::now(),
+            output: Arc::new(Output::new(call, first, sender.clone())),
+            cut: CancellationToken::new(),
+        });
+        if let Err((reason, retry_after)) = self.admit(link, &job) {
+            self.refuse(&job.output, call, reason, retry_after).await;
+        }
+    }
+
+    fn admit(self: &Arc<Self>, link: LinkId, job: &Arc<Job>) -> Result<(), (Refusal, Duration)> {
+        let mut state = self.state();
+        if state.knows(job.call) {
+            self.telemetry.duplicates.inc();
+            return Ok(());
+        }
+        state.offer(link, job).map_err(|reason| match reason {
+            Refusal::Full => (reason, state.retry_after()),
+            _ => (reason, Duration::ZERO),
+        })?;
+        self.proceed(state);
+        Ok(())
+    }
+
+    async fn refuse(&self, output: &Output, call: CallId, reason: Refusal, retry_after: Duration) {
+        self.telemetry.refused(reason);
+        let load = self.state().load();
+        let refuse = Frame::Refuse {
+            call,
+            reason,
+            retry_after,
+            load,
+        };
+        output.send(refuse).await;
+    }
+
+    /// The entry lets a call start.
+    pub(crate) fn grant(self: &Arc<Self>, call: CallId) {
+        let granted = self.state().grant(call);
+        match granted {
+            Some(job) => self.start(job),
+            None => drop(self.telemetry.strays.inc()),
+        }
+    }
+
+    /// The entry forbids a call to start.
+    pub(crate) fn deny(self: &Arc<Self>, call: CallId) {
+        let mut state = self.state();
+        if state.withdraw(call, Event::Deny, Refusal::Denied).is_none() {
+            self.telemetry.strays.inc();
+        }
+        self.proceed(state);
+    }
+
+    /// Hands a call back unless it has started.
+    pub(crate) async fn revoke(self: &Arc<Self>, call: CallId) {
+        let output = {
+            let mut state = self.state();
+            let output = state.withdraw(call, Event::Revoke, Refusal::Revoked);
+            self.proceed(state);
+            output
+        };
+        if let Some(output) = output {
+            self.refuse(&output, call, Refusal::Revoked, Duration::ZERO)
+                .await;
+        }
+    }
+
+    /// Hands a call back, or asks the runner to stop it.
+    pub(crate) async fn cancel(self: &Arc<Self>, call: CallId) {
+        self.revoke(call).await;
+        self.stop(call);
+    }
+
+    /// Asks the runner to stop a call. One that may not be repeated is never cut off: whether it
+    /// took effect must still be learnt from its answer.
+    fn stop(self: &Arc<Self>, call: CallId) {
+        let Some((job, may_cut)) = self.state().running(call) else {
+            return;
+        };
+        let core = self.clone();
+        tokio::spawn(async move {
+            tokio::join!(core.runner.cancel(call), async {
+                if may_cut {
+                    sleep(CANCEL).await;
+                    job.cut.cancel();
+                }
+            });
+        });
+    }
+
+    /// Sends a call's answer again over a new link.
+    pub(crate) async fn recall(
+        self: &Arc<Self>,
+        link: LinkId,
+        sender: &Sender,
+        call: CallId,
+        from: Sequence,
+    ) {
+        self.telemetry.recalls.inc();
+        let (found, load) = {
+            let mut state = self.state();
+            let found = state.recall(call, link);
+            (found, self.proceed(state))
+        };
+        match found {
+            Found::Answer(output) => {
+                let sender = sender.clone();
+                let again = async move { output.recall(from, sender, load).await };
+                self.work.spawn(again);
+            }
+            Found::Nothing(reason) => {
+                let output = Output::new(call, from, sender.clone());
+                self.refuse(&output, call, reason, Duration::ZERO).await;
+            }
+        }
+    }
+
+    /// Gives a call's slot back and tells its entry how it ended.
+    pub(crate) async fn finish(
+        self: &Arc<Self>,
+        job: &Job,
+        end: Result<End, Fault>,
+        time: Duration,
+    ) {
+        let started = !matches!(end, Ok(End::NotRun { .. }));
+        let extra = match &end {
+            Ok(End::Failed { body, .. }) => body.len(),
+            _ => 0,
+        };
+        let load = {
+            let mut state = self.state();
+            state.finish(job.call, started, job.output.kept() + extra, time);
+            self.proceed(state)
+        };
+        let end = self.end_frame(job, end, load);
+        job.output.end(end).await;
+    }
+
+    fn end_frame(&self, job: &Job, end: Result<End, Fault>, load: Load) -> Frame {
+        let call = job.call;
+        let prefix_blocks = job.work.prefix.len().try_into().unwrap_or(u32::MAX);
+        match end {
+            Ok(End::Whole {
+                chunks,
+                length,
+                busy,
+                prefix_hits,
+            }) => {
+                self.telemetry.ended(Outcome::Done);
+                let load = Load {
+                    prefix_hits,
+                    prefix_blocks,
+                    ..load
+                };
+                Frame::Done {
+                    call,
+                    chunks,
+                    length,
+                    busy,
+                    load,
+                }
+            }
+            Ok(End::Failed { status, body }) => {
+                self.telemetry.ended(Outcome::Fail);
+                let status = status.as_u16();
+                Frame::Fail {
+                    call,
+                    status,
+                    body,
+                    load,
+                }
+            }
+            Ok(End::NotRun { retry_after }) => {
+                self.telemetry.ended(Outcome::NotRun);
+                self.telemetry.refused(Refusal::Unreachable);
+                Frame::Refuse {
+                    call,
+                    reason: Refusal::Unreachable,
+                    retry_after,
+                    load,
+                }
+            }
+            Err(fault) => {
+                self.telemetry.ended(Outcome::Break);
+                let reason = fault.to_string();
+                Frame::Break { call, reason, load }
+            }
+        }
+    }
+
+    /// Forgets ended answers in time, also while no call ends.
+    pub(crate) async fn sweep(self: Arc<Self>) {
+        loop {
+            sleep(Duration::from_secs(1)).await;
+            self.state().evict();
+        }
+    }
+
+    fn leave_frame(&self) -> Frame {
+        Frame::Leave {
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Tells all entries, hands back what has not started, and waits for what runs.
+    pub(crate) async fn leave(&self) {
+        let (back, links) = {
+            let mut state = self.state();
+            (state.leave(), state.links.values().cloned().collect())
+        };
+        let links: Vec<Sender> = links;
+        join_all(links.iter().map(|link| link.send(self.leave_frame()))).await;
+        let refusals = back
+            .iter()
+            .map(|(call, output)| self.refuse(output, *call, Refusal::Leaving, Duration::ZERO));
+        join_all(refusals).await;
+        self.work.close();
+        self.work.wait().await;
+        let links: Vec<Sender> = self.state().links.values().cloned().collect();
+        join_all(links.iter().map(Sender::flush)).await;
+        self.state().close();
+        self.closing.cancel();
+    }
+}
--- /dev/null
+++ b/crates/agent/src/event.rs
@@ -0,0 +1,96 @@
+//! Server-sent events of a runner's stream.
+
+use bytes::{Bytes, BytesMut};
+
+/// One event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Event {
+    /// Number of the event, if it has one.
+    pub(crate) id: Option<u32>,
+    /// Whether this is the end mark.
+    pub(crate) done: bool,
+    /// Content; shares memory with what was read.
+    pub(crate) data: Bytes,
+}
+
+/// Splits what is read into events.
+#[derive(Debug, Default)]
+pub(crate) struct Parser {
+    buffer: BytesMut,
+    /// Bytes of the buffer that hold no line end.
+    searched: usize,
+    event: Event,
+    filled: bool,
+}
+
+impl Parser {
+    /// Takes in what was read.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Bytes of the event that has begun.
+    pub(crate) fn pending(&self) -> usize {
+        self.buffer.len() + self.event.data.len()
+    }
+
+    /// The next whole event. One that is cut off before its blank line never appears.
+    pub(crate) fn next(&mut self) -> Option<Event> {
+        while let Some(line) = self.line() {
+            if !line.is_empty() {
+                self.field(&line);
+            } else if self.filled {
+                self.filled = false;
+                return Some(std::mem::take(&mut self.event));
+            }
+        }
+        None
+    }
+
+    fn line(&mut self) -> Option<Bytes> {
+        let fresh = &self.buffer[self.searched..];
+        let Some(end) = fresh.iter().position(|&byte| byte == b'\n') else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        let end = self.searched + end;
+        self.searched = 0;
+        let line = self.buffer.split_to(end + 1).freeze();
+        let end = if line[..end].ends_with(b"\r") {
+            end - 1
+        } else {
+            end
+        };
+        Some(line.slice(..end))
+    }
+
+    fn field(&mut self, line: &Bytes) {
+        let colon = line.iter().position(|&byte| byte == b':');
+        let name = &line[..colon.unwrap_or(line.len())];
+        let value = value(line, colon);
+        match name {
+            b"id" => self.event.id = number(&value),
+            b"event" => self.event.done = value == "done",
+            b"data" if self.event.data.is_empty() => self.event.data = value,
+            b"data" => self.event.data = [&self.event.data[..], &value].join(&b'\n').into(),
+            _ => return,
+        }
+        self.filled = true;
+    }
+}
+
+fn value(line: &Bytes, colon: Option<usize>) -> Bytes {
+    let Some(colon) = colon else {
+        return Bytes::new();
+    };
+    let start = if line[colon + 1..].starts_with(b" ") {
+        colon + 2
+    } else {
+        colon + 1
+    };
+    line.slice(start..)
+}
+
+fn number(text: &[u8]) -> Option<u32> {
+    std::str::from_utf8(text).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/agent/src/link.rs
@@ -0,0 +1,45 @@
+//! What the agent does with the frames of one entry.
+
+use crate::core::Core;
+use crate::state::LinkId;
+use std::sync::Arc;
+use tokio::time::timeout;
+use wire::silence::LIMIT;
+use wire::{Frame, Receiver, Sender};
+
+/// Serves one link until it is lost or the agent closes it.
+pub(crate) async fn serve(core: Arc<Core>, sender: Sender, mut receiver: Receiver) {
+    let link = core.join(&sender).await;
+    loop {
+        let received = tokio::select! {
+            received = receiver.recv() => received,
+            () = core.closing.cancelled() => break,
+        };
+        match received {
+            Ok(Some(frame)) => handle(&core, link, &sender, frame).await,
+            Ok(None) | Err(_) => break,
+        }
+    }
+    drop(sender);
+    core.lost(link);
+    // Closing a socket with unread frames resets the connection, and the entry could lose the
+    // ends of answers that were already sent. So the entry closes first.
+    if core.closing.is_cancelled() {
+        let _ = timeout(LIMIT, async {
+            while let Ok(Some(_)) = receiver.recv().await {}
+        })
+        .await;
+    }
+}
+
+async fn handle(core: &Arc<Core>, link: LinkId, sender: &Sender, frame: Frame) {
+    match frame {
+        Frame::Offer { call, work } => core.offer(link, sender, call, work).await,
+        Frame::Grant { call } => core.grant(call),
+        Frame::Deny { call } => core.deny(call),
+        Frame::Revoke { call } => core.revoke(call).await,
+        Frame::Cancel { call } => core.cancel(call).await,
+        Frame::Recall { call, from } => core.recall(link, sender, call, from).await,
+        _ => drop(core.telemetry.strays.inc()),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/runner.rs
@@ -0,0 +1,163 @@
+//! HTTP client of the runner beside the agent.
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{ACCEPT, CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client, Error};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use protocol::CallId;
+use std::convert::Infallible;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use wire::Work;
+
+pub(crate) const X_CALL: HeaderName = HeaderName::from_static("x-call");
+pub(crate) const X_BUSY_US: HeaderName = HeaderName::from_static("x-busy-us");
+pub(crate) const X_PREFIX_HITS: HeaderName = HeaderName::from_static("x-prefix-hits");
+pub(crate) const X_NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+const X_WORKSPACE: HeaderName = HeaderName::from_static("x-workspace");
+const X_PRIORITY: HeaderName = HeaderName::from_static("x-priority");
+const X_RESUME: HeaderName = HeaderName::from_static("x-resume");
+const X_PREFIX: HeaderName = HeaderName::from_static("x-prefix");
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
+
+/// Connections that are idle for longer are closed by the agent. A runner that closes an idle
+/// connection at the moment a call is sent on it would cost that call a refusal.
+const IDLE: Duration = Duration::from_secs(10);
+const CONNECT: Duration = Duration::from_secs(2);
+
+/// Body of a request; tells when it is handed over to the connection.
+#[derive(Debug)]
+pub(crate) struct Input {
+    data: Option<Bytes>,
+    taken: Option<oneshot::Sender<()>>,
+}
+
+impl Input {
+    /// A body and the word that the connection has taken it.
+    ///
+    /// Without that word no whole request can have reached the runner. An empty body is never
+    /// asked for, so it counts as taken from the start.
+    pub(crate) fn new(data: Bytes) -> (Self, oneshot::Receiver<()>) {
+        let (taken, receiver) = oneshot::channel();
+        let mut input = Self {
+            data: Some(data),
+            taken: Some(taken),
+        };
+        if input.is_end_stream() {
+            input.tell();
+        }
+        (input, receiver)
+    }
+
+    fn tell(&mut self) {
+        if let Some(taken) = self.taken.take() {
+            let _ = taken.send(());
+        }
+    }
+}
+
+impl Body for Input {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.tell();
+        Poll::Ready(self.data.take().map(|data| Ok(Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.data.as_ref().is_none_or(Bytes::is_empty)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.data.as_ref().map_or(0, |data| data.len() as u64))
+    }
+}
+
+/// The runner beside the agent.
+#[derive(Clone, Debug)]
+pub(crate) struct Runner {
+    client: Client<HttpConnector, Input>,
+    address: SocketAddr,
+}
+
+impl Runner {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client, address }
+    }
+
+    /// Sends a call's work; the second part tells when the connection has taken it.
+    pub(crate) fn run(
+        &self,
+        call: CallId,
+        work: &Work,
+    ) -> (
+        impl Future<Output = Result<Response<Incoming>, Error>> + Send + use<>,
+        oneshot::Receiver<()>,
+    ) {
+        let (input, taken) = Input::new(work.input.clone());
+        let mut request = self.request("/v1/run", input);
+        let headers = request.headers_mut();
+        headers.insert(X_CALL, text(call.to_string()));
+        headers.insert(X_WORKSPACE, text(work.workspace.as_str()));
+        headers.insert(X_PRIORITY, u16::from(work.priority).into());
+        if work.stream {
+            headers.insert(ACCEPT, EVENTS);
+            headers.insert(X_RESUME, work.resume.into());
+        }
+        if !work.prefix.is_empty() {
+            headers.insert(X_PREFIX, text(blocks(&work.prefix)));
+        }
+        (self.client.request(request), taken)
+    }
+
+    /// Asks the runner to stop a call; whether it does is up to the runner.
+    pub(crate) async fn cancel(&self, call: CallId) {
+        let (input, _) = Input::new(Bytes::new());
+        let request = self.request(&format!("/v1/cancel/{call}"), input);
+        let _ = self.client.request(request).await;
+    }
+
+    fn request(&self, path: &str, input: Input) -> Request<Input> {
+        let mut request = Request::new(input);
+        *request.method_mut() = Method::POST;
+        let uri = format!("http://{}{path}", self.address);
+        // An address and a fixed path always make a URI.
+        *request.uri_mut() = uri.parse().unwrap_or_default();
+        request.headers_mut().insert(CONTENT_TYPE, JSON);
+        request
+    }
+}
+
+/// A name that no header can bear is left out instead of failing the call.
+fn text(value: impl AsRef<str>) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_ref().as_bytes()).unwrap_or(HeaderValue::from_static(""))
+}
+
+fn blocks(prefix: &[u64]) -> String {
+    let mut text = String::with_capacity(prefix.len() * 17);
+    prefix.iter().for_each(|block| {
+        let comma = if text.is_empty() { "" } else { "," };
+        let _ = write!(text, "{comma}{block:016x}");
+    });
+    text
+}
--- /dev/null
+++ b/crates/agent/tests/common/mod.rs
@@ -0,0 +1,254 @@
+//! A real agent between a wire link and a small runner that does what a call's input says.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use futures::channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame as Part, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::io::Error as Cut;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, oneshot};
+use tokio::task::JoinHandle;
+use wire::{Frame, Key, Receiver, Sender, Work};
+
+pub(crate) type CallId = protocol::CallId;
+type Body = StreamBody<UnboundedReceiver<Result<Part<Bytes>, Cut>>>;
+
+pub(crate) const KEY: &str = "key of the tests";
+
+/// The runner's own record: what it ran, and what it was asked to stop or order.
+#[derive(Clone)]
+pub(crate) struct Runner {
+    pub(crate) address: SocketAddr,
+    pub(crate) ran: Arc<Mutex<Vec<String>>>,
+    pub(crate) cancelled: Arc<Mutex<Vec<String>>>,
+    pub(crate) orders: Arc<Mutex<Vec<String>>>,
+    /// Lets one held answer go on.
+    pub(crate) hold: Arc<Semaphore>,
+}
+
+impl Runner {
+    pub(crate) async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let own = Self {
+            address: listener.local_addr().unwrap(),
+            ran: Arc::default(),
+            cancelled: Arc::default(),
+            orders: Arc::default(),
+            hold: Arc::new(Semaphore::new(0)),
+        };
+        let runner = own.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let runner = runner.clone();
+                let service = service_fn(move |request| runner.clone().answer(request));
+                tokio::spawn(
+                    hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service),
+                );
+            }
+        });
+        own
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.ran.lock().unwrap().len()
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        let path = request.uri().path().to_owned();
+        let call = request.headers().get("x-call").cloned();
+        let input = request.into_body().collect().await.unwrap().to_bytes();
+        let input = String::from_utf8(input.to_vec()).unwrap();
+        let (parts, body) = unbounded();
+        let mut response = Response::new(StreamBody::new(body));
+        if let Some(call) = path.strip_prefix("/v1/cancel/") {
+            self.cancelled.lock().unwrap().push(call.to_owned());
+            return Ok(response);
+        }
+        if path == "/v1/orders" {
+            self.orders.lock().unwrap().push(input);
+            return Ok(response);
+        }
+        let call = call.unwrap();
+        if input == "crossed" {
+            let other = "00000000000000000000000000000000-0-0".parse().unwrap();
+            response.headers_mut().insert("x-call", other);
+        } else {
+            response.headers_mut().insert("x-call", call.clone());
+        }
+        if input == "not run" {
+            *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+            response.headers_mut().insert("x-not-run", 1.into());
+            return Ok(response);
+        }
+        self.ran
+            .lock()
+            .unwrap()
+            .push(call.to_str().unwrap().to_owned());
+        if input.starts_with("stream") {
+            let kind = "text/event-stream".parse().unwrap();
+            response.headers_mut().insert("content-type", kind);
+        }
+        match input.as_str() {
+            "error" => *response.status_mut() = hyper::StatusCode::UNPROCESSABLE_ENTITY,
+            "cut" => drop(response.headers_mut().insert("content-length", 100.into())),
+            _ => {}
+        }
+        tokio::spawn(self.write(input, parts));
+        Ok(response)
+    }
+
+    /// Writes the body that the input asks for.
+    async fn write(self, input: String, parts: UnboundedSender<Result<Part<Bytes>, Cut>>) {
+        let send = |text: &str| {
+            let part = Part::data(Bytes::copy_from_slice(text.as_bytes()));
+            let _ = parts.unbounded_send(Ok(part));
+        };
+        if input.contains("held") {
+            if input.starts_with("stream") {
+                send("id: 0\ndata: \"0\"\n\n");
+            }
+            self.hold.acquire().await.unwrap().forget();
+        }
+        if input == "cut" {
+            send("{\"half\":");
+            let _ = parts.unbounded_send(Err(Cut::other("cut")));
+        }
+        let event = |id: u32| send(&format!("id: {id}\ndata: \"{id}\"\n\n"));
+        let (events, mark): (&[u32], Option<u32>) = match input.as_str() {
+            "stream" => (&[0, 1], Some(2)),
+            "stream held" => (&[1], Some(2)),
+            "stream repeated" => (&[0, 0, 1], Some(2)),
+            "stream truncated" => (&[0], None),
+            "stream gap" => (&[0, 2], Some(3)),
+            "stream miscounted" => (&[0], Some(2)),
+            _ => return send("{\"answer\":1}"),
+        };
+        events.iter().copied().for_each(event);
+        if let Some(chunks) = mark {
+            send(&format!("event: done\ndata: {{\"chunks\":{chunks}}}\n\n"));
+        }
+    }
+}
+
+/// A running agent.
+pub(crate) struct Agent {
+    pub(crate) ready: agent::Ready,
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<Result<(), agent::Error>>,
+}
+
+pub(crate) fn settings(runner: SocketAddr) -> setting::Agent {
+    let any = "127.0.0.1:0".parse().unwrap();
+    setting::Agent {
+        id: "target-1".into(),
+        place: setting::Place {
+            region: "ee-north".into(),
+            domain: "a".into(),
+        },
+        listen: any,
+        metrics: any,
+        platform: setting::Platform {
+            table: "127.0.0.1:9".parse().unwrap(),
+            objects: "127.0.0.1:9".parse().unwrap(),
+            vms: "127.0.0.1:9".parse().unwrap(),
+            weights: None,
+        },
+        key: KEY.into(),
+        service: "assistant".into(),
+        runner,
+        concurrency: 1,
+        queue: 1,
+        policy: setting::Policy::Shipped,
+    }
+}
+
+impl Agent {
+    pub(crate) async fn start(settings: setting::Agent) -> Self {
+        let (ready, is_ready) = oneshot::channel();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let running = agent::run(
+            settings,
+            log,
+            move |now| ready.send(now).unwrap(),
+            async move { drop(stopped.await) },
+        );
+        let task = tokio::spawn(running);
+        let ready = is_ready.await.unwrap();
+        Self { ready, stop, task }
+    }
+
+    pub(crate) async fn link(&self) -> (Sender, Receiver) {
+        wire::connect(self.ready.listen, &Key::new(KEY))
+            .await
+            .unwrap()
+    }
+
+    /// Begins the graceful stop; the task ends with it.
+    pub(crate) fn leave(self) -> JoinHandle<Result<(), agent::Error>> {
+        self.stop.send(()).unwrap();
+        self.task
+    }
+}
+
+/// An agent with one slot and one place in its queue, its runner, and a link to it.
+pub(crate) async fn small() -> (Runner, Agent, (Sender, Receiver)) {
+    let runner = Runner::start().await;
+    let agent = Agent::start(settings(runner.address)).await;
+    let link = agent.link().await;
+    (runner, agent, link)
+}
+
+pub(crate) fn call(request: u128) -> CallId {
+    CallId {
+        request,
+        stage: 1,
+        attempt: 0,
+    }
+}
+
+pub(crate) fn offer(request: u128, repeatable: bool, input: &'static str) -> Frame {
+    let work = Work {
+        workspace: "harness".into(),
+        class: "check".into(),
+        service: "assistant".into(),
+        stage: "generate".into(),
+        repeatable,
+        stream: input.starts_with("stream"),
+        priority: 1,
+        remaining: Duration::from_secs(10),
+        prefix: vec![1, 2],
+        resume: 0,
+        revision: 1,
+        input: input.into(),
+    };
+    Frame::Offer {
+        call: call(request),
+        work: Box::new(work),
+    }
+}
+
+/// The next frame that matters to the test; `Start` only tells of progress.
+pub(crate) async fn next(receiver: &mut Receiver) -> Frame {
+    loop {
+        let frame = receiver.recv().await.unwrap().unwrap();
+        if !matches!(frame, Frame::Start { .. }) {
+            return frame;
+        }
+    }
+}
+
+/// Waits until a condition holds that the test has no message for.
+pub(crate) async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
