--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -38,6 +38,10 @@
     Ask,
     /// The agent says that it did not start the attempt and never will.
     Refuse,
+    /// The agent has no memory of the attempt and will not start it.
+    Forget,
+    /// The agent says that the runner has the work.
+    Started,
     /// A chunk of the answer.
     Chunk {
         /// Position in the answer.
@@ -119,6 +123,12 @@
         self.state
     }
 
+    /// Whether the call may run more than once, so that it needs no grant.
+    #[must_use]
+    pub fn is_repeatable(&self) -> bool {
+        self.repeatable
+    }
+
     /// Number of the chunk that is due next.
     #[must_use]
     pub fn next(&self) -> Sequence {
@@ -133,11 +143,12 @@
         match event {
             Event::Ask => self.ask(),
             Event::Refuse => self.end(End::NotRun),
+            Event::Started => self.started(),
             Event::Chunk { sequence, length } => self.chunk(sequence, length),
             Event::Done { chunks, length } => self.done(chunks, length),
             Event::Fail => self.end(End::Failed),
             Event::Break => self.end(End::Unknown),
-            Event::Lost => self.lost(),
+            Event::Forget | Event::Lost => self.lost(),
             Event::GiveUp => self.give_up(),
         }
     }
@@ -162,6 +173,11 @@
         [Some(Action::Deny), None]
     }
 
+    fn started(&mut self) -> Actions {
+        self.state = State::Granted;
+        [None, None]
+    }
+
     fn chunk(&mut self, sequence: Sequence, length: u32) -> Actions {
         if sequence != self.next {
             return [Some(Action::Drop), None];
@@ -181,6 +197,9 @@
         self.end(End::Unknown)
     }
 
+    /// A restarted agent remembers nothing, so its word that it does not know the attempt says
+    /// nothing about whether it started it before. Only an attempt that needed a grant and got
+    /// none has certainly not run.
     fn lost(&mut self) -> Actions {
         if self.state == State::Offered && !self.repeatable {
             return self.end(End::NotRun);
