--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -20,5 +20,5 @@
 pub use client::Client;
 pub use memory::Memory;
 pub use object::Objects;
-pub use table::{Check, Error, Put, Row, Table, Transaction};
+pub use table::{Check, Error, Put, Row, RowRevision, Table, Transaction};
 pub use vm::{Role, Vm, Vms};
--- /dev/null
+++ b/crates/standin/tests/engine_stream.rs
@@ -0,0 +1,132 @@
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod common;
+
+use common::{Bench, header, text};
+use http_body_util::BodyExt;
+use standin::{Kind, Options, answer};
+
+const SSE: (&str, &str) = ("accept", "text/event-stream");
+
+fn options() -> Options {
+    Options {
+        step_ms: 0.0,
+        prefill_ms: 0.0,
+        tokens: 6,
+        ..Options::default()
+    }
+}
+
+fn events(text: &str, numbers: impl Iterator<Item = u32>) -> String {
+    numbers
+        .map(|k| {
+            let token = answer::token(text, k);
+            format!("id: {k}\ndata: {{\"token\":\"{token}\"}}\n\n")
+        })
+        .collect()
+}
+
+const DONE: &str = "event: done\ndata: {\"chunks\":6}\n\n";
+
+#[tokio::test]
+async fn whole_answers() {
+    let bench = Bench::start(Kind::Engine, options()).await;
+    let response = bench.run(&[("x-call", "aa-0-0"), SSE], "crimp").await;
+    assert_eq!(header(&response, "x-call"), "aa-0-0");
+    assert_eq!(text(response).await, events("crimp", 0..6) + DONE);
+    let response = bench.run(&[("x-call", "ab-0-0")], "crimp").await;
+    header(&response, "x-busy-us").parse::<u64>().unwrap();
+    let body: serde_json::Value = serde_json::from_str(&text(response).await).unwrap();
+    assert_eq!(body["text"], answer::tokens("crimp", 6));
+    assert_eq!(bench.endings().await, ["answered", "answered"]);
+}
+
+// The link to the caller broke after some events, and the caller asks for the rest. A wrong start
+// would show as a gap or a repeated word in the text that the user reads.
+#[tokio::test]
+async fn resumed_stream() {
+    let bench = Bench::start(Kind::Engine, options()).await;
+    let headers = [("x-call", "aa-0-1"), ("x-resume", "4"), SSE];
+    let response = bench.run(&headers, "crimp").await;
+    assert_eq!(text(response).await, events("crimp", 4..6) + DONE);
+}
+
+// The batch is full, so that later calls wait; the one with the higher priority came last. Were it
+// not let in first, an urgent request would wait behind bulk work.
+#[tokio::test]
+async fn full_batch() {
+    let options = Options {
+        batch: 1,
+        step_ms: 1.0,
+        tokens: 1_000_000,
+        ..options()
+    };
+    let bench = Bench::start(Kind::Engine, options).await;
+    let long = bench.run(&[("x-call", "long-0-0"), SSE], "a").await;
+    let low = async {
+        let headers = [("x-call", "low-0-0"), ("x-priority", "1"), SSE];
+        drop(bench.run(&headers, "b").await);
+    };
+    let high = async {
+        bench.until_load(1, 1).await;
+        let headers = [("x-call", "high-0-0"), ("x-priority", "9"), SSE];
+        drop(bench.run(&headers, "c").await);
+    };
+    let stop = async {
+        bench.until_load(1, 2).await;
+        drop(long);
+    };
+    tokio::join!(low, high, stop);
+    let log = bench.get("/standin/log").await;
+    let calls: Vec<_> = (0..3).map(|i| &log["executions"][i]["request"]).collect();
+    assert_eq!(calls, ["long", "high", "low"]);
+}
+
+// The caller cancels one call that runs and one that waits. The waiting one must be reported as
+// not run and must never show up in the log, or a retry would run it twice.
+#[tokio::test]
+async fn cancelled_calls() {
+    let options = Options {
+        batch: 1,
+        step_ms: 1.0,
+        tokens: 1_000_000,
+        ..options()
+    };
+    let bench = Bench::start(Kind::Engine, options).await;
+    let running = bench.run(&[("x-call", "aa-0-0"), SSE], "a").await;
+    let waiting = bench.run(&[("x-call", "bb-0-0"), SSE], "b");
+    let cancel = async {
+        bench.until_load(1, 1).await;
+        let code = bench.post("/v1/cancel/bb-0-0", serde_json::json!({})).await;
+        assert_eq!(code, 204);
+    };
+    let (waiting, ()) = tokio::join!(waiting, cancel);
+    assert_eq!(waiting.status(), 503);
+    assert_eq!(header(&waiting, "x-not-run"), "1");
+    bench.post("/v1/cancel/aa-0-0", serde_json::json!({})).await;
+    assert!(!text(running).await.contains("event: done"));
+    bench.until_endings(&["cancelled"]).await;
+}
+
+// The switch cuts a stream in the middle, ends one without its mark, sends each event twice and
+// answers for another call. Each would reach a user as a wrong text unless it is noticed.
+#[tokio::test]
+async fn spoilt_streams() {
+    let bench = Bench::start(Kind::Engine, options()).await;
+    let fault = async |fault: &str| {
+        let headers = [("x-call", fault), SSE];
+        let faults = serde_json::json!({ fault: true });
+        assert_eq!(bench.post("/standin/faults", faults).await, 204);
+        bench.run(&headers, "crimp").await
+    };
+    let cut = fault("cut").await.into_body().collect().await;
+    assert!(cut.is_err());
+    let truncated = text(fault("truncate").await).await;
+    assert_eq!(truncated, events("crimp", 0..6));
+    let doubled = text(fault("double").await).await;
+    assert!(doubled.starts_with(&events("crimp", [0, 0, 1, 1].into_iter())));
+    let crossed = fault("cross").await;
+    assert_eq!(header(&crossed, "x-call"), "double");
+    drop(crossed);
+    assert_eq!(bench.endings().await[..3], ["cut", "cut", "answered"]);
+}
--- /dev/null
+++ b/crates/standin/tests/weight_rate.rs
@@ -0,0 +1,28 @@
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod common;
+
+use common::{Bench, text};
+use standin::{Kind, Options};
+
+// The store serves one download at a time, slowly. A second one is turned away and told when to
+// come back; a process that ignores it would hold up every model that is to be loaded.
+#[tokio::test]
+async fn busy_store() {
+    let options = Options {
+        slots: 1,
+        weight_bytes: 64 << 10,
+        weight_bytes_per_second: 1e6,
+        ..Options::default()
+    };
+    let bench = Bench::start(Kind::Weight, options).await;
+    let path = "/v1/weights/draft";
+    let first = bench.send("GET", path, &[], "").await.unwrap();
+    let second = bench.send("GET", path, &[], "").await.unwrap();
+    assert_eq!(second.status(), 429);
+    assert_eq!(second.headers()["retry-after"], "1");
+    assert_eq!(text(first).await.len(), 64 << 10);
+    while bench.send("GET", path, &[], "").await.unwrap().status() != 200 {
+        tokio::task::yield_now().await;
+    }
+}
