--- a/crates/decide/src/admit/fair.rs
+++ b/crates/decide/src/admit/fair.rs
@@ -155,12 +155,13 @@
     /// Charges a workspace for a call that starts.
     pub fn charge(&mut self, workspace: &WorkspaceId, share: u32, cost: Duration) {
         let place = self.flow(workspace, share);
-        let flow = &mut self.flows[place];
-        flow.tag = flow.tag.max(self.clock);
+        let flow = &self.flows[place];
+        let start = flow.tag.max(self.clock);
+        let end = start + virtual_cost(cost, flow.share);
         if self.queued == 0 {
-            self.clock = flow.tag;
+            self.clock = start;
         }
-        flow.tag += virtual_cost(cost, flow.share);
+        self.retag(place, end);
     }
 
     /// Corrects what a workspace was charged once the true cost is known.
@@ -168,36 +169,28 @@
         let Some(&place) = self.index.get(workspace) else {
             return;
         };
-        let flow = &mut self.flows[place];
-        let (charged, cost) = (
-            virtual_cost(charged, flow.share),
-            virtual_cost(cost, flow.share),
-        );
-        flow.tag = (flow.tag + cost).saturating_sub(charged);
+        let flow = &self.flows[place];
+        let more = virtual_cost(cost, flow.share);
+        let less = virtual_cost(charged, flow.share);
+        self.retag(place, (flow.tag + more).saturating_sub(less));
     }
 
     /// Of the workspaces nearly furthest behind, takes the one with the most urgent call off the
     /// active ones.
     fn choose(&mut self, cost: Duration) -> Option<usize> {
+        let first = self.settle()?;
+        self.clock = self.clock.max(first);
         let mut seen = [0; CANDIDATES];
         let mut count = 0;
-        let first = self.settle()?;
         while count < CANDIDATES {
-            let Some(tag) = self.settle() else {
+            let Some(place) = self.take_near(first, cost) else {
                 break;
             };
-            let Some(Reverse((_, place))) = self.active.peek().copied() else {
-                break;
-            };
-            let ahead = virtual_cost(cost, self.flows[place].share) * self.lookahead;
-            if tag > first + ahead {
-                break;
+            if !seen[..count].contains(&place) {
+                seen[count] = place;
+                count += 1;
             }
-            self.active.pop();
-            seen[count] = place;
-            count += 1;
         }
-        self.clock = self.clock.max(first);
         let candidates = &seen[..count];
         let urgent = |&&place: &&usize| self.flows[place].calls.peek().map(Waiting::order);
         let chosen = *candidates.iter().max_by_key(urgent)?;
@@ -207,17 +200,37 @@
         Some(chosen)
     }
 
-    /// Brings the first active workspace's tag up to date, as corrections have moved it since it
-    /// was queued, until the first one is right; gives its tag.
+    /// Takes off the first active workspace if it is no more than the lookahead ahead of `first`.
+    fn take_near(&mut self, first: Virtual, cost: Duration) -> Option<usize> {
+        let tag = self.settle()?;
+        let Reverse((_, place)) = *self.active.peek()?;
+        let ahead = virtual_cost(cost, self.flows[place].share) * self.lookahead;
+        if tag > first + ahead {
+            return None;
+        }
+        self.active.pop();
+        Some(place)
+    }
+
+    /// Drops outdated entries until the first active one is right, and gives its tag.
     fn settle(&mut self) -> Option<Virtual> {
         loop {
-            let mut first = self.active.peek_mut()?;
-            let Reverse((tag, place)) = *first;
-            let current = self.flows[place].tag;
-            if current <= tag {
+            let &Reverse((tag, place)) = self.active.peek()?;
+            let flow = &self.flows[place];
+            if flow.tag == tag && !flow.calls.is_empty() {
                 return Some(tag);
             }
-            *first = Reverse((current, place));
+            self.active.pop();
+        }
+    }
+
+    /// Moves a workspace's tag; its old entry among the active ones is outdated from then on.
+    fn retag(&mut self, place: usize, tag: Virtual) {
+        let flow = &mut self.flows[place];
+        let moved = flow.tag != tag;
+        flow.tag = tag;
+        if moved && !flow.calls.is_empty() {
+            self.active.push(Reverse((tag, place)));
         }
     }
 
--- a/crates/decide/src/admit/predictive.rs
+++ b/crates/decide/src/admit/predictive.rs
@@ -65,6 +65,12 @@
     drained: Duration,
 }
 
+impl<T> Default for Predictive<T> {
+    fn default() -> Self {
+        Self::new(Bounds::default())
+    }
+}
+
 impl<T> Predictive<T> {
     /// Admission to an idle pool.
     #[must_use]
--- a/crates/decide/src/route/pool.rs
+++ b/crates/decide/src/route/pool.rs
@@ -138,6 +138,7 @@
     /// A sent call was answered whole.
     pub fn answered(&mut self, id: &str, now: Duration, answer: &Answer<'_>) {
         self.returned(id);
+        self.readmit(now);
         self.learn_saving(answer);
         self.busy.add(answer.busy.as_secs_f64());
         let Some(&place) = self.index.get(id) else {
@@ -149,7 +150,6 @@
         target.learn_hits(believed, answer.hits);
         target.health.succeeded();
         self.belief.stored(&target.id, answer.prefix, now);
-        self.readmit(now);
     }
 
     /// A sent call failed, or its answer was lost; too many of these eject the target.
--- a/crates/decide/src/route/prefix.rs
+++ b/crates/decide/src/route/prefix.rs
@@ -1,21 +1,18 @@
 //! Which targets are believed to have which prompt prefixes in cache.
 //!
-//! Cache events come late and with gaps, so that none of this is knowledge: a belief fades with
-//! time, and each answer's own hit count corrects it.
+//! Cache events come late and with gaps, so that none of this is knowledge: a belief ends with
+//! its time, and each answer's own hit count corrects it.
 
 use super::{Block, TargetId};
 use crate::Map;
-use crate::smooth::decay;
 use std::time::Duration;
 
 /// Targets remembered for one block; more would only spread copies of the same prefix.
 const HOLDERS: usize = 4;
 /// Blocks remembered before the older half is forgotten.
 const BLOCKS: usize = 1 << 16;
-/// Age at which a belief counts half.
-const HALF_LIFE: Duration = Duration::from_secs(60);
-/// Belief below which a block counts as not there.
-const THRESHOLD: f64 = 0.25;
+/// Age at which a belief is given up.
+const LIFE: Duration = Duration::from_secs(120);
 
 #[derive(Clone, Debug)]
 struct Holder {
@@ -127,5 +124,5 @@
 }
 
 fn believed(holder: &Holder, now: Duration) -> bool {
-    decay(now.saturating_sub(holder.seen), HALF_LIFE) >= THRESHOLD
+    now.saturating_sub(holder.seen) < LIFE
 }
