--- a/crates/ctl/src/call.rs
+++ b/crates/ctl/src/call.rs
@@ -2,15 +2,12 @@
 
 use crate::client::{Client, collect};
 use crate::command::{Command, Help};
-use crate::error::{FileSnafu, Problem};
-use crate::event::{Event, Parser};
-use crate::{Common, Error, Format, option, output};
+use crate::error::FileSnafu;
+use crate::{Common, Error, option, output, stream};
 use bytes::Bytes;
 use getopts::{Matches, Options};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::header::{ACCEPT, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Response, StatusCode};
+use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use snafu::ResultExt;
@@ -24,11 +21,7 @@
 /// Key under which a request runs once, however often it is sent.
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Media type of a streamed answer.
-const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
-/// Event that ends a whole stream.
-const DONE: &str = "done";
-/// Event that ends a stream that failed; its data is a problem document.
-const PROBLEM: &str = "problem";
+pub(crate) const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
 /// Version that callers get who name none.
 const CURRENT: &str = "@current";
 
@@ -109,7 +102,7 @@
             .send(Method::POST, &self.path, self.headers, self.input)
             .await?;
         if self.stream && response.status() == StatusCode::OK {
-            return stream(common.format, response).await;
+            return stream::print(&client, common.format, response).await;
         }
         let answer = collect(response).await?;
         if answer.status != StatusCode::OK {
@@ -143,42 +136,3 @@
     let late = if answer.late { ", late" } else { "" };
     format!("{:#}\nrequest {}{late}", answer.output, answer.request)
 }
-
-/// Prints a stream. Only its end mark makes it whole; one that ends without it is reported as
-/// lost, because a cut-short answer looks whole to whoever reads only its parts.
-async fn stream(format: Format, response: Response<Incoming>) -> Result<(), Error> {
-    let mut parser = Parser::default();
-    let mut body = response.into_body();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| Error::Lost {
-            reason: error.to_string(),
-        })?;
-        let bytes = frame.into_data().unwrap_or_default();
-        for event in parser.push(&bytes) {
-            if print(format, &event)? {
-                return Ok(());
-            }
-        }
-    }
-    Err(Error::Lost {
-        reason: "the stream ended without its end mark".to_owned(),
-    })
-}
-
-/// Prints an event and says whether it is the end.
-fn print(format: Format, event: &Event) -> Result<bool, Error> {
-    let data: Value = serde_json::from_str(&event.data).map_err(|error| Error::Garbled {
-        reason: format!("event {}: {error}", event.id),
-    })?;
-    if event.name == PROBLEM {
-        let problem: Problem = serde_json::from_value(data).unwrap_or_default();
-        return Err(Error::Refused { problem });
-    }
-    let json = serde_json::json!({"event": event.name, "id": event.id, "data": data});
-    let text = match &data {
-        Value::String(text) => text.clone(),
-        data => data.to_string(),
-    };
-    output::print(format, text, &json)?;
-    Ok(event.name == DONE)
-}
--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -80,15 +80,18 @@
 }
 
 fn records(path: &Path) -> Result<Findings, Error> {
-    load(path).map(|directory| directory.check())
+    load(path).map(|directory| findings(path, &directory))
 }
 
-/// Reads the records of a file or directory.
-///
-/// # Errors
-///
-/// [`Error::Usage`] naming the file that cannot be read.
-pub fn load(path: &Path) -> Result<Directory, Error> {
+/// A single file may well name services that stand in another.
+fn findings(path: &Path, directory: &Directory) -> Findings {
+    match path.is_dir() {
+        true => directory.check(),
+        false => directory.check_each(),
+    }
+}
+
+fn load(path: &Path) -> Result<Directory, Error> {
     directory::load(path).map_err(|error| Error::usage(error.to_string()))
 }
 
@@ -99,7 +102,7 @@
 /// [`Error::Usage`] naming the file that cannot be read, or [`Error::Found`].
 pub fn load_checked(path: &Path) -> Result<Directory, Error> {
     let directory = load(path)?;
-    let result = directory.check().into_result();
+    let result = findings(path, &directory).into_result();
     result.map_err(|findings| Error::Found { findings })?;
     Ok(directory)
 }
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -106,15 +106,14 @@
         Problem {
             status: self.status.as_u16(),
             title,
-            retry_after: retry_after(&self.headers),
+            retry_after: problem.retry_after.or_else(|| retry_after(&self.headers)),
             ..problem
         }
     }
 }
 
-fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_secs(seconds))
+fn retry_after(headers: &HeaderMap) -> Option<f64> {
+    headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()
 }
 
 /// Calls entries; the next one is tried where one cannot be reached.
--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Roles of `linnetdriftd`.
 
 use crate::error::FileSnafu;
-use crate::{Error, command, output, signal};
+use crate::{Error, Format, command, output, signal};
 use getopts::Options;
 use serde::Serialize;
 use slog::{Logger, info};
@@ -122,19 +122,31 @@
     std::fs::read_to_string(path).context(FileSnafu { path })
 }
 
-async fn run_entry(_settings: setting::Entry, _log: Logger) -> Result<(), Error> {
-    absent().await
+async fn run_entry(settings: setting::Entry, log: Logger) -> Result<(), Error> {
+    let id = settings.id.clone();
+    let ready = |ready: entry::Ready| {
+        announce(&Ready {
+            role: "entry",
+            id,
+            listen: ready.listen,
+            news: None,
+            metrics: ready.metrics,
+        });
+    };
+    let result = entry::run(settings, log, ready, signal::stop()).await;
+    result.map_err(|error| Error::Failed {
+        reason: error.to_string(),
+    })
 }
 
+/// Not built in until the agent's crate serves.
 async fn run_agent(_settings: setting::Agent, _log: Logger) -> Result<(), Error> {
-    absent().await
-}
-
-/// Stands in until the roles are merged.
-async fn absent() -> Result<(), Error> {
-    let stop = signal::stop();
-    drop(stop);
     Err(Error::Failed {
-        reason: "this role is not built in yet".to_owned(),
+        reason: "the agent is not built in yet".to_owned(),
     })
 }
+
+/// Nobody may read the line; a process that serves goes on without it.
+fn announce(ready: &Ready) {
+    let _ = output::print(Format::Json, "", ready);
+}
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -45,9 +45,16 @@
     pub outcome: Option<Outcome>,
     /// Identity of the request, to ask for its answer later.
     pub request: Option<String>,
-    /// When to come back.
-    #[serde(skip)]
-    pub retry_after: Option<Duration>,
+    /// Seconds after which a retry may succeed.
+    pub retry_after: Option<f64>,
+}
+
+impl Problem {
+    /// Wait after which a retry may succeed, if the entry named one.
+    #[must_use]
+    pub fn wait(&self) -> Option<Duration> {
+        Duration::try_from_secs_f64(self.retry_after?).ok()
+    }
 }
 
 impl fmt::Display for Problem {
@@ -59,8 +66,8 @@
         if let Some(request) = &self.request {
             write!(formatter, " (request {request})")?;
         }
-        if let Some(wait) = self.retry_after {
-            write!(formatter, "; come back in {} s", wait.as_secs())?;
+        if let Some(seconds) = self.retry_after {
+            write!(formatter, "; come back in {seconds} s")?;
         }
         Ok(())
     }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod signal;
 pub mod standin;
 pub mod status;
+pub mod stream;
 
 pub use client::Client;
 pub use error::Error;
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -92,6 +92,7 @@
 
 #[derive(Deserialize)]
 struct Rejection {
+    #[serde(alias = "origin")]
     key: String,
     path: String,
     message: String,
@@ -208,7 +209,7 @@
             if problem.status == StatusCode::SERVICE_UNAVAILABLE
                 || problem.outcome == Some(Outcome::Unknown) =>
         {
-            Some(problem.retry_after.unwrap_or(PAUSE).min(MAX_PAUSE))
+            Some(problem.wait().unwrap_or(PAUSE).min(MAX_PAUSE))
         }
         _ => None,
     }
--- a/crates/ctl/src/standin.rs
+++ b/crates/ctl/src/standin.rs
@@ -4,15 +4,15 @@
 use crate::{Common, Error, option, output, signal};
 use getopts::{Matches, Options};
 use serde::Serialize;
-use serde_json::Value;
+use standin::{Kind, Server};
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// Serves a stand-in until it is told to stop.
 #[derive(Debug)]
 pub struct Standin {
-    kind: String,
+    kind: Kind,
     listen: SocketAddr,
-    options: Value,
+    options: standin::Options,
 }
 
 #[derive(Serialize)]
@@ -26,7 +26,7 @@
     const HELP: Help = Help {
         name: "standin",
         arguments: "KIND",
-        about: "Serve a stand-in: table, objects, weights, vms, engine, pool or plain",
+        about: "Serve a stand-in: table, object, weight, vm, engine, pool or plain",
     };
 
     fn declare(options: &mut Options) {
@@ -38,26 +38,37 @@
         let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let options = matches.opt_str("options").unwrap_or("{}".to_owned());
         Ok(Self {
-            kind: option::single(matches, "KIND")?,
+            kind: kind(matches)?,
             listen: option::parse(matches, "listen")?.unwrap_or(free),
             options: serde_json::from_str(&options)
-                .map_err(|error| Error::usage(format!("--options is not JSON: {error}")))?,
+                .map_err(|error| Error::usage(format!("--options: {error}")))?,
         })
     }
 
     async fn run(self, _common: &Common) -> Result<(), Error> {
-        let listen = start(&self.kind, self.listen, self.options)?;
+        let Self {
+            kind,
+            listen,
+            options,
+        } = self;
+        let server = standin::start(kind, listen, options).await;
+        let server: Server = server.map_err(|error| Error::Failed {
+            reason: error.to_string(),
+        })?;
         let ready = Ready {
             role: "standin",
-            kind: &self.kind,
-            listen,
+            kind: kind.name(),
+            listen: server.address(),
         };
         output::print(crate::Format::Json, "", &ready)?;
         signal::stop().await;
+        server.stop().await;
         Ok(())
     }
 }
 
-fn start(kind: &str, _listen: SocketAddr, _options: Value) -> Result<SocketAddr, Error> {
-    Err(Error::usage(format!("there is no stand-in `{kind}`")))
+fn kind(matches: &Matches) -> Result<Kind, Error> {
+    let text = option::single(matches, "KIND")?;
+    text.parse()
+        .map_err(|error| Error::usage(format!("KIND `{text}`: {error}")))
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -14,6 +14,8 @@
 struct Entry {
     id: String,
     revision: Revision,
+    #[serde(default)]
+    ready: bool,
     head_age_ms: Option<u64>,
     draining: bool,
     targets: Vec<Target>,
@@ -49,9 +51,13 @@
     let age = entry
         .head_age_ms
         .map_or("unknown".to_owned(), |age| format!("{age} ms"));
-    let draining = if entry.draining { ", draining" } else { "" };
+    let state = match (entry.draining, entry.ready) {
+        (true, _) => ", draining",
+        (false, true) => "",
+        (false, false) => ", not ready",
+    };
     let head = format!(
-        "{} at revision {}, read {age} ago{draining}",
+        "{} at revision {}, read {age} ago{state}",
         entry.id, entry.revision
     );
     let targets = entry.targets.iter().map(|target| {
--- a/crates/record/src/directory.rs
+++ b/crates/record/src/directory.rs
@@ -94,17 +94,24 @@
     /// each other.
     #[must_use]
     pub fn check(&self) -> Findings {
+        let mut findings = self.check_each().0;
+        check::references(&self.documents, &mut |index, path, message| {
+            findings.push(self.finding(index, path, message));
+        });
+        sorted(findings)
+    }
+
+    /// Everything that is wrong with each document by itself: for files that hold only some of a
+    /// deployment's records.
+    #[must_use]
+    pub fn check_each(&self) -> Findings {
         let mut findings = self.findings.clone();
         for (index, document) in self.documents.iter().enumerate() {
             check::rules(document, &mut |path, message| {
                 findings.push(self.finding(index, path, message));
             });
         }
-        check::references(&self.documents, &mut |index, path, message| {
-            findings.push(self.finding(index, path, message));
-        });
-        findings.sort_by(|a, b| (&a.origin, a.position).cmp(&(&b.origin, b.position)));
-        Findings(findings)
+        sorted(findings)
     }
 
     fn finding(&self, index: usize, path: &str, message: String) -> Finding {
@@ -140,3 +147,8 @@
         _ => format!("{parent}.{path}"),
     }
 }
+
+fn sorted(mut findings: Vec<Finding>) -> Findings {
+    findings.sort_by(|a, b| (&a.origin, a.position).cmp(&(&b.origin, b.position)));
+    Findings(findings)
+}
