--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -166,6 +166,7 @@
         runner,
         concurrency: 1,
         queue: 1,
+        news: None,
         policy: setting::Policy::Shipped,
     }
 }
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -3,6 +3,7 @@
 use crate::answer::End;
 use crate::claim as claims;
 use crate::core::{Core, Platform};
+use crate::fields;
 use crate::job::Job;
 use crate::kept;
 use crate::service::{Overload, Turn};
@@ -16,6 +17,9 @@
 /// When to come back while the table service is away.
 const STORE_AWAY: Duration = Duration::from_secs(1);
 
+/// When to come back while a service has no target.
+const NO_TARGET: Duration = Duration::from_secs(1);
+
 /// Runs a job to its end and leaves the end in its answer.
 pub async fn run<P: Platform>(core: &Arc<Core<P>>, job: &Job) {
     match &job.key {
@@ -88,7 +92,11 @@
         let run = Run::new(core, job, position, input, streamed);
         let output = run.finish(turn.take()).await?;
         elapsed.push(output.elapsed);
-        input = output.content;
+        input = if position == last {
+            output.content
+        } else {
+            fields::overlay(&job.input, output.content)
+        };
     }
     if !job.streams() {
         job.answer.push(input);
@@ -102,6 +110,17 @@
 /// The later stages' services are asked first: a request is not refused there any more, and what
 /// its first stages cost would be wasted if it then waited far beyond its deadline.
 async fn admit<P: Platform>(core: &Arc<Core<P>>, job: &Job) -> Result<Turn, End> {
+    if let Some(stage) = job
+        .pipeline
+        .stages
+        .iter()
+        .find(|stage| !core.services.get(&stage.service).is_served())
+    {
+        return Err(End::NotRun {
+            detail: format!("service {} has no target", stage.service),
+            retry_after: NO_TARGET,
+        });
+    }
     for position in 1..job.pipeline.stages.len() {
         let slot = core.slot(job, position);
         let demand = core.demand(job, position, &slot, &[]);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`execute`]: a job from admission to its end; [`stage`]: one stage with all its attempts
 //! * [`claim`] and [`kept`]: idempotency keys and the answers kept for them
 //! * [`target`], [`service`], [`services`] and [`discovery`]: links to agents and who gets work
+//! * [`fields`]: what a later stage is given
 //! * [`budgets`] and [`prefix`]: what the decisions are fed with
 //! * [`peers`]: the other entries
 //! * [`config`]: records in force, the change log and accepted changes
@@ -22,6 +23,7 @@
 pub mod core;
 pub mod discovery;
 pub mod execute;
+pub mod fields;
 pub mod job;
 pub mod kept;
 pub mod operator;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -165,6 +165,16 @@
         self.lock().pool.get(id).map_or(0, route::Target::in_flight)
     }
 
+    /// Whether any target may get new work.
+    pub fn is_served(&self) -> bool {
+        !self
+            .lock()
+            .pool
+            .targets()
+            .iter()
+            .all(route::Target::leaving)
+    }
+
     /// Whether the service is too far behind for one more request.
     pub fn overload(&self, demand: &Demand) -> Option<Overload> {
         let now = self.now();
