--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,6 +1,6 @@
 //! An ordered link between one entry and one agent: length-delimited postcard frames over TCP.
 //!
-//! A link starts with a [handshake](crate::handshake) and is watched for
+//! A link starts with a [`crate::handshake`] and is watched for
 //! [silence](crate::silence). An empty frame only says that the peer is alive.
 
 use crate::frame::Frame;
