Stand-ins: weights from the store, callers that leave the queue

Callers that went away while they waited stayed counted in GET /v1/load until a slot came free, because only a free slot looked at the queue. A place in the queue now leaves it when dropped; the test waiting_caller_gone covers pool and engine. An engine with a weight store in its options reads a model from it before an order to load it is done, and comes back when the store says 429.

--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -49,7 +49,16 @@
 }
 
 /// Number of a request in order of arrival.
-pub(super) type Ticket = u64;
+type Ticket = u64;
+
+/// A place in the queue, which is left when this is dropped.
+///
+/// Without that, callers that have gone would be counted as waiting until the batch has room, and
+/// the load would look higher than it is.
+pub(super) struct Place {
+    batch: Arc<Batch>,
+    ticket: Ticket,
+}
 
 /// The sequences and the times of their steps.
 pub(super) struct Batch {
@@ -119,7 +128,10 @@
 
     /// Queues a request; its progress comes through the channel, which is closed without `Done`
     /// if it is cancelled.
-    pub(super) fn enter(&self, request: Request) -> (Ticket, UnboundedReceiver<Progress>) {
+    pub(super) fn enter(
+        self: &Arc<Self>,
+        request: Request,
+    ) -> (Place, UnboundedReceiver<Progress>) {
         let (sink, progress) = unbounded_channel();
         let mut state = self.state();
         state.arrivals += 1;
@@ -133,17 +145,8 @@
         self.report(&state);
         drop(state);
         self.wake.notify_one();
-        (ticket, progress)
-    }
-
-    /// Takes a request out of the queue; `false` if it is no longer there.
-    pub(super) fn leave(&self, ticket: Ticket) -> bool {
-        let mut state = self.state();
-        let before = state.waiting.len();
-        let Reverse(ticket) = Reverse(ticket);
-        state.waiting.retain(|waiting| waiting.rank.1.0 != ticket);
-        self.report(&state);
-        state.waiting.len() < before
+        let batch = Arc::clone(self);
+        (Place { batch, ticket }, progress)
     }
 
     /// Steps the batch, and sleeps while it is empty.
@@ -234,6 +237,25 @@
     }
 }
 
+impl Place {
+    /// Takes the request out of the queue; `false` if it is no longer there.
+    pub(super) fn leave(&self) -> bool {
+        let mut state = self.batch.state();
+        let before = state.waiting.len();
+        state
+            .waiting
+            .retain(|waiting| waiting.rank.1 != Reverse(self.ticket));
+        self.batch.report(&state);
+        state.waiting.len() < before
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.leave();
+    }
+}
+
 impl Running {
     fn is_gone(&self) -> bool {
         self.sink.is_closed() || self.cancelled.is_cancelled()
--- /dev/null
+++ b/crates/standin/src/engine/fetch.rs
@@ -0,0 +1,62 @@
+//! Loading from the weight store.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::header::RETRY_AFTER;
+use hyper::{Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Tries before a model is given up.
+const TRIES: u32 = 100;
+/// Wait before another try where the store names none.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// Client of the weight store.
+#[derive(Clone, Debug)]
+pub(super) struct Fetch {
+    weights: SocketAddr,
+    client: Client<HttpConnector, Empty<Bytes>>,
+}
+
+impl Fetch {
+    pub(super) fn new(weights: SocketAddr) -> Self {
+        Self {
+            weights,
+            client: Client::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+
+    /// Reads the weights of a model to the end, coming back when the store says so; `false` once
+    /// all tries have failed.
+    pub(super) async fn get(&self, model: &str) -> bool {
+        for _ in 0..TRIES {
+            match self.read(model).await {
+                Ok(()) => return true,
+                Err(wait) => tokio::time::sleep(wait).await,
+            }
+        }
+        false
+    }
+
+    /// One try, or the time to wait before the next.
+    async fn read(&self, model: &str) -> Result<(), Duration> {
+        let request = Request::get(format!("http://{}/v1/weights/{model}", self.weights))
+            .body(Empty::new())
+            .map_err(|_| PAUSE)?;
+        let response = self.client.request(request).await.map_err(|_| PAUSE)?;
+        if response.status() != StatusCode::OK {
+            let seconds = response.headers().get(RETRY_AFTER);
+            let seconds = seconds.and_then(|seconds| seconds.to_str().ok()?.parse().ok());
+            return Err(seconds.map_or(PAUSE, Duration::from_secs));
+        }
+        let mut body = response.into_body();
+        while let Some(frame) = body.frame().await {
+            frame.map_err(|_| PAUSE)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! * [`batch`]: sequences that wait and run, step by step
 //! * [`cache`]: the prefix cache and its events
+//! * [`fetch`]: loading from the weight store
 //! * [`order`]: models, adapters, versions and roles
 //! * [`stream`]: the events of one answer
 
 mod batch;
 mod cache;
+mod fetch;
 mod order;
 mod stream;
 
@@ -113,7 +115,7 @@
     /// Waits until the call has a place in the batch; `None` if it is cancelled before.
     async fn begin(&self, call: &Call, total: u32) -> Option<Begun> {
         let cancel = self.runner.watch(&call.id);
-        let (ticket, mut receiver) = self.batch.enter(Request {
+        let (place, mut receiver) = self.batch.enter(Request {
             call: call.clone(),
             total,
             cancelled: cancel.token.clone(),
@@ -125,7 +127,7 @@
         if first.is_none() {
             // The batch may have admitted the call at this very moment, and "not run" would then
             // be a lie: only a call that is still found among the waiting ones has not run.
-            if self.batch.leave(ticket) {
+            if place.leave() {
                 return None;
             }
             first = receiver.recv().await;
--- a/crates/standin/src/engine/order.rs
+++ b/crates/standin/src/engine/order.rs
@@ -1,5 +1,6 @@
 //! Orders to load and unload models and to change the role.
 
+use super::fetch::Fetch;
 use crate::log::now_us;
 use crate::options::{Options, millis};
 use hyper::StatusCode;
@@ -13,6 +14,7 @@
 pub(super) struct Orders {
     fencing: bool,
     load: Duration,
+    weights: Option<Fetch>,
     state: Mutex<State>,
 }
 
@@ -83,22 +85,38 @@
         Self {
             fencing: options.fencing,
             load: millis(options.load_ms),
+            weights: options.weights.map(Fetch::new),
             state: Mutex::new(state),
         }
     }
 
-    /// Carries out an order, or refuses it with `412`.
+    /// Carries out an order, or refuses it with `412`; `502` if the weight store gave no weights.
     pub(super) async fn carry_out(&self, order: Order) -> StatusCode {
         if !self.receive(&order) {
             return StatusCode::PRECONDITION_FAILED;
         }
-        if order.order == Verb::Load && !self.load.is_zero() {
-            tokio::time::sleep(self.load).await;
+        if order.order == Verb::Load && !self.loaded(&order).await {
+            return StatusCode::BAD_GATEWAY;
         }
         self.state().apply(&order);
         StatusCode::OK
     }
 
+    /// Waits until the weights of an order are there; `false` if they never came.
+    async fn loaded(&self, order: &Order) -> bool {
+        if !self.load.is_zero() {
+            tokio::time::sleep(self.load).await;
+        }
+        match &self.weights {
+            Some(weights) => {
+                weights
+                    .get(order.model.as_deref().unwrap_or_default())
+                    .await
+            }
+            None => true,
+        }
+    }
+
     /// Whether a model is loaded, given as `MODEL`, `MODEL@VERSION` or `MODEL@VERSION+ADAPTER`.
     pub(super) fn has(&self, model: &str) -> bool {
         let state = self.state();
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -1,6 +1,7 @@
 //! Timings and sizes of a stand-in.
 
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Timings and sizes of a stand-in; each kind reads those that concern it.
@@ -45,6 +46,8 @@
     pub role: String,
     /// Engine: time that it takes to load a model, in milliseconds.
     pub load_ms: f64,
+    /// Engine: weight store from which an order to load a model reads it, if there is one.
+    pub weights: Option<SocketAddr>,
     /// Engine: share of the cache events that are never published.
     pub event_loss: f64,
     /// VM, runners: age of the list of VMs, of load and of cache events, in milliseconds.
@@ -77,6 +80,7 @@
             models: Vec::new(),
             role: "both".into(),
             load_ms: 0.0,
+            weights: None,
             event_loss: 0.0,
             lag_ms: 0.0,
             writes_per_second: 400.0,
--- a/crates/standin/src/slot.rs
+++ b/crates/standin/src/slot.rs
@@ -42,9 +42,11 @@
     slots: Slots,
 }
 
+/// Higher priority first, then earlier arrival.
+type Rank = (u8, Reverse<u64>);
+
 struct Waiter {
-    /// Higher priority first, then earlier arrival.
-    rank: (u8, Reverse<u64>),
+    rank: Rank,
     wake: oneshot::Sender<Permit>,
 }
 
@@ -74,28 +76,27 @@
 
     /// Waits for a slot; dropping the future leaves the queue.
     pub(crate) async fn take(&self, priority: u8) -> Permit {
-        let queued = self.take_or_queue(priority);
-        match queued {
+        match self.take_or_queue(priority) {
             Ok(permit) => permit,
-            // The sender lives in the queue of these slots, which `self` keeps alive.
-            Err(queued) => match queued.await {
-                Ok(permit) => permit,
-                Err(_) => std::future::pending().await,
-            },
+            Err(place) => place.wait().await,
         }
     }
 
-    fn take_or_queue(&self, priority: u8) -> Result<Permit, oneshot::Receiver<Permit>> {
+    fn take_or_queue(&self, priority: u8) -> Result<Permit, Place> {
         let mut state = self.state();
         let taken = if state.running < state.limit {
             state.running += 1;
             Ok(self.permit())
         } else {
-            let (wake, queued) = oneshot::channel();
+            let (wake, granted) = oneshot::channel();
             state.arrivals += 1;
             let rank = (priority, Reverse(state.arrivals));
             state.queue.push(Waiter { rank, wake });
-            Err(queued)
+            Err(Place {
+                slots: self.clone(),
+                rank,
+                granted,
+            })
         };
         self.shared.load.set(state.load());
         taken
@@ -113,6 +114,34 @@
     }
 }
 
+/// A place in the queue, which is left when this is dropped.
+///
+/// Without that, callers that have gone would be counted as waiting until a slot comes free, and
+/// the load would look higher than it is.
+struct Place {
+    slots: Slots,
+    rank: Rank,
+    granted: oneshot::Receiver<Permit>,
+}
+
+impl Place {
+    async fn wait(mut self) -> Permit {
+        match (&mut self.granted).await {
+            Ok(permit) => permit,
+            // The sender stays in the queue for as long as this place does.
+            Err(_) => std::future::pending().await,
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.slots.state();
+        state.queue.retain(|waiter| waiter.rank != self.rank);
+        self.slots.shared.load.set(state.load());
+    }
+}
+
 impl State {
     fn load(&self) -> Load {
         Load {
--- a/crates/standin/tests/engine_stream.rs
+++ b/crates/standin/tests/engine_stream.rs
@@ -51,6 +51,21 @@
     assert_eq!(text(response).await, events("crimp", 4..6) + DONE);
 }
 
+// The engine is stopped as planned while a stream is in progress. The reader must get every word and
+// the end mark.
+#[tokio::test]
+async fn stop_under_stream() {
+    let options = Options {
+        step_ms: 5.0,
+        ..options()
+    };
+    let mut bench = Bench::start(Kind::Engine, options).await;
+    let server = bench.server.take().unwrap();
+    let response = bench.run(&[SSE], "crimp").await;
+    let (all, ()) = tokio::join!(text(response), server.stop());
+    assert_eq!(all, events("crimp", 0..6) + DONE);
+}
+
 // The batch is full, so that later calls wait; the one with the higher priority came last. Were it
 // not let in first, an urgent request would wait behind bulk work.
 #[tokio::test]
--- a/crates/standin/tests/pool_calls.rs
+++ b/crates/standin/tests/pool_calls.rs
@@ -72,6 +72,32 @@
     assert_eq!(calls, ["aa", "dd", "bb"]);
 }
 
+// The caller goes away while its call waits. It must leave the queue at once, or the load would tell
+// routers of work that nobody wants any more.
+#[tokio::test]
+async fn waiting_caller_gone() {
+    for kind in [Kind::Pool, Kind::Engine] {
+        let options = Options {
+            batch: 1,
+            step_ms: ENDLESS_MS,
+            ..options(ENDLESS_MS)
+        };
+        let bench = Bench::start(kind, options).await;
+        let waiting = async {
+            bench.until_load(1, 0).await;
+            tokio::select! {
+                _ = bench.run(&[], "b") => unreachable!(),
+                () = bench.until_load(1, 1) => {}
+            }
+            bench.until_load(1, 0).await;
+        };
+        tokio::select! {
+            _ = bench.run(&[], "a") => unreachable!(),
+            () = waiting => {}
+        }
+    }
+}
+
 // The caller goes away while its call is at work. A pool stops and gives the slot to the next
 // call; otherwise abandoned work would crowd out live work.
 #[tokio::test]
--- a/crates/standin/tests/weight_rate.rs
+++ b/crates/standin/tests/weight_rate.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Bench, text};
+use serde_json::json;
 use standin::{Kind, Options};
 
 // The store serves one download at a time, slowly. A second one is turned away and told when to
@@ -26,3 +27,20 @@
         tokio::task::yield_now().await;
     }
 }
+
+#[tokio::test]
+async fn loaded_model() {
+    let options = Options {
+        weight_bytes_per_second: 50e6,
+        ..Options::default()
+    };
+    let store = Bench::start(Kind::Weight, options).await;
+    let options = Options {
+        weights: Some(store.address),
+        ..Options::default()
+    };
+    let engine = Bench::start(Kind::Engine, options).await;
+    let order = json!({"fence": 1, "order": "load", "model": "draft", "version": 2});
+    assert_eq!(engine.post("/v1/orders", order).await, 200);
+    assert_eq!(engine.get("/v1/models").await["models"], json!(["draft@2"]));
+}
