Stand-ins: cancel reaches every call of an identity

With a call delivered twice, the end of the first forgot the identity, so that a cancel missed the second. Identities are counted now; doubled_call covers it. Conditions are plain ifs, the faults of one call are fault::Draw.

--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::answer;
 use crate::call::{self, Call};
-use crate::fault::{Fate, Switch};
+use crate::fault::{Draw, Switch};
 use crate::options::Options;
 use crate::reply::{self, Body, Broken, Reply};
 use crate::runner::{self, Cancel, Runner};
@@ -82,7 +82,7 @@
         self.batch.load()
     }
 
-    pub(crate) async fn run(&self, call: Call, fate: Fate) -> Reply {
+    pub(crate) async fn run(&self, call: Call, draw: Draw) -> Reply {
         let input = match call.input() {
             Ok(input) => input,
             Err(error) => return Ok(reply::error(StatusCode::BAD_REQUEST, error)),
@@ -96,14 +96,16 @@
             return Ok(reply::not_run());
         };
         let other = self.runner.other(&call, &input.text);
-        let (id, text) = match fate.cross {
-            true => (other.id, other.text),
-            false => (call.id.clone(), input.text),
+        let (id, text) = if draw.cross {
+            (other.id, other.text)
+        } else {
+            (call.id.clone(), input.text)
         };
         let hits = begun.hits;
-        let reply = match call.stream && !fate.lose && !fate.fail {
-            true => self.stream(begun, &call, text, total, fate).await,
-            false => self.whole(begun, &call, &text, total, fate).await,
+        let reply = if call.stream && !draw.lose && !draw.fail {
+            self.stream(begun, &call, text, total, draw).await
+        } else {
+            self.whole(begun, &call, &text, total, draw).await
         };
         reply.map(|mut response| {
             runner::insert(&mut response, "x-call", &id);
@@ -126,7 +128,7 @@
         };
         if first.is_none() {
             // The batch may have admitted the call at this very moment, and "not run" would then
-            // be a lie: only a call that is still found among the waiting ones has not run.
+            // be false: only a call that is still found among the waiting ones has not run.
             if place.leave() {
                 return None;
             }
@@ -154,13 +156,13 @@
         call: &Call,
         text: String,
         total: u32,
-        fate: Fate,
+        draw: Draw,
     ) -> Reply {
-        if !fate.late.is_zero() {
-            tokio::time::sleep(fate.late).await;
+        if !draw.late.is_zero() {
+            tokio::time::sleep(draw.late).await;
         }
         let busy_us = begun.busy_us;
-        let stream = Stream::new(begun, text, call.resume, total, fate);
+        let stream = Stream::new(begun, text, call.resume, total, draw);
         let mut response = Response::new(Body::Stream(Box::new(stream)));
         let kind = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert(CONTENT_TYPE, kind);
@@ -168,7 +170,7 @@
         Ok(response)
     }
 
-    async fn whole(&self, begun: Begun, call: &Call, text: &str, total: u32, fate: Fate) -> Reply {
+    async fn whole(&self, begun: Begun, call: &Call, text: &str, total: u32, draw: Draw) -> Reply {
         let Begun {
             entry,
             mut receiver,
@@ -187,7 +189,7 @@
             tokens: total,
         };
         let response = reply::json(StatusCode::OK, &output);
-        runner::deliver(response, fate, entry, busy_us).await
+        runner::deliver(response, draw, entry, busy_us).await
     }
 
     pub(crate) async fn order(&self, body: &[u8]) -> Reply {
--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -3,7 +3,7 @@
 use super::Begun;
 use super::batch::Progress;
 use crate::answer;
-use crate::fault::Fate;
+use crate::fault::Draw;
 use crate::log::{Ended, Entry};
 use crate::reply::Broken;
 use crate::runner::Cancel;
@@ -20,19 +20,19 @@
     total: u32,
     /// Token before which a cut stream breaks off.
     middle: u32,
-    fate: Fate,
+    draw: Draw,
     _cancel: Cancel,
 }
 
 impl Stream {
-    pub(super) fn new(begun: Begun, text: String, resume: u32, total: u32, fate: Fate) -> Self {
+    pub(super) fn new(begun: Begun, text: String, resume: u32, total: u32, draw: Draw) -> Self {
         Self {
             entry: begun.entry,
             receiver: begun.receiver,
             text,
             total,
             middle: resume + total.saturating_sub(resume) / 2,
-            fate,
+            draw,
             _cancel: begun.cancel,
         }
     }
@@ -46,12 +46,12 @@
             return Poll::Ready(None);
         };
         Poll::Ready(match progress {
-            Progress::Token(k) if self.fate.cut && k >= self.middle => {
+            Progress::Token(k) if self.draw.cut && k >= self.middle => {
                 self.entry.end(Ended::Cut, 0);
                 Some(Err(Broken))
             }
             Progress::Token(k) => Some(Ok(self.frame(&self.token(k)))),
-            Progress::Done { busy_us } if self.fate.truncate => {
+            Progress::Done { busy_us } if self.draw.truncate => {
                 self.entry.end(Ended::Cut, busy_us);
                 None
             }
@@ -75,7 +75,7 @@
     }
 
     fn frame(&self, event: &str) -> Frame<Bytes> {
-        let times = 1 + usize::from(self.fate.double);
+        let times = 1 + usize::from(self.draw.double);
         Frame::data(Bytes::from(event.repeat(times)))
     }
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -87,9 +87,9 @@
     }
 }
 
-/// What is in store for one call.
+/// Faults that were drawn for one call.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Fate {
+pub(crate) struct Draw {
     pub(crate) down: bool,
     pub(crate) reset: bool,
     pub(crate) slow: Duration,
@@ -103,7 +103,7 @@
     pub(crate) double: bool,
 }
 
-/// The switch and the dice behind it.
+/// The faults in force and the generator behind the draws.
 #[derive(Debug)]
 pub(crate) struct Switch {
     /// Spares the calls of a sound stand-in the lock.
@@ -137,14 +137,14 @@
         self.state().0.factor
     }
 
-    /// Throws the dice for one call; `effect` says whether it writes or runs something.
-    pub(crate) fn draw(&self, effect: bool) -> Fate {
+    /// Draws the faults of one call; `effect` says whether it writes or runs something.
+    pub(crate) fn draw(&self, effect: bool) -> Draw {
         if self.sound.load(Ordering::Acquire) {
-            return Fate::default();
+            return Draw::default();
         }
         let mut state = self.state();
         let (faults, rng) = &mut *state;
-        Fate {
+        Draw {
             down: faults.down.draw(rng),
             reset: faults.reset.draw(rng),
             slow: millis(faults.slow_ms),
--- a/crates/standin/src/pool.rs
+++ b/crates/standin/src/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::answer;
 use crate::call::Call;
-use crate::fault::{Fate, Switch};
+use crate::fault::{Draw, Switch};
 use crate::log::Entry;
 use crate::options::{Options, millis};
 use crate::reply::{self, Body, Reply};
@@ -48,13 +48,13 @@
         self.slots.load()
     }
 
-    pub(crate) async fn run(&self, call: Call, fate: Fate) -> Reply {
+    pub(crate) async fn run(&self, call: Call, draw: Draw) -> Reply {
         let input = match call.input() {
             Ok(input) => input,
             Err(error) => return Ok(reply::error(StatusCode::BAD_REQUEST, error)),
         };
         if self.plain {
-            return self.run_plain(call, input, fate).await;
+            return self.run_plain(call, input, draw).await;
         }
         let cancel = self.runner.watch(&call.id);
         let permit = tokio::select! {
@@ -66,12 +66,12 @@
         tokio::select! {
             biased;
             () = cancel.token.cancelled() => Ok(runner::cancelled(&call.id)),
-            reply = self.work(&call, &input, fate, entry, permit) => reply,
+            reply = self.work(&call, &input, draw, entry, permit) => reply,
         }
     }
 
     /// Only the wait ends with the caller: the work goes on in a task of its own.
-    async fn run_plain(&self, call: Call, input: answer::Input, fate: Fate) -> Reply {
+    async fn run_plain(&self, call: Call, input: answer::Input, draw: Draw) -> Reply {
         let cancel = self.runner.watch(&call.id);
         let permit = tokio::select! {
             biased;
@@ -81,7 +81,7 @@
         drop(cancel);
         let entry = self.runner.log.start(&call);
         let pool = self.clone();
-        let work = async move { pool.work(&call, &input, fate, entry, permit).await };
+        let work = async move { pool.work(&call, &input, draw, entry, permit).await };
         tokio::spawn(work).await.unwrap_or(Err(reply::Broken))
     }
 
@@ -89,7 +89,7 @@
         &self,
         call: &Call,
         input: &answer::Input,
-        fate: Fate,
+        draw: Draw,
         entry: Entry,
         permit: Permit,
     ) -> Reply {
@@ -100,8 +100,8 @@
         }
         let busy_us = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
         drop(permit);
-        let response = self.answer(call, input, fate, entry.serial());
-        runner::deliver(response, fate, entry, busy_us).await
+        let response = self.answer(call, input, draw, entry.serial());
+        runner::deliver(response, draw, entry, busy_us).await
     }
 
     fn time(&self) -> Duration {
@@ -112,24 +112,24 @@
         &self,
         call: &Call,
         input: &answer::Input,
-        fate: Fate,
+        draw: Draw,
         serial: usize,
     ) -> Response<Body> {
         let other = self.runner.other(call, &input.text);
-        let (id, text) = match fate.cross {
-            true => (&other.id, &other.text),
-            false => (&call.id, &input.text),
+        let (id, text) = if draw.cross {
+            (&other.id, &other.text)
+        } else {
+            (&call.id, &input.text)
         };
         let output = Output {
             text: answer::wrap(&self.name, text),
             serial: self.plain.then_some(serial + 1),
         };
-        let mut response = match call.stream {
-            true => runner::single_event(
-                &serde_json::to_vec(&output).unwrap_or_default(),
-                call.resume,
-            ),
-            false => reply::json(StatusCode::OK, &output),
+        let mut response = if call.stream {
+            let json = serde_json::to_vec(&output).unwrap_or_default();
+            runner::single_event(&json, call.resume)
+        } else {
+            reply::json(StatusCode::OK, &output)
         };
         runner::insert(&mut response, "x-call", id);
         response
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -1,7 +1,7 @@
 //! What pools, plain services and engines have in common: log, cancelling, answers.
 
 use crate::call::Call;
-use crate::fault::Fate;
+use crate::fault::Draw;
 use crate::log::{Ended, Entry, Log};
 use crate::options::Options;
 use crate::reply::{self, Body, Broken, Reply};
@@ -15,18 +15,25 @@
 use tokio_util::sync::CancellationToken;
 
 /// Identity that a crossed answer bears if no other call has been answered yet.
-const STRANGER: &str = "00000000000000000000000000000000-0-0";
+const UNKNOWN: &str = "00000000000000000000000000000000-0-0";
 
 /// State that every runner has.
 #[derive(Debug)]
 pub(crate) struct Runner {
     pub(crate) log: Log,
-    cancels: Mutex<HashMap<String, CancellationToken, RandomState>>,
+    cancels: Mutex<HashMap<String, Watched, RandomState>>,
     latest: Mutex<Option<Other>>,
     rng: Mutex<SmallRng>,
     jitter: f64,
 }
 
+/// Calls of one identity; a caller that sends a call twice cancels both.
+#[derive(Debug, Default)]
+struct Watched {
+    token: CancellationToken,
+    calls: usize,
+}
+
 /// Another call, whose answer a crossed one bears.
 #[derive(Clone, Debug)]
 pub(crate) struct Other {
@@ -54,9 +61,10 @@
 
     /// Makes a call known to [`Runner::cancel`].
     pub(crate) fn watch(self: &Arc<Self>, id: &str) -> Cancel {
-        let token = CancellationToken::new();
         let mut cancels = self.cancels.lock().unwrap_or_else(PoisonError::into_inner);
-        cancels.insert(id.to_owned(), token.clone());
+        let watched = cancels.entry(id.to_owned()).or_default();
+        watched.calls += 1;
+        let token = watched.token.clone();
         drop(cancels);
         Cancel {
             runner: Arc::clone(self),
@@ -66,9 +74,9 @@
     }
 
     pub(crate) fn cancel(&self, id: &str) -> Reply {
-        let mut cancels = self.cancels.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(token) = cancels.remove(id) {
-            token.cancel();
+        let cancels = self.cancels.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(watched) = cancels.get(id) {
+            watched.token.cancel();
         }
         Ok(reply::empty(StatusCode::NO_CONTENT))
     }
@@ -92,8 +100,8 @@
         };
         let mut latest = self.latest.lock().unwrap_or_else(PoisonError::into_inner);
         latest.replace(this).unwrap_or_else(|| Other {
-            id: STRANGER.to_owned(),
-            text: STRANGER.to_owned(),
+            id: UNKNOWN.to_owned(),
+            text: UNKNOWN.to_owned(),
         })
     }
 }
@@ -102,34 +110,36 @@
     fn drop(&mut self) {
         let cancels = self.runner.cancels.lock();
         let mut cancels = cancels.unwrap_or_else(PoisonError::into_inner);
-        cancels.remove(&self.id);
+        let Some(watched) = cancels.get_mut(&self.id) else {
+            return;
+        };
+        watched.calls -= 1;
+        if watched.calls == 0 {
+            cancels.remove(&self.id);
+        }
     }
 }
 
 /// Turns a finished JSON answer into what is sent, and logs how the execution ended.
 pub(crate) async fn deliver(
     mut response: Response<Body>,
-    fate: Fate,
+    draw: Draw,
     mut entry: Entry,
     busy_us: u64,
 ) -> Reply {
-    if !fate.late.is_zero() {
-        tokio::time::sleep(fate.late).await;
+    if !draw.late.is_zero() {
+        tokio::time::sleep(draw.late).await;
     }
     insert(&mut response, "x-busy-us", &busy_us.to_string());
-    if fate.lose {
+    if draw.lose {
         entry.end(Ended::Cut, busy_us);
         return Err(Broken);
     }
-    if fate.fail {
+    if draw.fail {
         entry.end(Ended::Failed, busy_us);
-        let failure = reply::error(StatusCode::INTERNAL_SERVER_ERROR, "failed by a switch");
-        return Ok(Response::from_parts(
-            with_headers(&failure, &response),
-            failure.into_body(),
-        ));
+        return Ok(failed(&response));
     }
-    if fate.cut || fate.truncate {
+    if draw.cut || draw.truncate {
         entry.end(Ended::Cut, busy_us);
         return Ok(reply::cut(response));
     }
@@ -137,13 +147,15 @@
     Ok(response)
 }
 
-/// Head of a failure that bears the identity of the answer it replaces.
-fn with_headers(failure: &Response<Body>, answer: &Response<Body>) -> hyper::http::response::Parts {
-    let (mut parts, ()) = Response::new(()).into_parts();
-    parts.status = failure.status();
-    parts.headers = answer.headers().clone();
-    parts.headers.extend(failure.headers().clone());
-    parts
+/// A failure in place of an answer, whose identity it keeps.
+fn failed(answer: &Response<Body>) -> Response<Body> {
+    let mut failure = reply::error(StatusCode::INTERNAL_SERVER_ERROR, "failed by a switch");
+    for name in ["x-call", "x-busy-us"] {
+        if let Some(value) = answer.headers().get(name) {
+            failure.headers_mut().insert(name, value.clone());
+        }
+    }
+    failure
 }
 
 /// Sets a header; a value that is no header value is left out.
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -2,7 +2,7 @@
 
 use crate::call::Call;
 use crate::engine::Engine;
-use crate::fault::{Fate, Faults, Switch};
+use crate::fault::{Draw, Faults, Switch};
 use crate::kind::Kind;
 use crate::object::Object;
 use crate::options::Options;
@@ -66,67 +66,67 @@
         if request.uri().path().starts_with(ADMIN) {
             return self.admin(request).await;
         }
-        let fate = self.switch.draw(request.method() != Method::GET);
-        if fate.reset {
+        let draw = self.switch.draw(request.method() != Method::GET);
+        if draw.reset {
             return Err(Broken);
         }
         if request.uri().path() == "/v1/run" {
-            return self.run(request, fate).await;
+            return self.run(request, draw).await;
         }
-        let call = Plain::read(request).await?;
-        if fate.slow.is_zero() && fate.late.is_zero() {
-            return self.serve(call, fate).await;
+        let call = Message::read(request).await?;
+        if draw.slow.is_zero() && draw.late.is_zero() {
+            return self.serve(call, draw).await;
         }
         // A slow service carries out what reached it even if the caller stops waiting.
-        let served = tokio::spawn(async move { self.serve(call, fate).await });
+        let served = tokio::spawn(async move { self.serve(call, draw).await });
         served.await.unwrap_or(Err(Broken))
     }
 
-    async fn run(&self, request: Request<Incoming>, fate: Fate) -> Reply {
-        if !fate.slow.is_zero() {
-            tokio::time::sleep(fate.slow).await;
+    async fn run(&self, request: Request<Incoming>, draw: Draw) -> Reply {
+        if !draw.slow.is_zero() {
+            tokio::time::sleep(draw.slow).await;
         }
-        if fate.down {
+        if draw.down {
             return Ok(reply::refusal(StatusCode::SERVICE_UNAVAILABLE));
         }
         if request.method() != Method::POST {
             return Ok(reply::empty(StatusCode::METHOD_NOT_ALLOWED));
         }
         let call = Call::read(request).await?;
-        if fate.refuse {
+        if draw.refuse {
             return Ok(reply::not_run());
         }
         match &self.backend {
-            Backend::Engine(engine) => engine.run(call, fate).await,
-            Backend::Pool(pool) => pool.run(call, fate).await,
+            Backend::Engine(engine) => engine.run(call, draw).await,
+            Backend::Pool(pool) => pool.run(call, draw).await,
             _ => Ok(reply::empty(StatusCode::NOT_FOUND)),
         }
     }
 
-    async fn serve(&self, call: Plain, fate: Fate) -> Reply {
-        if !fate.slow.is_zero() {
-            tokio::time::sleep(fate.slow).await;
+    async fn serve(&self, call: Message, draw: Draw) -> Reply {
+        if !draw.slow.is_zero() {
+            tokio::time::sleep(draw.slow).await;
         }
-        if fate.down {
+        if draw.down {
             return Ok(reply::refusal(StatusCode::SERVICE_UNAVAILABLE));
         }
         let reply = self.answer(&call).await;
-        if !fate.late.is_zero() {
-            tokio::time::sleep(fate.late).await;
+        if !draw.late.is_zero() {
+            tokio::time::sleep(draw.late).await;
         }
-        if fate.lose {
+        if draw.lose {
             return Err(Broken);
         }
-        if fate.fail {
+        if draw.fail {
             return Ok(reply::empty(StatusCode::INTERNAL_SERVER_ERROR));
         }
-        if fate.cut || fate.truncate {
+        if draw.cut || draw.truncate {
             return reply.map(reply::cut);
         }
         reply
     }
 
-    async fn answer(&self, call: &Plain) -> Reply {
+    async fn answer(&self, call: &Message) -> Reply {
         let path: Vec<_> = call.path.split('/').skip(1).collect();
         let response = match (&self.backend, &call.method, path.as_slice()) {
             (Backend::Table(table), &Method::POST, ["v1", "transact"]) => {
@@ -160,7 +160,7 @@
     }
 
     async fn admin(&self, request: Request<Incoming>) -> Reply {
-        let call = Plain::read(request).await?;
+        let call = Message::read(request).await?;
         let path = call.path.strip_prefix(ADMIN).unwrap_or_default();
         let query = call.query.as_deref();
         Ok(match (&self.backend, &call.method, path) {
@@ -217,7 +217,7 @@
 }
 
 /// Calls that only engines answer, besides orders.
-fn engine_call(engine: &Engine, method: &Method, path: &[&str], call: &Plain) -> Reply {
+fn engine_call(engine: &Engine, method: &Method, path: &[&str], call: &Message) -> Reply {
     let query = call.query.as_deref();
     Ok(match (method, path) {
         (&Method::GET, ["v1", "cache", "events"]) => {
@@ -235,14 +235,14 @@
 }
 
 /// A request that has been read whole.
-struct Plain {
+struct Message {
     method: Method,
     path: String,
     query: Option<String>,
     body: Bytes,
 }
 
-impl Plain {
+impl Message {
     async fn read(request: Request<Incoming>) -> Result<Self, Broken> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| Broken)?.to_bytes();
--- a/crates/standin/src/weight.rs
+++ b/crates/standin/src/weight.rs
@@ -90,9 +90,10 @@
 fn reserve(free: &Mutex<Instant>, length: usize, per_second: f64) -> Instant {
     let mut free = free.lock().unwrap_or_else(PoisonError::into_inner);
     let start = (*free).max(Instant::now());
-    let time = match per_second > 0.0 {
-        true => Duration::try_from_secs_f64(length as f64 / per_second).unwrap_or_default(),
-        false => Duration::ZERO,
+    let time = if per_second > 0.0 {
+        Duration::try_from_secs_f64(length as f64 / per_second).unwrap_or_default()
+    } else {
+        Duration::ZERO
     };
     *free = start + time;
     *free
--- a/crates/standin/tests/pool_calls.rs
+++ b/crates/standin/tests/pool_calls.rs
@@ -72,6 +72,28 @@
     assert_eq!(calls, ["aa", "dd", "bb"]);
 }
 
+// A message was doubled on its way, so that two calls of one identity are at work, and one of them
+// ends first. A cancel must still reach the other, or it would hold its slot for nothing.
+#[tokio::test]
+async fn doubled_call() {
+    let options = Options {
+        slots: 2,
+        ..options(ENDLESS_MS)
+    };
+    let bench = Bench::start(Kind::Pool, options).await;
+    let headers = [("x-call", "aa-0-0")];
+    let first = async {
+        tokio::select! {
+            _ = bench.run(&headers, "a") => unreachable!(),
+            () = bench.until_endings(&["running", "running"]) => {}
+        }
+        bench.until_load(1, 0).await;
+        bench.post("/v1/cancel/aa-0-0", json!({})).await;
+    };
+    let (second, ()) = tokio::join!(bench.run(&headers, "a"), first);
+    assert_eq!(second.status(), 500);
+}
+
 // The caller goes away while its call waits. It must leave the queue at once, or the load would tell
 // routers of work that nobody wants any more.
 #[tokio::test]
