--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,40 @@
-//! Work in progress.
+//! The entry: takes callers' requests, runs them through their pipelines and keeps the records in
+//! force.
+//!
+//! * [`run()`]: starts an entry and stops it gracefully
+//! * [`core`]: what the parts of an entry share
+//! * [`server`]: listener, TLS and routes
+//! * [`caller`]: callers' interface; [`operator`]: operators' interface; [`problem`]: their errors
+//! * [`job`] and [`answer`]: one accepted request and what its caller gets
+//! * [`execute`]: a job from admission to its end; [`stage`]: one stage with all its attempts
+//! * [`claim`] and [`kept`]: idempotency keys and the answers kept for them
+//! * [`target`], [`service`], [`services`] and [`discovery`]: links to agents and who gets work
+//! * [`budgets`] and [`prefix`]: what the decisions are fed with
+//! * [`peers`]: the other entries
+//! * [`config`]: records in force, the change log and accepted changes
+//! * [`telemetry`]: counters and histograms
+
+pub mod answer;
+pub mod budgets;
+pub mod caller;
+pub mod claim;
+pub mod config;
+pub mod core;
+pub mod discovery;
+pub mod execute;
+pub mod job;
+pub mod kept;
+pub mod operator;
+pub mod peers;
+pub mod prefix;
+pub mod problem;
+pub mod run;
+pub mod server;
+pub mod service;
+pub mod services;
+pub mod stage;
+pub mod target;
+pub mod telemetry;
+
+pub use core::Core;
+pub use run::{Error, Ready, run};
