--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,10 +4,12 @@
 //! * [`link`]: an ordered link between one entry and one agent
 //! * [`handshake`]: proof that both ends hold the shared key
 //! * [`silence`]: detection of a dead peer
+//! * [`news`]: lossy publish and subscribe between processes
 
 pub mod frame;
 pub mod handshake;
 pub mod link;
+pub mod news;
 pub mod silence;
 
 pub use frame::{Frame, Load, Refusal, Work};
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -62,6 +62,13 @@
 #[derive(Clone)]
 pub struct Key(Vec<u8>);
 
+/// Shows nothing of the key, so that it cannot end up in a log.
+impl std::fmt::Debug for Key {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("Key")
+    }
+}
+
 impl Key {
     /// A key from the bytes in the settings.
     pub fn new(bytes: impl Into<Vec<u8>>) -> Self {
@@ -232,6 +239,22 @@
 
 /// Opens a link to an agent.
 ///
+/// # Examples
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), wire::Error> {
+/// use wire::{Frame, Key, Listener};
+///
+/// let listener = Listener::bind("127.0.0.1:0".parse().unwrap(), Key::new("key")).await?;
+/// let (sender, _) = wire::connect(listener.address()?, &Key::new("key")).await?;
+/// let (_, mut receiver) = listener.accept().await?;
+/// sender.send(Frame::Leave { incarnation: 1 }).await?;
+/// assert_eq!(receiver.recv().await?, Some(Frame::Leave { incarnation: 1 }));
+/// # Ok(())
+/// # }
+/// ```
+///
 /// # Errors
 ///
 /// [`Error::Socket`] if the agent cannot be reached in time, [`Error::Unauthorized`] if the keys
