Agent: fence before engines that check nothing, news of leaving

Orders are carried out one after the other, none before the number in force has been read from the lease row, none with a lower number than seen. Two at once could overtake each other on the way to the engine. Without a lease row there is no holder to take orders from, so they are refused with 503.

--- a/crates/agent/src/answer.rs
+++ b/crates/agent/src/answer.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 use wire::link::MAX_FRAME;
+use wire::{Frame, Load, Refusal};
 
 /// Longest answer or event in bytes; leaves room for the rest of the frame.
 const LONGEST: usize = MAX_FRAME - 1024;
@@ -85,6 +86,46 @@
     NotRun { retry_after: Duration },
 }
 
+/// The frame that tells an entry how its call ended.
+pub(crate) fn frame(job: &Job, end: Result<End, Fault>, load: Load) -> Frame {
+    let call = job.call;
+    match end {
+        Ok(End::Whole {
+            chunks,
+            length,
+            busy,
+            prefix_hits,
+        }) => Frame::Done {
+            call,
+            chunks,
+            length,
+            busy,
+            load: Load {
+                prefix_hits,
+                prefix_blocks: job.work.prefix.len().try_into().unwrap_or(u32::MAX),
+                ..load
+            },
+        },
+        Ok(End::Failed { status, body }) => Frame::Fail {
+            call,
+            status: status.as_u16(),
+            body,
+            load,
+        },
+        Ok(End::NotRun { retry_after }) => Frame::Refuse {
+            call,
+            reason: Refusal::Unreachable,
+            retry_after,
+            load,
+        },
+        Err(fault) => Frame::Break {
+            call,
+            reason: fault.to_string(),
+            load,
+        },
+    }
+}
+
 /// Content of the end mark.
 #[derive(Deserialize)]
 struct Mark {
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -1,17 +1,20 @@
 //! The agent's calls and what happens to them.
 
-use crate::answer::{End, Fault};
+use crate::answer::{self, End, Fault};
+use crate::fence::Order;
 use crate::job::{self, Job};
 use crate::output::Output;
 use crate::runner::Runner;
 use crate::state::{Bounds, Found, LinkId, State, Turn};
-use crate::telemetry::{Outcome, Telemetry};
+use crate::telemetry::Telemetry;
+use bytes::Bytes;
 use futures::future::join_all;
 use protocol::gate::Event;
 use protocol::{CallId, Incarnation, Sequence};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -24,6 +27,8 @@
 const RECALL: Duration = Duration::from_secs(5);
 /// Time for the runner to end a cancelled call by itself before its connection is cut.
 const CANCEL: Duration = Duration::from_secs(2);
+/// HTTP status for an order that finds too many before it, or an agent that leaves.
+const BUSY: u16 = 503;
 
 /// What all tasks of an agent share.
 #[derive(Debug)]
@@ -35,7 +40,9 @@
     pub(crate) closing: CancellationToken,
     state: Mutex<State>,
     /// Calls at the runner and answers on their way to entries.
-    work: TaskTracker,
+    pub(crate) work: TaskTracker,
+    /// Way to the task that carries out orders; closed when the agent leaves.
+    orders: Mutex<Option<mpsc::Sender<Order>>>,
     links: AtomicU64,
 }
 
@@ -45,8 +52,10 @@
         telemetry: Telemetry,
         incarnation: Incarnation,
         bounds: Bounds,
+        orders: mpsc::Sender<Order>,
     ) -> Self {
         Self {
+            orders: Mutex::new(Some(orders)),
             runner,
             telemetry,
             incarnation,
@@ -278,62 +287,31 @@
             state.finish(job.call, started, job.output.kept() + extra, time);
             self.proceed(state)
         };
-        let end = self.end_frame(job, end, load);
+        self.telemetry.ended(&end);
+        let end = answer::frame(job, end, load);
         job.output.end(end).await;
     }
 
-    fn end_frame(&self, job: &Job, end: Result<End, Fault>, load: Load) -> Frame {
-        let call = job.call;
-        let prefix_blocks = job.work.prefix.len().try_into().unwrap_or(u32::MAX);
-        match end {
-            Ok(End::Whole {
-                chunks,
-                length,
-                busy,
-                prefix_hits,
-            }) => {
-                self.telemetry.ended(Outcome::Done);
-                let load = Load {
-                    prefix_hits,
-                    prefix_blocks,
-                    ..load
-                };
-                Frame::Done {
-                    call,
-                    chunks,
-                    length,
-                    busy,
-                    load,
-                }
-            }
-            Ok(End::Failed { status, body }) => {
-                self.telemetry.ended(Outcome::Fail);
-                let status = status.as_u16();
-                Frame::Fail {
-                    call,
-                    status,
-                    body,
-                    load,
-                }
-            }
-            Ok(End::NotRun { retry_after }) => {
-                self.telemetry.ended(Outcome::NotRun);
-                self.telemetry.refused(Refusal::Unreachable);
-                Frame::Refuse {
-                    call,
-                    reason: Refusal::Unreachable,
-                    retry_after,
-                    load,
-                }
-            }
-            Err(fault) => {
-                self.telemetry.ended(Outcome::Break);
-                let reason = fault.to_string();
-                Frame::Break { call, reason, load }
-            }
+    /// Passes an order on to the task that carries them out.
+    pub(crate) async fn order(&self, fence: protocol::Fence, body: Bytes, sender: &Sender) {
+        let order = Order {
+            fence,
+            body,
+            link: sender.clone(),
+        };
+        let queue = self.orders().clone();
+        let queued = queue.is_some_and(|queue| queue.try_send(order).is_ok());
+        if !queued {
+            let status = BUSY;
+            let body = Bytes::new();
+            let _ = sender.send(Frame::OrderDone { status, body }).await;
         }
     }
 
+    fn orders(&self) -> MutexGuard<'_, Option<mpsc::Sender<Order>>> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Forgets ended answers in time, also while no call ends.
     pub(crate) async fn sweep(self: Arc<Self>) {
         loop {
@@ -360,6 +338,7 @@
             .iter()
             .map(|(call, output)| self.refuse(output, *call, Refusal::Leaving, Duration::ZERO));
         join_all(refusals).await;
+        self.orders().take();
         self.work.close();
         self.work.wait().await;
         let links: Vec<Sender> = self.state().links.values().cloned().collect();
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod core;
 mod event;
+mod fence;
 mod job;
 mod link;
 mod memory;
@@ -29,9 +30,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc;
 use tokio_util::task::TaskTracker;
+use wire::news::{News, Publisher};
 use wire::{Key, Listener};
 
+/// Orders that wait for their turn at the engine.
+const ORDERS: usize = 64;
+
 /// Why an agent could not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -43,6 +49,14 @@
         /// Cause.
         source: wire::Error,
     },
+    /// The address for news could not be bound.
+    #[snafu(display("cannot publish news on {address}: {source}"))]
+    News {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Cause.
+        source: wire::news::Error,
+    },
     /// The address for metrics could not be bound.
     #[snafu(display("cannot serve metrics on {address}: {source}"))]
     Metrics {
@@ -80,13 +94,14 @@
     let mut registry = Registry::default();
     let telemetry = Telemetry::new(&mut registry);
     let runner = Runner::new(settings.runner);
-    let core = Arc::new(Core::new(
-        runner,
-        telemetry,
-        incarnation(),
-        bounds(&settings),
-    ));
+    let (orders, ordered) = mpsc::channel(ORDERS);
+    let fence = fence::serve(platform(&settings), runner.clone(), ordered);
+    let bounds = bounds(&settings);
+    let core = Core::new(runner, telemetry, incarnation(), bounds, orders);
+    let core = Arc::new(core);
+    core.work.spawn(fence);
     let key = Key::new(settings.key.as_bytes());
+    let publisher = publisher(&settings, &key)?;
     let address = settings.listen;
     let listener = Listener::bind(address, key)
         .await
@@ -103,12 +118,15 @@
     info!(log, "serving"; "id" => &settings.id, "listen" => %listen, "runner" => %settings.runner);
     ready(Ready {
         listen,
-        news: None,
+        news: publisher.as_ref().map(Publisher::address),
         metrics,
     });
 
     shutdown.await;
     info!(log, "leaving"; "id" => &settings.id);
+    if let Some(publisher) = &publisher {
+        publish_leaving(publisher, &settings.id, core.incarnation);
+    }
     core.leave().await;
     accepting.abort();
     sweeping.abort();
@@ -118,6 +136,25 @@
     Ok(())
 }
 
+fn platform(settings: &setting::Agent) -> platform::Client {
+    let places = &settings.platform;
+    platform::Client::new(places.table, places.objects, places.vms)
+}
+
+fn publisher(settings: &setting::Agent, key: &Key) -> Result<Option<Publisher>, Error> {
+    settings
+        .news
+        .map(|address| Publisher::bind(address, key.clone()).context(NewsSnafu { address }))
+        .transpose()
+}
+
+/// Entries without a link yet hear of the leave by news; a loss costs them time until the list of
+/// VMs says so.
+fn publish_leaving(publisher: &Publisher, id: &str, incarnation: protocol::Incarnation) {
+    let vm = id.to_owned();
+    let _ = publisher.publish(News::Leaving { vm, incarnation });
+}
+
 async fn accept(core: Arc<Core>, listener: Listener, links: TaskTracker, log: Logger) {
     loop {
         match listener.accept().await {
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -40,6 +40,7 @@
         Frame::Revoke { call } => core.revoke(call).await,
         Frame::Cancel { call } => core.cancel(call).await,
         Frame::Recall { call, from } => core.recall(link, sender, call, from).await,
+        Frame::Order { fence, body } => core.order(fence, body, sender).await,
         _ => drop(core.telemetry.strays.inc()),
     }
 }
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -137,6 +137,12 @@
         let _ = self.client.request(request).await;
     }
 
+    /// Passes an order on to the engine.
+    pub(crate) async fn order(&self, body: Bytes) -> Result<Response<Incoming>, Error> {
+        let (input, _) = Input::new(body);
+        self.client.request(self.request("/v1/orders", input)).await
+    }
+
     fn request(&self, path: &str, input: Input) -> Request<Input> {
         let mut request = Request::new(input);
         *request.method_mut() = Method::POST;
--- a/crates/agent/src/telemetry.rs
+++ b/crates/agent/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of an agent.
 
+use crate::answer::{End, Fault};
 use metric::Bound;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -30,7 +31,7 @@
 
 /// How a call that was sent to the runner ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub(crate) enum Outcome {
+enum Outcome {
     /// Whole answer.
     Done,
     /// The runner answered with an error.
@@ -143,8 +144,17 @@
         self.refusals.get_or_create(&Reason { reason }).inc();
     }
 
-    pub(crate) fn ended(&self, end: Outcome) {
+    pub(crate) fn ended(&self, end: &Result<End, Fault>) {
+        let end = match end {
+            Ok(End::Whole { .. }) => Outcome::Done,
+            Ok(End::Failed { .. }) => Outcome::Fail,
+            Ok(End::NotRun { .. }) => Outcome::NotRun,
+            Err(_) => Outcome::Break,
+        };
         self.ends.get_or_create(&Ended { end }).inc();
+        if end == Outcome::NotRun {
+            self.refused(Refusal::Unreachable);
+        }
     }
 
     pub(crate) fn waited(&self, stage: &str, time: Duration) {
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use futures::channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame as Part, Incoming};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -138,6 +138,33 @@
     }
 }
 
+/// A table service that holds at most the lease with this fencing number.
+pub(crate) async fn table(fence: Option<u64>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(move |request: Request<Incoming>| async move {
+                assert!(request.uri().path().starts_with("/v1/rows/lease"));
+                let row = serde_json::json!({
+                    "table": "lease", "key": "placement", "revision": 1,
+                    "value": {"holder": null, "fence": fence},
+                });
+                let mut response = Response::new(Full::new(Bytes::from(row.to_string())));
+                if fence.is_none() {
+                    *response.status_mut() = hyper::StatusCode::NOT_FOUND;
+                }
+                Ok::<_, Cut>(response)
+            });
+            tokio::spawn(
+                hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service),
+            );
+        }
+    });
+    address
+}
+
 /// A running agent.
 pub(crate) struct Agent {
     pub(crate) ready: agent::Ready,
@@ -167,6 +194,7 @@
         concurrency: 1,
         queue: 1,
         policy: setting::Policy::Shipped,
+        news: None,
     }
 }
 
