--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -12,6 +12,7 @@
 use rustls::{ClientConfig, RootCertStore};
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, ServerName};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -155,6 +156,20 @@
         })
     }
 
+    /// A client of one address, in plain text and without a token.
+    #[must_use]
+    pub fn plain(address: SocketAddr) -> Self {
+        let entry = Endpoint {
+            tls: false,
+            authority: address.to_string(),
+        };
+        Self {
+            entries: vec![entry],
+            tls: None,
+            token: None,
+        }
+    }
+
     /// The same client, starting with the entry after the first.
     pub fn rotate(&mut self) {
         self.entries.rotate_left(1);
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -84,6 +84,7 @@
     crate::status::Status,
     crate::call::Call,
     crate::standin::Standin,
+    crate::demo::Demo,
 ];
 
 /// Runs the command line and gives the exit code.
--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -139,10 +139,20 @@
     })
 }
 
-/// Not built in until the agent's crate serves.
-async fn run_agent(_settings: setting::Agent, _log: Logger) -> Result<(), Error> {
-    Err(Error::Failed {
-        reason: "the agent is not built in yet".to_owned(),
+async fn run_agent(settings: setting::Agent, log: Logger) -> Result<(), Error> {
+    let id = settings.id.clone();
+    let ready = |ready: agent::Ready| {
+        announce(&Ready {
+            role: "agent",
+            id,
+            listen: ready.listen,
+            news: ready.news,
+            metrics: ready.metrics,
+        });
+    };
+    let result = agent::run(settings, log, ready, signal::stop()).await;
+    result.map_err(|error| Error::Failed {
+        reason: error.to_string(),
     })
 }
 
--- /dev/null
+++ b/crates/ctl/src/demo.rs
@@ -0,0 +1,55 @@
+//! `demo`: a whole deployment on one machine, as separate processes.
+
+mod deployment;
+mod scenario;
+
+use crate::command::{Command, Help};
+use crate::fleet::Fleet;
+use crate::{Common, Error, option, output};
+use deployment::Deployment;
+use getopts::{Matches, Options};
+use std::path::PathBuf;
+
+/// Starts a deployment, sends requests to it and checks what was run.
+#[derive(Debug)]
+pub struct Demo {
+    records: PathBuf,
+    logs: Option<PathBuf>,
+}
+
+impl Command for Demo {
+    const HELP: Help = Help {
+        name: "demo",
+        arguments: "DIR",
+        about: "Start examples/harness/records on this machine and check what runs",
+    };
+
+    fn declare(options: &mut Options) {
+        options.optopt("", "logs", "directory for settings and logs", "DIR");
+    }
+
+    fn parse(matches: &Matches) -> Result<Self, Error> {
+        let logs = matches.opt_str("logs").map(PathBuf::from);
+        Ok(Self {
+            records: option::single(matches, "DIR")?.into(),
+            logs,
+        })
+    }
+
+    async fn run(self, _common: &Common) -> Result<(), Error> {
+        let own = std::env::temp_dir().join(format!("linnetdrift-demo-{}", std::process::id()));
+        let logs = self.logs.as_ref().unwrap_or(&own);
+        output::line(format_args!("settings and logs: {}", logs.display()))?;
+        let mut fleet = Fleet::new(logs)?;
+        let deployment = Deployment::start(&mut fleet).await?;
+        let result = scenario::run(&fleet, &deployment, &self.records).await;
+        output::line("stopping every process with SIGTERM")?;
+        let stopped = fleet.stop();
+        result.and(stopped)?;
+        if self.logs.is_none() {
+            // They are of use only where something went wrong.
+            let _ = std::fs::remove_dir_all(&own);
+        }
+        output::line("all counts are right, every process ended with 0")
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/fleet.rs
@@ -0,0 +1,203 @@
+//! Processes of a whole deployment on one machine, for demonstrations and tests.
+//!
+//! The rule that a process of the system starts no other binds the daemon; this is the test tool.
+
+use crate::Error;
+use serde::Deserialize;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// Name of the program that serves stand-ins.
+const DESK: &str = "linnetdrift";
+/// Name of the program that serves entries and agents.
+const DAEMON: &str = "linnetdriftd";
+
+/// Line that a process prints once it serves.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Ready {
+    /// Where it serves.
+    pub listen: SocketAddr,
+    /// Where it publishes news, if it does.
+    #[serde(default)]
+    pub news: Option<SocketAddr>,
+    /// Where it serves metrics, if it does.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+}
+
+/// A process that serves.
+#[derive(Debug)]
+pub struct Process {
+    /// Name in messages and of its log file.
+    pub name: String,
+    /// Its addresses.
+    pub ready: Ready,
+    child: Child,
+}
+
+/// Processes that stop together.
+#[derive(Debug)]
+pub struct Fleet {
+    programs: PathBuf,
+    directory: PathBuf,
+    processes: Vec<Process>,
+}
+
+impl Fleet {
+    /// A fleet of the programs beside the one that runs; settings and logs go into a new directory.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if the directory cannot be made.
+    pub fn new(directory: impl Into<PathBuf>) -> Result<Self, Error> {
+        let directory = directory.into();
+        let program = std::env::current_exe().map_err(failed("own path"))?;
+        std::fs::create_dir_all(&directory).map_err(failed("directory"))?;
+        Ok(Self {
+            programs: program.parent().unwrap_or(Path::new(".")).to_owned(),
+            directory,
+            processes: Vec::new(),
+        })
+    }
+
+    /// Path of one of the programs.
+    #[must_use]
+    pub fn program(&self, name: &str) -> PathBuf {
+        self.programs.join(name)
+    }
+
+    /// Starts a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if it does not serve.
+    pub fn standin(
+        &mut self,
+        name: &str,
+        kind: standin::Kind,
+        options: &standin::Options,
+    ) -> Result<SocketAddr, Error> {
+        let options = serde_json::to_string(options).map_err(failed(name))?;
+        let arguments = ["standin", kind.name(), "--options", &options];
+        self.start(name, DESK, &arguments).map(|ready| ready.listen)
+    }
+
+    /// Starts an entry.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if it does not serve.
+    pub fn entry(&mut self, settings: &setting::Entry) -> Result<Ready, Error> {
+        self.daemon("entry", &settings.id, settings)
+    }
+
+    /// Starts an agent.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if it does not serve.
+    pub fn agent(&mut self, settings: &setting::Agent) -> Result<Ready, Error> {
+        self.daemon("agent", &settings.id, settings)
+    }
+
+    /// Asks all processes to stop, the last started first, and waits for each.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] naming the processes that did not end with 0.
+    pub fn stop(&mut self) -> Result<(), Error> {
+        let mut failures = Vec::new();
+        while let Some(mut process) = self.processes.pop() {
+            match process.stop() {
+                Ok(status) if status.success() => {}
+                Ok(status) => failures.push(format!("{}: {status}", process.name)),
+                Err(error) => failures.push(format!("{}: {error}", process.name)),
+            }
+        }
+        match failures.is_empty() {
+            true => Ok(()),
+            false => Err(Error::Failed {
+                reason: failures.join(", "),
+            }),
+        }
+    }
+
+    fn daemon(
+        &mut self,
+        role: &str,
+        id: &str,
+        settings: &impl serde::Serialize,
+    ) -> Result<Ready, Error> {
+        let path = self.directory.join(format!("{id}.json"));
+        let text = serde_json::to_string_pretty(settings).map_err(failed(id))?;
+        std::fs::write(&path, text).map_err(failed(id))?;
+        let path = path.display().to_string();
+        self.start(id, DAEMON, &[role, &path])
+    }
+
+    fn start(&mut self, name: &str, program: &str, arguments: &[&str]) -> Result<Ready, Error> {
+        let log = self.directory.join(format!("{name}.log"));
+        let log = File::create(log).map_err(failed(name))?;
+        let mut child = Command::new(self.program(program))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .map_err(failed(name))?;
+        let mut line = String::new();
+        if let Some(output) = child.stdout.take() {
+            BufReader::new(output)
+                .read_line(&mut line)
+                .map_err(failed(name))?;
+        }
+        let Ok(ready) = serde_json::from_str(&line) else {
+            let status = child.wait().map_err(failed(name))?;
+            return Err(Error::Failed {
+                reason: format!("{name} ended with {status} before it served"),
+            });
+        };
+        self.processes.push(Process {
+            name: name.to_owned(),
+            ready,
+            child,
+        });
+        Ok(ready)
+    }
+}
+
+impl Process {
+    /// Asks the process to stop and waits until it has.
+    fn stop(&mut self) -> std::io::Result<ExitStatus> {
+        if let Some(status) = self.child.try_wait()? {
+            return Ok(status);
+        }
+        let id = self.child.id().to_string();
+        // The standard library only has SIGKILL.
+        Command::new("sh")
+            .args(["-c", "kill -TERM \"$0\"", &id])
+            .status()?;
+        self.child.wait()
+    }
+}
+
+/// A failed demonstration must leave no processes behind, which would keep their ports and go on
+/// taking processor time unseen.
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+    }
+}
+
+fn failed<E: std::fmt::Display>(what: &str) -> impl FnOnce(E) -> Error {
+    let what = what.to_owned();
+    move |error| Error::Failed {
+        reason: format!("{what}: {error}"),
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`command`]: commands of `linnetdrift` and their common options
 //! * [`daemon`]: roles of `linnetdriftd`
 //! * [`client`], [`operator`]: calls to entries
+//! * [`demo`], [`fleet`]: a whole deployment on one machine
 //! * [`error`]: what can go wrong, with the exit codes
 
 pub mod apply;
@@ -11,9 +12,11 @@
 pub mod client;
 pub mod command;
 pub mod daemon;
+pub mod demo;
 pub mod drain;
 pub mod error;
 pub mod event;
+pub mod fleet;
 pub mod get;
 pub mod history;
 pub mod operator;
