Decide: no herding on stale reports, recovered stragglers, failure tests

Cause of slow and herding routing, found with a row of runners in virtual time (18 runners, 4 slots, 75% load, exponential service time; figures are of that model, not of the processes): - service times differ by chance, so that each target's own mean made some look fast and drew all entries there.

route::Answer has a new field, elapsed; the entry passes it (one line).

--- a/crates/decide/benches/decisions.rs
+++ b/crates/decide/benches/decisions.rs
@@ -30,6 +30,7 @@
         pool.reported(&id, Duration::ZERO, report);
         let answer = Answer {
             busy: Duration::from_millis(rng.random_range(20..80)),
+            elapsed: Duration::from_millis(90),
             prefix: &prefix(number as u64 % 64),
             hits: 0,
         };
@@ -80,6 +81,7 @@
         let mut pool = pool(fleet);
         let answer = Answer {
             busy: Duration::from_millis(40),
+            elapsed: Duration::from_millis(90),
             prefix: &[],
             hits: 0,
         };
--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -63,9 +63,12 @@
 const STEP: f64 = 0.05;
 /// Share of the limit that is left after a refusal.
 const BACKOFF: f64 = 0.95;
-/// Share by which the remembered undisturbed time rises with each slower sample, so that a lasting
-/// change of the work is learnt within some thousands of calls.
-const FLOOR_RISE: f64 = 0.000_5;
+/// Share by which the remembered undisturbed time rises with each slower sample while few calls are
+/// in flight, so that a lasting change of the work is learnt within some hundred calls.
+const FLOOR_RISE: f64 = 0.005;
+/// The same while the limit is in use. Such samples contain the queueing that the limit is there to
+/// prevent; learnt as fast, each would raise the limit, and that the next sample.
+const BUSY_FLOOR_RISE: f64 = 0.000_05;
 
 /// A limit that follows the gradient of latency: it grows while calls take no longer than
 /// undisturbed ones, and shrinks in proportion once they queue.
@@ -94,13 +97,22 @@
         }
     }
 
+    fn in_use(&self, sample: &Sample) -> bool {
+        f64::from(sample.in_flight) * 2.0 >= self.limit
+    }
+
     fn undisturbed(&mut self, sample: &Sample) -> f64 {
         if !sample.busy.is_zero() {
             return sample.busy.as_secs_f64();
         }
         let elapsed = sample.elapsed.as_secs_f64();
         let floor = self.floor.unwrap_or(elapsed);
-        let floor = (floor + FLOOR_RISE * (elapsed - floor)).min(elapsed);
+        let rise = if self.in_use(sample) {
+            BUSY_FLOOR_RISE
+        } else {
+            FLOOR_RISE
+        };
+        let floor = (floor + rise * (elapsed - floor)).min(elapsed);
         self.floor = Some(floor);
         floor
     }
@@ -115,8 +127,7 @@
         let undisturbed = self.undisturbed(&sample).max(f64::MIN_POSITIVE);
         self.stretch.add(sample.elapsed.as_secs_f64() / undisturbed);
         let gradient = (TOLERANCE / self.stretch.get().unwrap_or(1.0)).clamp(0.5, 1.0);
-        let in_use = f64::from(sample.in_flight) * 2.0 >= self.limit;
-        if gradient >= 1.0 && !in_use {
+        if gradient >= 1.0 && !self.in_use(&sample) {
             return;
         }
         let goal = self.limit * gradient + self.limit.sqrt();
--- a/crates/decide/src/route/mod.rs
+++ b/crates/decide/src/route/mod.rs
@@ -11,6 +11,7 @@
 pub mod robin;
 pub mod sampled;
 pub mod target;
+mod trust;
 
 pub use pool::Pool;
 pub use robin::RoundRobin;
--- a/crates/decide/src/route/pool.rs
+++ b/crates/decide/src/route/pool.rs
@@ -2,6 +2,7 @@
 
 use super::prefix::Belief;
 use super::target::{Answer, Norm, Report, Target, TargetId};
+use super::trust::Trust;
 use super::{Block, Call};
 use crate::Map;
 use crate::retry::eject::Ejection;
@@ -45,6 +46,7 @@
     cold: Mean,
     warm: Mean,
     belief: Belief,
+    trust: Trust,
     ejection: Ejection,
 }
 
@@ -69,6 +71,7 @@
             cold: Mean::new(POOL_WEIGHT),
             warm: Mean::new(POOL_WEIGHT),
             belief: Belief::default(),
+            trust: Trust::default(),
             ejection,
         }
     }
@@ -123,7 +126,9 @@
     /// A call was sent to the target.
     pub fn sent(&mut self, id: &str, now: Duration) {
         self.readmit(now);
+        let norm = self.norm();
         if let Some(target) = self.get_mut(id) {
+            target.predicted = target.predict(norm);
             target.in_flight += 1;
         }
     }
@@ -144,9 +149,11 @@
         let Some(&place) = self.index.get(id) else {
             return;
         };
-        let target = &mut self.targets[place];
+        let norm = self.norm();
         let believed = self.belief.overlap(id, answer.prefix, now);
-        target.learn_busy(now, answer.busy);
+        let target = &mut self.targets[place];
+        self.trust.learn(target.predicted, answer);
+        target.learn_busy(now, answer.busy, norm);
         target.learn_hits(believed, answer.hits);
         target.health.succeeded();
         self.belief.stored(&target.id, answer.prefix, now);
@@ -244,6 +251,7 @@
         Norm {
             busy: self.busy.get().unwrap_or(FIRST_BUSY),
             others: (self.others / count).max(0.0),
+            trust: self.trust.get(),
         }
     }
 
--- a/crates/decide/src/route/target.rs
+++ b/crates/decide/src/route/target.rs
@@ -18,7 +18,7 @@
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(250);
 /// Age at which half of a target's service time is replaced by that of the pool. A straggler that
 /// has recovered gets no calls by which it could show it, so old evidence must fade.
-const BUSY_HALF_LIFE: Duration = Duration::from_secs(5);
+const BUSY_HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// Load that a target's agent told on an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -36,6 +36,8 @@
 pub struct Answer<'a> {
     /// Time the runner was busy with the call.
     pub busy: Duration,
+    /// Time from sending the call to its whole answer.
+    pub elapsed: Duration,
     /// Hashes of the call's prefix blocks, longest last.
     pub prefix: &'a [Block],
     /// How many of these blocks the runner found in its cache.
@@ -55,9 +57,10 @@
     pub(super) reported: Option<Duration>,
     pub(super) leaving: bool,
     pub(super) health: Health,
-    busy: Mean,
+    busy: Option<f64>,
     answered: Duration,
     credit: Mean,
+    pub(super) predicted: Prediction,
 }
 
 /// Means over a pool that stand in for what is not, or no longer, known of one target.
@@ -67,6 +70,8 @@
     pub busy: f64,
     /// Calls of other senders.
     pub others: f64,
+    /// Trust in load reports, from 0 to 1.
+    pub trust: f64,
 }
 
 impl Target {
@@ -81,9 +86,10 @@
             reported: None,
             leaving: false,
             health: Health::default(),
-            busy: Mean::new(BUSY_WEIGHT),
+            busy: None,
             answered: Duration::ZERO,
             credit: Mean::new(CREDIT_WEIGHT),
+            predicted: Prediction::default(),
         }
     }
 
@@ -109,9 +115,10 @@
     /// report and, as that gets older, by the mean of the pool.
     #[must_use]
     pub fn load(&self, now: Duration, norm: Norm) -> f64 {
-        let trust = self.reported.map_or(0.0, |then| {
+        let fresh = self.reported.map_or(0.0, |then| {
             decay(now.saturating_sub(then), REPORT_HALF_LIFE)
         });
+        let trust = norm.trust * fresh;
         let others = trust * self.others + (1.0 - trust) * norm.others;
         f64::from(self.in_flight) + others
     }
@@ -119,25 +126,43 @@
     /// Expected time in seconds that the runner is busy with one call.
     #[must_use]
     pub fn busy(&self, now: Duration, norm: Norm) -> f64 {
-        let Some(own) = self.busy.get() else {
+        let Some(own) = self.busy else {
             return norm.busy;
         };
         let trust = decay(now.saturating_sub(self.answered), BUSY_HALF_LIFE);
-        trust * own + (1.0 - trust) * norm.busy
+        norm.busy * significant((trust * own + (1.0 - trust) * norm.busy) / norm.busy)
     }
 
     /// Expected time in seconds until one more call would be answered, queueing included.
     #[must_use]
     pub fn finish(&self, now: Duration, norm: Norm) -> f64 {
-        let limit = f64::from(self.limit);
         let load = self.load(now, norm);
-        let waiting = (load + 1.0 - limit).max(0.0);
+        let limit = f64::from(self.limit);
         let crowding = load.min(limit) / limit * CROWDING;
-        self.busy(now, norm) * (1.0 + waiting / limit + crowding)
+        self.busy(now, norm) * (1.0 + self.wait(load) + crowding)
+    }
+
+    /// Expected wait of one more call at this load, as a multiple of the service time.
+    fn wait(&self, load: f64) -> f64 {
+        let limit = f64::from(self.limit);
+        (load + 1.0 - limit).max(0.0) / limit
+    }
+
+    /// Expected waits of one more call by the last report, and by the mean of the pool.
+    pub(super) fn predict(&self, norm: Norm) -> Prediction {
+        let own = f64::from(self.in_flight);
+        Prediction {
+            by_report: self.wait(own + self.others),
+            by_mean: self.wait(own + norm.others),
+        }
     }
 
-    pub(super) fn learn_busy(&mut self, now: Duration, busy: Duration) {
-        self.busy.add(busy.as_secs_f64());
+    /// Starts from the faded value, not from the last one: the first good answer of a recovered
+    /// straggler would renew the trust in its bad past otherwise, and keep calls away from it for
+    /// as many answers as that takes to wear off.
+    pub(super) fn learn_busy(&mut self, now: Duration, busy: Duration, norm: Norm) {
+        let faded = self.busy(now, norm);
+        self.busy = Some(faded + BUSY_WEIGHT * (busy.as_secs_f64() - faded));
         self.answered = now;
     }
 
@@ -167,6 +192,31 @@
     }
 }
 
+/// Counts a deviation from the mean of the pool, given as a ratio, only beyond what chance brings.
+///
+/// Calls differ, so that some target always looks faster by luck; without this all entries would
+/// crowd there.
+fn significant(ratio: f64) -> f64 {
+    if ratio > CHANCE {
+        ratio / CHANCE
+    } else if ratio * CHANCE < 1.0 {
+        ratio * CHANCE
+    } else {
+        1.0
+    }
+}
+
+/// Ratio of a target's service time to that of the pool, or the inverse, that calls of different
+/// lengths bring about by chance.
+const CHANCE: f64 = 2.0;
+
+/// Waits that two ways of guessing at a target's load predict, as multiples of the service time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Prediction {
+    pub(super) by_report: f64,
+    pub(super) by_mean: f64,
+}
+
 /// How much slower than an idle one a runner is expected to be that has all its slots in use, as a
 /// share of the service time; it spreads calls while no runner queues.
 const CROWDING: f64 = 0.25;
--- a/crates/decide/tests/pool_model.rs
+++ b/crates/decide/tests/pool_model.rs
@@ -86,6 +86,7 @@
     let at = Duration::from_millis(*now);
     let answer = Answer {
         busy: Duration::from_millis(5),
+        elapsed: Duration::from_millis(90),
         prefix: &[],
         hits: 0,
     };
--- /dev/null
+++ b/crates/decide/tests/retry_storm.rs
@@ -0,0 +1,105 @@
+//! Retries, hedges and ejection while much fails at once.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use decide::retry::eject::Ejection;
+use decide::retry::{Always, Budgeted, Failure, Retry, Share};
+use decide::route::{Pool, Target};
+use std::time::Duration;
+
+fn budgeted(attainment: f64) -> Budgeted {
+    Budgeted::new(Share::weighted(attainment))
+}
+
+/// Sends `calls` calls, one each millisecond, of which all but each `whole`th attempt fail, and
+/// gives the attempts for each call.
+fn amplification(mut retry: impl Retry, calls: u64, whole: u64) -> f64 {
+    let mut attempts = 0_u64;
+    for number in 0..calls {
+        let now = Duration::from_millis(number);
+        for attempt in 0.. {
+            attempts += 1;
+            if attempts % whole == 0 {
+                retry.succeeded(now, Duration::from_millis(5));
+                break;
+            }
+            if !retry.retry(now, Failure::Ran, attempt) {
+                break;
+            }
+        }
+    }
+    attempts as f64 / calls as f64
+}
+
+/// A bad release makes nine of ten attempts fail. If each failure is tried again, the runners get
+/// several times the load that users bring, and what still worked drowns as well.
+#[test]
+fn no_amplification() {
+    let shipped = amplification(budgeted(0.5), 10_000, 10);
+    let naive = amplification(Always, 10_000, 10);
+    println!("attempts a call: {shipped:.3}, on every error {naive:.3}");
+    assert!(shipped < 1.05);
+    assert!(naive > 4.0);
+}
+
+/// A fifth of the runners die at once, with all that they had in flight. Each of those calls must
+/// be tried again elsewhere, although no success pays for it at that moment.
+#[test]
+fn dead_runners_covered() {
+    let mut retry = budgeted(0.5);
+    let now = Duration::from_secs(1);
+    let covered = (0..64)
+        .filter(|_| retry.retry(now, Failure::Ran, 0))
+        .count();
+    assert_eq!(covered, 64);
+}
+
+/// An attempt that no runner started has cost the runners nothing, and the caller nothing but
+/// time; it is tried elsewhere even when the budget is spent.
+#[test]
+fn unstarted_is_free() {
+    let mut retry = budgeted(0.5);
+    let now = Duration::ZERO;
+    while retry.retry(now, Failure::Ran, 0) {}
+    assert!(retry.retry(now, Failure::NotRun, 0));
+}
+
+/// Hedges are work done twice. A deployment that weighs cost sends fewer of them, and none sends
+/// more than its share, even if everything becomes slow at once.
+#[test]
+fn hedges_bounded() {
+    let hedges = |attainment| {
+        let mut retry = budgeted(attainment);
+        let mut sent = 0;
+        for number in 0..10_000 {
+            let now = Duration::from_millis(number);
+            retry.succeeded(now, Duration::from_millis(20));
+            sent += u32::from(retry.hedge_after().is_some() && retry.hedge(now));
+        }
+        sent
+    };
+    assert_eq!(hedges(0.0), 0);
+    assert!(hedges(0.2) < hedges(1.0));
+    assert!(hedges(1.0) <= 500);
+}
+
+/// A fault that all runners share, such as a bad input that many users send, makes every one of
+/// them look like an outlier. Were they all ejected, nobody would be served at all.
+#[test]
+fn half_stay() {
+    let mut pool = Pool::new(Ejection::default());
+    for number in 0..10 {
+        pool.insert(Target::new(format!("r{number}"), "a", 4));
+    }
+    for number in 0..10 {
+        for _ in 0..9 {
+            pool.failed(&format!("r{number}"), Duration::ZERO);
+        }
+    }
+    assert_eq!(pool.live().len(), 5);
+    pool.readmit(Duration::from_secs(1));
+    assert_eq!(pool.live().len(), 10);
+    pool.failed("r0", Duration::from_secs(1));
+    assert!(pool.get("r0").unwrap().ejected());
+    pool.readmit(Duration::from_secs(2));
+    assert!(pool.get("r0").unwrap().ejected());
+}
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -297,6 +297,7 @@
         let mut state = self.lock();
         let answer = route::Answer {
             busy,
+            elapsed,
             prefix: &demand.prefix,
             hits: load.prefix_hits,
         };
