--- a/crates/ctl/src/call.rs
+++ b/crates/ctl/src/call.rs
@@ -2,15 +2,17 @@
 
 use crate::client::{Client, collect};
 use crate::command::{Command, Help};
-use crate::error::FileSnafu;
+use crate::error::{FileSnafu, Outcome};
 use crate::{Common, Error, option, output, stream};
 use bytes::Bytes;
 use getopts::{Matches, Options};
+use hyper::body::Incoming;
 use hyper::header::{ACCEPT, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, StatusCode};
+use hyper::{Method, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use snafu::ResultExt;
+use std::time::Duration;
 
 /// Workspace of the caller.
 pub const WORKSPACE: HeaderName = HeaderName::from_static("linnetdrift-workspace");
@@ -22,6 +24,10 @@
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Media type of a streamed answer.
 pub(crate) const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
+/// Times that a request under a key is sent.
+const ATTEMPTS: u32 = 6;
+/// Wait before it is sent again.
+const PAUSE: Duration = Duration::from_millis(200);
 /// Version that callers get who name none.
 const CURRENT: &str = "@current";
 
@@ -97,20 +103,66 @@
     }
 
     async fn run(self, common: &Common) -> Result<(), Error> {
-        let client = Client::new(common)?;
+        let mut client = Client::new(common)?;
+        match self.submit(&mut client).await? {
+            Reply::Stream(response) => stream::print(&client, common.format, response).await,
+            Reply::Whole(answer) => output::print(common.format, show(&answer), &answer),
+        }
+    }
+}
+
+/// What an entry sends back.
+enum Reply {
+    Stream(Response<Incoming>),
+    Whole(Answer),
+}
+
+impl Call {
+    /// Sends the request until an answer settles it.
+    ///
+    /// A request whose answer was lost may have run. It is sent again only under a key, where the
+    /// entry that gets it next finds the first one. From then on a refusal speaks of the last call
+    /// alone, so only an answer of the request itself ends the doubt.
+    async fn submit(&self, client: &mut Client) -> Result<Reply, Error> {
+        let keyed = self.headers.contains_key(KEY);
+        let mut doubt = None;
+        for _ in 0..ATTEMPTS {
+            match self.attempt(client).await {
+                Ok(reply) => return Ok(reply),
+                Err(error) if settles(&error) => return Err(error),
+                Err(error @ Error::Lost { .. }) if keyed => doubt = Some(error),
+                Err(error) if doubt.is_none() => return Err(error),
+                Err(_) => {}
+            }
+            client.rotate();
+            tokio::time::sleep(PAUSE).await;
+        }
+        Err(doubt.unwrap_or_else(|| Error::usage("--entry is missing")))
+    }
+
+    async fn attempt(&self, client: &Client) -> Result<Reply, Error> {
+        let (headers, input) = (self.headers.clone(), self.input.clone());
         let response = client
-            .send(Method::POST, &self.path, self.headers, self.input)
+            .send(Method::POST, &self.path, headers, input)
             .await?;
         if self.stream && response.status() == StatusCode::OK {
-            return stream::print(&client, common.format, response).await;
+            return Ok(Reply::Stream(response));
         }
         let answer = collect(response).await?;
-        if answer.status != StatusCode::OK {
-            let problem = answer.problem();
-            return Err(Error::Refused { problem });
+        match answer.status {
+            StatusCode::OK => answer.json().map(Reply::Whole),
+            _ => Err(Error::Refused {
+                problem: answer.problem(),
+            }),
         }
-        let answer: Answer = answer.json()?;
-        output::print(common.format, show(&answer), &answer)
+    }
+}
+
+/// Whether the answer says what became of the request, whichever call brought it.
+fn settles(error: &Error) -> bool {
+    match error {
+        Error::Refused { problem } => problem.outcome == Some(Outcome::Failed),
+        _ => false,
     }
 }
 
