--- a/crates/standin/tests/engine_stream.rs
+++ b/crates/standin/tests/engine_stream.rs
@@ -66,6 +66,24 @@
     assert_eq!(all, events("crimp", 0..6) + DONE);
 }
 
+#[tokio::test]
+async fn shared_batch() {
+    let options = Options {
+        batch: 2,
+        step_ms: 1.0,
+        tokens: 1_000_000,
+        ..options()
+    };
+    let bench = Bench::start(Kind::Engine, options).await;
+    let mut first = bench.run(&[SSE], "a").await.into_body();
+    let mut second = bench.run(&[SSE], "b").await.into_body();
+    bench.until_load(2, 0).await;
+    for body in [&mut first, &mut second] {
+        let event = body.frame().await.unwrap().unwrap().into_data().unwrap();
+        assert!(event.starts_with(b"id: 0\n"));
+    }
+}
+
 // The batch is full, so that later calls wait; the one with the higher priority came last. Were it
 // not let in first, an urgent request would wait behind bulk work.
 #[tokio::test]
--- a/crates/standin/tests/pool_calls.rs
+++ b/crates/standin/tests/pool_calls.rs
@@ -162,6 +162,20 @@
     assert!(tokio::net::TcpStream::connect(bench.address).await.is_err());
 }
 
+// The runner dies while a call is at work: the caller sees a broken connection and no answer.
+#[tokio::test]
+async fn sudden_death() {
+    let mut bench = Bench::start(Kind::Pool, options(ENDLESS_MS)).await;
+    let server = bench.server.take().unwrap();
+    let die = async {
+        bench.until_load(1, 0).await;
+        drop(server);
+    };
+    let input = json!({"text": "a"});
+    let (answer, ()) = tokio::join!(bench.send("POST", "/v1/run", &[], input), die);
+    assert!(answer.is_err());
+}
+
 // The answer is lost on its way: the caller sees a closed connection, yet the call has run. A blind
 // retry would run it twice.
 #[tokio::test]
