--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -195,7 +195,6 @@
         queue: 1,
         news: None,
         policy: setting::Policy::Shipped,
-        news: None,
     }
 }
 
