--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -129,7 +129,7 @@
             role: "entry",
             id,
             listen: ready.listen,
-            news: None,
+            news: ready.news,
             metrics: ready.metrics,
         });
     };
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -88,6 +88,11 @@
         self.lock().records.clone()
     }
 
+    /// Highest revision heard of.
+    pub fn heard_of(&self) -> Revision {
+        self.lock().follower.wanted()
+    }
+
     /// Takes in that another process has seen this revision.
     pub fn heard(&self, revision: Revision) {
         if matches!(
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -4,6 +4,7 @@
 use crate::claim::Claims;
 use crate::config::Config;
 use crate::job::Jobs;
+use crate::news::Exchange;
 use crate::peers::Peers;
 use crate::prefix;
 use crate::service::Demand;
@@ -14,8 +15,8 @@
 use platform::{Objects, Table, Vms};
 use record::service::Runner;
 use slog::Logger;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
@@ -41,6 +42,8 @@
     pub budgets: Budgets,
     /// The other entries.
     pub peers: Peers,
+    /// News to and from the other entries, if the settings name an address for it.
+    pub exchange: OnceLock<Exchange>,
     /// Requests that run and answers that are kept.
     pub jobs: Jobs,
     /// Counters and histograms.
@@ -65,6 +68,7 @@
             settings,
             platform,
             peers: Peers::default(),
+            exchange: OnceLock::new(),
             jobs: Jobs::default(),
             telemetry,
             log,
@@ -112,7 +116,9 @@
 
     /// Tells the peers that a change was accepted, so that they need not wait for their next poll.
     pub fn announce(&self, revision: protocol::Revision) {
-        let _ = revision;
+        if let Some(exchange) = self.exchange.get() {
+            exchange.announce(revision, &self.log);
+        }
     }
 
     /// Runs a job apart from the connection that brought it: a caller that goes away and comes
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,7 +11,7 @@
 //! * [`target`], [`service`], [`services`] and [`discovery`]: links to agents and who gets work
 //! * [`fields`]: what a later stage is given
 //! * [`budgets`] and [`prefix`]: what the decisions are fed with
-//! * [`peers`]: the other entries
+//! * [`peers`] and [`news`]: the other entries
 //! * [`config`]: records in force, the change log and accepted changes
 //! * [`telemetry`]: counters and histograms
 
@@ -26,6 +26,7 @@
 pub mod fields;
 pub mod job;
 pub mod kept;
+pub mod news;
 pub mod operator;
 pub mod peers;
 pub mod prefix;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts an entry and stops it gracefully.
 
 use crate::core::{Core, Platform};
+use crate::news::{self, Exchange};
 use crate::telemetry::Telemetry;
 use crate::{discovery, server};
 use metric::Registry;
@@ -11,6 +12,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
+use wire::Key;
 
 /// Pause between a fresh entry's questions to its peers while the table service is away.
 const PEERS_PAUSE: Duration = Duration::from_millis(500);
@@ -26,6 +28,12 @@
         /// Cause given by the operating system.
         source: std::io::Error,
     },
+    /// News cannot be exchanged.
+    #[snafu(display("{source}"))]
+    News {
+        /// What the transport said.
+        source: wire::news::Error,
+    },
     /// Certificate or key cannot be used.
     #[snafu(display("tls: {source}"))]
     Certificate {
@@ -39,6 +47,8 @@
 pub struct Ready {
     /// Callers and operators connect here.
     pub listen: SocketAddr,
+    /// News is published here, if the settings name an address for it.
+    pub news: Option<SocketAddr>,
     /// Metrics are served here.
     pub metrics: SocketAddr,
 }
@@ -88,10 +98,15 @@
     let core = Arc::new(Core::new(settings, platform, telemetry, log));
     let background = CancellationToken::new();
     start_background(&core, &background);
+    let news = start_news(&core, &background)?;
     let stop = CancellationToken::new();
     let serving = tokio::spawn(server::serve(core.clone(), listener, tls, stop.clone()));
     info!(core.log, "started"; "listen" => %listen);
-    ready(Ready { listen, metrics });
+    ready(Ready {
+        listen,
+        news,
+        metrics,
+    });
     shutdown.await;
     stop_gracefully(&core, &stop, serving).await;
     background.cancel();
@@ -106,6 +121,22 @@
     spawn_until(stop, learn_from_peers(core.clone()));
 }
 
+fn start_news<P: Platform>(
+    core: &Arc<Core<P>>,
+    stop: &CancellationToken,
+) -> Result<Option<SocketAddr>, Error> {
+    let Some(address) = core.settings.news else {
+        return Ok(None);
+    };
+    let key = Key::new(core.settings.key.as_bytes());
+    let (exchange, news) = Exchange::bind(address, &key).context(NewsSnafu)?;
+    let address = exchange.address();
+    // Set once here and nowhere else.
+    let _ = core.exchange.set(exchange);
+    spawn_until(stop, news::follow(core.clone(), news));
+    Ok(Some(address))
+}
+
 fn spawn_until(stop: &CancellationToken, work: impl Future<Output = ()> + Send + 'static) {
     let stop = stop.clone();
     tokio::spawn(async move {
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -215,11 +215,10 @@
         let Ok(Some(frame)) = frame else {
             break;
         };
-        if let Frame::Leave { incarnation } = frame {
-            if incarnation >= target.vm.incarnation {
-                target.leave();
-                observer.changed(target, Change::Leaving);
-            }
+        // The link is to one life of the agent, whatever number it gives itself.
+        if let Frame::Leave { .. } = frame {
+            target.leave();
+            observer.changed(target, Change::Leaving);
         } else if let Some(call) = frame.call() {
             target.dispatch(&sender, call, frame).await;
         }
