--- a/crates/decide/src/demand/mean.rs
+++ b/crates/decide/src/demand/mean.rs
@@ -4,6 +4,9 @@
 use crate::smooth::Mean;
 use std::time::Duration;
 
+/// Weight of one answer that had the least error on recorded demand.
+const DEFAULT_WEIGHT: f64 = 0.02;
+
 /// Mean busy time of each class, the newest answers weighing most.
 #[derive(Clone, Debug)]
 pub struct Weighted {
@@ -11,6 +14,23 @@
 }
 
 impl Weighted {
+    /// The estimator that is used unless another is wanted, for so many classes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use decide::demand::{Demand, Weighted};
+    /// use std::time::Duration;
+    ///
+    /// let mut demand = Weighted::default_for(1);
+    /// demand.answered(0, Duration::from_millis(20));
+    /// assert_eq!(demand.estimate(0), Duration::from_millis(20));
+    /// ```
+    #[must_use]
+    pub fn default_for(classes: usize) -> Self {
+        Self::new(classes, DEFAULT_WEIGHT)
+    }
+
     /// An estimator for so many classes, in which one answer has this weight, above 0 and up to 1.
     #[must_use]
     pub fn new(classes: usize, weight: f64) -> Self {
