--- a/crates/standin/tests/pool_calls.rs
+++ b/crates/standin/tests/pool_calls.rs
@@ -72,6 +72,54 @@
     assert_eq!(calls, ["aa", "dd", "bb"]);
 }
 
+// A message was doubled on its way, so that two calls of one identity are at work, and one of them
+// ends first. A cancel must still reach the other, or it would hold its slot for nothing.
+#[tokio::test]
+async fn doubled_call() {
+    let options = Options {
+        slots: 2,
+        ..options(ENDLESS_MS)
+    };
+    let bench = Bench::start(Kind::Pool, options).await;
+    let headers = [("x-call", "aa-0-0")];
+    let first = async {
+        tokio::select! {
+            _ = bench.run(&headers, "a") => unreachable!(),
+            () = bench.until_endings(&["running", "running"]) => {}
+        }
+        bench.until_load(1, 0).await;
+        bench.post("/v1/cancel/aa-0-0", json!({})).await;
+    };
+    let (second, ()) = tokio::join!(bench.run(&headers, "a"), first);
+    assert_eq!(second.status(), 500);
+}
+
+// The caller goes away while its call waits. It must leave the queue at once, or the load would tell
+// routers of work that nobody wants any more.
+#[tokio::test]
+async fn waiting_caller_gone() {
+    for kind in [Kind::Pool, Kind::Engine] {
+        let options = Options {
+            batch: 1,
+            step_ms: ENDLESS_MS,
+            ..options(ENDLESS_MS)
+        };
+        let bench = Bench::start(kind, options).await;
+        let waiting = async {
+            bench.until_load(1, 0).await;
+            tokio::select! {
+                _ = bench.run(&[], "b") => unreachable!(),
+                () = bench.until_load(1, 1) => {}
+            }
+            bench.until_load(1, 0).await;
+        };
+        tokio::select! {
+            _ = bench.run(&[], "a") => unreachable!(),
+            () = waiting => {}
+        }
+    }
+}
+
 // The caller goes away while its call is at work. A pool stops and gives the slot to the next
 // call; otherwise abandoned work would crowd out live work.
 #[tokio::test]
@@ -114,6 +162,20 @@
     assert!(tokio::net::TcpStream::connect(bench.address).await.is_err());
 }
 
+// The runner dies while a call is at work: the caller sees a broken connection and no answer.
+#[tokio::test]
+async fn sudden_death() {
+    let mut bench = Bench::start(Kind::Pool, options(ENDLESS_MS)).await;
+    let server = bench.server.take().unwrap();
+    let die = async {
+        bench.until_load(1, 0).await;
+        drop(server);
+    };
+    let input = json!({"text": "a"});
+    let (answer, ()) = tokio::join!(bench.send("POST", "/v1/run", &[], input), die);
+    assert!(answer.is_err());
+}
+
 // The answer is lost on its way: the caller sees a closed connection, yet the call has run. A blind
 // retry would run it twice.
 #[tokio::test]
