--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -1,13 +1,13 @@
 //! `demo`: a whole deployment on one machine, as separate processes.
 
-mod deployment;
 mod scenario;
 
 use crate::command::{Command, Help};
+use crate::deployment::{Deployment, Plan, Runner};
 use crate::fleet::Fleet;
 use crate::{Common, Error, option, output};
-use deployment::Deployment;
 use getopts::{Matches, Options};
+use standin::Kind;
 use std::path::PathBuf;
 
 /// Starts a deployment, sends requests to it and checks what was run.
@@ -41,7 +41,11 @@
         let logs = self.logs.as_ref().unwrap_or(&own);
         output::line(format_args!("settings and logs: {}", logs.display()))?;
         let mut fleet = Fleet::new(logs)?;
-        let deployment = Deployment::start(&mut fleet).await?;
+        let deployment = Deployment::start(&mut fleet, plan()).await?;
+        let (agents, entries) = (deployment.agents.len(), deployment.entries.len());
+        output::line(format_args!(
+            "started 4 platform stand-ins, {agents} runners with an agent each, {entries} entries"
+        ))?;
         let result = scenario::run(&fleet, &deployment, &self.records).await;
         output::line("stopping every process with SIGTERM")?;
         let stopped = fleet.stop();
@@ -53,3 +57,18 @@
         output::line("all counts are right, every process ended with 0")
     }
 }
+
+/// The runners of the demonstration, for the records of the co-operative.
+fn plan() -> Plan {
+    Plan {
+        runners: vec![
+            Runner::new("encoder-a1", "encoder", Kind::Pool, "encode"),
+            Runner::new("retriever-b1", "retriever", Kind::Pool, "retrieve"),
+            Runner::new("reranker-c1", "reranker", Kind::Pool, "rerank"),
+            Runner::new("assistant-a1", "assistant", Kind::Engine, "generate"),
+            Runner::new("assistant-b1", "assistant", Kind::Engine, "generate"),
+            Runner::new("label-d1", "label", Kind::Plain, "print"),
+        ],
+        ..Plan::default()
+    }
+}
--- a/crates/ctl/src/demo/scenario.rs
+++ b/crates/ctl/src/demo/scenario.rs
@@ -1,7 +1,7 @@
 //! What the demonstration does: apply, call, count.
 
-use super::deployment::{Deployment, RUNNERS};
 use crate::client::Client;
+use crate::deployment::Deployment;
 use crate::fleet::Fleet;
 use crate::{Error, output};
 use bytes::Bytes;
@@ -35,7 +35,11 @@
         fleet,
         token: &deployment.token,
     };
-    let [first, second] = deployment.entries[..] else {
+    let [first, second] = deployment.entries[..]
+        .iter()
+        .map(|ready| ready.listen)
+        .collect::<Vec<_>>()[..]
+    else {
         return failed("the demonstration needs two entries");
     };
     wait(first, |status| status["ready"] == true).await?;
@@ -44,7 +48,10 @@
     let revision = applied["revision"].clone();
     output::line(format_args!("records in force at revision {revision}"))?;
     for entry in [first, second] {
-        wait(entry, |status| serves(status, &revision)).await?;
+        wait(entry, |status| {
+            serves(status, &revision, deployment.agents.len())
+        })
+        .await?;
     }
     plain(&desk, first)?;
     streamed(&desk, second)?;
@@ -120,10 +127,10 @@
 }
 
 /// Whether an entry has the records and a link to every target.
-fn serves(status: &Value, revision: &Value) -> bool {
+fn serves(status: &Value, revision: &Value, targets_due: usize) -> bool {
     let targets = status["targets"].as_array();
     let live = |targets: &Vec<Value>| targets.iter().filter(|one| one["state"] == "live").count();
-    status["revision"] == *revision && targets.map(live) == Some(RUNNERS.len())
+    status["revision"] == *revision && targets.map(live) == Some(targets_due)
 }
 
 /// Waits until an entry's status is as it should be.
@@ -146,7 +153,7 @@
 /// once for each request that it answered, however often it was tried.
 async fn count(deployment: &Deployment) -> Result<(), Error> {
     let mut services: Vec<(&str, usize, HashSet<String>)> = Vec::new();
-    for (runner, address) in RUNNERS.iter().zip(&deployment.runners) {
+    for (runner, address) in deployment.plan.runners.iter().zip(&deployment.runners) {
         let log: Page = get(&Client::plain(*address), "/standin/log").await?;
         let runs = log.executions.len();
         output::line(format_args!("  {:<14} ran {runs}", runner.vm))?;
@@ -161,7 +168,7 @@
                 *sum += runs;
                 all.extend(requests);
             }
-            None => services.push((runner.service, runs, requests.collect())),
+            None => services.push((&runner.service, runs, requests.collect())),
         }
     }
     for (service, runs, requests) in services {
--- /dev/null
+++ b/crates/ctl/src/deployment.rs
@@ -0,0 +1,237 @@
+//! A whole deployment on one machine: stand-ins, runners with an agent each, entries.
+
+use crate::Error;
+use crate::client::Client;
+use crate::fleet::{Fleet, Ready};
+use hyper::Method;
+use hyper::header::HeaderMap;
+use platform::{Role, Vm};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use setting::{Operator, Place, Platform, Policy};
+use standin::{Kind, Options};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Region of all processes.
+const REGION: &str = "ee-north";
+/// Its failure domains.
+const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
+/// How often entries read the list of VMs and the change log, in milliseconds.
+const POLL_MS: u64 = 50;
+/// Calls given to a runner at once.
+const CONCURRENCY: u32 = 4;
+/// Calls that wait for a runner.
+const QUEUE: u32 = 16;
+
+/// A runner to start.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// Name of its VM.
+    pub vm: String,
+    /// Service that it serves.
+    pub service: String,
+    /// Kind of stand-in.
+    pub kind: Kind,
+    /// Options of the stand-in.
+    pub options: Options,
+}
+
+impl Runner {
+    /// A runner whose answers name an operation.
+    pub fn new(vm: &str, service: &str, kind: Kind, operation: &str) -> Self {
+        Self {
+            vm: vm.to_owned(),
+            service: service.to_owned(),
+            kind,
+            options: Options {
+                name: operation.to_owned(),
+                ..Options::default()
+            },
+        }
+    }
+}
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Runners, each with an agent.
+    pub runners: Vec<Runner>,
+    /// Names of the entries.
+    pub entries: Vec<String>,
+    /// Decisions that entries and agents take.
+    pub policy: Policy,
+    /// Calls given to a runner at once.
+    pub concurrency: u32,
+    /// Calls that wait for a runner.
+    pub queue: u32,
+    /// How often entries read the list of VMs and the change log, in milliseconds.
+    pub poll_ms: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            runners: Vec::new(),
+            entries: vec!["entry-a1".to_owned(), "entry-b1".to_owned()],
+            policy: Policy::Shipped,
+            concurrency: CONCURRENCY,
+            queue: QUEUE,
+            poll_ms: POLL_MS,
+        }
+    }
+}
+
+/// Addresses of a deployment that serves.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// What was started.
+    pub plan: Plan,
+    /// Where the entries serve.
+    pub entries: Vec<Ready>,
+    /// Where the runners serve, in the order of the plan.
+    pub runners: Vec<SocketAddr>,
+    /// Where the agents serve, in the order of the plan.
+    pub agents: Vec<Ready>,
+    /// The platform's stand-ins.
+    pub platform: Platform,
+    /// The operator's token.
+    pub token: String,
+    key: String,
+}
+
+impl Deployment {
+    /// Starts all processes and lists their VMs.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if a process does not serve.
+    pub async fn start(fleet: &mut Fleet, plan: Plan) -> Result<Self, Error> {
+        let platform = Platform {
+            table: fleet.standin("table", Kind::Table, &Options::default())?,
+            objects: fleet.standin("object", Kind::Object, &Options::default())?,
+            vms: fleet.standin("vm", Kind::Vm, &Options::default())?,
+            weights: Some(fleet.standin("weight", Kind::Weight, &Options::default())?),
+        };
+        let mut deployment = Self {
+            plan,
+            entries: Vec::new(),
+            runners: Vec::new(),
+            agents: Vec::new(),
+            platform,
+            token: draw(),
+            key: draw(),
+        };
+        deployment.start_runners(fleet).await?;
+        deployment.start_entries(fleet).await?;
+        Ok(deployment)
+    }
+
+    async fn start_runners(&mut self, fleet: &mut Fleet) -> Result<(), Error> {
+        let list = Client::plain(self.platform.vms);
+        for (index, runner) in self.plan.runners.clone().iter().enumerate() {
+            let place = place(index);
+            let name = format!("{}-runner", runner.vm);
+            let address = fleet.standin(&name, runner.kind, &runner.options)?;
+            let ready = fleet.agent(&self.agent(runner, &place, address))?;
+            let vm = vm(&runner.vm, Role::Target, &runner.service, &place, ready);
+            register(&list, &vm).await?;
+            self.runners.push(address);
+            self.agents.push(ready);
+        }
+        Ok(())
+    }
+
+    async fn start_entries(&mut self, fleet: &mut Fleet) -> Result<(), Error> {
+        let list = Client::plain(self.platform.vms);
+        for (index, id) in self.plan.entries.clone().iter().enumerate() {
+            let place = place(index);
+            let ready = fleet.entry(&self.entry(id, &place))?;
+            register(&list, &vm(id, Role::Entry, "", &place, ready)).await?;
+            self.entries.push(ready);
+        }
+        Ok(())
+    }
+
+    fn entry(&self, id: &str, place: &Place) -> setting::Entry {
+        setting::Entry {
+            id: id.to_owned(),
+            place: place.clone(),
+            listen: free(),
+            metrics: free(),
+            platform: self.platform.clone(),
+            key: self.key.clone(),
+            operators: vec![Operator {
+                name: "demo".to_owned(),
+                token: self.token.clone(),
+            }],
+            tls: None,
+            policy: self.plan.policy,
+            vms_poll_ms: self.plan.poll_ms,
+            head_poll_ms: self.plan.poll_ms,
+            news: Some(free()),
+        }
+    }
+
+    fn agent(&self, runner: &Runner, place: &Place, address: SocketAddr) -> setting::Agent {
+        setting::Agent {
+            id: runner.vm.clone(),
+            place: place.clone(),
+            listen: free(),
+            metrics: free(),
+            platform: self.platform.clone(),
+            key: self.key.clone(),
+            service: runner.service.clone(),
+            runner: address,
+            concurrency: self.plan.concurrency,
+            queue: self.plan.queue,
+            policy: self.plan.policy,
+            news: None,
+        }
+    }
+}
+
+fn place(index: usize) -> Place {
+    Place {
+        region: REGION.to_owned(),
+        domain: DOMAINS[index % DOMAINS.len()].to_owned(),
+    }
+}
+
+fn draw() -> String {
+    format!("{:032x}", StdRng::from_os_rng().random::<u128>())
+}
+
+fn free() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+fn vm(id: &str, role: Role, service: &str, place: &Place, ready: Ready) -> Vm {
+    Vm {
+        id: id.to_owned(),
+        incarnation: 1,
+        role,
+        service: service.to_owned(),
+        region: place.region.clone(),
+        domain: place.domain.clone(),
+        address: ready.listen,
+        news: ready.news,
+        leaving: false,
+    }
+}
+
+/// Adds a VM to the stand-in's list, as the platform does when it starts one.
+async fn register(list: &Client, vm: &Vm) -> Result<(), Error> {
+    let body = serde_json::to_vec(vm).map_err(|error| Error::Failed {
+        reason: error.to_string(),
+    })?;
+    let path = "/standin/vm";
+    let answer = list
+        .call(Method::POST, path, HeaderMap::new(), body.into())
+        .await?;
+    match answer.status.is_success() {
+        true => Ok(()),
+        false => Err(Error::Refused {
+            problem: answer.problem(),
+        }),
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod command;
 pub mod daemon;
 pub mod demo;
+pub mod deployment;
 pub mod drain;
 pub mod error;
 pub mod event;
