--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -85,6 +85,7 @@
     crate::call::Call,
     crate::standin::Standin,
     crate::demo::Demo,
+    crate::measure::Measure,
 ];
 
 /// Runs the command line and gives the exit code.
--- a/crates/ctl/src/deployment.rs
+++ b/crates/ctl/src/deployment.rs
@@ -96,7 +96,8 @@
     pub platform: Platform,
     /// The operator's token.
     pub token: String,
-    key: String,
+    /// The key that entries and agents share.
+    pub key: String,
 }
 
 impl Deployment {
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -69,6 +69,13 @@
         self.programs.join(name)
     }
 
+    /// Number of the process of that name.
+    #[must_use]
+    pub fn id(&self, name: &str) -> Option<u32> {
+        let process = self.processes.iter().find(|process| process.name == name)?;
+        Some(process.child.id())
+    }
+
     /// Starts a stand-in.
     ///
     /// # Errors
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod fleet;
 pub mod get;
 pub mod history;
+pub mod measure;
 pub mod operator;
 pub mod option;
 pub mod output;
--- /dev/null
+++ b/crates/ctl/src/measure.rs
@@ -0,0 +1,153 @@
+//! `measure`: slopes of the roles' cost on one machine, as JSON.
+//!
+//! * [`latency`]: what a call costs beside calling the runner directly
+//! * [`links`]: what an entry spends on the targets that it knows
+//! * [`records`]: what an entry spends on the records in force and on their changes
+//! * [`claims`]: transactions of the table service for each claim
+
+pub mod claims;
+pub mod latency;
+pub mod links;
+pub mod records;
+pub mod usage;
+
+use crate::client::Client;
+use crate::command::{Command, Help};
+use crate::deployment::{Deployment, Plan};
+use crate::fleet::Fleet;
+use crate::{Common, Error, option, output};
+use getopts::{Matches, Options};
+use hyper::Method;
+use hyper::header::HeaderMap;
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest wait until an entry is as a measurement needs it.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+/// Wait between two looks.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Measures what the roles cost.
+#[derive(Debug)]
+pub struct Measure {
+    what: String,
+}
+
+impl Command for Measure {
+    const HELP: Help = Help {
+        name: "measure",
+        arguments: "latency|links|records|claims",
+        about: "Measure on this machine what entries and agents cost, in a few minutes at most",
+    };
+
+    fn declare(_options: &mut Options) {}
+
+    fn parse(matches: &Matches) -> Result<Self, Error> {
+        let what = option::single(matches, "WHAT")?;
+        match what.as_str() {
+            "latency" | "links" | "records" | "claims" => Ok(Self { what }),
+            _ => Err(Error::usage(format!("there is no measurement `{what}`"))),
+        }
+    }
+
+    async fn run(self, _common: &Common) -> Result<(), Error> {
+        let directory =
+            std::env::temp_dir().join(format!("linnetdrift-measure-{}", std::process::id()));
+        let mut fleet = Fleet::new(&directory)?;
+        match self.what.as_str() {
+            "latency" => report(&latency::run(&mut fleet).await?)?,
+            "links" => report(&links::run(&mut fleet).await?)?,
+            "records" => report(&records::run(&mut fleet).await?)?,
+            _ => report(&claims::run(&mut fleet).await?)?,
+        }
+        fleet.stop()?;
+        // Settings and logs are of use only where something went wrong.
+        let _ = std::fs::remove_dir_all(&directory);
+        Ok(())
+    }
+}
+
+fn report(result: &impl Serialize) -> Result<(), Error> {
+    output::print(crate::Format::Json, "", result)
+}
+
+/// Starts a deployment with these records in force and all its targets live.
+async fn start(fleet: &mut Fleet, plan: Plan, records: Vec<Value>) -> Result<Deployment, Error> {
+    let deployment = Deployment::start(fleet, plan).await?;
+    for ready in &deployment.entries {
+        until(ready.listen, |status| status["ready"] == true).await?;
+    }
+    if let Some(first) = deployment.entries.first() {
+        apply(first.listen, &deployment.token, records).await?;
+    }
+    let due = deployment.agents.len();
+    for ready in &deployment.entries {
+        until(ready.listen, |status| {
+            status["revision"] != 0 && live(status) == due
+        })
+        .await?;
+    }
+    Ok(deployment)
+}
+
+/// A workspace's record.
+fn workspace(index: usize) -> Value {
+    json!({"schema": 1, "kind": "workspace", "name": format!("workspace-{index}"), "share": 1})
+}
+
+/// Number of targets that an entry's status shows as live.
+fn live(status: &Value) -> usize {
+    let targets = status["targets"].as_array();
+    targets.map_or(0, |targets| {
+        targets.iter().filter(|one| one["state"] == "live").count()
+    })
+}
+
+/// Applies records with a token of their own.
+async fn apply(entry: SocketAddr, token: &str, records: Vec<Value>) -> Result<(), Error> {
+    let unique = format!("{:032x}", rand::random::<u128>());
+    let body = json!({"token": unique, "documents": records}).to_string();
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = format!("Bearer {token}").parse() {
+        headers.insert("authorization", value);
+    }
+    let client = Client::plain(entry);
+    let answer = client
+        .call(Method::POST, "/v1/apply", headers, body.into())
+        .await?;
+    match answer.status.is_success() {
+        true => Ok(()),
+        false => Err(Error::Failed {
+            reason: String::from_utf8_lossy(&answer.body).into_owned(),
+        }),
+    }
+}
+
+/// Waits until an entry's status is as it should be.
+async fn until(entry: SocketAddr, done: impl Fn(&Value) -> bool) -> Result<(), Error> {
+    let client = Client::plain(entry);
+    let end = Instant::now() + READY_TIMEOUT;
+    loop {
+        let answer = client
+            .call(
+                Method::GET,
+                "/v1/status",
+                HeaderMap::new(),
+                bytes::Bytes::new(),
+            )
+            .await?;
+        let status: Value = answer.json()?;
+        if done(&status) {
+            return Ok(());
+        }
+        if Instant::now() > end {
+            return Err(Error::Failed {
+                reason: format!("an entry did not get ready: {status}"),
+            });
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/measure/claims.rs
@@ -0,0 +1,113 @@
+//! Transactions of the table service for each claim, at several loads.
+
+use crate::Error;
+use crate::client::Client;
+use crate::deployment::{Plan, Runner};
+use crate::fleet::Fleet;
+use hyper::Method;
+use hyper::header::HeaderMap;
+use serde::Serialize;
+use serde_json::json;
+use standin::Kind;
+use std::net::SocketAddr;
+use tokio::time::Instant;
+
+/// Callers that call at once.
+const CALLERS: [usize; 4] = [1, 8, 64, 256];
+/// Calls of each caller.
+const CALLS: usize = 40;
+
+/// Cost at one number of callers.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Point {
+    callers: usize,
+    calls: usize,
+    answered: usize,
+    calls_per_second: f64,
+    transactions: u64,
+    /// Each call claims its key and records its answer: two writes without sharing.
+    transactions_per_call: f64,
+}
+
+/// Runs the measurement.
+///
+/// # Errors
+///
+/// [`Error::Failed`] if the deployment does not serve.
+pub async fn run(fleet: &mut Fleet) -> Result<Vec<Point>, Error> {
+    let mut runner = Runner::new("plain-a1", "plain", Kind::Plain, "print");
+    runner.options.service_ms = 0.0;
+    runner.options.slots = 256;
+    let plan = Plan {
+        runners: vec![runner],
+        entries: vec!["entry-a1".to_owned()],
+        concurrency: 256,
+        queue: 1_024,
+        ..Plan::default()
+    };
+    let records = vec![
+        json!({"schema": 1, "kind": "service", "name": "plain", "runner": "plain",
+            "concurrency": 256}),
+        json!({"schema": 1, "kind": "pipeline", "name": "print", "version": 1,
+            "deadline_ms": 60_000,
+            "stages": [{"name": "print", "service": "plain", "repeatable": false}]}),
+    ];
+    let deployment = super::start(fleet, plan, records).await?;
+    let entry = deployment.entries[0].listen;
+    let table = deployment.platform.table;
+    let mut points = Vec::new();
+    for callers in CALLERS {
+        let before = transactions(table).await?;
+        let began = Instant::now();
+        let runs = (0..callers).map(|caller| one(entry, callers, caller));
+        let answered: usize = futures::future::join_all(runs).await.into_iter().sum();
+        let elapsed = began.elapsed();
+        let written = transactions(table).await? - before - 1;
+        let calls = callers * CALLS;
+        points.push(Point {
+            callers,
+            calls,
+            answered,
+            calls_per_second: calls as f64 / elapsed.as_secs_f64(),
+            transactions: written,
+            transactions_per_call: written as f64 / calls as f64,
+        });
+    }
+    Ok(points)
+}
+
+/// Calls one after the other, each with a key of its own; gives the number answered.
+async fn one(entry: SocketAddr, callers: usize, caller: usize) -> usize {
+    let client = Client::plain(entry);
+    let mut answered = 0;
+    for call in 0..CALLS {
+        let mut headers = HeaderMap::new();
+        headers.insert(
+            "linnetdrift-workspace",
+            hyper::header::HeaderValue::from_static("measure"),
+        );
+        if let Ok(key) = format!("{callers}-{caller}-{call}").parse() {
+            headers.insert("idempotency-key", key);
+        }
+        let path = "/v1/pipelines/print/versions/1/run";
+        let body = bytes::Bytes::from_static(br#"{"text":"W-1042"}"#);
+        let answer = client.call(Method::POST, path, headers, body).await;
+        answered += usize::from(answer.is_ok_and(|answer| answer.status.is_success()));
+    }
+    answered
+}
+
+/// Number of transactions so far: that of one more, which writes nothing else.
+async fn transactions(table: SocketAddr) -> Result<u64, Error> {
+    let probe = json!({"checks": [], "puts": [{"table": "measure", "key": "probe", "value": 1}]});
+    let answer = Client::plain(table)
+        .call(
+            Method::POST,
+            "/v1/transact",
+            HeaderMap::new(),
+            probe.to_string().into(),
+        )
+        .await?;
+    let body: serde_json::Value = answer.json()?;
+    Ok(body["revision"].as_u64().unwrap_or_default())
+}
--- /dev/null
+++ b/crates/ctl/src/measure/latency.rs
@@ -0,0 +1,254 @@
+//! What a call costs beside calling the runner directly, side by side in one run.
+
+use super::usage::{self, Usage};
+use crate::Error;
+use crate::deployment::{Deployment, Plan, Runner};
+use crate::fleet::Fleet;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde_json::{Value, json};
+use standin::Kind;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Calls each way before any is counted.
+const WARM_UP: usize = 2_000;
+/// Calls each way that are counted, one after the other, the two ways in turn.
+const CALLS: usize = 20_000;
+/// Streams that run at once.
+const STREAMS: usize = 16;
+/// Rounds of streams.
+const ROUNDS: usize = 8;
+/// Tokens of each stream.
+const TOKENS: usize = 500;
+
+/// Latencies of one way, in microseconds.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Latency {
+    /// Median.
+    pub p50_us: u64,
+    /// 99 in 100 stay within it.
+    pub p99_us: u64,
+}
+
+/// Cost of one role.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Cost {
+    /// Processor time of one call of one stage, in microseconds.
+    pub call_us: f64,
+    /// Processor time of one streamed token, in microseconds.
+    pub token_us: f64,
+    /// Memory and threads afterwards.
+    #[serde(flatten)]
+    pub usage: Usage,
+}
+
+/// What was measured.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Report {
+    calls: usize,
+    tokens: usize,
+    direct: Latency,
+    through: Latency,
+    /// Difference of the medians.
+    added_p50_us: i64,
+    /// Difference of the 99th percentiles.
+    added_p99_us: i64,
+    entry: Cost,
+    agent: Cost,
+}
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+/// Runs the measurement.
+///
+/// # Errors
+///
+/// [`Error::Failed`] if the deployment does not serve or a call fails.
+pub async fn run(fleet: &mut Fleet) -> Result<Report, Error> {
+    let deployment = super::start(fleet, plan(), records()).await?;
+    let processes = Processes::of(fleet);
+    let http = http();
+    let [direct, through] = ways(&deployment);
+    for _ in 0..WARM_UP {
+        call(&http, &direct).await?;
+        call(&http, &through).await?;
+    }
+    let before = processes.usage();
+    let mut times = [histogram()?, histogram()?];
+    for _ in 0..CALLS {
+        for (way, times) in [&direct, &through].into_iter().zip(&mut times) {
+            let began = Instant::now();
+            call(&http, way).await?;
+            times.saturating_record(micros(began.elapsed()));
+        }
+    }
+    let between = processes.usage();
+    let tokens = streams(&http, entry(&deployment)).await?;
+    let after = processes.usage();
+    let [direct, through] = times.map(|times| latency(&times));
+    let cost = |calls: usize, streams: usize| Cost {
+        call_us: usage::each(before[calls], between[calls], CALLS as u64),
+        token_us: usage::each(between[streams], after[streams], tokens as u64),
+        usage: after[streams],
+    };
+    Ok(Report {
+        calls: CALLS,
+        tokens,
+        direct,
+        through,
+        added_p50_us: through.p50_us as i64 - direct.p50_us as i64,
+        added_p99_us: through.p99_us as i64 - direct.p99_us as i64,
+        entry: cost(ENTRY, ENTRY),
+        agent: cost(POOL_AGENT, ENGINE_AGENT),
+    })
+}
+
+/// Places in [`Processes`].
+const ENTRY: usize = 0;
+const POOL_AGENT: usize = 1;
+const ENGINE_AGENT: usize = 2;
+/// Names of the measured processes in their places.
+const NAMES: [&str; 3] = ["entry-a1", "pool-a1", "engine-a1"];
+
+/// The processes whose cost is measured.
+struct Processes([u32; 3]);
+
+impl Processes {
+    fn of(fleet: &Fleet) -> Self {
+        Self(NAMES.map(|name| fleet.id(name).unwrap_or_default()))
+    }
+
+    fn usage(&self) -> [Usage; 3] {
+        self.0.map(usage::of)
+    }
+}
+
+fn plan() -> Plan {
+    let mut pool = Runner::new(NAMES[POOL_AGENT], "pool", Kind::Pool, "work");
+    pool.options.service_ms = 0.0;
+    let mut engine = Runner::new(NAMES[ENGINE_AGENT], "engine", Kind::Engine, "generate");
+    engine.options.batch = STREAMS;
+    Plan {
+        runners: vec![pool, engine],
+        entries: vec![NAMES[ENTRY].to_owned()],
+        concurrency: STREAMS as u32,
+        poll_ms: 1_000,
+        ..Plan::default()
+    }
+}
+
+fn records() -> Vec<Value> {
+    let pipeline = |name: &str, service: &str, stream: bool| {
+        json!({"schema": 1, "kind": "pipeline", "name": name, "version": 1, "deadline_ms": 60_000,
+            "stages": [{"name": "only", "service": service, "stream": stream}]})
+    };
+    let service = |name: &str, runner: &str| {
+        json!({"schema": 1, "kind": "service", "name": name, "runner": runner,
+            "concurrency": STREAMS})
+    };
+    vec![
+        service("pool", "pool"),
+        service("engine", "engine"),
+        pipeline("one", "pool", false),
+        pipeline("stream", "engine", true),
+    ]
+}
+
+fn http() -> Http {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new()).build(connector)
+}
+
+fn entry(deployment: &Deployment) -> SocketAddr {
+    deployment.entries[0].listen
+}
+
+/// Addresses of the runner itself and of the pipeline with that runner as its only stage.
+fn ways(deployment: &Deployment) -> [String; 2] {
+    let (runner, entry) = (deployment.runners[0], entry(deployment));
+    [
+        format!("http://{runner}/v1/run"),
+        format!("http://{entry}/v1/pipelines/one/versions/1/run"),
+    ]
+}
+
+async fn call(http: &Http, way: &str) -> Result<(), Error> {
+    let body = Bytes::from_static(br#"{"text":"loom 7"}"#);
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(way)
+        .header("linnetdrift-workspace", "measure")
+        .header("x-call", "00000000000000000000000000000001-0-0")
+        .header("x-workspace", "measure")
+        .body(Full::new(body))
+        .map_err(failed)?;
+    let answer = http.request(request).await.map_err(failed)?;
+    let status = answer.status();
+    answer.into_body().collect().await.map_err(failed)?;
+    match status.is_success() {
+        true => Ok(()),
+        false => Err(failed(format!("{way} answered {status}"))),
+    }
+}
+
+/// Runs streams and counts their tokens.
+async fn streams(http: &Http, entry: SocketAddr) -> Result<usize, Error> {
+    let mut tokens = 0;
+    for _ in 0..ROUNDS {
+        let round = (0..STREAMS).map(|_| stream(http, entry));
+        for count in futures::future::join_all(round).await {
+            tokens += count?;
+        }
+    }
+    Ok(tokens)
+}
+
+async fn stream(http: &Http, entry: SocketAddr) -> Result<usize, Error> {
+    let body = json!({"text": "loom 7", "max_tokens": TOKENS}).to_string();
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{entry}/v1/pipelines/stream/versions/1/run"))
+        .header("linnetdrift-workspace", "measure")
+        .header("accept", "text/event-stream")
+        .body(Full::from(body))
+        .map_err(failed)?;
+    let answer = http.request(request).await.map_err(failed)?;
+    let body = answer.into_body().collect().await.map_err(failed)?;
+    let text = body.to_bytes();
+    let text = String::from_utf8_lossy(&text);
+    let count = text.matches("\nid: ").count() + usize::from(text.starts_with("id: "));
+    match count {
+        TOKENS => Ok(count),
+        _ => Err(failed(format!("a stream had {count} tokens"))),
+    }
+}
+
+fn histogram() -> Result<Histogram<u64>, Error> {
+    Histogram::new(3).map_err(failed)
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn latency(times: &Histogram<u64>) -> Latency {
+    Latency {
+        p50_us: times.value_at_quantile(0.5),
+        p99_us: times.value_at_quantile(0.99),
+    }
+}
+
+fn failed(error: impl std::fmt::Display) -> Error {
+    Error::Failed {
+        reason: error.to_string(),
+    }
+}
