--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -53,11 +53,23 @@
     ///
     /// [`Error::Failed`] if the directory cannot be made.
     pub fn new(directory: impl Into<PathBuf>) -> Result<Self, Error> {
-        let directory = directory.into();
         let program = std::env::current_exe().map_err(failed("own path"))?;
+        Self::with_programs(program.parent().unwrap_or(Path::new(".")), directory)
+    }
+
+    /// A fleet of the programs of a directory; settings and logs go into a new directory.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if the directory cannot be made.
+    pub fn with_programs(
+        programs: impl Into<PathBuf>,
+        directory: impl Into<PathBuf>,
+    ) -> Result<Self, Error> {
+        let directory = directory.into();
         std::fs::create_dir_all(&directory).map_err(failed("directory"))?;
         Ok(Self {
-            programs: program.parent().unwrap_or(Path::new(".")).to_owned(),
+            programs: programs.into(),
             directory,
             processes: Vec::new(),
         })
--- a/crates/ctl/tests/bad_arguments.rs
+++ b/crates/ctl/tests/bad_arguments.rs
@@ -119,3 +119,17 @@
     let help = run(DESK, &["--help"]);
     insta::assert_snapshot!(String::from_utf8(help.stdout).unwrap());
 }
+
+/// The settings file of a VM is stamped out wrongly. The daemon does not start with half of them;
+/// it reports all faults at once, so that one more try is enough.
+#[test]
+fn bad_settings() {
+    let path = std::env::temp_dir().join(format!("linnetdrift-bad-{}.jsonc", std::process::id()));
+    std::fs::write(&path, "{\"id\": \"vm 1\",\n \"listen\": 80}").unwrap();
+    let output = run(DAEMON, &["agent", path.to_str().unwrap()]);
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(output.stdout.is_empty());
+    let errors = String::from_utf8(output.stderr).unwrap();
+    insta::assert_snapshot!(errors.replace(path.to_str().unwrap(), "agent.jsonc"));
+}
