Plans are checked against the records that stay in force

A directory need not hold the whole deployment: stages may name services that are in force already, and a plan that would leave a record without its service is refused before anything is sent, with its line. entry_findings became unknown_service, because the command now finds the fault before the entry does; it checks both, and that nothing was accepted. Reads of an entry that has no configuration yet are repeated after the wait that it names. The loops of apply and call read the same; without the doubt doubt_remains fails again.

--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -45,7 +45,7 @@
         let directory = check::load_checked(&self.directory)?;
         let mut operator = Operator::new(common)?;
         let records = operator.records().await?;
-        let plan = crate::plan::plan(&records, directory.documents(), self.prune);
+        let plan = crate::plan::plan(&records, &directory, self.prune)?;
         let mut revision = records.revision;
         if plan.pending().next().is_some() {
             let change = change(&records, &plan, directory.documents());
--- a/crates/ctl/src/call.rs
+++ b/crates/ctl/src/call.rs
@@ -126,18 +126,24 @@
     async fn submit(&self, client: &mut Client) -> Result<Reply, Error> {
         let keyed = self.headers.contains_key(KEY);
         let mut doubt = None;
-        for _ in 0..ATTEMPTS {
-            match self.attempt(client).await {
+        let mut attempt = 1;
+        loop {
+            let error = match self.attempt(client).await {
                 Ok(reply) => return Ok(reply),
-                Err(error) if settles(&error) => return Err(error),
-                Err(error @ Error::Lost { .. }) if keyed => doubt = Some(error),
-                Err(error) if doubt.is_none() => return Err(error),
-                Err(_) => {}
+                Err(error) => error,
+            };
+            let error = match doubt.take() {
+                Some(first) if !settles(&error) => first,
+                _ => error,
+            };
+            if !keyed || attempt == ATTEMPTS || !matches!(error, Error::Lost { .. }) {
+                return Err(error);
             }
+            doubt = Some(error);
+            attempt += 1;
             client.rotate();
             tokio::time::sleep(PAUSE).await;
         }
-        Err(doubt.unwrap_or_else(|| Error::usage("--entry is missing")))
     }
 
     async fn attempt(&self, client: &Client) -> Result<Reply, Error> {
--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -48,10 +48,7 @@
             findings.0.extend(check(path)?.0);
         }
         let files = self.paths.len();
-        findings
-            .clone()
-            .into_result()
-            .map_err(|findings| Error::Found { findings })?;
+        no_findings(findings.clone())?;
         output::print(
             common.format,
             format_args!("{files} checked, nothing found"),
@@ -79,30 +76,36 @@
     Ok(result.err().unwrap_or_default())
 }
 
+/// A directory holds a whole deployment; a single file may name services of another.
 fn records(path: &Path) -> Result<Findings, Error> {
-    load(path).map(|directory| findings(path, &directory))
-}
-
-/// A single file may well name services that stand in another.
-fn findings(path: &Path, directory: &Directory) -> Findings {
-    match path.is_dir() {
+    let directory = load(path)?;
+    Ok(match path.is_dir() {
         true => directory.check(),
         false => directory.check_each(),
-    }
+    })
 }
 
 fn load(path: &Path) -> Result<Directory, Error> {
     directory::load(path).map_err(|error| Error::usage(error.to_string()))
 }
 
-/// Reads records that must be without findings.
+/// Reads records that must each be without findings by themselves.
 ///
 /// # Errors
 ///
 /// [`Error::Usage`] naming the file that cannot be read, or [`Error::Found`].
 pub fn load_checked(path: &Path) -> Result<Directory, Error> {
     let directory = load(path)?;
-    let result = findings(path, &directory).into_result();
-    result.map_err(|findings| Error::Found { findings })?;
+    no_findings(directory.check_each())?;
     Ok(directory)
 }
+
+/// Nothing must have been found.
+///
+/// # Errors
+///
+/// [`Error::Found`] if something was.
+pub fn no_findings(findings: Findings) -> Result<(), Error> {
+    let result = findings.into_result();
+    result.map_err(|findings| Error::Found { findings })
+}
--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Roles of `linnetdriftd`.
 
 use crate::error::FileSnafu;
-use crate::{Error, Format, command, output, signal};
+use crate::{Error, command, output, signal};
 use getopts::Options;
 use serde::Serialize;
 use slog::{Logger, info};
@@ -158,5 +158,5 @@
 
 /// Nobody may read the line; a process that serves goes on without it.
 fn announce(ready: &Ready) {
-    let _ = output::print(Format::Json, "", ready);
+    let _ = output::json(ready);
 }
--- a/crates/ctl/src/get.rs
+++ b/crates/ctl/src/get.rs
@@ -36,7 +36,7 @@
         }
         let records = operator.records().await?;
         if common.format == Format::Json {
-            return output::print(common.format, "", &records);
+            return output::json(&records);
         }
         records
             .records
--- a/crates/ctl/src/history.rs
+++ b/crates/ctl/src/history.rs
@@ -55,7 +55,7 @@
         let path = format!("/v1/history?after={after}&limit={limit}");
         let changes: Changes = Operator::new(common)?.read(&path).await?;
         if common.format == Format::Json {
-            return output::print(common.format, "", &changes);
+            return output::json(&changes);
         }
         changes
             .changes
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -1,7 +1,7 @@
 //! The operators' interface of entries.
 
 use crate::client::Answer;
-use crate::error::Outcome;
+use crate::error::{EXIT_UNKNOWN, Outcome};
 use crate::{Client, Common, Error};
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
@@ -115,16 +115,30 @@
         Ok(Self { client })
     }
 
-    /// Reads from an entry.
+    /// Reads from an entry; again after a wait where it cannot tell yet.
     ///
     /// # Errors
     ///
     /// [`Error::Refused`] for a problem, and those of [`Client::call`].
     pub async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
-        let answer = self
-            .client
-            .call(Method::GET, path, HeaderMap::new(), bytes::Bytes::new())
-            .await?;
+        let mut attempt = 1;
+        loop {
+            let error = match self.read_once(path).await {
+                Ok(value) => return Ok(value),
+                Err(error @ Error::Refused { .. }) if attempt < ATTEMPTS => error,
+                Err(error) => return Err(error),
+            };
+            let Some(pause) = pause(&error) else {
+                return Err(error);
+            };
+            attempt += 1;
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    async fn read_once<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let (headers, body) = (HeaderMap::new(), bytes::Bytes::new());
+        let answer = self.client.call(Method::GET, path, headers, body).await?;
         accept(&answer, StatusCode::OK)
     }
 
@@ -168,28 +182,28 @@
             reason: error.to_string(),
         })?;
         let body = bytes::Bytes::from(body);
-        let mut unsure = None;
-        let mut last = None;
-        for attempt in 0..ATTEMPTS {
+        let mut doubt = None;
+        let mut attempt = 1;
+        loop {
             let error = match self.attempt(body.clone()).await {
                 Ok(accepted) => return Ok(accepted),
                 Err(error) => error,
             };
-            let Some(pause) = pause(&error) else {
-                return Err(unsure.filter(|_| !settles(&error)).unwrap_or(error));
+            let pause = pause(&error).filter(|_| attempt < ATTEMPTS);
+            let error = match doubt.take() {
+                Some(first) if !settles(&error) => first,
+                _ => error,
+            };
+            let Some(pause) = pause else {
+                return Err(error);
             };
-            if error.exit() == crate::error::EXIT_UNKNOWN {
-                unsure = Some(error);
-            } else {
-                last = Some(error);
+            if error.exit() == EXIT_UNKNOWN {
+                doubt = Some(error);
             }
+            attempt += 1;
             self.client.rotate();
-            if attempt + 1 < ATTEMPTS {
-                tokio::time::sleep(pause).await;
-            }
+            tokio::time::sleep(pause).await;
         }
-        let none = || Error::usage("--entry is missing");
-        Err(unsure.or(last).unwrap_or_else(none))
     }
 
     async fn attempt(&self, body: bytes::Bytes) -> Result<Accepted, Error> {
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -13,7 +13,7 @@
 pub fn print(format: Format, text: impl Display, json: &impl Serialize) -> Result<(), Error> {
     match format {
         Format::Text => line(text),
-        Format::Json => line(to_json(json)?),
+        Format::Json => self::json(json),
     }
 }
 
@@ -31,8 +31,14 @@
         })
 }
 
-fn to_json(value: &impl Serialize) -> Result<String, Error> {
-    serde_json::to_string(value).map_err(|error| Error::Failed {
+/// Prints a value as one line of JSON.
+///
+/// # Errors
+///
+/// [`Error::Failed`] if the output is closed.
+pub fn json(value: &impl Serialize) -> Result<(), Error> {
+    let text = serde_json::to_string(value).map_err(|error| Error::Failed {
         reason: error.to_string(),
-    })
+    })?;
+    line(text)
 }
--- a/crates/ctl/src/plan.rs
+++ b/crates/ctl/src/plan.rs
@@ -4,7 +4,8 @@
 use crate::operator::Records;
 use crate::{Common, Error, Operator, check, option, output};
 use getopts::{Matches, Options};
-use record::{Document, Plan};
+use record::{Directory, Document, Plan};
+use std::collections::HashSet;
 use std::path::PathBuf;
 
 /// Shows what `apply` would change.
@@ -35,7 +36,7 @@
     async fn run(self, common: &Common) -> Result<(), Error> {
         let directory = check::load_checked(&self.directory)?;
         let records = Operator::new(common)?.records().await?;
-        let plan = plan(&records, directory.documents(), self.prune);
+        let plan = plan(&records, &directory, self.prune)?;
         output::print(common.format, &plan, &plan)
     }
 }
@@ -49,10 +50,18 @@
     );
 }
 
-/// Compares wanted documents with the records in force.
-#[must_use]
-pub fn plan(records: &Records, wanted: &[Document], prune: bool) -> Plan {
+/// Compares the records of files with those in force.
+///
+/// # Errors
+///
+/// [`Error::Found`] if the records would contradict those that stay in force.
+pub fn plan(records: &Records, directory: &Directory, prune: bool) -> Result<Plan, Error> {
     let stored = records.records.iter();
     let in_force: Vec<Document> = stored.map(|each| each.document.clone()).collect();
-    Plan::new(&in_force, wanted, prune)
+    let plan = Plan::new(&in_force, directory.documents(), prune);
+    let planned: HashSet<&String> = plan.changes.iter().map(|change| &change.key).collect();
+    let stays = |document: &Document| !planned.contains(&document.key());
+    let others: Vec<Document> = in_force.into_iter().filter(stays).collect();
+    check::no_findings(directory.check_with(&others))?;
+    Ok(plan)
 }
--- a/crates/ctl/src/standin.rs
+++ b/crates/ctl/src/standin.rs
@@ -60,7 +60,7 @@
             kind: kind.name(),
             listen: server.address(),
         };
-        output::print(crate::Format::Json, "", &ready)?;
+        output::json(&ready)?;
         signal::stop().await;
         server.stop().await;
         Ok(())
--- a/crates/ctl/tests/operator_commands.rs
+++ b/crates/ctl/tests/operator_commands.rs
@@ -205,17 +205,42 @@
     bench.stop();
 }
 
-/// A record that names a service nobody has defined would fail every request to it. The entry
-/// refuses it with the place, and the exit code is that of findings.
-#[test]
-fn entry_findings() {
-    let bench = Bench::start("entry-findings");
+/// A record that names a service nobody has defined would fail every request to it. The command
+/// finds it before anything is sent, and the entry refuses it from a desk that does not look.
+#[tokio::test]
+async fn unknown_service() {
+    let bench = Bench::start("unknown-service");
     let pipeline = json!({"schema": schema::OLDEST, "kind": "pipeline", "name": "review",
         "version": 1, "deadline_ms": 500, "stages": [{"name": "encode", "service": "nobody"}]});
-    let output = bench.run(&["apply", &bench.write(&pipeline)]);
+    let path = bench.write(&pipeline);
+    let output = bench.run(&["apply", &path]);
     assert_eq!(output.status.code(), Some(2));
     let errors = String::from_utf8(output.stderr).unwrap();
-    insta::assert_snapshot!(errors);
+    insta::assert_snapshot!("by_command", errors.replace(&path, "records.json"));
+    let document: Document = serde_json::from_value(pipeline).unwrap();
+    let mut change = Change::draw();
+    change.base = [(document.key(), None)].into();
+    change.documents.push(document);
+    let error = bench.operator().apply(&change).await.unwrap_err();
+    assert_eq!(error.exit(), 2);
+    insta::assert_snapshot!("by_entry", error);
+    assert_eq!(bench.json(&["status"])["revision"], 0);
+    bench.stop();
+}
+
+/// A team applies a file that names a service of another team's file. The service is in force
+/// already, and the plan is made against all that stays in force.
+#[test]
+fn part_of_records() {
+    let bench = Bench::start("part-of-records");
+    let service = json!({"schema": 1, "kind": "service", "name": "encoder", "runner": "pool",
+        "concurrency": 4});
+    let pipeline = json!({"schema": 1, "kind": "pipeline", "name": "review", "version": 1,
+        "deadline_ms": 500, "stages": [{"name": "encode", "service": "encoder"}]});
+    bench.json(&["apply", &bench.write(&service)]);
+    bench.json(&["apply", &bench.write(&pipeline)]);
+    let output = bench.run(&["plan", "--prune", &bench.write(&pipeline)]);
+    assert_eq!(output.status.code(), Some(2));
     bench.stop();
 }
 
--- a/crates/record/src/directory.rs
+++ b/crates/record/src/directory.rs
@@ -94,9 +94,20 @@
     /// each other.
     #[must_use]
     pub fn check(&self) -> Findings {
+        self.check_with(&[])
+    }
+
+    /// As [`Directory::check`], where these other documents stay in force beside those of the
+    /// files.
+    #[must_use]
+    pub fn check_with(&self, others: &[Document]) -> Findings {
         let mut findings = self.check_each().0;
-        check::references(&self.documents, &mut |index, path, message| {
-            findings.push(self.finding(index, path, message));
+        let all = [&self.documents, others].concat();
+        check::references(&all, &mut |index, path, message| {
+            findings.push(match index < self.documents.len() {
+                true => self.finding(index, path, message),
+                false => Finding::new(all[index].key(), path, message),
+            });
         });
         sorted(findings)
     }
--- a/crates/record/src/set.rs
+++ b/crates/record/src/set.rs
@@ -2,8 +2,9 @@
 
 use crate::document::{Document, Error, Kind};
 use crate::{Map, Pipeline, Revision, Service, Version, Workspace};
+use foldhash::fast::RandomState;
 use std::borrow::Borrow;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 /// Versions of one pipeline.
@@ -29,7 +30,7 @@
     current: Map<String, Version>,
     services: Map<String, Arc<Service>>,
     workspaces: Map<String, Arc<Workspace>>,
-    drains: Map<String, ()>,
+    drains: HashSet<String, RandomState>,
     unreadable: Vec<Error>,
 }
 
@@ -94,7 +95,7 @@
     /// Whether an operator wants a VM to get no new work.
     #[must_use]
     pub fn drained(&self, vm: &str) -> bool {
-        self.drains.contains_key(vm)
+        self.drains.contains(vm)
     }
 
     /// All versions of all pipelines, in no order of names.
@@ -132,7 +133,7 @@
             Kind::Service => insert(&mut self.services, name, document.service()?),
             Kind::Workspace => insert(&mut self.workspaces, name, document.workspace()?),
             Kind::Drain => {
-                self.drains.insert(name, ());
+                self.drains.insert(name);
             }
         }
         Ok(())
