--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -260,7 +260,7 @@
             .authority
             .rsplit_once(':')
             .map_or("", |(host, _)| host);
-        let name = ServerName::try_from(host.to_owned())
+        let name = ServerName::try_from(host.trim_matches(['[', ']']).to_owned())
             .map_err(|error| unreachable(error.to_string()))?;
         let connector = TlsConnector::from(Arc::clone(config));
         let stream = connector.connect(name, stream).await;
--- /dev/null
+++ b/crates/record/tests/set_lookups.rs
@@ -0,0 +1,68 @@
+//! Lookups in the records in force.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use record::{Document, Set};
+use serde_json::{Value, json};
+
+fn pipeline(version: u32) -> Value {
+    json!({"schema": 1, "kind": "pipeline", "name": "review", "version": version,
+        "deadline_ms": 500, "stages": [{"name": "encode", "service": "encoder"}]})
+}
+
+fn current(version: u32) -> Value {
+    json!({"schema": 1, "kind": "current", "name": "review", "version": version})
+}
+
+fn set(values: Value) -> Set {
+    let documents: Vec<Document> = serde_json::from_value(values).unwrap();
+    Set::new(3, documents)
+}
+
+#[test]
+fn highest_version() {
+    let set = set(json!([pipeline(2), pipeline(10), pipeline(9)]));
+    assert_eq!(set.current("review").unwrap().version, 10);
+    assert_eq!(set.pipeline("review", 9).unwrap().version, 9);
+    assert!(set.pipeline("review", 1).is_none());
+}
+
+#[test]
+fn chosen_version() {
+    let set = set(json!([pipeline(1), pipeline(2), current(1)]));
+    assert_eq!(set.current("review").unwrap().version, 1);
+}
+
+/// The version that operators chose is gone. Callers of `@current` get an error rather than a
+/// version that nobody accepted for them.
+#[test]
+fn chosen_version_gone() {
+    assert!(
+        set(json!([pipeline(2), current(1)]))
+            .current("review")
+            .is_none()
+    );
+}
+
+/// A newer desk has written a record that this process cannot read. The others stay in force, so
+/// that one record does not stop every pipeline.
+#[test]
+fn unreadable_record() {
+    let service = json!({"schema": 9, "kind": "service", "name": "encoder", "runner": "quantum"});
+    let set = set(json!([service, pipeline(1)]));
+    assert!(set.service("encoder").is_none());
+    assert!(set.current("review").is_some());
+    assert!(
+        set.unreadable()[0]
+            .to_string()
+            .starts_with("service/encoder: ")
+    );
+}
+
+#[test]
+fn drained_vm() {
+    let set = set(json!([{"schema": 1, "kind": "drain", "name": "vm-1"}]));
+    assert!(set.drained("vm-1"));
+    assert!(!set.drained("vm-2"));
+    assert_eq!(set.revision(), 3);
+}
