Agent: stays until answers that cannot be had again are fetched

An agent that left right after a payout had ended on a lost link took the answer with it. It now waits up to 10 s for the entry to come back. The test first failed because a link closed by its peer still took frames: the writer went on, so the end counted as told. A receiver that sees the close now stops the writer, and its senders fail.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -15,7 +15,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wire::{Frame, Load, Refusal, Sender, Work};
@@ -27,6 +27,12 @@
 const RECALL: Duration = Duration::from_secs(5);
 /// Time for the runner to end a cancelled call by itself before its connection is cut.
 const CANCEL: Duration = Duration::from_secs(2);
+/// How long a leaving agent waits for entries whose link was lost to fetch answers that cannot be
+/// had again. Without it a payout that ended just before the leave would end as *unknown*.
+const UNTOLD: Duration = Duration::from_secs(10);
+/// Time between two looks at what is still to be fetched.
+const TELL: Duration = Duration::from_millis(20);
+
 /// HTTP status for an order that finds too many before it, or an agent that leaves.
 const BUSY: u16 = 503;
 
@@ -89,17 +95,16 @@
     /// Drops what a lost link held. Running calls go on: those that may not be repeated to their
     /// end, the others until [`RECALL`] is over.
     pub(crate) fn lost(self: &Arc<Self>, link: LinkId) {
-        self.telemetry.links.dec();
         let mut state = self.state();
-        state.links.remove(&link);
         let mut orphans = Vec::new();
-        for call in state.of_link(link) {
+        for call in state.orphans(link) {
             let dropped = state.withdraw(call, Event::Lost, Refusal::Revoked);
             if dropped.is_none() && state.running(call).is_some_and(|(_, cut)| cut) {
                 orphans.push(call);
             }
         }
         self.proceed(state);
+        self.telemetry.links.dec();
         if !orphans.is_empty() {
             tokio::spawn(self.clone().abandon(link, orphans));
         }
@@ -320,6 +325,13 @@
         }
     }
 
+    /// Waits until entries have fetched all answers that cannot be had again.
+    async fn tell(&self) {
+        while self.state().untold() {
+            sleep(TELL).await;
+        }
+    }
+
     fn leave_frame(&self) -> Frame {
         Frame::Leave {
             incarnation: self.incarnation,
@@ -341,6 +353,8 @@
         self.orders().take();
         self.work.close();
         self.work.wait().await;
+        let _ = timeout(UNTOLD, self.tell()).await;
+        self.work.wait().await;
         let links: Vec<Sender> = self.state().links.values().cloned().collect();
         join_all(links.iter().map(Sender::flush)).await;
         self.state().close();
--- a/crates/agent/src/output.rs
+++ b/crates/agent/src/output.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use protocol::{CallId, Sequence};
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::sync::Mutex;
 use wire::{Frame, Load, Sender};
 
@@ -16,6 +16,8 @@
 pub(crate) struct Output {
     call: CallId,
     kept: AtomicUsize,
+    /// Whether the end has been handed to a link that stood.
+    told: AtomicBool,
     parts: Mutex<Parts>,
 }
 
@@ -67,6 +69,7 @@
         Self {
             call,
             kept: AtomicUsize::new(0),
+            told: AtomicBool::new(false),
             parts: Mutex::new(parts),
         }
     }
@@ -76,6 +79,16 @@
         self.kept.load(Ordering::Relaxed)
     }
 
+    /// Whether the end has been handed to a link that stood.
+    pub(crate) fn told(&self) -> bool {
+        self.told.load(Ordering::Relaxed)
+    }
+
+    /// The link is lost, and with it perhaps what was handed to it last.
+    pub(crate) fn untell(&self) {
+        self.told.store(false, Ordering::Relaxed);
+    }
+
     /// Sends a frame that is not part of the answer.
     pub(crate) async fn send(&self, frame: Frame) {
         self.parts.lock().await.send(frame).await;
@@ -104,6 +117,7 @@
         let mut parts = self.parts.lock().await;
         parts.end = Some(end.clone());
         parts.send(end).await;
+        self.told.store(parts.link.is_some(), Ordering::Relaxed);
     }
 
     /// Sends what there is from chunk `from` on over a new link, which the rest will take too.
@@ -126,6 +140,7 @@
         }
         if let Some(end) = parts.end.clone() {
             parts.send(end).await;
+            self.told.store(parts.link.is_some(), Ordering::Relaxed);
         }
     }
 
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -205,10 +205,18 @@
             .is_some_and(|tracked| tracked.link == link)
     }
 
-    /// All calls of a link.
-    pub(crate) fn of_link(&self, link: LinkId) -> Vec<CallId> {
-        let own = |(call, tracked): (&CallId, &Tracked)| (tracked.link == link).then_some(*call);
-        self.calls.iter().filter_map(own).collect()
+    /// All calls of a lost link; what it was told last may not have arrived.
+    pub(crate) fn orphans(&mut self, link: LinkId) -> Vec<CallId> {
+        self.links.remove(&link);
+        let own = self
+            .calls
+            .iter()
+            .filter(|(_, tracked)| tracked.link == link);
+        own.map(|(call, tracked)| {
+            tracked.output.untell();
+            *call
+        })
+        .collect()
     }
 
     /// Moves a started call's answer to a new link. A call that has not started is dropped: its
@@ -263,6 +271,13 @@
         calls.into_iter().filter_map(back).collect()
     }
 
+    /// Whether an answer that cannot be had again still waits for its entry to come back.
+    pub(crate) fn untold(&self) -> bool {
+        self.calls
+            .values()
+            .any(|tracked| !tracked.repeatable && !tracked.output.told())
+    }
+
     /// Lets go of every link.
     pub(crate) fn close(&mut self) {
         self.links.clear();
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -12,7 +12,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, oneshot};
 use tokio::task::JoinHandle;
 use wire::{Frame, Key, Receiver, Sender, Work};
@@ -220,6 +221,21 @@
             .unwrap()
     }
 
+    /// Waits until one of the agent's metrics has this value.
+    pub(crate) async fn shows(&self, metric: &str, value: u64) {
+        let line = format!("\nlinnetdrift_agent_{metric} {value}\n");
+        loop {
+            let mut stream = TcpStream::connect(self.ready.metrics).await.unwrap();
+            let request = b"GET /metrics HTTP/1.0\r\n\r\n";
+            stream.write_all(request).await.unwrap();
+            let mut text = String::new();
+            stream.read_to_string(&mut text).await.unwrap();
+            if text.contains(&line) {
+                return;
+            }
+        }
+    }
+
     /// Begins the graceful stop; the task ends with it.
     pub(crate) fn leave(self) -> JoinHandle<Result<(), agent::Error>> {
         self.stop.send(()).unwrap();
--- a/crates/agent/tests/graceful_stop.rs
+++ b/crates/agent/tests/graceful_stop.rs
@@ -57,3 +57,34 @@
     stopped.await.unwrap().unwrap();
     assert_eq!(runner.count(), 1);
 }
+
+/// A payout ends while its link is lost, and the platform takes the VM away at that moment. The
+/// agent must stay until the entry has come back for the answer, or the freelancer is left unsure.
+#[tokio::test]
+async fn stop_with_answer_to_fetch() {
+    let (runner, agent, (sender, mut receiver)) = small().await;
+    sender.send(offer(1, false, "stream held")).await.unwrap();
+    assert_eq!(next(&mut receiver).await, Frame::Ask { call: call(1) });
+    sender.send(Frame::Grant { call: call(1) }).await.unwrap();
+    assert!(matches!(next(&mut receiver).await, Frame::Chunk { .. }));
+    drop((sender, receiver));
+    agent.shows("links", 0).await;
+    let (listen, stopped) = (agent.ready.listen, agent.leave());
+    runner.hold.add_permits(1);
+
+    let key = wire::Key::new(common::KEY);
+    let (sender, mut receiver) = wire::connect(listen, &key).await.unwrap();
+    let recall = Frame::Recall {
+        call: call(1),
+        from: 1,
+    };
+    sender.send(recall).await.unwrap();
+    let mut ended = false;
+    while !ended {
+        ended = matches!(next(&mut receiver).await, Frame::Done { chunks: 2, .. });
+    }
+    assert_eq!(receiver.recv().await.unwrap(), None);
+    drop((sender, receiver));
+    stopped.await.unwrap().unwrap();
+    assert_eq!(runner.count(), 1);
+}
--- a/crates/agent/tests/link_loss.rs
+++ b/crates/agent/tests/link_loss.rs
@@ -108,6 +108,7 @@
     sender.send(offer(2, true, "json")).await.unwrap();
     assert_eq!(next(&mut receiver).await, Frame::Ask { call: call(1) });
     drop((sender, receiver));
+    agent.shows("links", 0).await;
 
     let (sender, mut receiver) = agent.link().await;
     for request in [2, 1] {
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -93,6 +93,7 @@
 #[derive(Clone, Debug)]
 pub struct Sender {
     queue: mpsc::Sender<Item>,
+    lost: CancellationToken,
 }
 
 impl Sender {
@@ -121,6 +122,7 @@
     }
 
     async fn queue(&self, item: Item) -> Result<(), Error> {
+        ensure!(!self.lost.is_cancelled(), ClosedSnafu);
         self.queue.send(item).await.map_err(|_| Error::Closed)
     }
 }
@@ -137,11 +139,13 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Socket`] or [`Error::Codec`]; the link is of no further use after either, and
-    /// its [`Sender`]s fail.
+    /// [`Error::Socket`] or [`Error::Codec`]; the link is of no further use after either. Its
+    /// [`Sender`]s fail from then on, as they do once it is closed.
     pub async fn recv(&mut self) -> Result<Option<Frame>, Error> {
         let received = self.read().await;
-        if received.is_err() {
+        // A writer that went on after the peer has closed would take frames that nobody reads,
+        // and their sender would count them as sent.
+        if !matches!(received, Ok(Some(_))) {
             self.lost.cancel();
         }
         received
@@ -281,7 +285,11 @@
         .run_until_cancelled_owned(write_all(sink, items));
     tokio::spawn(writing);
     let frames = FramedRead::new(Watch::new(read), codec());
-    (Sender { queue }, Receiver { frames, lost })
+    let sender = Sender {
+        queue,
+        lost: lost.clone(),
+    };
+    (sender, Receiver { frames, lost })
 }
 
 fn codec() -> LengthDelimitedCodec {
