--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -84,6 +84,8 @@
     crate::status::Status,
     crate::call::Call,
     crate::standin::Standin,
+    crate::load::Load,
+    crate::experiment::Experiment,
     crate::demo::Demo,
 ];
 
--- /dev/null
+++ b/crates/ctl/src/experiment/system.rs
@@ -0,0 +1,402 @@
+//! The processes of one deployment.
+
+use super::deployment::{Deployment, Service};
+use super::scenario::Plan;
+use crate::client::Client;
+use crate::fleet::{Fleet, Ready};
+use crate::{Error, option};
+use bytes::Bytes;
+use hyper::Method;
+use hyper::header::HeaderMap;
+use platform::{Role, Vm};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use setting::{Operator, Place, Platform, Policy};
+use standin::{Faults, Kind, Options};
+use std::collections::HashSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Entries of a deployment, each in a failure domain of its own.
+const ENTRIES: usize = 2;
+/// How often entries read the list of VMs and the change log, in milliseconds.
+const POLL_MS: u64 = 500;
+/// Calls that wait for a runner.
+const QUEUE: u32 = 32;
+/// Longest wait until the entries know all targets and the records.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Wait between two looks.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// A runner with its agent.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// Name of its VM.
+    pub id: String,
+    /// Service that it serves.
+    pub service: &'static Service,
+    /// Where the stand-in serves.
+    pub address: SocketAddr,
+    domain: &'static str,
+}
+
+/// A deployment that serves.
+#[derive(Debug)]
+pub struct System {
+    fleet: Fleet,
+    directory: PathBuf,
+    shared: Shared,
+    entries: Vec<SocketAddr>,
+    runners: Vec<Runner>,
+    dead: HashSet<usize>,
+}
+
+/// What all processes of a deployment share.
+#[derive(Debug)]
+struct Shared {
+    region: &'static str,
+    platform: Platform,
+    key: String,
+    token: String,
+    policy: Policy,
+}
+
+impl System {
+    /// Starts all processes, applies the records and waits until every entry serves every target.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if a process does not serve or the records are not accepted.
+    pub async fn start(
+        deployment: &'static Deployment,
+        policy: Policy,
+        plan: &Plan,
+        records: &Path,
+        seed: u64,
+    ) -> Result<Self, Error> {
+        let name = format!("linnetdrift-experiment-{}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        let mut fleet = Fleet::new(&directory)?;
+        let shared = shared(&mut fleet, deployment, policy)?;
+        let mut system = Self {
+            fleet,
+            directory,
+            shared,
+            entries: Vec::new(),
+            runners: Vec::new(),
+            dead: HashSet::new(),
+        };
+        system.start_runners(deployment, plan, seed).await?;
+        system.start_entries(deployment).await?;
+        system.wait(|status| status["ready"] == true).await?;
+        let revision = system.apply(records)?;
+        let count = system.runners.len();
+        system
+            .wait(|status| status["revision"] == revision && live(status) == count)
+            .await?;
+        Ok(system)
+    }
+
+    /// Where the entries serve.
+    #[must_use]
+    pub fn entries(&self) -> &[SocketAddr] {
+        &self.entries
+    }
+
+    /// All runners, those that have died included.
+    #[must_use]
+    pub fn runners(&self) -> &[Runner] {
+        &self.runners
+    }
+
+    /// Number of the runner at this place among those of its service.
+    #[must_use]
+    pub fn runner(&self, service: &str, place: usize) -> usize {
+        let runners = self.runners.iter().enumerate();
+        let mut own = runners.filter(|(_, runner)| runner.service.name == service);
+        own.nth(place).map_or(0, |(number, _)| number)
+    }
+
+    /// Numbers of the runners in a failure domain.
+    #[must_use]
+    pub fn in_domain(&self, domain: &str) -> Vec<usize> {
+        let runners = self.runners.iter().enumerate();
+        runners
+            .filter(|(_, runner)| runner.domain == domain)
+            .map(|(number, _)| number)
+            .collect()
+    }
+
+    /// Whether a runner has been ended.
+    #[must_use]
+    pub fn is_dead(&self, number: usize) -> bool {
+        self.dead.contains(&number)
+    }
+
+    /// Ends a runner at once.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if it cannot be ended.
+    pub fn kill_runner(&mut self, number: usize) -> Result<(), Error> {
+        self.dead.insert(number);
+        let name = runner_name(&self.runners[number].id);
+        self.fleet.kill(&name)
+    }
+
+    /// Ends the agent beside a runner at once.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if it cannot be ended.
+    pub fn kill_agent(&mut self, number: usize) -> Result<(), Error> {
+        let name = self.runners[number].id.clone();
+        self.fleet.kill(&name)
+    }
+
+    /// Sets the faults of a runner.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if it cannot be reached.
+    pub async fn set_faults(&self, number: usize, faults: &Faults) -> Result<(), Error> {
+        post(self.runners[number].address, "/standin/faults", faults).await
+    }
+
+    /// Makes the table service answer nothing but `503`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if it cannot be reached.
+    pub async fn store_down(&self) -> Result<(), Error> {
+        let faults = Faults {
+            down: standin::fault::Share::All(true),
+            ..Faults::default()
+        };
+        post(self.shared.platform.table, "/standin/faults", &faults).await
+    }
+
+    /// Reads JSON from a process of the deployment.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if it cannot be reached or answers something else.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<T, Error> {
+        let client = Client::plain(address);
+        let answer = client.call(Method::GET, path, HeaderMap::new(), Bytes::new());
+        answer.await?.json()
+    }
+
+    /// Stops all processes that are left.
+    pub fn stop(mut self) {
+        // What they ran is known by now; one that does not stop well shows in its own tests.
+        let _ = self.fleet.stop();
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+
+    async fn start_runners(
+        &mut self,
+        deployment: &'static Deployment,
+        plan: &Plan,
+        seed: u64,
+    ) -> Result<(), Error> {
+        for service in deployment.services {
+            for place in 0..service.runners {
+                let seed = seed.wrapping_mul(1_000) + self.runners.len() as u64;
+                let domain = deployment.domains[place % deployment.domains.len()];
+                let id = format!("{}-{domain}{place}", service.name);
+                let options = plan.options(service.options(seed));
+                let address = self
+                    .fleet
+                    .standin(&runner_name(&id), service.kind, &options)?;
+                let agent = self.shared.agent(&id, domain, service, address);
+                let ready = self.fleet.agent(&agent)?;
+                let vm = self
+                    .shared
+                    .vm(&id, Role::Target, service.name, domain, ready);
+                self.list(&vm).await?;
+                self.runners.push(Runner {
+                    id,
+                    service,
+                    address,
+                    domain,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_entries(&mut self, deployment: &Deployment) -> Result<(), Error> {
+        for domain in deployment.domains.iter().take(ENTRIES) {
+            let id = format!("entry-{domain}1");
+            let ready = self.fleet.entry(&self.shared.entry(&id, domain))?;
+            let vm = self.shared.vm(&id, Role::Entry, "", domain, ready);
+            self.list(&vm).await?;
+            self.entries.push(ready.listen);
+        }
+        Ok(())
+    }
+
+    async fn list(&self, vm: &Vm) -> Result<(), Error> {
+        post(self.shared.platform.vms, "/standin/vm", vm).await
+    }
+
+    /// Applies the records as an operator does and gives their revision.
+    fn apply(&self, records: &Path) -> Result<Value, Error> {
+        let entry = self.entries[0].to_string();
+        let run = Command::new(self.fleet.program("linnetdrift"))
+            .arg("apply")
+            .arg(records)
+            .args(["--format", "json", "--entry", &entry])
+            .env(option::TOKEN_VARIABLE, &self.shared.token)
+            .output()
+            .map_err(|error| failed(format!("linnetdrift apply: {error}")))?;
+        if !run.status.success() {
+            return Err(failed(String::from_utf8_lossy(&run.stderr)));
+        }
+        let answer: Value = serde_json::from_slice(&run.stdout)
+            .map_err(|error| failed(format!("linnetdrift apply: {error}")))?;
+        Ok(answer["revision"].clone())
+    }
+
+    /// Waits until the status of every entry is as it should be.
+    async fn wait(&self, done: impl Fn(&Value) -> bool) -> Result<(), Error> {
+        let end = Instant::now() + READY_TIMEOUT;
+        for entry in &self.entries {
+            loop {
+                let status: Value = self.get(*entry, "/v1/status").await?;
+                if done(&status) {
+                    break;
+                }
+                if Instant::now() > end {
+                    return Err(failed(format!("{entry} did not get ready: {status}")));
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Shared {
+    fn place(&self, domain: &str) -> Place {
+        Place {
+            region: self.region.to_owned(),
+            domain: domain.to_owned(),
+        }
+    }
+
+    fn entry(&self, id: &str, domain: &str) -> setting::Entry {
+        setting::Entry {
+            id: id.to_owned(),
+            place: self.place(domain),
+            listen: free(),
+            metrics: free(),
+            platform: self.platform.clone(),
+            key: self.key.clone(),
+            operators: vec![Operator {
+                name: "experiment".to_owned(),
+                token: self.token.clone(),
+            }],
+            tls: None,
+            policy: self.policy,
+            vms_poll_ms: POLL_MS,
+            head_poll_ms: POLL_MS,
+            news: None,
+        }
+    }
+
+    fn agent(
+        &self,
+        id: &str,
+        domain: &str,
+        service: &Service,
+        runner: SocketAddr,
+    ) -> setting::Agent {
+        setting::Agent {
+            id: id.to_owned(),
+            place: self.place(domain),
+            listen: free(),
+            metrics: free(),
+            platform: self.platform.clone(),
+            key: self.key.clone(),
+            service: service.name.to_owned(),
+            runner,
+            concurrency: service.concurrency,
+            queue: QUEUE,
+            policy: self.policy,
+            news: None,
+        }
+    }
+
+    fn vm(&self, id: &str, role: Role, service: &str, domain: &str, ready: Ready) -> Vm {
+        Vm {
+            id: id.to_owned(),
+            incarnation: 1,
+            role,
+            service: service.to_owned(),
+            region: self.region.to_owned(),
+            domain: domain.to_owned(),
+            address: ready.listen,
+            news: ready.news,
+            leaving: false,
+        }
+    }
+}
+
+fn shared(fleet: &mut Fleet, deployment: &Deployment, policy: Policy) -> Result<Shared, Error> {
+    let draw = || format!("{:032x}", StdRng::from_os_rng().random::<u128>());
+    let options = Options::default();
+    Ok(Shared {
+        region: deployment.region,
+        platform: Platform {
+            table: fleet.standin("table", Kind::Table, &options)?,
+            objects: fleet.standin("object", Kind::Object, &options)?,
+            vms: fleet.standin("vm", Kind::Vm, &options)?,
+            weights: None,
+        },
+        key: draw(),
+        token: draw(),
+        policy,
+    })
+}
+
+fn runner_name(id: &str) -> String {
+    format!("{id}-runner")
+}
+
+fn live(status: &Value) -> usize {
+    let targets = status["targets"].as_array();
+    let targets = targets.into_iter().flatten();
+    targets.filter(|target| target["state"] == "live").count()
+}
+
+fn free() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+async fn post(address: SocketAddr, path: &str, body: &impl serde::Serialize) -> Result<(), Error> {
+    let body = serde_json::to_vec(body).map_err(|error| failed(error.to_string()))?;
+    let client = Client::plain(address);
+    let answer = client.call(Method::POST, path, HeaderMap::new(), body.into());
+    let answer = answer.await?;
+    match answer.status.is_success() {
+        true => Ok(()),
+        false => Err(failed(format!("{path}: {}", answer.status))),
+    }
+}
+
+fn failed(reason: impl Into<String>) -> Error {
+    Error::Failed {
+        reason: reason.into(),
+    }
+}
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -103,6 +103,20 @@
         self.daemon("agent", &settings.id, settings)
     }
 
+    /// Ends a process at once, as a machine that fails does.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if there is no process of that name or it cannot be ended.
+    pub fn kill(&mut self, name: &str) -> Result<(), Error> {
+        let place = self.processes.iter().position(|one| one.name == name);
+        let place = place.ok_or_else(|| failed(name)("no such process"))?;
+        let mut process = self.processes.remove(place);
+        process.child.kill().map_err(failed(name))?;
+        process.child.wait().map_err(failed(name))?;
+        Ok(())
+    }
+
     /// Asks all processes to stop, the last started first, and waits for each.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/ctl/src/load/drive.rs
@@ -0,0 +1,51 @@
+//! Sends all requests at their times.
+
+use super::arrival::Arrival;
+use super::caller::Caller;
+use super::tally::Tally;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Sends each request at its time, in a task of its own, and waits for all to end. Those due before
+/// `warm_up` are sent but not counted; `started` is told when the run begins.
+pub async fn run(
+    caller: &Caller,
+    arrivals: Vec<Arrival>,
+    warm_up: Duration,
+    started: impl FnOnce(Instant),
+) -> Tally {
+    let start = Instant::now();
+    started(start);
+    let mut tally = Tally::default();
+    let mut tasks = JoinSet::new();
+    for arrival in arrivals {
+        let due = start + arrival.at;
+        tokio::time::sleep_until(due).await;
+        let caller = caller.clone();
+        tasks.spawn(async move {
+            let fate = caller.call(&arrival, due).await;
+            (arrival, fate)
+        });
+        while let Some(ended) = tasks.try_join_next() {
+            count(&mut tally, ended, warm_up);
+        }
+    }
+    while let Some(ended) = tasks.join_next().await {
+        count(&mut tally, ended, warm_up);
+    }
+    tally
+}
+
+fn count(
+    tally: &mut Tally,
+    ended: Result<(Arrival, super::caller::Fate), tokio::task::JoinError>,
+    warm_up: Duration,
+) {
+    // A task can only end in an error if it panicked, which no caller's fate does.
+    if let Ok((arrival, fate)) = ended
+        && arrival.at >= warm_up
+    {
+        tally.add(&arrival, &fate);
+    }
+}
