Permit and claim specification; a claim closes over writes that may yet land

The specification found that a claim which gives up could leave a claimed row behind: another claim's released row was taken for 'moved on', though the claim's own lost write expected that very revision and could still take effect. Every later caller would have been told unknown. The trace is the test late_insert, which failed before the change to found_closing and passes with it: the row counts as moved on only at another revision than the one open writes expect.

Ruled out: waiting for the lost write (nothing bounds how late it lands).

--- a/crates/protocol/src/claim.rs
+++ b/crates/protocol/src/claim.rs
@@ -240,14 +240,16 @@
         }
     }
 
-    /// Only a row that still bears this claim's token is changed: once released, the key may
-    /// belong to another claim.
+    /// Another claim's row is left alone once it has moved on from the revision that this claim's
+    /// open writes expect. Before that, such a write may yet take effect and leave a claim that
+    /// nobody runs, so the row is written over at that very revision.
     fn found_closing(&mut self, progress: Progress, kept: Option<Kept>) -> Action {
-        match kept {
-            Some(kept) if kept.row.token != self.row.token => self.settle(),
-            Some(kept) if kept.row.progress == progress => self.settle(),
+        let revision = kept.map(|kept| kept.revision);
+        match kept.map(|kept| kept.row) {
+            Some(row) if row.token == self.row.token && row.progress == progress => self.settle(),
+            Some(row) if row.token != self.row.token && revision != self.check => self.settle(),
             _ => {
-                self.check = kept.map(|kept| kept.revision);
+                self.check = revision;
                 self.write(progress)
             }
         }
