Bench of real processes and failure tests of calls that may not be repeated

Entries and agents run as processes of their own, stand-ins in the process of the test, so that their execution logs are at hand as ground truth.

--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -38,6 +38,32 @@
     child: Child,
 }
 
+/// A signal to one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Ends it at once, with nothing said to anyone.
+    Kill,
+    /// Freezes it.
+    Stop,
+    /// Lets a frozen one go on.
+    Continue,
+    /// Asks it to stop gracefully.
+    Terminate,
+}
+
+impl Signal {
+    /// Name that the `kill` command takes.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Kill => "KILL",
+            Self::Stop => "STOP",
+            Self::Continue => "CONT",
+            Self::Terminate => "TERM",
+        }
+    }
+}
+
 /// Processes that stop together.
 #[derive(Debug)]
 pub struct Fleet {
@@ -53,11 +79,20 @@
     ///
     /// [`Error::Failed`] if the directory cannot be made.
     pub fn new(directory: impl Into<PathBuf>) -> Result<Self, Error> {
-        let directory = directory.into();
         let program = std::env::current_exe().map_err(failed("own path"))?;
+        Self::of(directory, program.parent().unwrap_or(Path::new(".")))
+    }
+
+    /// A fleet of the programs in a directory; settings and logs go into a new directory.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if the directory for settings and logs cannot be made.
+    pub fn of(directory: impl Into<PathBuf>, programs: impl Into<PathBuf>) -> Result<Self, Error> {
+        let directory = directory.into();
         std::fs::create_dir_all(&directory).map_err(failed("directory"))?;
         Ok(Self {
-            programs: program.parent().unwrap_or(Path::new(".")).to_owned(),
+            programs: programs.into(),
             directory,
             processes: Vec::new(),
         })
@@ -103,6 +138,34 @@
         self.daemon("agent", &settings.id, settings)
     }
 
+    /// Sends a signal to a process that was started here and has not been seen to end.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if there is no such process or the signal cannot be sent.
+    pub fn signal(&self, name: &str, signal: Signal) -> Result<(), Error> {
+        let process = self.processes.iter().find(|process| process.name == name);
+        let process = process.ok_or_else(|| unknown(name))?;
+        process.signal(signal).map_err(failed(name))
+    }
+
+    /// How a process ended, if it has; it then no longer belongs to the fleet.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if there is no such process.
+    pub fn ended(&mut self, name: &str) -> Result<Option<ExitStatus>, Error> {
+        let mut processes = self.processes.iter_mut();
+        let index = processes.position(|process| process.name == name);
+        let index = index.ok_or_else(|| unknown(name))?;
+        let status = self.processes[index].child.try_wait();
+        let status = status.map_err(failed(name))?;
+        if status.is_some() {
+            self.processes.remove(index);
+        }
+        Ok(status)
+    }
+
     /// Asks all processes to stop, the last started first, and waits for each.
     ///
     /// # Errors
@@ -175,13 +238,21 @@
         if let Some(status) = self.child.try_wait()? {
             return Ok(status);
         }
-        let id = self.child.id().to_string();
-        // The standard library only has SIGKILL.
-        Command::new("sh")
-            .args(["-c", "kill -TERM \"$0\"", &id])
-            .status()?;
+        self.signal(Signal::Terminate)?;
         self.child.wait()
     }
+
+    /// The standard library only has SIGKILL. The process has not been waited for, so that its id
+    /// cannot have passed to another one.
+    fn signal(&self, signal: Signal) -> std::io::Result<()> {
+        let id = self.child.id().to_string();
+        let script = format!("kill -{} \"$0\"", signal.name());
+        let status = Command::new("sh").args(["-c", &script, &id]).status()?;
+        match status.success() {
+            true => Ok(()),
+            false => Err(std::io::Error::other(format!("kill ended with {status}"))),
+        }
+    }
 }
 
 /// A failed demonstration must leave no processes behind, which would keep their ports and go on
@@ -195,6 +266,12 @@
     }
 }
 
+fn unknown(name: &str) -> Error {
+    Error::Failed {
+        reason: format!("there is no process {name}"),
+    }
+}
+
 fn failed<E: std::fmt::Display>(what: &str) -> impl FnOnce(E) -> Error {
     let what = what.to_owned();
     move |error| Error::Failed {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`daemon`]: roles of `linnetdriftd`
 //! * [`client`], [`operator`]: calls to entries
 //! * [`demo`], [`fleet`]: a whole deployment on one machine
+//! * [`torture`]: a deployment under faults, for the soak and the failure tests
 //! * [`error`]: what can go wrong, with the exit codes
 
 pub mod apply;
@@ -27,6 +28,7 @@
 pub mod standin;
 pub mod status;
 pub mod stream;
+pub mod torture;
 
 pub use client::Client;
 pub use error::Error;
--- /dev/null
+++ b/crates/ctl/src/torture/mod.rs
@@ -0,0 +1,15 @@
+//! A deployment of real processes under faults, for the soak and the failure tests.
+//!
+//! * [`bench`] and [`runner`]: daemons as processes, stand-ins in this one
+//! * [`probe`]: calls to them, and waiting for what they show
+//! * [`record`]: the records that the bench applies
+//! * [`relay`]: a TCP connection that can be cut, frozen and delayed
+//! * [`caller`] and [`stream`]: a caller that keeps asking until it has a final word
+
+pub mod bench;
+pub mod caller;
+pub mod probe;
+pub mod record;
+pub mod relay;
+pub mod runner;
+pub mod stream;
--- /dev/null
+++ b/crates/ctl/src/torture/probe.rs
@@ -0,0 +1,111 @@
+//! Calls to the processes and stand-ins of a bench, and waiting for what they show.
+
+use crate::Error;
+use crate::client::{Answer, Client};
+use bytes::Bytes;
+use hyper::Method;
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderValue};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest wait for a condition.
+pub const LIMIT: Duration = Duration::from_secs(30);
+/// Wait between two looks.
+pub const LOOK: Duration = Duration::from_millis(10);
+
+/// Sets what goes wrong with the calls to a stand-in.
+///
+/// # Errors
+///
+/// Those of the call.
+pub async fn fault(standin: SocketAddr, faults: &Value) -> Result<(), Error> {
+    post(standin, "/standin/faults", faults).await
+}
+
+/// Applies a change as the operator with this token.
+///
+/// # Errors
+///
+/// Those of the call; a refusal is an answer.
+pub async fn apply(entry: SocketAddr, token: &str, change: &Value) -> Result<Answer, Error> {
+    let bearer = HeaderValue::from_str(&format!("Bearer {token}"));
+    let bearer = bearer.map_err(|error| failed(error.to_string()))?;
+    let headers = HeaderMap::from_iter([(AUTHORIZATION, bearer)]);
+    let body = change.to_string().into();
+    let client = Client::plain(entry);
+    client.call(Method::POST, "/v1/apply", headers, body).await
+}
+
+/// What an entry says of itself, if it can be reached.
+pub async fn status(entry: SocketAddr) -> Option<Value> {
+    get(entry, "/v1/status").await.ok()
+}
+
+/// Waits until an entry has this to say of a target.
+///
+/// # Errors
+///
+/// [`Error::Failed`] if it does not get there.
+pub async fn target(entry: SocketAddr, id: &str, state: &str) -> Result<(), Error> {
+    until(&format!("{id} is {state}"), || async {
+        let status = status(entry).await.unwrap_or_default();
+        let targets = status["targets"].as_array().cloned().unwrap_or_default();
+        targets
+            .iter()
+            .any(|target| target["id"] == id && target["state"] == state)
+    })
+    .await
+}
+
+/// Waits until a condition holds.
+///
+/// # Errors
+///
+/// [`Error::Failed`] with its name if it does not.
+pub async fn until<F: Future<Output = bool>>(
+    what: &str,
+    mut holds: impl FnMut() -> F,
+) -> Result<(), Error> {
+    let end = Instant::now() + LIMIT;
+    while !holds().await {
+        if Instant::now() > end {
+            return Err(failed(format!("it does not come about that {what}")));
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    Ok(())
+}
+
+/// Reads a JSON document.
+///
+/// # Errors
+///
+/// Those of the call.
+pub async fn get<T: serde::de::DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+) -> Result<T, Error> {
+    let client = Client::plain(address);
+    let answer = client.call(Method::GET, path, HeaderMap::new(), Bytes::new());
+    answer.await?.json()
+}
+
+pub(super) async fn post(address: SocketAddr, path: &str, body: &Value) -> Result<(), Error> {
+    let client = Client::plain(address);
+    let body = body.to_string().into();
+    let answer = client
+        .call(Method::POST, path, HeaderMap::new(), body)
+        .await?;
+    match answer.status.is_success() {
+        true => Ok(()),
+        false => Err(Error::Refused {
+            problem: answer.problem(),
+        }),
+    }
+}
+
+pub(super) fn failed(reason: String) -> Error {
+    Error::Failed { reason }
+}
--- /dev/null
+++ b/crates/ctl/src/torture/record.rs
@@ -0,0 +1,104 @@
+//! Records that the bench applies, and what its runners answer under them.
+
+use record::Document;
+use serde_json::{Value, json};
+
+/// Pipeline of one plain call that may not be repeated, at the service [`LABEL`].
+pub const PRINT: &str = "print";
+/// Pipeline of one plain call that may be repeated, at the service [`REPORT`].
+pub const READ: &str = "read";
+/// Pipeline of one streamed stage, at the service [`ASSISTANT`].
+pub const DRAFT: &str = "draft";
+/// Pipeline of four stages, the last one streamed.
+pub const CHECK: &str = "check";
+
+/// Service of plain calls that may not be repeated.
+pub const LABEL: &str = "label";
+/// Service of plain calls that may be repeated.
+pub const REPORT: &str = "report";
+/// Service of model engines.
+pub const ASSISTANT: &str = "assistant";
+/// Pool services in the order in which the pipeline of four stages calls them.
+pub const POOLS: [&str; 3] = ["encoder", "retriever", "reranker"];
+
+/// A service with the kind of its runners.
+#[must_use]
+pub fn service(name: &str, runner: &str, concurrency: u32) -> Document {
+    document(json!({
+        "schema": 1, "kind": "service", "name": name, "runner": runner, "concurrency": concurrency,
+    }))
+}
+
+/// A pipeline's first version.
+#[must_use]
+pub fn pipeline(name: &str, stages: &Value) -> Document {
+    document(json!({
+        "schema": 1, "kind": "pipeline", "name": name, "version": 1, "deadline_ms": 10_000,
+        "stages": stages,
+    }))
+}
+
+/// A mark that a VM is to get no new work.
+#[must_use]
+pub fn drain(vm: &str) -> Document {
+    document(json!({"schema": 1, "kind": "drain", "name": vm}))
+}
+
+/// A customer's share.
+#[must_use]
+pub fn workspace(name: &str, share: u32) -> Document {
+    document(json!({"schema": 1, "kind": "workspace", "name": name, "share": share}))
+}
+
+/// All services and pipelines of the bench.
+#[must_use]
+pub fn all(concurrency: u32) -> Vec<Document> {
+    let [encoder, retriever, reranker] = POOLS;
+    vec![
+        service(LABEL, "plain", concurrency),
+        service(REPORT, "plain", concurrency),
+        service(ASSISTANT, "engine", concurrency),
+        service(encoder, "pool", concurrency),
+        service(retriever, "pool", concurrency),
+        service(reranker, "pool", concurrency),
+        pipeline(
+            PRINT,
+            &json!([{"name": "print", "service": LABEL, "repeatable": false}]),
+        ),
+        pipeline(READ, &json!([{"name": "read", "service": REPORT}])),
+        pipeline(
+            DRAFT,
+            &json!([{"name": "draft", "service": ASSISTANT, "stream": true}]),
+        ),
+        pipeline(
+            CHECK,
+            &json!([
+                {"name": "encode", "service": encoder},
+                {"name": "retrieve", "service": retriever},
+                {"name": "rerank", "service": reranker},
+                {"name": "generate", "service": ASSISTANT, "stream": true},
+            ]),
+        ),
+    ]
+}
+
+/// What a pipeline answers to a text whose runners bear the names of their services.
+#[must_use]
+pub fn expected(pipeline: &str, text: &str, tokens: u32) -> String {
+    match pipeline {
+        PRINT => standin::answer::wrap(LABEL, text),
+        READ => standin::answer::wrap(REPORT, text),
+        CHECK => {
+            let stages = POOLS.iter();
+            let text = stages.fold(text.to_owned(), |text, stage| {
+                standin::answer::wrap(stage, &text)
+            });
+            standin::answer::tokens(&text, tokens)
+        }
+        _ => standin::answer::tokens(text, tokens),
+    }
+}
+
+fn document(value: Value) -> Document {
+    serde_json::from_value(value).expect("the fields of a document are there")
+}
--- /dev/null
+++ b/crates/ctl/src/torture/stream.rs
@@ -0,0 +1,156 @@
+//! A streamed answer as a caller reads it.
+
+use crate::client::{Client, collect};
+use crate::event::{Event, Parser};
+use crate::torture::caller::{Ask, Told};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Method, Response};
+use serde_json::Value;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// A streamed answer that is read event by event.
+#[derive(Debug)]
+pub struct Stream {
+    ask: Ask,
+    /// Identity of the request.
+    pub request: String,
+    body: Incoming,
+    parser: Parser,
+    events: VecDeque<Event>,
+    tokens: Vec<String>,
+}
+
+impl Stream {
+    pub(super) async fn new(ask: Ask, response: Response<Incoming>) -> Result<Self, Told> {
+        if !is_stream(&response) {
+            let answer = collect(response).await;
+            let answer = answer.map_err(|error| Told::from_error(&error))?;
+            return Err(ask.judge(&answer));
+        }
+        let request = response.headers().get("linnetdrift-request");
+        let request = request.and_then(|request| request.to_str().ok());
+        Ok(Self {
+            ask,
+            request: request.unwrap_or_default().to_owned(),
+            body: response.into_body(),
+            parser: Parser::default(),
+            events: VecDeque::new(),
+            tokens: Vec::new(),
+        })
+    }
+
+    /// Number of tokens that have arrived.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.tokens.len()
+    }
+
+    /// Whether no token has arrived yet.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.tokens.is_empty()
+    }
+
+    /// Reads the next token, or what the stream ended with.
+    ///
+    /// # Errors
+    ///
+    /// What the caller is told at the end.
+    pub async fn token(&mut self) -> Result<(), Told> {
+        let event = self.event().await?;
+        let data: Value = serde_json::from_str(&event.data).unwrap_or_default();
+        match event.name.as_str() {
+            "done" => {
+                let found = std::mem::take(&mut self.tokens).join(" ");
+                Err(self.ask.compare(found, &Value::Null, data["late"] == true))
+            }
+            "problem" => Err(Told::Problem(
+                serde_json::from_value(data).unwrap_or_default(),
+            )),
+            _ if event.id != self.tokens.len().to_string() => Err(Told::Wrong(format!(
+                "event {} where {} was due",
+                event.id,
+                self.tokens.len()
+            ))),
+            _ => {
+                self.tokens.push(token(&data));
+                Ok(())
+            }
+        }
+    }
+
+    /// Reads until so many tokens have arrived.
+    ///
+    /// # Errors
+    ///
+    /// What the caller is told at an earlier end.
+    pub async fn read(&mut self, tokens: usize) -> Result<(), Told> {
+        while self.len() < tokens {
+            self.token().await?;
+        }
+        Ok(())
+    }
+
+    /// Reads to the end.
+    pub async fn finish(mut self) -> Told {
+        loop {
+            if let Err(told) = self.token().await {
+                return told;
+            }
+        }
+    }
+
+    /// Gives the connection up and goes on at an entry behind the last token that arrived.
+    ///
+    /// # Errors
+    ///
+    /// What the caller is told instead; the tokens so far are lost with it.
+    pub async fn resume(self, entry: SocketAddr) -> Result<Self, Told> {
+        let Self {
+            ask,
+            request,
+            tokens,
+            body,
+            ..
+        } = self;
+        drop(body);
+        let path = format!("/v1/requests/{request}");
+        let mut headers = ask.headers();
+        if let Some(last) = tokens.len().checked_sub(1) {
+            headers.insert("last-event-id", HeaderValue::from(last));
+        }
+        let client = Client::plain(entry);
+        let response = client.send(Method::GET, &path, headers, Bytes::new()).await;
+        let response = response.map_err(|error| Told::from_error(&error))?;
+        let resumed = Self::new(ask, response).await?;
+        Ok(Self { tokens, ..resumed })
+    }
+
+    async fn event(&mut self) -> Result<Event, Told> {
+        loop {
+            if let Some(event) = self.events.pop_front() {
+                return Ok(event);
+            }
+            let Some(Ok(frame)) = self.body.frame().await else {
+                return Err(Told::Lost);
+            };
+            let bytes = frame.into_data().unwrap_or_default();
+            self.events.extend(self.parser.push(&bytes));
+        }
+    }
+}
+
+/// Whether an answer comes as a stream.
+pub(super) fn is_stream(response: &Response<Incoming>) -> bool {
+    let kind = response.headers().get("content-type");
+    kind.is_some_and(|kind| kind == "text/event-stream")
+}
+
+/// Text of one token.
+pub(super) fn token(data: &Value) -> String {
+    data["token"].as_str().unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/ctl/tests/common/mod.rs
@@ -0,0 +1,80 @@
+//! What the failure tests share: a bench with a time limit, and the ground truth.
+
+#![allow(dead_code)]
+
+use ctl::error::Outcome;
+use ctl::torture::bench::Bench;
+use ctl::torture::caller::{Ask, Told, Word};
+use ctl::torture::probe::until;
+use standin::log::Ended;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Longest time of a whole test.
+const LIMIT: Duration = Duration::from_secs(90);
+/// How long a caller keeps asking.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(45);
+
+/// Runs a test on a new bench.
+pub(crate) fn run(name: &str, test: impl AsyncFnOnce(Bench)) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()
+        .unwrap();
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let programs = Path::new(env!("CARGO_BIN_EXE_linnetdriftd")).parent();
+    let result = runtime.block_on(async {
+        let bench = Bench::new(directory, programs.unwrap().to_owned())
+            .await
+            .unwrap();
+        tokio::time::timeout(LIMIT, test(bench)).await
+    });
+    assert!(result.is_ok(), "{name} did not end in {LIMIT:?}");
+}
+
+/// Waits until a service has had so many executions.
+pub(crate) async fn until_runs(bench: &Bench, service: &str, count: usize) {
+    until("the service has run the calls", || async {
+        bench.executions(service).await.len() >= count
+    })
+    .await
+    .unwrap();
+}
+
+/// Waits until nothing runs at a service any more.
+pub(crate) async fn until_idle(bench: &Bench, service: &str) {
+    until("the service is idle", || async {
+        let executions = bench.executions(service).await;
+        executions.iter().all(|one| one.ended != Ended::Running)
+    })
+    .await
+    .unwrap();
+}
+
+/// Checks what a caller was told against what ran.
+pub(crate) async fn check(bench: &Bench, service: &str, ask: &Ask, word: &Word) {
+    let runs = bench.runs(service, &ask.input()).await;
+    let right = match word.last() {
+        Some(Told::Whole { .. }) => runs == 1,
+        Some(told) if told.outcome() == Some(Outcome::NotRun) => runs == 0,
+        Some(told) if told.outcome() == Some(Outcome::Unknown) => runs <= 1,
+        _ => false,
+    };
+    assert!(right, "{}: ran {runs} times, told {word:?}", ask.text);
+}
+
+/// Starts callers that keep asking.
+pub(crate) fn spawn(
+    asks: impl IntoIterator<Item = Ask>,
+    entries: &[std::net::SocketAddr],
+) -> Vec<tokio::task::JoinHandle<(Ask, Word)>> {
+    let caller = |ask: Ask| {
+        let entries = entries.to_vec();
+        tokio::spawn(async move {
+            let word = ask.persist(&entries, PATIENCE).await;
+            (ask, word)
+        })
+    };
+    asks.into_iter().map(caller).collect()
+}
