--- a/crates/ctl/src/torture/mod.rs
+++ b/crates/ctl/src/torture/mod.rs
@@ -1,6 +1,6 @@
 //! A deployment of real processes under faults, for the soak and the failure tests.
 //!
-//! * [`bench`] and [`runner`]: daemons as processes, stand-ins in this one
+//! * [`mod@bench`] and [`runner`]: daemons as processes, stand-ins in this one
 //! * [`probe`]: calls to them, and waiting for what they show
 //! * [`record`]: the records that the bench applies
 //! * [`relay`]: a TCP connection that can be cut, frozen and delayed
