Only the answers of ended requests are kept, within 16 MB of measured memory

Cause: each ended request kept its job, with the set of records it began with, for ten minutes or 32 MB of answer bytes; 42,000 small answers counted as 1 MB.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -69,20 +69,37 @@
 /// The answer to one request, growing until its end.
 #[derive(Debug)]
 pub struct Answer {
+    request: RequestId,
+    streamed: bool,
     state: Mutex<State>,
     progress: watch::Sender<Progress>,
 }
 
-impl Default for Answer {
-    fn default() -> Self {
+impl Answer {
+    /// The answer of a request that begins; a streamed one comes in chunks that are JSON values of
+    /// their own.
+    #[must_use]
+    pub fn new(request: RequestId, streamed: bool) -> Self {
         Self {
+            request,
+            streamed,
             state: Mutex::default(),
             progress: watch::Sender::new(Progress::default()),
         }
     }
-}
 
-impl Answer {
+    /// The request that is answered.
+    #[must_use]
+    pub fn request(&self) -> RequestId {
+        self.request
+    }
+
+    /// Whether the answer comes in chunks that are JSON values of their own.
+    #[must_use]
+    pub fn is_streamed(&self) -> bool {
+        self.streamed
+    }
+
     /// Says that the request may run.
     pub fn admit(&self) {
         self.change(|state| state.admitted = true);
--- /dev/null
+++ b/crates/entry/src/answers.rs
@@ -0,0 +1,109 @@
+//! The answers of requests that run, and of those that have ended lately.
+//!
+//! Only the answer of a request is kept, not what it ran with: each set of records that was ever in
+//! force would otherwise stay in memory as long as one request that began with it.
+
+use crate::answer::Answer;
+use foldhash::fast::RandomState;
+use protocol::RequestId;
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long an ended request's answer is kept for callers that come back for it.
+pub const KEEP: Duration = Duration::from_secs(600);
+/// Memory that ended answers may take, in bytes.
+pub const KEEP_BYTES: usize = 16 << 20;
+/// Memory that an answer takes besides its chunks, in bytes: table entries, locks, counters.
+const OVERHEAD: usize = 768;
+/// Memory that a chunk takes besides its content, in bytes.
+const CHUNK_OVERHEAD: usize = 96;
+/// Locks that the table is spread over.
+const SHARDS: usize = 16;
+
+type Shard = HashMap<RequestId, Arc<Answer>, RandomState>;
+
+/// The answers of requests that run, and of those that have ended lately.
+#[derive(Debug)]
+pub struct Answers {
+    shards: Vec<Mutex<Shard>>,
+    ended: Mutex<Ended>,
+}
+
+/// An answer that may be forgotten.
+#[derive(Clone, Copy, Debug)]
+struct Old {
+    since: Instant,
+    request: RequestId,
+    bytes: usize,
+}
+
+#[derive(Debug, Default)]
+struct Ended {
+    order: VecDeque<Old>,
+    bytes: usize,
+}
+
+impl Default for Answers {
+    fn default() -> Self {
+        Self {
+            shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            ended: Mutex::default(),
+        }
+    }
+}
+
+impl Answers {
+    /// Takes in the answer of a request that begins.
+    pub fn insert(&self, answer: Arc<Answer>) {
+        self.shard(answer.request())
+            .insert(answer.request(), answer);
+    }
+
+    /// Finds the answer of a request that runs or has ended lately.
+    pub fn get(&self, request: RequestId) -> Option<Arc<Answer>> {
+        self.shard(request).get(&request).cloned()
+    }
+
+    /// Keeps the answer of a request that has ended for a while, and forgets the oldest ones beyond
+    /// the bounds.
+    pub fn ended(&self, answer: &Answer) {
+        let bytes = OVERHEAD + answer.bytes() + answer.len() * CHUNK_OVERHEAD;
+        let forgotten = {
+            let mut ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
+            ended.bytes += bytes;
+            ended.order.push_back(Old {
+                since: Instant::now(),
+                request: answer.request(),
+                bytes,
+            });
+            ended.forget()
+        };
+        for request in forgotten {
+            self.shard(request).remove(&request);
+        }
+    }
+
+    fn shard(&self, request: RequestId) -> MutexGuard<'_, Shard> {
+        let index = usize::try_from(request % SHARDS as u128).unwrap_or(0);
+        self.shards[index]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Ended {
+    fn forget(&mut self) -> Vec<RequestId> {
+        let mut forgotten = Vec::new();
+        while let Some(old) = self.order.front().copied() {
+            if self.bytes <= KEEP_BYTES && old.since.elapsed() <= KEEP {
+                break;
+            }
+            self.order.pop_front();
+            self.bytes -= old.bytes;
+            forgotten.push(old.request);
+        }
+        forgotten
+    }
+}
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -144,7 +144,7 @@
             if let Some(End::Elsewhere { request }) = job.answer.end() {
                 return find_answer(&core, request, &follow).await;
             }
-            respond(&job, &follow).await
+            respond(&job.answer, &follow).await
         }
         Err(problem) => {
             core.telemetry.refused();
@@ -174,8 +174,10 @@
     let deadline = ask
         .deadline
         .unwrap_or(Duration::from_millis(pipeline.deadline_ms));
+    let id = peers::draw(&core.settings.id, &mut rand::rng());
+    let streamed = ask.stream && pipeline.stages.last().is_some_and(|stage| stage.stream);
     let job = Arc::new(Job {
-        id: peers::draw(&core.settings.id, &mut rand::rng()),
+        id,
         workspace: ask.workspace,
         class: ask.class,
         key: ask.key,
@@ -183,9 +185,8 @@
         set,
         accepted: now,
         deadline: now + deadline,
-        stream: ask.stream,
         input,
-        answer: Answer::default(),
+        answer: Arc::new(Answer::new(id, streamed)),
     });
     core.spawn(job.clone());
     Ok(job)
@@ -236,8 +237,8 @@
 /// Finds the answer to a request here, at the entry that accepted it, or in the object store; the
 /// balancer may have brought the caller to any entry, and the one it spoke to may be gone.
 async fn find_answer<P: Platform>(core: &Arc<Core<P>>, id: RequestId, follow: &Follow) -> Response {
-    if let Some(job) = core.jobs.get(id) {
-        return respond(&job, follow).await;
+    if let Some(answer) = core.answers.get(id) {
+        return respond(&answer, follow).await;
     }
     let owner = core.peers.owner(id).filter(|_| !follow.forwarded);
     if let Some(owner) = owner
@@ -262,22 +263,23 @@
 }
 
 /// Answers with what a job brings: as a stream from a chunk on, or whole.
-async fn respond(job: &Arc<Job>, follow: &Follow) -> Response {
+async fn respond(answer: &Arc<Answer>, follow: &Follow) -> Response {
     let refused = matches!(
-        job.answer.end(),
+        answer.end(),
         Some(End::NotRun { .. } | End::Mismatch | End::Elsewhere { .. })
     );
     if follow.stream && !refused {
-        return stream::response(job.clone(), follow.from);
+        return stream::response(answer.clone(), follow.from);
     }
     let end = match follow.wait {
-        None => job.answer.ended().await,
-        Some(wait) => match tokio::time::timeout(wait, job.answer.ended()).await {
+        None => answer.ended().await,
+        Some(wait) => match tokio::time::timeout(wait, answer.ended()).await {
             Ok(end) => end,
-            Err(_) => return accepted(job),
+            Err(_) => return accepted(answer.request()),
         },
     };
-    render(job.id, &end, job.streams(), &job.answer.chunks())
+    let chunks = answer.chunks();
+    render(answer.request(), &end, answer.is_streamed(), &chunks)
 }
 
 fn respond_kept(id: RequestId, kept: &Kept) -> Response {
@@ -300,8 +302,8 @@
 }
 
 /// `202 Accepted`: the caller chose to come back.
-fn accepted(job: &Job) -> Response {
-    let id = format_id(job.id);
+fn accepted(request: RequestId) -> Response {
+    let id = format_id(request);
     let mut response = Response::with(
         Full::from(format!("{{\"request\":\"{id}\"}}")),
         "application/json",
@@ -310,7 +312,7 @@
     if let Ok(location) = format!("/v1/requests/{id}").parse() {
         response.headers_mut().insert("location", location);
     }
-    name_request(&mut response, job.id);
+    name_request(&mut response, request);
     response
 }
 
--- a/crates/entry/src/caller/stream.rs
+++ b/crates/entry/src/caller/stream.rs
@@ -5,8 +5,7 @@
 //! `GET /v1/requests/{id}` and `Last-Event-ID`.
 
 use super::{EVENT_STREAM, format_id, name_request};
-use crate::answer::{End, Progress};
-use crate::job::Job;
+use crate::answer::{Answer, End, Progress};
 use crate::problem::Problem;
 use bytes::Bytes;
 use futures::Stream;
@@ -17,19 +16,19 @@
 
 /// Reader of one answer.
 struct Reader {
-    job: Arc<Job>,
+    answer: Arc<Answer>,
     next: usize,
     progress: watch::Receiver<Progress>,
     over: bool,
 }
 
-/// Streams a job's answer from a chunk on.
-pub(super) fn response(job: Arc<Job>, from: usize) -> Response {
-    let id = job.id;
+/// Streams an answer from a chunk on.
+pub(super) fn response(answer: Arc<Answer>, from: usize) -> Response {
+    let id = answer.request();
     let reader = Reader {
-        progress: job.answer.follow(),
+        progress: answer.follow(),
         next: from,
-        job,
+        answer,
         over: false,
     };
     let mut response = Response::with(Body::from_stream(events(reader)), EVENT_STREAM);
@@ -55,7 +54,7 @@
         while !self.over {
             self.progress.borrow_and_update();
             // The end is read before the chunks: none can be added after it.
-            let end = self.job.answer.end();
+            let end = self.answer.end();
             let mut text = self.due();
             if let Some(end) = end {
                 self.over = true;
@@ -64,7 +63,7 @@
             if !text.is_empty() {
                 return Some(Bytes::from(text));
             }
-            // The sender lives in the job that this reader holds.
+            // The sender lives in the answer that this reader holds.
             let _ = self.progress.changed().await;
         }
         None
@@ -72,7 +71,7 @@
 
     fn due(&mut self) -> String {
         let mut text = String::new();
-        while let Some(chunk) = self.job.answer.chunk(self.next) {
+        while let Some(chunk) = self.answer.chunk(self.next) {
             text.push_str(&format!("id: {}\n", self.next));
             // A line break inside the data would end the event's line.
             for line in String::from_utf8_lossy(&chunk).lines() {
@@ -87,15 +86,15 @@
     }
 
     fn last(&self, end: &End) -> String {
-        match Problem::from_end(self.job.id, end) {
+        match Problem::from_end(self.answer.request(), end) {
             Some(problem) => {
                 let problem = serde_json::to_string(&problem).unwrap_or_default();
                 format!("event: problem\ndata: {problem}\n\n")
             }
             None => {
                 let late = matches!(end, End::Whole { late: true });
-                let id = format_id(self.job.id);
-                let chunks = self.job.answer.len();
+                let id = format_id(self.answer.request());
+                let chunks = self.answer.len();
                 format!(
                     "event: done\ndata: {{\"request\":\"{id}\",\"chunks\":{chunks},\"late\":{late}}}\n\n"
                 )
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,16 +1,17 @@
 //! What the parts of an entry share.
 
+use crate::answers::Answers;
 use crate::budgets::Budgets;
 use crate::claim::Claims;
 use crate::config::Config;
-use crate::job::Jobs;
+use crate::execute;
+use crate::job::Job;
 use crate::news::Exchange;
 use crate::peers::Peers;
 use crate::prefix;
 use crate::service::Demand;
 use crate::services::Services;
 use crate::telemetry::Telemetry;
-use crate::{execute, job::Job};
 use decide::budget::Slot;
 use platform::{Objects, Table, Vms};
 use record::service::Runner;
@@ -44,8 +45,8 @@
     pub peers: Peers,
     /// News to and from the other entries, if the settings name an address for it.
     pub exchange: OnceLock<Exchange>,
-    /// Requests that run and answers that are kept.
-    pub jobs: Jobs,
+    /// Answers of requests that run or have ended lately.
+    pub answers: Answers,
     /// Counters and histograms.
     pub telemetry: Telemetry,
     /// Lines for changes of state.
@@ -69,7 +70,7 @@
             platform,
             peers: Peers::default(),
             exchange: OnceLock::new(),
-            jobs: Jobs::default(),
+            answers: Answers::default(),
             telemetry,
             log,
             tasks: TaskTracker::new(),
@@ -125,10 +126,10 @@
     /// back finds its answer.
     pub fn spawn(self: &Arc<Self>, job: Arc<Job>) {
         let core = self.clone();
-        core.jobs.insert(job.clone());
+        core.answers.insert(job.answer.clone());
         self.tasks.spawn(async move {
             execute::run(&core, &job).await;
-            core.jobs.keep(&job);
+            core.answers.ended(&job.answer);
         });
     }
 }
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -88,7 +88,7 @@
     let mut input = job.input.clone();
     let mut elapsed = Vec::with_capacity(job.pipeline.stages.len());
     for position in 0..=last {
-        let streamed = position == last && job.streams();
+        let streamed = position == last && job.answer.is_streamed();
         let run = Run::new(core, job, position, input, streamed);
         let output = run.finish(turn.take()).await?;
         elapsed.push(output.elapsed);
@@ -98,7 +98,7 @@
             fields::overlay(&job.input, output.content)
         };
     }
-    if !job.streams() {
+    if !job.answer.is_streamed() {
         job.answer.push(input);
     }
     core.budgets.finished(&job.pipeline, &elapsed);
--- a/crates/entry/src/kept.rs
+++ b/crates/entry/src/kept.rs
@@ -43,7 +43,7 @@
         };
         Some(Self {
             late,
-            stream: job.streams(),
+            stream: job.answer.is_streamed(),
             failure,
             chunks: chunks.iter().map(text).collect(),
         })
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,8 @@
 //! * [`core`]: what the parts of an entry share
 //! * [`server`]: listener, TLS and routes
 //! * [`caller`]: callers' interface; [`operator`]: operators' interface; [`problem`]: their errors
-//! * [`job`] and [`answer`]: one accepted request and what its caller gets
+//! * [`job`], [`answer`] and [`answers`]: one accepted request, what its caller gets, and for how
+//!   long it is kept
 //! * [`execute`]: a job from admission to its end; [`stage`]: one stage with all its attempts
 //! * [`claim`] and [`kept`]: idempotency keys and the answers kept for them
 //! * [`target`], [`service`], [`services`] and [`discovery`]: links to agents and who gets work
@@ -16,6 +17,7 @@
 //! * [`telemetry`]: counters and histograms
 
 pub mod answer;
+pub mod answers;
 pub mod budgets;
 pub mod caller;
 pub mod claim;
