--- a/crates/agent/src/answer.rs
+++ b/crates/agent/src/answer.rs
@@ -20,6 +20,8 @@
 
 /// Longest answer or event in bytes; leaves room for the rest of the frame.
 const LONGEST: usize = MAX_FRAME - 1024;
+/// Answers below this many bytes are copied out of the connection's read buffer.
+const SHORT: usize = 32 << 10;
 /// How long the rest of a stream is read after its end mark, so that the connection can be used
 /// again.
 const REST: Duration = Duration::from_secs(1);
@@ -199,7 +201,7 @@
 pub(crate) async fn whole(body: Incoming) -> Result<Bytes, Fault> {
     let collected = Limited::new(body, LONGEST).collect().await;
     collected
-        .map(http_body_util::Collected::to_bytes)
+        .map(|body| alone(body.to_bytes()))
         .map_err(|error| match error.downcast::<LengthLimitError>() {
             Ok(_) => Fault::Long,
             Err(error) => Fault::Unread {
@@ -208,6 +210,15 @@
         })
 }
 
+/// A short answer shares its memory with the connection's read buffer. Kept for a recall, each
+/// would hold a whole buffer, and a few thousand kept answers fill the agent's VM.
+fn alone(body: Bytes) -> Bytes {
+    if body.len() < SHORT {
+        return Bytes::copy_from_slice(&body);
+    }
+    body
+}
+
 async fn stream(core: &Core, job: &Job, mut body: Incoming) -> Result<(Sequence, u64), Fault> {
     let mut parser = Parser::default();
     let mut next = job.work.resume;
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -140,9 +140,12 @@
     }
 
     async fn ask(self: Arc<Self>, job: Arc<Job>) {
-        job.output.send(Frame::Ask { call: job.call }).await;
+        let call = job.call;
+        job.output.send(Frame::Ask { call }).await;
+        // The job holds the link, which a leaving agent could not close while this waits.
+        drop(job);
         sleep(GRANT).await;
-        self.revoke(job.call).await;
+        self.revoke(call).await;
     }
 
     /// Takes an offered call in or refuses it.
--- a/crates/agent/src/memory.rs
+++ b/crates/agent/src/memory.rs
@@ -8,9 +8,9 @@
 use wire::Refusal;
 
 /// Bytes of ended answers that are kept for recall, with [`OVERHEAD`] for each.
-pub(crate) const BUDGET: usize = 8 << 20;
+const BUDGET: usize = 6 << 20;
 /// Assumed cost in bytes of keeping one ended call beside its chunks.
-const OVERHEAD: usize = 512;
+const OVERHEAD: usize = 1024;
 /// How long an answer that may not be repeated is kept.
 const UNREPEATABLE: Duration = Duration::from_secs(60);
 /// How long an answer that can be had again is kept; covers the detection of a lost link and the
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -47,6 +47,7 @@
         let runner = own.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                stream.set_nodelay(true).unwrap();
                 let runner = runner.clone();
                 let service = service_fn(move |request| runner.clone().answer(request));
                 tokio::spawn(
