--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -195,8 +195,8 @@
         runner,
         concurrency: 1,
         queue: 1,
-        policy: setting::Policy::Shipped,
         news: None,
+        policy: setting::Policy::Shipped,
     }
 }
 
--- a/crates/ctl/src/call.rs
+++ b/crates/ctl/src/call.rs
@@ -2,18 +2,17 @@
 
 use crate::client::{Client, collect};
 use crate::command::{Command, Help};
-use crate::error::{FileSnafu, Problem};
-use crate::event::{Event, Parser};
-use crate::{Common, Error, Format, option, output};
+use crate::error::{FileSnafu, Outcome};
+use crate::{Common, Error, option, output, stream};
 use bytes::Bytes;
 use getopts::{Matches, Options};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{ACCEPT, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use snafu::ResultExt;
+use std::time::Duration;
 
 /// Workspace of the caller.
 pub const WORKSPACE: HeaderName = HeaderName::from_static("linnetdrift-workspace");
@@ -24,11 +23,11 @@
 /// Key under which a request runs once, however often it is sent.
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Media type of a streamed answer.
-const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
-/// Event that ends a whole stream.
-const DONE: &str = "done";
-/// Event that ends a stream that failed; its data is a problem document.
-const PROBLEM: &str = "problem";
+pub(crate) const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
+/// Times that a request under a key is sent.
+const ATTEMPTS: u32 = 6;
+/// Wait before it is sent again.
+const PAUSE: Duration = Duration::from_millis(200);
 /// Version that callers get who name none.
 const CURRENT: &str = "@current";
 
@@ -104,20 +103,72 @@
     }
 
     async fn run(self, common: &Common) -> Result<(), Error> {
-        let client = Client::new(common)?;
+        let mut client = Client::new(common)?;
+        match self.submit(&mut client).await? {
+            Reply::Stream(response) => stream::print(&client, common.format, response).await,
+            Reply::Whole(answer) => output::print(common.format, show(&answer), &answer),
+        }
+    }
+}
+
+/// What an entry sends back.
+enum Reply {
+    Stream(Response<Incoming>),
+    Whole(Answer),
+}
+
+impl Call {
+    /// Sends the request until an answer settles it.
+    ///
+    /// A request whose answer was lost may have run. It is sent again only under a key, where the
+    /// entry that gets it next finds the first one. From then on a refusal speaks of the last call
+    /// alone, so only an answer of the request itself ends the doubt.
+    async fn submit(&self, client: &mut Client) -> Result<Reply, Error> {
+        let keyed = self.headers.contains_key(KEY);
+        let mut doubt = None;
+        let mut attempt = 1;
+        loop {
+            let error = match self.attempt(client).await {
+                Ok(reply) => return Ok(reply),
+                Err(error) => error,
+            };
+            let error = match doubt.take() {
+                Some(first) if !settles(&error) => first,
+                _ => error,
+            };
+            if !keyed || attempt == ATTEMPTS || !matches!(error, Error::Lost { .. }) {
+                return Err(error);
+            }
+            doubt = Some(error);
+            attempt += 1;
+            client.rotate();
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn attempt(&self, client: &Client) -> Result<Reply, Error> {
+        let (headers, input) = (self.headers.clone(), self.input.clone());
         let response = client
-            .send(Method::POST, &self.path, self.headers, self.input)
+            .send(Method::POST, &self.path, headers, input)
             .await?;
         if self.stream && response.status() == StatusCode::OK {
-            return stream(common.format, response).await;
+            return Ok(Reply::Stream(response));
         }
         let answer = collect(response).await?;
-        if answer.status != StatusCode::OK {
-            let problem = answer.problem();
-            return Err(Error::Refused { problem });
+        match answer.status {
+            StatusCode::OK => answer.json().map(Reply::Whole),
+            _ => Err(Error::Refused {
+                problem: answer.problem(),
+            }),
         }
-        let answer: Answer = answer.json()?;
-        output::print(common.format, show(&answer), &answer)
+    }
+}
+
+/// Whether the answer says what became of the request, whichever call brought it.
+fn settles(error: &Error) -> bool {
+    match error {
+        Error::Refused { problem } => problem.outcome == Some(Outcome::Failed),
+        _ => false,
     }
 }
 
@@ -143,42 +194,3 @@
     let late = if answer.late { ", late" } else { "" };
     format!("{:#}\nrequest {}{late}", answer.output, answer.request)
 }
-
-/// Prints a stream. Only its end mark makes it whole; one that ends without it is reported as
-/// lost, because a cut-short answer looks whole to whoever reads only its parts.
-async fn stream(format: Format, response: Response<Incoming>) -> Result<(), Error> {
-    let mut parser = Parser::default();
-    let mut body = response.into_body();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| Error::Lost {
-            reason: error.to_string(),
-        })?;
-        let bytes = frame.into_data().unwrap_or_default();
-        for event in parser.push(&bytes) {
-            if print(format, &event)? {
-                return Ok(());
-            }
-        }
-    }
-    Err(Error::Lost {
-        reason: "the stream ended without its end mark".to_owned(),
-    })
-}
-
-/// Prints an event and says whether it is the end.
-fn print(format: Format, event: &Event) -> Result<bool, Error> {
-    let data: Value = serde_json::from_str(&event.data).map_err(|error| Error::Garbled {
-        reason: format!("event {}: {error}", event.id),
-    })?;
-    if event.name == PROBLEM {
-        let problem: Problem = serde_json::from_value(data).unwrap_or_default();
-        return Err(Error::Refused { problem });
-    }
-    let json = serde_json::json!({"event": event.name, "id": event.id, "data": data});
-    let text = match &data {
-        Value::String(text) => text.clone(),
-        data => data.to_string(),
-    };
-    output::print(format, text, &json)?;
-    Ok(event.name == DONE)
-}
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -12,6 +12,7 @@
 use rustls::{ClientConfig, RootCertStore};
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, ServerName};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -106,15 +107,14 @@
         Problem {
             status: self.status.as_u16(),
             title,
-            retry_after: retry_after(&self.headers),
+            retry_after: problem.retry_after.or_else(|| retry_after(&self.headers)),
             ..problem
         }
     }
 }
 
-fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_secs(seconds))
+fn retry_after(headers: &HeaderMap) -> Option<f64> {
+    headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()
 }
 
 /// Calls entries; the next one is tried where one cannot be reached.
@@ -156,6 +156,20 @@
         })
     }
 
+    /// A client of one address, in plain text and without a token.
+    #[must_use]
+    pub fn plain(address: SocketAddr) -> Self {
+        let entry = Endpoint {
+            tls: false,
+            authority: address.to_string(),
+        };
+        Self {
+            entries: vec![entry],
+            tls: None,
+            token: None,
+        }
+    }
+
     /// The same client, starting with the entry after the first.
     pub fn rotate(&mut self) {
         self.entries.rotate_left(1);
@@ -246,7 +260,7 @@
             .authority
             .rsplit_once(':')
             .map_or("", |(host, _)| host);
-        let name = ServerName::try_from(host.to_owned())
+        let name = ServerName::try_from(host.trim_matches(['[', ']']).to_owned())
             .map_err(|error| unreachable(error.to_string()))?;
         let connector = TlsConnector::from(Arc::clone(config));
         let stream = connector.connect(name, stream).await;
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -84,6 +84,10 @@
     crate::status::Status,
     crate::call::Call,
     crate::standin::Standin,
+    crate::load::Load,
+    crate::experiment::Experiment,
+    crate::demo::Demo,
+    crate::measure::Measure,
 ];
 
 /// Runs the command line and gives the exit code.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,6 +3,8 @@
 //! * [`command`]: commands of `linnetdrift` and their common options
 //! * [`daemon`]: roles of `linnetdriftd`
 //! * [`client`], [`operator`]: calls to entries
+//! * [`demo`], [`fleet`]: a whole deployment on one machine
+//! * [`torture`]: a deployment under faults, for the soak and the failure tests
 //! * [`error`]: what can go wrong, with the exit codes
 
 pub mod apply;
@@ -11,11 +13,17 @@
 pub mod client;
 pub mod command;
 pub mod daemon;
+pub mod demo;
+pub mod deployment;
 pub mod drain;
 pub mod error;
 pub mod event;
+pub mod experiment;
+pub mod fleet;
 pub mod get;
 pub mod history;
+pub mod load;
+pub mod measure;
 pub mod operator;
 pub mod option;
 pub mod output;
@@ -23,6 +31,8 @@
 pub mod signal;
 pub mod standin;
 pub mod status;
+pub mod stream;
+pub mod torture;
 
 pub use client::Client;
 pub use error::Error;
--- a/crates/record/src/directory.rs
+++ b/crates/record/src/directory.rs
@@ -94,17 +94,35 @@
     /// each other.
     #[must_use]
     pub fn check(&self) -> Findings {
+        self.check_with(&[])
+    }
+
+    /// As [`Directory::check`], where these other documents stay in force beside those of the
+    /// files.
+    #[must_use]
+    pub fn check_with(&self, others: &[Document]) -> Findings {
+        let mut findings = self.check_each().0;
+        let all = [&self.documents, others].concat();
+        check::references(&all, &mut |index, path, message| {
+            findings.push(match index < self.documents.len() {
+                true => self.finding(index, path, message),
+                false => Finding::new(all[index].key(), path, message),
+            });
+        });
+        sorted(findings)
+    }
+
+    /// Everything that is wrong with each document by itself: for files that hold only some of a
+    /// deployment's records.
+    #[must_use]
+    pub fn check_each(&self) -> Findings {
         let mut findings = self.findings.clone();
         for (index, document) in self.documents.iter().enumerate() {
             check::rules(document, &mut |path, message| {
                 findings.push(self.finding(index, path, message));
             });
         }
-        check::references(&self.documents, &mut |index, path, message| {
-            findings.push(self.finding(index, path, message));
-        });
-        findings.sort_by(|a, b| (&a.origin, a.position).cmp(&(&b.origin, b.position)));
-        Findings(findings)
+        sorted(findings)
     }
 
     fn finding(&self, index: usize, path: &str, message: String) -> Finding {
@@ -140,3 +158,8 @@
         _ => format!("{parent}.{path}"),
     }
 }
+
+fn sorted(mut findings: Vec<Finding>) -> Findings {
+    findings.sort_by(|a, b| (&a.origin, a.position).cmp(&(&b.origin, b.position)));
+    Findings(findings)
+}
