--- a/crates/agent/src/answer.rs
+++ b/crates/agent/src/answer.rs
@@ -142,7 +142,7 @@
     sent: Instant,
 ) -> Result<End, Fault> {
     let (head, body) = response.into_parts();
-    own(&head.headers, head.status, job.call)?;
+    check_call(&head.headers, head.status, job.call)?;
     if head.status == StatusCode::SERVICE_UNAVAILABLE && head.headers.contains_key(X_NOT_RUN) {
         let retry_after = number(&head.headers, &RETRY_AFTER).unwrap_or(1);
         return Ok(End::NotRun {
@@ -178,7 +178,7 @@
 
 /// A runner that mixes up its answers gives one caller's text to another. An error answer that
 /// names no call may come from the HTTP layer before the runner and gives nothing away.
-fn own(headers: &HeaderMap, status: StatusCode, call: CallId) -> Result<(), Fault> {
+fn check_call(headers: &HeaderMap, status: StatusCode, call: CallId) -> Result<(), Fault> {
     let found = headers.get(X_CALL).map(|value| value.as_bytes());
     let absent = found.is_none() && !status.is_success();
     let same = found.is_some_and(|found| found == call.to_string().as_bytes());
@@ -201,7 +201,7 @@
 pub(crate) async fn whole(body: Incoming) -> Result<Bytes, Fault> {
     let collected = Limited::new(body, LONGEST).collect().await;
     collected
-        .map(|body| alone(body.to_bytes()))
+        .map(|body| detach(body.to_bytes()))
         .map_err(|error| match error.downcast::<LengthLimitError>() {
             Ok(_) => Fault::Long,
             Err(error) => Fault::Unread {
@@ -212,7 +212,7 @@
 
 /// A short answer shares its memory with the connection's read buffer. Kept for a recall, each
 /// would hold a whole buffer, and a few thousand kept answers fill the agent's VM.
-fn alone(body: Bytes) -> Bytes {
+fn detach(body: Bytes) -> Bytes {
     if body.len() < SHORT {
         return Bytes::copy_from_slice(&body);
     }
@@ -231,7 +231,7 @@
         while let Some(event) = parser.next() {
             if event.done {
                 counted(&event.data, next)?;
-                tokio::spawn(timeout(REST, rest(body)));
+                tokio::spawn(timeout(REST, drain(body)));
                 return Ok((next, length));
             }
             let found = event.id.context(UnnumberedSnafu { expected: next })?;
@@ -260,6 +260,6 @@
     Ok(())
 }
 
-async fn rest(mut body: Incoming) {
+async fn drain(mut body: Incoming) {
     while let Some(Ok(_)) = body.frame().await {}
 }
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -29,9 +29,9 @@
 const CANCEL: Duration = Duration::from_secs(2);
 /// How long a leaving agent waits for entries whose link was lost to fetch answers that cannot be
 /// had again. Without it a payout that ended just before the leave would end as *unknown*.
-const UNTOLD: Duration = Duration::from_secs(10);
+const FETCH: Duration = Duration::from_secs(10);
 /// Time between two looks at what is still to be fetched.
-const TELL: Duration = Duration::from_millis(20);
+const FETCH_POLL: Duration = Duration::from_millis(20);
 
 /// HTTP status for an order that finds too many before it, or an agent that leaves.
 const BUSY: u16 = 503;
@@ -329,9 +329,9 @@
     }
 
     /// Waits until entries have fetched all answers that cannot be had again.
-    async fn tell(&self) {
-        while self.state().untold() {
-            sleep(TELL).await;
+    async fn wait_for_recalls(&self) {
+        while self.state().awaits_recall() {
+            sleep(FETCH_POLL).await;
         }
     }
 
@@ -356,7 +356,7 @@
         self.orders().take();
         self.work.close();
         self.work.wait().await;
-        let _ = timeout(UNTOLD, self.tell()).await;
+        let _ = timeout(FETCH, self.wait_for_recalls()).await;
         self.work.wait().await;
         let links: Vec<Sender> = self.state().links.values().cloned().collect();
         join_all(links.iter().map(Sender::flush)).await;
--- a/crates/agent/src/output.rs
+++ b/crates/agent/src/output.rs
@@ -17,7 +17,7 @@
     call: CallId,
     kept: AtomicUsize,
     /// Whether the end has been handed to a link that stood.
-    told: AtomicBool,
+    delivered: AtomicBool,
     parts: Mutex<Parts>,
 }
 
@@ -69,7 +69,7 @@
         Self {
             call,
             kept: AtomicUsize::new(0),
-            told: AtomicBool::new(false),
+            delivered: AtomicBool::new(false),
             parts: Mutex::new(parts),
         }
     }
@@ -80,13 +80,13 @@
     }
 
     /// Whether the end has been handed to a link that stood.
-    pub(crate) fn told(&self) -> bool {
-        self.told.load(Ordering::Relaxed)
+    pub(crate) fn delivered(&self) -> bool {
+        self.delivered.load(Ordering::Relaxed)
     }
 
     /// The link is lost, and with it perhaps what was handed to it last.
-    pub(crate) fn untell(&self) {
-        self.told.store(false, Ordering::Relaxed);
+    pub(crate) fn mark_undelivered(&self) {
+        self.delivered.store(false, Ordering::Relaxed);
     }
 
     /// Sends a frame that is not part of the answer.
@@ -117,7 +117,8 @@
         let mut parts = self.parts.lock().await;
         parts.end = Some(end.clone());
         parts.send(end).await;
-        self.told.store(parts.link.is_some(), Ordering::Relaxed);
+        self.delivered
+            .store(parts.link.is_some(), Ordering::Relaxed);
     }
 
     /// Sends what there is from chunk `from` on over a new link, which the rest will take too.
@@ -140,7 +141,8 @@
         }
         if let Some(end) = parts.end.clone() {
             parts.send(end).await;
-            self.told.store(parts.link.is_some(), Ordering::Relaxed);
+            self.delivered
+                .store(parts.link.is_some(), Ordering::Relaxed);
         }
     }
 
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -5,7 +5,7 @@
 use crate::output::Output;
 use crate::queue::{Order, Place, Queue};
 use protocol::CallId;
-use protocol::gate::{Action, Event, Gate, State as Stand};
+use protocol::gate::{Action, Event, Gate, State as GateState};
 use record::Map;
 use std::sync::Arc;
 use std::time::Duration;
@@ -112,7 +112,7 @@
 
     /// Takes a call into the queue, or says why not; it then never starts.
     pub(crate) fn offer(&mut self, link: LinkId, job: &Arc<Job>) -> Result<(), Refusal> {
-        if let Some(why) = self.unfit(job) {
+        if let Some(why) = self.refusal(job) {
             self.memory.bar(job.call, why);
             return Err(why);
         }
@@ -130,7 +130,7 @@
         Ok(())
     }
 
-    fn unfit(&self, job: &Job) -> Option<Refusal> {
+    fn refusal(&self, job: &Job) -> Option<Refusal> {
         let full = self.taken >= self.bounds.concurrency && self.queue.len() >= self.bounds.queue;
         let barred = self.memory.barred(job.call);
         barred
@@ -183,7 +183,7 @@
             return None;
         }
         match before {
-            Stand::Held => self.queue.remove(tracked.place),
+            GateState::Held => self.queue.remove(tracked.place),
             _ => self.taken -= 1,
         }
         self.memory.bar(call, why);
@@ -193,7 +193,7 @@
     /// A running call and whether it may be cut off.
     pub(crate) fn running(&self, call: CallId) -> Option<(Arc<Job>, bool)> {
         let tracked = self.calls.get(&call)?;
-        let running = tracked.gate.state() == Stand::Running;
+        let running = tracked.gate.state() == GateState::Running;
         let job = tracked.job.clone().filter(|_| running)?;
         Some((job, tracked.repeatable))
     }
@@ -213,7 +213,7 @@
             .iter()
             .filter(|(_, tracked)| tracked.link == link);
         own.map(|(call, tracked)| {
-            tracked.output.untell();
+            tracked.output.mark_undelivered();
             *call
         })
         .collect()
@@ -272,10 +272,10 @@
     }
 
     /// Whether an answer that cannot be had again still waits for its entry to come back.
-    pub(crate) fn untold(&self) -> bool {
+    pub(crate) fn awaits_recall(&self) -> bool {
         self.calls
             .values()
-            .any(|tracked| !tracked.repeatable && !tracked.output.told())
+            .any(|tracked| !tracked.repeatable && !tracked.output.delivered())
     }
 
     /// Lets go of every link.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -229,13 +229,13 @@
         };
         let (key, ready) = (key.clone(), ready.clone());
         tokio::spawn(async move {
-            let _ = ready.send(shake(stream, &key).await).await;
+            let _ = ready.send(authenticate(stream, &key).await).await;
             drop(permit);
         });
     }
 }
 
-async fn shake(mut stream: TcpStream, key: &Key) -> Result<Link, Error> {
+async fn authenticate(mut stream: TcpStream, key: &Key) -> Result<Link, Error> {
     stream.set_nodelay(true).context(SocketSnafu)?;
     handshake::accept(&mut stream, key).await?;
     Ok(split(stream))
