Limits and service times that fit engines which batch

Now the limit goes by the calls that wait beside the runner, routing by the time from sending to answer less the expected wait, and the entry fits the limit to the records and reports at each read of the list (crates/entry/src/service.rs, three lines). limit::Sample has queued and slots in place of busy.

--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -9,8 +9,10 @@
 pub struct Sample {
     /// Time from sending the call to its whole answer.
     pub elapsed: Duration,
-    /// Time the runner was busy with it; zero if it did not say.
-    pub busy: Duration,
+    /// Calls that waited beside the runner when it answered.
+    pub queued: u32,
+    /// Calls that the runner is given at once at most; zero if it did not say.
+    pub slots: u32,
     /// Calls in flight when it was sent, itself included.
     pub in_flight: u32,
 }
@@ -73,8 +75,9 @@
 /// A limit that follows the gradient of latency: it grows while calls take no longer than
 /// undisturbed ones, and shrinks in proportion once they queue.
 ///
-/// Where the runner tells its busy time, the undisturbed time is that; where it does not, it is a
-/// slowly rising minimum of the elapsed times.
+/// Where the other side tells how many calls wait there, that is the stretch: an engine that batches
+/// takes longer for each call while more run, without any of them waiting, so that its times say
+/// little. Where it does not, the undisturbed time is a slowly rising minimum of the elapsed times.
 #[derive(Clone, Debug)]
 pub struct Gradient {
     limit: f64,
@@ -101,10 +104,16 @@
         f64::from(sample.in_flight) * 2.0 >= self.limit
     }
 
-    fn undisturbed(&mut self, sample: &Sample) -> f64 {
-        if !sample.busy.is_zero() {
-            return sample.busy.as_secs_f64();
+    /// Time that a call takes, as a multiple of what it would take without waiting.
+    fn stretch(&mut self, sample: &Sample) -> f64 {
+        if sample.slots > 0 {
+            return 1.0 + f64::from(sample.queued) / f64::from(sample.slots);
         }
+        let undisturbed = self.undisturbed(sample).max(f64::MIN_POSITIVE);
+        sample.elapsed.as_secs_f64() / undisturbed
+    }
+
+    fn undisturbed(&mut self, sample: &Sample) -> f64 {
         let elapsed = sample.elapsed.as_secs_f64();
         let floor = self.floor.unwrap_or(elapsed);
         let rise = if self.in_use(sample) {
@@ -124,8 +133,8 @@
     }
 
     fn answered(&mut self, sample: Sample) {
-        let undisturbed = self.undisturbed(&sample).max(f64::MIN_POSITIVE);
-        self.stretch.add(sample.elapsed.as_secs_f64() / undisturbed);
+        let stretch = self.stretch(&sample);
+        self.stretch.add(stretch);
         let gradient = (TOLERANCE / self.stretch.get().unwrap_or(1.0)).clamp(0.5, 1.0);
         if gradient >= 1.0 && !self.in_use(&sample) {
             return;
--- a/crates/decide/src/route/pool.rs
+++ b/crates/decide/src/route/pool.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Service time in seconds that is assumed before the first answer.
-const FIRST_BUSY: f64 = 0.05;
+const FIRST_SERVICE: f64 = 0.05;
 /// Weight of one answer in the pool's means.
 const POOL_WEIGHT: f64 = 0.05;
 /// Share of the service time that a whole prefix in cache is assumed to save before it is known.
@@ -42,7 +42,7 @@
     capacity: u32,
     due: Option<Duration>,
     others: f64,
-    busy: Mean,
+    service: Mean,
     cold: Mean,
     warm: Mean,
     belief: Belief,
@@ -67,7 +67,7 @@
             capacity: 0,
             due: None,
             others: 0.0,
-            busy: Mean::new(POOL_WEIGHT),
+            service: Mean::new(POOL_WEIGHT),
             cold: Mean::new(POOL_WEIGHT),
             warm: Mean::new(POOL_WEIGHT),
             belief: Belief::default(),
@@ -145,18 +145,18 @@
         self.returned(id);
         self.readmit(now);
         self.learn_saving(answer);
-        self.busy.add(answer.busy.as_secs_f64());
         let Some(&place) = self.index.get(id) else {
             return;
         };
         let norm = self.norm();
         let believed = self.belief.overlap(id, answer.prefix, now);
         let target = &mut self.targets[place];
-        self.trust.learn(target.predicted, answer);
-        target.learn_busy(now, answer.busy, norm);
+        self.trust.learn(target.predicted, answer, norm);
+        let service = target.learn_service(now, answer.elapsed, norm);
         target.learn_hits(believed, answer.hits);
         target.health.succeeded();
         self.belief.stored(&target.id, answer.prefix, now);
+        self.service.add(service);
     }
 
     /// A sent call failed, or its answer was lost; too many of these eject the target.
@@ -192,6 +192,19 @@
         }
     }
 
+    /// Runners are given this many calls at once as far as no agent has said otherwise.
+    pub fn assume_limit(&mut self, limit: u32) {
+        let limit = limit.max(1);
+        for (place, target) in self.targets.iter_mut().enumerate() {
+            if target.reported.is_none() {
+                let before = std::mem::replace(&mut target.limit, limit);
+                if place < self.live {
+                    self.capacity = self.capacity - before + limit;
+                }
+            }
+        }
+    }
+
     /// The target is leaving and gets no new work; no older news puts it back.
     pub fn leave(&mut self, id: &str) {
         let Some(&place) = self.index.get(id) else {
@@ -241,7 +254,7 @@
     pub fn expected(&self, target: &Target, call: &Call<'_>) -> f64 {
         let norm = self.norm();
         let finish = target.finish(call.now, norm);
-        finish - target.busy(call.now, norm) * self.saving() * self.overlap(target, call)
+        finish - target.service(call.now, norm) * self.saving() * self.overlap(target, call)
     }
 
     /// Means over the pool.
@@ -249,7 +262,7 @@
     pub fn norm(&self) -> Norm {
         let count = self.targets.len().max(1) as f64;
         Norm {
-            busy: self.busy.get().unwrap_or(FIRST_BUSY),
+            service: self.service.get().unwrap_or(FIRST_SERVICE),
             others: (self.others / count).max(0.0),
             trust: self.trust.get(),
         }
--- a/crates/decide/src/route/sampled.rs
+++ b/crates/decide/src/route/sampled.rs
@@ -15,7 +15,7 @@
 /// Share of the slack that staying in the own failure domain may cost.
 const SLACK_SHARE: f64 = 0.02;
 /// Share of the service time that staying in the own failure domain may cost.
-const BUSY_SHARE: f64 = 0.1;
+const SERVICE_SHARE: f64 = 0.1;
 
 /// Draws a few candidates and takes the one that is expected to answer first.
 ///
@@ -71,7 +71,7 @@
 /// beyond it no more than the deadline can bear.
 fn margin(pool: &Pool, call: &Call<'_>) -> f64 {
     let bearable = call.slack.as_secs_f64() * SLACK_SHARE;
-    CROSSING + bearable.min(pool.norm().busy * BUSY_SHARE)
+    CROSSING + bearable.min(pool.norm().service * SERVICE_SHARE)
 }
 
 fn draw<'a>(pool: &'a Pool, call: &Call<'_>, rng: &mut impl Rng) -> [Option<&'a Target>; SAMPLE] {
--- a/crates/decide/src/route/target.rs
+++ b/crates/decide/src/route/target.rs
@@ -10,7 +10,7 @@
 pub type TargetId = Arc<str>;
 
 /// Weight of one answer in a target's smoothed service time.
-const BUSY_WEIGHT: f64 = 0.2;
+const SERVICE_WEIGHT: f64 = 0.2;
 /// Weight of one answer in the share of believed prefix blocks that were hit.
 const CREDIT_WEIGHT: f64 = 0.1;
 /// Age at which half of a load report is replaced by the mean of the pool. Entries that all trusted
@@ -18,7 +18,7 @@
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(250);
 /// Age at which half of a target's service time is replaced by that of the pool. A straggler that
 /// has recovered gets no calls by which it could show it, so old evidence must fade.
-const BUSY_HALF_LIFE: Duration = Duration::from_secs(2);
+const SERVICE_HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// Load that a target's agent told on an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -57,7 +57,7 @@
     pub(super) reported: Option<Duration>,
     pub(super) leaving: bool,
     pub(super) health: Health,
-    busy: Option<f64>,
+    service: Option<f64>,
     answered: Duration,
     credit: Mean,
     pub(super) predicted: Prediction,
@@ -67,7 +67,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Norm {
     /// Service time in seconds.
-    pub busy: f64,
+    pub service: f64,
     /// Calls of other senders.
     pub others: f64,
     /// Trust in load reports, from 0 to 1.
@@ -86,7 +86,7 @@
             reported: None,
             leaving: false,
             health: Health::default(),
-            busy: None,
+            service: None,
             answered: Duration::ZERO,
             credit: Mean::new(CREDIT_WEIGHT),
             predicted: Prediction::default(),
@@ -123,14 +123,14 @@
         f64::from(self.in_flight) + others
     }
 
-    /// Expected time in seconds that the runner is busy with one call.
+    /// Expected time in seconds from sending one call to its answer if it need not wait.
     #[must_use]
-    pub fn busy(&self, now: Duration, norm: Norm) -> f64 {
-        let Some(own) = self.busy else {
-            return norm.busy;
+    pub fn service(&self, now: Duration, norm: Norm) -> f64 {
+        let Some(own) = self.service else {
+            return norm.service;
         };
-        let trust = decay(now.saturating_sub(self.answered), BUSY_HALF_LIFE);
-        norm.busy * significant((trust * own + (1.0 - trust) * norm.busy) / norm.busy)
+        let trust = decay(now.saturating_sub(self.answered), SERVICE_HALF_LIFE);
+        norm.service * significant((trust * own + (1.0 - trust) * norm.service) / norm.service)
     }
 
     /// Expected time in seconds until one more call would be answered, queueing included.
@@ -139,7 +139,7 @@
         let load = self.load(now, norm);
         let limit = f64::from(self.limit);
         let crowding = load.min(limit) / limit * CROWDING;
-        self.busy(now, norm) * (1.0 + self.wait(load) + crowding)
+        self.service(now, norm) * (1.0 + self.wait(load) + crowding)
     }
 
     /// Expected wait of one more call at this load, as a multiple of the service time.
@@ -157,13 +157,19 @@
         }
     }
 
+    /// Takes the time from sending to answer, less the wait that was expected. The runner's own busy
+    /// time would mislead: an engine divides its steps among the calls in its batch, so that the
+    /// busiest one would look fastest.
+    ///
     /// Starts from the faded value, not from the last one: the first good answer of a recovered
     /// straggler would renew the trust in its bad past otherwise, and keep calls away from it for
     /// as many answers as that takes to wear off.
-    pub(super) fn learn_busy(&mut self, now: Duration, busy: Duration, norm: Norm) {
-        let faded = self.busy(now, norm);
-        self.busy = Some(faded + BUSY_WEIGHT * (busy.as_secs_f64() - faded));
+    pub(super) fn learn_service(&mut self, now: Duration, elapsed: Duration, norm: Norm) -> f64 {
+        let service = elapsed.as_secs_f64() / (1.0 + self.predicted.by_report);
+        let faded = self.service(now, norm);
+        self.service = Some(faded + SERVICE_WEIGHT * (service - faded));
         self.answered = now;
+        service
     }
 
     /// Share of the prefix blocks believed in the target's cache that were found there of late.
--- a/crates/decide/src/route/trust.rs
+++ b/crates/decide/src/route/trust.rs
@@ -1,6 +1,6 @@
 //! How far load reports can be trusted.
 
-use super::target::{Answer, Prediction};
+use super::target::{Answer, Norm, Prediction};
 use crate::smooth::Mean;
 
 /// Weight of one answer in the mean square errors.
@@ -45,12 +45,8 @@
     }
 
     /// Compares what was predicted when a call was sent with the wait that its answer shows.
-    pub(super) fn learn(&mut self, predicted: Prediction, answer: &Answer<'_>) {
-        let busy = answer.busy.as_secs_f64();
-        if busy <= 0.0 {
-            return;
-        }
-        let wait = answer.elapsed.as_secs_f64() / busy - 1.0;
+    pub(super) fn learn(&mut self, predicted: Prediction, answer: &Answer<'_>, norm: Norm) {
+        let wait = (answer.elapsed.as_secs_f64() / norm.service - 1.0).max(0.0);
         self.by_report.add((predicted.by_report - wait).powi(2));
         self.by_mean.add((predicted.by_mean - wait).powi(2));
     }
--- a/crates/decide/tests/latency_gradient.rs
+++ b/crates/decide/tests/latency_gradient.rs
@@ -7,14 +7,15 @@
 const BUSY: Duration = Duration::from_millis(20);
 
 /// Keeps the limit's number of calls at a runner with `slots` places and tells the limit after
-/// `answers` answers; `tells_busy` if the runner says how long it worked.
-fn settle(limit: &mut Gradient, slots: u32, answers: u32, tells_busy: bool) -> u32 {
+/// `answers` answers; `tells_queue` if the other side says how many calls wait.
+fn settle(limit: &mut Gradient, slots: u32, answers: u32, tells_queue: bool) -> u32 {
     for _ in 0..answers {
         let in_flight = limit.limit();
         let queueing = f64::from(in_flight.max(slots)) / f64::from(slots);
         limit.answered(Sample {
             elapsed: BUSY.mul_f64(queueing),
-            busy: if tells_busy { BUSY } else { Duration::ZERO },
+            queued: in_flight.saturating_sub(slots),
+            slots: if tells_queue { slots } else { 0 },
             in_flight,
         });
     }
@@ -46,9 +47,9 @@
     assert!(again >= 32);
 }
 
-/// A plain service does not say how long it worked; the fastest answers stand in for that.
+/// Nobody says how many calls wait; the fastest answers stand in for calls that did not.
 #[test]
-fn without_busy_time() {
+fn without_queue_length() {
     let mut limit = Gradient::new(4, 1, 1_000);
     let settled = settle(&mut limit, 16, 2_000, false);
     println!("limit {settled}");
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -115,7 +115,10 @@
         let mut state = self.lock();
         if let Some(service) = set.service(&self.name) {
             state.concurrency = service.concurrency;
+            state.pool.assume_limit(service.concurrency);
         }
+        let now = self.now();
+        state.resize(now);
         state.policy.weigh(attainment);
     }
 
@@ -316,7 +319,8 @@
         state.pool.reported(id, now, report(load));
         state.policy.limit.answered(Sample {
             elapsed,
-            busy,
+            queued: load.queued,
+            slots: load.limit,
             in_flight,
         });
         state.policy.retry.succeeded(now, elapsed);
