Command line: report draws experiments; cancelled executions have a cost

The stand-ins logged no work for an execution that was stopped, so that hedges looked free in the cost by stage; the time since its start stands for it now (crates/standin/src/log.rs).

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -86,6 +86,7 @@
     crate::standin::Standin,
     crate::load::Load,
     crate::experiment::Experiment,
+    crate::report::Report,
     crate::demo::Demo,
 ];
 
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod option;
 pub mod output;
 pub mod plan;
+pub mod report;
 pub mod signal;
 pub mod standin;
 pub mod status;
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -118,6 +118,18 @@
         self.index
     }
 
+    /// The time since its start stands for the work of an execution that was stopped: a second copy
+    /// that is cancelled would look free otherwise.
+    fn cancel(&mut self) {
+        let started_us = {
+            let state = self.log.state();
+            let place = self.index.checked_sub(state.first);
+            let execution = place.and_then(|place| state.executions.get(place));
+            execution.map_or(0, |execution| execution.started_us)
+        };
+        self.end(Ended::Cancelled, now_us().saturating_sub(started_us));
+    }
+
     pub(crate) fn end(&mut self, ended: Ended, busy_us: u64) {
         self.over = true;
         let mut state = self.log.state();
@@ -133,7 +145,7 @@
 impl Drop for Entry {
     fn drop(&mut self) {
         if !self.over {
-            self.end(Ended::Cancelled, 0);
+            self.cancel();
         }
     }
 }
