Limit: less headroom, so that calls wait where their workspaces have shares

Cause: the limit settled at half as many calls again as the runners take (25 for 16), which waited beside the runners, behind each other and without shares. In the model the limit settles at 6, 20 and 74 for 4, 16 and 64 slots (8, 25, 89 before).

--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -60,7 +60,10 @@
 /// Weight of one sample in the short-term mean of the stretch.
 const SHORT_WEIGHT: f64 = 0.1;
 /// Stretch (elapsed over undisturbed time) that is taken as no queueing at all.
-const TOLERANCE: f64 = 1.25;
+const TOLERANCE: f64 = 1.1;
+/// Calls beyond what waits for nothing, as a multiple of the limit's square root. More would wait
+/// beside the runners, where no workspace has its share.
+const HEADROOM: f64 = 0.5;
 /// Share by which the limit moves towards its goal with one sample.
 const STEP: f64 = 0.05;
 /// Share of the limit that is left after a refusal.
@@ -129,7 +132,7 @@
 
 impl Limit for Gradient {
     fn limit(&self) -> u32 {
-        self.limit as u32
+        self.limit.round() as u32
     }
 
     fn answered(&mut self, sample: Sample) {
@@ -139,7 +142,7 @@
         if gradient >= 1.0 && !self.in_use(&sample) {
             return;
         }
-        let goal = self.limit * gradient + self.limit.sqrt();
+        let goal = self.limit * gradient + HEADROOM * self.limit.sqrt();
         let next = self.limit + STEP * (goal - self.limit);
         self.limit = next.clamp(self.least, self.most);
     }
