--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -352,6 +352,12 @@
         let id = target.vm.id.as_str();
         self.tried.push(id.into());
         let outcome = match end {
+            // The agent answers at once for a runner that is gone, and would look idle: every call
+            // would go there first.
+            call::End::NotRun if is_unreachable(frame) => {
+                self.service.failed(id);
+                "not_run"
+            }
             call::End::NotRun => {
                 let (load, full) = refusal(frame);
                 self.service.returned(id, load, full);
@@ -515,6 +521,16 @@
     }
 }
 
+fn is_unreachable(frame: Option<&Frame>) -> bool {
+    matches!(
+        frame,
+        Some(Frame::Refuse {
+            reason: Refusal::Unreachable,
+            ..
+        })
+    )
+}
+
 fn refusal(frame: Option<&Frame>) -> (Option<Load>, bool) {
     match frame {
         Some(Frame::Refuse { reason, load, .. }) => (Some(*load), *reason == Refusal::Full),
