--- a/crates/ctl/src/experiment/arm.rs
+++ b/crates/ctl/src/experiment/arm.rs
@@ -64,8 +64,7 @@
         let watch = tokio::spawn(watch(self.engines(&system), peaks.clone()));
         let mut ground = Ground::new(WARM_UP);
         let start = Instant::now();
-        let load =
-            tokio::spawn(async move { drive::run(&caller, arrivals, WARM_UP, |_| {}).await });
+        let load = tokio::spawn(async move { drive::run(&caller, arrivals, WARM_UP).await });
         fault::run(&mut system, &mut ground, &plan.events, start).await?;
         let tally = load.await.map_err(|error| Error::Failed {
             reason: format!("load: {error}"),
--- a/crates/ctl/src/experiment/outcome.rs
+++ b/crates/ctl/src/experiment/outcome.rs
@@ -2,7 +2,7 @@
 
 use super::deployment::Deployment;
 use super::ground::Ground;
-use crate::load::tally::{Counts, Quantiles, Tally};
+use crate::load::tally::{Counts, Quantiles, Second, Tally};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -41,6 +41,9 @@
     pub by_workspace: BTreeMap<String, Counts>,
     /// By pipeline.
     pub by_pipeline: BTreeMap<String, Counts>,
+    /// By second since the start.
+    #[serde(default)]
+    pub by_second: Vec<Second>,
     /// Longest backlogs of the engines, by deployment.
     pub engine_backlog: BTreeMap<String, Backlog>,
     /// Executions of each runner.
@@ -115,6 +118,7 @@
             itl_ms: Quantiles::default(),
             by_workspace: BTreeMap::new(),
             by_pipeline: BTreeMap::new(),
+            by_second: Vec::new(),
             engine_backlog: BTreeMap::new(),
             runs: BTreeMap::new(),
         };
@@ -139,6 +143,7 @@
             itl_ms: summary.itl_ms,
             by_workspace: summary.by_workspace,
             by_pipeline: summary.by_pipeline,
+            by_second: summary.by_second,
             ..arm
         }
     }
--- a/crates/ctl/src/load/caller.rs
+++ b/crates/ctl/src/load/caller.rs
@@ -54,6 +54,8 @@
     pub between: Vec<Duration>,
     /// Times that it was submitted.
     pub submissions: u32,
+    /// When it ended.
+    pub ended: Instant,
 }
 
 /// Sends requests to entries in turn, as a balancer would.
@@ -117,6 +119,7 @@
             first: parts.first,
             between: parts.between,
             submissions: 1,
+            ended: Instant::now(),
         }
     }
 
--- a/crates/ctl/src/load/drive.rs
+++ b/crates/ctl/src/load/drive.rs
@@ -8,15 +8,9 @@
 use tokio::time::Instant;
 
 /// Sends each request at its time, in a task of its own, and waits for all to end. Those due before
-/// `warm_up` are sent but not counted; `started` is told when the run begins.
-pub async fn run(
-    caller: &Caller,
-    arrivals: Vec<Arrival>,
-    warm_up: Duration,
-    started: impl FnOnce(Instant),
-) -> Tally {
+/// `warm_up` are sent but not counted.
+pub async fn run(caller: &Caller, arrivals: Vec<Arrival>, warm_up: Duration) -> Tally {
     let start = Instant::now();
-    started(start);
     let mut tally = Tally::default();
     let mut tasks = JoinSet::new();
     for arrival in arrivals {
@@ -28,11 +22,11 @@
             (arrival, fate)
         });
         while let Some(ended) = tasks.try_join_next() {
-            count(&mut tally, ended, warm_up);
+            count(&mut tally, ended, warm_up, start);
         }
     }
     while let Some(ended) = tasks.join_next().await {
-        count(&mut tally, ended, warm_up);
+        count(&mut tally, ended, warm_up, start);
     }
     tally
 }
@@ -41,11 +35,12 @@
     tally: &mut Tally,
     ended: Result<(Arrival, super::caller::Fate), tokio::task::JoinError>,
     warm_up: Duration,
+    start: Instant,
 ) {
     // A task can only end in an error if it panicked, which no caller's fate does.
     if let Ok((arrival, fate)) = ended
         && arrival.at >= warm_up
     {
-        tally.add(&arrival, &fate);
+        tally.add(&arrival, &fate, fate.ended - start);
     }
 }
--- a/crates/ctl/src/load/mod.rs
+++ b/crates/ctl/src/load/mod.rs
@@ -88,7 +88,7 @@
         let source = Source::steady(self.work, &self.workspace, rate, span);
         let arrivals = arrival::draw(&[source], self.seed);
         let caller = Caller::new(&entries, false);
-        let tally = drive::run(&caller, arrivals, Duration::ZERO, |_| {}).await;
+        let tally = drive::run(&caller, arrivals, Duration::ZERO).await;
         let counts = tally.summary();
         let text = serde_json::to_string_pretty(&counts).unwrap_or_default();
         match common.format {
--- a/crates/ctl/src/load/tally.rs
+++ b/crates/ctl/src/load/tally.rs
@@ -48,6 +48,17 @@
     pub p99: f64,
 }
 
+/// One second of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Second {
+    /// Requests that were due in it.
+    pub due: u64,
+    /// Those of them that were answered on time, whenever that was.
+    pub met: u64,
+    /// Requests whose answer came in it, on time.
+    pub goodput: u64,
+}
+
 /// What a run has come to.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
@@ -64,6 +75,8 @@
     pub by_workspace: BTreeMap<String, Counts>,
     /// By pipeline.
     pub by_pipeline: BTreeMap<String, Counts>,
+    /// By second since the start.
+    pub by_second: Vec<Second>,
 }
 
 /// Counts as the requests end.
@@ -72,6 +85,7 @@
     counts: Counts,
     by_workspace: BTreeMap<String, Counts>,
     by_pipeline: BTreeMap<String, Counts>,
+    seconds: Vec<Second>,
     latency: Histogram<u64>,
     first: Histogram<u64>,
     between: Histogram<u64>,
@@ -84,6 +98,7 @@
             counts: Counts::default(),
             by_workspace: BTreeMap::new(),
             by_pipeline: BTreeMap::new(),
+            seconds: Vec::new(),
             latency: empty(),
             first: empty(),
             between: empty(),
@@ -123,9 +138,14 @@
 }
 
 impl Tally {
-    /// Counts a request that has ended.
-    pub fn add(&mut self, arrival: &Arrival, fate: &Fate) {
+    /// Counts a request that ended at this time since the start.
+    pub fn add(&mut self, arrival: &Arrival, fate: &Fate, ended: Duration) {
         let on_time = fate.elapsed <= arrival.work.deadline;
+        let met = on_time && fate.end == End::Whole;
+        let due = self.second(arrival.at);
+        due.due += 1;
+        due.met += u64::from(met);
+        self.second(ended).goodput += u64::from(met);
         let workspace = self.by_workspace.entry(arrival.workspace.to_string());
         let pipeline = self.by_pipeline.entry(arrival.work.pipeline.clone());
         for counts in [
@@ -146,6 +166,14 @@
             .for_each(|between| record(&mut self.between, *between));
     }
 
+    fn second(&mut self, at: Duration) -> &mut Second {
+        let place = usize::try_from(at.as_secs()).unwrap_or_default();
+        if self.seconds.len() <= place {
+            self.seconds.resize(place + 1, Second::default());
+        }
+        &mut self.seconds[place]
+    }
+
     /// Takes in another run's counts.
     pub fn merge(&mut self, other: &Self) {
         self.counts.merge(&other.counts);
@@ -157,6 +185,12 @@
                 all.entry(name.clone()).or_default().merge(counts);
             }
         }
+        for (second, other) in other.seconds.iter().enumerate() {
+            let own = self.second(Duration::from_secs(second as u64));
+            own.due += other.due;
+            own.met += other.met;
+            own.goodput += other.goodput;
+        }
         for (all, others) in [
             (&mut self.latency, &other.latency),
             (&mut self.first, &other.first),
@@ -177,6 +211,7 @@
             itl_ms: quantiles(&self.between),
             by_workspace: self.by_workspace.clone(),
             by_pipeline: self.by_pipeline.clone(),
+            by_second: self.seconds.clone(),
         }
     }
 }
--- a/crates/ctl/tests/experiment_plans.rs
+++ b/crates/ctl/tests/experiment_plans.rs
@@ -78,7 +78,9 @@
                 first: None,
                 between: Vec::new(),
                 submissions: 1,
+                ended: tokio::time::Instant::now(),
             },
+            Duration::from_secs(4),
         );
     }
     let counts = tally.summary().counts;
