--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -9,8 +9,10 @@
 pub struct Sample {
     /// Time from sending the call to its whole answer.
     pub elapsed: Duration,
-    /// Time the runner was busy with it; zero if it did not say.
-    pub busy: Duration,
+    /// Calls that waited beside the runner when it answered.
+    pub queued: u32,
+    /// Calls that the runner is given at once at most; zero if it did not say.
+    pub slots: u32,
     /// Calls in flight when it was sent, itself included.
     pub in_flight: u32,
 }
@@ -58,7 +60,10 @@
 /// Weight of one sample in the short-term mean of the stretch.
 const SHORT_WEIGHT: f64 = 0.1;
 /// Stretch (elapsed over undisturbed time) that is taken as no queueing at all.
-const TOLERANCE: f64 = 1.25;
+const TOLERANCE: f64 = 1.1;
+/// Calls beyond what waits for nothing, as a multiple of the limit's square root. More would wait
+/// beside the runners, where no workspace has its share.
+const HEADROOM: f64 = 0.5;
 /// Share by which the limit moves towards its goal with one sample.
 const STEP: f64 = 0.05;
 /// Share of the limit that is left after a refusal.
@@ -73,8 +78,9 @@
 /// A limit that follows the gradient of latency: it grows while calls take no longer than
 /// undisturbed ones, and shrinks in proportion once they queue.
 ///
-/// Where the runner tells its busy time, the undisturbed time is that; where it does not, it is a
-/// slowly rising minimum of the elapsed times.
+/// Where the other side tells how many calls wait there, that is the stretch: an engine that batches
+/// takes longer for each call while more run, without any of them waiting, so that its times say
+/// little. Where it does not, the undisturbed time is a slowly rising minimum of the elapsed times.
 #[derive(Clone, Debug)]
 pub struct Gradient {
     limit: f64,
@@ -101,10 +107,16 @@
         f64::from(sample.in_flight) * 2.0 >= self.limit
     }
 
-    fn undisturbed(&mut self, sample: &Sample) -> f64 {
-        if !sample.busy.is_zero() {
-            return sample.busy.as_secs_f64();
+    /// Time that a call takes, as a multiple of what it would take without waiting.
+    fn stretch(&mut self, sample: &Sample) -> f64 {
+        if sample.slots > 0 {
+            return 1.0 + f64::from(sample.queued) / f64::from(sample.slots);
         }
+        let undisturbed = self.undisturbed(sample).max(f64::MIN_POSITIVE);
+        sample.elapsed.as_secs_f64() / undisturbed
+    }
+
+    fn undisturbed(&mut self, sample: &Sample) -> f64 {
         let elapsed = sample.elapsed.as_secs_f64();
         let floor = self.floor.unwrap_or(elapsed);
         let rise = if self.in_use(sample) {
@@ -120,17 +132,17 @@
 
 impl Limit for Gradient {
     fn limit(&self) -> u32 {
-        self.limit as u32
+        self.limit.round() as u32
     }
 
     fn answered(&mut self, sample: Sample) {
-        let undisturbed = self.undisturbed(&sample).max(f64::MIN_POSITIVE);
-        self.stretch.add(sample.elapsed.as_secs_f64() / undisturbed);
+        let stretch = self.stretch(&sample);
+        self.stretch.add(stretch);
         let gradient = (TOLERANCE / self.stretch.get().unwrap_or(1.0)).clamp(0.5, 1.0);
         if gradient >= 1.0 && !self.in_use(&sample) {
             return;
         }
-        let goal = self.limit * gradient + self.limit.sqrt();
+        let goal = self.limit * gradient + HEADROOM * self.limit.sqrt();
         let next = self.limit + STEP * (goal - self.limit);
         self.limit = next.clamp(self.least, self.most);
     }
