Entry: a caller at another entry is not held by a frozen one

Ruled out: the claim (its row named the frozen entry's request, as it should), the table service (up). Now the peer is asked every second whether it is ready while the answer is waited for; one that does not say so is given up, and an answer that has begun is broken off with an error, so that no part of it looks whole. The listing of a peer's records is bounded as a whole too, not only to its head.

--- a/crates/ctl/tests/failure_once.rs
+++ b/crates/ctl/tests/failure_once.rs
@@ -124,6 +124,30 @@
     });
 }
 
+/// The entry that claimed a label's key is frozen while the label prints. A caller that comes to
+/// the other entry with the same key must get a word within a while, though nobody knows whether
+/// the frozen entry will ever wake up; once it has, the key's answer is there.
+#[test]
+fn entry_frozen() {
+    run("entry-frozen", async |mut bench| {
+        let [first, second] = start(&mut bench, 700.0).await;
+        let ask = print("claimed");
+        let caller = spawn([ask.clone()], &[first]);
+        until_runs(&bench, LABEL, 1).await;
+        bench.fleet.signal("entry-1", Signal::Stop).unwrap();
+        let told = ask.once(second).await;
+        assert_eq!(told.outcome(), Some(Outcome::Unknown), "{told:?}");
+        bench.fleet.signal("entry-1", Signal::Continue).unwrap();
+        for caller in caller {
+            let (ask, word) = caller.await.unwrap();
+            assert!(word.last().unwrap().is_whole(), "{word:?}");
+            check(&bench, LABEL, &ask, &word).await;
+        }
+        assert!(ask.once(second).await.is_whole());
+        assert_eq!(bench.executions(LABEL).await.len(), 1);
+    });
+}
+
 /// The same label is asked for by many callers at both entries at once, as a double click behind a
 /// balancer does. One execution serves them all; a second one would put one serial on two looms.
 #[test]
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -243,7 +243,7 @@
     if let Some(owner) = owner
         && let Some(answer) = core.peers.ask(owner, id, follow).await
     {
-        return answer.map(viz::Body::Incoming);
+        return answer;
     }
     match kept::load(core, id).await {
         Some(kept) => respond_kept(id, &kept),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,5 +1,7 @@
 //! The other entries: whom to ask for answers and records that this entry does not have.
 
+mod silence;
+
 use crate::caller::{EVENT_STREAM, Follow, format_id};
 use crate::config::Records;
 use crate::config::rows::Stored;
@@ -25,6 +27,9 @@
 /// entry that accepted it, so that any other entry knows whom to ask.
 const RANDOM_BITS: u32 = 96;
 
+/// Client of the other entries.
+type Http = Client<HttpConnector, Empty<Bytes>>;
+
 /// Records as an entry hands them out.
 #[derive(Debug, Deserialize)]
 struct Listing {
@@ -36,7 +41,7 @@
 #[derive(Debug)]
 pub struct Peers {
     entries: RwLock<Vec<Vm>>,
-    http: Client<HttpConnector, Empty<Bytes>>,
+    http: Http,
 }
 
 impl Default for Peers {
@@ -84,13 +89,14 @@
             .map(|vm| vm.address)
     }
 
-    /// Passes a caller's question about a request on to the entry that accepted it.
+    /// Passes a caller's question about a request on to the entry that accepted it; gives nothing
+    /// if that entry cannot be reached or falls silent.
     pub async fn ask(
         &self,
         address: SocketAddr,
         request: RequestId,
         follow: &Follow,
-    ) -> Option<hyper::Response<hyper::body::Incoming>> {
+    ) -> Option<hyper::Response<viz::Body>> {
         let path = format!("http://{address}/v1/requests/{}", format_id(request));
         let mut question = Request::get(path).header(FORWARDED, "1");
         if follow.stream {
@@ -103,7 +109,12 @@
             question = question.header("prefer", format!("wait={}", wait.as_secs()));
         }
         let question = question.body(Empty::new()).ok()?;
-        self.http.request(question).await.ok()
+        let mut silent = Box::pin(silence::silent(self.http.clone(), address));
+        let answer = tokio::select! {
+            answer = self.http.request(question) => answer.ok()?,
+            () = &mut silent => return None,
+        };
+        Some(answer.map(|body| viz::Body::from_stream(silence::watched(body, silent))))
     }
 
     /// Records of the peer that has seen most, for a fresh process while the table is down.
@@ -123,11 +134,15 @@
     }
 
     async fn listing(&self, address: SocketAddr) -> Option<Listing> {
+        let listing = tokio::time::timeout(TIMEOUT, self.read_listing(address));
+        listing.await.ok()?
+    }
+
+    async fn read_listing(&self, address: SocketAddr) -> Option<Listing> {
         let question = Request::get(format!("http://{address}/v1/records"))
             .body(Empty::new())
             .ok()?;
-        let answer = tokio::time::timeout(TIMEOUT, self.http.request(question));
-        let answer = answer.await.ok()?.ok()?;
+        let answer = self.http.request(question).await.ok()?;
         if !answer.status().is_success() {
             return None;
         }
