--- a/crates/ctl/src/torture/bench.rs
+++ b/crates/ctl/src/torture/bench.rs
@@ -252,9 +252,28 @@
     ///
     /// [`Error::Refused`] if they are not accepted.
     pub async fn apply(&mut self, entry: SocketAddr, documents: &[Document]) -> Result<u64, Error> {
+        self.change(entry, documents, &[]).await
+    }
+
+    /// Deletes records at an entry as the first operator and gives the revision.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Refused`] if it is not accepted.
+    pub async fn delete(&mut self, entry: SocketAddr, keys: &[&str]) -> Result<u64, Error> {
+        self.change(entry, &[], keys).await
+    }
+
+    async fn change(
+        &mut self,
+        entry: SocketAddr,
+        documents: &[Document],
+        delete: &[&str],
+    ) -> Result<u64, Error> {
         self.changes += 1;
+        let token = format!("change-{}", self.changes);
         let change = json!({
-            "token": format!("change-{}", self.changes), "base": {}, "documents": documents,
+            "token": token, "base": {}, "documents": documents, "delete": delete,
         });
         let answer = apply(entry, OPERATORS[0], &change).await?;
         if !answer.status.is_success() {
--- a/crates/ctl/tests/failure_once.rs
+++ b/crates/ctl/tests/failure_once.rs
@@ -14,6 +14,7 @@
 use ctl::torture::runner::Plan;
 use futures::future::join_all;
 use serde_json::json;
+use standin::{Kind, Options};
 use std::net::SocketAddr;
 
 fn print(name: &str) -> Ask {
@@ -214,3 +215,24 @@
         }
     });
 }
+
+/// The table service takes far fewer writes than there are callers. Those that it refuses are told
+/// "not run" with a time to come back, or wait; no label is printed twice or forgotten.
+#[test]
+fn table_limited() {
+    run("table-limited", async |mut bench| {
+        let options = Options {
+            writes_per_second: 10.0,
+            ..Options::default()
+        };
+        let free = "127.0.0.1:0".parse().unwrap();
+        bench.table = standin::start(Kind::Table, free, options).await.unwrap();
+        let entries = start(&mut bench, 1.0).await;
+        let asks = (0..40).map(|number| print(&format!("label-{number}")));
+        for caller in spawn(asks, &entries) {
+            let (ask, word) = caller.await.unwrap();
+            assert!(word.last().unwrap().is_whole(), "{word:?}");
+            check(&bench, LABEL, &ask, &word).await;
+        }
+    });
+}
