--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Roles of `linnetdriftd`.
 
 use crate::error::FileSnafu;
-use crate::{Error, Format, command, output, signal};
+use crate::{Error, command, output, signal};
 use getopts::Options;
 use serde::Serialize;
 use slog::{Logger, info};
@@ -129,7 +129,7 @@
             role: "entry",
             id,
             listen: ready.listen,
-            news: None,
+            news: ready.news,
             metrics: ready.metrics,
         });
     };
@@ -158,5 +158,5 @@
 
 /// Nobody may read the line; a process that serves goes on without it.
 fn announce(ready: &Ready) {
-    let _ = output::print(Format::Json, "", ready);
+    let _ = output::json(ready);
 }
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -104,6 +104,13 @@
         self.programs.join(name)
     }
 
+    /// Number of the process of that name.
+    #[must_use]
+    pub fn id(&self, name: &str) -> Option<u32> {
+        let process = self.processes.iter().find(|process| process.name == name)?;
+        Some(process.child.id())
+    }
+
     /// Starts a stand-in.
     ///
     /// # Errors
@@ -138,6 +145,20 @@
         self.daemon("agent", &settings.id, settings)
     }
 
+    /// Ends a process at once, as a machine that fails does.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if there is no process of that name or it cannot be ended.
+    pub fn kill(&mut self, name: &str) -> Result<(), Error> {
+        let place = self.processes.iter().position(|one| one.name == name);
+        let place = place.ok_or_else(|| failed(name)("no such process"))?;
+        let mut process = self.processes.remove(place);
+        process.child.kill().map_err(failed(name))?;
+        process.child.wait().map_err(failed(name))?;
+        Ok(())
+    }
+
     /// Sends a signal to a process that was started here and has not been seen to end.
     ///
     /// # Errors
