Stages name a model; agents tell what their engine holds

A stage may name a model of its service (schema 2). Records are refused where the service declares no such model: such a call could be answered nowhere. The model goes to the agent with the work and to the runner as X-Model.

Entries must route by what an engine holds, and the holder of the placement lease must not assume it across restarts. The agent answers a query with the engine's own list and the load that it has ordered there. Both are appended to the wire's frames and to Work.

The stand-in engine reads X-Model; before, only a model in the input was looked at.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -3,6 +3,7 @@
 use crate::answer::{self, End, Fault};
 use crate::fence::Order;
 use crate::job::{self, Job};
+use crate::models::{self, Loading};
 use crate::output::Output;
 use crate::runner::Runner;
 use crate::state::{Bounds, Found, LinkId, State, Turn};
@@ -49,6 +50,7 @@
     pub(crate) work: TaskTracker,
     /// Way to the task that carries out orders; closed when the agent leaves.
     orders: Mutex<Option<mpsc::Sender<Order>>>,
+    loading: Loading,
     links: AtomicU64,
 }
 
@@ -59,8 +61,10 @@
         incarnation: Incarnation,
         bounds: Bounds,
         orders: mpsc::Sender<Order>,
+        loading: Loading,
     ) -> Self {
         Self {
+            loading,
             orders: Mutex::new(Some(orders)),
             runner,
             telemetry,
@@ -313,6 +317,16 @@
         }
     }
 
+    /// Tells an entry what the engine holds.
+    pub(crate) fn query(self: &Arc<Self>, number: u64, sender: &Sender) {
+        let (core, sender) = (self.clone(), sender.clone());
+        tokio::spawn(async move {
+            let models = models::ask(&core.runner, &core.loading).await;
+            // An entry whose link is gone asks again over the next one.
+            let _ = sender.send(Frame::Models { number, models }).await;
+        });
+    }
+
     fn orders(&self) -> MutexGuard<'_, Option<mpsc::Sender<Order>>> {
         self.orders.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/agent/src/fence.rs
+++ b/crates/agent/src/fence.rs
@@ -6,6 +6,7 @@
 //! it has read the current number after a start.
 
 use crate::answer;
+use crate::models::Loading;
 use crate::runner::Runner;
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -53,7 +54,12 @@
 ///
 /// Two orders at once could overtake each other on their way to the engine, and the older one
 /// would win there.
-pub(crate) async fn serve(table: impl Table, runner: Runner, mut orders: mpsc::Receiver<Order>) {
+pub(crate) async fn serve(
+    table: impl Table,
+    runner: Runner,
+    loading: Loading,
+    mut orders: mpsc::Receiver<Order>,
+) {
     let mut fence = Fence::new();
     while let Some(Order {
         fence: number,
@@ -62,7 +68,12 @@
     }) = orders.recv().await
     {
         let answer = match admit(&table, &mut fence, number).await {
-            Ok(()) => pass(&runner, body).await,
+            Ok(()) => {
+                loading.begin(&body);
+                let answer = pass(&runner, body).await;
+                loading.end();
+                answer
+            }
             Err(answer) => answer,
         };
         let status = answer.status.as_u16();
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -25,6 +25,7 @@
 const X_PRIORITY: HeaderName = HeaderName::from_static("x-priority");
 const X_RESUME: HeaderName = HeaderName::from_static("x-resume");
 const X_PREFIX: HeaderName = HeaderName::from_static("x-prefix");
+const X_MODEL: HeaderName = HeaderName::from_static("x-model");
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
 
@@ -127,6 +128,9 @@
         if !work.prefix.is_empty() {
             headers.insert(X_PREFIX, text(blocks(&work.prefix)));
         }
+        if let Some(model) = &work.model {
+            headers.insert(X_MODEL, text(model));
+        }
         (self.client.request(request), taken)
     }
 
@@ -143,6 +147,14 @@
         self.client.request(self.request("/v1/orders", input)).await
     }
 
+    /// Asks the engine what it has loaded.
+    pub(crate) async fn models(&self) -> Result<Response<Incoming>, Error> {
+        let (input, _) = Input::new(Bytes::new());
+        let mut request = self.request("/v1/models", input);
+        *request.method_mut() = Method::GET;
+        self.client.request(request).await
+    }
+
     fn request(&self, path: &str, input: Input) -> Request<Input> {
         let mut request = Request::new(input);
         *request.method_mut() = Method::POST;
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -30,6 +30,8 @@
     pub(crate) ran: Arc<Mutex<Vec<String>>>,
     pub(crate) cancelled: Arc<Mutex<Vec<String>>>,
     pub(crate) orders: Arc<Mutex<Vec<String>>>,
+    /// Models that calls named.
+    pub(crate) models: Arc<Mutex<Vec<String>>>,
     /// Lets one held answer go on.
     pub(crate) hold: Arc<Semaphore>,
 }
@@ -42,6 +44,7 @@
             ran: Arc::default(),
             cancelled: Arc::default(),
             orders: Arc::default(),
+            models: Arc::default(),
             hold: Arc::new(Semaphore::new(0)),
         };
         let runner = own.clone();
@@ -65,6 +68,9 @@
     async fn answer(self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
         let path = request.uri().path().to_owned();
         let call = request.headers().get("x-call").cloned();
+        let model = request.headers().get("x-model");
+        let model = model.map(|model| model.to_str().unwrap().to_owned());
+        self.models.lock().unwrap().extend(model);
         let input = request.into_body().collect().await.unwrap().to_bytes();
         let input = String::from_utf8(input.to_vec()).unwrap();
         let (parts, body) = unbounded();
@@ -74,7 +80,17 @@
             return Ok(response);
         }
         if path == "/v1/orders" {
+            let held = input.contains("held");
             self.orders.lock().unwrap().push(input);
+            if held {
+                self.hold.acquire().await.unwrap().forget();
+            }
+            return Ok(response);
+        }
+        if path == "/v1/models" {
+            let body =
+                Bytes::from_static(b"{\"models\":[\"draft\"],\"role\":\"both\",\"fence\":0}");
+            parts.unbounded_send(Ok(Part::data(body))).unwrap();
             return Ok(response);
         }
         let call = call.unwrap();
@@ -273,6 +289,7 @@
         resume: 0,
         revision: 1,
         input: input.into(),
+        model: None,
     };
     Frame::Offer {
         call: call(request),
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -208,6 +208,7 @@
             resume,
             revision: self.job.set.revision(),
             input: self.input.clone(),
+            model: self.spec.model.clone(),
         }
     }
 
--- a/crates/record/src/check.rs
+++ b/crates/record/src/check.rs
@@ -2,7 +2,7 @@
 
 use crate::finding::{Finding, Findings};
 use crate::service::Runner;
-use crate::{Document, Fencing, Kind, Pipeline, Service, Version, schema, shape};
+use crate::{Document, Fencing, Kind, Map, Pipeline, Service, Version, schema, shape};
 use std::collections::HashSet;
 
 /// Checks one document: its fields, as of its own schema, and the rules between them.
@@ -120,10 +120,10 @@
 /// Reports the index of a document, a path within it and a message.
 pub(crate) fn references(documents: &[Document], report: &mut impl FnMut(usize, &str, String)) {
     check_keys(documents, report);
-    let services: HashSet<&str> = documents
+    let services: Map<&str, Option<Service>> = documents
         .iter()
         .filter(|document| document.kind == Kind::Service)
-        .map(|document| document.name.as_str())
+        .map(|document| (document.name.as_str(), document.service().ok()))
         .collect();
     let versions: HashSet<(&str, Version)> = documents
         .iter()
@@ -154,15 +154,24 @@
     }
 }
 
+/// A service that cannot be read is there, but its models are not known: nothing is said of them.
 fn check_services(
     pipeline: &Pipeline,
-    services: &HashSet<&str>,
+    services: &Map<&str, Option<Service>>,
     report: &mut impl FnMut(&str, String),
 ) {
     for (index, stage) in pipeline.stages.iter().enumerate() {
-        if !services.contains(stage.service.as_str()) {
+        let path = |field: &str| format!("stages[{index}].{field}");
+        let Some(service) = services.get(stage.service.as_str()) else {
             let message = format!("there is no service `{}`", stage.service);
-            report(&format!("stages[{index}].service"), message);
+            report(&path("service"), message);
+            continue;
+        };
+        if let (Some(model), Some(service)) = (&stage.model, service)
+            && !service.declares(model)
+        {
+            let message = format!("service `{}` declares no model `{model}`", service.name);
+            report(&path("model"), message);
         }
     }
 }
--- a/crates/record/src/pipeline.rs
+++ b/crates/record/src/pipeline.rs
@@ -35,6 +35,9 @@
     /// Whether its answer is streamed; only the last stage may be.
     #[serde(default)]
     pub stream: bool,
+    /// Model of the service's engines that answers it; any engine does without one (schema 2).
+    #[serde(default)]
+    pub model: Option<String>,
 }
 
 fn default_attainment() -> f64 {
--- a/crates/record/src/schema.rs
+++ b/crates/record/src/schema.rs
@@ -45,6 +45,7 @@
     Field::required("service", Shape::Name),
     Field::optional("repeatable", Shape::Flag),
     Field::optional("stream", Shape::Flag),
+    Field::optional("model", Shape::Name).since(2),
 ]);
 
 const MODEL: Shape = Shape::Object(&[
--- a/crates/record/src/service.rs
+++ b/crates/record/src/service.rs
@@ -42,6 +42,14 @@
     pub models: Vec<Model>,
 }
 
+impl Service {
+    /// Whether a model may be loaded on its engines.
+    #[must_use]
+    pub fn declares(&self, model: &str) -> bool {
+        self.models.iter().any(|known| known.name == model)
+    }
+}
+
 /// Replica bounds of a model on a service's engines.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Model {
--- a/crates/standin/src/call.rs
+++ b/crates/standin/src/call.rs
@@ -20,6 +20,8 @@
     pub(crate) resume: u32,
     pub(crate) prefix: Vec<u64>,
     pub(crate) stream: bool,
+    /// Model that the call names in its header.
+    pub(crate) model: Option<String>,
     pub(crate) raw: Bytes,
 }
 
@@ -37,6 +39,9 @@
             priority: priority.unwrap_or(PRIORITY),
             resume: number("x-resume").unwrap_or(0),
             prefix: blocks(text(headers, "x-prefix")),
+            model: headers
+                .get("x-model")
+                .and_then(|model| model.to_str().ok().map(str::to_owned)),
             stream: text(headers, ACCEPT.as_str()).contains("text/event-stream"),
             raw,
         })
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -87,8 +87,8 @@
             Ok(input) => input,
             Err(error) => return Ok(reply::error(StatusCode::BAD_REQUEST, error)),
         };
-        let model = input.model.as_deref();
-        if model.is_some_and(|model| !self.orders.has(model)) {
+        let mut models = input.model.iter().chain(&call.model);
+        if models.any(|model| !self.orders.has(model)) {
             return Ok(reply::not_run());
         }
         let total = input.max_tokens.unwrap_or(self.tokens);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -125,6 +125,18 @@
         /// Body of the engine's answer.
         body: Bytes,
     },
+    /// Entry to agent: what does the engine hold?
+    Query {
+        /// Number of the question on this link.
+        number: u64,
+    },
+    /// Agent to entry: what the engine held at some moment after the question came.
+    Models {
+        /// Number of the question.
+        number: u64,
+        /// What it held, or `None` if it could not be asked.
+        models: Option<Models>,
+    },
 }
 
 impl Frame {
@@ -145,7 +157,11 @@
             | Self::Done { call, .. }
             | Self::Fail { call, .. }
             | Self::Break { call, .. } => Some(*call),
-            Self::Leave { .. } | Self::Order { .. } | Self::OrderDone { .. } => None,
+            Self::Leave { .. }
+            | Self::Order { .. }
+            | Self::OrderDone { .. }
+            | Self::Query { .. }
+            | Self::Models { .. } => None,
         }
     }
 }
@@ -177,6 +193,17 @@
     pub revision: Revision,
     /// JSON input of the stage.
     pub input: Bytes,
+    /// Model that answers it, if the stage names one.
+    pub model: Option<String>,
+}
+
+/// What an engine holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Models {
+    /// Models that are loaded.
+    pub warm: Vec<String>,
+    /// Model that it loads at the agent's order.
+    pub loading: Option<String>,
 }
 
 /// Why an agent refused a call.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,5 +12,5 @@
 pub mod news;
 pub mod silence;
 
-pub use frame::{Frame, Load, Refusal, Work};
+pub use frame::{Frame, Load, Models, Refusal, Work};
 pub use link::{Error, Key, Listener, Receiver, Sender, connect};
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -6,7 +6,7 @@
 use protocol::CallId;
 use std::time::Duration;
 use wire::link::MAX_FRAME;
-use wire::{Error, Frame, Key, Listener, Load, Receiver, Refusal, Sender, Work};
+use wire::{Error, Frame, Key, Listener, Load, Models, Receiver, Refusal, Sender, Work};
 
 fn key() -> Key {
     Key::new(*b"key of the tests")
@@ -50,10 +50,10 @@
 }
 
 fn work() -> impl Strategy<Value = Box<Work>> {
-    let names = any::<[String; 4]>();
+    let names = any::<([String; 4], Option<String>)>();
     let flags = any::<(bool, bool, u8, u32, u64, Vec<u64>)>();
     (names, flags, time(), bytes()).prop_map(|(names, flags, remaining, input)| {
-        let [workspace, class, service, stage] = names;
+        let ([workspace, class, service, stage], model) = names;
         let (repeatable, stream, priority, resume, revision, prefix) = flags;
         Box::new(Work {
             workspace,
@@ -68,6 +68,7 @@
             resume,
             revision,
             input,
+            model,
         })
     })
 }
@@ -90,6 +91,13 @@
         call().prop_map(|call| Frame::Cancel { call }),
         (call(), any::<u32>()).prop_map(|(call, from)| Frame::Recall { call, from }),
         call().prop_map(|call| Frame::Ask { call }),
+        any::<u64>().prop_map(|number| Frame::Query { number }),
+        (any::<u64>(), any::<Option<(Vec<String>, Option<String>)>>()).prop_map(
+            |(number, models)| {
+                let models = models.map(|(warm, loading)| Models { warm, loading });
+                Frame::Models { number, models }
+            }
+        ),
         (call(), refusals, time(), load()).prop_map(|(call, reason, retry_after, load)| {
             Frame::Refuse {
                 call,
