Placement orders under a lease, and routing by model

Every entry contends for the row lease/placement and asks the engines of services that declare models what they hold. The holder plans with decide::place and sends orders to agents, one open order a target, looking at its clock right before each is sent.

A call whose stage names a model goes only to engines that have it loaded. An accepted one waits while a load is under way; a new one is refused as not run where no engine has or loads the model.

Found by the tests on the way: with one rate of loads for each service, the service first by name took every load that all of them together may start (two services, four spans: 4 to 0). Services now take turns at one rate (2 to 2).

What an engine said before an order to it was over is not planned with: a late answer that still showed a model just given up would have let the last replica go.

--- a/crates/ctl/src/deployment.rs
+++ b/crates/ctl/src/deployment.rs
@@ -8,7 +8,7 @@
 use platform::{Role, Vm};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use setting::{Operator, Place, Platform, Policy};
+use setting::{Operator, Place, Placement, Platform, Policy};
 use standin::{Kind, Options};
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -66,6 +66,8 @@
     pub queue: u32,
     /// How often entries read the list of VMs and the change log, in milliseconds.
     pub poll_ms: u64,
+    /// How the entries place models.
+    pub placement: Placement,
 }
 
 impl Default for Plan {
@@ -77,6 +79,7 @@
             concurrency: CONCURRENCY,
             queue: QUEUE,
             poll_ms: POLL_MS,
+            placement: Placement::default(),
         }
     }
 }
@@ -170,6 +173,7 @@
             vms_poll_ms: self.plan.poll_ms,
             head_poll_ms: self.plan.poll_ms,
             news: Some(free()),
+            placement: self.plan.placement,
         }
     }
 
--- a/crates/ctl/src/experiment/system.rs
+++ b/crates/ctl/src/experiment/system.rs
@@ -312,6 +312,7 @@
             vms_poll_ms: POLL_MS,
             head_poll_ms: POLL_MS,
             news: None,
+            placement: setting::Placement::default(),
         }
     }
 
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -6,6 +6,7 @@
 use crate::job::Jobs;
 use crate::news::Exchange;
 use crate::peers::Peers;
+use crate::placement::lease::Lease;
 use crate::prefix;
 use crate::service::Demand;
 use crate::services::Services;
@@ -17,6 +18,7 @@
 use slog::Logger;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
@@ -46,6 +48,8 @@
     pub exchange: OnceLock<Exchange>,
     /// Requests that run and answers that are kept.
     pub jobs: Jobs,
+    /// Lease on the right to give orders to engines.
+    pub lease: Lease,
     /// Counters and histograms.
     pub telemetry: Telemetry,
     /// Lines for changes of state.
@@ -65,6 +69,7 @@
             claims: Claims::start(platform.clone()),
             services: Services::new(&settings, started),
             budgets: Budgets::new(settings.policy),
+            lease: Lease::new(Duration::from_millis(settings.placement.lease_ms)),
             settings,
             platform,
             peers: Peers::default(),
@@ -100,7 +105,8 @@
     /// What the decisions need to know of a stage of a job with this input.
     pub fn demand(&self, job: &Job, position: usize, slot: &Slot, input: &[u8]) -> Demand {
         let workspace = job.set.workspace(&job.workspace);
-        let service = job.set.service(&job.pipeline.stages[position].service);
+        let stage = &job.pipeline.stages[position];
+        let service = job.set.service(&stage.service);
         let cached = service.is_some_and(|service| service.runner == Runner::Engine);
         Demand {
             workspace: job.workspace.as_str().into(),
@@ -111,6 +117,7 @@
             } else {
                 Vec::new()
             },
+            model: stage.model.clone(),
         }
     }
 
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -6,6 +6,7 @@
 use crate::fields;
 use crate::job::Job;
 use crate::kept;
+use crate::service::models::Availability;
 use crate::service::{Overload, Turn};
 use crate::stage::Run;
 use bytes::{Bytes, BytesMut};
@@ -20,6 +21,9 @@
 /// When to come back while a service has no target.
 const NO_TARGET: Duration = Duration::from_secs(1);
 
+/// When to come back for a model that no engine has loaded.
+const NO_MODEL: Duration = Duration::from_secs(2);
+
 /// Runs a job to its end and leaves the end in its answer.
 pub async fn run<P: Platform>(core: &Arc<Core<P>>, job: &Job) {
     match &job.key {
@@ -121,6 +125,20 @@
             retry_after: NO_TARGET,
         });
     }
+    let set = core.config.current();
+    for stage in &job.pipeline.stages {
+        let service = core.services.get(&stage.service);
+        let Some(model) = &stage.model else {
+            continue;
+        };
+        if service.availability(model, &set) == Availability::Absent {
+            service.missed(model);
+            return Err(End::NotRun {
+                detail: format!("model {model} is not loaded"),
+                retry_after: NO_MODEL,
+            });
+        }
+    }
     for position in 1..job.pipeline.stages.len() {
         let slot = core.slot(job, position);
         let demand = core.demand(job, position, &slot, &[]);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,10 +9,12 @@
 //! * [`execute`]: a job from admission to its end; [`stage`]: one stage with all its attempts
 //! * [`claim`] and [`kept`]: idempotency keys and the answers kept for them
 //! * [`target`], [`service`], [`services`] and [`discovery`]: links to agents and who gets work
+//! * [`engine`]: what a target's engine holds
 //! * [`fields`]: what a later stage is given
 //! * [`budgets`] and [`prefix`]: what the decisions are fed with
 //! * [`peers`] and [`news`]: the other entries
 //! * [`config`]: records in force, the change log and accepted changes
+//! * [`placement`]: orders to engines, under a lease
 //! * [`telemetry`]: counters and histograms
 
 pub mod answer;
@@ -22,6 +24,7 @@
 pub mod config;
 pub mod core;
 pub mod discovery;
+pub mod engine;
 pub mod execute;
 pub mod fields;
 pub mod job;
@@ -29,6 +32,7 @@
 pub mod news;
 pub mod operator;
 pub mod peers;
+pub mod placement;
 pub mod prefix;
 pub mod problem;
 pub mod run;
--- /dev/null
+++ b/crates/entry/src/placement.rs
@@ -0,0 +1,72 @@
+//! Orders to engines, given by whichever entry holds the lease.
+//!
+//! * [`lease`]: the lease on the right to give orders
+//! * [`fleet`]: one service's engines and what they hold
+//! * [`plan`]: which orders to give
+//! * [`rate`]: loads that the weight store bears
+//! * [`order`]: gives one order
+//!
+//! Every entry asks the engines what they hold, since it routes by that; only the holder plans.
+
+pub mod fleet;
+pub mod lease;
+pub mod order;
+pub mod plan;
+pub mod rate;
+
+use crate::core::{Core, Platform};
+use crate::placement::fleet::Fleet;
+use crate::placement::plan::Planner;
+use record::Set;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Time between two looks at the engines.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Asks the engines what they hold and, while this entry holds the lease, gives them orders.
+pub async fn run<P: Platform>(core: Arc<Core<P>>) {
+    let mut planner = Planner::new(&core.settings.placement);
+    let mut before = Instant::now();
+    loop {
+        sleep(PERIOD).await;
+        let since = std::mem::replace(&mut before, Instant::now());
+        look(&core, &mut planner, since.elapsed());
+    }
+}
+
+fn look<P: Platform>(core: &Arc<Core<P>>, planner: &mut Planner, span: Duration) {
+    let set = core.config.current();
+    let held = core.lease.may_act();
+    planner.begin(held);
+    let entries = core.peers.addresses().len() + 1;
+    let mut names = services(&set);
+    planner.take_turns(&mut names);
+    for name in names {
+        let service = core.services.get(&name);
+        let targets = service.targets();
+        targets.iter().for_each(|target| target.query());
+        let busy = service.take_busy();
+        let Some(record) = set.service(&name) else {
+            continue;
+        };
+        core.telemetry.placement.warm(record, &targets);
+        if held.is_none() {
+            continue;
+        }
+        let fleet = Fleet::survey(&targets, &set, planner.since());
+        let demand = fleet::demand(record, &busy, span, entries);
+        for (target, order) in planner.plan(&name, &demand, &fleet) {
+            order::give(core, target, order);
+        }
+    }
+}
+
+/// Services whose engines are given orders.
+fn services(set: &Set) -> Vec<String> {
+    let with_models = set.services().filter(|service| !service.models.is_empty());
+    let mut names: Vec<_> = with_models.map(|service| service.name.clone()).collect();
+    names.sort();
+    names
+}
--- /dev/null
+++ b/crates/entry/src/placement/fleet.rs
@@ -0,0 +1,95 @@
+//! One service's engines and what they hold, as the plan needs to know it.
+
+use crate::engine::View;
+use crate::target::Target;
+use decide::place::{self, ModelName};
+use decide::route::TargetId;
+use record::{Map, Service, Set};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// An engine that takes new work.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// Name of its VM.
+    pub id: TargetId,
+    /// Where orders to it are sent.
+    pub target: Arc<Target>,
+    /// What it holds; `None` if it has not said so lately enough.
+    pub view: Option<View>,
+}
+
+/// Engines of one service that take new work.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// The engines, by name.
+    pub engines: Vec<Engine>,
+}
+
+impl Fleet {
+    /// The engines of these targets, with what they have said since a moment.
+    pub fn survey(targets: &[Arc<Target>], set: &Set, since: Instant) -> Self {
+        let open = |target: &&Arc<Target>| target.is_open() && !set.drained(&target.vm.id);
+        let mut engines: Vec<_> = targets
+            .iter()
+            .filter(open)
+            .map(|target| Engine {
+                id: target.vm.id.as_str().into(),
+                view: target.engine.view(since),
+                target: target.clone(),
+            })
+            .collect();
+        engines.sort_by(|one, other| one.id.cmp(&other.id));
+        Self { engines }
+    }
+
+    /// Whether every engine has said what it holds.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.engines.iter().all(|engine| engine.view.is_some())
+    }
+
+    /// The engine of that name.
+    #[must_use]
+    pub fn get(&self, id: &TargetId) -> Option<&Engine> {
+        self.engines.iter().find(|engine| engine.id == *id)
+    }
+
+    /// Engines besides `id` that have a model loaded.
+    #[must_use]
+    pub fn warm_besides(&self, id: &TargetId, model: &str) -> usize {
+        let others = self.engines.iter().filter(|engine| engine.id != *id);
+        others
+            .filter_map(|engine| engine.view.as_ref())
+            .filter(|view| view.warm.iter().any(|warm| warm == model))
+            .count()
+    }
+}
+
+/// The declared models with their demand.
+///
+/// This entry knows only of its own calls. The balancer spreads callers over all entries, so that
+/// the others are taken to have as many.
+#[must_use]
+pub fn demand(
+    service: &Service,
+    busy: &Map<String, Duration>,
+    span: Duration,
+    entries: usize,
+) -> Vec<place::Model> {
+    let seconds = span.as_secs_f64().max(f64::EPSILON);
+    let of = |name: &str| {
+        let busy = busy.get(name).copied().unwrap_or_default();
+        busy.as_secs_f64() / seconds * entries as f64
+    };
+    let models = service.models.iter();
+    models
+        .map(|model| place::Model {
+            name: ModelName::from(model.name.as_str()),
+            min: model.min,
+            max: model.max,
+            demand: of(&model.name),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/entry/src/placement/plan.rs
@@ -0,0 +1,234 @@
+//! Which orders to give: loads by the decisions of [`decide::place`], and the unloads that end a
+//! swap.
+//!
+//! An engine that is to serve another model loads it first and then gives up the one it had, so
+//! that a load that fails takes nothing away. What is to be given up is worked out anew from what
+//! the engines hold, so that another holder ends a swap that this one began.
+
+use crate::engine::{Order, Verb, View};
+use crate::placement::fleet::{Engine, Fleet};
+use crate::placement::rate::Rate;
+use crate::target::Target;
+use decide::place::{self, Model, ModelName, Placement};
+use decide::route::TargetId;
+use protocol::Fence;
+use record::Map;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long a new holder waits for engines that have not said what they hold.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Share of an earlier look's demand that is kept in the next.
+const KEPT: f64 = 0.8;
+
+/// Plans of all services under one lease.
+#[derive(Debug)]
+pub struct Planner {
+    fence: Option<Fence>,
+    since: Instant,
+    rate: Rate,
+    /// Service that got the last load.
+    last: Option<String>,
+    services: Map<String, Plan>,
+}
+
+/// One service's plan.
+#[derive(Debug)]
+struct Plan {
+    placement: Placement,
+    demand: Map<ModelName, f64>,
+    /// Model that each engine was last ordered to serve.
+    wanted: Map<TargetId, ModelName>,
+}
+
+/// An order and the target that is to get it.
+pub type Step = (Arc<Target>, Order);
+
+impl Planner {
+    /// A planner that holds no lease.
+    #[must_use]
+    pub fn new(settings: &setting::Placement) -> Self {
+        let span = Duration::from_millis(settings.every_ms);
+        Self {
+            fence: None,
+            since: Instant::now(),
+            rate: Rate::new(settings.loads, span),
+            last: None,
+            services: Map::default(),
+        }
+    }
+
+    /// Takes in the fencing number that is held. Under a new one nothing is known of the engines:
+    /// other holders may have given orders in between.
+    pub fn begin(&mut self, held: Option<Fence>) {
+        if self.fence == held {
+            return;
+        }
+        self.fence = held;
+        self.since = Instant::now();
+        self.services.clear();
+        if held.is_some_and(|fence| fence > 1) {
+            self.rate.exhaust(self.since);
+        }
+    }
+
+    /// Since when this entry has held the lease.
+    #[must_use]
+    pub fn since(&self) -> Instant {
+        self.since
+    }
+
+    /// Puts services into the order in which they are planned: the one that got the last load goes
+    /// last, since otherwise the first by name could take all that the weight store bears.
+    pub fn take_turns(&self, services: &mut [String]) {
+        let last = self.last.as_ref();
+        let place = services.iter().position(|name| Some(name) == last);
+        services.rotate_left(place.map_or(0, |place| place + 1));
+    }
+
+    /// The orders to give to one service's engines now.
+    pub fn plan(&mut self, service: &str, models: &[Model], fleet: &Fleet) -> Vec<Step> {
+        if !fleet.is_known() && self.since.elapsed() < SETTLE {
+            return Vec::new();
+        }
+        let plan = self
+            .services
+            .entry(service.to_owned())
+            .or_insert_with(Plan::new);
+        let models = plan.smooth(models);
+        let mut steps = plan.unloads(&models, fleet);
+        let loads = plan.loads(self.since.elapsed(), &models, fleet);
+        for (engine, order) in loads {
+            let now = Instant::now();
+            if !is_busy(engine) && self.rate.start(now) {
+                let wanted = ModelName::from(order.model.as_str());
+                plan.wanted.insert(engine.id.clone(), wanted);
+                self.last = Some(service.to_owned());
+                steps.push((engine.target.clone(), order));
+            }
+        }
+        steps
+    }
+}
+
+impl Plan {
+    /// The rate of loads is kept over all services, by the planner.
+    fn new() -> Self {
+        Self {
+            placement: Placement::new(u32::MAX, Duration::ZERO),
+            demand: Map::default(),
+            wanted: Map::default(),
+        }
+    }
+
+    /// The models with a demand that follows bursts within a few looks but no single call.
+    fn smooth(&mut self, models: &[Model]) -> Vec<Model> {
+        let mut models = models.to_vec();
+        for model in &mut models {
+            let before = self.demand.entry(model.name.clone()).or_default();
+            *before = *before * KEPT + model.demand * (1.0 - KEPT);
+            model.demand = *before;
+        }
+        models
+    }
+
+    fn loads<'a>(
+        &mut self,
+        now: Duration,
+        models: &[Model],
+        fleet: &'a Fleet,
+    ) -> Vec<(&'a Engine, Order)> {
+        let serves = |engine: &Engine| self.engine(engine, models, fleet);
+        let engines: Vec<_> = fleet.engines.iter().map(serves).collect();
+        let orders = self.placement.plan(now, models, &engines);
+        let load = |order: place::Order| {
+            let engine = fleet.get(&order.target)?;
+            let verb = Verb::Load;
+            let model = order.model.to_string();
+            Some((engine, Order { verb, model }))
+        };
+        orders.into_iter().filter_map(load).collect()
+    }
+
+    fn engine(&self, engine: &Engine, models: &[Model], fleet: &Fleet) -> place::Engine {
+        let view = engine.view.as_ref();
+        let loading = view.and_then(|view| loading(view, models));
+        place::Engine {
+            id: engine.id.clone(),
+            warm: loading.is_none(),
+            model: loading.or_else(|| self.serves(engine, models, fleet)),
+            live: view.is_some(),
+        }
+    }
+
+    /// The model that an engine is there for, among the declared ones that it has loaded: the one
+    /// it was ordered to serve, or else the one that the fewest others have.
+    fn serves(&self, engine: &Engine, models: &[Model], fleet: &Fleet) -> Option<ModelName> {
+        let view = engine.view.as_ref()?;
+        let has = |name: &ModelName| view.warm.iter().any(|warm| **warm == **name);
+        let wanted = self.wanted.get(&engine.id).filter(|name| has(name));
+        let held = models
+            .iter()
+            .map(|model| &model.name)
+            .filter(|name| has(name));
+        let rarest = held.min_by_key(|name| (fleet.warm_besides(&engine.id, name), *name));
+        wanted.or(rarest).cloned()
+    }
+
+    /// Models to be given up by engines that serve another one. A declared one goes only while
+    /// enough other engines have it loaded, as they themselves have said.
+    fn unloads(&self, models: &[Model], fleet: &Fleet) -> Vec<Step> {
+        let mut fleet = fleet.clone();
+        let mut steps = Vec::new();
+        for index in 0..fleet.engines.len() {
+            let engine = &fleet.engines[index];
+            let Some(model) = self.superfluous(engine, models, &fleet) else {
+                continue;
+            };
+            let verb = Verb::Unload;
+            steps.push((
+                engine.target.clone(),
+                Order {
+                    verb,
+                    model: model.clone(),
+                },
+            ));
+            // The next engine must not count on what this one gives up.
+            if let Some(view) = &mut fleet.engines[index].view {
+                view.warm.retain(|warm| *warm != model);
+            }
+        }
+        steps
+    }
+
+    fn superfluous(&self, engine: &Engine, models: &[Model], fleet: &Fleet) -> Option<String> {
+        let view = engine.view.as_ref()?;
+        if view.busy || view.loading.is_some() {
+            return None;
+        }
+        let serves = self.serves(engine, models, fleet)?;
+        let mut others = view.warm.iter().filter(|name| ***name != *serves);
+        let may_go = |name: &&String| {
+            let declared = models.iter().find(|model| *model.name == ***name);
+            declared.is_none_or(|model| {
+                let rest = fleet.warm_besides(&engine.id, name);
+                rest >= model.min.max(1) as usize
+            })
+        };
+        others.find(may_go).cloned()
+    }
+}
+
+/// The declared model that an engine loads.
+fn loading(view: &View, models: &[Model]) -> Option<ModelName> {
+    let loading = view.loading.as_deref()?;
+    let declared = models.iter().find(|model| *model.name == *loading);
+    declared.map(|model| model.name.clone())
+}
+
+/// Whether an engine must get no order now.
+fn is_busy(engine: &Engine) -> bool {
+    let view = engine.view.as_ref();
+    view.is_none_or(|view| view.busy || view.loading.is_some())
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{Core, Platform};
 use crate::news::{self, Exchange};
+use crate::placement::{self, lease};
 use crate::telemetry::Telemetry;
 use crate::{discovery, server};
 use metric::Registry;
@@ -119,6 +120,8 @@
     spawn_until(stop, async move { follower.config.follow(pause).await });
     spawn_until(stop, discovery::follow(core.clone()));
     spawn_until(stop, learn_from_peers(core.clone()));
+    spawn_until(stop, lease::keep(core.clone()));
+    spawn_until(stop, placement::run(core.clone()));
 }
 
 fn start_news<P: Platform>(
@@ -171,6 +174,7 @@
 ) {
     info!(core.log, "draining");
     core.drain();
+    core.lease.resign();
     core.tasks.close();
     core.tasks.wait().await;
     stop.cancel();
@@ -178,5 +182,6 @@
     let _ = serving.await;
     // A request that was accepted at the moment the stop began is waited for as well.
     core.tasks.wait().await;
+    core.lease.resigned().await;
     info!(core.log, "stopped");
 }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -1,5 +1,6 @@
 //! One service's targets and the decisions about them, under one lock.
 
+pub mod models;
 pub mod policy;
 
 use crate::service::policy::Policy;
@@ -11,7 +12,7 @@
 use foldhash::fast::RandomState;
 use platform::Vm;
 use rand::Rng;
-use record::Set;
+use record::{Map, Set};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -37,6 +38,8 @@
     pub latest_start: Duration,
     /// Hashes of the prompt's prefix blocks, longest last.
     pub prefix: Vec<Block>,
+    /// Model that must be loaded where the call goes, if the stage names one.
+    pub model: Option<String>,
 }
 
 /// One service's targets.
@@ -54,6 +57,8 @@
     pool: route::Pool,
     policy: Policy,
     concurrency: u32,
+    /// Time at work for each model since it was last asked for.
+    busy: Map<String, Duration>,
 }
 
 /// A call's turn to be in flight; given back when dropped.
@@ -96,6 +101,7 @@
                 pool: policy::pool(policy),
                 policy: Policy::new(policy),
                 concurrency: 1,
+                busy: Map::default(),
             }),
         })
     }
@@ -273,6 +279,9 @@
         let now = self.now();
         let mut state = self.lock();
         let mut tried = tried.to_vec();
+        if let Some(model) = &demand.model {
+            tried.extend(state.without(model));
+        }
         for _ in 0..PASSED_OVER {
             let call = route::Call {
                 now,
@@ -320,6 +329,9 @@
             in_flight,
         });
         state.policy.retry.succeeded(now, elapsed);
+        if let Some(model) = &demand.model {
+            state.spend(model, busy);
+        }
     }
 
     /// A call was refused, revoked or cancelled.
--- /dev/null
+++ b/crates/entry/src/service/models.rs
@@ -0,0 +1,71 @@
+//! Which models a service's engines hold, and the time that calls for them take.
+
+use super::{Service, State};
+use decide::route::TargetId;
+use record::{Map, Set};
+use std::time::Duration;
+
+/// Time at work that a call refused for want of its model is counted as: enough to have the model
+/// loaded once, too little to want a second replica.
+const MISSED: Duration = Duration::from_millis(100);
+
+/// Where a model stands in a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Availability {
+    /// An engine that takes new work has it.
+    Warm,
+    /// An engine loads it, or has not yet said what it holds.
+    Expected,
+    /// No engine has it or loads it.
+    Absent,
+}
+
+impl Service {
+    /// Where a model stands.
+    pub fn availability(&self, model: &str, set: &Set) -> Availability {
+        let state = self.lock();
+        let mut open = state
+            .targets
+            .values()
+            .filter(|target| target.is_open() && !set.drained(&target.vm.id));
+        let mut expected = false;
+        let warm = open.any(|target| {
+            expected |= target.engine.is_loading(model) || !target.engine.is_known();
+            target.engine.holds(model)
+        });
+        match (warm, expected) {
+            (true, _) => Availability::Warm,
+            (false, true) => Availability::Expected,
+            (false, false) => Availability::Absent,
+        }
+    }
+
+    /// Notes that a call was refused for want of its model.
+    pub fn missed(&self, model: &str) {
+        self.lock().spend(model, MISSED);
+    }
+
+    /// Time that engines were at work for each model since this was last asked.
+    pub fn take_busy(&self) -> Map<String, Duration> {
+        std::mem::take(&mut self.lock().busy)
+    }
+}
+
+impl State {
+    /// Notes time at work for a model.
+    pub(super) fn spend(&mut self, model: &str, busy: Duration) {
+        match self.busy.get_mut(model) {
+            Some(sum) => *sum += busy,
+            None => drop(self.busy.insert(model.to_owned(), busy)),
+        }
+    }
+
+    /// Targets that a call for this model may not go to.
+    pub(super) fn without(&self, model: &str) -> impl Iterator<Item = TargetId> {
+        let cold = self
+            .targets
+            .iter()
+            .filter(move |(_, target)| !target.engine.holds(model));
+        cold.map(|(id, _)| id.clone())
+    }
+}
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -3,6 +3,7 @@
 use crate::answer::End;
 use crate::core::{Core, Platform};
 use crate::job::Job;
+use crate::service::models::Availability;
 use crate::service::{Demand, Service, Turn};
 use crate::target::{Inbox, Message, Target};
 use bytes::{Bytes, BytesMut};
@@ -458,7 +459,7 @@
 
     /// Waits for a target that would take the stage; the pauses grow and differ.
     async fn rest(&mut self) -> Result<(), End> {
-        if self.began.elapsed() > PATIENCE {
+        if self.began.elapsed() > PATIENCE && !self.awaits_model() {
             return Err(self.end());
         }
         let most = self.pause.min(PAUSE_MOST);
@@ -469,6 +470,18 @@
         Ok(())
     }
 
+    /// Whether the stage waits for a model that operators still want loaded. A load may take far
+    /// longer than any other wait, and the accepted request is to come late rather than never.
+    fn awaits_model(&self) -> bool {
+        let set = self.core.config.current();
+        let Some(model) = &self.spec.model else {
+            return false;
+        };
+        let service = set.service(&self.spec.service);
+        service.is_some_and(|service| service.declares(model))
+            && self.service.availability(model, &set) != Availability::Warm
+    }
+
     /// What the caller is told when the stage is not tried again.
     fn end(&self) -> End {
         let stage = &self.spec.name;
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -1,8 +1,9 @@
 //! One target's agent: the link to it and the calls on that link.
 
+use crate::engine::{Engine, Order};
 use foldhash::fast::RandomState;
 use platform::Vm;
-use protocol::CallId;
+use protocol::{CallId, Fence};
 use slog::{Logger, info};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -17,6 +18,9 @@
 /// Longest pause between attempts to open a link.
 const RECONNECT_MOST: Duration = Duration::from_secs(1);
 
+/// Longest wait for the link to take an order.
+const ORDER_PATIENCE: Duration = Duration::from_millis(200);
+
 /// What reaches a stage about one of its calls.
 #[derive(Debug)]
 pub enum Message {
@@ -53,6 +57,8 @@
     pub vm: Vm,
     /// Frames that belonged to no current call.
     pub strays: AtomicU64,
+    /// What is known of its engine, if it has one.
+    pub engine: Engine,
     leaving: AtomicBool,
     link: Mutex<Option<Sender>>,
     up: watch::Sender<bool>,
@@ -67,6 +73,7 @@
             leaving: AtomicBool::new(vm.leaving),
             vm,
             strays: AtomicU64::default(),
+            engine: Engine::default(),
             link: Mutex::default(),
             up: watch::Sender::new(false),
             calls: Mutex::default(),
@@ -135,9 +142,33 @@
         }
     }
 
+    /// Asks what its engine holds.
+    pub fn query(&self) {
+        if self.is_linked()
+            && let Some(number) = self.engine.ask()
+        {
+            self.send_later(Frame::Query { number });
+        }
+    }
+
+    /// Sends an order that has taken the engine's place for one; `false` if it was not sent.
+    ///
+    /// A link that does not take it soon is no way for it: the order would leave long after the
+    /// lease was looked at.
+    pub async fn order(&self, fence: Fence, order: &Order) -> bool {
+        let link = self.link().clone();
+        let body = order.body(fence).into();
+        let Some(link) = link else {
+            return false;
+        };
+        let sent = tokio::time::timeout(ORDER_PATIENCE, link.send(Frame::Order { fence, body }));
+        matches!(sent.await, Ok(Ok(())))
+    }
+
     fn lose_link(&self) {
         self.link().take();
         self.up.send_replace(false);
+        self.engine.forget();
         let calls = std::mem::take(&mut *self.calls());
         for (call, inbox) in calls {
             // A stage that no longer listens has its answer.
@@ -215,12 +246,19 @@
         let Ok(Some(frame)) = frame else {
             break;
         };
-        // The link is to one life of the agent, whatever number it gives itself.
-        if let Frame::Leave { .. } = frame {
-            target.leave();
-            observer.changed(target, Change::Leaving);
-        } else if let Some(call) = frame.call() {
-            target.dispatch(&sender, call, frame).await;
+        match frame {
+            // The link is to one life of the agent, whatever number it gives itself.
+            Frame::Leave { .. } => {
+                target.leave();
+                observer.changed(target, Change::Leaving);
+            }
+            Frame::Models { number, models } => target.engine.answered(number, models),
+            Frame::OrderDone { status, .. } => target.engine.close(Some(status)),
+            frame => {
+                if let Some(call) = frame.call() {
+                    target.dispatch(&sender, call, frame).await;
+                }
+            }
         }
     }
     observer.changed(target, Change::Down);
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms of an entry.
 
+pub mod placement;
+
 use crate::answer::End;
 use crate::job::Job;
 use metric::{Bound, Registry};
@@ -52,6 +54,8 @@
     refused: Counter,
     hedges: Counter,
     dropped: Counter,
+    /// Orders to engines.
+    pub placement: placement::Placement,
 }
 
 fn histogram() -> Histogram {
@@ -71,6 +75,7 @@
             refused: Counter::default(),
             hedges: Counter::default(),
             dropped: Counter::default(),
+            placement: placement::Placement::new(registry),
         };
         registry.register(
             "entry_request_seconds",
--- /dev/null
+++ b/crates/entry/tests/placement_plan.rs
@@ -0,0 +1,228 @@
+//! Orders that follow from what a service's engines hold.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use decide::place::Model;
+use entry::engine::{Order, Verb, View};
+use entry::placement::fleet::{Engine, Fleet};
+use entry::placement::plan::{Planner, Step};
+use entry::target::{Change, Observer, Target};
+use platform::{Role, Vm};
+use setting::Placement;
+use slog::{Discard, Logger, o};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{advance, sleep};
+
+const SPAN: Duration = Duration::from_secs(5);
+/// Longer than a surplus must last before a replica is given up.
+const LONG: usize = 40;
+
+struct Nobody;
+
+impl Observer for Nobody {
+    fn changed(&self, _: &Arc<Target>, _: Change) {}
+}
+
+fn target(id: &str) -> Arc<Target> {
+    let vm = Vm {
+        id: id.to_owned(),
+        incarnation: 1,
+        role: Role::Target,
+        service: "assistant".to_owned(),
+        region: "ee-north".to_owned(),
+        domain: "a".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        news: None,
+        leaving: false,
+    };
+    let target = Target::start(
+        vm,
+        wire::Key::new("k"),
+        Logger::root(Discard, o!()),
+        Arc::new(Nobody),
+    );
+    target.stop();
+    target
+}
+
+/// Engines that hold these models, named `e0`, `e1` and so on.
+fn fleet(held: &[&[&str]]) -> Fleet {
+    let engine = |(number, warm): (usize, &&[&str])| {
+        let id = format!("e{number}");
+        let warm = warm.iter().map(|model| (*model).to_owned()).collect();
+        let view = View {
+            warm,
+            ..View::default()
+        };
+        Engine {
+            id: id.as_str().into(),
+            target: target(&id),
+            view: Some(view),
+        }
+    };
+    Fleet {
+        engines: held.iter().enumerate().map(engine).collect(),
+    }
+}
+
+fn model(name: &str, min: u32) -> Model {
+    Model {
+        name: name.into(),
+        min,
+        max: 8,
+        demand: 0.0,
+    }
+}
+
+fn planner(fence: u64) -> Planner {
+    let mut planner = Planner::new(&Placement {
+        loads: 1,
+        every_ms: 5_000,
+        lease_ms: 10_000,
+    });
+    planner.begin(Some(fence));
+    planner
+}
+
+fn text(steps: &[Step]) -> Vec<String> {
+    let text =
+        |(target, Order { verb, model }): &Step| format!("{verb:?} {model} {}", target.vm.id);
+    steps.iter().map(text).collect()
+}
+
+/// An engine has loaded the new version and still holds the old one, and the holder that ordered it
+/// has died. The next holder must end the swap, or the engine's memory stays split for ever.
+#[tokio::test(start_paused = true)]
+async fn swap_ended() {
+    let models = [model("old", 1), model("new", 1)];
+    let fleet = fleet(&[&["new", "old"], &["old"]]);
+    assert_eq!(
+        text(&planner(2).plan("assistant", &models, &fleet)),
+        ["Unload old e0"]
+    );
+}
+
+/// Two engines hold both versions and nobody else has the old one. If both gave it up at once its
+/// callers would have no engine; one must keep it.
+#[tokio::test(start_paused = true)]
+async fn last_kept() {
+    let models = [model("old", 1), model("new", 1)];
+    let both = fleet(&[&["new", "old"], &["new", "old"]]);
+    let steps = planner(2).plan("assistant", &models, &both);
+    assert_eq!(steps.len(), 2);
+    assert_ne!(steps[0].1.model, steps[1].1.model);
+    let single = fleet(&[&["new", "old"]]);
+    assert!(planner(2).plan("assistant", &models, &single).is_empty());
+}
+
+/// A new version is accepted while all engines serve the old one. Callers of the old version must
+/// not find its engines gone at once: a replica goes only after a lasting surplus.
+#[tokio::test(start_paused = true)]
+async fn surplus_lasts() {
+    let models = [model("old", 1), model("new", 1)];
+    let fleet = fleet(&[&["old"], &["old"]]);
+    let mut planner = planner(1);
+    assert!(planner.plan("assistant", &models, &fleet).is_empty());
+    let mut steps = Vec::new();
+    for _ in 0..LONG {
+        sleep(Duration::from_secs(1)).await;
+        steps.extend(planner.plan("assistant", &models, &fleet));
+    }
+    assert_eq!(text(&steps[..1]), ["Load new e0"]);
+}
+
+/// Two services want models at the same moment. Together they may start no more loads than the
+/// weight store bears.
+#[tokio::test(start_paused = true)]
+async fn shared_rate() {
+    let models = [model("new", 2)];
+    let fleet = fleet(&[&[], &[]]);
+    let mut planner = planner(1);
+    let mut names = ["one".to_owned(), "other".to_owned()];
+    let mut served = Vec::new();
+    for _ in 0..4 {
+        planner.take_turns(&mut names);
+        let loads = names
+            .iter()
+            .filter(|name| !planner.plan(name, &models, &fleet).is_empty());
+        let loads: Vec<_> = loads.cloned().collect();
+        assert_eq!(loads.len(), 1);
+        served.extend(loads);
+        advance(SPAN).await;
+    }
+    assert_eq!(served, ["one", "other", "one", "other"]);
+}
+
+/// A holder takes over right after the one before has started a load. It does not know of that
+/// load's start, so it must wait a span before its own first.
+#[tokio::test(start_paused = true)]
+async fn rate_after_takeover() {
+    let models = [model("new", 1)];
+    let fleet = fleet(&[&[]]);
+    assert_eq!(planner(1).plan("assistant", &models, &fleet).len(), 1);
+    let mut planner = planner(2);
+    assert!(planner.plan("assistant", &models, &fleet).is_empty());
+    advance(SPAN * 2).await;
+    assert_eq!(
+        text(&planner.plan("assistant", &models, &fleet)),
+        ["Load new e0"]
+    );
+}
+
+/// A new holder has not heard from one engine yet. A load ordered now could go to an engine in
+/// place of one that has the model already, so it waits for the engine to speak.
+#[tokio::test(start_paused = true)]
+async fn silent_engine() {
+    let models = [model("new", 1)];
+    let mut fleet = fleet(&[&[], &["new"]]);
+    fleet.engines[1].view = None;
+    assert!(planner(1).plan("assistant", &models, &fleet).is_empty());
+}
+
+/// An engine loads or has an open order. It gets no other before that is over.
+#[tokio::test(start_paused = true)]
+async fn busy_engine() {
+    let models = [model("old", 1), model("new", 1), model("other", 1)];
+    let mut fleet = fleet(&[&["old", "new"], &["old"]]);
+    fleet.engines[0].view.as_mut().unwrap().loading = Some("other".to_owned());
+    fleet.engines[1].view.as_mut().unwrap().busy = true;
+    assert!(planner(1).plan("assistant", &models, &fleet).is_empty());
+    let order = Order {
+        verb: Verb::Load,
+        model: "new".to_owned(),
+    };
+    let engine = &fleet.engines[0].target.engine;
+    let first = engine.open(order.clone());
+    assert!(first.is_some() && engine.open(order).is_none());
+}
+
+/// An answer was asked for before an order was over. It may show the engine as it was before, and
+/// two engines that give up a model on such news could be the last two.
+#[tokio::test(start_paused = true)]
+async fn answer_overtaken() {
+    let target = target("e0");
+    let engine = &target.engine;
+    let since = tokio::time::Instant::now();
+    advance(SPAN).await;
+    let models = |warm: &str| {
+        Some(wire::Models {
+            warm: vec![warm.to_owned()],
+            loading: None,
+        })
+    };
+    let number = engine.ask().unwrap();
+    engine.answered(number, models("old"));
+    assert!(engine.view(since).is_some());
+    let order = Order {
+        verb: Verb::Unload,
+        model: "old".to_owned(),
+    };
+    let open = engine.open(order).unwrap();
+    assert!(engine.view(since).unwrap().warm.is_empty());
+    let number = engine.ask().unwrap();
+    advance(SPAN).await;
+    engine.close(Some(200));
+    assert_eq!(open.await.unwrap(), 200);
+    engine.answered(number, models("old"));
+    assert_eq!(engine.view(since), None);
+}
--- a/crates/setting/src/entry.rs
+++ b/crates/setting/src/entry.rs
@@ -12,6 +12,23 @@
     max: 60_000,
 };
 
+/// Most loads that may be started in one span.
+const LOADS: Shape = Shape::Count {
+    min: 1,
+    max: 10_000,
+};
+/// Bounds of spans and leases, in milliseconds.
+const SPAN_MS: Shape = Shape::Count {
+    min: 100,
+    max: 3_600_000,
+};
+
+const PLACEMENT: Shape = Shape::Object(&[
+    Field::optional("loads", LOADS),
+    Field::optional("every_ms", SPAN_MS),
+    Field::optional("lease_ms", SPAN_MS),
+]);
+
 const FIELDS: &[Field] = &[
     Field::required("id", Shape::Name),
     Field::required("place", shared::PLACE),
@@ -25,6 +42,7 @@
     Field::optional("vms_poll_ms", POLL_MS),
     Field::optional("head_poll_ms", POLL_MS),
     Field::optional("news", Shape::Listen).nullable(),
+    Field::optional("placement", PLACEMENT),
 ];
 
 /// Settings of an entry.
@@ -60,6 +78,31 @@
     /// Where news is published to other processes; port 0 takes a free one, none publishes none.
     #[serde(default)]
     pub news: Option<SocketAddr>,
+    /// How models are placed on engines.
+    #[serde(default)]
+    pub placement: Placement,
+}
+
+/// How models are placed on engines; the same for all entries of a deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Placement {
+    /// Loads started in each span of `every_ms` at most: the rate that the weight store bears.
+    pub loads: u32,
+    /// Span in milliseconds over which loads are counted.
+    pub every_ms: u64,
+    /// Time in milliseconds after which another entry takes over from a silent holder.
+    pub lease_ms: u64,
+}
+
+impl Default for Placement {
+    fn default() -> Self {
+        Self {
+            loads: 1,
+            every_ms: 5_000,
+            lease_ms: 10_000,
+        }
+    }
 }
 
 fn default_vms_poll_ms() -> u64 {
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -12,5 +12,5 @@
 
 pub use agent::Agent;
 pub use check::{Finding, Findings};
-pub use entry::Entry;
+pub use entry::{Entry, Placement};
 pub use shared::{Operator, Place, Platform, Policy, Tls};
--- a/crates/setting/tests/file_findings.rs
+++ b/crates/setting/tests/file_findings.rs
@@ -32,6 +32,10 @@
     assert_eq!(entry.head_poll_ms, 1_000);
     assert_eq!(entry.policy, setting::Policy::Shipped);
     assert_eq!(entry.news, None);
+    assert_eq!(
+        (entry.placement.loads, entry.placement.every_ms),
+        (1, 5_000)
+    );
 }
 
 /// An operator who mends one fault per start needs as many starts as there are faults, so that a
