A new lease holder's question closes the way for earlier orders

A late order of the earlier holder passed the agent as long as the new holder had not yet given that engine an order itself: the new holder planned with models that such an order then took away, and could give up what it believed a spare replica. The holder's question now bears its fencing number, the agent raises its own before it asks the engine, and a model that an order under way takes away is not told as held. Plans use only what was told under the number in force.

Ruled out: asking through the queue of orders, where a question waits for the whole of a load.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -1,9 +1,8 @@
 //! The agent's calls and what happens to them.
 
 use crate::answer::{self, End, Fault};
-use crate::fence::Order;
+use crate::fence::{Guard, Order};
 use crate::job::{self, Job};
-use crate::models::{self, Loading};
 use crate::output::Output;
 use crate::runner::Runner;
 use crate::state::{Bounds, Found, LinkId, State, Turn};
@@ -50,7 +49,8 @@
     pub(crate) work: TaskTracker,
     /// Way to the task that carries out orders; closed when the agent leaves.
     orders: Mutex<Option<mpsc::Sender<Order>>>,
-    loading: Loading,
+    /// Way to ask the engine what it holds.
+    guard: Guard<platform::Client>,
     links: AtomicU64,
 }
 
@@ -61,10 +61,10 @@
         incarnation: Incarnation,
         bounds: Bounds,
         orders: mpsc::Sender<Order>,
-        loading: Loading,
+        guard: Guard<platform::Client>,
     ) -> Self {
         Self {
-            loading,
+            guard,
             orders: Mutex::new(Some(orders)),
             runner,
             telemetry,
@@ -318,10 +318,10 @@
     }
 
     /// Tells an entry what the engine holds.
-    pub(crate) fn query(self: &Arc<Self>, number: u64, sender: &Sender) {
-        let (core, sender) = (self.clone(), sender.clone());
+    pub(crate) fn query(&self, number: u64, fence: Option<protocol::Fence>, sender: &Sender) {
+        let (guard, sender) = (self.guard.clone(), sender.clone());
         tokio::spawn(async move {
-            let models = models::ask(&core.runner, &core.loading).await;
+            let models = guard.ask(fence).await;
             // An entry whose link is gone asks again over the next one.
             let _ = sender.send(Frame::Models { number, models }).await;
         });
--- a/crates/agent/src/fence.rs
+++ b/crates/agent/src/fence.rs
@@ -6,15 +6,15 @@
 //! it has read the current number after a start.
 
 use crate::answer;
-use crate::models::Loading;
+use crate::models::{self, Engine};
 use crate::runner::Runner;
 use bytes::Bytes;
 use hyper::StatusCode;
 use platform::Table;
-use protocol::fence::{Fence, Verdict};
+use protocol::fence::Verdict;
 use serde::Deserialize;
 use tokio::sync::mpsc;
-use wire::{Frame, Sender};
+use wire::{Frame, Models, Sender};
 
 /// Table of the lease row.
 const TABLE: &str = "lease";
@@ -50,57 +50,60 @@
     }
 }
 
-/// Carries out orders one after the other until all senders are gone.
-///
-/// Two orders at once could overtake each other on their way to the engine, and the older one
-/// would win there.
-pub(crate) async fn serve(
-    table: impl Table,
-    runner: Runner,
-    loading: Loading,
-    mut orders: mpsc::Receiver<Order>,
-) {
-    let mut fence = Fence::new();
-    while let Some(Order {
-        fence: number,
-        body,
-        link,
-    }) = orders.recv().await
-    {
-        let answer = match admit(&table, &mut fence, number).await {
-            Ok(()) => {
-                loading.begin(&body);
-                let answer = pass(&runner, body).await;
-                loading.end();
-                answer
-            }
-            Err(answer) => answer,
-        };
-        let status = answer.status.as_u16();
-        let body = answer.body;
-        // An entry whose link is gone asks the engine what it has loaded.
-        let _ = link.send(Frame::OrderDone { status, body }).await;
-    }
+/// The engine, its fence and the table that knows the current number.
+#[derive(Clone, Debug)]
+pub(crate) struct Guard<T> {
+    pub(crate) table: T,
+    pub(crate) runner: Runner,
+    pub(crate) engine: Engine,
 }
 
-/// Judges an order, with the current number from the table if none is known yet.
-async fn admit(
-    table: &impl Table,
-    fence: &mut Fence,
-    number: protocol::Fence,
-) -> Result<(), Answer> {
-    let mut verdict = fence.admit(number);
-    if verdict == Verdict::Unknown {
-        fence.learn(current(table).await?);
-        verdict = fence.admit(number);
+impl<T: Table> Guard<T> {
+    /// Carries out orders one after the other until all senders are gone.
+    ///
+    /// Two orders at once could overtake each other on their way to the engine, and the older one
+    /// would win there.
+    pub(crate) async fn serve(self, mut orders: mpsc::Receiver<Order>) {
+        while let Some(Order { fence, body, link }) = orders.recv().await {
+            let answer = match self.admit(fence, Some(&body)).await {
+                Ok(()) => {
+                    let answer = pass(&self.runner, body).await;
+                    self.engine.end();
+                    answer
+                }
+                Err(answer) => answer,
+            };
+            let status = answer.status.as_u16();
+            let body = answer.body;
+            // An entry whose link is gone asks the engine what it has loaded.
+            let _ = link.send(Frame::OrderDone { status, body }).await;
+        }
+    }
+
+    /// What the engine holds. To a lease holder it is told only once no order of an earlier one
+    /// can pass any more: the holder would plan with what such an order then takes away.
+    pub(crate) async fn ask(&self, fence: Option<protocol::Fence>) -> Option<Models> {
+        if let Some(fence) = fence {
+            self.admit(fence, None).await.ok()?;
+        }
+        models::ask(&self.runner, &self.engine).await
     }
-    match verdict {
-        Verdict::Pass => Ok(()),
-        Verdict::Refuse(highest) => Err(Answer::own(
-            StatusCode::PRECONDITION_FAILED,
-            &format!("fencing number {number} is older than {highest}"),
-        )),
-        Verdict::Unknown => Err(unread("no number was read")),
+
+    /// Judges an order, with the current number from the table if none is known yet.
+    async fn admit(&self, number: protocol::Fence, order: Option<&[u8]>) -> Result<(), Answer> {
+        let mut verdict = self.engine.admit(number, order);
+        if verdict == Verdict::Unknown {
+            self.engine.learn(current(&self.table).await?);
+            verdict = self.engine.admit(number, order);
+        }
+        match verdict {
+            Verdict::Pass => Ok(()),
+            Verdict::Refuse(highest) => Err(Answer::own(
+                StatusCode::PRECONDITION_FAILED,
+                &format!("fencing number {number} is older than {highest}"),
+            )),
+            Verdict::Unknown => Err(unread("no number was read")),
+        }
     }
 }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -20,7 +20,8 @@
 mod telemetry;
 
 use crate::core::Core;
-use crate::models::Loading;
+use crate::fence::Guard;
+use crate::models::Engine;
 use crate::queue::Order;
 use crate::runner::Runner;
 use crate::state::Bounds;
@@ -97,11 +98,14 @@
     let telemetry = Telemetry::new(&mut registry);
     let runner = Runner::new(settings.runner);
     let (orders, ordered) = mpsc::channel(ORDERS);
-    let loading = Loading::default();
-    let engine = runner.clone();
-    let fence = fence::serve(platform(&settings), engine, loading.clone(), ordered);
+    let guard = Guard {
+        table: platform(&settings),
+        runner: runner.clone(),
+        engine: Engine::default(),
+    };
+    let fence = guard.clone().serve(ordered);
     let bounds = bounds(&settings);
-    let core = Core::new(runner, telemetry, incarnation(), bounds, orders, loading);
+    let core = Core::new(runner, telemetry, incarnation(), bounds, orders, guard);
     let core = Arc::new(core);
     core.work.spawn(fence);
     let key = Key::new(settings.key.as_bytes());
--- a/crates/agent/tests/engine_models.rs
+++ b/crates/agent/tests/engine_models.rs
@@ -7,8 +7,8 @@
 use common::{Agent, Runner, next, offer, settings, small, table, until};
 use wire::{Frame, Models, Receiver, Sender};
 
-async fn ask(link: &mut (Sender, Receiver), number: u64) -> Option<Models> {
-    link.0.send(Frame::Query { number }).await.unwrap();
+async fn ask(link: &mut (Sender, Receiver), number: u64, fence: Option<u64>) -> Option<Models> {
+    link.0.send(Frame::Query { number, fence }).await.unwrap();
     match next(&mut link.1).await {
         Frame::Models { number: of, models } if of == number => models,
         other => panic!("{other:?}"),
@@ -27,7 +27,7 @@
     let body = Bytes::from_static(br#"{"fence":1,"order":"load","model":"held"}"#);
     one.0.send(Frame::Order { fence: 1, body }).await.unwrap();
     until(|| !runner.orders.lock().unwrap().is_empty()).await;
-    let held = ask(&mut other, 7).await.unwrap();
+    let held = ask(&mut other, 7, Some(2)).await.unwrap();
     assert_eq!(held.warm, ["draft"]);
     assert_eq!(held.loading.as_deref(), Some("held"));
     runner.hold.add_permits(1);
@@ -35,7 +35,7 @@
         next(&mut one.1).await,
         Frame::OrderDone { status: 200, .. }
     ));
-    assert_eq!(ask(&mut other, 8).await.unwrap().loading, None);
+    assert_eq!(ask(&mut other, 8, None).await.unwrap().loading, None);
 }
 
 /// The engine is away. The agent must not tell an empty list, which would pass for an engine that
@@ -43,7 +43,44 @@
 #[tokio::test]
 async fn engine_away() {
     let agent = Agent::start(settings("127.0.0.1:9".parse().unwrap())).await;
-    assert_eq!(ask(&mut agent.link().await, 1).await, None);
+    assert_eq!(ask(&mut agent.link().await, 1, None).await, None);
+}
+
+/// A holder asks what the engine holds, and plans with the answer. An order that an earlier holder
+/// sent before it was frozen arrives right after; if it passed, the plan would rest on a model that
+/// is gone.
+#[tokio::test]
+async fn question_raises_fence() {
+    let runner = Runner::start().await;
+    let mut settings = settings(runner.address);
+    settings.platform.table = table(Some(1)).await;
+    let agent = Agent::start(settings).await;
+    let mut link = agent.link().await;
+    assert!(ask(&mut link, 1, Some(2)).await.is_some());
+    let body = Bytes::from_static(br#"{"fence":1,"order":"unload","model":"draft"}"#);
+    link.0.send(Frame::Order { fence: 1, body }).await.unwrap();
+    assert!(matches!(
+        next(&mut link.1).await,
+        Frame::OrderDone { status: 412, .. }
+    ));
+    assert!(runner.orders.lock().unwrap().is_empty());
+    assert_eq!(ask(&mut link, 2, Some(1)).await, None);
+}
+
+/// An earlier holder's order to give up a model is with the engine when a new holder asks. The
+/// engine may still list the model, but it must not be told as held.
+#[tokio::test]
+async fn unload_in_progress() {
+    let runner = Runner::start().await;
+    let mut settings = settings(runner.address);
+    settings.platform.table = table(Some(1)).await;
+    let agent = Agent::start(settings).await;
+    let (one, mut other) = (agent.link().await, agent.link().await);
+    let body = r#"{"fence":1,"order":"unload","model":"draft","role":"held"}"#.into();
+    one.0.send(Frame::Order { fence: 1, body }).await.unwrap();
+    until(|| !runner.orders.lock().unwrap().is_empty()).await;
+    assert!(ask(&mut other, 1, Some(2)).await.unwrap().warm.is_empty());
+    runner.hold.add_permits(1);
 }
 
 #[tokio::test]
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -81,9 +81,9 @@
 #[derive(Debug, Default)]
 struct State {
     held: Option<Held>,
-    /// Number of the latest question, and when it was put.
+    /// Number of the latest question, and the question while it is open.
     number: u64,
-    asked: Option<Instant>,
+    asked: Option<Question>,
     open: Option<Open>,
     /// When the last order was over: what was asked before then may be out of date.
     settled: Option<Instant>,
@@ -92,7 +92,13 @@
 #[derive(Debug)]
 struct Held {
     models: Models,
-    asked: Instant,
+    asked: Question,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Question {
+    at: Instant,
+    fence: Option<Fence>,
 }
 
 #[derive(Debug)]
@@ -121,26 +127,29 @@
         self.lock().held.is_some()
     }
 
-    /// What it held when it was asked after `since` and after the last order to it was over.
+    /// What it held when it was asked under this fencing number and after the last order to it was
+    /// over.
     ///
-    /// An older answer may have been overtaken by an order, and a plan made from it could give up
-    /// the last replica of a model.
-    pub fn view(&self, since: Instant) -> Option<View> {
+    /// Any other answer may have been overtaken by an order, of this entry or of an earlier holder
+    /// of the lease, and a plan made from it could give up the last replica of a model.
+    pub fn view(&self, fence: Fence) -> Option<View> {
         let state = self.lock();
         let held = state.held.as_ref()?;
-        let fresh = held.asked > since && state.settled.is_none_or(|settled| held.asked > settled);
+        let Question { at, fence: under } = held.asked;
+        let fresh = under == Some(fence) && state.settled.is_none_or(|settled| at > settled);
         fresh.then(|| state.view(held))
     }
 
-    /// Number for the next question, unless one is open.
-    pub fn ask(&self) -> Option<u64> {
+    /// Number for the next question, unless the same one is open.
+    pub fn ask(&self, fence: Option<Fence>) -> Option<u64> {
         let mut state = self.lock();
-        let now = Instant::now();
-        if state.asked.is_some_and(|asked| now < asked + ASK_AGAIN) {
+        let at = Instant::now();
+        let open = |asked: Question| asked.fence == fence && at < asked.at + ASK_AGAIN;
+        if state.asked.is_some_and(open) {
             return None;
         }
         state.number += 1;
-        state.asked = Some(now);
+        state.asked = Some(Question { at, fence });
         Some(state.number)
     }
 
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -46,16 +46,16 @@
     for name in names {
         let service = core.services.get(&name);
         let targets = service.targets();
-        targets.iter().for_each(|target| target.query());
+        targets.iter().for_each(|target| target.query(held));
         let busy = service.take_busy();
         let Some(record) = set.service(&name) else {
             continue;
         };
         core.telemetry.placement.warm(record, &targets);
-        if held.is_none() {
+        let Some(fence) = held else {
             continue;
-        }
-        let fleet = Fleet::survey(&targets, &set, planner.since());
+        };
+        let fleet = Fleet::survey(&targets, &set, fence);
         let demand = fleet::demand(record, &busy, span, entries);
         for (target, order) in planner.plan(&name, &demand, &fleet) {
             order::give(core, target, order);
--- a/crates/entry/src/placement/fleet.rs
+++ b/crates/entry/src/placement/fleet.rs
@@ -4,10 +4,10 @@
 use crate::target::Target;
 use decide::place::{self, ModelName};
 use decide::route::TargetId;
+use protocol::Fence;
 use record::{Map, Service, Set};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// An engine that takes new work.
 #[derive(Clone, Debug)]
@@ -28,15 +28,15 @@
 }
 
 impl Fleet {
-    /// The engines of these targets, with what they have said since a moment.
-    pub fn survey(targets: &[Arc<Target>], set: &Set, since: Instant) -> Self {
+    /// The engines of these targets, with what they have said under a fencing number.
+    pub fn survey(targets: &[Arc<Target>], set: &Set, fence: Fence) -> Self {
         let open = |target: &&Arc<Target>| target.is_open() && !set.drained(&target.vm.id);
         let mut engines: Vec<_> = targets
             .iter()
             .filter(open)
             .map(|target| Engine {
                 id: target.vm.id.as_str().into(),
-                view: target.engine.view(since),
+                view: target.engine.view(fence),
                 target: target.clone(),
             })
             .collect();
--- a/crates/entry/src/placement/plan.rs
+++ b/crates/entry/src/placement/plan.rs
@@ -73,12 +73,6 @@
         }
     }
 
-    /// Since when this entry has held the lease.
-    #[must_use]
-    pub fn since(&self) -> Instant {
-        self.since
-    }
-
     /// Puts services into the order in which they are planned: the one that got the last load goes
     /// last, since otherwise the first by name could take all that the weight store bears.
     pub fn take_turns(&self, services: &mut [String]) {
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -142,12 +142,12 @@
         }
     }
 
-    /// Asks what its engine holds.
-    pub fn query(&self) {
+    /// Asks what its engine holds; under the lease's fencing number, if this entry holds it.
+    pub fn query(&self, fence: Option<Fence>) {
         if self.is_linked()
-            && let Some(number) = self.engine.ask()
+            && let Some(number) = self.engine.ask(fence)
         {
-            self.send_later(Frame::Query { number });
+            self.send_later(Frame::Query { number, fence });
         }
     }
 
--- a/crates/entry/tests/placement_plan.rs
+++ b/crates/entry/tests/placement_plan.rs
@@ -202,27 +202,25 @@
 async fn answer_overtaken() {
     let target = target("e0");
     let engine = &target.engine;
-    let since = tokio::time::Instant::now();
-    advance(SPAN).await;
     let models = |warm: &str| {
         Some(wire::Models {
             warm: vec![warm.to_owned()],
             loading: None,
         })
     };
-    let number = engine.ask().unwrap();
+    let number = engine.ask(Some(1)).unwrap();
     engine.answered(number, models("old"));
-    assert!(engine.view(since).is_some());
+    assert!(engine.view(1).is_some() && engine.view(2).is_none());
     let order = Order {
         verb: Verb::Unload,
         model: "old".to_owned(),
     };
     let open = engine.open(order).unwrap();
-    assert!(engine.view(since).unwrap().warm.is_empty());
-    let number = engine.ask().unwrap();
+    assert!(engine.view(1).unwrap().warm.is_empty());
+    let number = engine.ask(Some(1)).unwrap();
     advance(SPAN).await;
     engine.close(Some(200));
     assert_eq!(open.await.unwrap(), 200);
     engine.answered(number, models("old"));
-    assert_eq!(engine.view(since), None);
+    assert_eq!(engine.view(1), None);
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -129,6 +129,9 @@
     Query {
         /// Number of the question on this link.
         number: u64,
+        /// Fencing number of the lease that the asking entry holds, if it does: the answer then
+        /// comes only once orders with lower numbers are refused.
+        fence: Option<Fence>,
     },
     /// Agent to entry: what the engine held at some moment after the question came.
     Models {
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -91,7 +91,8 @@
         call().prop_map(|call| Frame::Cancel { call }),
         (call(), any::<u32>()).prop_map(|(call, from)| Frame::Recall { call, from }),
         call().prop_map(|call| Frame::Ask { call }),
-        any::<u64>().prop_map(|number| Frame::Query { number }),
+        (any::<u64>(), any::<Option<u64>>())
+            .prop_map(|(number, fence)| Frame::Query { number, fence }),
         (any::<u64>(), any::<Option<(Vec<String>, Option<String>)>>()).prop_map(
             |(number, models)| {
                 let models = models.map(|(warm, loading)| Models { warm, loading });
