--- /dev/null
+++ b/crates/ctl/tests/bench/mod.rs
@@ -0,0 +1,207 @@
+//! A deployment of separate processes whose engines are given orders.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use ctl::deployment::{Deployment, Plan, Runner};
+use ctl::fleet::Fleet;
+use ctl::operator::Change;
+use ctl::{Client, Common, Format, Operator};
+use hyper::Method;
+use hyper::header::HeaderMap;
+use serde_json::{Value, json};
+use setting::Placement;
+use standin::{Kind, Options};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+const DESK: &str = env!("CARGO_BIN_EXE_linnetdrift");
+/// Service of all engines.
+pub(crate) const SERVICE: &str = "assistant";
+/// Time between two looks at what is waited for.
+const PAUSE: Duration = Duration::from_millis(20);
+
+pub(crate) struct Bench {
+    pub(crate) deployment: Deployment,
+    pub(crate) fleet: Fleet,
+    directory: PathBuf,
+}
+
+impl Bench {
+    /// Two entries and engines that have the given models loaded; `fencing` says whether the
+    /// engines check numbers.
+    pub(crate) async fn start(name: &str, fencing: bool, engines: &[&[&str]]) -> Self {
+        let own = format!("linnetdrift-{name}-{fencing}-{}", std::process::id());
+        let directory = std::env::temp_dir().join(own);
+        let programs = Path::new(DESK).parent().unwrap();
+        let mut fleet = Fleet::with_programs(programs, &directory).unwrap();
+        let engine = |(number, models): (usize, &&[&str])| Runner {
+            options: Options {
+                fencing,
+                models: models.iter().map(|model| (*model).to_owned()).collect(),
+                tokens: 1,
+                ..Options::default()
+            },
+            ..Runner::new(
+                &format!("engine-{number}"),
+                SERVICE,
+                Kind::Engine,
+                "generate",
+            )
+        };
+        let plan = Plan {
+            runners: engines.iter().enumerate().map(engine).collect(),
+            placement: Placement {
+                loads: 1,
+                every_ms: 100,
+                lease_ms: 3_000,
+            },
+            ..Plan::default()
+        };
+        let deployment = Deployment::start(&mut fleet, plan).await.unwrap();
+        let bench = Self {
+            deployment,
+            fleet,
+            directory,
+        };
+        for entry in 0..bench.deployment.entries.len() {
+            let ready = async || bench.status(entry).await["ready"] == true;
+            until(ready).await;
+        }
+        bench
+    }
+
+    /// Applies records by way of one entry.
+    pub(crate) async fn apply(&self, entry: usize, documents: &Value) {
+        let common = Common {
+            entries: vec![self.entry(entry).to_string().parse().unwrap()],
+            ca: None,
+            token: Some(self.deployment.token.clone()),
+            format: Format::Json,
+        };
+        let mut operator = Operator::new(&common).unwrap();
+        let mut change = Change::draw();
+        change.documents = serde_json::from_value(documents.clone()).unwrap();
+        for document in &change.documents {
+            let key = document.key();
+            let stored = operator.record(&key).await.unwrap();
+            let revision = stored.map(|stored| stored.revision);
+            change.base.insert(key, revision);
+        }
+        operator.apply(&change).await.unwrap();
+    }
+
+    pub(crate) fn entry(&self, entry: usize) -> SocketAddr {
+        self.deployment.entries[entry].listen
+    }
+
+    pub(crate) async fn status(&self, entry: usize) -> Value {
+        get(self.entry(entry), "/v1/status").await
+    }
+
+    /// Whether an entry says that it holds the lease.
+    pub(crate) async fn holds(&self, entry: usize) -> bool {
+        let metrics = self.deployment.entries[entry].metrics.unwrap();
+        let answer = call(metrics, Method::GET, "/metrics", Bytes::new()).await;
+        let text = String::from_utf8(answer.body.to_vec()).unwrap();
+        let held = |line: &str| line == "linnetdrift_entry_placement_lease_held 1";
+        text.lines().any(held)
+    }
+
+    /// The entry that holds the lease, once there is one.
+    pub(crate) async fn holder(&self) -> usize {
+        loop {
+            for entry in 0..self.deployment.entries.len() {
+                if self.holds(entry).await {
+                    return entry;
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Fencing numbers of the orders that an engine carried out, in the order in which they came.
+    pub(crate) async fn carried_out(&self, engine: usize) -> Vec<u64> {
+        let journal = get(self.deployment.runners[engine], "/standin/orders").await;
+        let orders = journal["orders"].as_array().unwrap().iter();
+        let carried_out = orders.filter(|order| order["carried_out"] == true);
+        carried_out
+            .map(|order| order["fence"].as_u64().unwrap())
+            .collect()
+    }
+
+    pub(crate) async fn models(&self, engine: usize) -> Value {
+        get(self.deployment.runners[engine], "/v1/models").await["models"].clone()
+    }
+
+    /// Sets the faults of a stand-in.
+    pub(crate) async fn fault(&self, standin: SocketAddr, faults: Value) {
+        let body = faults.to_string().into();
+        let answer = call(standin, Method::POST, "/standin/faults", body).await;
+        assert!(answer.status.is_success(), "{answer:?}");
+    }
+
+    /// Freezes a process, or lets it go on.
+    pub(crate) fn signal(&self, entry: usize, signal: &str) {
+        let id = self.fleet.id(&self.deployment.plan.entries[entry]).unwrap();
+        let command = format!("kill -{signal} {id}");
+        let status = Command::new("sh").args(["-c", &command]).status().unwrap();
+        assert!(status.success());
+    }
+
+    /// Ends an agent at once and starts it anew with the same settings.
+    pub(crate) async fn restart_agent(&mut self, engine: usize) {
+        let name = &self.deployment.plan.runners[engine].vm;
+        self.fleet.kill(name).unwrap();
+        let path = self.directory.join(format!("{name}.json"));
+        let settings = std::fs::read_to_string(path).unwrap();
+        let settings = serde_json::from_str(&settings).unwrap();
+        self.deployment.agents[engine] = self.fleet.agent(&settings).unwrap();
+    }
+
+    pub(crate) fn stop(mut self) {
+        self.fleet.stop().unwrap();
+        std::fs::remove_dir_all(&self.directory).unwrap();
+    }
+}
+
+/// A record of the engines' service with these models and their least replicas.
+pub(crate) fn service(fencing: bool, models: &[(&str, u32)]) -> Value {
+    let model = |(name, min): &(&str, u32)| json!({"name": name, "min": min, "max": 4});
+    let models: Vec<_> = models.iter().map(model).collect();
+    let fencing = if fencing { "checked" } else { "unchecked" };
+    json!({"schema": 2, "kind": "service", "name": SERVICE, "runner": "engine", "concurrency": 4,
+        "fencing": fencing, "models": models})
+}
+
+/// A version of a pipeline of one stage, answered by a model.
+pub(crate) fn pipeline(version: u32, model: &str) -> Value {
+    let stage = json!({"name": "generate", "service": SERVICE, "model": model});
+    json!({"schema": 2, "kind": "pipeline", "name": "check", "version": version,
+        "deadline_ms": 10_000, "stages": [stage]})
+}
+
+pub(crate) async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> ctl::client::Answer {
+    let mut headers = HeaderMap::new();
+    headers.insert("linnetdrift-workspace", "ferry-yard".parse().unwrap());
+    let client = Client::plain(address);
+    client.call(method, path, headers, body).await.unwrap()
+}
+
+pub(crate) async fn get(address: SocketAddr, path: &str) -> Value {
+    let answer = call(address, Method::GET, path, Bytes::new()).await;
+    answer.json().unwrap()
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(holds: impl AsyncFn() -> bool) {
+    while !holds().await {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/model_routing.rs
@@ -0,0 +1,81 @@
+//! Calls go where their model is loaded, as separate processes.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod bench;
+
+use bench::{Bench, call, get, pipeline, service, until};
+use hyper::Method;
+use serde_json::json;
+
+const RUN: &str = "/v1/pipelines/check/versions/";
+
+/// Runs a version of the pipeline.
+async fn run(bench: &Bench, entry: usize, version: u32) -> ctl::client::Answer {
+    let path = format!("{RUN}{version}/run");
+    let body = json!({"text": "a"}).to_string().into();
+    call(bench.entry(entry), Method::POST, &path, body).await
+}
+
+async fn executions(bench: &Bench, engine: usize) -> usize {
+    let log = get(bench.deployment.runners[engine], "/standin/log").await;
+    log["executions"].as_array().unwrap().len()
+}
+
+/// An operator rolls out a version with a new model while callers still use the old one. If a call
+/// went to an engine with the other model it would be refused there, or answered by the wrong one.
+#[tokio::test]
+async fn versions_side_by_side() {
+    let bench = Bench::start("rollout", true, &[&["old"], &["old"], &[]]).await;
+    let old = json!([service(true, &[("old", 2)]), pipeline(1, "old")]);
+    bench.apply(0, &old).await;
+    until(async || run(&bench, 0, 1).await.status == 200).await;
+    let new = json!([service(true, &[("old", 2), ("new", 1)]), pipeline(2, "new")]);
+    bench.apply(0, &new).await;
+    for entry in [0, 1] {
+        until(async || run(&bench, entry, 2).await.status == 200).await;
+        until(async || run(&bench, entry, 1).await.status == 200).await;
+    }
+    let (before, others) = (executions(&bench, 2).await, executions(&bench, 0).await);
+    for entry in [0, 1, 0, 1] {
+        assert_eq!(run(&bench, entry, 2).await.status, 200);
+    }
+    assert_eq!(executions(&bench, 2).await, before + 4);
+    assert_eq!(executions(&bench, 0).await, others);
+    assert_eq!(run(&bench, 0, 1).await.status, 200);
+    assert_eq!(executions(&bench, 2).await, before + 4);
+    assert_eq!(bench.models(0).await, json!(["old"]));
+    bench.stop();
+}
+
+/// No engine has the model and none loads it. A caller that was kept waiting would lose the time in
+/// which it could go elsewhere; it is told at once that nothing ran and when to come back. Its call
+/// makes the model wanted, so that a later one is answered.
+#[tokio::test]
+async fn absent_model() {
+    let bench = Bench::start("absent", false, &[&["old"]]).await;
+    let models = &[("old", 1), ("new", 0)];
+    let records = json!([
+        service(false, models),
+        pipeline(1, "old"),
+        pipeline(2, "new")
+    ]);
+    bench.apply(0, &records).await;
+    until(async || run(&bench, 0, 1).await.status == 200).await;
+    let refused = run(&bench, 0, 2).await;
+    assert_eq!(refused.status, 503);
+    let problem = refused.json::<serde_json::Value>().unwrap();
+    assert_eq!(problem["outcome"], "not_run");
+    assert!(refused.headers.contains_key("retry-after"));
+    bench.stop();
+}
+
+/// Nobody has declared more than the model itself. The first caller's refused call has it loaded.
+#[tokio::test]
+async fn wanted_model() {
+    let bench = Bench::start("wanted", false, &[&[]]).await;
+    let records = json!([service(false, &[("new", 0)]), pipeline(1, "new")]);
+    bench.apply(0, &records).await;
+    until(async || run(&bench, 0, 1).await.status == 200).await;
+    assert_eq!(bench.models(0).await, json!(["new"]));
+    bench.stop();
+}
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -459,7 +459,8 @@
 
     /// Waits for a target that would take the stage; the pauses grow and differ.
     async fn rest(&mut self) -> Result<(), End> {
-        if self.began.elapsed() > PATIENCE && !self.awaits_model() {
+        let awaits = self.awaits_model();
+        if self.began.elapsed() > PATIENCE && !awaits {
             return Err(self.end());
         }
         let most = self.pause.min(PAUSE_MOST);
@@ -477,9 +478,13 @@
         let Some(model) = &self.spec.model else {
             return false;
         };
+        let availability = self.service.availability(model, &set);
+        if availability == Availability::Absent {
+            // Nobody else asks for the model on behalf of a request that is not refused.
+            self.service.missed(model);
+        }
         let service = set.service(&self.spec.service);
-        service.is_some_and(|service| service.declares(model))
-            && self.service.availability(model, &set) != Availability::Warm
+        service.is_some_and(|service| service.declares(model)) && availability != Availability::Warm
     }
 
     /// What the caller is told when the stage is not tried again.
