--- a/crates/ctl/tests/operator_commands.rs
+++ b/crates/ctl/tests/operator_commands.rs
@@ -27,7 +27,7 @@
         let own = format!("linnetdrift-{name}-{}", std::process::id());
         let directory = std::env::temp_dir().join(own);
         let programs = Path::new(DESK).parent().unwrap();
-        let mut fleet = Fleet::with_programs(programs, &directory).unwrap();
+        let mut fleet = Fleet::of(&directory, programs).unwrap();
         let mut start = |name, kind| fleet.standin(name, kind, &Options::default()).unwrap();
         let platform = Platform {
             table: start("table", Kind::Table),
