--- a/crates/ctl/src/torture/bench.rs
+++ b/crates/ctl/src/torture/bench.rs
@@ -361,6 +361,7 @@
             vms_poll_ms: POLL_MS,
             head_poll_ms: POLL_MS,
             news: None,
+            placement: setting::Placement::default(),
         }
     }
 }
--- a/crates/ctl/tests/bench/mod.rs
+++ b/crates/ctl/tests/bench/mod.rs
@@ -3,8 +3,9 @@
 
 use bytes::Bytes;
 use ctl::deployment::{Deployment, Plan, Runner};
-use ctl::fleet::Fleet;
+use ctl::fleet::{Fleet, Signal};
 use ctl::operator::Change;
+use ctl::torture::probe;
 use ctl::{Client, Common, Format, Operator};
 use hyper::Method;
 use hyper::header::HeaderMap;
@@ -13,14 +14,10 @@
 use standin::{Kind, Options};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Command;
-use std::time::Duration;
 
 const DESK: &str = env!("CARGO_BIN_EXE_linnetdrift");
 /// Service of all engines.
 pub(crate) const SERVICE: &str = "assistant";
-/// Time between two looks at what is waited for.
-const PAUSE: Duration = Duration::from_millis(20);
 
 pub(crate) struct Bench {
     pub(crate) deployment: Deployment,
@@ -35,7 +32,7 @@
         let own = format!("linnetdrift-{name}-{fencing}-{}", std::process::id());
         let directory = std::env::temp_dir().join(own);
         let programs = Path::new(DESK).parent().unwrap();
-        let mut fleet = Fleet::with_programs(programs, &directory).unwrap();
+        let mut fleet = Fleet::of(&directory, programs).unwrap();
         let engine = |(number, models): (usize, &&[&str])| Runner {
             options: Options {
                 fencing,
@@ -67,7 +64,7 @@
         };
         for entry in 0..bench.deployment.entries.len() {
             let ready = async || bench.status(entry).await["ready"] == true;
-            until(ready).await;
+            until("the entry is ready", ready).await;
         }
         bench
     }
@@ -111,14 +108,11 @@
 
     /// The entry that holds the lease, once there is one.
     pub(crate) async fn holder(&self) -> usize {
-        loop {
-            for entry in 0..self.deployment.entries.len() {
-                if self.holds(entry).await {
-                    return entry;
-                }
-            }
-            tokio::time::sleep(PAUSE).await;
-        }
+        until("an entry holds the lease", async || {
+            self.holds(0).await || self.holds(1).await
+        })
+        .await;
+        usize::from(!self.holds(0).await)
     }
 
     /// Fencing numbers of the orders that an engine carried out, in the order in which they came.
@@ -135,19 +129,10 @@
         get(self.deployment.runners[engine], "/v1/models").await["models"].clone()
     }
 
-    /// Sets the faults of a stand-in.
-    pub(crate) async fn fault(&self, standin: SocketAddr, faults: Value) {
-        let body = faults.to_string().into();
-        let answer = call(standin, Method::POST, "/standin/faults", body).await;
-        assert!(answer.status.is_success(), "{answer:?}");
-    }
-
-    /// Freezes a process, or lets it go on.
-    pub(crate) fn signal(&self, entry: usize, signal: &str) {
-        let id = self.fleet.id(&self.deployment.plan.entries[entry]).unwrap();
-        let command = format!("kill -{signal} {id}");
-        let status = Command::new("sh").args(["-c", &command]).status().unwrap();
-        assert!(status.success());
+    /// Freezes an entry, or lets it go on.
+    pub(crate) fn signal(&self, entry: usize, signal: Signal) {
+        let id = &self.deployment.plan.entries[entry];
+        self.fleet.signal(id, signal).unwrap();
     }
 
     /// Ends an agent at once and starts it anew with the same settings.
@@ -195,13 +180,10 @@
 }
 
 pub(crate) async fn get(address: SocketAddr, path: &str) -> Value {
-    let answer = call(address, Method::GET, path, Bytes::new()).await;
-    answer.json().unwrap()
+    probe::get(address, path).await.unwrap()
 }
 
 /// Waits until a condition holds.
-pub(crate) async fn until(holds: impl AsyncFn() -> bool) {
-    while !holds().await {
-        tokio::time::sleep(PAUSE).await;
-    }
+pub(crate) async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    probe::until(what, || holds()).await.unwrap();
 }
--- a/crates/ctl/tests/lease_frozen.rs
+++ b/crates/ctl/tests/lease_frozen.rs
@@ -5,6 +5,7 @@
 
 use bench::{Bench, call, service, until};
 use bytes::Bytes;
+use ctl::fleet::Signal;
 use hyper::Method;
 use serde_json::json;
 use wire::{Frame, Key};
@@ -36,16 +37,28 @@
     bench
         .apply(0, &json!([service(fencing, &[("draft", 1)])]))
         .await;
-    until(async || bench.carried_out(0).await.len() == 1).await;
+    until("the first order", async || {
+        bench.carried_out(0).await.len() == 1
+    })
+    .await;
     let first = bench.holder().await;
     let second = 1 - first;
-    bench.signal(first, "STOP");
-    until(async || bench.holds(second).await).await;
+    bench.signal(first, Signal::Stop);
+    until("the lease is taken over", async || {
+        bench.holds(second).await
+    })
+    .await;
     let documents = json!([service(fencing, &[("draft", 2)])]);
     bench.apply(second, &documents).await;
-    until(async || bench.carried_out(1).await.len() == 1).await;
-    bench.signal(first, "CONT");
-    until(async || !bench.holds(first).await).await;
+    until("the second order", async || {
+        bench.carried_out(1).await.len() == 1
+    })
+    .await;
+    bench.signal(first, Signal::Continue);
+    until("the first sees its loss", async || {
+        !bench.holds(first).await
+    })
+    .await;
     let old = bench.carried_out(0).await[0];
     assert!(old < bench.carried_out(1).await[0]);
     old
--- a/crates/ctl/tests/model_routing.rs
+++ b/crates/ctl/tests/model_routing.rs
@@ -28,12 +28,21 @@
     let bench = Bench::start("rollout", true, &[&["old"], &["old"], &[]]).await;
     let old = json!([service(true, &[("old", 2)]), pipeline(1, "old")]);
     bench.apply(0, &old).await;
-    until(async || run(&bench, 0, 1).await.status == 200).await;
+    until("version 1 serves", async || {
+        run(&bench, 0, 1).await.status == 200
+    })
+    .await;
     let new = json!([service(true, &[("old", 2), ("new", 1)]), pipeline(2, "new")]);
     bench.apply(0, &new).await;
     for entry in [0, 1] {
-        until(async || run(&bench, entry, 2).await.status == 200).await;
-        until(async || run(&bench, entry, 1).await.status == 200).await;
+        until("version 2 serves", async || {
+            run(&bench, entry, 2).await.status == 200
+        })
+        .await;
+        until("version 1 serves", async || {
+            run(&bench, entry, 1).await.status == 200
+        })
+        .await;
     }
     let (before, others) = (executions(&bench, 2).await, executions(&bench, 0).await);
     for entry in [0, 1, 0, 1] {
@@ -60,7 +69,10 @@
         pipeline(2, "new")
     ]);
     bench.apply(0, &records).await;
-    until(async || run(&bench, 0, 1).await.status == 200).await;
+    until("version 1 serves", async || {
+        run(&bench, 0, 1).await.status == 200
+    })
+    .await;
     let refused = run(&bench, 0, 2).await;
     assert_eq!(refused.status, 503);
     let problem = refused.json::<serde_json::Value>().unwrap();
@@ -75,7 +87,10 @@
     let bench = Bench::start("wanted", false, &[&[]]).await;
     let records = json!([service(false, &[("new", 0)]), pipeline(1, "new")]);
     bench.apply(0, &records).await;
-    until(async || run(&bench, 0, 1).await.status == 200).await;
+    until("version 1 serves", async || {
+        run(&bench, 0, 1).await.status == 200
+    })
+    .await;
     assert_eq!(bench.models(0).await, json!(["new"]));
     bench.stop();
 }
