--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -1,7 +1,7 @@
 //! The agent's calls and what happens to them.
 
 use crate::answer::{self, End, Fault};
-use crate::fence::Order;
+use crate::fence::{Guard, Order};
 use crate::job::{self, Job};
 use crate::output::Output;
 use crate::runner::Runner;
@@ -49,6 +49,8 @@
     pub(crate) work: TaskTracker,
     /// Way to the task that carries out orders; closed when the agent leaves.
     orders: Mutex<Option<mpsc::Sender<Order>>>,
+    /// Way to ask the engine what it holds.
+    guard: Guard<platform::Client>,
     links: AtomicU64,
 }
 
@@ -59,8 +61,10 @@
         incarnation: Incarnation,
         bounds: Bounds,
         orders: mpsc::Sender<Order>,
+        guard: Guard<platform::Client>,
     ) -> Self {
         Self {
+            guard,
             orders: Mutex::new(Some(orders)),
             runner,
             telemetry,
@@ -316,6 +320,16 @@
         }
     }
 
+    /// Tells an entry what the engine holds.
+    pub(crate) fn query(&self, number: u64, fence: Option<protocol::Fence>, sender: &Sender) {
+        let (guard, sender) = (self.guard.clone(), sender.clone());
+        tokio::spawn(async move {
+            let models = guard.ask(fence).await;
+            // An entry whose link is gone asks again over the next one.
+            let _ = sender.send(Frame::Models { number, models }).await;
+        });
+    }
+
     fn orders(&self) -> MutexGuard<'_, Option<mpsc::Sender<Order>>> {
         self.orders.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -8,6 +8,7 @@
 use crate::job::Job;
 use crate::news::Exchange;
 use crate::peers::Peers;
+use crate::placement::lease::Lease;
 use crate::prefix;
 use crate::service::Demand;
 use crate::services::Services;
@@ -18,6 +19,7 @@
 use slog::Logger;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
@@ -47,6 +49,8 @@
     pub exchange: OnceLock<Exchange>,
     /// Answers of requests that run or have ended lately.
     pub answers: Answers,
+    /// Lease on the right to give orders to engines.
+    pub lease: Lease,
     /// Counters and histograms.
     pub telemetry: Telemetry,
     /// Lines for changes of state.
@@ -66,6 +70,7 @@
             claims: Claims::start(platform.clone()),
             services: Services::new(&settings, started),
             budgets: Budgets::new(settings.policy),
+            lease: Lease::new(Duration::from_millis(settings.placement.lease_ms)),
             settings,
             platform,
             peers: Peers::default(),
@@ -101,7 +106,8 @@
     /// What the decisions need to know of a stage of a job with this input.
     pub fn demand(&self, job: &Job, position: usize, slot: &Slot, input: &[u8]) -> Demand {
         let workspace = job.set.workspace(&job.workspace);
-        let service = job.set.service(&job.pipeline.stages[position].service);
+        let stage = &job.pipeline.stages[position];
+        let service = job.set.service(&stage.service);
         let cached = service.is_some_and(|service| service.runner == Runner::Engine);
         Demand {
             workspace: job.workspace.as_str().into(),
@@ -112,6 +118,7 @@
             } else {
                 Vec::new()
             },
+            model: stage.model.clone(),
         }
     }
 
