Durable requests are journalled and outlive their entry

A request of a durable pipeline is written to the table service before it runs; its row is a lease that the entry renews, and another entry takes over a row that it has seen unchanged for three beats. Failure tests of the real processes (failure_durable) first failed: after a kill the second entry took the request over but it was never answered. Ruled out: turn, choice of target, link. Cause: both entries numbered their attempts from zero, and the agent took the second offer for a duplicate of the first. A pipeline with a stage that may not be repeated cannot be durable: a finding says so.

--- a/crates/ctl/src/deployment.rs
+++ b/crates/ctl/src/deployment.rs
@@ -172,6 +172,7 @@
             policy: self.plan.policy,
             vms_poll_ms: self.plan.poll_ms,
             head_poll_ms: self.plan.poll_ms,
+            journal_beat_ms: 5_000,
             news: Some(free()),
             placement: self.plan.placement,
         }
--- a/crates/ctl/src/torture/bench.rs
+++ b/crates/ctl/src/torture/bench.rs
@@ -379,6 +379,7 @@
             policy: Policy::Shipped,
             vms_poll_ms: POLL_MS,
             head_poll_ms: POLL_MS,
+            journal_beat_ms: 100,
             news: None,
             placement: setting::Placement::default(),
         }
--- /dev/null
+++ b/crates/ctl/tests/failure_durable.rs
@@ -0,0 +1,166 @@
+//! Durable requests outlive the entry that accepted them.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod common;
+
+use common::{PATIENCE, run, until_idle, until_runs};
+use ctl::client::Client;
+use ctl::fleet::Signal;
+use ctl::torture::bench::Bench;
+use ctl::torture::probe::{fault, until};
+use ctl::torture::record::REPORT;
+use ctl::torture::runner::Plan;
+use hyper::Method;
+use hyper::header::{HeaderMap, HeaderValue};
+use record::Document;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+
+const TEXT: &str = "chapter 3";
+
+fn durable() -> Document {
+    serde_json::from_value(json!({
+        "schema": 2, "kind": "pipeline", "name": "durable", "version": 1, "deadline_ms": 60_000,
+        "durable": true, "stages": [{"name": "read", "service": REPORT}],
+    }))
+    .unwrap()
+}
+
+/// Two entries and one runner that takes its time, and the record of a durable pipeline.
+async fn start(bench: &mut Bench, time: f64) -> [SocketAddr; 2] {
+    let first = bench.entry("entry-1").await.unwrap();
+    let second = bench.entry("entry-2").await.unwrap();
+    let plan = Plan::new(REPORT, 4).time(time);
+    bench.runner("reporter", plan).await.unwrap();
+    bench.ready().await.unwrap();
+    let revision = bench.apply(first, &[durable()]).await.unwrap();
+    bench.in_force(revision).await.unwrap();
+    [first, second]
+}
+
+/// Submits a request and comes back for it at once.
+async fn submit(entry: SocketAddr) -> (u16, Value) {
+    let mut headers = HeaderMap::new();
+    headers.insert("linnetdrift-workspace", HeaderValue::from_static("thesis"));
+    headers.insert("prefer", HeaderValue::from_static("wait=0"));
+    let body = json!({"text": TEXT}).to_string().into();
+    let path = "/v1/pipelines/durable/versions/1/run";
+    let client = Client::plain(entry);
+    let answer = client.call(Method::POST, path, headers, body);
+    let answer = answer.await.unwrap();
+    (answer.status.as_u16(), answer.json().unwrap())
+}
+
+async fn fetch(entry: SocketAddr, request: &Value) -> Option<Value> {
+    let path = format!("/v1/requests/{}", request.as_str()?);
+    let client = Client::plain(entry);
+    let answer = client.call(Method::GET, &path, HeaderMap::new(), bytes::Bytes::new());
+    let answer = tokio::time::timeout(PATIENCE, answer).await.ok()?.ok()?;
+    let whole = answer.status.as_u16() == 200;
+    whole.then(|| answer.json().ok()).flatten()
+}
+
+async fn until_answered(entry: SocketAddr, request: &Value) -> Value {
+    until("the request is answered", || async {
+        fetch(entry, request).await.is_some()
+    })
+    .await
+    .unwrap();
+    fetch(entry, request).await.unwrap()["output"]["text"].clone()
+}
+
+/// An entry accepts a long review and dies while a runner works on it. The caller was told where to
+/// come back, and does so at the other entry, which has taken the review over: it gets the whole
+/// answer.
+#[test]
+fn entry_killed() {
+    run("durable-killed", async |mut bench| {
+        let [first, second] = start(&mut bench, 300.0).await;
+        let (status, told) = submit(first).await;
+        assert_eq!(status, 202);
+        until_runs(&bench, REPORT, 1).await;
+        bench.fleet.signal("entry-1", Signal::Kill).unwrap();
+        let text = until_answered(second, &told["request"]).await;
+        assert_eq!(text, standin::answer::wrap(REPORT, TEXT));
+    });
+}
+
+/// An entry freezes with a durable request and wakes after another has answered it. The caller gets
+/// one answer, the same from both, and the request leaves the journal.
+#[test]
+fn entry_frozen() {
+    run("durable-frozen", async |mut bench| {
+        let [first, second] = start(&mut bench, 300.0).await;
+        let (_, told) = submit(first).await;
+        until_runs(&bench, REPORT, 1).await;
+        bench.fleet.signal("entry-1", Signal::Stop).unwrap();
+        let text = until_answered(second, &told["request"]).await;
+        bench.fleet.signal("entry-1", Signal::Continue).unwrap();
+        assert_eq!(until_answered(first, &told["request"]).await, text);
+        until_idle(&bench, REPORT).await;
+        until("the journal is empty", || async {
+            journal(&bench).await == 0
+        })
+        .await
+        .unwrap();
+    });
+}
+
+/// The table service is down when a durable request arrives. The caller is told at once that it did
+/// not run, which is true for good: nothing runs once the service is back.
+#[test]
+fn journal_away() {
+    run("durable-away", async |mut bench| {
+        let [first, second] = start(&mut bench, 1.0).await;
+        fault(bench.table.address(), &json!({"down": true}))
+            .await
+            .unwrap();
+        let (_, told) = submit(first).await;
+        let request = &told["request"];
+        until("the refusal is known", || async {
+            refusal(first, request).await.as_deref() == Some("not_run")
+        })
+        .await
+        .unwrap();
+        fault(bench.table.address(), &json!({})).await.unwrap();
+        // One whole request later than the outage, at the other entry, the refused one has not run.
+        let (_, later) = submit(second).await;
+        until_answered(second, &later["request"]).await;
+        assert_eq!(bench.executions(REPORT).await.len(), 1);
+        assert_eq!(journal(&bench).await, 0);
+    });
+}
+
+/// The answer of the table service to the journal's write is lost after the write took effect. The
+/// caller does not notice: the request runs once and is answered.
+#[test]
+fn answer_lost() {
+    run("durable-lost", async |mut bench| {
+        let [first, _] = start(&mut bench, 1.0).await;
+        fault(bench.table.address(), &json!({"lose_answers": 1}))
+            .await
+            .unwrap();
+        let (_, told) = submit(first).await;
+        let text = until_answered(first, &told["request"]).await;
+        assert_eq!(text, standin::answer::wrap(REPORT, TEXT));
+        assert_eq!(bench.executions(REPORT).await.len(), 1);
+    });
+}
+
+async fn refusal(entry: SocketAddr, request: &Value) -> Option<String> {
+    let path = format!("/v1/requests/{}", request.as_str()?);
+    let client = Client::plain(entry);
+    let answer = client.call(Method::GET, &path, HeaderMap::new(), bytes::Bytes::new());
+    let answer: Value = answer.await.ok()?.json().ok()?;
+    answer["outcome"].as_str().map(str::to_owned)
+}
+
+/// Number of requests in the journal.
+async fn journal(bench: &Bench) -> usize {
+    let client = Client::plain(bench.table.address());
+    let path = "/v1/rows/journal?after=&limit=100";
+    let answer = client.call(Method::GET, path, HeaderMap::new(), bytes::Bytes::new());
+    let rows: Value = answer.await.unwrap().json().unwrap();
+    rows["rows"].as_array().map_or(0, Vec::len)
+}
--- a/crates/ctl/tests/operator_commands.rs
+++ b/crates/ctl/tests/operator_commands.rs
@@ -108,6 +108,7 @@
         policy: Policy::Shipped,
         vms_poll_ms: 50,
         head_poll_ms: 50,
+        journal_beat_ms: 5_000,
         news: None,
         placement: setting::Placement::default(),
     }
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -6,6 +6,7 @@
 use crate::core::{Core, Platform};
 use crate::execute;
 use crate::job::Job;
+use crate::journal;
 use crate::kept::{self, Kept};
 use crate::peers::{self, FORWARDED};
 use crate::problem::{Outcome, Problem};
@@ -185,6 +186,7 @@
         set,
         accepted: now,
         deadline: now + deadline,
+        first_attempt: 0,
         input,
         answer: Arc::new(Answer::new(id, streamed)),
     });
@@ -246,10 +248,14 @@
     {
         return answer;
     }
-    match kept::load(core, id).await {
-        Some(kept) => respond_kept(id, &kept),
-        None => lost(id),
+    if let Some(kept) = kept::load(core, id).await {
+        return respond_kept(id, &kept);
     }
+    if journal::has(&core.platform, id).await {
+        // Its entry is gone; another runs it, or will.
+        return accepted(id);
+    }
+    lost(id)
 }
 
 fn lost(id: RequestId) -> Response {
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -6,6 +6,7 @@
 use crate::config::Config;
 use crate::execute;
 use crate::job::Job;
+use crate::journal::Journal;
 use crate::news::Exchange;
 use crate::peers::Peers;
 use crate::placement::lease::Lease;
@@ -13,6 +14,7 @@
 use crate::service::Demand;
 use crate::services::Services;
 use crate::telemetry::Telemetry;
+use crate::writes::Writes;
 use decide::budget::Slot;
 use platform::{Objects, Table, Vms};
 use record::service::Runner;
@@ -39,6 +41,10 @@
     pub config: Config<P>,
     /// Claims on idempotency keys.
     pub claims: Claims<P>,
+    /// Name of this life of the entry; no other life of any entry has it.
+    pub life: String,
+    /// Requests that outlive their entry.
+    pub journal: Journal,
     /// Services, their targets and the links to their agents.
     pub services: Services,
     /// Time budgets of the pipelines' stages.
@@ -65,9 +71,12 @@
     /// An entry that has not yet read anything.
     pub fn new(settings: setting::Entry, platform: P, telemetry: Telemetry, log: Logger) -> Self {
         let started = Instant::now();
+        let writes = Writes::start(platform.clone());
         Self {
             config: Config::new(platform.clone(), log.clone()),
-            claims: Claims::start(platform.clone()),
+            claims: Claims::new(platform.clone(), writes.clone()),
+            life: format!("{}/{:032x}", settings.id, rand::random::<u128>()),
+            journal: Journal::new(writes, Duration::from_millis(settings.journal_beat_ms)),
             services: Services::new(&settings, started),
             budgets: Budgets::new(settings.policy),
             lease: Lease::new(Duration::from_millis(settings.placement.lease_ms)),
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -5,6 +5,7 @@
 use crate::core::{Core, Platform};
 use crate::fields;
 use crate::job::Job;
+use crate::journal::Begun;
 use crate::kept;
 use crate::service::models::Availability;
 use crate::service::{Overload, Turn};
@@ -28,12 +29,59 @@
 pub async fn run<P: Platform>(core: &Arc<Core<P>>, job: &Job) {
     match &job.key {
         Some(key) if !job.repeatable() => run_once(core, job, key).await,
+        _ if job.pipeline.durable => run_durable(core, job).await,
         _ => {
             run_stages(core, job).await;
         }
     }
 }
 
+/// Runs a job that outlives this entry: admitted first, since a refusal after it is in the journal
+/// would not be true if this entry then stopped.
+async fn run_durable<P: Platform>(core: &Arc<Core<P>>, job: &Job) {
+    let turn = match admit(core, job).await {
+        Ok(turn) => turn,
+        Err(end) => return finish(core, job, end),
+    };
+    match core.journal.begin(job, &core.life).await {
+        Begun::Written => {}
+        Begun::Refused => {
+            let end = End::NotRun {
+                detail: "the table service is away".to_owned(),
+                retry_after: STORE_AWAY,
+            };
+            return finish(core, job, end);
+        }
+        Begun::Unknown => {
+            let detail = "the journal does not say whether it has the request".to_owned();
+            return finish(core, job, End::Unknown { detail });
+        }
+    }
+    end_journalled(core, job, Some(turn)).await;
+}
+
+/// Runs a job that is in the journal already, after its entry has gone.
+pub async fn run_journalled<P: Platform>(core: &Arc<Core<P>>, job: &Job) {
+    end_journalled(core, job, None).await;
+}
+
+/// Runs a journalled job, keeps its answer where every entry finds it, and takes it out of the
+/// journal.
+async fn end_journalled<P: Platform>(core: &Arc<Core<P>>, job: &Job, turn: Option<Turn>) {
+    let end = end(job, run_from(core, job, turn).await);
+    if let End::NotRun { .. } = end {
+        // *Not run* is true only once no other entry can find the request.
+        let out = core.journal.end(job.id).await;
+        let detail = "it may be run by another entry".to_owned();
+        return finish(core, job, if out { end } else { End::Unknown { detail } });
+    }
+    finish(core, job, end.clone());
+    if core.journal.holds(job.id) {
+        kept::store(core, job, &end).await;
+        core.journal.end(job.id).await;
+    }
+}
+
 /// Runs a job whose key nobody else has run, and keeps its answer where every entry finds it.
 async fn run_once<P: Platform>(core: &Arc<Core<P>>, job: &Job, key: &str) {
     let digest = kept::digest(job);
@@ -70,14 +118,23 @@
 }
 
 async fn run_stages<P: Platform>(core: &Arc<Core<P>>, job: &Job) -> End {
-    let end = match stages(core, job).await {
+    let result = match admit(core, job).await {
+        Ok(turn) => run_from(core, job, Some(turn)).await,
+        Err(end) => Err(end),
+    };
+    let end = end(job, result);
+    finish(core, job, end.clone());
+    end
+}
+
+/// How a job ended, for its caller.
+fn end(job: &Job, result: Result<(), End>) -> End {
+    match result {
         Ok(()) => End::Whole {
             late: Instant::now() > job.deadline,
         },
         Err(end) => end,
-    };
-    finish(core, job, end.clone());
-    end
+    }
 }
 
 fn finish<P: Platform>(core: &Core<P>, job: &Job, end: End) {
@@ -85,8 +142,12 @@
     job.answer.finish(end);
 }
 
-async fn stages<P: Platform>(core: &Arc<Core<P>>, job: &Job) -> Result<(), End> {
-    let mut turn = Some(admit(core, job).await?);
+/// Runs all stages of an admitted job, the first one in its turn.
+async fn run_from<P: Platform>(
+    core: &Arc<Core<P>>,
+    job: &Job,
+    mut turn: Option<Turn>,
+) -> Result<(), End> {
     job.answer.admit();
     let last = job.pipeline.stages.len().saturating_sub(1);
     let mut input = job.input.clone();
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::Answer;
 use bytes::Bytes;
-use protocol::RequestId;
+use protocol::{Attempt, RequestId};
 use record::{Pipeline, Set};
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,6 +27,8 @@
     pub accepted: Instant,
     /// When the answer is due.
     pub deadline: Instant,
+    /// Number of the first attempt of each stage.
+    pub first_attempt: Attempt,
     /// JSON input of the first stage.
     pub input: Bytes,
     /// What the caller gets; it outlives the job.
--- /dev/null
+++ b/crates/entry/src/journal/sweep.rs
@@ -0,0 +1,122 @@
+//! Finds journalled requests whose entry is gone, and runs them.
+
+use crate::core::{Core, Platform};
+use crate::journal::JOURNAL;
+use crate::journal::row::Entry;
+use crate::{config::rows, execute, kept};
+use foldhash::fast::RandomState;
+use platform::table::RowRevision;
+use platform::{Error, Row};
+use protocol::RequestId;
+use slog::info;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Beats that a row must be seen without before its request is taken over.
+const BEATS: u32 = 3;
+/// Rows read at once.
+const PAGE: usize = 500;
+
+/// A row, and since when it has been seen as it is.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    revision: RowRevision,
+    since: Instant,
+}
+
+type Watch = HashMap<RequestId, Seen, RandomState>;
+
+/// Looks through the journal until the entry stops.
+pub async fn run<P: Platform>(core: Arc<Core<P>>) {
+    let beat = Duration::from_millis(core.settings.journal_beat_ms);
+    let mut watch = Watch::default();
+    loop {
+        sleep(beat).await;
+        if core.is_draining() || !core.config.is_ready() {
+            continue;
+        }
+        // While the table is away nothing is learnt, and nothing that was seen counts as newer.
+        if let Ok(rows) = scan(&core).await {
+            for (request, row) in lapsed(&mut watch, rows, beat * BEATS) {
+                take_over(&core, request, row).await;
+            }
+        }
+    }
+}
+
+async fn scan<P: Platform>(core: &Core<P>) -> Result<Vec<Row>, Error> {
+    let mut all: Vec<Row> = Vec::new();
+    loop {
+        let after = all.last().map_or(String::new(), |row| row.key.clone());
+        let page = core.platform.scan(JOURNAL, &after, PAGE).await?;
+        let full = page.len() == PAGE;
+        all.extend(page);
+        if !full {
+            return Ok(all);
+        }
+    }
+}
+
+/// The rows that have been seen unchanged for long enough.
+fn lapsed(watch: &mut Watch, rows: Vec<Row>, lapse: Duration) -> Vec<(RequestId, Row)> {
+    let now = Instant::now();
+    let mut seen = Watch::default();
+    let mut lapsed = Vec::new();
+    for row in rows {
+        let Ok(request) = RequestId::from_str_radix(&row.key, 16) else {
+            continue;
+        };
+        let before = watch
+            .get(&request)
+            .filter(|before| before.revision == row.revision);
+        let since = before.map_or(now, |before| before.since);
+        let revision = row.revision;
+        seen.insert(request, Seen { revision, since });
+        if now - since >= lapse {
+            lapsed.push((request, row));
+        }
+    }
+    *watch = seen;
+    lapsed
+}
+
+async fn take_over<P: Platform>(core: &Arc<Core<P>>, request: RequestId, row: Row) {
+    if core.journal.holds(request) {
+        return;
+    }
+    let revision = row.revision;
+    let Ok(entry) = rows::parse::<Entry>(row) else {
+        return;
+    };
+    // A request whose pipeline is no longer in force waits for an entry that has read it.
+    if entry.job(request, &core.config.current()).is_none() {
+        return;
+    }
+    let journal = &core.journal;
+    let taken = journal.take_over(request, entry, revision, &core.life);
+    let Some(entry) = taken.await else {
+        return;
+    };
+    // Its entry may have kept the answer and gone before it could end the row.
+    if kept::load(core, request).await.is_some() {
+        core.journal.end(request).await;
+        return;
+    }
+    let Some(job) = entry.job(request, &core.config.current()) else {
+        return;
+    };
+    info!(core.log, "request taken over"; "request" => row_name(request));
+    let job = Arc::new(job);
+    let runner = core.clone();
+    core.answers.insert(job.answer.clone());
+    core.tasks.spawn(async move {
+        execute::run_journalled(&runner, &job).await;
+        runner.answers.ended(&job.answer);
+    });
+}
+
+fn row_name(request: RequestId) -> String {
+    crate::journal::row::key(request)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,7 +8,8 @@
 //! * [`job`], [`answer`] and [`answers`]: one accepted request, what its caller gets, and for how
 //!   long it is kept
 //! * [`execute`]: a job from admission to its end; [`stage`]: one stage with all its attempts
-//! * [`claim`] and [`kept`]: idempotency keys and the answers kept for them
+//! * [`claim`], [`journal`] and [`kept`]: idempotency keys, durable requests, the answers kept for
+//!   them; [`writes`]: their rows, many in one transaction
 //! * [`target`], [`service`], [`services`] and [`discovery`]: links to agents and who gets work
 //! * [`engine`]: what a target's engine holds
 //! * [`fields`]: what a later stage is given
@@ -30,6 +31,7 @@
 pub mod execute;
 pub mod fields;
 pub mod job;
+pub mod journal;
 pub mod kept;
 pub mod news;
 pub mod operator;
@@ -44,6 +46,7 @@
 pub mod stage;
 pub mod target;
 pub mod telemetry;
+pub mod writes;
 
 pub use core::Core;
 pub use run::{Error, Ready, run};
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts an entry and stops it gracefully.
 
 use crate::core::{Core, Platform};
+use crate::journal::sweep;
 use crate::news::{self, Exchange};
 use crate::placement::{self, lease};
 use crate::telemetry::Telemetry;
@@ -122,6 +123,9 @@
     spawn_until(stop, learn_from_peers(core.clone()));
     spawn_until(stop, lease::keep(core.clone()));
     spawn_until(stop, placement::run(core.clone()));
+    let journal = core.clone();
+    spawn_until(stop, async move { journal.journal.beat().await });
+    spawn_until(stop, sweep::run(core.clone()));
 }
 
 fn start_news<P: Platform>(
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -187,14 +187,22 @@
         Ok(true)
     }
 
+    /// Identity of an attempt. Each entry that runs the request numbers its attempts apart: an
+    /// agent that still has an attempt of the entry before would take the offer for a duplicate
+    /// and never answer it.
     fn call(&self, attempt: Attempt) -> CallId {
         CallId {
             request: self.job.id,
             stage: self.position,
-            attempt,
+            attempt: self.job.first_attempt.wrapping_add(attempt),
         }
     }
 
+    /// Number of an attempt within this run.
+    fn attempt(&self, call: CallId) -> Attempt {
+        call.attempt.wrapping_sub(self.job.first_attempt)
+    }
+
     fn work(&self, resume: protocol::Sequence) -> Work {
         Work {
             workspace: self.job.workspace.clone(),
@@ -267,10 +275,10 @@
             Message::Frame(call, frame) => (call, Some(frame)),
             Message::Lost(call) => (call, None),
         };
-        if frame.is_none() && self.recall(call.attempt).await {
+        if frame.is_none() && self.recall(self.attempt(call)).await {
             return None;
         }
-        let actions = self.machine.on(call.attempt, event(frame.as_ref()));
+        let actions = self.machine.on(self.attempt(call), event(frame.as_ref()));
         for action in actions.into_iter().flatten() {
             if let Some(output) = self.act(call, action, frame.as_ref()).await {
                 return Some(output);
@@ -281,7 +289,7 @@
 
     /// Carries out what the state machine asks for; gives the output once it is committed.
     async fn act(&mut self, call: CallId, action: Action, frame: Option<&Frame>) -> Option<Output> {
-        let index = usize::from(call.attempt);
+        let index = usize::from(self.attempt(call));
         let link = self.tries.get(index)?.link.clone();
         // A link that fails while something is sent tells the inbox.
         let _ = match action {
--- a/crates/record/src/check.rs
+++ b/crates/record/src/check.rs
@@ -67,6 +67,11 @@
     if pipeline.stages.is_empty() {
         report("stages", "a pipeline has at least one stage".to_owned());
     }
+    // A durable request whose entry is lost is run again by another.
+    if pipeline.durable && pipeline.stages.iter().any(|stage| !stage.repeatable) {
+        let message = "a pipeline with a stage that may not be repeated cannot be durable";
+        report("durable", message.to_owned());
+    }
     let mut names = HashSet::new();
     let mut claimed = None;
     let last = pipeline.stages.len().saturating_sub(1);
--- a/crates/setting/src/entry.rs
+++ b/crates/setting/src/entry.rs
@@ -43,6 +43,7 @@
     Field::optional("head_poll_ms", POLL_MS),
     Field::optional("news", Shape::Listen).nullable(),
     Field::optional("placement", PLACEMENT),
+    Field::optional("journal_beat_ms", SPAN_MS),
 ];
 
 /// Settings of an entry.
@@ -81,6 +82,10 @@
     /// How models are placed on engines.
     #[serde(default)]
     pub placement: Placement,
+    /// How often the entry renews its hold on the durable requests that it runs, in milliseconds;
+    /// another entry takes them over after three times as long. The same for all entries.
+    #[serde(default = "default_journal_beat_ms")]
+    pub journal_beat_ms: u64,
 }
 
 /// How models are placed on engines; the same for all entries of a deployment.
@@ -105,6 +110,10 @@
     }
 }
 
+fn default_journal_beat_ms() -> u64 {
+    5_000
+}
+
 fn default_vms_poll_ms() -> u64 {
     1_000
 }
