--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -1,7 +1,7 @@
 //! The agent's calls and what happens to them.
 
 use crate::answer::{self, End, Fault};
-use crate::fence::Order;
+use crate::fence::{Guard, Order};
 use crate::job::{self, Job};
 use crate::output::Output;
 use crate::runner::Runner;
@@ -15,7 +15,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wire::{Frame, Load, Refusal, Sender, Work};
@@ -27,6 +27,12 @@
 const RECALL: Duration = Duration::from_secs(5);
 /// Time for the runner to end a cancelled call by itself before its connection is cut.
 const CANCEL: Duration = Duration::from_secs(2);
+/// How long a leaving agent waits for entries whose link was lost to fetch answers that cannot be
+/// had again. Without it a payout that ended just before the leave would end as *unknown*.
+const FETCH: Duration = Duration::from_secs(10);
+/// Time between two looks at what is still to be fetched.
+const FETCH_POLL: Duration = Duration::from_millis(20);
+
 /// HTTP status for an order that finds too many before it, or an agent that leaves.
 const BUSY: u16 = 503;
 
@@ -43,6 +49,8 @@
     pub(crate) work: TaskTracker,
     /// Way to the task that carries out orders; closed when the agent leaves.
     orders: Mutex<Option<mpsc::Sender<Order>>>,
+    /// Way to ask the engine what it holds.
+    guard: Guard<platform::Client>,
     links: AtomicU64,
 }
 
@@ -53,8 +61,10 @@
         incarnation: Incarnation,
         bounds: Bounds,
         orders: mpsc::Sender<Order>,
+        guard: Guard<platform::Client>,
     ) -> Self {
         Self {
+            guard,
             orders: Mutex::new(Some(orders)),
             runner,
             telemetry,
@@ -89,17 +99,16 @@
     /// Drops what a lost link held. Running calls go on: those that may not be repeated to their
     /// end, the others until [`RECALL`] is over.
     pub(crate) fn lost(self: &Arc<Self>, link: LinkId) {
-        self.telemetry.links.dec();
         let mut state = self.state();
-        state.links.remove(&link);
         let mut orphans = Vec::new();
-        for call in state.of_link(link) {
+        for call in state.orphans(link) {
             let dropped = state.withdraw(call, Event::Lost, Refusal::Revoked);
             if dropped.is_none() && state.running(call).is_some_and(|(_, cut)| cut) {
                 orphans.push(call);
             }
         }
         self.proceed(state);
+        self.telemetry.links.dec();
         if !orphans.is_empty() {
             tokio::spawn(self.clone().abandon(link, orphans));
         }
@@ -135,9 +144,12 @@
     }
 
     async fn ask(self: Arc<Self>, job: Arc<Job>) {
-        job.output.send(Frame::Ask { call: job.call }).await;
+        let call = job.call;
+        job.output.send(Frame::Ask { call }).await;
+        // The job holds the link, which a leaving agent could not close while this waits.
+        drop(job);
         sleep(GRANT).await;
-        self.revoke(job.call).await;
+        self.revoke(call).await;
     }
 
     /// Takes an offered call in or refuses it.
@@ -308,6 +320,16 @@
         }
     }
 
+    /// Tells an entry what the engine holds.
+    pub(crate) fn query(&self, number: u64, fence: Option<protocol::Fence>, sender: &Sender) {
+        let (guard, sender) = (self.guard.clone(), sender.clone());
+        tokio::spawn(async move {
+            let models = guard.ask(fence).await;
+            // An entry whose link is gone asks again over the next one.
+            let _ = sender.send(Frame::Models { number, models }).await;
+        });
+    }
+
     fn orders(&self) -> MutexGuard<'_, Option<mpsc::Sender<Order>>> {
         self.orders.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -320,6 +342,13 @@
         }
     }
 
+    /// Waits until entries have fetched all answers that cannot be had again.
+    async fn wait_for_recalls(&self) {
+        while self.state().awaits_recall() {
+            sleep(FETCH_POLL).await;
+        }
+    }
+
     fn leave_frame(&self) -> Frame {
         Frame::Leave {
             incarnation: self.incarnation,
@@ -341,6 +370,8 @@
         self.orders().take();
         self.work.close();
         self.work.wait().await;
+        let _ = timeout(FETCH, self.wait_for_recalls()).await;
+        self.work.wait().await;
         let links: Vec<Sender> = self.state().links.values().cloned().collect();
         join_all(links.iter().map(Sender::flush)).await;
         self.state().close();
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -12,7 +12,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, oneshot};
 use tokio::task::JoinHandle;
 use wire::{Frame, Key, Receiver, Sender, Work};
@@ -29,6 +30,8 @@
     pub(crate) ran: Arc<Mutex<Vec<String>>>,
     pub(crate) cancelled: Arc<Mutex<Vec<String>>>,
     pub(crate) orders: Arc<Mutex<Vec<String>>>,
+    /// Models that calls named.
+    pub(crate) models: Arc<Mutex<Vec<String>>>,
     /// Lets one held answer go on.
     pub(crate) hold: Arc<Semaphore>,
 }
@@ -41,11 +44,13 @@
             ran: Arc::default(),
             cancelled: Arc::default(),
             orders: Arc::default(),
+            models: Arc::default(),
             hold: Arc::new(Semaphore::new(0)),
         };
         let runner = own.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                stream.set_nodelay(true).unwrap();
                 let runner = runner.clone();
                 let service = service_fn(move |request| runner.clone().answer(request));
                 tokio::spawn(
@@ -64,6 +69,9 @@
     async fn answer(self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
         let path = request.uri().path().to_owned();
         let call = request.headers().get("x-call").cloned();
+        let model = request.headers().get("x-model");
+        let model = model.map(|model| model.to_str().unwrap().to_owned());
+        self.models.lock().unwrap().extend(model);
         let input = request.into_body().collect().await.unwrap().to_bytes();
         let input = String::from_utf8(input.to_vec()).unwrap();
         let (parts, body) = unbounded();
@@ -73,7 +81,17 @@
             return Ok(response);
         }
         if path == "/v1/orders" {
+            let held = input.contains("held");
             self.orders.lock().unwrap().push(input);
+            if held {
+                self.hold.acquire().await.unwrap().forget();
+            }
+            return Ok(response);
+        }
+        if path == "/v1/models" {
+            let body =
+                Bytes::from_static(b"{\"models\":[\"draft\"],\"role\":\"both\",\"fence\":0}");
+            parts.unbounded_send(Ok(Part::data(body))).unwrap();
             return Ok(response);
         }
         let call = call.unwrap();
@@ -220,6 +238,21 @@
             .unwrap()
     }
 
+    /// Waits until one of the agent's metrics has this value.
+    pub(crate) async fn shows(&self, metric: &str, value: u64) {
+        let line = format!("\nlinnetdrift_agent_{metric} {value}\n");
+        loop {
+            let mut stream = TcpStream::connect(self.ready.metrics).await.unwrap();
+            let request = b"GET /metrics HTTP/1.0\r\n\r\n";
+            stream.write_all(request).await.unwrap();
+            let mut text = String::new();
+            stream.read_to_string(&mut text).await.unwrap();
+            if text.contains(&line) {
+                return;
+            }
+        }
+    }
+
     /// Begins the graceful stop; the task ends with it.
     pub(crate) fn leave(self) -> JoinHandle<Result<(), agent::Error>> {
         self.stop.send(()).unwrap();
@@ -257,6 +290,7 @@
         resume: 0,
         revision: 1,
         input: input.into(),
+        model: None,
     };
     Frame::Offer {
         call: call(request),
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -88,6 +88,7 @@
     crate::experiment::Experiment,
     crate::report::Report,
     crate::demo::Demo,
+    crate::measure::Measure,
 ];
 
 /// Runs the command line and gives the exit code.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`daemon`]: roles of `linnetdriftd`
 //! * [`client`], [`operator`]: calls to entries
 //! * [`demo`], [`fleet`]: a whole deployment on one machine
+//! * [`torture`]: a deployment under faults, for the soak and the failure tests
 //! * [`error`]: what can go wrong, with the exit codes
 
 pub mod apply;
@@ -22,6 +23,7 @@
 pub mod get;
 pub mod history;
 pub mod load;
+pub mod measure;
 pub mod operator;
 pub mod option;
 pub mod output;
@@ -31,6 +33,7 @@
 pub mod standin;
 pub mod status;
 pub mod stream;
+pub mod torture;
 
 pub use client::Client;
 pub use error::Error;
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -6,6 +6,7 @@
 use crate::fields;
 use crate::job::Job;
 use crate::kept;
+use crate::service::models::Availability;
 use crate::service::{Overload, Turn};
 use crate::stage::Run;
 use bytes::{Bytes, BytesMut};
@@ -20,6 +21,9 @@
 /// When to come back while a service has no target.
 const NO_TARGET: Duration = Duration::from_secs(1);
 
+/// When to come back for a model that no engine has loaded.
+const NO_MODEL: Duration = Duration::from_secs(2);
+
 /// Runs a job to its end and leaves the end in its answer.
 pub async fn run<P: Platform>(core: &Arc<Core<P>>, job: &Job) {
     match &job.key {
@@ -88,7 +92,7 @@
     let mut input = job.input.clone();
     let mut elapsed = Vec::with_capacity(job.pipeline.stages.len());
     for position in 0..=last {
-        let streamed = position == last && job.streams();
+        let streamed = position == last && job.answer.is_streamed();
         let run = Run::new(core, job, position, input, streamed);
         let output = run.finish(turn.take()).await?;
         elapsed.push(output.elapsed);
@@ -98,7 +102,7 @@
             fields::overlay(&job.input, output.content)
         };
     }
-    if !job.streams() {
+    if !job.answer.is_streamed() {
         job.answer.push(input);
     }
     core.budgets.finished(&job.pipeline, &elapsed);
@@ -121,6 +125,20 @@
             retry_after: NO_TARGET,
         });
     }
+    let set = core.config.current();
+    for stage in &job.pipeline.stages {
+        let service = core.services.get(&stage.service);
+        let Some(model) = &stage.model else {
+            continue;
+        };
+        if service.availability(model, &set) == Availability::Absent {
+            service.missed(model);
+            return Err(End::NotRun {
+                detail: format!("model {model} is not loaded"),
+                retry_after: NO_MODEL,
+            });
+        }
+    }
     for position in 1..job.pipeline.stages.len() {
         let slot = core.slot(job, position);
         let demand = core.demand(job, position, &slot, &[]);
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -3,6 +3,7 @@
 use crate::answer::End;
 use crate::core::{Core, Platform};
 use crate::job::Job;
+use crate::service::models::Availability;
 use crate::service::{Demand, Service, Turn};
 use crate::target::{Inbox, Message, Target};
 use bytes::{Bytes, BytesMut};
@@ -208,6 +209,7 @@
             resume,
             revision: self.job.set.revision(),
             input: self.input.clone(),
+            model: self.spec.model.clone(),
         }
     }
 
@@ -463,7 +465,8 @@
 
     /// Waits for a target that would take the stage; the pauses grow and differ.
     async fn rest(&mut self) -> Result<(), End> {
-        if self.began.elapsed() > PATIENCE {
+        let awaits = self.awaits_model();
+        if self.began.elapsed() > PATIENCE && !awaits {
             return Err(self.end());
         }
         let most = self.pause.min(PAUSE_MOST);
@@ -474,6 +477,22 @@
         Ok(())
     }
 
+    /// Whether the stage waits for a model that operators still want loaded. A load may take far
+    /// longer than any other wait, and the accepted request is to come late rather than never.
+    fn awaits_model(&self) -> bool {
+        let set = self.core.config.current();
+        let Some(model) = &self.spec.model else {
+            return false;
+        };
+        let availability = self.service.availability(model, &set);
+        if availability == Availability::Absent {
+            // Nobody else asks for the model on behalf of a request that is not refused.
+            self.service.missed(model);
+        }
+        let service = set.service(&self.spec.service);
+        service.is_some_and(|service| service.declares(model)) && availability != Availability::Warm
+    }
+
     /// What the caller is told when the stage is not tried again.
     fn end(&self) -> End {
         let stage = &self.spec.name;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -93,6 +93,7 @@
 #[derive(Clone, Debug)]
 pub struct Sender {
     queue: mpsc::Sender<Item>,
+    lost: CancellationToken,
 }
 
 impl Sender {
@@ -121,6 +122,7 @@
     }
 
     async fn queue(&self, item: Item) -> Result<(), Error> {
+        ensure!(!self.lost.is_cancelled(), ClosedSnafu);
         self.queue.send(item).await.map_err(|_| Error::Closed)
     }
 }
@@ -137,11 +139,13 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Socket`] or [`Error::Codec`]; the link is of no further use after either, and
-    /// its [`Sender`]s fail.
+    /// [`Error::Socket`] or [`Error::Codec`]; the link is of no further use after either. Its
+    /// [`Sender`]s fail from then on, as they do once it is closed.
     pub async fn recv(&mut self) -> Result<Option<Frame>, Error> {
         let received = self.read().await;
-        if received.is_err() {
+        // A writer that went on after the peer has closed would take frames that nobody reads,
+        // and their sender would count them as sent.
+        if !matches!(received, Ok(Some(_))) {
             self.lost.cancel();
         }
         received
@@ -225,13 +229,13 @@
         };
         let (key, ready) = (key.clone(), ready.clone());
         tokio::spawn(async move {
-            let _ = ready.send(shake(stream, &key).await).await;
+            let _ = ready.send(authenticate(stream, &key).await).await;
             drop(permit);
         });
     }
 }
 
-async fn shake(mut stream: TcpStream, key: &Key) -> Result<Link, Error> {
+async fn authenticate(mut stream: TcpStream, key: &Key) -> Result<Link, Error> {
     stream.set_nodelay(true).context(SocketSnafu)?;
     handshake::accept(&mut stream, key).await?;
     Ok(split(stream))
@@ -281,7 +285,11 @@
         .run_until_cancelled_owned(write_all(sink, items));
     tokio::spawn(writing);
     let frames = FramedRead::new(Watch::new(read), codec());
-    (Sender { queue }, Receiver { frames, lost })
+    let sender = Sender {
+        queue,
+        lost: lost.clone(),
+    };
+    (sender, Receiver { frames, lost })
 }
 
 fn codec() -> LengthDelimitedCodec {
