--- a/crates/ctl/src/experiment/ground.rs
+++ b/crates/ctl/src/experiment/ground.rs
@@ -3,6 +3,7 @@
 use super::system::System;
 use crate::Error;
 use crate::load::tally::Counts;
+use serde::{Deserialize, Serialize};
 use standin::log::{Ended, Page};
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -18,9 +19,19 @@
     wasted: BTreeMap<&'static str, u64>,
     /// Executions of each runner since then.
     runs: BTreeMap<String, u64>,
+    prefix: Prefix,
     since_us: u64,
 }
 
+/// Prefix blocks of the calls that engines ran.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Prefix {
+    /// All of them.
+    pub blocks: usize,
+    /// Those that were in the cache.
+    pub hits: usize,
+}
+
 impl Ground {
     /// Counts the work of executions that start after `warm_up` from now.
     #[must_use]
@@ -50,6 +61,8 @@
             if execution.started_us >= self.since_us {
                 *self.busy_us.entry(stage).or_default() += execution.busy_us;
                 *self.runs.entry(runner.id.clone()).or_default() += 1;
+                self.prefix.blocks += execution.prefix_blocks;
+                self.prefix.hits += execution.prefix_hits;
                 let wasted = execution.ended != Ended::Answered;
                 *self.wasted.entry(stage).or_default() += u64::from(wasted);
             }
@@ -86,6 +99,12 @@
             .collect()
     }
 
+    /// Prefix blocks and those that were in the caches.
+    #[must_use]
+    pub fn prefix(&self) -> Prefix {
+        self.prefix
+    }
+
     /// Executions of each runner.
     #[must_use]
     pub fn runs(&self) -> &BTreeMap<String, u64> {
--- a/crates/ctl/src/experiment/outcome.rs
+++ b/crates/ctl/src/experiment/outcome.rs
@@ -1,7 +1,7 @@
 //! The figures of an experiment, as they are printed.
 
 use super::deployment::Deployment;
-use super::ground::Ground;
+use super::ground::{Ground, Prefix};
 use crate::load::tally::{Counts, Quantiles, Second, Tally};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -46,6 +46,9 @@
     pub by_second: Vec<Second>,
     /// Longest backlogs of the engines, by deployment.
     pub engine_backlog: BTreeMap<String, Backlog>,
+    /// Prefix blocks of the engines' calls, by deployment.
+    #[serde(default)]
+    pub prefix: BTreeMap<String, Prefix>,
     /// Executions of each runner.
     pub runs: BTreeMap<String, u64>,
 }
@@ -69,6 +72,7 @@
     wasted: BTreeMap<String, u64>,
     runs: BTreeMap<String, u64>,
     backlog: Backlog,
+    prefix: Prefix,
 }
 
 impl Part {
@@ -89,6 +93,7 @@
             wasted: ground.wasted(),
             runs: ground.runs().clone(),
             backlog: backlog(peaks),
+            prefix: ground.prefix(),
             tally,
         }
     }
@@ -120,6 +125,7 @@
             by_pipeline: BTreeMap::new(),
             by_second: Vec::new(),
             engine_backlog: BTreeMap::new(),
+            prefix: BTreeMap::new(),
             runs: BTreeMap::new(),
         };
         for part in parts {
@@ -132,6 +138,7 @@
                 .extend(part.wasted.into_iter().map(|(key, runs)| (path(key), runs)));
             arm.runs
                 .extend(part.runs.into_iter().map(|(key, runs)| (path(key), runs)));
+            arm.prefix.insert(part.name.to_owned(), part.prefix);
             arm.engine_backlog
                 .insert(part.name.to_owned(), part.backlog);
         }
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -199,8 +199,10 @@
         drop(cache);
         let misses = (blocks.len() - hits) as f64;
         let prefill = millis(misses * self.prefill_ms * self.switch.factor());
+        let entry = self.runner.log.start(&request.call);
+        entry.hit(hits);
         let start = Progress::Start {
-            entry: self.runner.log.start(&request.call),
+            entry,
             hits,
             busy_us: micros(prefill),
         };
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -43,6 +43,12 @@
     pub input_hash: String,
     /// Time at work in microseconds, once it has ended.
     pub busy_us: u64,
+    /// Prefix blocks of the call.
+    #[serde(default)]
+    pub prefix_blocks: usize,
+    /// Leading ones of them that an engine had in its cache.
+    #[serde(default)]
+    pub prefix_hits: usize,
 }
 
 /// Part of a log, as `GET /standin/log` gives it.
@@ -77,6 +83,8 @@
             ended: Ended::Running,
             input_hash: crate::answer::input_hash(&call.raw),
             busy_us: 0,
+            prefix_blocks: call.prefix.len(),
+            prefix_hits: 0,
         });
         if state.executions.len() > LIMIT {
             state.executions.pop_front();
@@ -118,6 +126,15 @@
         self.index
     }
 
+    /// Notes the prefix blocks that were in the cache.
+    pub(crate) fn hit(&self, hits: usize) {
+        let mut state = self.log.state();
+        let place = self.index.checked_sub(state.first);
+        if let Some(execution) = place.and_then(|place| state.executions.get_mut(place)) {
+            execution.prefix_hits = hits;
+        }
+    }
+
     /// The time since its start stands for the work of an execution that was stopped: a second copy
     /// that is cancelled would look free otherwise.
     fn cancel(&mut self) {
