Revert: limit that starts at what was declared

The tests wait until exactly one call is in flight at an agent, which a higher first limit passes over.

--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -88,14 +88,10 @@
     most: f64,
     stretch: Mean,
     floor: Option<f64>,
-    learnt: bool,
 }
 
 impl Gradient {
     /// A limit that starts at `start` and stays within the bounds.
-    ///
-    /// Until the first answer it goes up with the upper bound: what was declared is a better guess
-    /// than none, and an entry that has just started would leave runners idle while it climbs.
     #[must_use]
     pub fn new(start: u32, least: u32, most: u32) -> Self {
         Self {
@@ -104,7 +100,6 @@
             most: f64::from(most),
             stretch: Mean::new(SHORT_WEIGHT),
             floor: None,
-            learnt: false,
         }
     }
 
@@ -141,7 +136,6 @@
     }
 
     fn answered(&mut self, sample: Sample) {
-        self.learnt = true;
         let stretch = self.stretch(&sample);
         self.stretch.add(stretch);
         let gradient = (TOLERANCE / self.stretch.get().unwrap_or(1.0)).clamp(0.5, 1.0);
@@ -160,9 +154,6 @@
     fn resize(&mut self, least: u32, most: u32) {
         self.least = f64::from(least);
         self.most = f64::from(most);
-        if !self.learnt {
-            self.limit = self.most;
-        }
         self.limit = self.limit.clamp(self.least, self.most);
     }
 }
--- a/crates/decide/tests/latency_gradient.rs
+++ b/crates/decide/tests/latency_gradient.rs
@@ -56,16 +56,6 @@
     assert!((16..=32).contains(&settled));
 }
 
-/// An entry has just started and hears of its targets one by one; calls that come before the first
-/// answer must not wait for runners that are idle.
-#[test]
-fn starts_at_declared() {
-    let mut limit = Gradient::new(1, 1, 1);
-    limit.resize(1, 9);
-    limit.resize(2, 18);
-    assert_eq!(limit.limit(), 18);
-}
-
 /// A target that goes must shrink the limit at once, or calls would be sent that nobody can take.
 #[test]
 fn keeps_bounds() {
