Experiments end their processes at once

Agents take ten seconds to leave now, so that a run of 22 agents would take four minutes. A run that is broken off by a signal ends its processes too.

--- a/crates/ctl/src/experiment/arm.rs
+++ b/crates/ctl/src/experiment/arm.rs
@@ -76,7 +76,7 @@
                 ground.collect(&system, number).await?;
             }
         }
-        system.stop();
+        system.end();
         let peaks = peaks.lock().unwrap_or_else(PoisonError::into_inner);
         let peaks = peaks.values().copied().collect();
         Ok(Part::new(self.deployment, tally, &ground, peaks))
--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -20,7 +20,7 @@
 pub mod system;
 
 use crate::command::{Command, Help};
-use crate::{Common, Error, Format, option, output};
+use crate::{Common, Error, Format, option, output, signal};
 use arm::Arm;
 use deployment::DEPLOYMENTS;
 use getopts::{Matches, Options};
@@ -86,7 +86,19 @@
         })
     }
 
+    /// A run that is broken off ends its processes first; they would go on unseen otherwise.
     async fn run(self, _common: &Common) -> Result<(), Error> {
+        tokio::select! {
+            result = self.arms() => result,
+            () = signal::stop() => Err(Error::Failed {
+                reason: "broken off by a signal".to_owned(),
+            }),
+        }
+    }
+}
+
+impl Experiment {
+    async fn arms(&self) -> Result<(), Error> {
         let mut arms = Vec::new();
         for (name, policy) in ARMS {
             arms.push(self.arm(name, policy).await?);
@@ -98,9 +110,7 @@
         };
         output::print(Format::Json, "", &outcome)
     }
-}
 
-impl Experiment {
     async fn arm(&self, name: &str, policy: Policy) -> Result<ArmOutcome, Error> {
         let mut parts = Vec::new();
         let wanted = |name: &str| self.only.as_ref().is_none_or(|only| only == name);
--- a/crates/ctl/src/experiment/system.rs
+++ b/crates/ctl/src/experiment/system.rs
@@ -196,10 +196,11 @@
         answer.await?.json()
     }
 
-    /// Stops all processes that are left.
-    pub fn stop(mut self) {
-        // What they ran is known by now; one that does not stop well shows in its own tests.
-        let _ = self.fleet.stop();
+    /// Ends all processes that are left, at once: what they ran is known by now, and graceful stops
+    /// of all agents would take longer than the run.
+    pub fn end(self) {
+        drop(self.fleet);
+        // Settings and logs of a run that went well are of no use.
         let _ = std::fs::remove_dir_all(&self.directory);
     }
 
