--- a/crates/decide/src/budget.rs
+++ b/crates/decide/src/budget.rs
@@ -52,10 +52,13 @@
 
 /// Quantile of a stage's remaining time that its budget leaves room for.
 const QUANTILE: f64 = 0.9;
-/// Requests after which the window of remaining times starts anew.
-const WINDOW: u64 = 1_000;
-/// Requests before the measured times are used.
-const MIN_REQUESTS: u64 = 10;
+/// Requests after which the window of remaining times starts anew. A long one remembers for many
+/// seconds how fast things were before half of the runners were lost.
+const WINDOW: u64 = 200;
+/// Requests after which the quantile is worked out anew.
+const REFRESH: u64 = 10;
+/// Requests of a window before it replaces the one before.
+const MIN_REQUESTS: u64 = 50;
 /// Longest remaining time told apart from longer ones, in microseconds.
 const LONGEST_US: u64 = 600_000_000;
 /// Priority of a call that can no longer make its deadline: it yields.
@@ -135,18 +138,20 @@
     u8::MAX - (left * span) as u8
 }
 
-/// Remaining times of one stage: a window that fills up, and the value of the last full one.
+/// Remaining times of one stage: a window that fills up, and the quantile that is used.
 #[derive(Clone, Debug)]
 struct Remaining {
     window: Histogram<u64>,
-    last: Option<Duration>,
+    current: Duration,
+    first: bool,
 }
 
 impl Default for Remaining {
     fn default() -> Self {
         Self {
             window: Histogram::new_with_max(LONGEST_US, 2).expect("bounds are valid"),
-            last: None,
+            current: Duration::ZERO,
+            first: true,
         }
     }
 }
@@ -155,22 +160,19 @@
     fn add(&mut self, remaining: Duration) {
         let micros = u64::try_from(remaining.as_micros()).unwrap_or(LONGEST_US);
         self.window.saturating_record(micros);
+        let enough = self.first || self.window.len() >= MIN_REQUESTS;
+        if enough && self.window.len() % REFRESH == 0 {
+            let micros = self.window.value_at_quantile(QUANTILE);
+            self.current = Duration::from_micros(micros);
+        }
         if self.window.len() >= WINDOW {
-            self.last = Some(self.quantile());
+            self.first = false;
             self.window.reset();
         }
     }
 
     fn get(&self) -> Duration {
-        match self.last {
-            Some(last) => last,
-            None if self.window.len() >= MIN_REQUESTS => self.quantile(),
-            None => Duration::ZERO,
-        }
-    }
-
-    fn quantile(&self) -> Duration {
-        Duration::from_micros(self.window.value_at_quantile(QUANTILE))
+        self.current
     }
 }
 
