--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -78,6 +78,9 @@
 /// A limit that follows the gradient of latency: it grows while calls take no longer than
 /// undisturbed ones, and shrinks in proportion once they queue.
 ///
+/// Until calls have queued for the first time it grows by one with each answer: an entry that has just
+/// started would leave runners idle while it climbs.
+///
 /// Where the other side tells how many calls wait there, that is the stretch: an engine that batches
 /// takes longer for each call while more run, without any of them waiting, so that its times say
 /// little. Where it does not, the undisturbed time is a slowly rising minimum of the elapsed times.
@@ -88,6 +91,7 @@
     most: f64,
     stretch: Mean,
     floor: Option<f64>,
+    starting: bool,
 }
 
 impl Gradient {
@@ -100,6 +104,7 @@
             most: f64::from(most),
             stretch: Mean::new(SHORT_WEIGHT),
             floor: None,
+            starting: true,
         }
     }
 
@@ -142,6 +147,11 @@
         if gradient >= 1.0 && !self.in_use(&sample) {
             return;
         }
+        self.starting &= gradient >= 1.0;
+        if self.starting {
+            self.limit = (self.limit + 1.0).min(self.most);
+            return;
+        }
         let goal = self.limit * gradient + HEADROOM * self.limit.sqrt();
         let next = self.limit + STEP * (goal - self.limit);
         self.limit = next.clamp(self.least, self.most);
