--- /dev/null
+++ b/crates/protocol/tests/stage_twin.rs
@@ -0,0 +1,207 @@
+//! The shipped stage beside a naive twin that keeps every event and goes through all of them for
+//! each verdict. The seed is fixed, so that the verdict is the same every run.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use protocol::call::{self, End};
+use protocol::stage::{Action, Mode, Stage};
+use protocol::{Attempt, Sequence};
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 4_000,
+        rng_seed: RngSeed::Fixed(20_260_705),
+        ..ProptestConfig::default()
+    }
+}
+
+/// What happens to a stage: an attempt starts, or one hears of something.
+#[derive(Clone, Copy, Debug)]
+enum Happening {
+    Start,
+    Event(Attempt, call::Event),
+    GiveUp,
+}
+
+fn happening() -> impl Strategy<Value = Happening> {
+    let chunk = (0..4_u32).prop_map(|sequence| call::Event::Chunk {
+        sequence,
+        length: 1,
+    });
+    let done =
+        (0..4_u32, 0..4_u64).prop_map(|(chunks, length)| call::Event::Done { chunks, length });
+    let event = prop_oneof![
+        8 => chunk,
+        3 => done,
+        2 => Just(call::Event::Ask),
+        1 => Just(call::Event::Refuse),
+        1 => Just(call::Event::Forget),
+        1 => Just(call::Event::Fail),
+        1 => Just(call::Event::Break),
+        1 => Just(call::Event::Lost),
+        1 => Just(call::Event::GiveUp),
+    ];
+    prop_oneof![
+        2 => Just(Happening::Start),
+        12 => (0..3_u16, event).prop_map(|(attempt, event)| Happening::Event(attempt, event)),
+        1 => Just(Happening::GiveUp),
+    ]
+}
+
+/// One attempt as the twin works it out from all events.
+#[derive(Clone, Debug)]
+struct Try {
+    first: Sequence,
+    chunks: Vec<u32>,
+    granted: bool,
+    end: Option<End>,
+}
+
+/// What a caller and an operator can see of a stage.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Sight {
+    end: Option<End>,
+    committed: Option<Attempt>,
+    may_start: bool,
+    /// Chunks in the order in which they were taken.
+    taken: Vec<(Attempt, Sequence)>,
+    grants: usize,
+}
+
+fn hear(one: &mut Try, repeatable: bool, event: call::Event) -> bool {
+    let next = one.first + u32::try_from(one.chunks.len()).unwrap();
+    let bytes: u64 = one.chunks.iter().map(|length| u64::from(*length)).sum();
+    let safe = !one.granted && !repeatable;
+    let lost = if safe { End::NotRun } else { End::Unknown };
+    one.end = match event {
+        call::Event::Ask => {
+            one.granted = true;
+            None
+        }
+        call::Event::Chunk { sequence, length } if sequence == next => {
+            one.granted = true;
+            one.chunks.push(length);
+            return true;
+        }
+        call::Event::Chunk { .. } => None,
+        call::Event::Done { chunks, length } if (chunks, length) == (next, bytes) => {
+            Some(End::Whole)
+        }
+        call::Event::Done { .. } | call::Event::Break => Some(End::Unknown),
+        call::Event::Refuse => Some(End::NotRun),
+        call::Event::Fail => Some(End::Failed),
+        call::Event::Forget | call::Event::Lost => Some(lost),
+        call::Event::GiveUp => safe.then_some(End::NotRun),
+    };
+    false
+}
+
+/// Goes through the whole history of a stage.
+fn sight(mode: Mode, history: &[Happening]) -> Sight {
+    let mut tries: Vec<Try> = Vec::new();
+    let mut seen = Sight::default();
+    let mut given_up = false;
+    let mut owner = None;
+    for happening in history {
+        let due = u32::try_from(seen.taken.len()).unwrap();
+        let due = if mode.stream { due } else { 0 };
+        match *happening {
+            Happening::GiveUp => given_up = true,
+            Happening::Start if may_start(mode, &tries, &seen, given_up) => tries.push(Try {
+                first: due,
+                chunks: Vec::new(),
+                granted: false,
+                end: None,
+            }),
+            Happening::Event(attempt, event) if seen.committed.is_none() => {
+                let Some(one) = tries.get_mut(usize::from(attempt)) else {
+                    continue;
+                };
+                if one.end.is_some() {
+                    continue;
+                }
+                let granted = one.granted;
+                let taken = hear(one, mode.repeatable, event);
+                let asked = event == call::Event::Ask && !granted;
+                seen.grants += usize::from(asked);
+                let mine = owner.is_none_or(|owner| owner == attempt);
+                let call::Event::Chunk { sequence, .. } = event else {
+                    let has = one.first + u32::try_from(one.chunks.len()).unwrap();
+                    let all = !mode.stream || (mine && has == due);
+                    match one.end {
+                        Some(End::Whole) if all => seen.committed = Some(attempt),
+                        Some(_) if owner == Some(attempt) => owner = None,
+                        _ => {}
+                    }
+                    continue;
+                };
+                if taken && (!mode.stream || (mine && sequence == due)) {
+                    owner = Some(attempt);
+                    seen.taken.push((attempt, sequence));
+                }
+            }
+            Happening::Start | Happening::Event(..) => {}
+        }
+    }
+    seen.end = end(&tries, &seen, given_up);
+    seen.may_start = may_start(mode, &tries, &seen, given_up);
+    seen
+}
+
+fn may_start(mode: Mode, tries: &[Try], seen: &Sight, given_up: bool) -> bool {
+    let unrun = tries.iter().all(|one| one.end == Some(End::NotRun));
+    seen.committed.is_none() && !given_up && (mode.repeatable || unrun)
+}
+
+fn end(tries: &[Try], seen: &Sight, given_up: bool) -> Option<End> {
+    let any = |end| tries.iter().any(|one| one.end == end);
+    match () {
+        () if seen.committed.is_some() => Some(End::Whole),
+        () if tries.is_empty() && !given_up => None,
+        () if any(None) => None,
+        () if any(Some(End::Unknown)) || any(Some(End::Whole)) => Some(End::Unknown),
+        () if any(Some(End::Failed)) => Some(End::Failed),
+        () => Some(End::NotRun),
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Attempts of a stage overlap, break off, repeat themselves and answer for one another. The
+    /// caller gets chunks of one answer in order, and the end is what really happened.
+    #[test]
+    fn stage_twin(
+        repeatable: bool,
+        stream: bool,
+        history in prop::collection::vec(happening(), 0..40),
+    ) {
+        let mode = Mode { repeatable, stream };
+        let mut stage = Stage::new(mode);
+        let mut taken = Vec::new();
+        let mut grants = 0;
+        for (i, happening) in history.iter().enumerate() {
+            match *happening {
+                Happening::Start => { stage.start(); }
+                Happening::GiveUp => stage.give_up(),
+                Happening::Event(attempt, event) => {
+                    let actions = stage.on(attempt, event);
+                    if let call::Event::Chunk { sequence, .. } = event {
+                        let accepted = actions.contains(&Some(Action::Accept));
+                        taken.extend(accepted.then_some((attempt, sequence)));
+                    }
+                    grants += usize::from(actions.contains(&Some(Action::Grant)));
+                }
+            }
+            let shipped = Sight {
+                end: stage.end(),
+                committed: stage.committed(),
+                may_start: stage.may_start(),
+                taken: taken.clone(),
+                grants,
+            };
+            prop_assert_eq!(shipped, sight(mode, &history[..=i]));
+        }
+    }
+}
