--- /dev/null
+++ b/crates/ctl/src/plan.rs
@@ -0,0 +1,67 @@
+//! `plan`: what a directory of records would change.
+
+use crate::command::{Command, Help};
+use crate::operator::Records;
+use crate::{Common, Error, Operator, check, option, output};
+use getopts::{Matches, Options};
+use record::{Directory, Document, Plan};
+use std::collections::HashSet;
+use std::path::PathBuf;
+
+/// Shows what `apply` would change.
+#[derive(Debug)]
+pub struct Planning {
+    directory: PathBuf,
+    prune: bool,
+}
+
+impl Command for Planning {
+    const HELP: Help = Help {
+        name: "plan",
+        arguments: "DIR",
+        about: "Show what applying a directory of records would change",
+    };
+
+    fn declare(options: &mut Options) {
+        declare_prune(options);
+    }
+
+    fn parse(matches: &Matches) -> Result<Self, Error> {
+        Ok(Self {
+            directory: option::single(matches, "DIR")?.into(),
+            prune: matches.opt_present("prune"),
+        })
+    }
+
+    async fn run(self, common: &Common) -> Result<(), Error> {
+        let directory = check::load_checked(&self.directory)?;
+        let records = Operator::new(common)?.records().await?;
+        let plan = plan(&records, &directory, self.prune)?;
+        output::print(common.format, &plan, &plan)
+    }
+}
+
+/// Adds the option that deletes what a directory no longer holds.
+pub fn declare_prune(options: &mut Options) {
+    options.optflag(
+        "",
+        "prune",
+        "delete records that the directory does not hold",
+    );
+}
+
+/// Compares the records of files with those in force.
+///
+/// # Errors
+///
+/// [`Error::Found`] if the records would contradict those that stay in force.
+pub fn plan(records: &Records, directory: &Directory, prune: bool) -> Result<Plan, Error> {
+    let stored = records.records.iter();
+    let in_force: Vec<Document> = stored.map(|each| each.document.clone()).collect();
+    let plan = Plan::new(&in_force, directory.documents(), prune);
+    let planned: HashSet<&String> = plan.changes.iter().map(|change| &change.key).collect();
+    let stays = |document: &Document| !planned.contains(&document.key());
+    let others: Vec<Document> = in_force.into_iter().filter(stays).collect();
+    check::no_findings(directory.check_with(&others))?;
+    Ok(plan)
+}
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,354 @@
+//! Callers' interface: run a pipeline, come back for an answer.
+
+pub mod stream;
+
+use crate::answer::{Answer, End};
+use crate::core::{Core, Platform};
+use crate::execute;
+use crate::job::Job;
+use crate::kept::{self, Kept};
+use crate::peers::{self, FORWARDED};
+use crate::problem::{Outcome, Problem};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use protocol::RequestId;
+use record::{Pipeline, Set};
+use serde::Serialize;
+use serde_json::value::RawValue;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use viz::{Request, RequestExt, Response, ResponseExt, StatusCode};
+
+/// Largest input in bytes.
+const MAX_INPUT: usize = 16 << 20;
+/// Longest deadline that a caller may name.
+const MAX_DEADLINE: Duration = Duration::from_secs(3600);
+/// When a caller may come back to an entry that is stopping: at once, to another one.
+const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(100);
+/// Media type of event streams.
+pub const EVENT_STREAM: &str = "text/event-stream";
+
+/// Header that names the request in every answer.
+pub const REQUEST: &str = "linnetdrift-request";
+
+/// A whole answer.
+#[derive(Serialize)]
+struct Whole<'a> {
+    request: String,
+    late: bool,
+    output: &'a RawValue,
+}
+
+/// Text of a request's identity.
+#[must_use]
+pub fn format_id(request: RequestId) -> String {
+    format!("{request:032x}")
+}
+
+/// What a caller asks for besides the input.
+struct Ask {
+    workspace: String,
+    class: String,
+    key: Option<String>,
+    deadline: Option<Duration>,
+    stream: bool,
+}
+
+/// How a caller wants to follow an answer.
+#[derive(Clone, Debug)]
+pub struct Follow {
+    /// As a stream of events.
+    pub stream: bool,
+    /// First chunk that the caller lacks.
+    pub from: usize,
+    /// How long it waits for a whole answer before it would rather come back.
+    pub wait: Option<Duration>,
+    /// Whether another entry asks on the caller's behalf.
+    pub forwarded: bool,
+}
+
+impl Follow {
+    fn read(request: &Request) -> Self {
+        Self {
+            stream: accepts_stream(request),
+            from: request
+                .header::<_, usize>("last-event-id")
+                .map_or(0, |last| last.saturating_add(1)),
+            wait: prefer_wait(request),
+            forwarded: request.headers().contains_key(FORWARDED),
+        }
+    }
+}
+
+impl Ask {
+    fn read(request: &Request) -> Result<Self, Problem> {
+        let text = |name: &str| -> Option<String> { request.header(name) };
+        let Some(workspace) = text("linnetdrift-workspace").filter(|name| !name.is_empty()) else {
+            return Err(bad("header Linnetdrift-Workspace is missing"));
+        };
+        let deadline = match text("linnetdrift-deadline-ms") {
+            Some(value) => Some(deadline(&value)?),
+            None => None,
+        };
+        Ok(Self {
+            workspace,
+            class: text("linnetdrift-class").unwrap_or_else(|| "default".to_owned()),
+            key: text("idempotency-key").filter(|key| !key.is_empty()),
+            deadline,
+            stream: accepts_stream(request),
+        })
+    }
+}
+
+fn bad(detail: impl Into<String>) -> Problem {
+    Problem::bad(StatusCode::BAD_REQUEST, detail)
+}
+
+fn deadline(value: &str) -> Result<Duration, Problem> {
+    value
+        .parse()
+        .ok()
+        .filter(|millis| *millis > 0)
+        .map(Duration::from_millis)
+        .filter(|deadline| *deadline <= MAX_DEADLINE)
+        .ok_or_else(|| {
+            bad(format!(
+                "header Linnetdrift-Deadline-Ms: {value:?} is no number of milliseconds from 1 to {}",
+                MAX_DEADLINE.as_millis()
+            ))
+        })
+}
+
+fn accepts_stream(request: &Request) -> bool {
+    request
+        .header::<_, String>("accept")
+        .is_some_and(|accept| accept.contains(EVENT_STREAM))
+}
+
+/// Reads `Prefer: wait=SECONDS` (RFC 7240): a caller that would rather come back than wait.
+fn prefer_wait(request: &Request) -> Option<Duration> {
+    let prefer: String = request.header("prefer")?;
+    let seconds = prefer
+        .split([',', ';'])
+        .find_map(|part| part.trim().strip_prefix("wait="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
+/// `POST /v1/pipelines/{name}/versions/{version}/run`.
+pub async fn run<P: Platform>(core: Arc<Core<P>>, request: Request) -> Response {
+    let follow = Follow::read(&request);
+    match accept(&core, request).await {
+        Ok(job) => {
+            job.answer.admitted().await;
+            if let Some(End::Elsewhere { request }) = job.answer.end() {
+                return find_answer(&core, request, &follow).await;
+            }
+            respond(&job.answer, &follow).await
+        }
+        Err(problem) => {
+            core.telemetry.refused();
+            problem.response()
+        }
+    }
+}
+
+async fn accept<P: Platform>(core: &Arc<Core<P>>, request: Request) -> Result<Arc<Job>, Problem> {
+    if core.is_draining() {
+        return Err(Problem::not_run(
+            "this entry is stopping",
+            COME_BACK_ELSEWHERE,
+        ));
+    }
+    if !core.config.is_ready() {
+        return Err(Problem::not_run(
+            "this entry has not read the configuration yet",
+            Duration::from_secs(1),
+        ));
+    }
+    let ask = Ask::read(&request)?;
+    let set = core.config.current();
+    let pipeline = find(&set, &request)?;
+    let input = input(request).await?;
+    let now = Instant::now();
+    let deadline = ask
+        .deadline
+        .unwrap_or(Duration::from_millis(pipeline.deadline_ms));
+    let id = peers::draw(&core.settings.id, &mut rand::rng());
+    let streamed = ask.stream && pipeline.stages.last().is_some_and(|stage| stage.stream);
+    let job = Arc::new(Job {
+        id,
+        workspace: ask.workspace,
+        class: ask.class,
+        key: ask.key,
+        pipeline,
+        set,
+        accepted: now,
+        deadline: now + deadline,
+        input,
+        answer: Arc::new(Answer::new(id, streamed)),
+    });
+    core.spawn(job.clone());
+    Ok(job)
+}
+
+fn find(set: &Arc<Set>, request: &Request) -> Result<Arc<Pipeline>, Problem> {
+    let name: String = request
+        .param("name")
+        .map_err(|_| bad("no pipeline named"))?;
+    let version: String = request
+        .param("version")
+        .map_err(|_| bad("no version named"))?;
+    let pipeline = if version == "@current" {
+        set.current(&name)
+    } else {
+        let version = version
+            .parse()
+            .map_err(|_| bad(format!("{version:?} is neither a version nor @current")))?;
+        set.pipeline(&name, version)
+    };
+    pipeline.cloned().ok_or_else(|| {
+        Problem::bad(
+            StatusCode::NOT_FOUND,
+            format!("no pipeline {name} in version {version}"),
+        )
+    })
+}
+
+async fn input(request: Request) -> Result<Bytes, Problem> {
+    let body = Limited::new(request.into_body(), MAX_INPUT).collect().await;
+    let body = body
+        .map_err(|error| bad(format!("input: {error}")))?
+        .to_bytes();
+    serde_json::from_slice::<&RawValue>(&body)
+        .map_err(|error| bad(format!("input is no JSON: {error}")))?;
+    Ok(body)
+}
+
+/// `GET /v1/requests/{id}`.
+pub async fn fetch<P: Platform>(core: Arc<Core<P>>, request: Request) -> Response {
+    let text: String = request.param("id").unwrap_or_default();
+    let Ok(id) = RequestId::from_str_radix(&text, 16) else {
+        return bad(format!("{text:?} is no request")).response();
+    };
+    find_answer(&core, id, &Follow::read(&request)).await
+}
+
+/// Finds the answer to a request here, at the entry that accepted it, or in the object store; the
+/// balancer may have brought the caller to any entry, and the one it spoke to may be gone.
+async fn find_answer<P: Platform>(core: &Arc<Core<P>>, id: RequestId, follow: &Follow) -> Response {
+    if let Some(answer) = core.answers.get(id) {
+        return respond(&answer, follow).await;
+    }
+    let owner = core.peers.owner(id).filter(|_| !follow.forwarded);
+    if let Some(owner) = owner
+        && let Some(answer) = core.peers.ask(owner, id, follow).await
+    {
+        return answer;
+    }
+    match kept::load(core, id).await {
+        Some(kept) => respond_kept(id, &kept),
+        None => lost(id),
+    }
+}
+
+fn lost(id: RequestId) -> Response {
+    let problem = Problem::unknown("no entry that can be reached has this request");
+    let problem = Problem {
+        request: Some(format_id(id)),
+        status: StatusCode::NOT_FOUND.as_u16(),
+        ..problem
+    };
+    problem.response()
+}
+
+/// Answers with what a job brings: as a stream from a chunk on, or whole.
+async fn respond(answer: &Arc<Answer>, follow: &Follow) -> Response {
+    let refused = matches!(
+        answer.end(),
+        Some(End::NotRun { .. } | End::Mismatch | End::Elsewhere { .. })
+    );
+    if follow.stream && !refused {
+        return stream::response(answer.clone(), follow.from);
+    }
+    let end = match follow.wait {
+        None => answer.ended().await,
+        Some(wait) => match tokio::time::timeout(wait, answer.ended()).await {
+            Ok(end) => end,
+            Err(_) => return accepted(answer.request()),
+        },
+    };
+    let chunks = answer.chunks();
+    render(answer.request(), &end, answer.is_streamed(), &chunks)
+}
+
+fn respond_kept(id: RequestId, kept: &Kept) -> Response {
+    let chunks: Vec<Bytes> = kept.chunks.iter().cloned().map(Bytes::from).collect();
+    render(id, &kept.end(), kept.stream, &chunks)
+}
+
+fn render(id: RequestId, end: &End, streamed: bool, chunks: &[Bytes]) -> Response {
+    let mut response = match Problem::from_end(id, end) {
+        Some(problem) => problem.response(),
+        None => whole(
+            id,
+            matches!(end, End::Whole { late: true }),
+            streamed,
+            chunks,
+        ),
+    };
+    name_request(&mut response, id);
+    response
+}
+
+/// `202 Accepted`: the caller chose to come back.
+fn accepted(request: RequestId) -> Response {
+    let id = format_id(request);
+    let mut response = Response::with(
+        Full::from(format!("{{\"request\":\"{id}\"}}")),
+        "application/json",
+    );
+    *response.status_mut() = StatusCode::ACCEPTED;
+    if let Ok(location) = format!("/v1/requests/{id}").parse() {
+        response.headers_mut().insert("location", location);
+    }
+    name_request(&mut response, request);
+    response
+}
+
+fn whole(id: RequestId, late: bool, streamed: bool, chunks: &[Bytes]) -> Response {
+    let joined = if streamed {
+        execute::join(chunks)
+    } else {
+        chunks.first().cloned().unwrap_or_default()
+    };
+    let Ok(output) = serde_json::from_slice::<&RawValue>(&joined) else {
+        return unreadable(id);
+    };
+    let whole = Whole {
+        request: format_id(id),
+        late,
+        output,
+    };
+    let body = serde_json::to_vec(&whole).unwrap_or_default();
+    Response::with(Full::from(body), "application/json")
+}
+
+fn unreadable(id: RequestId) -> Response {
+    let problem = Problem::bad(
+        StatusCode::BAD_GATEWAY,
+        "the last stage's answer is no JSON",
+    );
+    let problem = Problem {
+        outcome: Outcome::Failed,
+        request: Some(format_id(id)),
+        ..problem
+    };
+    problem.response()
+}
+
+fn name_request(response: &mut Response, id: RequestId) {
+    if let Ok(value) = format_id(id).parse() {
+        response.headers_mut().insert(REQUEST, value);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/core.rs
@@ -0,0 +1,142 @@
+//! What the parts of an entry share.
+
+use crate::answers::Answers;
+use crate::budgets::Budgets;
+use crate::claim::Claims;
+use crate::config::Config;
+use crate::execute;
+use crate::job::Job;
+use crate::news::Exchange;
+use crate::peers::Peers;
+use crate::placement::lease::Lease;
+use crate::prefix;
+use crate::service::Demand;
+use crate::services::Services;
+use crate::telemetry::Telemetry;
+use decide::budget::Slot;
+use platform::{Objects, Table, Vms};
+use record::service::Runner;
+use slog::Logger;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+
+/// Everything that an entry needs of the platform.
+pub trait Platform: Table + Objects + Vms {}
+
+impl<T: Table + Objects + Vms> Platform for T {}
+
+/// State of one entry.
+#[derive(Debug)]
+pub struct Core<P: Platform> {
+    /// Settings it was started with.
+    pub settings: setting::Entry,
+    /// The platform's services.
+    pub platform: P,
+    /// Records in force.
+    pub config: Config<P>,
+    /// Claims on idempotency keys.
+    pub claims: Claims<P>,
+    /// Services, their targets and the links to their agents.
+    pub services: Services,
+    /// Time budgets of the pipelines' stages.
+    pub budgets: Budgets,
+    /// The other entries.
+    pub peers: Peers,
+    /// News to and from the other entries, if the settings name an address for it.
+    pub exchange: OnceLock<Exchange>,
+    /// Answers of requests that run or have ended lately.
+    pub answers: Answers,
+    /// Lease on the right to give orders to engines.
+    pub lease: Lease,
+    /// Counters and histograms.
+    pub telemetry: Telemetry,
+    /// Lines for changes of state.
+    pub log: Logger,
+    /// Work that a planned stop waits for.
+    pub tasks: TaskTracker,
+    started: Instant,
+    draining: AtomicBool,
+}
+
+impl<P: Platform> Core<P> {
+    /// An entry that has not yet read anything.
+    pub fn new(settings: setting::Entry, platform: P, telemetry: Telemetry, log: Logger) -> Self {
+        let started = Instant::now();
+        Self {
+            config: Config::new(platform.clone(), log.clone()),
+            claims: Claims::start(platform.clone()),
+            services: Services::new(&settings, started),
+            budgets: Budgets::new(settings.policy),
+            lease: Lease::new(Duration::from_millis(settings.placement.lease_ms)),
+            settings,
+            platform,
+            peers: Peers::default(),
+            exchange: OnceLock::new(),
+            answers: Answers::default(),
+            telemetry,
+            log,
+            tasks: TaskTracker::new(),
+            started,
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether a planned stop has begun, so that new work is refused.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Begins a planned stop.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// By when a stage of a job should start, and how urgent it is.
+    pub fn slot(&self, job: &Job, position: usize) -> Slot {
+        let since = |moment: Instant| moment.saturating_duration_since(self.started);
+        let now = since(Instant::now());
+        let (arrived, deadline) = (since(job.accepted), since(job.deadline));
+        self.budgets
+            .slot(&job.pipeline, position, now, arrived, deadline)
+    }
+
+    /// What the decisions need to know of a stage of a job with this input.
+    pub fn demand(&self, job: &Job, position: usize, slot: &Slot, input: &[u8]) -> Demand {
+        let workspace = job.set.workspace(&job.workspace);
+        let stage = &job.pipeline.stages[position];
+        let service = job.set.service(&stage.service);
+        let cached = service.is_some_and(|service| service.runner == Runner::Engine);
+        Demand {
+            workspace: job.workspace.as_str().into(),
+            share: workspace.map_or(1, |workspace| workspace.share),
+            latest_start: slot.latest_start,
+            prefix: if cached {
+                prefix::blocks(input)
+            } else {
+                Vec::new()
+            },
+            model: stage.model.clone(),
+        }
+    }
+
+    /// Tells the peers that a change was accepted, so that they need not wait for their next poll.
+    pub fn announce(&self, revision: protocol::Revision) {
+        if let Some(exchange) = self.exchange.get() {
+            exchange.announce(revision, &self.log);
+        }
+    }
+
+    /// Runs a job apart from the connection that brought it: a caller that goes away and comes
+    /// back finds its answer.
+    pub fn spawn(self: &Arc<Self>, job: Arc<Job>) {
+        let core = self.clone();
+        core.answers.insert(job.answer.clone());
+        self.tasks.spawn(async move {
+            execute::run(&core, &job).await;
+            core.answers.ended(&job.answer);
+        });
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,7 +1,7 @@
 //! What entries and agents say to each other about calls.
 
 use bytes::Bytes;
-use protocol::{CallId, Incarnation, Revision, Sequence};
+use protocol::{CallId, Fence, Incarnation, Revision, Sequence};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -110,6 +110,63 @@
         /// Life of the agent that leaves.
         incarnation: Incarnation,
     },
+    /// Entry to agent: pass an order on to the engine; orders of one link are carried out in
+    /// turn.
+    Order {
+        /// Fencing number of the lease under which the order is given.
+        fence: Fence,
+        /// JSON body of the order.
+        body: Bytes,
+    },
+    /// Agent to entry: what became of the oldest order of this link that is still open.
+    OrderDone {
+        /// HTTP status of the engine's answer, or 412 if the agent refused an old number.
+        status: u16,
+        /// Body of the engine's answer.
+        body: Bytes,
+    },
+    /// Entry to agent: what does the engine hold?
+    Query {
+        /// Number of the question on this link.
+        number: u64,
+        /// Fencing number of the lease that the asking entry holds, if it does: the answer then
+        /// comes only once orders with lower numbers are refused.
+        fence: Option<Fence>,
+    },
+    /// Agent to entry: what the engine held at some moment after the question came.
+    Models {
+        /// Number of the question.
+        number: u64,
+        /// What it held, or `None` if it could not be asked.
+        models: Option<Models>,
+    },
+}
+
+impl Frame {
+    /// The attempt that the message is about, if it is about one.
+    #[must_use]
+    pub fn call(&self) -> Option<CallId> {
+        match self {
+            Self::Offer { call, .. }
+            | Self::Grant { call }
+            | Self::Deny { call }
+            | Self::Revoke { call }
+            | Self::Cancel { call }
+            | Self::Recall { call, .. }
+            | Self::Ask { call }
+            | Self::Refuse { call, .. }
+            | Self::Start { call }
+            | Self::Chunk { call, .. }
+            | Self::Done { call, .. }
+            | Self::Fail { call, .. }
+            | Self::Break { call, .. } => Some(*call),
+            Self::Leave { .. }
+            | Self::Order { .. }
+            | Self::OrderDone { .. }
+            | Self::Query { .. }
+            | Self::Models { .. } => None,
+        }
+    }
 }
 
 /// What a runner is asked to do.
@@ -139,6 +196,17 @@
     pub revision: Revision,
     /// JSON input of the stage.
     pub input: Bytes,
+    /// Model that answers it, if the stage names one.
+    pub model: Option<String>,
+}
+
+/// What an engine holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Models {
+    /// Models that are loaded.
+    pub warm: Vec<String>,
+    /// Model that it loads at the agent's order.
+    pub loading: Option<String>,
 }
 
 /// Why an agent refused a call.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,9 +2,15 @@
 //!
 //! * [`frame`]: what entries and agents say to each other about calls
 //! * [`link`]: an ordered link between one entry and one agent
+//! * [`handshake`]: proof that both ends hold the shared key
+//! * [`silence`]: detection of a dead peer
+//! * [`news`]: lossy publish and subscribe between processes
 
 pub mod frame;
+pub mod handshake;
 pub mod link;
+pub mod news;
+pub mod silence;
 
-pub use frame::{Frame, Load, Refusal, Work};
+pub use frame::{Frame, Load, Models, Refusal, Work};
 pub use link::{Error, Key, Listener, Receiver, Sender, connect};
