--- a/crates/protocol/tests/call_search.rs
+++ b/crates/protocol/tests/call_search.rs
@@ -36,6 +36,7 @@
     Ask,
     Refuse,
     Forget,
+    Started,
     Done,
 }
 
@@ -89,9 +90,21 @@
     abandoned: bool,
 }
 
+impl Request {
+    fn is_new(&self) -> bool {
+        self.claim.is_none() && self.call.is_none()
+    }
+
+    fn offer(&mut self, repeatable: bool) {
+        self.call = Some(Call::offer(repeatable, 0));
+        self.sent.insert(Message::Offer);
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
     mutation: Mutation,
+    repeatable: bool,
     requests: Vec<Request>,
     row: Option<Kept>,
     faults: u8,
@@ -103,6 +116,7 @@
     fn new(requests: usize, faults: u8, mutation: Mutation) -> Self {
         Self {
             mutation,
+            repeatable: false,
             requests: vec![Request::default(); requests],
             row: None,
             faults,
@@ -110,6 +124,14 @@
         }
     }
 
+    /// One call that needs neither a claim nor a grant.
+    fn repeatable(faults: u8, mutation: Mutation) -> Self {
+        Self {
+            repeatable: true,
+            ..Self::new(1, faults, mutation)
+        }
+    }
+
     fn is(&self, mutation: Mutation) -> bool {
         self.mutation == mutation
     }
@@ -140,8 +162,7 @@
         request.todo = match action {
             claim::Action::Ignore => None,
             claim::Action::Tell(Verdict::Granted) => {
-                request.call = Some(Call::offer(false, 0));
-                request.sent.insert(Message::Offer);
+                request.offer(false);
                 None
             }
             claim::Action::Tell(Verdict::Unavailable) => {
@@ -189,6 +210,9 @@
 
     fn end(&mut self, i: usize, end: End) {
         self.requests[i].told = Some(Told::End(end));
+        if self.repeatable {
+            return;
+        }
         match end {
             End::NotRun => self.claim(i, claim::Event::NotRun),
             End::Whole => self.claim(i, claim::Event::Answered),
@@ -197,13 +221,13 @@
     }
 
     fn gate(&mut self, i: usize, event: gate::Event) {
-        let request = &mut self.requests[i];
-        match request.gate.as_mut().unwrap().on(event) {
+        match self.requests[i].gate.as_mut().unwrap().on(event) {
             gate::Action::Ask => self.send(i, Message::Ask),
             gate::Action::Refuse => self.send(i, Message::Refuse),
             gate::Action::Start => {
-                request.ran = true;
+                self.requests[i].ran = true;
                 self.runs += 1;
+                self.send(i, Message::Started);
             }
             gate::Action::Release if event == gate::Event::Answered => self.send(i, Message::Done),
             gate::Action::Release | gate::Action::Ignore => {}
@@ -219,6 +243,7 @@
     fn take(&mut self, i: usize, step: Step) {
         let todo = self.requests[i].todo;
         match step {
+            Step::Claim if self.repeatable => self.requests[i].offer(true),
             Step::Claim => {
                 let (claim, action) = Claim::open(i as u128 + 1, i as u128, 0);
                 self.requests[i].claim = Some(claim);
@@ -255,7 +280,7 @@
     }
 
     fn hold(&self) -> Gate {
-        Gate::hold(!self.is(Mutation::StartUngranted))
+        Gate::hold(!self.repeatable && !self.is(Mutation::StartUngranted))
     }
 
     fn fault(&mut self, act: impl FnOnce(&mut Self)) {
@@ -333,6 +358,7 @@
         Message::Ask => call::Event::Ask,
         Message::Refuse => call::Event::Refuse,
         Message::Forget => call::Event::Forget,
+        Message::Started => call::Event::Started,
         _ => call::Event::Done {
             chunks: 0,
             length: 0,
@@ -368,7 +394,7 @@
         let mut all = Vec::new();
         for (i, request) in self.requests.iter().enumerate() {
             let mut steps = Vec::new();
-            steps.extend(request.claim.is_none().then_some(Step::Claim));
+            steps.extend(request.is_new().then_some(Step::Claim));
             self.table_steps(request, &mut steps);
             self.entry_steps(request, &mut steps);
             self.agent_steps(request, &mut steps);
@@ -407,6 +433,26 @@
     holds("one request, 12 faults", &World::new(1, 12, Mutation::None));
 }
 
+/// A drawing check, which may be repeated, runs without a grant. It is told 'not run' only if this
+/// attempt never ran, whatever up to twelve faults do.
+#[test]
+fn repeatable_call() {
+    holds(
+        "repeatable call, 12 faults",
+        &World::repeatable(12, Mutation::None),
+    );
+    [Mutation::ForgetIsRefuse, Mutation::LostIsNotRun]
+        .into_iter()
+        .for_each(|mutation| {
+            let world = World::repeatable(4, mutation);
+            fails(
+                &format!("repeatable, {mutation:?}"),
+                &world,
+                "not run, but ran",
+            );
+        });
+}
+
 /// A payout is sent to two entries under one key, with up to three faults in any order.
 #[test]
 fn two_requests() {
--- a/crates/protocol/tests/stage_twin.rs
+++ b/crates/protocol/tests/stage_twin.rs
@@ -35,6 +35,7 @@
         8 => chunk,
         3 => done,
         2 => Just(call::Event::Ask),
+        1 => Just(call::Event::Started),
         1 => Just(call::Event::Refuse),
         1 => Just(call::Event::Forget),
         1 => Just(call::Event::Fail),
@@ -75,7 +76,7 @@
     let safe = !one.granted && !repeatable;
     let lost = if safe { End::NotRun } else { End::Unknown };
     one.end = match event {
-        call::Event::Ask => {
+        call::Event::Ask | call::Event::Started => {
             one.granted = true;
             None
         }
