--- a/crates/protocol/tests/lease_search.rs
+++ b/crates/protocol/tests/lease_search.rs
@@ -30,6 +30,7 @@
     Table,
     AnswerLost,
     WriteLands,
+    Resign,
     Order,
     Arrive(Order),
     AgentReads,
@@ -73,7 +74,7 @@
 
 impl World {
     /// `ordering` brings in orders and the agent, `end` bounds the clocks in seconds, `faults`
-    /// lost answers and restarts.
+    /// lost answers, restarts and planned stops.
     fn new(ordering: bool, end: u8, faults: u8, mutation: Mutation) -> Self {
         let margin = if mutation == Mutation::NoMargin { 0 } else { 1 };
         let term = Term {
@@ -173,6 +174,7 @@
                 let open = self.processes[i].open.take().unwrap();
                 self.write(i, open);
             }
+            Step::Resign => self.processes[i].lease.resign(),
             Step::Order => {
                 let holder = self.processes[i].turn;
                 let fence = self.may_act(i).unwrap();
@@ -211,13 +213,15 @@
             None => steps.push(Step::Tick),
         }
         steps.extend(process.open.map(|_| Step::WriteLands));
+        let resigns = i == 0 && self.may_act(i).is_some();
+        steps.extend(resigns.then_some(Step::Resign));
         let order = self.may_act(i).filter(|_| self.ordering);
         steps.extend(order.map(|_| Step::Order));
         steps
     }
 
     fn costs(step: Step) -> bool {
-        matches!(step, Step::AnswerLost | Step::AgentCrashes)
+        matches!(step, Step::AnswerLost | Step::Resign | Step::AgentCrashes)
     }
 }
 
