--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -88,6 +88,7 @@
     crate::experiment::Experiment,
     crate::demo::Demo,
     crate::measure::Measure,
+    crate::torture::Torture,
 ];
 
 /// Runs the command line and gives the exit code.
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -170,6 +170,12 @@
         process.signal(signal).map_err(failed(name))
     }
 
+    /// Whether a process was started here and has not been seen to end.
+    #[must_use]
+    pub fn has(&self, name: &str) -> bool {
+        self.processes.iter().any(|process| process.name == name)
+    }
+
     /// How a process ended, if it has; it then no longer belongs to the fleet.
     ///
     /// # Errors
--- a/crates/ctl/src/torture/bench.rs
+++ b/crates/ctl/src/torture/bench.rs
@@ -224,6 +224,22 @@
         Err(failed(format!("{id} does not end")))
     }
 
+    /// Whether a process goes on.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if it has ended with anything but 0.
+    pub fn is_running(&mut self, id: &str) -> Result<bool, Error> {
+        if !self.fleet.has(id) {
+            return Ok(false);
+        }
+        match self.fleet.ended(id)? {
+            None => Ok(true),
+            Some(status) if status.success() => Ok(false),
+            Some(status) => Err(failed(format!("{id} ended with {status}"))),
+        }
+    }
+
     /// Puts a VM on the platform's list as it is given.
     ///
     /// # Errors
--- a/crates/ctl/src/torture/caller.rs
+++ b/crates/ctl/src/torture/caller.rs
@@ -16,6 +16,8 @@
 
 /// Wait before the next try where the entry names none.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Times that a broken stream is asked for again before the request is sent anew.
+const RESUMES: u32 = 6;
 /// Longest wait before the next try.
 const PAUSE_MOST: Duration = Duration::from_millis(500);
 
@@ -112,7 +114,7 @@
     /// Asks one entry once.
     pub async fn once(&self, entry: SocketAddr) -> Told {
         match self.send(entry).await {
-            Ok(response) => self.read(response).await,
+            Ok(response) => self.read(entry, response).await,
             Err(error) => Told::from_error(&error),
         }
     }
@@ -125,7 +127,7 @@
             .send(Method::GET, &path, self.headers(), Bytes::new())
             .await
         {
-            Ok(response) => self.read(response).await,
+            Ok(response) => self.read(entry, response).await,
             Err(error) => Told::from_error(&error),
         }
     }
@@ -140,12 +142,12 @@
             .send(entry)
             .await
             .map_err(|error| Told::from_error(&error))?;
-        Stream::new(self.clone(), response).await
+        Stream::new(self.clone(), entry, response).await
     }
 
-    async fn read(&self, response: Response<Incoming>) -> Told {
+    async fn read(&self, entry: SocketAddr, response: Response<Incoming>) -> Told {
         if is_stream(&response) {
-            return match Stream::new(self.clone(), response).await {
+            return match Stream::new(self.clone(), entry, response).await {
                 Ok(stream) => stream.finish().await,
                 Err(told) => told,
             };
@@ -177,25 +179,37 @@
         Told::Whole { late, serial }
     }
 
-    /// Asks in turn at the entries until there is a final word, as a patient caller does: again
-    /// after *not run* and where nothing was sent, and after a lost answer if the call may be
-    /// repeated or bears a key.
+    /// Asks in turn at the entries until there is a final word; see [`Ask::persist_at`].
     pub async fn persist(&self, entries: &[SocketAddr], patience: Duration) -> Word {
+        let mut entries = entries.iter().copied().cycle();
+        self.persist_at(|| entries.next(), patience).await
+    }
+
+    /// Asks at the entries that `next` names until there is a final word, as a patient caller does:
+    /// again after *not run* and where nothing was sent, by the request's identity where a stream
+    /// broke off, and anew after a lost answer if the call may be repeated or bears a key.
+    pub async fn persist_at(
+        &self,
+        mut next: impl FnMut() -> Option<SocketAddr>,
+        patience: Duration,
+    ) -> Word {
         let end = Instant::now() + patience;
         let mut word = Word::default();
-        let mut next = entries.iter().copied().cycle();
-        while let Some(entry) = next.next()
-            && Instant::now() < end
+        while Instant::now() < end
+            && let Some(entry) = next()
         {
-            let told = self.try_once(entry, end).await;
+            let asked = tokio::time::timeout_at(end, self.attempt(entry, &mut next, &mut word));
+            if asked.await.is_err() {
+                word.told.push(Told::Silent);
+            }
             word.tries += 1;
-            let pause = told.pause();
-            let over = told.is_final() || (told.is_lost() && !self.may_resend());
-            word.told.push(told);
+            let told = word.last();
+            let over = told
+                .is_some_and(|told| told.is_final() || (*told == Told::Lost && !self.may_resend()));
             if over {
                 break;
             }
-            tokio::time::sleep(pause).await;
+            tokio::time::sleep(told.map_or(PAUSE, Told::pause)).await;
         }
         word
     }
@@ -205,12 +219,52 @@
         self.key.is_some() || self.pipeline != record::PRINT
     }
 
-    async fn try_once(&self, entry: SocketAddr, end: Instant) -> Told {
-        match tokio::time::timeout_at(end, self.once(entry)).await {
-            Ok(told) => told,
-            Err(_) => Told::Silent,
+    async fn attempt(
+        &self,
+        entry: SocketAddr,
+        next: &mut impl FnMut() -> Option<SocketAddr>,
+        word: &mut Word,
+    ) {
+        if !self.stream {
+            return word.told.push(self.once(entry).await);
+        }
+        let mut stream = match self.open(entry).await {
+            Ok(stream) => stream,
+            Err(told) => return word.told.push(told),
+        };
+        loop {
+            let told = stream.drive().await;
+            let lost = told == Told::Lost;
+            word.told.push(told);
+            if !lost {
+                return;
+            }
+            word.cut.push(stream.entry);
+            if !resume(&mut stream, next, word).await {
+                return;
+            }
+        }
+    }
+}
+
+/// Asks for the rest of a stream until an entry gives it or says why not.
+async fn resume(
+    stream: &mut Stream,
+    next: &mut impl FnMut() -> Option<SocketAddr>,
+    word: &mut Word,
+) -> bool {
+    for _ in 0..RESUMES {
+        let Some(entry) = next() else { break };
+        match stream.resume(entry).await {
+            Ok(()) => return true,
+            Err(told) => word.told.push(told),
+        }
+        if word.last().is_some_and(Told::is_final) {
+            break;
         }
+        tokio::time::sleep(PAUSE).await;
     }
+    false
 }
 
 /// What a caller was told, in order.
@@ -220,6 +274,8 @@
     pub told: Vec<Told>,
     /// Times that it asked.
     pub tries: u32,
+    /// Entries at which a stream broke off.
+    pub cut: Vec<SocketAddr>,
 }
 
 impl Word {
@@ -287,10 +343,6 @@
         }
     }
 
-    fn is_lost(&self) -> bool {
-        matches!(self, Self::Lost)
-    }
-
     fn pause(&self) -> Duration {
         match self {
             Self::Problem(problem) => problem.wait().unwrap_or(PAUSE).min(PAUSE_MOST),
--- a/crates/ctl/src/torture/mod.rs
+++ b/crates/ctl/src/torture/mod.rs
@@ -5,11 +5,21 @@
 //! * [`record`]: the records that the bench applies
 //! * [`relay`]: a TCP connection that can be cut, frozen and delayed
 //! * [`caller`] and [`stream`]: a caller that keeps asking until it has a final word
+//! * [`command`]: the soak, from [`demand`], [`fault`]s and [`operators`] of a seed
+//! * [`world`]: what these share; [`tally`]: what came of it
 
 pub mod bench;
 pub mod caller;
+pub mod command;
+pub mod demand;
+pub mod fault;
+pub mod operators;
 pub mod probe;
 pub mod record;
 pub mod relay;
 pub mod runner;
 pub mod stream;
+pub mod tally;
+pub mod world;
+
+pub use command::Torture;
--- a/crates/ctl/src/torture/stream.rs
+++ b/crates/ctl/src/torture/stream.rs
@@ -18,6 +18,8 @@
     ask: Ask,
     /// Identity of the request.
     pub request: String,
+    /// Entry that it is read from.
+    pub entry: SocketAddr,
     body: Incoming,
     parser: Parser,
     events: VecDeque<Event>,
@@ -25,7 +27,11 @@
 }
 
 impl Stream {
-    pub(super) async fn new(ask: Ask, response: Response<Incoming>) -> Result<Self, Told> {
+    pub(super) async fn new(
+        ask: Ask,
+        entry: SocketAddr,
+        response: Response<Incoming>,
+    ) -> Result<Self, Told> {
         if !is_stream(&response) {
             let answer = collect(response).await;
             let answer = answer.map_err(|error| Told::from_error(&error))?;
@@ -35,6 +41,7 @@
         let request = request.and_then(|request| request.to_str().ok());
         Ok(Self {
             ask,
+            entry,
             request: request.unwrap_or_default().to_owned(),
             body: response.into_body(),
             parser: Parser::default(),
@@ -97,6 +104,11 @@
 
     /// Reads to the end.
     pub async fn finish(mut self) -> Told {
+        self.drive().await
+    }
+
+    /// Reads to the end, or to where it breaks off.
+    pub async fn drive(&mut self) -> Told {
         loop {
             if let Err(told) = self.token().await {
                 return told;
@@ -108,26 +120,20 @@
     ///
     /// # Errors
     ///
-    /// What the caller is told instead; the tokens so far are lost with it.
-    pub async fn resume(self, entry: SocketAddr) -> Result<Self, Told> {
-        let Self {
-            ask,
-            request,
-            tokens,
-            body,
-            ..
-        } = self;
-        drop(body);
-        let path = format!("/v1/requests/{request}");
-        let mut headers = ask.headers();
-        if let Some(last) = tokens.len().checked_sub(1) {
+    /// What the caller is told instead.
+    pub async fn resume(&mut self, entry: SocketAddr) -> Result<(), Told> {
+        let path = format!("/v1/requests/{}", self.request);
+        let mut headers = self.ask.headers();
+        if let Some(last) = self.tokens.len().checked_sub(1) {
             headers.insert("last-event-id", HeaderValue::from(last));
         }
         let client = Client::plain(entry);
         let response = client.send(Method::GET, &path, headers, Bytes::new()).await;
         let response = response.map_err(|error| Told::from_error(&error))?;
-        let resumed = Self::new(ask, response).await?;
-        Ok(Self { tokens, ..resumed })
+        let resumed = Self::new(self.ask.clone(), entry, response).await?;
+        let tokens = std::mem::take(&mut self.tokens);
+        *self = Self { tokens, ..resumed };
+        Ok(())
     }
 
     async fn event(&mut self) -> Result<Event, Told> {
--- a/crates/ctl/tests/failure_answers.rs
+++ b/crates/ctl/tests/failure_answers.rs
@@ -142,9 +142,9 @@
         let ask = Ask::new(DRAFT, "broken off").streamed(60);
         let mut stream = ask.open(entry).await.unwrap();
         stream.read(5).await.unwrap();
-        let mut stream = stream.resume(other).await.unwrap();
+        stream.resume(other).await.unwrap();
         stream.read(20).await.unwrap();
-        let stream = stream.resume(entry).await.unwrap();
+        stream.resume(entry).await.unwrap();
         assert!(stream.finish().await.is_whole());
         assert_eq!(bench.executions(ASSISTANT).await.len(), 1);
     });
--- a/crates/ctl/tests/failure_stops.rs
+++ b/crates/ctl/tests/failure_stops.rs
@@ -68,12 +68,10 @@
     run("entry-stops", async |mut bench| {
         let [first, second] = start(&mut bench).await;
         let own = begun(first, "own").await;
-        let passed_on = begun(first, "passed on")
-            .await
-            .resume(second)
-            .await
-            .unwrap();
-        let through = begun(second, "through").await.resume(first).await.unwrap();
+        let mut passed_on = begun(first, "passed on").await;
+        passed_on.resume(second).await.unwrap();
+        let mut through = begun(second, "through").await;
+        through.resume(first).await.unwrap();
         bench.fleet.signal("entry-1", Signal::Terminate).unwrap();
         until("the entry drains", || async {
             status(first)
