--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -89,6 +89,7 @@
     crate::report::Report,
     crate::demo::Demo,
     crate::measure::Measure,
+    crate::torture::Torture,
 ];
 
 /// Runs the command line and gives the exit code.
