--- a/crates/ctl/src/measure.rs
+++ b/crates/ctl/src/measure.rs
@@ -3,11 +3,13 @@
 //! * [`latency`]: what a call costs beside calling the runner directly
 //! * [`links`]: what an entry spends on the targets that it knows
 //! * [`records`]: what an entry spends on the records in force and on their changes
+//! * [`placement`]: time until a new model is warm
 //! * [`claims`]: transactions of the table service for each claim
 
 pub mod claims;
 pub mod latency;
 pub mod links;
+pub mod placement;
 pub mod records;
 pub mod usage;
 
@@ -39,8 +41,8 @@
 impl Command for Measure {
     const HELP: Help = Help {
         name: "measure",
-        arguments: "latency|links|records|claims",
-        about: "Measure on this machine what entries and agents cost, in a few minutes at most",
+        arguments: "WHAT",
+        about: "Measure latency, links, records, claims or placement on this machine",
     };
 
     fn declare(_options: &mut Options) {}
@@ -48,7 +50,7 @@
     fn parse(matches: &Matches) -> Result<Self, Error> {
         let what = option::single(matches, "WHAT")?;
         match what.as_str() {
-            "latency" | "links" | "records" | "claims" => Ok(Self { what }),
+            "latency" | "links" | "records" | "claims" | "placement" => Ok(Self { what }),
             _ => Err(Error::usage(format!("there is no measurement `{what}`"))),
         }
     }
@@ -61,6 +63,7 @@
             "latency" => report(&latency::run(&mut fleet).await?)?,
             "links" => report(&links::run(&mut fleet).await?)?,
             "records" => report(&records::run(&mut fleet).await?)?,
+            "placement" => report(&placement::run(&mut fleet).await?)?,
             _ => report(&claims::run(&mut fleet).await?)?,
         }
         fleet.stop()?;
--- /dev/null
+++ b/crates/ctl/src/measure/placement.rs
@@ -0,0 +1,152 @@
+//! How long a new model takes until it is warm, and how many loads are started in a minute.
+
+use crate::Error;
+use crate::deployment::{Deployment, Plan, Runner};
+use crate::fleet::Fleet;
+use crate::torture::probe::get;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use setting::Placement;
+use standin::Kind;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Engines that are free and are to load the new model.
+const FREE: usize = 8;
+/// Time that an engine takes to load a model, in milliseconds.
+const LOAD_MS: f64 = 500.0;
+/// Bounds of loads: so many in each span of milliseconds.
+const BOUNDS: [(u32, u64); 3] = [(1, 5_000), (1, 2_000), (2, 2_000)];
+/// Longest wait until all engines have the model.
+const TIMEOUT: Duration = Duration::from_secs(90);
+
+/// What one bound gave.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Point {
+    /// Loads allowed in each span.
+    loads: u32,
+    /// The span, in milliseconds.
+    every_ms: u64,
+    /// Engines that loaded the model.
+    engines: usize,
+    /// Time that an engine takes to load it, in milliseconds.
+    load_ms: f64,
+    /// From the accepted change to the first engine that has it, in milliseconds.
+    first_warm_ms: f64,
+    /// From the accepted change to the last engine that has it, in milliseconds.
+    all_warm_ms: f64,
+    /// Loads started in a minute, from the first to the last.
+    loads_per_minute: f64,
+}
+
+#[derive(Deserialize)]
+struct Held {
+    models: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Journal {
+    orders: Vec<Order>,
+}
+
+#[derive(Deserialize)]
+struct Order {
+    model: String,
+    at_us: u64,
+}
+
+/// Runs the measurement.
+///
+/// # Errors
+///
+/// [`Error::Failed`] if the processes do not serve or the model is not loaded everywhere.
+pub async fn run(fleet: &mut Fleet) -> Result<Vec<Point>, Error> {
+    let mut points = Vec::new();
+    for (loads, every_ms) in BOUNDS {
+        let placement = Placement {
+            loads,
+            every_ms,
+            ..Placement::default()
+        };
+        points.push(point(fleet, placement).await?);
+        fleet.stop()?;
+    }
+    Ok(points)
+}
+
+async fn point(fleet: &mut Fleet, placement: Placement) -> Result<Point, Error> {
+    let plan = Plan {
+        runners: (0..=FREE).map(engine).collect(),
+        placement,
+        ..Plan::default()
+    };
+    let deployment = super::start(fleet, plan, vec![service(0)]).await?;
+    // The lease is held and the engines are known once the first model is there.
+    warm(&deployment, "old", 1, Instant::now()).await?;
+    tokio::time::sleep(Duration::from_millis(placement.every_ms)).await;
+    let entry = deployment.entries[0].listen;
+    let accepted = Instant::now();
+    super::apply(entry, &deployment.token, vec![service(FREE)]).await?;
+    let first = warm(&deployment, "new", 1, accepted).await?;
+    let all = warm(&deployment, "new", FREE, accepted).await?;
+    Ok(Point {
+        loads: placement.loads,
+        every_ms: placement.every_ms,
+        engines: FREE,
+        load_ms: LOAD_MS,
+        first_warm_ms: first.as_secs_f64() * 1e3,
+        all_warm_ms: all.as_secs_f64() * 1e3,
+        loads_per_minute: per_minute(&deployment).await?,
+    })
+}
+
+fn engine(number: usize) -> Runner {
+    let vm = format!("engine-{number}");
+    let mut runner = Runner::new(&vm, "assistant", Kind::Engine, "generate");
+    runner.options.load_ms = LOAD_MS;
+    runner
+}
+
+/// The engines' service; the new model is to be on so many.
+fn service(new: usize) -> Value {
+    let model = |name, min: usize| json!({"name": name, "min": min, "max": min.max(1)});
+    json!({"schema": 2, "kind": "service", "name": "assistant", "runner": "engine",
+        "concurrency": 4, "fencing": "checked", "models": [model("old", 1), model("new", new)]})
+}
+
+/// Waits until so many engines have a model; gives the time since `start`.
+async fn warm(
+    deployment: &Deployment,
+    model: &str,
+    count: usize,
+    start: Instant,
+) -> Result<Duration, Error> {
+    loop {
+        let mut warm = 0;
+        for runner in &deployment.runners {
+            let held: Held = get(*runner, "/v1/models").await?;
+            warm += usize::from(held.models.iter().any(|held| held == model));
+        }
+        if warm >= count {
+            return Ok(start.elapsed());
+        }
+        if start.elapsed() > TIMEOUT {
+            return Err(Error::Failed {
+                reason: format!("{warm} engines of {count} have the model"),
+            });
+        }
+        tokio::time::sleep(super::PAUSE).await;
+    }
+}
+
+async fn per_minute(deployment: &Deployment) -> Result<f64, Error> {
+    let mut times = Vec::new();
+    for runner in &deployment.runners {
+        let journal: Journal = get(*runner, "/standin/orders").await?;
+        let new = journal.orders.iter().filter(|order| order.model == "new");
+        times.extend(new.map(|order| order.at_us));
+    }
+    let span = times.iter().max().zip(times.iter().min());
+    let seconds = span.map_or(0, |(last, first)| last - first) as f64 / 1e6;
+    Ok(times.len().saturating_sub(1) as f64 / seconds * 60.0)
+}
