--- a/crates/ctl/tests/failure_once.rs
+++ b/crates/ctl/tests/failure_once.rs
@@ -14,6 +14,7 @@
 use ctl::torture::runner::Plan;
 use futures::future::join_all;
 use serde_json::json;
+use standin::{Kind, Options};
 use std::net::SocketAddr;
 
 fn print(name: &str) -> Ask {
@@ -124,6 +125,30 @@
     });
 }
 
+/// The entry that claimed a label's key is frozen while the label prints. A caller that comes to
+/// the other entry with the same key must get a word within a while, though nobody knows whether
+/// the frozen entry will ever wake up; once it has, the key's answer is there.
+#[test]
+fn entry_frozen() {
+    run("entry-frozen", async |mut bench| {
+        let [first, second] = start(&mut bench, 700.0).await;
+        let ask = print("claimed");
+        let caller = spawn([ask.clone()], &[first]);
+        until_runs(&bench, LABEL, 1).await;
+        bench.fleet.signal("entry-1", Signal::Stop).unwrap();
+        let told = ask.once(second).await;
+        assert_eq!(told.outcome(), Some(Outcome::Unknown), "{told:?}");
+        bench.fleet.signal("entry-1", Signal::Continue).unwrap();
+        for caller in caller {
+            let (ask, word) = caller.await.unwrap();
+            assert!(word.last().unwrap().is_whole(), "{word:?}");
+            check(&bench, LABEL, &ask, &word).await;
+        }
+        assert!(ask.once(second).await.is_whole());
+        assert_eq!(bench.executions(LABEL).await.len(), 1);
+    });
+}
+
 /// The same label is asked for by many callers at both entries at once, as a double click behind a
 /// balancer does. One execution serves them all; a second one would put one serial on two looms.
 #[test]
@@ -190,3 +215,24 @@
         }
     });
 }
+
+/// The table service takes far fewer writes than there are callers. Those that it refuses are told
+/// "not run" with a time to come back, or wait; no label is printed twice or forgotten.
+#[test]
+fn table_limited() {
+    run("table-limited", async |mut bench| {
+        let options = Options {
+            writes_per_second: 10.0,
+            ..Options::default()
+        };
+        let free = "127.0.0.1:0".parse().unwrap();
+        bench.table = standin::start(Kind::Table, free, options).await.unwrap();
+        let entries = start(&mut bench, 1.0).await;
+        let asks = (0..40).map(|number| print(&format!("label-{number}")));
+        for caller in spawn(asks, &entries) {
+            let (ask, word) = caller.await.unwrap();
+            assert!(word.last().unwrap().is_whole(), "{word:?}");
+            check(&bench, LABEL, &ask, &word).await;
+        }
+    });
+}
