An engine's first word is waited for five seconds only

An agent that is linked beside an engine which never says what it holds kept its model 'expected': new calls for a model that no engine has were accepted and waited.

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -11,6 +11,9 @@
 /// How long an answer is waited for before the engine is asked anew.
 const ASK_AGAIN: Duration = Duration::from_secs(5);
 
+/// How long an engine's first word is waited for after its link came up.
+const FIRST_WORD: Duration = Duration::from_secs(5);
+
 /// What an order is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -80,6 +83,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// When the link came up.
+    up: Option<Instant>,
     held: Option<Held>,
     /// Number of the latest question, and the question while it is open.
     number: u64,
@@ -122,9 +127,17 @@
         held.is_some_and(|held| held.models.loading.as_deref() == Some(model))
     }
 
-    /// Whether it has said what it holds since the link came up.
-    pub fn is_known(&self) -> bool {
-        self.lock().held.is_some()
+    /// Whether it is soon to say for the first time what it holds. One that stays silent is not
+    /// waited for: calls for a model that nobody has would be accepted on its account.
+    pub fn is_pending(&self) -> bool {
+        let state = self.lock();
+        let fresh = state.up.is_some_and(|up| up.elapsed() < FIRST_WORD);
+        fresh && state.held.is_none()
+    }
+
+    /// A link has come up.
+    pub fn linked(&self) {
+        self.lock().up = Some(Instant::now());
     }
 
     /// What it held when it was asked under this fencing number and after the last order to it was
--- a/crates/entry/src/service/models.rs
+++ b/crates/entry/src/service/models.rs
@@ -14,7 +14,7 @@
 pub enum Availability {
     /// An engine that takes new work has it.
     Warm,
-    /// An engine loads it, or has not yet said what it holds.
+    /// An engine loads it, or is soon to say what it holds.
     Expected,
     /// No engine has it or loads it.
     Absent,
@@ -30,7 +30,7 @@
             .filter(|target| target.is_open() && !set.drained(&target.vm.id));
         let mut expected = false;
         let warm = open.any(|target| {
-            expected |= target.engine.is_loading(model) || !target.engine.is_known();
+            expected |= target.engine.is_loading(model) || target.engine.is_pending();
             target.engine.holds(model)
         });
         match (warm, expected) {
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -235,6 +235,7 @@
     mut receiver: Receiver,
     observer: &Arc<impl Observer>,
 ) {
+    target.engine.linked();
     *target.link() = Some(sender.clone());
     target.up.send_replace(true);
     observer.changed(target, Change::Up);
--- a/crates/entry/tests/placement_plan.rs
+++ b/crates/entry/tests/placement_plan.rs
@@ -224,3 +224,15 @@
     engine.answered(number, models("old"));
     assert_eq!(engine.view(1), None);
 }
+
+/// An agent is linked and its engine never says what it holds. If it were waited for without end,
+/// every call for a model that no engine has would be accepted and wait in vain.
+#[tokio::test(start_paused = true)]
+async fn no_first_word() {
+    let target = target("e0");
+    assert!(!target.engine.is_pending());
+    target.engine.linked();
+    assert!(target.engine.is_pending());
+    advance(SPAN * 2).await;
+    assert!(!target.engine.is_pending());
+}
