--- /dev/null
+++ b/crates/platform/examples/lost_answer.rs
@@ -0,0 +1,29 @@
+//! A write whose answer is lost is settled, and takes effect once: `cargo run -p platform --example
+//! lost_answer`.
+
+use platform::settle::{Patience, TOKEN, commit};
+use platform::{Check, Error, Memory, Put, Table, Transaction};
+use serde_json::json;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<(), Error> {
+    let (table, key) = ("claim".to_owned(), "6:rework:order-77".to_owned());
+    let claim = Transaction {
+        checks: vec![Check {
+            table: table.clone(),
+            key: key.clone(),
+            revision: None,
+        }],
+        puts: vec![Put {
+            table: table.clone(),
+            key: key.clone(),
+            value: Some(json!({ TOKEN: "a" })),
+        }],
+    };
+    let memory = Memory::default();
+    memory.lose_answers(1);
+    let outcome = commit(&memory, &claim, "a", Patience::default()).await;
+    println!("{outcome:?}");
+    println!("{:?}", memory.read(&table, &key).await?);
+    Ok(())
+}
