--- a/crates/ctl/src/deployment.rs
+++ b/crates/ctl/src/deployment.rs
@@ -1,16 +1,12 @@
 //! A whole deployment on one machine: stand-ins, runners with an agent each, entries.
 
 use crate::Error;
-use crate::client::Client;
 use crate::fleet::{Fleet, Ready};
-use hyper::Method;
-use hyper::header::HeaderMap;
-use platform::{Role, Vm};
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
+use crate::listing::{draw, free, register, vm};
+use platform::Role;
 use setting::{Operator, Place, Placement, Platform, Policy};
 use standin::{Kind, Options};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 
 /// Region of all processes.
 const REGION: &str = "ee-north";
@@ -131,14 +127,13 @@
     }
 
     async fn start_runners(&mut self, fleet: &mut Fleet) -> Result<(), Error> {
-        let list = Client::plain(self.platform.vms);
         for (index, runner) in self.plan.runners.clone().iter().enumerate() {
             let place = place(index);
             let name = format!("{}-runner", runner.vm);
             let address = fleet.standin(&name, runner.kind, &runner.options)?;
             let ready = fleet.agent(&self.agent(runner, &place, address))?;
             let vm = vm(&runner.vm, Role::Target, &runner.service, &place, ready);
-            register(&list, &vm).await?;
+            register(self.platform.vms, &vm).await?;
             self.runners.push(address);
             self.agents.push(ready);
         }
@@ -146,11 +141,10 @@
     }
 
     async fn start_entries(&mut self, fleet: &mut Fleet) -> Result<(), Error> {
-        let list = Client::plain(self.platform.vms);
         for (index, id) in self.plan.entries.clone().iter().enumerate() {
             let place = place(index);
             let ready = fleet.entry(&self.entry(id, &place))?;
-            register(&list, &vm(id, Role::Entry, "", &place, ready)).await?;
+            register(self.platform.vms, &vm(id, Role::Entry, "", &place, ready)).await?;
             self.entries.push(ready);
         }
         Ok(())
@@ -201,42 +195,3 @@
         domain: DOMAINS[index % DOMAINS.len()].to_owned(),
     }
 }
-
-fn draw() -> String {
-    format!("{:032x}", StdRng::from_os_rng().random::<u128>())
-}
-
-fn free() -> SocketAddr {
-    (Ipv4Addr::LOCALHOST, 0).into()
-}
-
-fn vm(id: &str, role: Role, service: &str, place: &Place, ready: Ready) -> Vm {
-    Vm {
-        id: id.to_owned(),
-        incarnation: 1,
-        role,
-        service: service.to_owned(),
-        region: place.region.clone(),
-        domain: place.domain.clone(),
-        address: ready.listen,
-        news: ready.news,
-        leaving: false,
-    }
-}
-
-/// Adds a VM to the stand-in's list, as the platform does when it starts one.
-async fn register(list: &Client, vm: &Vm) -> Result<(), Error> {
-    let body = serde_json::to_vec(vm).map_err(|error| Error::Failed {
-        reason: error.to_string(),
-    })?;
-    let path = "/standin/vm";
-    let answer = list
-        .call(Method::POST, path, HeaderMap::new(), body.into())
-        .await?;
-    match answer.status.is_success() {
-        true => Ok(()),
-        false => Err(Error::Refused {
-            problem: answer.problem(),
-        }),
-    }
-}
--- /dev/null
+++ b/crates/ctl/src/experiment/shared.rs
@@ -0,0 +1,104 @@
+//! What all processes of one deployment share, and the settings made of it.
+
+use super::deployment::{Deployment, Service};
+use crate::Error;
+use crate::fleet::Fleet;
+use crate::listing::{draw, free};
+use setting::{Operator, Place, Platform, Policy};
+use standin::{Kind, Options};
+use std::net::SocketAddr;
+
+/// How often entries read the list of VMs and the change log, in milliseconds.
+const POLL_MS: u64 = 500;
+/// Calls that wait for a runner.
+const QUEUE: u32 = 32;
+
+/// What all processes of a deployment share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    region: &'static str,
+    pub(super) platform: Platform,
+    key: String,
+    pub(super) token: String,
+    policy: Policy,
+}
+
+impl Shared {
+    /// Starts the platform's stand-ins and draws the key and the operator's token.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if a stand-in does not serve.
+    pub(super) fn start(
+        fleet: &mut Fleet,
+        deployment: &Deployment,
+        policy: Policy,
+    ) -> Result<Self, Error> {
+        let options = Options::default();
+        Ok(Self {
+            region: deployment.region,
+            platform: Platform {
+                table: fleet.standin("table", Kind::Table, &options)?,
+                objects: fleet.standin("object", Kind::Object, &options)?,
+                vms: fleet.standin("vm", Kind::Vm, &options)?,
+                weights: None,
+            },
+            key: draw(),
+            token: draw(),
+            policy,
+        })
+    }
+
+    fn place(&self, domain: &str) -> Place {
+        Place {
+            region: self.region.to_owned(),
+            domain: domain.to_owned(),
+        }
+    }
+
+    /// Settings of an entry.
+    pub(super) fn entry(&self, id: &str, domain: &str) -> setting::Entry {
+        setting::Entry {
+            id: id.to_owned(),
+            place: self.place(domain),
+            listen: free(),
+            metrics: free(),
+            platform: self.platform.clone(),
+            key: self.key.clone(),
+            operators: vec![Operator {
+                name: "experiment".to_owned(),
+                token: self.token.clone(),
+            }],
+            tls: None,
+            policy: self.policy,
+            vms_poll_ms: POLL_MS,
+            head_poll_ms: POLL_MS,
+            news: None,
+            placement: setting::Placement::default(),
+        }
+    }
+
+    /// Settings of the agent beside a runner.
+    pub(super) fn agent(
+        &self,
+        id: &str,
+        domain: &str,
+        service: &Service,
+        runner: SocketAddr,
+    ) -> setting::Agent {
+        setting::Agent {
+            id: id.to_owned(),
+            place: self.place(domain),
+            listen: free(),
+            metrics: free(),
+            platform: self.platform.clone(),
+            key: self.key.clone(),
+            service: service.name.to_owned(),
+            runner,
+            concurrency: service.concurrency,
+            queue: QUEUE,
+            policy: self.policy,
+            news: None,
+        }
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,7 +3,8 @@
 //! * [`command`]: commands of `linnetdrift` and their common options
 //! * [`daemon`]: roles of `linnetdriftd`
 //! * [`client`], [`operator`]: calls to entries
-//! * [`demo`], [`fleet`]: a whole deployment on one machine
+//! * [`demo`], [`deployment`], [`fleet`], [`listing`]: a whole deployment on one machine
+//! * [`load`], [`experiment`], [`measure`], [`report`]: load, and what it shows
 //! * [`torture`]: a deployment under faults, for the soak and the failure tests
 //! * [`error`]: what can go wrong, with the exit codes
 
@@ -22,6 +23,7 @@
 pub mod fleet;
 pub mod get;
 pub mod history;
+pub mod listing;
 pub mod load;
 pub mod measure;
 pub mod operator;
