--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -4,6 +4,10 @@
 //! has granted it. Before the grant the entry may say *not run* at any time, because an agent
 //! that wakes up with the old offer will be denied. After the grant only the agent's own word
 //! makes it *not run*; without that word the outcome is *unknown*.
+//!
+//! An attempt is offered once. Offered again after a grant, it could be refused in truth by a
+//! restarted agent although the agent's earlier life had run it; and a grant goes out on the link
+//! that the question came on, so that it never reaches a later life of the agent.
 
 use crate::id::Sequence;
 
--- a/crates/protocol/src/claim.rs
+++ b/crates/protocol/src/claim.rs
@@ -58,7 +58,8 @@
     Answered(RequestId),
     /// The key was used for a call with other content; nothing was run.
     Mismatch,
-    /// The table could not be written: *not run*.
+    /// The table could not be written: *not run*. The claim may still have to be cleaned up: until
+    /// [`Claim::is_settled`], feed [`Event::Retry`] and carry out what follows.
     Unavailable,
 }
 
