Stage: whole answers over lost, repeated and cut messages

Agents that send an answer in pieces, with retries and hedges, over a schedule of faults: what is committed is every chunk once and in order, and an undisturbed attempt always ends the stage.

--- a/crates/protocol/tests/stage_twin.rs
+++ b/crates/protocol/tests/stage_twin.rs
@@ -167,6 +167,84 @@
     }
 }
 
+/// What one step of the schedule does to the attempt that it picks.
+#[derive(Clone, Copy, Debug)]
+enum Delivery {
+    /// Its next message arrives.
+    Next,
+    /// Its last message arrives again.
+    Again,
+    /// Its next message is lost on the way.
+    Skip,
+    /// It ends without a word.
+    Cut,
+}
+
+fn delivery() -> impl Strategy<Value = Delivery> {
+    prop_oneof![
+        12 => Just(Delivery::Next),
+        2 => Just(Delivery::Again),
+        1 => Just(Delivery::Skip),
+        1 => Just(Delivery::Cut),
+    ]
+}
+
+/// Messages of an agent that sends chunks `first` to `chunks`, one byte each, and the end mark.
+fn answer(first: Sequence, chunks: Sequence) -> Vec<call::Event> {
+    let length = u64::from(chunks - first);
+    let chunk = |sequence| call::Event::Chunk {
+        sequence,
+        length: 1,
+    };
+    let done = call::Event::Done { chunks, length };
+    (first..chunks).map(chunk).chain([done]).collect()
+}
+
+/// A stage whose attempts all try to send the same answer; a new one starts when none is left.
+struct Run {
+    stage: Stage,
+    sent: Vec<(Vec<call::Event>, usize)>,
+    taken: Vec<(Attempt, Sequence)>,
+    chunks: Sequence,
+}
+
+impl Run {
+    fn start(&mut self) {
+        if let Some((_, first)) = self.stage.start() {
+            self.sent.push((answer(first, self.chunks), 0));
+        }
+    }
+
+    fn deliver(&mut self, attempt: usize, delivery: Delivery) {
+        let Some((messages, position)) = self.sent.get_mut(attempt) else {
+            return;
+        };
+        let event = match delivery {
+            Delivery::Next => messages.get(*position),
+            Delivery::Again => messages.get(position.wrapping_sub(1)),
+            Delivery::Skip => None,
+            Delivery::Cut => Some(&call::Event::Lost),
+        };
+        *position += usize::from(matches!(delivery, Delivery::Next | Delivery::Skip));
+        let Some(event) = event.copied() else { return };
+        let attempt = attempt as Attempt;
+        let accepted = self
+            .stage
+            .on(attempt, event)
+            .contains(&Some(Action::Accept));
+        if let call::Event::Chunk { sequence, .. } = event {
+            self.taken.extend(accepted.then_some((attempt, sequence)));
+        }
+    }
+
+    /// What the caller gets if the stage is whole.
+    fn output(&self, stream: bool) -> Option<Vec<Sequence>> {
+        let winner = self.stage.committed()?;
+        let part = |(attempt, _): &&(Attempt, Sequence)| stream || *attempt == winner;
+        Some(self.taken.iter().filter(part).map(|(_, s)| *s).collect())
+    }
+}
+
 proptest! {
     #![proptest_config(config())]
 
@@ -205,4 +283,32 @@
             prop_assert_eq!(shipped, sight(mode, &history[..=i]));
         }
     }
+
+    /// Agents send an answer in pieces that are lost, repeated and cut short, and a hedge or retry
+    /// sends it again. What is committed is every chunk once and in order; and an attempt that
+    /// nothing happens to always brings the stage to its end.
+    #[test]
+    fn whole_answer(
+        stream: bool,
+        chunks in 0..6_u32,
+        schedule in prop::collection::vec((0..3_usize, delivery(), any::<bool>()), 0..60),
+    ) {
+        let mode = Mode { repeatable: true, stream };
+        let (sent, taken) = (Vec::new(), Vec::new());
+        let mut run = Run { stage: Stage::new(mode), sent, taken, chunks };
+        for (attempt, delivery, hedge) in schedule {
+            if run.stage.live().next().is_none() || (hedge && run.sent.len() < 3) {
+                run.start();
+            }
+            run.deliver(attempt, delivery);
+        }
+        for attempt in 0..run.sent.len() {
+            run.deliver(attempt, Delivery::Cut);
+        }
+        run.start();
+        let last = run.sent.len() - usize::from(!run.sent.is_empty());
+        (0..=chunks).for_each(|_| run.deliver(last, Delivery::Next));
+        prop_assert_eq!(run.stage.end(), Some(End::Whole));
+        prop_assert_eq!(run.output(stream), Some((0..chunks).collect()));
+    }
 }
