An attempt is counted only once its link is open

Found by reading: where the link was lost between the choice of a target and the opening of the call, the state machine had counted an attempt that was never sent, later attempts were one off against the table of tries, and a repeatable stage would end unknown. The window is too short for a test of the processes; the order of the steps now leaves no such state.

--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -152,6 +152,9 @@
 
     /// Sends an attempt to a target, if one would take it.
     async fn start(&mut self, turn: Option<Turn>) -> Result<bool, End> {
+        if !self.machine.may_start() {
+            return Err(self.end());
+        }
         let set = self.core.config.current();
         let chosen = {
             let rng = &mut rand::rng();
@@ -160,16 +163,18 @@
         let Some(target) = chosen else {
             return Ok(false);
         };
-        let Some((attempt, resume)) = self.machine.start() else {
-            self.service.returned(&target.vm.id, None, false);
-            return Err(self.end());
-        };
-        let call = self.call(attempt);
-        let Some(link) = target.open(call, self.inbox.clone()) else {
+        // The link is opened before the machine takes the attempt in: an attempt that it counts and
+        // that was never sent would shift the numbers of all later ones against `tries`.
+        let due = Attempt::try_from(self.tries.len()).unwrap_or(Attempt::MAX);
+        let call = self.call(due);
+        let link = target.open(call, self.inbox.clone());
+        let Some(link) = link else {
             self.service.returned(&target.vm.id, None, false);
-            self.machine.on(attempt, Event::Lost);
             return Ok(false);
         };
+        let Some((_, resume)) = self.machine.start() else {
+            return Err(self.end());
+        };
         let offer = Frame::Offer {
             call,
             work: Box::new(self.work(resume)),
