--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -6,6 +6,7 @@
 //! * [`scenario`]: what is sent, and what goes wrong when
 //! * [`deployment`]: services, runners and requests of the two deployments
 //! * [`system`]: the processes of one deployment
+//! * `settings`: what they are set to
 //! * [`fault`]: carries out what goes wrong
 //! * [`arm`]: one deployment under one policy, from its start to its figures
 //! * [`ground`]: what the runners say that they ran
@@ -17,6 +18,7 @@
 pub mod ground;
 pub mod outcome;
 pub mod scenario;
+mod settings;
 pub mod system;
 
 use crate::command::{Command, Help};
--- /dev/null
+++ b/crates/ctl/src/experiment/settings.rs
@@ -0,0 +1,122 @@
+//! Settings of a deployment's processes.
+
+use super::deployment::{Deployment, Service};
+use crate::Error;
+use crate::fleet::{Fleet, Ready};
+use platform::{Role, Vm};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use setting::{Operator, Place, Platform, Policy};
+use standin::{Kind, Options};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// How often entries read the list of VMs and the change log, in milliseconds.
+const POLL_MS: u64 = 500;
+/// Calls that wait for a runner.
+const QUEUE: u32 = 32;
+
+/// What all processes of a deployment share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    region: &'static str,
+    pub(super) platform: Platform,
+    key: String,
+    pub(super) token: String,
+    policy: Policy,
+}
+
+impl Shared {
+    fn place(&self, domain: &str) -> Place {
+        Place {
+            region: self.region.to_owned(),
+            domain: domain.to_owned(),
+        }
+    }
+
+    /// Settings of an entry.
+    pub(super) fn entry(&self, id: &str, domain: &str) -> setting::Entry {
+        setting::Entry {
+            id: id.to_owned(),
+            place: self.place(domain),
+            listen: free(),
+            metrics: free(),
+            platform: self.platform.clone(),
+            key: self.key.clone(),
+            operators: vec![Operator {
+                name: "experiment".to_owned(),
+                token: self.token.clone(),
+            }],
+            tls: None,
+            policy: self.policy,
+            vms_poll_ms: POLL_MS,
+            head_poll_ms: POLL_MS,
+            news: None,
+            placement: setting::Placement::default(),
+        }
+    }
+
+    /// Settings of an agent.
+    pub(super) fn agent(
+        &self,
+        id: &str,
+        domain: &str,
+        service: &Service,
+        runner: SocketAddr,
+    ) -> setting::Agent {
+        setting::Agent {
+            id: id.to_owned(),
+            place: self.place(domain),
+            listen: free(),
+            metrics: free(),
+            platform: self.platform.clone(),
+            key: self.key.clone(),
+            service: service.name.to_owned(),
+            runner,
+            concurrency: service.concurrency,
+            queue: QUEUE,
+            policy: self.policy,
+            news: None,
+        }
+    }
+
+    /// A VM as the platform lists it.
+    pub(super) fn vm(&self, id: &str, role: Role, service: &str, domain: &str, ready: Ready) -> Vm {
+        Vm {
+            id: id.to_owned(),
+            incarnation: 1,
+            role,
+            service: service.to_owned(),
+            region: self.region.to_owned(),
+            domain: domain.to_owned(),
+            address: ready.listen,
+            news: ready.news,
+            leaving: false,
+        }
+    }
+}
+
+/// Starts the platform's stand-ins and draws the secrets.
+pub(super) fn start(
+    fleet: &mut Fleet,
+    deployment: &Deployment,
+    policy: Policy,
+) -> Result<Shared, Error> {
+    let draw = || format!("{:032x}", StdRng::from_os_rng().random::<u128>());
+    let options = Options::default();
+    Ok(Shared {
+        region: deployment.region,
+        platform: Platform {
+            table: fleet.standin("table", Kind::Table, &options)?,
+            objects: fleet.standin("object", Kind::Object, &options)?,
+            vms: fleet.standin("vm", Kind::Vm, &options)?,
+            weights: None,
+        },
+        key: draw(),
+        token: draw(),
+        policy,
+    })
+}
+
+fn free() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
--- a/crates/ctl/src/experiment/system.rs
+++ b/crates/ctl/src/experiment/system.rs
@@ -2,21 +2,20 @@
 
 use super::deployment::{Deployment, Service};
 use super::scenario::Plan;
+use super::settings::{self, Shared};
 use crate::client::Client;
-use crate::fleet::{Fleet, Ready};
+use crate::fleet::Fleet;
 use crate::{Error, option};
 use bytes::Bytes;
 use hyper::Method;
 use hyper::header::HeaderMap;
 use platform::{Role, Vm};
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use setting::{Operator, Place, Platform, Policy};
-use standin::{Faults, Kind, Options};
+use setting::Policy;
+use standin::Faults;
 use std::collections::HashSet;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
@@ -24,10 +23,6 @@
 
 /// Entries of a deployment, each in a failure domain of its own.
 const ENTRIES: usize = 2;
-/// How often entries read the list of VMs and the change log, in milliseconds.
-const POLL_MS: u64 = 500;
-/// Calls that wait for a runner.
-const QUEUE: u32 = 32;
 /// Longest wait until the entries know all targets and the records.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Wait between two looks.
@@ -56,16 +51,6 @@
     dead: HashSet<usize>,
 }
 
-/// What all processes of a deployment share.
-#[derive(Debug)]
-struct Shared {
-    region: &'static str,
-    platform: Platform,
-    key: String,
-    token: String,
-    policy: Policy,
-}
-
 impl System {
     /// Starts all processes, applies the records and waits until every entry serves every target.
     ///
@@ -82,7 +67,7 @@
         let name = format!("linnetdrift-experiment-{}", std::process::id());
         let directory = std::env::temp_dir().join(name);
         let mut fleet = Fleet::new(&directory)?;
-        let shared = shared(&mut fleet, deployment, policy)?;
+        let shared = settings::start(&mut fleet, deployment, policy)?;
         let mut system = Self {
             fleet,
             directory,
@@ -288,90 +273,6 @@
     }
 }
 
-impl Shared {
-    fn place(&self, domain: &str) -> Place {
-        Place {
-            region: self.region.to_owned(),
-            domain: domain.to_owned(),
-        }
-    }
-
-    fn entry(&self, id: &str, domain: &str) -> setting::Entry {
-        setting::Entry {
-            id: id.to_owned(),
-            place: self.place(domain),
-            listen: free(),
-            metrics: free(),
-            platform: self.platform.clone(),
-            key: self.key.clone(),
-            operators: vec![Operator {
-                name: "experiment".to_owned(),
-                token: self.token.clone(),
-            }],
-            tls: None,
-            policy: self.policy,
-            vms_poll_ms: POLL_MS,
-            head_poll_ms: POLL_MS,
-            news: None,
-            placement: setting::Placement::default(),
-        }
-    }
-
-    fn agent(
-        &self,
-        id: &str,
-        domain: &str,
-        service: &Service,
-        runner: SocketAddr,
-    ) -> setting::Agent {
-        setting::Agent {
-            id: id.to_owned(),
-            place: self.place(domain),
-            listen: free(),
-            metrics: free(),
-            platform: self.platform.clone(),
-            key: self.key.clone(),
-            service: service.name.to_owned(),
-            runner,
-            concurrency: service.concurrency,
-            queue: QUEUE,
-            policy: self.policy,
-            news: None,
-        }
-    }
-
-    fn vm(&self, id: &str, role: Role, service: &str, domain: &str, ready: Ready) -> Vm {
-        Vm {
-            id: id.to_owned(),
-            incarnation: 1,
-            role,
-            service: service.to_owned(),
-            region: self.region.to_owned(),
-            domain: domain.to_owned(),
-            address: ready.listen,
-            news: ready.news,
-            leaving: false,
-        }
-    }
-}
-
-fn shared(fleet: &mut Fleet, deployment: &Deployment, policy: Policy) -> Result<Shared, Error> {
-    let draw = || format!("{:032x}", StdRng::from_os_rng().random::<u128>());
-    let options = Options::default();
-    Ok(Shared {
-        region: deployment.region,
-        platform: Platform {
-            table: fleet.standin("table", Kind::Table, &options)?,
-            objects: fleet.standin("object", Kind::Object, &options)?,
-            vms: fleet.standin("vm", Kind::Vm, &options)?,
-            weights: None,
-        },
-        key: draw(),
-        token: draw(),
-        policy,
-    })
-}
-
 fn runner_name(id: &str) -> String {
     format!("{id}-runner")
 }
@@ -382,10 +283,6 @@
     targets.filter(|target| target["state"] == "live").count()
 }
 
-fn free() -> SocketAddr {
-    (Ipv4Addr::LOCALHOST, 0).into()
-}
-
 async fn post(address: SocketAddr, path: &str, body: &impl serde::Serialize) -> Result<(), Error> {
     let body = serde_json::to_vec(body).map_err(|error| failed(error.to_string()))?;
     let client = Client::plain(address);
