Soak: what a crashed runner had under way ends with it

Cause: the bench kept the log of a crashed runner with executions marked as running. Ruled out: the product; no count that must be 0 could be printed, since the soak stopped before.

--- a/crates/ctl/src/torture/bench.rs
+++ b/crates/ctl/src/torture/bench.rs
@@ -12,7 +12,7 @@
 use platform::{Role, Vm};
 use serde_json::{Value, json};
 use setting::{Operator, Platform, Policy};
-use standin::log::Execution;
+use standin::log::{Ended, Execution};
 use standin::{Kind, Options, Server};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -157,7 +157,10 @@
     /// [`Error::Failed`] if there is no such runner.
     pub async fn crash_runner(&mut self, id: &str) -> Result<(), Error> {
         let index = self.index(id)?;
-        let log = self.runners[index].log().await;
+        let mut log = self.runners[index].log().await;
+        // What was under way ends with the runner.
+        let running = log.iter_mut().filter(|one| one.ended == Ended::Running);
+        running.for_each(|one| one.ended = Ended::Cut);
         let runner = &mut self.runners[index];
         runner.past = log;
         runner.server.take();
