--- a/crates/ctl/src/experiment/outcome.rs
+++ b/crates/ctl/src/experiment/outcome.rs
@@ -1,8 +1,8 @@
 //! The figures of an experiment, as they are printed.
 
 use super::deployment::Deployment;
-use super::ground::Ground;
-use crate::load::tally::{Counts, Quantiles, Tally};
+use super::ground::{Ground, Prefix};
+use crate::load::tally::{Counts, Quantiles, Second, Tally};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -41,8 +41,14 @@
     pub by_workspace: BTreeMap<String, Counts>,
     /// By pipeline.
     pub by_pipeline: BTreeMap<String, Counts>,
+    /// By second since the start.
+    #[serde(default)]
+    pub by_second: Vec<Second>,
     /// Longest backlogs of the engines, by deployment.
     pub engine_backlog: BTreeMap<String, Backlog>,
+    /// Prefix blocks of the engines' calls, by deployment.
+    #[serde(default)]
+    pub prefix: BTreeMap<String, Prefix>,
     /// Executions of each runner.
     pub runs: BTreeMap<String, u64>,
 }
@@ -66,6 +72,7 @@
     wasted: BTreeMap<String, u64>,
     runs: BTreeMap<String, u64>,
     backlog: Backlog,
+    prefix: Prefix,
 }
 
 impl Part {
@@ -86,6 +93,7 @@
             wasted: ground.wasted(),
             runs: ground.runs().clone(),
             backlog: backlog(peaks),
+            prefix: ground.prefix(),
             tally,
         }
     }
@@ -115,7 +123,9 @@
             itl_ms: Quantiles::default(),
             by_workspace: BTreeMap::new(),
             by_pipeline: BTreeMap::new(),
+            by_second: Vec::new(),
             engine_backlog: BTreeMap::new(),
+            prefix: BTreeMap::new(),
             runs: BTreeMap::new(),
         };
         for part in parts {
@@ -128,6 +138,7 @@
                 .extend(part.wasted.into_iter().map(|(key, runs)| (path(key), runs)));
             arm.runs
                 .extend(part.runs.into_iter().map(|(key, runs)| (path(key), runs)));
+            arm.prefix.insert(part.name.to_owned(), part.prefix);
             arm.engine_backlog
                 .insert(part.name.to_owned(), part.backlog);
         }
@@ -139,6 +150,7 @@
             itl_ms: summary.itl_ms,
             by_workspace: summary.by_workspace,
             by_pipeline: summary.by_pipeline,
+            by_second: summary.by_second,
             ..arm
         }
     }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,22 +1,27 @@
 //! What the parts of an entry share.
 
+use crate::answers::Answers;
 use crate::budgets::Budgets;
 use crate::claim::Claims;
 use crate::config::Config;
-use crate::job::Jobs;
+use crate::execute;
+use crate::job::Job;
+use crate::journal::Journal;
 use crate::news::Exchange;
 use crate::peers::Peers;
+use crate::placement::lease::Lease;
 use crate::prefix;
 use crate::service::Demand;
 use crate::services::Services;
 use crate::telemetry::Telemetry;
-use crate::{execute, job::Job};
+use crate::writes::Writes;
 use decide::budget::Slot;
 use platform::{Objects, Table, Vms};
 use record::service::Runner;
 use slog::Logger;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
@@ -36,6 +41,10 @@
     pub config: Config<P>,
     /// Claims on idempotency keys.
     pub claims: Claims<P>,
+    /// Name of this life of the entry; no other life of any entry has it.
+    pub life: String,
+    /// Requests that outlive their entry.
+    pub journal: Journal,
     /// Services, their targets and the links to their agents.
     pub services: Services,
     /// Time budgets of the pipelines' stages.
@@ -44,8 +53,10 @@
     pub peers: Peers,
     /// News to and from the other entries, if the settings name an address for it.
     pub exchange: OnceLock<Exchange>,
-    /// Requests that run and answers that are kept.
-    pub jobs: Jobs,
+    /// Answers of requests that run or have ended lately.
+    pub answers: Answers,
+    /// Lease on the right to give orders to engines.
+    pub lease: Lease,
     /// Counters and histograms.
     pub telemetry: Telemetry,
     /// Lines for changes of state.
@@ -60,16 +71,20 @@
     /// An entry that has not yet read anything.
     pub fn new(settings: setting::Entry, platform: P, telemetry: Telemetry, log: Logger) -> Self {
         let started = Instant::now();
+        let writes = Writes::start(platform.clone());
         Self {
             config: Config::new(platform.clone(), log.clone()),
-            claims: Claims::start(platform.clone()),
+            claims: Claims::new(platform.clone(), writes.clone()),
+            life: format!("{}/{:032x}", settings.id, rand::random::<u128>()),
+            journal: Journal::new(writes, Duration::from_millis(settings.journal_beat_ms)),
             services: Services::new(&settings, started),
             budgets: Budgets::new(settings.policy),
+            lease: Lease::new(Duration::from_millis(settings.placement.lease_ms)),
             settings,
             platform,
             peers: Peers::default(),
             exchange: OnceLock::new(),
-            jobs: Jobs::default(),
+            answers: Answers::default(),
             telemetry,
             log,
             tasks: TaskTracker::new(),
@@ -100,7 +115,8 @@
     /// What the decisions need to know of a stage of a job with this input.
     pub fn demand(&self, job: &Job, position: usize, slot: &Slot, input: &[u8]) -> Demand {
         let workspace = job.set.workspace(&job.workspace);
-        let service = job.set.service(&job.pipeline.stages[position].service);
+        let stage = &job.pipeline.stages[position];
+        let service = job.set.service(&stage.service);
         let cached = service.is_some_and(|service| service.runner == Runner::Engine);
         Demand {
             workspace: job.workspace.as_str().into(),
@@ -111,6 +127,7 @@
             } else {
                 Vec::new()
             },
+            model: stage.model.clone(),
         }
     }
 
@@ -125,10 +142,10 @@
     /// back finds its answer.
     pub fn spawn(self: &Arc<Self>, job: Arc<Job>) {
         let core = self.clone();
-        core.jobs.insert(job.clone());
+        core.answers.insert(job.answer.clone());
         self.tasks.spawn(async move {
             execute::run(&core, &job).await;
-            core.jobs.keep(&job);
+            core.answers.ended(&job.answer);
         });
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,30 +5,38 @@
 //! * [`core`]: what the parts of an entry share
 //! * [`server`]: listener, TLS and routes
 //! * [`caller`]: callers' interface; [`operator`]: operators' interface; [`problem`]: their errors
-//! * [`job`] and [`answer`]: one accepted request and what its caller gets
+//! * [`job`], [`answer`] and [`answers`]: one accepted request, what its caller gets, and for how
+//!   long it is kept
 //! * [`execute`]: a job from admission to its end; [`stage`]: one stage with all its attempts
-//! * [`claim`] and [`kept`]: idempotency keys and the answers kept for them
+//! * [`claim`], [`journal`] and [`kept`]: idempotency keys, durable requests, the answers kept for
+//!   them; [`writes`]: their rows, many in one transaction
 //! * [`target`], [`service`], [`services`] and [`discovery`]: links to agents and who gets work
+//! * [`engine`]: what a target's engine holds
 //! * [`fields`]: what a later stage is given
 //! * [`budgets`] and [`prefix`]: what the decisions are fed with
 //! * [`peers`] and [`news`]: the other entries
 //! * [`config`]: records in force, the change log and accepted changes
+//! * [`placement`]: orders to engines, under a lease
 //! * [`telemetry`]: counters and histograms
 
 pub mod answer;
+pub mod answers;
 pub mod budgets;
 pub mod caller;
 pub mod claim;
 pub mod config;
 pub mod core;
 pub mod discovery;
+pub mod engine;
 pub mod execute;
 pub mod fields;
 pub mod job;
+pub mod journal;
 pub mod kept;
 pub mod news;
 pub mod operator;
 pub mod peers;
+pub mod placement;
 pub mod prefix;
 pub mod problem;
 pub mod run;
@@ -38,6 +46,7 @@
 pub mod stage;
 pub mod target;
 pub mod telemetry;
+pub mod writes;
 
 pub use core::Core;
 pub use run::{Error, Ready, run};
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -3,6 +3,7 @@
 use crate::answer::End;
 use crate::core::{Core, Platform};
 use crate::job::Job;
+use crate::service::models::Availability;
 use crate::service::{Demand, Service, Turn};
 use crate::target::{Inbox, Message, Target};
 use bytes::{Bytes, BytesMut};
@@ -186,14 +187,22 @@
         Ok(true)
     }
 
+    /// Identity of an attempt. Each entry that runs the request numbers its attempts apart: an
+    /// agent that still has an attempt of the entry before would take the offer for a duplicate
+    /// and never answer it.
     fn call(&self, attempt: Attempt) -> CallId {
         CallId {
             request: self.job.id,
             stage: self.position,
-            attempt,
+            attempt: self.job.first_attempt.wrapping_add(attempt),
         }
     }
 
+    /// Number of an attempt within this run.
+    fn attempt(&self, call: CallId) -> Attempt {
+        call.attempt.wrapping_sub(self.job.first_attempt)
+    }
+
     fn work(&self, resume: protocol::Sequence) -> Work {
         Work {
             workspace: self.job.workspace.clone(),
@@ -208,6 +217,7 @@
             resume,
             revision: self.job.set.revision(),
             input: self.input.clone(),
+            model: self.spec.model.clone(),
         }
     }
 
@@ -265,10 +275,10 @@
             Message::Frame(call, frame) => (call, Some(frame)),
             Message::Lost(call) => (call, None),
         };
-        if frame.is_none() && self.recall(call.attempt).await {
+        if frame.is_none() && self.recall(self.attempt(call)).await {
             return None;
         }
-        let actions = self.machine.on(call.attempt, event(frame.as_ref()));
+        let actions = self.machine.on(self.attempt(call), event(frame.as_ref()));
         for action in actions.into_iter().flatten() {
             if let Some(output) = self.act(call, action, frame.as_ref()).await {
                 return Some(output);
@@ -279,7 +289,7 @@
 
     /// Carries out what the state machine asks for; gives the output once it is committed.
     async fn act(&mut self, call: CallId, action: Action, frame: Option<&Frame>) -> Option<Output> {
-        let index = usize::from(call.attempt);
+        let index = usize::from(self.attempt(call));
         let link = self.tries.get(index)?.link.clone();
         // A link that fails while something is sent tells the inbox.
         let _ = match action {
@@ -352,6 +362,12 @@
         let id = target.vm.id.as_str();
         self.tried.push(id.into());
         let outcome = match end {
+            // The agent answers at once for a runner that is gone, and would look idle: every call
+            // would go there first.
+            call::End::NotRun if is_unreachable(frame) => {
+                self.service.failed(id);
+                "not_run"
+            }
             call::End::NotRun => {
                 let (load, full) = refusal(frame);
                 self.service.returned(id, load, full);
@@ -457,7 +473,8 @@
 
     /// Waits for a target that would take the stage; the pauses grow and differ.
     async fn rest(&mut self) -> Result<(), End> {
-        if self.began.elapsed() > PATIENCE {
+        let awaits = self.awaits_model();
+        if self.began.elapsed() > PATIENCE && !awaits {
             return Err(self.end());
         }
         let most = self.pause.min(PAUSE_MOST);
@@ -468,6 +485,22 @@
         Ok(())
     }
 
+    /// Whether the stage waits for a model that operators still want loaded. A load may take far
+    /// longer than any other wait, and the accepted request is to come late rather than never.
+    fn awaits_model(&self) -> bool {
+        let set = self.core.config.current();
+        let Some(model) = &self.spec.model else {
+            return false;
+        };
+        let availability = self.service.availability(model, &set);
+        if availability == Availability::Absent {
+            // Nobody else asks for the model on behalf of a request that is not refused.
+            self.service.missed(model);
+        }
+        let service = set.service(&self.spec.service);
+        service.is_some_and(|service| service.declares(model)) && availability != Availability::Warm
+    }
+
     /// What the caller is told when the stage is not tried again.
     fn end(&self) -> End {
         let stage = &self.spec.name;
@@ -515,6 +548,16 @@
     }
 }
 
+fn is_unreachable(frame: Option<&Frame>) -> bool {
+    matches!(
+        frame,
+        Some(Frame::Refuse {
+            reason: Refusal::Unreachable,
+            ..
+        })
+    )
+}
+
 fn refusal(frame: Option<&Frame>) -> (Option<Load>, bool) {
     match frame {
         Some(Frame::Refuse { reason, load, .. }) => (Some(*load), *reason == Refusal::Full),
