Routing by model is checked by what agents hand back

With the choice of targets by model taken out, the test still passed: engines refuse calls for models that they lack, and the entry tries elsewhere. Agents must now have handed back nothing.

--- a/crates/ctl/tests/bench/mod.rs
+++ b/crates/ctl/tests/bench/mod.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use ctl::deployment::{Deployment, Plan, Runner};
-use ctl::fleet::{Fleet, Signal};
+use ctl::fleet::{Fleet, Ready, Signal};
 use ctl::operator::Change;
 use ctl::torture::probe;
 use ctl::{Client, Common, Format, Operator};
@@ -99,11 +99,17 @@
 
     /// Whether an entry says that it holds the lease.
     pub(crate) async fn holds(&self, entry: usize) -> bool {
-        let metrics = self.deployment.entries[entry].metrics.unwrap();
-        let answer = call(metrics, Method::GET, "/metrics", Bytes::new()).await;
-        let text = String::from_utf8(answer.body.to_vec()).unwrap();
-        let held = |line: &str| line == "linnetdrift_entry_placement_lease_held 1";
-        text.lines().any(held)
+        let held = "linnetdrift_entry_placement_lease_held 1";
+        metrics(&self.deployment.entries[entry])
+            .await
+            .contains(&held.to_owned())
+    }
+
+    /// Whether an agent has handed back a call that its engine would not start.
+    pub(crate) async fn refused(&self, engine: usize) -> bool {
+        let refused = r#"linnetdrift_agent_refusals_total{reason="unreachable"}"#;
+        let lines = metrics(&self.deployment.agents[engine]).await;
+        lines.iter().any(|line| line.starts_with(refused))
     }
 
     /// The entry that holds the lease, once there is one.
@@ -179,6 +185,14 @@
     client.call(method, path, headers, body).await.unwrap()
 }
 
+/// Lines of a process's metrics.
+async fn metrics(ready: &Ready) -> Vec<String> {
+    let address = ready.metrics.unwrap();
+    let answer = call(address, Method::GET, "/metrics", Bytes::new()).await;
+    let text = String::from_utf8(answer.body.to_vec()).unwrap();
+    text.lines().map(str::to_owned).collect()
+}
+
 pub(crate) async fn get(address: SocketAddr, path: &str) -> Value {
     probe::get(address, path).await.unwrap()
 }
--- a/crates/ctl/tests/model_routing.rs
+++ b/crates/ctl/tests/model_routing.rs
@@ -53,6 +53,9 @@
     assert_eq!(run(&bench, 0, 1).await.status, 200);
     assert_eq!(executions(&bench, 2).await, before + 4);
     assert_eq!(bench.models(0).await, json!(["old"]));
+    for engine in [0, 1, 2] {
+        assert!(!bench.refused(engine).await);
+    }
     bench.stop();
 }
 
