--- a/crates/ctl/src/experiment/shared.rs
+++ b/crates/ctl/src/experiment/shared.rs
@@ -73,6 +73,7 @@
             policy: self.policy,
             vms_poll_ms: POLL_MS,
             head_poll_ms: POLL_MS,
+            journal_beat_ms: 5_000,
             news: None,
             placement: setting::Placement::default(),
         }
