--- a/crates/ctl/src/experiment/outcome.rs
+++ b/crates/ctl/src/experiment/outcome.rs
@@ -18,7 +18,7 @@
 }
 
 /// What one policy has come to over all deployments.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ArmOutcome {
     /// `naive` or `shipped`.
     pub name: String,
@@ -109,31 +109,11 @@
         let mut tally = Tally::default();
         let mut arm = Self {
             name: name.to_owned(),
-            counts: Counts::default(),
-            doubled: 0,
-            cost_by_stage: BTreeMap::new(),
-            wasted_by_stage: BTreeMap::new(),
-            latency_ms: Quantiles::default(),
-            ttft_ms: Quantiles::default(),
-            itl_ms: Quantiles::default(),
-            by_workspace: BTreeMap::new(),
-            by_pipeline: BTreeMap::new(),
-            by_second: Vec::new(),
-            engine_backlog: BTreeMap::new(),
-            runs: BTreeMap::new(),
+            ..Self::default()
         };
         for part in parts {
-            let path = |key: String| format!("{}/{key}", part.name);
             tally.merge(&part.tally);
-            arm.doubled += part.doubled;
-            arm.cost_by_stage
-                .extend(part.cost.into_iter().map(|(key, cost)| (path(key), cost)));
-            arm.wasted_by_stage
-                .extend(part.wasted.into_iter().map(|(key, runs)| (path(key), runs)));
-            arm.runs
-                .extend(part.runs.into_iter().map(|(key, runs)| (path(key), runs)));
-            arm.engine_backlog
-                .insert(part.name.to_owned(), part.backlog);
+            arm.take_in(part);
         }
         let summary = tally.summary();
         Self {
@@ -147,4 +127,18 @@
             ..arm
         }
     }
+
+    /// Adds what the runners of one deployment say, under the deployment's name.
+    fn take_in(&mut self, part: Part) {
+        let path = |key: String| format!("{}/{key}", part.name);
+        let cost = part.cost.into_iter().map(|(key, cost)| (path(key), cost));
+        let wasted = part.wasted.into_iter().map(|(key, runs)| (path(key), runs));
+        let runs = part.runs.into_iter().map(|(key, runs)| (path(key), runs));
+        self.doubled += part.doubled;
+        self.cost_by_stage.extend(cost);
+        self.wasted_by_stage.extend(wasted);
+        self.runs.extend(runs);
+        self.engine_backlog
+            .insert(part.name.to_owned(), part.backlog);
+    }
 }
--- a/crates/ctl/src/measure/claims.rs
+++ b/crates/ctl/src/measure/claims.rs
@@ -7,7 +7,7 @@
 use hyper::Method;
 use hyper::header::HeaderMap;
 use serde::Serialize;
-use serde_json::json;
+use serde_json::{Value, json};
 use standin::Kind;
 use std::net::SocketAddr;
 use tokio::time::Instant;
@@ -20,10 +20,14 @@
 /// Cost at one number of callers.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Point {
+    /// Callers that call at once.
     callers: usize,
+    /// Calls of all of them.
     calls: usize,
+    /// Calls that were answered with success.
     answered: usize,
     calls_per_second: f64,
+    /// Transactions of the table service meanwhile.
     transactions: u64,
     /// Each call claims its key and records its answer: two writes without sharing.
     transactions_per_call: f64,
@@ -35,45 +39,57 @@
 ///
 /// [`Error::Failed`] if the deployment does not serve.
 pub async fn run(fleet: &mut Fleet) -> Result<Vec<Point>, Error> {
+    let deployment = super::start(fleet, plan(), records()).await?;
+    let entry = deployment.entries[0].listen;
+    let table = deployment.platform.table;
+    let mut points = Vec::new();
+    for callers in CALLERS {
+        points.push(point(entry, table, callers).await?);
+    }
+    Ok(points)
+}
+
+fn plan() -> Plan {
     let mut runner = Runner::new("plain-a1", "plain", Kind::Plain, "print");
     runner.options.service_ms = 0.0;
     runner.options.slots = 256;
-    let plan = Plan {
+    Plan {
         runners: vec![runner],
         entries: vec!["entry-a1".to_owned()],
         concurrency: 256,
         queue: 1_024,
         ..Plan::default()
-    };
-    let records = vec![
+    }
+}
+
+fn records() -> Vec<Value> {
+    vec![
         json!({"schema": 1, "kind": "service", "name": "plain", "runner": "plain",
             "concurrency": 256}),
         json!({"schema": 1, "kind": "pipeline", "name": "print", "version": 1,
             "deadline_ms": 60_000,
             "stages": [{"name": "print", "service": "plain", "repeatable": false}]}),
-    ];
-    let deployment = super::start(fleet, plan, records).await?;
-    let entry = deployment.entries[0].listen;
-    let table = deployment.platform.table;
-    let mut points = Vec::new();
-    for callers in CALLERS {
-        let before = transactions(table).await?;
-        let began = Instant::now();
-        let runs = (0..callers).map(|caller| one(entry, callers, caller));
-        let answered: usize = futures::future::join_all(runs).await.into_iter().sum();
-        let elapsed = began.elapsed();
-        let written = transactions(table).await? - before - 1;
-        let calls = callers * CALLS;
-        points.push(Point {
-            callers,
-            calls,
-            answered,
-            calls_per_second: calls as f64 / elapsed.as_secs_f64(),
-            transactions: written,
-            transactions_per_call: written as f64 / calls as f64,
-        });
-    }
-    Ok(points)
+    ]
+}
+
+/// The cost at one number of callers.
+async fn point(entry: SocketAddr, table: SocketAddr, callers: usize) -> Result<Point, Error> {
+    let before = transactions(table).await?;
+    let began = Instant::now();
+    let runs = (0..callers).map(|caller| one(entry, callers, caller));
+    let answered: usize = futures::future::join_all(runs).await.into_iter().sum();
+    let elapsed = began.elapsed();
+    // The probe that reads the number is a transaction itself.
+    let transactions = transactions(table).await? - before - 1;
+    let calls = callers * CALLS;
+    Ok(Point {
+        callers,
+        calls,
+        answered,
+        calls_per_second: calls as f64 / elapsed.as_secs_f64(),
+        transactions,
+        transactions_per_call: transactions as f64 / calls as f64,
+    })
 }
 
 /// Calls one after the other, each with a key of its own; gives the number answered.
@@ -108,6 +124,6 @@
             probe.to_string().into(),
         )
         .await?;
-    let body: serde_json::Value = answer.json()?;
+    let body: Value = answer.json()?;
     Ok(body["revision"].as_u64().unwrap_or_default())
 }
--- a/crates/ctl/src/measure/records.rs
+++ b/crates/ctl/src/measure/records.rs
@@ -5,6 +5,8 @@
 use crate::deployment::Plan;
 use crate::fleet::Fleet;
 use serde::Serialize;
+use serde_json::Value;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -18,6 +20,7 @@
 /// Cost at one number of records.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Point {
+    /// Workspace records in force.
     records: usize,
     /// Processor time of the entry that accepts a change, in milliseconds.
     accept_ms: f64,
@@ -41,30 +44,20 @@
         ..Plan::default()
     };
     let deployment = super::start(fleet, plan, vec![super::workspace(0)]).await?;
-    let [first, second] = [0, 1].map(|index| deployment.entries[index].listen);
     let [accepts, follows] =
         ["entry-a1", "entry-b1"].map(|name| fleet.id(name).unwrap_or_default());
-    let mut revision = 1_u64;
-    let mut known = 1;
+    let mut pair = Pair {
+        accepts: deployment.entries[0].listen,
+        follows: deployment.entries[1].listen,
+        token: deployment.token,
+        revision: 1,
+        records: 1,
+    };
     let mut points = Vec::new();
     for size in SIZES {
-        while known < size {
-            let next = (known + BATCH).min(size);
-            let batch = (known..next).map(super::workspace).collect();
-            super::apply(first, &deployment.token, batch).await?;
-            revision += 1;
-            known = next;
-        }
-        super::until(second, |status| status["revision"] == revision).await?;
+        pair.grow(size).await?;
         let before = [accepts, follows].map(usage::of);
-        let mut worst = Duration::ZERO;
-        for _ in 0..CHANGES {
-            super::apply(first, &deployment.token, vec![super::workspace(0)]).await?;
-            revision += 1;
-            let accepted = Instant::now();
-            super::until(second, |status| status["revision"] == revision).await?;
-            worst = worst.max(accepted.elapsed());
-        }
+        let worst = pair.change().await?;
         let after = [accepts, follows].map(usage::of);
         points.push(Point {
             records: size,
@@ -76,3 +69,51 @@
     }
     Ok(points)
 }
+
+/// An entry that accepts changes and one that follows.
+struct Pair {
+    accepts: SocketAddr,
+    follows: SocketAddr,
+    token: String,
+    /// Revision of the last change.
+    revision: u64,
+    /// Workspace records so far.
+    records: usize,
+}
+
+impl Pair {
+    /// Adds records until there are so many, and waits until both entries have them.
+    async fn grow(&mut self, size: usize) -> Result<(), Error> {
+        while self.records < size {
+            let next = (self.records + BATCH).min(size);
+            let batch = (self.records..next).map(super::workspace).collect();
+            self.apply(batch).await?;
+            self.records = next;
+        }
+        self.in_force().await
+    }
+
+    /// Makes the changes that are measured and gives the longest time until one is in force at the
+    /// entry that follows.
+    async fn change(&mut self) -> Result<Duration, Error> {
+        let mut worst = Duration::ZERO;
+        for _ in 0..CHANGES {
+            self.apply(vec![super::workspace(0)]).await?;
+            let accepted = Instant::now();
+            self.in_force().await?;
+            worst = worst.max(accepted.elapsed());
+        }
+        Ok(worst)
+    }
+
+    async fn apply(&mut self, documents: Vec<Value>) -> Result<(), Error> {
+        super::apply(self.accepts, &self.token, documents).await?;
+        self.revision += 1;
+        Ok(())
+    }
+
+    async fn in_force(&self) -> Result<(), Error> {
+        let revision = self.revision;
+        super::until(self.follows, |status| status["revision"] == revision).await
+    }
+}
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -19,9 +19,13 @@
 
 /// Version of the handshake and of the frames behind it.
 const VERSION: u8 = 1;
+/// Bytes of a nonce.
 const NONCE: usize = 32;
+/// Bytes of a proof: those of a SHA-256 hash.
 const PROOF: usize = 32;
+/// Label of the accepting side's proof.
 const ACCEPTING: &[u8] = b"linnetdrift link accepting";
+/// Label of the connecting side's proof.
 const CONNECTING: &[u8] = b"linnetdrift link connecting";
 
 type Nonce = [u8; NONCE];
--- a/crates/wire/src/news.rs
+++ b/crates/wire/src/news.rs
@@ -32,9 +32,13 @@
 const QUEUE: usize = 1024;
 /// Publishers whose last number is remembered; beyond it the memory starts anew.
 const ORIGINS: usize = 8192;
+/// Label under which news is hashed, so that no proof of a link passes for one.
 const LABEL: &[u8] = b"linnetdrift news 1";
+/// Bytes of the keyed hash at the end of a message.
 const PROOF: usize = 32;
+/// First pause before a subscriber dials a publisher again.
 const RECONNECT_MIN: Duration = Duration::from_millis(100);
+/// Longest pause before a subscriber dials a publisher again.
 const RECONNECT_MAX: Duration = Duration::from_secs(5);
 
 /// What can go wrong with news.
