Entries keep links to a subset of each service's targets in their region

At 10,000 runners a link from every entry to every target would cost 1.2 MB/s of keepalives a node (calculated: 120 bytes a second each). Each entry chooses up to 64 targets of a service by rendezvous hashing, spread over the failure domains; today's pools are smaller, so that nothing changes for them. Weighed: subsets dealt out in exact shares, which need all entries to agree on a list of entries. Test subset_balance: of 333 targets chosen 9 at a time by 750 entries each is chosen, none twice as often as the mean; a target that goes changes one place; a lost domain takes a third.

--- a/crates/ctl/src/deployment.rs
+++ b/crates/ctl/src/deployment.rs
@@ -14,6 +14,8 @@
 const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
 /// How often entries read the list of VMs and the change log, in milliseconds.
 const POLL_MS: u64 = 50;
+/// Targets of one service that an entry keeps links to.
+const SUBSET: usize = 64;
 /// Calls given to a runner at once.
 const CONCURRENCY: u32 = 4;
 /// Calls that wait for a runner.
@@ -64,6 +66,8 @@
     pub poll_ms: u64,
     /// How the entries place models.
     pub placement: Placement,
+    /// Targets of one service that an entry keeps links to at most.
+    pub subset: usize,
 }
 
 impl Default for Plan {
@@ -76,6 +80,7 @@
             queue: QUEUE,
             poll_ms: POLL_MS,
             placement: Placement::default(),
+            subset: SUBSET,
         }
     }
 }
@@ -167,6 +172,7 @@
             vms_poll_ms: self.plan.poll_ms,
             head_poll_ms: self.plan.poll_ms,
             journal_beat_ms: 5_000,
+            subset: self.plan.subset,
             news: Some(free()),
             placement: self.plan.placement,
         }
--- a/crates/ctl/src/experiment/settings.rs
+++ b/crates/ctl/src/experiment/settings.rs
@@ -51,6 +51,7 @@
             vms_poll_ms: POLL_MS,
             head_poll_ms: POLL_MS,
             journal_beat_ms: 5_000,
+            subset: 64,
             news: None,
             placement: setting::Placement::default(),
         }
--- a/crates/ctl/src/measure/links.rs
+++ b/crates/ctl/src/measure/links.rs
@@ -37,6 +37,7 @@
     let plan = Plan {
         entries: vec!["entry-a1".to_owned()],
         poll_ms: 1_000,
+        subset: 10_000,
         ..Plan::default()
     };
     let deployment = super::start(fleet, plan, vec![super::workspace(0)]).await?;
--- a/crates/ctl/src/torture/bench.rs
+++ b/crates/ctl/src/torture/bench.rs
@@ -399,6 +399,7 @@
             vms_poll_ms: POLL_MS,
             head_poll_ms: POLL_MS,
             journal_beat_ms: 100,
+            subset: 64,
             news: None,
             placement: setting::Placement::default(),
         }
--- a/crates/ctl/tests/operator_commands.rs
+++ b/crates/ctl/tests/operator_commands.rs
@@ -109,6 +109,7 @@
         vms_poll_ms: 50,
         head_poll_ms: 50,
         journal_beat_ms: 5_000,
+        subset: 64,
         news: None,
         placement: setting::Placement::default(),
     }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`retry`]: retries, hedges and ejection of outliers
 //! * [`demand`]: estimates of service time by class
 //! * [`place`]: which models are loaded where
+//! * [`subset`]: which targets of a large pool a process keeps links to
 
 pub mod admit;
 pub mod budget;
@@ -21,6 +22,7 @@
 pub mod retry;
 pub mod route;
 pub mod smooth;
+pub mod subset;
 
 pub use either::Either;
 
--- a/crates/entry/src/discovery.rs
+++ b/crates/entry/src/discovery.rs
@@ -1,10 +1,12 @@
 //! Follows the platform's list of VMs.
 
 use crate::core::{Core, Platform};
+use crate::service::Listing;
 use crate::target::Target;
+use decide::subset::{self, Candidate};
 use platform::{Role, Vm};
 use slog::{o, warn};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 use wire::Key;
@@ -35,14 +37,40 @@
     }
     core.peers.update(entries, &core.settings.id);
     let key = Key::new(core.settings.key.as_bytes());
-    for vm in &targets {
+    let chosen = subsets(&core.settings, &targets);
+    for vm in targets.iter().filter(|vm| chosen.contains(vm.id.as_str())) {
         let service = core.services.get(&vm.service);
         let observer = service.clone();
         let log = core.log.new(o!("service" => vm.service.clone()));
         service.list(vm, |vm| Target::start(vm, key.clone(), log, observer));
     }
-    let ids: HashSet<&str> = targets.iter().map(|vm| vm.id.as_str()).collect();
+    let listed: HashSet<&str> = targets.iter().map(|vm| vm.id.as_str()).collect();
     for service in core.services.all() {
-        service.retain(|id| ids.contains(id));
+        service.retain(|id| match (listed.contains(id), chosen.contains(id)) {
+            (_, true) => Listing::Chosen,
+            (true, false) => Listing::Passed,
+            (false, false) => Listing::Absent,
+        });
     }
 }
+
+/// The targets that this entry keeps links to: those of its region, and of each service a subset.
+fn subsets<'a>(settings: &setting::Entry, targets: &'a [Vm]) -> HashSet<&'a str> {
+    let mut by_service: HashMap<&str, Vec<Candidate<'a>>> = HashMap::new();
+    let region = &settings.place.region;
+    for vm in targets {
+        // A list that names no regions has but one.
+        if vm.region.is_empty() || vm.region == *region {
+            let candidates = by_service.entry(&vm.service).or_default();
+            candidates.push(Candidate {
+                id: &vm.id,
+                domain: &vm.domain,
+            });
+        }
+    }
+    by_service
+        .values()
+        .flat_map(|candidates| subset::choose(&settings.id, settings.subset, candidates))
+        .map(|chosen| chosen.id)
+        .collect()
+}
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -82,6 +82,17 @@
     }
 }
 
+/// What the platform's list says of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// It is listed, and this entry keeps a link to it.
+    Chosen,
+    /// It is listed, and left to other entries.
+    Passed,
+    /// It is not listed.
+    Absent,
+}
+
 /// A refusal, and when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Overload {
@@ -152,11 +163,17 @@
         }
     }
 
-    /// Forgets targets that are neither listed nor linked.
-    pub fn retain(&self, listed: impl Fn(&str) -> bool) {
+    /// Forgets targets that are neither listed nor linked, and those that others are to serve.
+    pub fn retain(&self, listing: impl Fn(&str) -> Listing) {
         let mut state = self.lock();
-        state.targets.retain(|id, target| {
-            let keep = target.is_linked() || listed(id);
+        let State { targets, pool, .. } = &mut *state;
+        targets.retain(|id, target| {
+            let keep = match listing(id) {
+                Listing::Chosen => true,
+                // Calls that are under way there go on to their end.
+                Listing::Passed => pool.get(id).is_some_and(|known| known.in_flight() > 0),
+                Listing::Absent => target.is_linked(),
+            };
             if !keep {
                 target.stop();
             }
--- a/crates/entry/tests/placement_order.rs
+++ b/crates/entry/tests/placement_order.rs
@@ -45,6 +45,7 @@
         vms_poll_ms: 1_000,
         head_poll_ms: 1_000,
         journal_beat_ms: 5_000,
+        subset: 64,
         news: None,
         placement: Placement {
             lease_ms: 500,
--- a/crates/setting/src/entry.rs
+++ b/crates/setting/src/entry.rs
@@ -12,6 +12,11 @@
     max: 60_000,
 };
 
+/// Bounds of the targets of one service that an entry keeps links to.
+const SUBSET: Shape = Shape::Count {
+    min: 2,
+    max: 10_000,
+};
 /// Most loads that may be started in one span.
 const LOADS: Shape = Shape::Count {
     min: 1,
@@ -44,6 +49,7 @@
     Field::optional("news", Shape::Listen).nullable(),
     Field::optional("placement", PLACEMENT),
     Field::optional("journal_beat_ms", SPAN_MS),
+    Field::optional("subset", SUBSET),
 ];
 
 /// Settings of an entry.
@@ -86,6 +92,9 @@
     /// another entry takes them over after three times as long. The same for all entries.
     #[serde(default = "default_journal_beat_ms")]
     pub journal_beat_ms: u64,
+    /// Targets of one service that the entry keeps links to at most.
+    #[serde(default = "default_subset")]
+    pub subset: usize,
 }
 
 /// How models are placed on engines; the same for all entries of a deployment.
@@ -114,6 +123,10 @@
     5_000
 }
 
+fn default_subset() -> usize {
+    64
+}
+
 fn default_vms_poll_ms() -> u64 {
     1_000
 }
