--- a/crates/ctl/src/experiment/shared.rs
+++ b/crates/ctl/src/experiment/settings.rs
@@ -1,12 +1,14 @@
-//! What all processes of one deployment share, and the settings made of it.
+//! Settings of a deployment's processes.
 
 use super::deployment::{Deployment, Service};
 use crate::Error;
-use crate::fleet::Fleet;
-use crate::listing::{draw, free};
+use crate::fleet::{Fleet, Ready};
+use platform::{Role, Vm};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use setting::{Operator, Place, Platform, Policy};
 use standin::{Kind, Options};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 /// How often entries read the list of VMs and the change log, in milliseconds.
 const POLL_MS: u64 = 500;
@@ -24,31 +26,6 @@
 }
 
 impl Shared {
-    /// Starts the platform's stand-ins and draws the key and the operator's token.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Failed`] if a stand-in does not serve.
-    pub(super) fn start(
-        fleet: &mut Fleet,
-        deployment: &Deployment,
-        policy: Policy,
-    ) -> Result<Self, Error> {
-        let options = Options::default();
-        Ok(Self {
-            region: deployment.region,
-            platform: Platform {
-                table: fleet.standin("table", Kind::Table, &options)?,
-                objects: fleet.standin("object", Kind::Object, &options)?,
-                vms: fleet.standin("vm", Kind::Vm, &options)?,
-                weights: None,
-            },
-            key: draw(),
-            token: draw(),
-            policy,
-        })
-    }
-
     fn place(&self, domain: &str) -> Place {
         Place {
             region: self.region.to_owned(),
@@ -79,7 +56,7 @@
         }
     }
 
-    /// Settings of the agent beside a runner.
+    /// Settings of an agent.
     pub(super) fn agent(
         &self,
         id: &str,
@@ -102,4 +79,45 @@
             news: None,
         }
     }
+
+    /// A VM as the platform lists it.
+    pub(super) fn vm(&self, id: &str, role: Role, service: &str, domain: &str, ready: Ready) -> Vm {
+        Vm {
+            id: id.to_owned(),
+            incarnation: 1,
+            role,
+            service: service.to_owned(),
+            region: self.region.to_owned(),
+            domain: domain.to_owned(),
+            address: ready.listen,
+            news: ready.news,
+            leaving: false,
+        }
+    }
+}
+
+/// Starts the platform's stand-ins and draws the secrets.
+pub(super) fn start(
+    fleet: &mut Fleet,
+    deployment: &Deployment,
+    policy: Policy,
+) -> Result<Shared, Error> {
+    let draw = || format!("{:032x}", StdRng::from_os_rng().random::<u128>());
+    let options = Options::default();
+    Ok(Shared {
+        region: deployment.region,
+        platform: Platform {
+            table: fleet.standin("table", Kind::Table, &options)?,
+            objects: fleet.standin("object", Kind::Object, &options)?,
+            vms: fleet.standin("vm", Kind::Vm, &options)?,
+            weights: None,
+        },
+        key: draw(),
+        token: draw(),
+        policy,
+    })
+}
+
+fn free() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
 }
--- a/crates/ctl/src/experiment/system.rs
+++ b/crates/ctl/src/experiment/system.rs
@@ -2,15 +2,14 @@
 
 use super::deployment::{Deployment, Service};
 use super::scenario::Plan;
-use super::shared::Shared;
+use super::settings::{self, Shared};
 use crate::client::Client;
 use crate::fleet::Fleet;
-use crate::listing::{post, register, vm};
 use crate::{Error, option};
 use bytes::Bytes;
 use hyper::Method;
 use hyper::header::HeaderMap;
-use platform::Role;
+use platform::{Role, Vm};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use setting::Policy;
@@ -68,7 +67,7 @@
         let name = format!("linnetdrift-experiment-{}", std::process::id());
         let directory = std::env::temp_dir().join(name);
         let mut fleet = Fleet::new(&directory)?;
-        let shared = Shared::start(&mut fleet, deployment, policy)?;
+        let shared = settings::start(&mut fleet, deployment, policy)?;
         let mut system = Self {
             fleet,
             directory,
@@ -207,8 +206,10 @@
                     .standin(&runner_name(&id), service.kind, &options)?;
                 let agent = self.shared.agent(&id, domain, service, address);
                 let ready = self.fleet.agent(&agent)?;
-                let vm = vm(&id, Role::Target, service.name, &agent.place, ready);
-                register(self.shared.platform.vms, &vm).await?;
+                let vm = self
+                    .shared
+                    .vm(&id, Role::Target, service.name, domain, ready);
+                self.list(&vm).await?;
                 self.runners.push(Runner {
                     id,
                     service,
@@ -223,15 +224,18 @@
     async fn start_entries(&mut self, deployment: &Deployment) -> Result<(), Error> {
         for domain in deployment.domains.iter().take(ENTRIES) {
             let id = format!("entry-{domain}1");
-            let entry = self.shared.entry(&id, domain);
-            let ready = self.fleet.entry(&entry)?;
-            let vm = vm(&id, Role::Entry, "", &entry.place, ready);
-            register(self.shared.platform.vms, &vm).await?;
+            let ready = self.fleet.entry(&self.shared.entry(&id, domain))?;
+            let vm = self.shared.vm(&id, Role::Entry, "", domain, ready);
+            self.list(&vm).await?;
             self.entries.push(ready.listen);
         }
         Ok(())
     }
 
+    async fn list(&self, vm: &Vm) -> Result<(), Error> {
+        post(self.shared.platform.vms, "/standin/vm", vm).await
+    }
+
     /// Applies the records as an operator does and gives their revision.
     fn apply(&self, records: &Path) -> Result<Value, Error> {
         let entry = self.entries[0].to_string();
@@ -279,6 +283,17 @@
     targets.filter(|target| target["state"] == "live").count()
 }
 
+async fn post(address: SocketAddr, path: &str, body: &impl serde::Serialize) -> Result<(), Error> {
+    let body = serde_json::to_vec(body).map_err(|error| failed(error.to_string()))?;
+    let client = Client::plain(address);
+    let answer = client.call(Method::POST, path, HeaderMap::new(), body.into());
+    let answer = answer.await?;
+    match answer.status.is_success() {
+        true => Ok(()),
+        false => Err(failed(format!("{path}: {}", answer.status))),
+    }
+}
+
 fn failed(reason: impl Into<String>) -> Error {
     Error::Failed {
         reason: reason.into(),
