--- a/crates/ctl/src/experiment/settings.rs
+++ b/crates/ctl/src/experiment/settings.rs
@@ -2,13 +2,11 @@
 
 use super::deployment::{Deployment, Service};
 use crate::Error;
-use crate::fleet::{Fleet, Ready};
-use platform::{Role, Vm};
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
+use crate::fleet::Fleet;
+use crate::listing::{draw, free};
 use setting::{Operator, Place, Platform, Policy};
 use standin::{Kind, Options};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 
 /// How often entries read the list of VMs and the change log, in milliseconds.
 const POLL_MS: u64 = 500;
@@ -79,21 +77,6 @@
             news: None,
         }
     }
-
-    /// A VM as the platform lists it.
-    pub(super) fn vm(&self, id: &str, role: Role, service: &str, domain: &str, ready: Ready) -> Vm {
-        Vm {
-            id: id.to_owned(),
-            incarnation: 1,
-            role,
-            service: service.to_owned(),
-            region: self.region.to_owned(),
-            domain: domain.to_owned(),
-            address: ready.listen,
-            news: ready.news,
-            leaving: false,
-        }
-    }
 }
 
 /// Starts the platform's stand-ins and draws the secrets.
@@ -102,7 +85,6 @@
     deployment: &Deployment,
     policy: Policy,
 ) -> Result<Shared, Error> {
-    let draw = || format!("{:032x}", StdRng::from_os_rng().random::<u128>());
     let options = Options::default();
     Ok(Shared {
         region: deployment.region,
@@ -117,7 +99,3 @@
         policy,
     })
 }
-
-fn free() -> SocketAddr {
-    (Ipv4Addr::LOCALHOST, 0).into()
-}
--- a/crates/ctl/src/experiment/system.rs
+++ b/crates/ctl/src/experiment/system.rs
@@ -5,11 +5,12 @@
 use super::settings::{self, Shared};
 use crate::client::Client;
 use crate::fleet::Fleet;
+use crate::listing::{post, register, vm};
 use crate::{Error, option};
 use bytes::Bytes;
 use hyper::Method;
 use hyper::header::HeaderMap;
-use platform::{Role, Vm};
+use platform::Role;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use setting::Policy;
@@ -206,10 +207,8 @@
                     .standin(&runner_name(&id), service.kind, &options)?;
                 let agent = self.shared.agent(&id, domain, service, address);
                 let ready = self.fleet.agent(&agent)?;
-                let vm = self
-                    .shared
-                    .vm(&id, Role::Target, service.name, domain, ready);
-                self.list(&vm).await?;
+                let vm = vm(&id, Role::Target, service.name, &agent.place, ready);
+                register(self.shared.platform.vms, &vm).await?;
                 self.runners.push(Runner {
                     id,
                     service,
@@ -224,18 +223,15 @@
     async fn start_entries(&mut self, deployment: &Deployment) -> Result<(), Error> {
         for domain in deployment.domains.iter().take(ENTRIES) {
             let id = format!("entry-{domain}1");
-            let ready = self.fleet.entry(&self.shared.entry(&id, domain))?;
-            let vm = self.shared.vm(&id, Role::Entry, "", domain, ready);
-            self.list(&vm).await?;
+            let entry = self.shared.entry(&id, domain);
+            let ready = self.fleet.entry(&entry)?;
+            let vm = vm(&id, Role::Entry, "", &entry.place, ready);
+            register(self.shared.platform.vms, &vm).await?;
             self.entries.push(ready.listen);
         }
         Ok(())
     }
 
-    async fn list(&self, vm: &Vm) -> Result<(), Error> {
-        post(self.shared.platform.vms, "/standin/vm", vm).await
-    }
-
     /// Applies the records as an operator does and gives their revision.
     fn apply(&self, records: &Path) -> Result<Value, Error> {
         let entry = self.entries[0].to_string();
@@ -283,17 +279,6 @@
     targets.filter(|target| target["state"] == "live").count()
 }
 
-async fn post(address: SocketAddr, path: &str, body: &impl serde::Serialize) -> Result<(), Error> {
-    let body = serde_json::to_vec(body).map_err(|error| failed(error.to_string()))?;
-    let client = Client::plain(address);
-    let answer = client.call(Method::POST, path, HeaderMap::new(), body.into());
-    let answer = answer.await?;
-    match answer.status.is_success() {
-        true => Ok(()),
-        false => Err(failed(format!("{path}: {}", answer.status))),
-    }
-}
-
 fn failed(reason: impl Into<String>) -> Error {
     Error::Failed {
         reason: reason.into(),
