--- a/crates/ctl/src/measure/latency.rs
+++ b/crates/ctl/src/measure/latency.rs
@@ -22,12 +22,14 @@
 const WARM_UP: usize = 2_000;
 /// Calls each way that are counted, one after the other, the two ways in turn.
 const CALLS: usize = 20_000;
-/// Streams that run at once.
-const STREAMS: usize = 16;
-/// Rounds of streams.
-const ROUNDS: usize = 8;
+/// Numbers of streams that run at once.
+const STREAMS: [usize; 4] = [4, 16, 64, 256];
 /// Tokens of each stream.
-const TOKENS: usize = 500;
+const TOKENS: usize = 400;
+/// Time between two tokens of a stream, in milliseconds.
+const STEP_MS: f64 = 10.0;
+/// Calls that the runners are given at once.
+const CONCURRENCY: usize = 256;
 
 /// Latencies of one way, in microseconds.
 #[derive(Clone, Copy, Debug, Serialize)]
@@ -43,18 +45,27 @@
 pub struct Cost {
     /// Processor time of one call of one stage, in microseconds.
     pub call_us: f64,
-    /// Processor time of one streamed token, in microseconds.
-    pub token_us: f64,
-    /// Memory and threads afterwards.
+    /// Memory and threads after the calls and streams.
     #[serde(flatten)]
     pub usage: Usage,
 }
 
-/// What was measured.
+/// Cost of streamed tokens at one number of streams.
 #[derive(Clone, Copy, Debug, Serialize)]
+pub struct Tokens {
+    streams: usize,
+    tokens: usize,
+    tokens_per_second: f64,
+    /// Processor time of the entry for one token, in microseconds.
+    entry_us: f64,
+    /// Processor time of the agent for one token, in microseconds.
+    agent_us: f64,
+}
+
+/// What was measured.
+#[derive(Clone, Debug, Serialize)]
 pub struct Report {
     calls: usize,
-    tokens: usize,
     direct: Latency,
     through: Latency,
     /// Difference of the medians.
@@ -63,6 +74,7 @@
     added_p99_us: i64,
     entry: Cost,
     agent: Cost,
+    tokens: Vec<Tokens>,
 }
 
 type Http = Client<HttpConnector, Full<Bytes>>;
@@ -91,23 +103,25 @@
         }
     }
     let between = processes.usage();
-    let tokens = streams(&http, entry(&deployment)).await?;
+    let mut tokens = Vec::new();
+    for streams in STREAMS {
+        tokens.push(measure_streams(&http, entry(&deployment), &processes, streams).await?);
+    }
     let after = processes.usage();
     let [direct, through] = times.map(|times| latency(&times));
-    let cost = |calls: usize, streams: usize| Cost {
-        call_us: usage::each(before[calls], between[calls], CALLS as u64),
-        token_us: usage::each(between[streams], after[streams], tokens as u64),
-        usage: after[streams],
+    let cost = |role: usize, memory: usize| Cost {
+        call_us: usage::each(before[role], between[role], CALLS as u64),
+        usage: after[memory],
     };
     Ok(Report {
         calls: CALLS,
-        tokens,
         direct,
         through,
         added_p50_us: through.p50_us as i64 - direct.p50_us as i64,
         added_p99_us: through.p99_us as i64 - direct.p99_us as i64,
         entry: cost(ENTRY, ENTRY),
         agent: cost(POOL_AGENT, ENGINE_AGENT),
+        tokens,
     })
 }
 
@@ -135,11 +149,12 @@
     let mut pool = Runner::new(NAMES[POOL_AGENT], "pool", Kind::Pool, "work");
     pool.options.service_ms = 0.0;
     let mut engine = Runner::new(NAMES[ENGINE_AGENT], "engine", Kind::Engine, "generate");
-    engine.options.batch = STREAMS;
+    engine.options.batch = CONCURRENCY;
+    engine.options.step_ms = STEP_MS;
     Plan {
         runners: vec![pool, engine],
         entries: vec![NAMES[ENTRY].to_owned()],
-        concurrency: STREAMS as u32,
+        concurrency: CONCURRENCY as u32,
         poll_ms: 1_000,
         ..Plan::default()
     }
@@ -152,7 +167,7 @@
     };
     let service = |name: &str, runner: &str| {
         json!({"schema": 1, "kind": "service", "name": name, "runner": runner,
-            "concurrency": STREAMS})
+            "concurrency": CONCURRENCY})
     };
     vec![
         service("pool", "pool"),
@@ -200,16 +215,30 @@
     }
 }
 
-/// Runs streams and counts their tokens.
-async fn streams(http: &Http, entry: SocketAddr) -> Result<usize, Error> {
+/// Runs streams at once and measures what their tokens cost.
+async fn measure_streams(
+    http: &Http,
+    entry: SocketAddr,
+    processes: &Processes,
+    streams: usize,
+) -> Result<Tokens, Error> {
+    let before = processes.usage();
+    let began = Instant::now();
+    let all = (0..streams).map(|_| stream(http, entry));
     let mut tokens = 0;
-    for _ in 0..ROUNDS {
-        let round = (0..STREAMS).map(|_| stream(http, entry));
-        for count in futures::future::join_all(round).await {
-            tokens += count?;
-        }
+    for count in futures::future::join_all(all).await {
+        tokens += count?;
     }
-    Ok(tokens)
+    let elapsed = began.elapsed();
+    let after = processes.usage();
+    let cost = |role: usize| usage::each(before[role], after[role], tokens as u64);
+    Ok(Tokens {
+        streams,
+        tokens,
+        tokens_per_second: tokens as f64 / elapsed.as_secs_f64(),
+        entry_us: cost(ENTRY),
+        agent_us: cost(ENGINE_AGENT),
+    })
 }
 
 async fn stream(http: &Http, entry: SocketAddr) -> Result<usize, Error> {
