Entries that serve over TLS ask one another over TLS

Found by reading: questions about requests went to the other entries by plain HTTP, so that with TLS a caller whom the balancer took elsewhere was told that nobody knows its request.

--- a/crates/ctl/tests/operator_commands.rs
+++ b/crates/ctl/tests/operator_commands.rs
@@ -120,6 +120,7 @@
     let tls = Tls {
         certificate: directory.join(format!("{name}.pem")),
         key: directory.join(format!("{name}.key")),
+        ca: None,
     };
     std::fs::write(&tls.certificate, made.cert.pem()).unwrap();
     std::fs::write(&tls.key, made.signing_key.serialize_pem()).unwrap();
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -69,7 +69,13 @@
 
 impl<P: Platform> Core<P> {
     /// An entry that has not yet read anything.
-    pub fn new(settings: setting::Entry, platform: P, telemetry: Telemetry, log: Logger) -> Self {
+    pub fn new(
+        settings: setting::Entry,
+        platform: P,
+        peers: Peers,
+        telemetry: Telemetry,
+        log: Logger,
+    ) -> Self {
         let started = Instant::now();
         let writes = Writes::start(platform.clone());
         Self {
@@ -82,7 +88,7 @@
             lease: Lease::new(Duration::from_millis(settings.placement.lease_ms)),
             settings,
             platform,
-            peers: Peers::default(),
+            peers,
             exchange: OnceLock::new(),
             answers: Answers::default(),
             telemetry,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -7,12 +7,16 @@
 use crate::config::rows::Stored;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
-use hyper::Request;
+use hyper::body::Incoming;
+use hyper::http::request::Builder;
+use hyper::{Request, Response};
+use hyper_rustls::{HttpsConnector, HttpsConnectorBuilder};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use platform::Vm;
 use protocol::{RequestId, Revision};
+use rustls::{ClientConfig, RootCertStore};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::sync::{PoisonError, RwLock};
@@ -27,8 +31,43 @@
 /// entry that accepted it, so that any other entry knows whom to ask.
 const RANDOM_BITS: u32 = 96;
 
-/// Client of the other entries.
-type Http = Client<HttpConnector, Empty<Bytes>>;
+/// Client of the other entries, which serve as this one does: all with TLS, or none.
+#[derive(Clone, Debug)]
+struct Http {
+    client: Client<HttpsConnector<HttpConnector>, Empty<Bytes>>,
+    scheme: &'static str,
+}
+
+impl Http {
+    fn new(tls: Option<ClientConfig>) -> Self {
+        let scheme = if tls.is_some() { "https" } else { "http" };
+        let tls = tls.unwrap_or_else(|| {
+            ClientConfig::builder()
+                .with_root_certificates(RootCertStore::empty())
+                .with_no_client_auth()
+        });
+        let connector = HttpsConnectorBuilder::new()
+            .with_tls_config(tls)
+            .https_or_http()
+            .enable_http1()
+            .build();
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            scheme,
+        }
+    }
+
+    fn get(&self, address: SocketAddr, path: &str) -> Builder {
+        Request::get(format!("{}://{address}{path}", self.scheme))
+    }
+
+    async fn request(
+        &self,
+        question: Request<Empty<Bytes>>,
+    ) -> Result<Response<Incoming>, hyper_util::client::legacy::Error> {
+        self.client.request(question).await
+    }
+}
 
 /// Records as an entry hands them out.
 #[derive(Debug, Deserialize)]
@@ -44,15 +83,6 @@
     http: Http,
 }
 
-impl Default for Peers {
-    fn default() -> Self {
-        Self {
-            entries: RwLock::default(),
-            http: Client::builder(TokioExecutor::new()).build_http(),
-        }
-    }
-}
-
 /// Tag of an entry in the identities of the requests it accepts.
 #[must_use]
 pub fn tag(entry: &str) -> u32 {
@@ -69,6 +99,15 @@
 }
 
 impl Peers {
+    /// No other entry is known yet; `tls` says whom to trust if the entries serve with TLS.
+    #[must_use]
+    pub fn new(tls: Option<ClientConfig>) -> Self {
+        Self {
+            entries: RwLock::default(),
+            http: Http::new(tls),
+        }
+    }
+
     /// Takes in the entries that the platform lists, less this one.
     pub fn update(&self, listed: Vec<Vm>, own: &str) {
         let others = listed.into_iter().filter(|vm| vm.id != own).collect();
@@ -97,8 +136,8 @@
         request: RequestId,
         follow: &Follow,
     ) -> Option<hyper::Response<viz::Body>> {
-        let path = format!("http://{address}/v1/requests/{}", format_id(request));
-        let mut question = Request::get(path).header(FORWARDED, "1");
+        let path = format!("/v1/requests/{}", format_id(request));
+        let mut question = self.http.get(address, &path).header(FORWARDED, "1");
         if follow.stream {
             question = question.header("accept", EVENT_STREAM);
         }
@@ -139,9 +178,8 @@
     }
 
     async fn read_listing(&self, address: SocketAddr) -> Option<Listing> {
-        let question = Request::get(format!("http://{address}/v1/records"))
-            .body(Empty::new())
-            .ok()?;
+        let question = self.http.get(address, "/v1/records");
+        let question = question.body(Empty::new()).ok()?;
         let answer = self.http.request(question).await.ok()?;
         if !answer.status().is_success() {
             return None;
--- a/crates/entry/src/peers/silence.rs
+++ b/crates/entry/src/peers/silence.rs
@@ -9,7 +9,6 @@
 use futures::Stream;
 use futures::stream::unfold;
 use http_body_util::{BodyExt, Empty};
-use hyper::Request;
 use hyper::body::Incoming;
 use std::io;
 use std::net::SocketAddr;
@@ -25,8 +24,7 @@
 pub(super) async fn silent(http: Http, address: SocketAddr) {
     loop {
         sleep(PAUSE).await;
-        let Ok(question) = Request::get(format!("http://{address}/ready")).body(Empty::new())
-        else {
+        let Ok(question) = http.get(address, "/ready").body(Empty::new()) else {
             return;
         };
         if !matches!(timeout(LIMIT, http.request(question)).await, Ok(Ok(_))) {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,6 +3,7 @@
 use crate::core::{Core, Platform};
 use crate::journal::sweep;
 use crate::news::{self, Exchange};
+use crate::peers::Peers;
 use crate::placement::{self, lease};
 use crate::telemetry::Telemetry;
 use crate::{discovery, server};
@@ -85,6 +86,8 @@
 ) -> Result<(), Error> {
     let tls = settings.tls.as_ref().map(server::acceptor).transpose();
     let tls = tls.context(CertificateSnafu)?;
+    let trust = settings.tls.as_ref().map(server::trust).transpose();
+    let peers = Peers::new(trust.context(CertificateSnafu)?);
     let address = settings.listen;
     let listener = TcpListener::bind(address)
         .await
@@ -97,7 +100,7 @@
         .await
         .context(BindSnafu { address })?;
 
-    let core = Arc::new(Core::new(settings, platform, telemetry, log));
+    let core = Arc::new(Core::new(settings, platform, peers, telemetry, log));
     let background = CancellationToken::new();
     start_background(&core, &background);
     let news = start_news(&core, &background)?;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -5,8 +5,11 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer};
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -139,23 +142,39 @@
 ///
 /// An [`io::Error`] that names the file that cannot be used.
 pub fn acceptor(tls: &setting::Tls) -> io::Result<TlsAcceptor> {
-    use rustls_pki_types::pem::PemObject;
-    use rustls_pki_types::{CertificateDer, PrivateKeyDer};
-    let invalid = |path: &std::path::Path, error: String| {
-        io::Error::new(
-            io::ErrorKind::InvalidData,
-            format!("{}: {error}", path.display()),
-        )
-    };
-    let chain = CertificateDer::pem_file_iter(&tls.certificate)
-        .and_then(Iterator::collect::<Result<Vec<_>, _>>)
-        .map_err(|error| invalid(&tls.certificate, error.to_string()))?;
-    let key = PrivateKeyDer::from_pem_file(&tls.key)
-        .map_err(|error| invalid(&tls.key, error.to_string()))?;
+    let key = PrivateKeyDer::from_pem_file(&tls.key).map_err(|error| invalid(&tls.key, error))?;
     let mut config = rustls::ServerConfig::builder()
         .with_no_client_auth()
-        .with_single_cert(chain, key)
-        .map_err(|error| invalid(&tls.certificate, error.to_string()))?;
+        .with_single_cert(certificates(&tls.certificate)?, key)
+        .map_err(|error| invalid(&tls.certificate, error))?;
     config.alpn_protocols = vec![b"h2".to_vec(), b"http/1.1".to_vec()];
     Ok(TlsAcceptor::from(Arc::new(config)))
 }
+
+/// Reads whom to trust when the other entries are asked.
+///
+/// # Errors
+///
+/// An [`io::Error`] that names the file that cannot be used.
+pub fn trust(tls: &setting::Tls) -> io::Result<rustls::ClientConfig> {
+    let path = tls.ca.as_ref().unwrap_or(&tls.certificate);
+    let mut roots = rustls::RootCertStore::empty();
+    for certificate in certificates(path)? {
+        roots
+            .add(certificate)
+            .map_err(|error| invalid(path, error))?;
+    }
+    let config = rustls::ClientConfig::builder().with_root_certificates(roots);
+    Ok(config.with_no_client_auth())
+}
+
+fn certificates(path: &Path) -> io::Result<Vec<CertificateDer<'static>>> {
+    CertificateDer::pem_file_iter(path)
+        .and_then(Iterator::collect)
+        .map_err(|error| invalid(path, error))
+}
+
+fn invalid(path: &Path, error: impl std::fmt::Display) -> io::Error {
+    let reason = format!("{}: {error}", path.display());
+    io::Error::new(io::ErrorKind::InvalidData, reason)
+}
--- a/crates/entry/tests/placement_order.rs
+++ b/crates/entry/tests/placement_order.rs
@@ -83,6 +83,7 @@
     let core = Arc::new(Core::new(
         settings(any),
         memory.clone(),
+        entry::peers::Peers::new(None),
         telemetry,
         log.clone(),
     ));
--- a/crates/setting/src/shared.rs
+++ b/crates/setting/src/shared.rs
@@ -18,6 +18,7 @@
 pub(crate) const TLS: Shape = Shape::Object(&[
     Field::required("certificate", Shape::Text),
     Field::required("key", Shape::Text),
+    Field::optional("ca", Shape::Text).nullable(),
 ]);
 pub(crate) const OPERATOR: Shape = Shape::Object(&[
     Field::required("name", Shape::Name),
@@ -55,6 +56,10 @@
     pub certificate: PathBuf,
     /// PEM file with the private key.
     pub key: PathBuf,
+    /// PEM file with the authorities that the other entries' certificates are checked against; the
+    /// own certificate's file without it.
+    #[serde(default)]
+    pub ca: Option<PathBuf>,
 }
 
 /// An operator who may change records.
