Agents are told that an answer which cannot be had again has been taken

Cause: an agent that leaves waits up to 10 s for entries to fetch answers whose link was lost, also those that had arrived before: nothing acknowledged them.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -234,6 +234,7 @@
 
     /// Hands a call back, or asks the runner to stop it.
     pub(crate) async fn cancel(self: &Arc<Self>, call: CallId) {
+        self.state().taken(call);
         self.revoke(call).await;
         self.stop(call);
     }
--- a/crates/agent/src/output.rs
+++ b/crates/agent/src/output.rs
@@ -18,6 +18,8 @@
     kept: AtomicUsize,
     /// Whether the end has been handed to a link that stood.
     delivered: AtomicBool,
+    /// Whether the entry has said that it needs nothing more.
+    taken: AtomicBool,
     parts: Mutex<Parts>,
 }
 
@@ -70,6 +72,7 @@
             call,
             kept: AtomicUsize::new(0),
             delivered: AtomicBool::new(false),
+            taken: AtomicBool::new(false),
             parts: Mutex::new(parts),
         }
     }
@@ -79,9 +82,14 @@
         self.kept.load(Ordering::Relaxed)
     }
 
-    /// Whether the end has been handed to a link that stood.
+    /// Whether the end has been handed to a link that stood, or is not wanted.
     pub(crate) fn delivered(&self) -> bool {
-        self.delivered.load(Ordering::Relaxed)
+        self.taken.load(Ordering::Relaxed) || self.delivered.load(Ordering::Relaxed)
+    }
+
+    /// The entry has the whole answer, or wants none.
+    pub(crate) fn mark_taken(&self) {
+        self.taken.store(true, Ordering::Relaxed);
     }
 
     /// The link is lost, and with it perhaps what was handed to it last.
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -278,6 +278,13 @@
             .any(|tracked| !tracked.repeatable && !tracked.output.delivered())
     }
 
+    /// The call's entry needs nothing more of it.
+    pub(crate) fn taken(&self, call: CallId) {
+        if let Some(tracked) = self.calls.get(&call) {
+            tracked.output.mark_taken();
+        }
+    }
+
     /// Lets go of every link.
     pub(crate) fn close(&mut self) {
         self.links.clear();
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -347,6 +347,11 @@
         let content = std::mem::take(&mut won.content).freeze();
         let id = won.target.vm.id.clone();
         won.target.close(call);
+        if !self.spec.repeatable {
+            // The agent keeps such an answer for an entry that comes back for it, and waits for
+            // that when it leaves; this tells it that nobody will.
+            won.target.send_later(Frame::Cancel { call });
+        }
         self.service
             .answered(&id, &self.demand, *busy, elapsed, *load);
         self.core
