A planned stop waits for requests without end, for notes about them for ten seconds

Cause: releasing a claim and keeping an answer are tried until the platform takes them, and a stop waited for that too; an entry that was asked to stop while the table service was away went on draining (seen for 16 minutes). What is not noted makes a later caller unsure and never runs a call twice. Test failure_outage: without the bound it ends at its limit of 90 s, with it after 10 s.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,5 +1,6 @@
 //! What the parts of an entry share.
 
+use crate::answer::Answer;
 use crate::answers::Answers;
 use crate::budgets::Budgets;
 use crate::claim::Claims;
@@ -61,7 +62,10 @@
     pub telemetry: Telemetry,
     /// Lines for changes of state.
     pub log: Logger,
-    /// Work that a planned stop waits for.
+    /// Requests that have not ended; a planned stop waits for them, however long they take.
+    pub requests: TaskTracker,
+    /// All work for requests, also what is noted after they have ended; a planned stop waits a
+    /// while for it.
     pub tasks: TaskTracker,
     started: Instant,
     draining: AtomicBool,
@@ -93,6 +97,7 @@
             answers: Answers::default(),
             telemetry,
             log,
+            requests: TaskTracker::new(),
             tasks: TaskTracker::new(),
             started,
             draining: AtomicBool::new(false),
@@ -148,10 +153,25 @@
     /// back finds its answer.
     pub fn spawn(self: &Arc<Self>, job: Arc<Job>) {
         let core = self.clone();
-        core.answers.insert(job.answer.clone());
+        let answer = job.answer.clone();
+        self.track(answer, async move { execute::run(&core, &job).await });
+    }
+
+    /// Lets `work` bring an answer to its end, and a planned stop wait for it.
+    pub fn track(
+        self: &Arc<Self>,
+        answer: Arc<Answer>,
+        work: impl Future<Output = ()> + Send + 'static,
+    ) {
+        self.answers.insert(answer.clone());
+        let ended = answer.clone();
+        self.requests.spawn(async move {
+            ended.ended().await;
+        });
+        let core = self.clone();
         self.tasks.spawn(async move {
-            execute::run(&core, &job).await;
-            core.answers.ended(&job.answer);
+            work.await;
+            core.answers.ended(&answer);
         });
     }
 }
--- a/crates/entry/src/journal/sweep.rs
+++ b/crates/entry/src/journal/sweep.rs
@@ -110,10 +110,8 @@
     info!(core.log, "request taken over"; "request" => row_name(request));
     let job = Arc::new(job);
     let runner = core.clone();
-    core.answers.insert(job.answer.clone());
-    core.tasks.spawn(async move {
+    core.track(job.answer.clone(), async move {
         execute::run_journalled(&runner, &job).await;
-        runner.answers.ended(&job.answer);
     });
 }
 
--- a/crates/entry/src/kept.rs
+++ b/crates/entry/src/kept.rs
@@ -14,7 +14,7 @@
 /// Pause before an answer that could not be kept is tried again.
 const PAUSE: Duration = Duration::from_millis(500);
 /// How long a stopping entry goes on trying; its callers have their answers.
-const STOPPING: Duration = Duration::from_secs(30);
+const STOPPING: Duration = Duration::from_secs(10);
 
 /// An answer as it is kept.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,6 +17,8 @@
 use tokio_util::sync::CancellationToken;
 use wire::Key;
 
+/// How long a planned stop waits until what is known of ended requests is noted.
+const NOTES: Duration = Duration::from_secs(10);
 /// Pause between a fresh entry's questions to its peers while the table service is away.
 const PEERS_PAUSE: Duration = Duration::from_millis(500);
 
@@ -182,13 +184,17 @@
     info!(core.log, "draining");
     core.drain();
     core.lease.resign();
+    core.requests.close();
     core.tasks.close();
-    core.tasks.wait().await;
+    core.requests.wait().await;
     stop.cancel();
     // The server ends by itself once its connections have; only a panic in it is an error.
     let _ = serving.await;
     // A request that was accepted at the moment the stop began is waited for as well.
-    core.tasks.wait().await;
+    core.requests.wait().await;
+    // While the table service is away, claims and journal cannot be brought up to date. Their rows
+    // then say less than is known, which makes a caller unsure but never runs a call twice.
+    let _ = tokio::time::timeout(NOTES, core.tasks.wait()).await;
     core.lease.resigned().await;
     info!(core.log, "stopped");
 }
