A record that the operator has not seen is a conflict

Found by reading: a change that wrote a record without naming it in base was not compared with what is in force, so that one operator could silently undo what another had accepted. Test unseen_record failed first (200 where 409 is due) and passes.

--- a/crates/ctl/src/measure.rs
+++ b/crates/ctl/src/measure.rs
@@ -84,7 +84,7 @@
         until(ready.listen, |status| status["ready"] == true).await?;
     }
     if let Some(first) = deployment.entries.first() {
-        apply(first.listen, &deployment.token, records).await?;
+        apply(first.listen, &deployment.token, json!({}), records).await?;
     }
     let due = deployment.agents.len();
     for ready in &deployment.entries {
@@ -109,10 +109,15 @@
     })
 }
 
-/// Applies records with a token of their own.
-async fn apply(entry: SocketAddr, token: &str, records: Vec<Value>) -> Result<(), Error> {
+/// Applies records with a token of their own; `base` has the revisions of those that are there.
+async fn apply(
+    entry: SocketAddr,
+    token: &str,
+    base: Value,
+    records: Vec<Value>,
+) -> Result<(), Error> {
     let unique = format!("{:032x}", rand::random::<u128>());
-    let body = json!({"token": unique, "documents": records}).to_string();
+    let body = json!({"token": unique, "base": base, "documents": records}).to_string();
     let mut headers = HeaderMap::new();
     if let Ok(value) = format!("Bearer {token}").parse() {
         headers.insert("authorization", value);
--- a/crates/ctl/src/measure/claims.rs
+++ b/crates/ctl/src/measure/claims.rs
@@ -14,6 +14,10 @@
 
 /// Callers that call at once.
 const CALLERS: [usize; 4] = [1, 8, 64, 256];
+/// Times that the table service is asked for its number of transactions.
+const PROBES: usize = 100;
+/// Pause between two of these.
+const PROBE_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
 /// Calls of each caller.
 const CALLS: usize = 40;
 
@@ -113,17 +117,23 @@
     answered
 }
 
-/// Number of transactions so far: that of one more, which writes nothing else.
+/// Number of transactions so far: that of one more, which writes nothing else. The service refuses
+/// it while it is over its rate.
 async fn transactions(table: SocketAddr) -> Result<u64, Error> {
     let probe = json!({"checks": [], "puts": [{"table": "measure", "key": "probe", "value": 1}]});
-    let answer = Client::plain(table)
-        .call(
-            Method::POST,
-            "/v1/transact",
-            HeaderMap::new(),
-            probe.to_string().into(),
-        )
-        .await?;
-    let body: Value = answer.json()?;
-    Ok(body["revision"].as_u64().unwrap_or_default())
+    let client = Client::plain(table);
+    for _ in 0..PROBES {
+        let body = probe.to_string().into();
+        let answer = client
+            .call(Method::POST, "/v1/transact", HeaderMap::new(), body)
+            .await?;
+        if answer.status.is_success() {
+            let body: serde_json::Value = answer.json()?;
+            return Ok(body["revision"].as_u64().unwrap_or_default());
+        }
+        tokio::time::sleep(PROBE_PAUSE).await;
+    }
+    Err(Error::Failed {
+        reason: "the table service takes no probe".to_owned(),
+    })
 }
--- a/crates/ctl/src/measure/placement.rs
+++ b/crates/ctl/src/measure/placement.rs
@@ -86,7 +86,8 @@
     tokio::time::sleep(Duration::from_millis(placement.every_ms)).await;
     let entry = deployment.entries[0].listen;
     let accepted = Instant::now();
-    super::apply(entry, &deployment.token, vec![service(FREE)]).await?;
+    let base = json!({"service/assistant": 1});
+    super::apply(entry, &deployment.token, base, vec![service(FREE)]).await?;
     let first = warm(&deployment, "new", 1, accepted).await?;
     let all = warm(&deployment, "new", FREE, accepted).await?;
     Ok(Point {
--- a/crates/ctl/src/measure/records.rs
+++ b/crates/ctl/src/measure/records.rs
@@ -5,7 +5,7 @@
 use crate::deployment::Plan;
 use crate::fleet::Fleet;
 use serde::Serialize;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -51,6 +51,7 @@
         follows: deployment.entries[1].listen,
         token: deployment.token,
         revision: 1,
+        first: 1,
         records: 1,
     };
     let mut points = Vec::new();
@@ -77,6 +78,8 @@
     token: String,
     /// Revision of the last change.
     revision: u64,
+    /// Revision of the record that is changed.
+    first: u64,
     /// Workspace records so far.
     records: usize,
 }
@@ -87,7 +90,7 @@
         while self.records < size {
             let next = (self.records + BATCH).min(size);
             let batch = (self.records..next).map(super::workspace).collect();
-            self.apply(batch).await?;
+            self.apply(json!({}), batch).await?;
             self.records = next;
         }
         self.in_force().await
@@ -98,7 +101,9 @@
     async fn change(&mut self) -> Result<Duration, Error> {
         let mut worst = Duration::ZERO;
         for _ in 0..CHANGES {
-            self.apply(vec![super::workspace(0)]).await?;
+            let base = json!({"workspace/workspace-0": self.first});
+            self.apply(base, vec![super::workspace(0)]).await?;
+            self.first = self.revision;
             let accepted = Instant::now();
             self.in_force().await?;
             worst = worst.max(accepted.elapsed());
@@ -106,8 +111,8 @@
         Ok(worst)
     }
 
-    async fn apply(&mut self, documents: Vec<Value>) -> Result<(), Error> {
-        super::apply(self.accepts, &self.token, documents).await?;
+    async fn apply(&mut self, base: Value, documents: Vec<Value>) -> Result<(), Error> {
+        super::apply(self.accepts, &self.token, base, documents).await?;
         self.revision += 1;
         Ok(())
     }
--- a/crates/ctl/src/torture/bench.rs
+++ b/crates/ctl/src/torture/bench.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Client;
 use crate::fleet::{Fleet, Signal};
-use crate::torture::probe::{LIMIT, LOOK, apply, failed, post, status, target, until};
+use crate::torture::probe::{LIMIT, LOOK, apply, failed, get, post, status, target, until};
 use crate::torture::runner::{Plan, Runner, free, listed, place, serve};
 use crate::{Error, torture::record};
 use ::record::Document;
@@ -291,8 +291,14 @@
     ) -> Result<u64, Error> {
         self.changes += 1;
         let token = format!("change-{}", self.changes);
+        let written = documents.iter().map(Document::key);
+        let touched = written.chain(delete.iter().map(|key| (*key).to_owned()));
+        let listing: Value = get(entry, "/v1/records").await?;
+        let base: serde_json::Map<String, Value> = touched
+            .map(|key| (key.clone(), revision(&listing, &key)))
+            .collect();
         let change = json!({
-            "token": token, "base": {}, "documents": documents, "delete": delete,
+            "token": token, "base": base, "documents": documents, "delete": delete,
         });
         let answer = apply(entry, OPERATORS[0], &change).await?;
         if !answer.status.is_success() {
@@ -405,3 +411,15 @@
         }
     }
 }
+
+/// Revision of a record in a listing; null if it is not there.
+fn revision(listing: &Value, key: &str) -> Value {
+    let records = listing["records"].as_array().into_iter().flatten();
+    let mut found = records.filter(|stored| {
+        let document = serde_json::from_value::<Document>(stored["document"].clone());
+        document.is_ok_and(|document| document.key() == key)
+    });
+    found
+        .next()
+        .map_or(Value::Null, |stored| stored["revision"].clone())
+}
--- a/crates/ctl/tests/failure_records.rs
+++ b/crates/ctl/tests/failure_records.rs
@@ -243,7 +243,9 @@
         newer.schema = 2;
         newer.body.insert("durable".into(), true.into());
         newer.body.insert("attainment".into(), 0.9.into());
-        bench.apply(first, &[newer]).await.unwrap();
+        let accepted = bench.apply(first, &[newer]).await.unwrap();
+        // The second operator looks at the record before changing it.
+        bench.in_force(accepted).await.unwrap();
         let mut older = all(64).pop().unwrap();
         older.body.insert("deadline_ms".into(), 1234.into());
         let accepted = bench.apply(second, &[older]).await.unwrap();
@@ -256,3 +258,24 @@
         }
     });
 }
+
+/// An operator's script writes a record without having looked whether it is there, after another
+/// operator has written it. Had it been accepted, the other's record would be gone without anyone
+/// being told; so it is a conflict, and what was accepted stays in force.
+#[test]
+fn unseen_record() {
+    run("unseen-record", async |mut bench| {
+        let entries = start(&mut bench).await;
+        let first = share("first", "yard", 7, &Value::Null);
+        let answer = apply(entries[0], OPERATORS[0], &first).await.unwrap();
+        assert!(answer.status.is_success());
+        let mut second = share("second", "yard", 1, &Value::Null);
+        second["base"] = json!({});
+        let answer = apply(entries[1], OPERATORS[1], &second).await.unwrap();
+        assert_eq!(answer.status.as_u16(), 409);
+        let conflicts: Value = answer.json().unwrap();
+        assert_eq!(conflicts["conflicts"][0]["document"]["share"], 7);
+        let kept = record(entries[1], "workspace/yard").await;
+        assert_eq!(kept["document"]["share"], 7);
+    });
+}
--- a/crates/entry/src/config/accept.rs
+++ b/crates/entry/src/config/accept.rs
@@ -7,7 +7,7 @@
 use record::Document;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -21,7 +21,7 @@
 pub struct Request {
     /// Drawn by the operator's client, once for each change.
     pub token: String,
-    /// Revision of each record that the operator saw; `None` if there was none.
+    /// Revision of each record that the operator saw; `None`, or no entry, if there was none.
     #[serde(default)]
     pub base: BTreeMap<String, Option<Revision>>,
     /// Records to write.
@@ -171,15 +171,21 @@
     Refusal::Unavailable { source }
 }
 
+/// The records that the change touches or names and that are not as the operator saw them.
+///
+/// A record that is touched without being named in `base` counts as one that the operator has not
+/// seen: to write over it would silently undo what another operator had accepted.
 fn conflicts(records: &Records, request: &Request) -> Vec<Conflict> {
-    request
-        .base
-        .iter()
-        .filter_map(|(key, seen)| {
-            let stored = records.get(key);
+    let written = request.documents.iter().map(Document::key);
+    let touched = written.chain(request.delete.iter().cloned());
+    let keys: BTreeSet<String> = touched.chain(request.base.keys().cloned()).collect();
+    keys.into_iter()
+        .filter_map(|key| {
+            let stored = records.get(&key);
             let revision = stored.map(|stored| stored.revision);
-            (revision != *seen).then(|| Conflict {
-                key: key.clone(),
+            let seen = request.base.get(&key).copied().flatten();
+            (revision != seen).then(|| Conflict {
+                key,
                 revision,
                 document: stored.map(|stored| stored.document.clone()),
             })
