--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -123,7 +123,7 @@
     let links = TaskTracker::new();
     let accepting = tokio::spawn(accept(core.clone(), listener, links.clone(), log.clone()));
     let sweeping = tokio::spawn(core.clone().sweep());
-    info!(log, "serving"; "id" => &settings.id, "listen" => %listen, "runner" => %settings.runner);
+    info!(log, "serving"; "listen" => %listen, "runner" => %settings.runner);
     ready(Ready {
         listen,
         news: publisher.as_ref().map(Publisher::address),
@@ -131,7 +131,7 @@
     });
 
     shutdown.await;
-    info!(log, "leaving"; "id" => &settings.id);
+    info!(log, "leaving");
     if let Some(publisher) = &publisher {
         publish_leaving(publisher, &settings.id, core.incarnation);
     }
@@ -140,7 +140,7 @@
     sweeping.abort();
     links.close();
     links.wait().await;
-    info!(log, "left"; "id" => &settings.id);
+    info!(log, "left");
     Ok(())
 }
 
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -259,11 +259,11 @@
 }
 
 fn lost(id: RequestId) -> Response {
-    let problem = Problem::unknown("no entry that can be reached has this request");
+    let detail = "no entry that can be reached has this request";
     let problem = Problem {
         request: Some(format_id(id)),
-        status: StatusCode::NOT_FOUND.as_u16(),
-        ..problem
+        outcome: Outcome::Unknown,
+        ..Problem::bad(StatusCode::NOT_FOUND, detail)
     };
     problem.response()
 }
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -1,36 +1,31 @@
 //! Runs one stage of a job: first try, retries and hedges, until one answer is committed.
+//!
+//! * [`tries`]: what becomes of the attempts
+//! * [`retry`]: whether the stage is tried again
+//! * [`meaning`]: what an agent's frames mean
+
+mod meaning;
+mod retry;
+mod tries;
 
 use crate::answer::End;
 use crate::core::{Core, Platform};
 use crate::job::Job;
-use crate::service::models::Availability;
 use crate::service::{Demand, Service, Turn};
 use crate::target::{Inbox, Message, Target};
 use bytes::{Bytes, BytesMut};
 use decide::budget::Slot;
-use decide::retry::Failure;
 use decide::route::TargetId;
-use protocol::call::{self, Event};
 use protocol::stage::{Action, Mode, Stage};
 use protocol::{Attempt, CallId, StageIndex};
-use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use wire::{Frame, Load, Refusal, Sender, Work};
+use wire::{Frame, Sender, Work};
 
 /// First pause before another attempt when no target would take the stage.
 const PAUSE_FIRST: Duration = Duration::from_millis(5);
-/// Longest pause between attempts.
-const PAUSE_MOST: Duration = Duration::from_millis(500);
-/// How long an accepted request waits for a target that would take its next stage.
-const PATIENCE: Duration = Duration::from_secs(60);
-/// How long a lost answer to a call that may not be repeated is waited for before its outcome is
-/// told as unknown.
-const RECALL_PATIENCE: Duration = Duration::from_secs(30);
-/// Lowest HTTP status that blames the runner rather than the input.
-const SERVER_ERROR: u16 = 500;
 
 /// What a stage has brought.
 #[derive(Clone, Debug)]
@@ -283,7 +278,9 @@
         if frame.is_none() && self.recall(self.attempt(call)).await {
             return None;
         }
-        let actions = self.machine.on(self.attempt(call), event(frame.as_ref()));
+        let actions = self
+            .machine
+            .on(self.attempt(call), meaning::event(frame.as_ref()));
         for action in actions.into_iter().flatten() {
             if let Some(output) = self.act(call, action, frame.as_ref()).await {
                 return Some(output);
@@ -321,256 +318,4 @@
         };
         None
     }
-
-    fn accept(&mut self, index: usize, frame: Option<&Frame>) {
-        let Some(Frame::Chunk { data, .. }) = frame else {
-            return;
-        };
-        if self.streamed {
-            self.job.answer.push(data.clone());
-        } else {
-            self.tries[index].content.extend_from_slice(data);
-        }
-    }
-
-    fn commit(&mut self, index: usize, frame: Option<&Frame>) -> Option<Output> {
-        let Some(Frame::Done { busy, load, .. }) = frame else {
-            return None;
-        };
-        let call = self.call(index as Attempt);
-        let won = &mut self.tries[index];
-        won.over = true;
-        let elapsed = won.sent.elapsed();
-        if let Some(mut turn) = won.turn.take() {
-            turn.spent(*busy, elapsed);
-        }
-        let content = std::mem::take(&mut won.content).freeze();
-        let id = won.target.vm.id.clone();
-        won.target.close(call);
-        if !self.spec.repeatable {
-            // The agent keeps such an answer for an entry that comes back for it, and waits for
-            // that when it leaves; this tells it that nobody will.
-            won.target.send_later(Frame::Cancel { call });
-        }
-        self.service
-            .answered(&id, &self.demand, *busy, elapsed, *load);
-        self.core
-            .telemetry
-            .attempt(&self.spec.name, "whole", elapsed);
-        Some(Output { content, elapsed })
-    }
-
-    /// Notes how an attempt ended that brought no answer.
-    fn over(&mut self, index: usize, end: call::End, frame: Option<&Frame>) {
-        let call = self.call(index as Attempt);
-        let one = &mut self.tries[index];
-        one.over = true;
-        one.turn.take();
-        let elapsed = one.sent.elapsed();
-        let target = one.target.clone();
-        target.close(call);
-        let id = target.vm.id.as_str();
-        self.tried.push(id.into());
-        let outcome = match end {
-            // The agent answers at once for a runner that is gone, and would look idle: every call
-            // would go there first.
-            call::End::NotRun if is_unreachable(frame) => {
-                self.service.failed(id);
-                "not_run"
-            }
-            call::End::NotRun => {
-                let (load, full) = refusal(frame);
-                self.service.returned(id, load, full);
-                "not_run"
-            }
-            call::End::Failed => {
-                if let Some(Frame::Fail { status, body, .. }) = frame {
-                    self.failure = Some((*status, body.clone()));
-                }
-                self.service.failed(id);
-                "failed"
-            }
-            call::End::Unknown | call::End::Whole => {
-                self.service.failed(id);
-                "unknown"
-            }
-        };
-        self.core
-            .telemetry
-            .attempt(&self.spec.name, outcome, elapsed);
-    }
-
-    fn cancel_others(&mut self, winner: usize) {
-        for index in (0..self.tries.len()).filter(|index| *index != winner) {
-            self.abandon(index);
-        }
-    }
-
-    /// Gives up an attempt whose answer is no longer wanted.
-    fn abandon(&mut self, index: usize) {
-        let call = self.call(index as Attempt);
-        let one = &mut self.tries[index];
-        if std::mem::replace(&mut one.over, true) {
-            return;
-        }
-        one.turn.take();
-        one.target.close(call);
-        one.target.send_later(Frame::Cancel { call });
-        self.service.returned(&one.target.vm.id, None, false);
-    }
-
-    /// Asks for the answer again over a new link, if the call may have run and may not be
-    /// repeated: the agent keeps such answers, and without this a broken link would leave the
-    /// caller unsure of work that was done.
-    async fn recall(&mut self, attempt: Attempt) -> bool {
-        let granted = self
-            .machine
-            .call(attempt)
-            .is_some_and(|call| call.state() == call::State::Granted);
-        if self.spec.repeatable || !granted {
-            return false;
-        }
-        let call = self.call(attempt);
-        let from = self.machine.call(attempt).map_or(0, protocol::Call::next);
-        let Some(one) = self.tries.get_mut(usize::from(attempt)) else {
-            return false;
-        };
-        let relinked = tokio::time::timeout(RECALL_PATIENCE, one.target.linked()).await;
-        if !matches!(relinked, Ok(true)) {
-            return false;
-        }
-        match one.target.open(call, self.inbox.clone()) {
-            Some(link) => {
-                one.link = link.clone();
-                let _ = link.send(Frame::Recall { call, from }).await;
-            }
-            // Lost again at once: the inbox hears of it as of the first loss.
-            None => {
-                let _ = self.inbox.send(Message::Lost(call));
-            }
-        }
-        true
-    }
-
-    /// Decides whether the stage is tried again, and waits before it is.
-    async fn again(&mut self) -> Result<(), End> {
-        let end = self.machine.end().unwrap_or(call::End::Unknown);
-        let blameless = matches!(&self.failure, Some((status, _)) if *status < SERVER_ERROR);
-        if !self.machine.may_start() || blameless {
-            return Err(self.end());
-        }
-        let last = self.tries.len().saturating_sub(1);
-        let attempt = Attempt::try_from(last).unwrap_or(Attempt::MAX);
-        let failure = match self.machine.call(attempt).map(protocol::Call::state) {
-            Some(call::State::Ended(call::End::NotRun)) => Failure::NotRun,
-            _ => Failure::Ran,
-        };
-        // Work that no runner has started is never given up for lack of a budget.
-        if failure == Failure::NotRun {
-            return self.rest().await;
-        }
-        let pause = {
-            let rng = &mut rand::rng();
-            self.service.retry(failure, attempt, rng)
-        };
-        match pause {
-            Some(pause) => tokio::time::sleep(pause).await,
-            None if end == call::End::NotRun => return self.rest().await,
-            None => return Err(self.end()),
-        }
-        Ok(())
-    }
-
-    /// Waits for a target that would take the stage; the pauses grow and differ.
-    async fn rest(&mut self) -> Result<(), End> {
-        let awaits = self.awaits_model();
-        if self.began.elapsed() > PATIENCE && !awaits {
-            return Err(self.end());
-        }
-        let most = self.pause.min(PAUSE_MOST);
-        let pause = rand::rng().random_range(most / 2..=most);
-        tokio::time::sleep(pause).await;
-        self.pause = (self.pause * 2).min(PAUSE_MOST);
-        self.tried.clear();
-        Ok(())
-    }
-
-    /// Whether the stage waits for a model that operators still want loaded. A load may take far
-    /// longer than any other wait, and the accepted request is to come late rather than never.
-    fn awaits_model(&self) -> bool {
-        let set = self.core.config.current();
-        let Some(model) = &self.spec.model else {
-            return false;
-        };
-        let availability = self.service.availability(model, &set);
-        if availability == Availability::Absent {
-            // Nobody else asks for the model on behalf of a request that is not refused.
-            self.service.missed(model);
-        }
-        let service = set.service(&self.spec.service);
-        service.is_some_and(|service| service.declares(model)) && availability != Availability::Warm
-    }
-
-    /// What the caller is told when the stage is not tried again.
-    fn end(&self) -> End {
-        let stage = &self.spec.name;
-        match (self.machine.end(), &self.failure) {
-            (Some(call::End::Failed), Some((status, body))) => End::Failed {
-                stage: stage.clone(),
-                status: *status,
-                body: body.clone(),
-            },
-            (Some(call::End::NotRun) | None, _) if !self.ran => End::NotRun {
-                detail: format!("stage {stage}: no target would take it"),
-                retry_after: PAUSE_MOST,
-            },
-            (Some(call::End::NotRun) | None, _) => End::Unknown {
-                detail: format!("stage {stage}: no target would take it; earlier stages have run"),
-            },
-            _ => End::Unknown {
-                detail: format!("stage {stage} may have run"),
-            },
-        }
-    }
-}
-
-/// What a frame means to the state machine; no frame means that the link is lost.
-fn event(frame: Option<&Frame>) -> Event {
-    match frame {
-        None => Event::Lost,
-        Some(Frame::Ask { .. }) => Event::Ask,
-        Some(Frame::Refuse {
-            reason: Refusal::Forgotten,
-            ..
-        }) => Event::Forget,
-        Some(Frame::Refuse { .. }) => Event::Refuse,
-        Some(Frame::Chunk { sequence, data, .. }) => Event::Chunk {
-            sequence: *sequence,
-            length: u32::try_from(data.len()).unwrap_or(u32::MAX),
-        },
-        Some(Frame::Done { chunks, length, .. }) => Event::Done {
-            chunks: *chunks,
-            length: *length,
-        },
-        Some(Frame::Fail { .. }) => Event::Fail,
-        Some(Frame::Break { .. }) => Event::Break,
-        Some(_) => Event::Started,
-    }
-}
-
-fn is_unreachable(frame: Option<&Frame>) -> bool {
-    matches!(
-        frame,
-        Some(Frame::Refuse {
-            reason: Refusal::Unreachable,
-            ..
-        })
-    )
-}
-
-fn refusal(frame: Option<&Frame>) -> (Option<Load>, bool) {
-    match frame {
-        Some(Frame::Refuse { reason, load, .. }) => (Some(*load), *reason == Refusal::Full),
-        _ => (None, false),
-    }
 }
--- /dev/null
+++ b/crates/entry/src/stage/meaning.rs
@@ -0,0 +1,45 @@
+//! What an agent's frames mean to a stage.
+
+use protocol::call::Event;
+use wire::{Frame, Load, Refusal};
+
+/// What a frame means to the state machine; no frame means that the link is lost.
+pub(super) fn event(frame: Option<&Frame>) -> Event {
+    match frame {
+        None => Event::Lost,
+        Some(Frame::Ask { .. }) => Event::Ask,
+        Some(Frame::Refuse {
+            reason: Refusal::Forgotten,
+            ..
+        }) => Event::Forget,
+        Some(Frame::Refuse { .. }) => Event::Refuse,
+        Some(Frame::Chunk { sequence, data, .. }) => Event::Chunk {
+            sequence: *sequence,
+            length: u32::try_from(data.len()).unwrap_or(u32::MAX),
+        },
+        Some(Frame::Done { chunks, length, .. }) => Event::Done {
+            chunks: *chunks,
+            length: *length,
+        },
+        Some(Frame::Fail { .. }) => Event::Fail,
+        Some(Frame::Break { .. }) => Event::Break,
+        Some(_) => Event::Started,
+    }
+}
+
+pub(super) fn is_unreachable(frame: Option<&Frame>) -> bool {
+    matches!(
+        frame,
+        Some(Frame::Refuse {
+            reason: Refusal::Unreachable,
+            ..
+        })
+    )
+}
+
+pub(super) fn refusal(frame: Option<&Frame>) -> (Option<Load>, bool) {
+    match frame {
+        Some(Frame::Refuse { reason, load, .. }) => (Some(*load), *reason == Refusal::Full),
+        _ => (None, false),
+    }
+}
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -4,7 +4,7 @@
 use foldhash::fast::RandomState;
 use platform::Vm;
 use protocol::{CallId, Fence};
-use slog::{Logger, info};
+use slog::{Logger, error, info};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -208,16 +208,20 @@
 
 async fn keep_linked(target: Arc<Target>, key: Key, log: Logger, observer: Arc<impl Observer>) {
     let mut pause = RECONNECT_FIRST;
+    let mut barred = false;
     while !target.stop.is_cancelled() {
         match wire::connect(target.vm.address, &key).await {
             Ok((sender, receiver)) => {
                 pause = RECONNECT_FIRST;
+                barred = false;
                 info!(log, "link up"; "vm" => &target.vm.id);
                 serve(&target, sender, receiver, &observer).await;
                 info!(log, "link lost"; "vm" => &target.vm.id);
             }
             Err(wire::Error::Unauthorized) => {
-                slog::error!(log, "agent does not hold the shared key"; "vm" => &target.vm.id);
+                if !std::mem::replace(&mut barred, true) {
+                    error!(log, "agent does not hold the shared key"; "vm" => &target.vm.id);
+                }
                 pause = RECONNECT_MOST;
             }
             Err(_) => pause = (pause * 2).min(RECONNECT_MOST),
--- a/crates/metric/src/serve.rs
+++ b/crates/metric/src/serve.rs
@@ -9,11 +9,15 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 
 /// Content type of the OpenMetrics text format.
 const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// Pause after a connection that could not be taken.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// The endpoint's address could not be bound.
 pub type Error = std::io::Error;
 
@@ -30,7 +34,12 @@
 }
 
 async fn accept(listener: TcpListener, registry: Arc<Registry>) {
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        // Too few file descriptors, for one, must not take the metrics away for good.
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
         let registry = registry.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| answer(registry.clone(), request));
