--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -1,8 +1,8 @@
 //! Runs one stage of a job: first try, retries and hedges, until one answer is committed.
 //!
-//! * [`tries`]: what becomes of the attempts
-//! * [`retry`]: whether the stage is tried again
-//! * [`meaning`]: what an agent's frames mean
+//! * `tries`: what becomes of the attempts
+//! * `retry`: whether the stage is tried again
+//! * `meaning`: what an agent's frames mean
 
 mod meaning;
 mod retry;
