A request that was taken over is never told as not run

Found by reading: an entry that takes a durable request over and finds no target for a minute would have told its caller that it did not run, while the entry before it may have run it. Test journal_row.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -42,6 +42,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Whether an entry before this one may have run some of it, so that it is never told as *not
+    /// run*.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        self.first_attempt > 0
+    }
+
     /// Whether every stage may run more than once.
     #[must_use]
     pub fn repeatable(&self) -> bool {
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -98,7 +98,7 @@
             job,
             spec,
             position: StageIndex::try_from(position).unwrap_or(StageIndex::MAX),
-            ran: position > 0,
+            ran: position > 0 || job.may_have_run(),
             streamed,
             service,
             slot,
--- /dev/null
+++ b/crates/entry/tests/journal_row.rs
@@ -0,0 +1,59 @@
+//! What an entry makes of the journal's row of a request whose entry is gone.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use entry::journal::row::Entry;
+use record::{Document, Set};
+use std::sync::Arc;
+
+fn set() -> Arc<Set> {
+    let text = r#"{"schema": 2, "kind": "pipeline", "name": "review", "version": 1,
+        "deadline_ms": 500, "durable": true, "stages": [{"name": "encode", "service": "encoder"}]}"#;
+    let document: Document = serde_json::from_str(text).unwrap();
+    Arc::new(Set::new(1, [document]))
+}
+
+fn row() -> Entry {
+    Entry {
+        owner: "entry-1/1".to_owned(),
+        beat: 3,
+        takeovers: 0,
+        pipeline: "review".to_owned(),
+        version: 1,
+        workspace: "thesis".to_owned(),
+        class: "default".to_owned(),
+        input: "{}".to_owned(),
+        streamed: false,
+        due_ms: 0,
+    }
+}
+
+/// An entry dies while a runner works on its request, and the entry that takes the request over
+/// finds no target for it. The first entry may have run it, so that its caller must not be told
+/// that it did not run.
+#[test]
+fn taken_over_may_have_run() {
+    let job = row().taken_over("entry-2/1").job(7, &set()).unwrap();
+    assert!(job.may_have_run());
+    assert!(!row().job(7, &set()).unwrap().may_have_run());
+}
+
+/// Two entries that run a request one after the other number its attempts apart; an agent that
+/// still had an attempt of the first would otherwise take the second's offer for a duplicate, and
+/// the caller would wait in vain.
+#[test]
+fn attempts_apart() {
+    let once = row().taken_over("entry-2/1");
+    let twice = once.clone().taken_over("entry-3/1");
+    let first = |row: Entry| row.job(7, &set()).unwrap().first_attempt;
+    assert_eq!(first(row()), 0);
+    assert!(first(once.clone()) > 500);
+    assert!(first(twice) > first(once) + 500);
+}
+
+/// The pipeline of a request was deleted after its entry died. No entry can run it, and none makes
+/// anything up.
+#[test]
+fn pipeline_gone() {
+    assert!(row().job(7, &Arc::new(Set::default())).is_none());
+}
