--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -83,9 +83,17 @@
         self.lock().head_read.map(|read| read.elapsed())
     }
 
-    /// All records in force, by key.
-    pub fn records(&self) -> Records {
-        self.lock().records.clone()
+    /// The records in force, by key: all, or the one of a key.
+    pub fn records(&self, key: Option<&str>) -> Records {
+        let state = self.lock();
+        let Some(key) = key else {
+            return state.records.clone();
+        };
+        let found = state.records.get(key);
+        found
+            .map(|stored| (key.to_owned(), stored.clone()))
+            .into_iter()
+            .collect()
     }
 
     /// Highest revision heard of.
--- a/crates/entry/src/journal/sweep.rs
+++ b/crates/entry/src/journal/sweep.rs
@@ -1,5 +1,6 @@
 //! Finds journalled requests whose entry is gone, and runs them.
 
+use crate::caller::format_id;
 use crate::core::{Core, Platform};
 use crate::journal::JOURNAL;
 use crate::journal::row::Entry;
@@ -107,14 +108,10 @@
     let Some(job) = entry.job(request, &core.config.current()) else {
         return;
     };
-    info!(core.log, "request taken over"; "request" => row_name(request));
+    info!(core.log, "request taken over"; "request" => format_id(request));
     let job = Arc::new(job);
     let runner = core.clone();
     core.track(job.answer.clone(), async move {
         execute::run_journalled(&runner, &job).await;
     });
 }
-
-fn row_name(request: RequestId) -> String {
-    crate::journal::row::key(request)
-}
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -92,14 +92,10 @@
         return Problem::not_run("no configuration has been read yet", COME_BACK).response();
     }
     let one = request.query::<One>().ok().and_then(|query| query.key);
-    let records = core.config.records();
+    let records = core.config.records(one.as_deref());
     let listing = Listing {
         revision: core.config.revision(),
-        records: records
-            .into_iter()
-            .filter(|(key, _)| one.as_ref().is_none_or(|one| one == key))
-            .map(|(_, stored)| stored)
-            .collect(),
+        records: records.into_values().collect(),
     };
     json(StatusCode::OK, &listing)
 }
