--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -50,7 +50,7 @@
     /// Way to the task that carries out orders; closed when the agent leaves.
     orders: Mutex<Option<mpsc::Sender<Order>>>,
     /// Way to ask the engine what it holds.
-    guard: Guard<platform::Client>,
+    guard: Guard<store::Client>,
     links: AtomicU64,
 }
 
@@ -61,7 +61,7 @@
         incarnation: Incarnation,
         bounds: Bounds,
         orders: mpsc::Sender<Order>,
-        guard: Guard<platform::Client>,
+        guard: Guard<store::Client>,
     ) -> Self {
         Self {
             guard,
--- a/crates/agent/src/fence.rs
+++ b/crates/agent/src/fence.rs
@@ -10,9 +10,9 @@
 use crate::runner::Runner;
 use bytes::Bytes;
 use hyper::StatusCode;
-use platform::Table;
 use protocol::fence::Verdict;
 use serde::Deserialize;
+use store::Table;
 use tokio::sync::mpsc;
 use wire::{Frame, Models, Sender};
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -144,9 +144,9 @@
     Ok(())
 }
 
-fn platform(settings: &setting::Agent) -> platform::Client {
+fn platform(settings: &setting::Agent) -> store::Client {
     let places = &settings.platform;
-    platform::Client::new(places.table, places.objects, places.vms)
+    store::Client::new(places.table, places.objects, places.vms)
 }
 
 fn publisher(settings: &setting::Agent, key: &Key) -> Result<Option<Publisher>, Error> {
--- a/crates/ctl/src/bin/linnetdriftd.rs
+++ b/crates/ctl/src/bin/linnetdriftd.rs
@@ -1,9 +1,8 @@
-//! The daemon: an entry or an agent.
+//! The daemon: an entry, an agent or a relay.
 
 use std::process::ExitCode;
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    ctl::daemon::main(&arguments).await
+    ctl::daemon::main(&arguments)
 }
--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -4,21 +4,25 @@
 use crate::{Error, command, output, signal};
 use getopts::Options;
 use serde::Serialize;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use snafu::ResultExt;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use tokio::runtime::{Builder, Runtime};
 
 /// First lines of the help.
 const USAGE: &str = "\
-Usage: linnetdriftd entry|agent SETTINGS [OPTIONS]
+Usage: linnetdriftd entry|agent|relay [SETTINGS] [OPTIONS]
 
 Serves one role with the settings of a file until SIGTERM or SIGINT asks it to stop; it then
 finishes what runs and exits with 0. Bad settings are all reported and end it with 2. Once it
-serves, it prints one line of JSON with its addresses. Logs go to standard error.";
+serves, it prints one line of JSON with its addresses. Logs go to standard error, those of a
+relay to standard output. Without SETTINGS the variable LINNETDRIFT_CONFIG names the file.";
 
 /// Roles that the first argument names.
-const ROLES: [&str; 2] = ["entry", "agent"];
+const ROLES: [&str; 3] = ["entry", "agent", "relay"];
+/// Variable that names the file of settings where no argument does.
+const CONFIG: &str = "LINNETDRIFT_CONFIG";
 
 /// Where a process serves, printed once it does.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -41,11 +45,15 @@
     Print(String),
     Entry(Box<setting::Entry>),
     Agent(Box<setting::Agent>),
+    Relay {
+        settings: Box<setting::Relay>,
+        path: String,
+    },
 }
 
 /// Runs the daemon and gives the exit code.
-pub async fn main(arguments: &[String]) -> ExitCode {
-    match run(arguments).await {
+pub fn main(arguments: &[String]) -> ExitCode {
+    match run(arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("linnetdriftd: {error}");
@@ -54,20 +62,39 @@
     }
 }
 
-async fn run(arguments: &[String]) -> Result<(), Error> {
+fn run(arguments: &[String]) -> Result<(), Error> {
     match request(arguments)? {
         Request::Print(text) => output::line(text),
         Request::Entry(settings) => {
             let log = metric::log::logger("entry", &settings.id);
-            logged(log.clone(), run_entry(*settings, log)).await
+            many_threads()?.block_on(logged(log.clone(), run_entry(*settings, log)))
         }
         Request::Agent(settings) => {
             let log = metric::log::logger("agent", &settings.id);
-            logged(log.clone(), run_agent(*settings, log)).await
+            many_threads()?.block_on(logged(log.clone(), run_agent(*settings, log)))
+        }
+        Request::Relay { settings, path } => {
+            let log = metric::log::logger_to(std::io::stdout(), "relay", &settings.id);
+            one_thread()?.block_on(logged(log.clone(), run_relay(*settings, path, log)))
         }
     }
 }
 
+fn many_threads() -> Result<Runtime, Error> {
+    built(Builder::new_multi_thread().enable_all().build())
+}
+
+/// A relay runs on VMs with a part of one core, where more threads only take turns.
+fn one_thread() -> Result<Runtime, Error> {
+    built(Builder::new_current_thread().enable_all().build())
+}
+
+fn built(runtime: std::io::Result<Runtime>) -> Result<Runtime, Error> {
+    runtime.map_err(|error| Error::Failed {
+        reason: error.to_string(),
+    })
+}
+
 async fn logged(log: Logger, role: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
     info!(log, "starting"; "version" => env!("CARGO_PKG_VERSION"));
     let result = role.await;
@@ -88,26 +115,36 @@
     if matches.opt_present("version") {
         return Ok(Request::Print(command::version("linnetdriftd")));
     }
-    let [role, path] = matches.free.as_slice() else {
-        return Err(wrong_arguments(&matches.free));
+    let (role, path) = match matches.free.as_slice() {
+        [role, path] => (role, path.clone()),
+        [role] => (
+            role,
+            configured().ok_or_else(|| wrong_arguments(&matches.free))?,
+        ),
+        _ => return Err(wrong_arguments(&matches.free)),
     };
     let found = |findings| Error::Found { findings };
     match role.as_str() {
         "entry" => {
-            let settings = setting::entry::parse(&read(path)?, path).map_err(found)?;
+            let settings = setting::entry::parse(&read(&path)?, &path).map_err(found)?;
             Ok(Request::Entry(Box::new(settings)))
         }
         "agent" => {
-            let settings = setting::agent::parse(&read(path)?, path).map_err(found)?;
+            let settings = setting::agent::parse(&read(&path)?, &path).map_err(found)?;
             Ok(Request::Agent(Box::new(settings)))
         }
+        "relay" => {
+            let settings = setting::relay::parse(&read(&path)?, &path).map_err(found)?;
+            let settings = Box::new(settings);
+            Ok(Request::Relay { settings, path })
+        }
         _ => Err(no_role(role)),
     }
 }
 
 fn wrong_arguments(arguments: &[String]) -> Error {
     match arguments {
-        [] => Error::usage("the role is missing: entry or agent"),
+        [] => Error::usage("the role is missing: entry, agent or relay"),
         [role] if !ROLES.contains(&role.as_str()) => no_role(role),
         [_] => Error::usage("SETTINGS is missing"),
         _ => Error::usage(format!("unexpected argument `{}`", arguments[2])),
@@ -115,7 +152,12 @@
 }
 
 fn no_role(role: &str) -> Error {
-    Error::usage(format!("there is no role `{role}`: entry or agent"))
+    Error::usage(format!("there is no role `{role}`: entry, agent or relay"))
+}
+
+/// The file of settings that the environment names.
+fn configured() -> Option<String> {
+    std::env::var(CONFIG).ok().filter(|path| !path.is_empty())
 }
 
 fn read(path: &str) -> Result<String, Error> {
@@ -156,6 +198,42 @@
     })
 }
 
+async fn run_relay(settings: setting::Relay, path: String, log: Logger) -> Result<(), Error> {
+    let id = settings.id.clone();
+    let ready = |ready: platform::Ready| {
+        announce(&Ready {
+            role: "relay",
+            id,
+            listen: ready.listen,
+            news: None,
+            metrics: ready.metrics,
+        });
+    };
+    let reloading = signal::reload(|| reload(&path, &log));
+    let running = platform::run(settings, log.clone(), ready, signal::stop());
+    let result = tokio::select! {
+        result = running => result,
+        () = reloading => unreachable!("the process reloads until it ends"),
+    };
+    result.map_err(|error| Error::Failed {
+        reason: error.to_string(),
+    })
+}
+
+/// Checks the settings after they may have changed. What a relay listens on and where it finds the
+/// platform hold until its next start; a file with findings is reported while it still serves.
+fn reload(path: &str, log: &Logger) {
+    let read = std::fs::read_to_string(path);
+    let parsed = read.map(|text| setting::relay::parse(&text, path));
+    match parsed {
+        Ok(Ok(_)) => {
+            info!(log, "reload"; "settings" => path, "outcome" => "in force at the next start")
+        }
+        Ok(Err(findings)) => warn!(log, "reload"; "settings" => path, "findings" => %findings),
+        Err(error) => warn!(log, "reload"; "settings" => path, "error" => %error),
+    }
+}
+
 /// Nobody may read the line; a process that serves goes on without it.
 fn announce(ready: &Ready) {
     let _ = output::json(ready);
--- a/crates/ctl/src/deployment.rs
+++ b/crates/ctl/src/deployment.rs
@@ -3,10 +3,10 @@
 use crate::Error;
 use crate::fleet::{Fleet, Ready};
 use crate::listing::{draw, free, register, vm};
-use platform::Role;
 use setting::{Operator, Place, Placement, Platform, Policy};
 use standin::{Kind, Options};
 use std::net::SocketAddr;
+use store::Role;
 
 /// Region of all processes.
 const REGION: &str = "ee-north";
--- a/crates/ctl/src/experiment/system.rs
+++ b/crates/ctl/src/experiment/system.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use hyper::Method;
 use hyper::header::HeaderMap;
-use platform::Role;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use setting::Policy;
@@ -20,6 +19,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
+use store::Role;
 use tokio::time::Instant;
 
 /// Entries of a deployment, each in a failure domain of its own.
--- a/crates/ctl/src/listing.rs
+++ b/crates/ctl/src/listing.rs
@@ -5,12 +5,12 @@
 use crate::fleet::Ready;
 use hyper::Method;
 use hyper::header::HeaderMap;
-use platform::{Role, Vm};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 use setting::Place;
 use std::net::{Ipv4Addr, SocketAddr};
+use store::{Role, Vm};
 
 /// Incarnation of a process that was not started before.
 const FIRST: u64 = 1;
--- a/crates/ctl/src/signal.rs
+++ b/crates/ctl/src/signal.rs
@@ -1,4 +1,4 @@
-//! Signals that ask a process to stop.
+//! Signals that ask a process to stop or to read its settings again.
 
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -13,6 +13,18 @@
     }
 }
 
+/// Calls `reload` at each SIGHUP, for as long as it is polled.
+pub async fn reload(reload: impl Fn()) {
+    match signal(SignalKind::hangup()) {
+        Ok(mut signals) => {
+            while signals.recv().await.is_some() {
+                reload();
+            }
+        }
+        Err(_) => std::future::pending().await,
+    }
+}
+
 async fn received(kind: SignalKind) {
     match signal(kind) {
         Ok(mut signals) => {
--- a/crates/ctl/src/torture/bench.rs
+++ b/crates/ctl/src/torture/bench.rs
@@ -9,13 +9,13 @@
 use bytes::Bytes;
 use hyper::Method;
 use hyper::header::HeaderMap;
-use platform::{Role, Vm};
 use serde_json::{Value, json};
 use setting::{Operator, Platform, Policy};
 use standin::log::{Ended, Execution};
 use standin::{Kind, Options, Server};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use store::{Role, Vm};
 use tokio::time::Instant;
 
 /// How often entries read the list of VMs and the change log, in milliseconds.
--- a/crates/ctl/src/torture/runner.rs
+++ b/crates/ctl/src/torture/runner.rs
@@ -5,11 +5,11 @@
 use crate::torture::probe::{failed, get};
 use crate::torture::record;
 use crate::torture::relay::Relay;
-use platform::{Role, Vm};
 use setting::Place;
 use standin::log::{Execution, Page};
 use standin::{Kind, Options, Server};
 use std::net::{Ipv4Addr, SocketAddr};
+use store::{Role, Vm};
 
 /// Region of the bench.
 const REGION: &str = "test";
--- a/crates/ctl/tests/tls_peers.rs
+++ b/crates/ctl/tests/tls_peers.rs
@@ -7,11 +7,11 @@
 use ctl::{Client, Common, Format, listing};
 use hyper::Method;
 use hyper::header::{HeaderMap, HeaderValue};
-use platform::Role;
 use serde_json::{Value, json};
 use setting::{Operator, Place, Platform, Policy, Tls};
 use standin::{Kind, Options};
 use std::path::{Path, PathBuf};
+use store::Role;
 
 const TOKEN: &str = "token-of-maia";
 
--- /dev/null
+++ b/crates/decide/src/batch.rs
@@ -0,0 +1,219 @@
+//! Which waiting pieces of work go into the next call of a batching runner.
+//!
+//! A runner of a stage service works for a fixed time a call and a little more for each piece, so
+//! that a full call costs a piece a fraction of what a call of its own would cost. Pieces wait here
+//! while every runner has a call in progress and are bound to a runner only when it is free:
+//! whatever arrives in between shares the next call.
+
+use std::time::Duration;
+
+/// Names a group of pieces for as long as it waits.
+pub type Ticket = u64;
+
+/// What one call of a runner holds and costs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shape {
+    /// Most pieces in a call.
+    pub size: u32,
+    /// Time that each call takes besides its pieces.
+    pub call: Duration,
+    /// Time that each piece adds, on average.
+    pub piece: Duration,
+}
+
+/// The pieces of one stage of one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Group {
+    /// Name of the group.
+    pub ticket: Ticket,
+    /// Pieces that still wait.
+    pub pieces: u32,
+    /// Size of one result in bytes.
+    pub result: u64,
+    /// Moment by which the pieces must be made for the request to be on time.
+    pub due: Duration,
+    /// Moment after which the pieces are of no use at all.
+    pub last: Duration,
+    /// How urgent the request is; 0 comes first.
+    pub rank: u8,
+}
+
+/// Pieces of one group that go into a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Portion {
+    /// The group.
+    pub ticket: Ticket,
+    /// How many of its waiting pieces.
+    pub pieces: u32,
+}
+
+/// Chooses the pieces of the next call.
+pub trait Former {
+    /// Adds a group.
+    fn push(&mut self, group: Group);
+    /// Forgets a group whose request is gone.
+    fn withdraw(&mut self, ticket: Ticket);
+    /// Removes and gives the groups that cannot be made by their last moment.
+    fn expire(&mut self, now: Duration) -> Vec<Ticket>;
+    /// Takes the pieces of a call that starts now at a runner with room for `room` bytes.
+    fn take(&mut self, now: Duration, room: u64) -> Vec<Portion>;
+    /// Pieces that wait.
+    fn waiting(&self) -> u32;
+}
+
+/// Fills calls with those that can still be on time first, by urgency and then by due time.
+///
+/// Under overload an order by due time alone spends each call on the request that is about to be
+/// late and makes all of them late; those that have lost their aim go behind those that have not.
+///
+/// # Examples
+///
+/// ```
+/// use decide::batch::{Former, Group, Portion, Shape, Slack};
+/// use std::time::Duration;
+///
+/// let second = Duration::from_secs(1);
+/// let shape = Shape { size: 4, call: second / 5, piece: second / 50 };
+/// let mut former = Slack::new(shape);
+/// let group = Group { ticket: 1, pieces: 3, result: 10, due: second, last: second * 8, rank: 0 };
+/// former.push(group);
+/// former.push(Group { ticket: 2, due: second / 2, ..group });
+/// let taken = former.take(Duration::ZERO, 1_000);
+/// assert_eq!(taken[0], Portion { ticket: 2, pieces: 3 });
+/// assert_eq!(taken[1], Portion { ticket: 1, pieces: 1 });
+/// ```
+#[derive(Clone, Debug)]
+pub struct Slack {
+    shape: Shape,
+    groups: Vec<Group>,
+}
+
+impl Slack {
+    /// An empty former for calls of this shape.
+    #[must_use]
+    pub fn new(shape: Shape) -> Self {
+        Self {
+            shape,
+            groups: Vec::new(),
+        }
+    }
+
+    /// Takes over the shape that the configuration now gives.
+    pub fn reshape(&mut self, shape: Shape) {
+        self.shape = shape;
+    }
+
+    /// Shortest time in which a call with one piece ends.
+    fn shortest(&self) -> Duration {
+        self.shape.call + self.shape.piece
+    }
+}
+
+impl Former for Slack {
+    fn push(&mut self, group: Group) {
+        self.groups.push(group);
+    }
+
+    fn withdraw(&mut self, ticket: Ticket) {
+        self.groups.retain(|group| group.ticket != ticket);
+    }
+
+    fn expire(&mut self, now: Duration) -> Vec<Ticket> {
+        let end = now + self.shortest();
+        let (useless, useful) = self.groups.iter().partition(|group| group.last < end);
+        self.groups = useful;
+        let useless: Vec<Group> = useless;
+        useless.iter().map(|group| group.ticket).collect()
+    }
+
+    fn take(&mut self, now: Duration, room: u64) -> Vec<Portion> {
+        let end = now + self.shortest();
+        self.groups
+            .sort_by_key(|group| (group.due < end, group.rank, group.due));
+        let portions = fill(&self.groups, self.shape.size, room);
+        for portion in &portions {
+            if let Some(group) = self
+                .groups
+                .iter_mut()
+                .find(|group| group.ticket == portion.ticket)
+            {
+                group.pieces -= portion.pieces;
+            }
+        }
+        self.groups.retain(|group| group.pieces > 0);
+        portions
+    }
+
+    fn waiting(&self) -> u32 {
+        self.groups.iter().map(|group| group.pieces).sum()
+    }
+}
+
+/// Portions of the groups in their order, as far as places and room go.
+fn fill(groups: &[Group], size: u32, mut room: u64) -> Vec<Portion> {
+    let mut free = size;
+    let mut portions = Vec::new();
+    for group in groups {
+        let fitting = room.checked_div(group.result).unwrap_or(u64::from(size));
+        let pieces = group
+            .pieces
+            .min(free)
+            .min(u32::try_from(fitting).unwrap_or(u32::MAX));
+        if pieces > 0 {
+            free -= pieces;
+            room -= group.result * u64::from(pieces);
+            portions.push(Portion {
+                ticket: group.ticket,
+                pieces,
+            });
+        }
+        if free == 0 {
+            break;
+        }
+    }
+    portions
+}
+
+/// One group a call, in order of arrival: the baseline.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    inner: Slack,
+}
+
+impl Arrival {
+    /// An empty former for calls of this shape.
+    #[must_use]
+    pub fn new(shape: Shape) -> Self {
+        Self {
+            inner: Slack::new(shape),
+        }
+    }
+}
+
+impl Former for Arrival {
+    fn push(&mut self, group: Group) {
+        self.inner.push(group);
+    }
+
+    fn withdraw(&mut self, ticket: Ticket) {
+        self.inner.withdraw(ticket);
+    }
+
+    fn expire(&mut self, now: Duration) -> Vec<Ticket> {
+        self.inner.expire(now)
+    }
+
+    fn take(&mut self, _now: Duration, room: u64) -> Vec<Portion> {
+        let Some(first) = self.inner.groups.first_mut() else {
+            return Vec::new();
+        };
+        let portions = fill(&[*first], self.inner.shape.size, room);
+        first.pieces -= portions.first().map_or(0, |portion| portion.pieces);
+        self.inner.groups.retain(|group| group.pieces > 0);
+        portions
+    }
+
+    fn waiting(&self) -> u32 {
+        self.inner.waiting()
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`route`]: which target a call goes to
 //! * [`admit`]: whether a request is accepted, and in which order calls start
 //! * [`limit`]: how many calls may be in flight at once
+//! * [`batch`]: which pieces of work share a call of a batching runner
 //! * [`budget`]: by when a stage must start so that the request meets its deadline
 //! * [`retry`]: retries, hedges and ejection of outliers
 //! * [`demand`]: estimates of service time by class
@@ -14,6 +15,7 @@
 //! * [`subset`]: which targets of a large pool a process keeps links to
 
 pub mod admit;
+pub mod batch;
 pub mod budget;
 pub mod demand;
 mod either;
--- a/crates/decide/src/retry/mod.rs
+++ b/crates/decide/src/retry/mod.rs
@@ -3,10 +3,12 @@
 //! * [`always`]: the baseline, retry on every error
 //! * [`budgeted`]: retries and hedges from a budget that is a small share of recent successes
 //! * [`eject`]: targets that fail too often get no new work for a while
+//! * [`window`]: the repeats that a whole fleet may send to one service
 
 pub mod always;
 pub mod budgeted;
 pub mod eject;
+pub mod window;
 
 pub use always::Always;
 pub use budgeted::{Budgeted, Share};
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -2,11 +2,11 @@
 
 use crate::config::rows;
 use crate::writes::{Fate, Place, Writes};
-use platform::table::RowRevision;
-use platform::{Objects, Row, Table};
 use protocol::RequestId;
 use protocol::claim::{self, Action, Claim, Event, Kept, Verdict};
 use std::time::Duration;
+use store::table::RowRevision;
+use store::{Objects, Row, Table};
 
 /// Table of claims.
 pub const CLAIMS: &str = "claim";
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -8,13 +8,13 @@
 pub mod rows;
 
 use crate::config::rows::{Change, Head, Stored};
-use platform::{Error, Table};
 use protocol::Revision;
 use protocol::follower::{Action, Event, Follower};
 use record::{Document, Set};
 use slog::{Logger, info, warn};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use store::{Error, Table};
 use tokio::sync::Notify;
 use tokio::time::{Duration, Instant};
 
@@ -28,7 +28,7 @@
 struct State {
     follower: Follower,
     records: Records,
-    head_row: Option<platform::table::RowRevision>,
+    head_row: Option<store::table::RowRevision>,
     head_read: Option<Instant>,
     down: bool,
 }
@@ -239,8 +239,8 @@
         rows.into_iter().map(rows::parse).collect()
     }
 
-    async fn scan(&self, table: &str, after: &str) -> Result<Vec<platform::Row>, Error> {
-        let mut all: Vec<platform::Row> = Vec::new();
+    async fn scan(&self, table: &str, after: &str) -> Result<Vec<store::Row>, Error> {
+        let mut all: Vec<store::Row> = Vec::new();
         let mut after = after.to_owned();
         loop {
             let page = self.platform.scan(table, &after, PAGE).await?;
--- a/crates/entry/src/config/accept.rs
+++ b/crates/entry/src/config/accept.rs
@@ -2,13 +2,13 @@
 
 use crate::config::rows::{self, Change, Head, Stored};
 use crate::config::{Config, Records};
-use platform::{Check, Error, Put, Table, Transaction};
 use protocol::Revision;
 use record::Document;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use store::{Check, Error, Put, Table, Transaction};
 use tokio::time::Instant;
 
 /// How long a change whose fate is not known is looked after before the operator is told so.
@@ -110,7 +110,7 @@
         &self,
         operator: &str,
         request: &Request,
-    ) -> Result<(Change, Option<platform::table::RowRevision>), Refusal> {
+    ) -> Result<(Change, Option<store::table::RowRevision>), Refusal> {
         let state = self.lock();
         let conflicts = conflicts(&state.records, request);
         if !conflicts.is_empty() {
@@ -215,7 +215,7 @@
     record::check::all(&after)
 }
 
-fn transaction(change: &Change, head_row: Option<platform::table::RowRevision>) -> Transaction {
+fn transaction(change: &Change, head_row: Option<store::table::RowRevision>) -> Transaction {
     let head = Head {
         revision: change.revision,
     };
--- a/crates/entry/src/config/rows.rs
+++ b/crates/entry/src/config/rows.rs
@@ -1,10 +1,10 @@
 //! Rows of the table service that hold the configuration.
 
-use platform::{Error, Row};
 use protocol::Revision;
 use record::Document;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use store::{Error, Row};
 
 /// Table with the head of the log.
 pub const CONFIG: &str = "config";
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -17,12 +17,12 @@
 use crate::telemetry::Telemetry;
 use crate::writes::Writes;
 use decide::budget::Slot;
-use platform::{Objects, Table, Vms};
 use record::service::Runner;
 use slog::Logger;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
+use store::{Objects, Table, Vms};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
--- a/crates/entry/src/discovery.rs
+++ b/crates/entry/src/discovery.rs
@@ -4,11 +4,11 @@
 use crate::service::Listing;
 use crate::target::Target;
 use decide::subset::{self, Candidate};
-use platform::{Role, Vm};
 use slog::{o, warn};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
+use store::{Role, Vm};
 use wire::Key;
 
 /// Reads the list until the entry stops.
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -17,12 +17,12 @@
 use crate::journal::row::Entry;
 use crate::writes::{Fate, Place, Writes};
 use foldhash::fast::RandomState;
-use platform::Table;
-use platform::table::RowRevision;
 use protocol::RequestId;
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use store::Table;
+use store::table::RowRevision;
 use tokio::time::{Instant, sleep};
 
 /// Table of the journal.
@@ -211,7 +211,7 @@
 
     /// Takes in a row that is not as expected: written by an own beat whose answer was lost, or by
     /// another entry that has taken the request over.
-    fn keeps(&self, request: RequestId, row: platform::Row) -> bool {
+    fn keeps(&self, request: RequestId, row: store::Row) -> bool {
         let revision = row.revision;
         let found: Option<Entry> = crate::config::rows::parse(row).ok();
         let mut all = self.lock();
--- a/crates/entry/src/journal/sweep.rs
+++ b/crates/entry/src/journal/sweep.rs
@@ -6,13 +6,13 @@
 use crate::journal::row::Entry;
 use crate::{config::rows, execute, kept};
 use foldhash::fast::RandomState;
-use platform::table::RowRevision;
-use platform::{Error, Row};
 use protocol::RequestId;
 use slog::info;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use store::table::RowRevision;
+use store::{Error, Row};
 use tokio::time::{Instant, sleep};
 
 /// Beats that a row must be seen without before its request is taken over.
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -4,12 +4,12 @@
 //! that a lost message costs time and nothing else.
 
 use crate::core::{Core, Platform};
-use platform::Vm;
 use protocol::Revision;
 use slog::{Logger, warn};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use store::Vm;
 use tokio::sync::mpsc;
 use wire::Key;
 use wire::news::{Error, News, Publisher, Subscriber};
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -143,7 +143,7 @@
         }
         Refusal::Unavailable { source } => {
             let retry_after = match &source {
-                platform::Error::Unavailable { retry_after, .. } => *retry_after,
+                store::Error::Unavailable { retry_after, .. } => *retry_after,
                 _ => None,
             };
             Problem::not_run(source.to_string(), retry_after.unwrap_or(COME_BACK)).response()
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -14,13 +14,13 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use platform::Vm;
 use protocol::{RequestId, Revision};
 use rustls::{ClientConfig, RootCertStore};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::sync::{PoisonError, RwLock};
 use std::time::Duration;
+use store::Vm;
 
 /// Header that keeps a forwarded question from being forwarded again.
 pub const FORWARDED: &str = "linnetdrift-forwarded";
--- a/crates/entry/src/placement/lease.rs
+++ b/crates/entry/src/placement/lease.rs
@@ -2,12 +2,12 @@
 
 use crate::config::rows;
 use crate::core::{Core, Platform};
-use platform::{Check, Error, Put, Row, Table, Transaction};
 use protocol::Fence;
 use protocol::lease::{Action, Event, Kept, Lease as Machine, Term};
 use slog::info;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use store::{Check, Error, Put, Row, Table, Transaction};
 use tokio::time::{Instant, sleep, timeout};
 
 /// Table of leases.
@@ -161,7 +161,7 @@
     }
 }
 
-fn transaction(check: Option<platform::RowRevision>, row: protocol::lease::Row) -> Transaction {
+fn transaction(check: Option<store::RowRevision>, row: protocol::lease::Row) -> Transaction {
     Transaction {
         checks: vec![Check {
             table: TABLE.to_owned(),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -70,7 +70,7 @@
     shutdown: impl Future<Output = ()> + Send,
 ) -> Result<(), Error> {
     let services = &settings.platform;
-    let platform = platform::Client::new(services.table, services.objects, services.vms);
+    let platform = store::Client::new(services.table, services.objects, services.vms);
     run_with(settings, platform, log, ready, shutdown).await
 }
 
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -2,13 +2,13 @@
 
 use crate::engine::{Engine, Order};
 use foldhash::fast::RandomState;
-use platform::Vm;
 use protocol::{CallId, Fence};
 use slog::{Logger, error, info};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use store::Vm;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use wire::{Frame, Key, Receiver, Sender};
--- a/crates/entry/src/writes.rs
+++ b/crates/entry/src/writes.rs
@@ -3,10 +3,10 @@
 //! The table service takes several hundred writes a second and the fleet far more calls, so that
 //! writes that arrive while a transaction is under way share the next one.
 
-use platform::table::RowRevision;
-use platform::{Check, Error, Put, Row, Table, Transaction};
 use serde::Serialize;
 use std::collections::VecDeque;
+use store::table::RowRevision;
+use store::{Check, Error, Put, Row, Table, Transaction};
 use tokio::sync::{mpsc, oneshot};
 
 /// Writes in one transaction at most.
--- a/crates/entry/tests/placement_lease.rs
+++ b/crates/entry/tests/placement_lease.rs
@@ -2,8 +2,8 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use entry::placement::lease::Lease;
-use platform::Memory;
 use std::time::Duration;
+use store::Memory;
 use tokio::time::{Instant, sleep};
 
 const DURATION: Duration = Duration::from_secs(10);
--- a/crates/entry/tests/placement_order.rs
+++ b/crates/entry/tests/placement_order.rs
@@ -6,12 +6,12 @@
 use entry::placement::order;
 use entry::target::{Change, Observer, Target};
 use entry::telemetry::Telemetry;
-use platform::{Memory, Role, Vm};
 use setting::{Place, Placement, Platform, Policy};
 use slog::{Discard, Logger, o};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use store::{Memory, Role, Vm};
 use wire::{Frame, Key, Listener, Receiver};
 
 const KEY: &str = "key of the tests";
--- a/crates/entry/tests/placement_plan.rs
+++ b/crates/entry/tests/placement_plan.rs
@@ -6,11 +6,11 @@
 use entry::placement::fleet::{Engine, Fleet};
 use entry::placement::plan::{Planner, Step};
 use entry::target::{Change, Observer, Target};
-use platform::{Role, Vm};
 use setting::Placement;
 use slog::{Discard, Logger, o};
 use std::sync::Arc;
 use std::time::Duration;
+use store::{Role, Vm};
 use tokio::time::{advance, sleep};
 
 const SPAN: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/crates/relay/src/attempt.rs
@@ -0,0 +1,367 @@
+//! A request and the runners that it is sent to.
+
+use crate::core::Relay;
+use crate::downstream::{Call, Downstream, Failure, NotRun, Reply};
+use crate::follow::millis;
+use crate::graph::Inputs;
+use crate::plan::ServiceId;
+use crate::request::{Answer, Body, EventId, Refusal};
+use crate::runner::{Runner, RunnerId};
+use crate::serve::Job;
+use crate::splice;
+use bytes::{Bytes, BytesMut};
+use decide::route::{self, Router, Sampled};
+use futures::StreamExt;
+use slog::info;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+/// Runners that refuse a request before it is given up; each costs a round trip only.
+const REFUSALS: u32 = 3;
+/// Time below which no call is sent any more: the way there and back and the shortest work.
+const CALL_LEAST: Duration = Duration::from_millis(5);
+/// When a caller may come back whose request no runner took.
+const RETRY_FULL: Duration = Duration::from_millis(200);
+/// Parts of a stream that wait for a slow caller before its runner is read no further.
+const PARTS: usize = 32;
+
+/// How far a request has got.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Runners that it was sent to.
+    pub tried: Vec<RunnerId>,
+    /// Runners that may have run it.
+    pub ran: u32,
+    /// Runners that refused it.
+    pub refused: u32,
+    /// Why the last one brought no answer.
+    pub last: Option<Failure>,
+}
+
+impl Progress {
+    /// Whether the last runner refused the request because results that it needs are gone.
+    #[must_use]
+    pub fn input_gone(&self) -> bool {
+        let reason = NotRun::InputGone;
+        self.last == Some(Failure::NotRun { reason })
+    }
+}
+
+/// A call at a runner, counted there until it is over.
+#[derive(Debug)]
+pub struct Flight<D: Downstream> {
+    relay: Arc<Relay<D>>,
+    service: ServiceId,
+    /// The runner.
+    pub runner: Arc<Runner>,
+    /// When the call was sent.
+    pub sent: Instant,
+    over: bool,
+}
+
+impl<D: Downstream> Flight<D> {
+    fn new(job: &Job<D>, runner: Arc<Runner>) -> Self {
+        let now = job.relay.now();
+        job.relay
+            .pool(&job.service, |pool| pool.sent(&runner.id, now));
+        Self {
+            relay: job.relay.clone(),
+            service: job.service.clone(),
+            runner,
+            sent: Instant::now(),
+            over: false,
+        }
+    }
+
+    /// The runner answered as it should; `elapsed` is the time that speaks for its speed.
+    pub fn answered(mut self, job: &Job<D>, elapsed: Duration) {
+        self.over = true;
+        let now = self.relay.now();
+        let prefix = job
+            .request
+            .prompt
+            .as_ref()
+            .map_or(&[][..], |prompt| &prompt.blocks);
+        let answer = route::Answer {
+            busy: elapsed,
+            elapsed,
+            prefix,
+            hits: u32::try_from(prefix.len()).unwrap_or(u32::MAX),
+        };
+        self.relay.pool(&self.service, |pool| {
+            pool.answered(&self.runner.id, now, &answer)
+        });
+        self.relay.telemetry.attempt("answered");
+    }
+
+    /// The runner failed, or its answer was lost.
+    pub fn failed(mut self) {
+        self.over = true;
+        let now = self.relay.now();
+        self.relay
+            .pool(&self.service, |pool| pool.failed(&self.runner.id, now));
+        self.relay.telemetry.attempt("failed");
+    }
+}
+
+/// A caller that leaves drops its request where it stands; the runner must not count as busy with
+/// it for ever.
+impl<D: Downstream> Drop for Flight<D> {
+    fn drop(&mut self) {
+        if !self.over {
+            self.relay
+                .pool(&self.service, |pool| pool.returned(&self.runner.id));
+        }
+    }
+}
+
+/// Sends a request to runners until one answers.
+///
+/// # Errors
+///
+/// [`Refusal`], of which only those that say so are given if no runner may have run it.
+pub async fn run<D: Downstream>(job: &Job<D>, inputs: Inputs<D>) -> Result<Answer, Refusal> {
+    let mut progress = Progress::default();
+    job.relay.count_first(&job.service);
+    loop {
+        let (flight, reply) =
+            match send(job, &inputs, &mut progress, job.request.resume_after).await {
+                Ok(sent) => sent,
+                Err(()) => return Err(give_up(job, &progress)),
+            };
+        if job.streams() && is_success(reply.status) {
+            return Ok(stream(job, inputs, flight, reply, progress));
+        }
+        if let Some(answer) = whole(job, flight, reply, &mut progress).await {
+            return Ok(answer);
+        }
+    }
+}
+
+/// Sends the request to one runner after the other until one begins to answer.
+///
+/// # Errors
+///
+/// Nothing more than what `progress` says.
+pub async fn send<D: Downstream>(
+    job: &Job<D>,
+    inputs: &Inputs<D>,
+    progress: &mut Progress,
+    resume_after: Option<EventId>,
+) -> Result<(Flight<D>, Reply<D::Body>), ()> {
+    loop {
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        if left < CALL_LEAST || !may_send(job, progress) {
+            return Err(());
+        }
+        let Some(runner) = pick(job, inputs, progress, left) else {
+            return Err(());
+        };
+        if !progress.tried.is_empty() && !job.relay.may_repeat(&job.service) {
+            return Err(());
+        }
+        progress.tried.push(runner.id.clone());
+        let call = call(job, inputs, left, resume_after);
+        let flight = Flight::new(job, runner);
+        let result = timeout_at(
+            job.deadline,
+            job.relay.downstream.call(&flight.runner, call),
+        )
+        .await;
+        let result = result.unwrap_or_else(|_| {
+            let reason = "no answer before the deadline".to_owned();
+            Err(Failure::Lost { reason })
+        });
+        log(job, &flight, left, inputs, progress, &result);
+        match result {
+            Ok(reply) => {
+                progress.ran += 1;
+                return Ok((flight, reply));
+            }
+            Err(failure) => fail(flight, failure, progress),
+        }
+    }
+}
+
+fn fail<D: Downstream>(flight: Flight<D>, failure: Failure, progress: &mut Progress) {
+    match &failure {
+        Failure::Lost { .. } => {
+            progress.ran += 1;
+            flight.failed();
+        }
+        Failure::NotRun { reason } => {
+            progress.refused += 1;
+            // A full runner is not a faulty one.
+            if matches!(reason, NotRun::Unreachable { .. } | NotRun::Replaced) {
+                flight.failed();
+            }
+        }
+    }
+    progress.last = Some(failure);
+}
+
+/// Whether the request may go to one more runner.
+fn may_send<D: Downstream>(job: &Job<D>, progress: &Progress) -> bool {
+    if progress.refused > REFUSALS || progress.input_gone() {
+        return false;
+    }
+    progress.ran == 0 || (job.route.repeatable() && progress.ran < job.route.attempts)
+}
+
+fn pick<D: Downstream>(
+    job: &Job<D>,
+    inputs: &Inputs<D>,
+    progress: &Progress,
+    left: Duration,
+) -> Option<Arc<Runner>> {
+    let relay = &job.relay;
+    let domain = input_domain(job, inputs).unwrap_or_else(|| relay.options.domain.clone());
+    let prefix = job
+        .request
+        .prompt
+        .as_ref()
+        .map_or(&[][..], |prompt| &prompt.blocks);
+    let call = route::Call {
+        now: relay.now(),
+        domain: &domain,
+        prefix,
+        tried: &progress.tried,
+        slack: left,
+    };
+    let id = relay.pool(&job.service, |pool| {
+        relay.random(|rng| Sampled.pick(pool, &call, rng))
+    })?;
+    relay.runner(&id)
+}
+
+/// Failure domain in which most of the request's inputs lie.
+fn input_domain<D: Downstream>(job: &Job<D>, inputs: &Inputs<D>) -> Option<Arc<str>> {
+    let handle = inputs.leaves.first()?;
+    let address = job.relay.downstream.holder(handle)?;
+    job.relay
+        .fleet(|fleet| fleet.at(&address).map(|runner| runner.domain.clone()))?
+}
+
+fn call<D: Downstream>(
+    job: &Job<D>,
+    inputs: &Inputs<D>,
+    remaining: Duration,
+    resume_after: Option<EventId>,
+) -> Call {
+    Call {
+        id: job.request.id.clone(),
+        message: job.request.message.clone(),
+        remaining,
+        workspace: job
+            .workspace
+            .as_ref()
+            .map(|workspace| workspace.name.clone()),
+        rank: job.request.prompt.as_ref().map(|_| job.rank),
+        inputs: inputs.leaves.clone(),
+        resume_after,
+        reuse: job.route.repeatable(),
+    }
+}
+
+fn log<D: Downstream, B>(
+    job: &Job<D>,
+    flight: &Flight<D>,
+    left: Duration,
+    inputs: &Inputs<D>,
+    progress: &Progress,
+    result: &Result<Reply<B>, Failure>,
+) {
+    info!(job.relay.log, "call"; "request" => &*job.request.id,
+        "runner" => &*flight.runner.id, "service" => &*job.service,
+        "attempt" => progress.tried.len(), "left_ms" => millis(left),
+        "inputs" => inputs.leaves.len(), "took_ms" => millis(flight.sent.elapsed()),
+        "outcome" => result.as_ref().map_or_else(ToString::to_string, |reply| reply.status.to_string()));
+}
+
+fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
+}
+
+/// Reads an answer that is not a stream; `None` if it is no answer and another runner may be asked.
+async fn whole<D: Downstream>(
+    job: &Job<D>,
+    flight: Flight<D>,
+    reply: Reply<D::Body>,
+    progress: &mut Progress,
+) -> Option<Answer> {
+    let elapsed = flight.sent.elapsed();
+    let (status, headers) = (reply.status, reply.headers);
+    let body = timeout_at(job.deadline, collect(reply.body)).await;
+    let failure = match body {
+        Ok(Ok(body)) if reply.proven => {
+            let good = status < 500;
+            if good || !may_send(job, progress) {
+                flight.answered(job, elapsed);
+                return Some(Answer {
+                    status,
+                    headers,
+                    retry_after: None,
+                    body: Body::Whole(body),
+                });
+            }
+            format!("status {status}")
+        }
+        Ok(Ok(_)) => "answer without proof".to_owned(),
+        Ok(Err(broken)) => broken.reason,
+        Err(_) => "not whole before the deadline".to_owned(),
+    };
+    info!(job.relay.log, "answer of no use"; "request" => &*job.request.id,
+        "runner" => &*flight.runner.id, "status" => status, "reason" => &failure);
+    flight.failed();
+    progress.last = Some(Failure::Lost { reason: failure });
+    None
+}
+
+async fn collect<B>(mut body: B) -> Result<Bytes, crate::request::Broken>
+where
+    B: futures::Stream<Item = Result<Bytes, crate::request::Broken>> + Unpin,
+{
+    let mut whole = BytesMut::new();
+    while let Some(part) = body.next().await {
+        whole.extend_from_slice(&part?);
+    }
+    Ok(whole.freeze())
+}
+
+/// Passes a stream through in a task of its own.
+fn stream<D: Downstream>(
+    job: &Job<D>,
+    inputs: Inputs<D>,
+    flight: Flight<D>,
+    reply: Reply<D::Body>,
+    progress: Progress,
+) -> Answer {
+    let (parts, body) = mpsc::channel(PARTS);
+    let answer = Answer {
+        status: reply.status,
+        headers: reply.headers,
+        retry_after: None,
+        body: Body::Parts(body),
+    };
+    let passing = splice::Passing::new(job.clone(), inputs, progress, parts);
+    tokio::spawn(passing.run(flight, reply.body));
+    answer
+}
+
+/// What the caller is told once no more runner is asked.
+fn give_up<D: Downstream>(job: &Job<D>, progress: &Progress) -> Refusal {
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    match &progress.last {
+        _ if progress.ran == 0 => Refusal::Overloaded {
+            reason: "no runner took it",
+            retry_after: RETRY_FULL,
+        },
+        _ if left < CALL_LEAST => Refusal::Late,
+        Some(failure) => Refusal::Lost {
+            reason: failure.to_string(),
+        },
+        None => Refusal::Late,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/core.rs
@@ -0,0 +1,211 @@
+//! What the parts of the relay share.
+
+use crate::batch::Batcher;
+use crate::downstream::Downstream;
+use crate::plan::{Plan, ServiceId};
+use crate::runner::{Change, DomainId, Fleet, Runner};
+use crate::telemetry::Telemetry;
+use decide::Map;
+use decide::retry::window::{Bound, Quota};
+use decide::route::{Pool, Target};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slog::Logger;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What a relay is told at its start.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Failure domain that it runs in.
+    pub domain: DomainId,
+    /// Bound on second attempts of the whole fleet.
+    pub repeats: Bound,
+    /// Processes that share this bound.
+    pub processes: usize,
+}
+
+/// One process that takes requests and passes them on.
+#[derive(Debug)]
+pub struct Relay<D> {
+    /// What it was told.
+    pub options: Options,
+    /// Calls to runners.
+    pub downstream: D,
+    /// Logger of decisions.
+    pub log: Logger,
+    /// Counters and histograms.
+    pub telemetry: Telemetry,
+    started: Instant,
+    plan: RwLock<Option<Arc<Plan>>>,
+    fleet: RwLock<Option<Fleet>>,
+    pools: Mutex<Map<ServiceId, Pool>>,
+    quotas: Mutex<Map<ServiceId, Quota>>,
+    batchers: Mutex<Map<ServiceId, Arc<Batcher<D>>>>,
+    rng: Mutex<SmallRng>,
+}
+
+/// A panic while a lock was held cannot have left the maps behind it half changed in a way that
+/// matters more than serving on.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<D: Downstream> Relay<D> {
+    /// A relay that knows nothing yet.
+    #[must_use]
+    pub fn new(options: Options, downstream: D, log: Logger, telemetry: Telemetry) -> Arc<Self> {
+        Arc::new(Self {
+            options,
+            downstream,
+            log,
+            telemetry,
+            started: Instant::now(),
+            plan: RwLock::default(),
+            fleet: RwLock::default(),
+            pools: Mutex::default(),
+            quotas: Mutex::default(),
+            batchers: Mutex::default(),
+            rng: Mutex::new(SmallRng::from_os_rng()),
+        })
+    }
+
+    /// Time since the start, by the steady clock.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// When the relay started.
+    #[must_use]
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// The same clock's reading at a moment.
+    #[must_use]
+    pub fn at(&self, moment: Instant) -> Duration {
+        moment.saturating_duration_since(self.started)
+    }
+
+    /// The configuration in force, once one is known.
+    #[must_use]
+    pub fn plan(&self) -> Option<Arc<Plan>> {
+        let plan = self.plan.read().unwrap_or_else(PoisonError::into_inner);
+        plan.clone()
+    }
+
+    /// Takes a configuration into force if it is newer than the one that is; tells whether.
+    pub fn adopt(&self, plan: Plan) -> bool {
+        let mut current = self.plan.write().unwrap_or_else(PoisonError::into_inner);
+        if current
+            .as_ref()
+            .is_some_and(|old| old.version >= plan.version)
+        {
+            return false;
+        }
+        *current = Some(Arc::new(plan));
+        true
+    }
+
+    /// Whether configuration and runners are known, so that requests can be served.
+    #[must_use]
+    pub fn informed(&self) -> bool {
+        let fleet = self.fleet.read().unwrap_or_else(PoisonError::into_inner);
+        fleet.is_some() && self.plan().is_some()
+    }
+
+    /// Something of the runners that take new work.
+    pub fn fleet<T>(&self, read: impl FnOnce(&Fleet) -> T) -> Option<T> {
+        let fleet = self.fleet.read().unwrap_or_else(PoisonError::into_inner);
+        fleet.as_ref().map(read)
+    }
+
+    /// Takes in changes of the list of runners, the first of them even if there are none.
+    pub fn update(&self, changes: Vec<Change>) {
+        let mut services = Vec::new();
+        {
+            let mut fleet = self.fleet.write().unwrap_or_else(PoisonError::into_inner);
+            let fleet = fleet.get_or_insert_default();
+            for change in changes {
+                self.update_one(fleet, change, &mut services);
+            }
+        }
+        for service in services {
+            self.batcher(&service).refresh(self);
+        }
+    }
+
+    fn update_one(&self, fleet: &mut Fleet, change: Change, services: &mut Vec<ServiceId>) {
+        let id = match &change {
+            Change::Listed(runner) => runner.id.clone(),
+            Change::Gone(id) => id.clone(),
+        };
+        let before = fleet.get(&id).cloned();
+        if !fleet.apply(change) {
+            return;
+        }
+        let after = fleet.get(&id).cloned();
+        slog::info!(self.log, "runner";
+            "runner" => &*id,
+            "service" => before.as_ref().or(after.as_ref()).map(|runner| runner.service.to_string()),
+            "address" => after.as_ref().map(|runner| runner.address.to_string()),
+            "takes_work" => after.is_some());
+        if let Some(before) = before {
+            self.pool(&before.service, |pool| drop(pool.remove(&id)));
+            services.push(before.service.clone());
+        }
+        if let Some(after) = after {
+            let target = Target::new(id, after.domain.clone(), after.slots);
+            self.pool(&after.service, |pool| pool.insert(target));
+            services.push(after.service.clone());
+        }
+    }
+
+    /// The runner of that name, if it takes new work.
+    #[must_use]
+    pub fn runner(&self, id: &str) -> Option<Arc<Runner>> {
+        self.fleet(|fleet| fleet.get(id).cloned()).flatten()
+    }
+
+    /// Works on what is known of a service's runners.
+    pub fn pool<T>(&self, service: &ServiceId, work: impl FnOnce(&mut Pool) -> T) -> T {
+        work(lock(&self.pools).entry(service.clone()).or_default())
+    }
+
+    /// Counts the first attempt of a request to a service.
+    pub fn count_first(&self, service: &ServiceId) {
+        let now = self.now();
+        self.quota(service, |quota| quota.first(now));
+    }
+
+    /// Whether a second attempt may be sent to a service now; if so, it is counted.
+    pub fn may_repeat(&self, service: &ServiceId) -> bool {
+        let now = self.now();
+        let processes = self.options.processes;
+        self.quota(service, |quota| quota.repeat(now, processes))
+    }
+
+    fn quota<T>(&self, service: &ServiceId, work: impl FnOnce(&mut Quota) -> T) -> T {
+        let mut quotas = lock(&self.quotas);
+        let quota = quotas
+            .entry(service.clone())
+            .or_insert_with(|| Quota::new(self.options.repeats));
+        work(quota)
+    }
+
+    /// The calls to the runners of a stage service.
+    pub fn batcher(&self, service: &ServiceId) -> Arc<Batcher<D>> {
+        let mut batchers = lock(&self.batchers);
+        let batcher = batchers
+            .entry(service.clone())
+            .or_insert_with(|| Arc::new(Batcher::new(service.clone())));
+        batcher.clone()
+    }
+
+    /// Works with the source of random choices.
+    pub fn random<T>(&self, work: impl FnOnce(&mut SmallRng) -> T) -> T {
+        work(&mut lock(&self.rng))
+    }
+}
--- /dev/null
+++ b/crates/relay/src/downstream.rs
@@ -0,0 +1,176 @@
+//! Calls to runners, as the product sees them; an adapter speaks the runners' protocol.
+
+use crate::plan::Rank;
+use crate::request::{Broken, EventId, Message, RequestId};
+use crate::runner::Runner;
+use bytes::Bytes;
+use futures::Stream;
+use http::HeaderMap;
+use snafu::Snafu;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Names a result that lies at the runner that made it.
+pub type Handle = Arc<str>;
+
+/// A request on its way to a runner.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The request.
+    pub id: RequestId,
+    /// What is passed on.
+    pub message: Arc<Message>,
+    /// Time that is left.
+    pub remaining: Duration,
+    /// Workspace that the request belongs to.
+    pub workspace: Option<Arc<str>>,
+    /// Urgency of a request to a model.
+    pub rank: Option<Rank>,
+    /// Results that the request needs.
+    pub inputs: Vec<Handle>,
+    /// Last event that the caller has, where a stream goes on.
+    pub resume_after: Option<EventId>,
+    /// Whether an open connection may be used again. One that died unnoticed takes the request
+    /// with it, and nobody can tell whether it has run: never for what may run once at most.
+    pub reuse: bool,
+}
+
+/// One piece of a stage.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Item {
+    /// The request.
+    pub id: RequestId,
+    /// Position of the stage in the route.
+    pub stage: usize,
+    /// Number of the piece.
+    pub piece: u32,
+    /// Time that is left.
+    pub remaining: Duration,
+    /// What the piece is made from.
+    pub source: Source,
+}
+
+/// What a piece is made from.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Source {
+    /// The caller's key, for a stage that follows no other.
+    Key(Arc<str>),
+    /// Results of the stages before.
+    Inputs(Arc<[Handle]>),
+}
+
+/// What became of a piece.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Made {
+    /// Its result lies here.
+    Done(Handle),
+    /// It was too late when its turn came.
+    Late,
+    /// One of its inputs is gone.
+    InputGone,
+    /// The runner had no room for the result.
+    NoRoom,
+    /// The runner failed.
+    Failed,
+}
+
+/// The beginning of a runner's answer.
+#[derive(Debug)]
+pub struct Reply<B> {
+    /// Status.
+    pub status: u16,
+    /// Whether it bears the runner's proof that the answer is its own.
+    pub proven: bool,
+    /// Headers that are for the caller.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: B,
+}
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum Failure {
+    /// The runner has not run it and will not.
+    #[snafu(display("not run: {reason}"))]
+    NotRun {
+        /// Why not.
+        reason: NotRun,
+    },
+    /// The call was sent, and its answer did not come whole: it may have run.
+    #[snafu(display("lost: {reason}"))]
+    Lost {
+        /// What happened.
+        reason: String,
+    },
+}
+
+/// Why a runner has not run a call.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum NotRun {
+    /// No connection came about.
+    #[snafu(display("unreachable: {reason}"))]
+    Unreachable {
+        /// What the system says.
+        reason: String,
+    },
+    /// It is full.
+    #[snafu(display("full"))]
+    Full,
+    /// Another runner listens at its address now.
+    #[snafu(display("replaced"))]
+    Replaced,
+    /// A result that the request needs is gone.
+    #[snafu(display("input gone"))]
+    InputGone,
+    /// It refused the call for another reason.
+    #[snafu(display("refused with status {status}"))]
+    Refused {
+        /// Status of the refusal.
+        status: u16,
+    },
+}
+
+/// Speaks to runners.
+pub trait Downstream: Clone + Send + Sync + 'static {
+    /// Body of a runner's answer; it ends well only if the answer is whole. Dropping it ends the
+    /// call at the runner.
+    type Body: Stream<Item = Result<Bytes, Broken>> + Send + Unpin + 'static;
+
+    /// Sends a request and waits for the beginning of its answer. Dropping the future ends the
+    /// call at the runner.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::NotRun`] only if it is certain.
+    fn call(
+        &self,
+        runner: &Runner,
+        call: Call,
+    ) -> impl Future<Output = Result<Reply<Self::Body>, Failure>> + Send;
+
+    /// Has pieces made; gives what became of each, in their order.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::NotRun`] if none was made.
+    fn make(
+        &self,
+        runner: &Runner,
+        items: Vec<Item>,
+        patience: Duration,
+    ) -> impl Future<Output = Result<Vec<Made>, Failure>> + Send;
+
+    /// Tells a runner that these results are needed no more.
+    ///
+    /// # Errors
+    ///
+    /// Any; the runner drops them later by itself.
+    fn release(
+        &self,
+        runner: &Runner,
+        handles: Vec<Handle>,
+    ) -> impl Future<Output = Result<(), Failure>> + Send;
+
+    /// Address of the runner that holds a result.
+    fn holder(&self, handle: &Handle) -> Option<std::net::SocketAddr>;
+}
--- /dev/null
+++ b/crates/relay/src/follow.rs
@@ -0,0 +1,266 @@
+//! Keeps plan and runners as the platform's table service has them.
+
+use crate::core::Relay;
+use crate::downstream::Downstream;
+use crate::plan::Plan;
+use crate::runner::{Change, Runner, RunnerId};
+use decide::Map;
+use serde::de::StdError;
+use slog::{info, warn};
+use snafu::Snafu;
+use std::sync::Arc;
+use std::time::Duration;
+use store::{Changes, Feed, Miss, RowRevision};
+use tokio::time::{Instant, sleep};
+
+/// Longest time that one question waits for changes. A connection that has gone silent is noticed
+/// after this time and the client's margin; a change in the meantime is as late.
+const WAIT: Duration = Duration::from_secs(2);
+/// First pause after a failed question; doubles up to [`PAUSE_MOST`].
+const PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause after a failed question: an outage ends unnoticed for so long at most.
+const PAUSE_MOST: Duration = Duration::from_millis(400);
+/// Time after the table service's return in which entries that lapsed meanwhile come back, by the
+/// platform's promise. Runners whose entries lapsed while the service was away are fine.
+const LAPSE: Duration = Duration::from_millis(1_800);
+
+/// A row that holds nothing usable.
+#[derive(Clone, Debug, PartialEq, Snafu)]
+#[snafu(display("unreadable: {reason}"))]
+pub struct Unreadable {
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl Unreadable {
+    /// Unreadable because of an error.
+    pub fn from_error(error: &impl StdError) -> Self {
+        Self {
+            reason: error.to_string(),
+        }
+    }
+}
+
+/// Where configuration and runners are found.
+pub trait Source: Feed {
+    /// Table of the configuration.
+    const PLANS: &'static str;
+    /// Table of the runners.
+    const RUNNERS: &'static str;
+
+    /// Reads a row of the table of the configuration; `None` if the row is something else.
+    ///
+    /// # Errors
+    ///
+    /// [`Unreadable`].
+    fn plan(key: &str, value: &serde_json::Value) -> Result<Option<Plan>, Unreadable>;
+
+    /// Reads a row of the table of the runners.
+    ///
+    /// # Errors
+    ///
+    /// [`Unreadable`].
+    fn runner(key: &str, value: &serde_json::Value) -> Result<Runner, Unreadable>;
+}
+
+/// Follows the configuration until the task is dropped.
+pub async fn plans<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
+    let mut follower = Follower::new(source, S::PLANS);
+    loop {
+        let changes = follower.next(&relay).await;
+        for change in changes.rows {
+            let Some(value) = &change.value else { continue };
+            match S::plan(&change.key, value) {
+                Ok(Some(plan)) => adopt(&relay, plan),
+                Ok(None) => {}
+                Err(error) => {
+                    warn!(relay.log, "configuration unreadable, the one in force stays";
+                        "row" => &change.key, "error" => %error);
+                }
+            }
+        }
+    }
+}
+
+fn adopt<D: Downstream>(relay: &Relay<D>, plan: Plan) {
+    let version = plan.version;
+    let before = relay.plan().map(|plan| plan.version);
+    let adopted = relay.adopt(plan);
+    info!(relay.log, "configuration"; "version" => version, "before" => before, "adopted" => adopted);
+}
+
+/// Follows the list of runners until the task is dropped.
+pub async fn runners<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
+    let mut follower = Follower::new(source, S::RUNNERS);
+    let mut lapsed: Map<RunnerId, Instant> = Map::default();
+    loop {
+        let due = lapsed.values().min().copied();
+        let changes = tokio::select! {
+            changes = follower.next(&relay) => changes,
+            () = until(due) => Changes::default(),
+        };
+        let mut news = read::<D, S>(&relay, &changes);
+        if changes.revision > 0 && follower.whole {
+            news.extend(missing(&relay, &news));
+        }
+        let heard: Vec<RunnerId> = news.iter().map(|change| id(change).clone()).collect();
+        for id in &heard {
+            lapsed.remove(id);
+        }
+        if let Some(until) = follower.lapse() {
+            news.retain(|change| defer(change, until, &mut lapsed));
+        }
+        let now = Instant::now();
+        let over: Vec<RunnerId> = lapsed
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in over {
+            lapsed.remove(&id);
+            news.push(Change::Gone(id));
+        }
+        relay.update(news);
+    }
+}
+
+fn id(change: &Change) -> &RunnerId {
+    match change {
+        Change::Listed(runner) => &runner.id,
+        Change::Gone(id) => id,
+    }
+}
+
+async fn until(moment: Option<Instant>) {
+    match moment {
+        Some(moment) => tokio::time::sleep_until(moment).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn read<D: Downstream, S: Source>(relay: &Relay<D>, changes: &Changes) -> Vec<Change> {
+    let read_one = |change: &store::Change| {
+        let gone = || Change::Gone(change.key.as_str().into());
+        let Some(value) = &change.value else {
+            return gone();
+        };
+        S::runner(&change.key, value).map_or_else(
+            |error| {
+                warn!(relay.log, "entry of a runner unreadable, it gets no work";
+                    "runner" => &change.key, "error" => %error);
+                gone()
+            },
+            Change::Listed,
+        )
+    };
+    changes.rows.iter().map(read_one).collect()
+}
+
+/// Runners that are known but not in the whole list.
+fn missing<D: Downstream>(relay: &Relay<D>, listed: &[Change]) -> Vec<Change> {
+    let absent = |known: &&RunnerId| listed.iter().all(|change| id(change) != *known);
+    relay
+        .fleet(|fleet| {
+            fleet
+                .ids()
+                .filter(absent)
+                .cloned()
+                .map(Change::Gone)
+                .collect()
+        })
+        .unwrap_or_default()
+}
+
+/// Whether a change counts now; the removal of a runner whose entry may have lapsed while the
+/// table service was away waits until `until`.
+fn defer(change: &Change, until: Instant, lapsed: &mut Map<RunnerId, Instant>) -> bool {
+    match change {
+        Change::Listed(_) => true,
+        Change::Gone(id) => {
+            lapsed.entry(id.clone()).or_insert(until);
+            false
+        }
+    }
+}
+
+/// Asks for the changes of one table, over outages and gaps in its history.
+struct Follower<S> {
+    source: S,
+    table: &'static str,
+    after: Option<RowRevision>,
+    /// Whether the last changes are the whole table.
+    whole: bool,
+    lost: Option<Instant>,
+    regained: Option<Instant>,
+    pause: Duration,
+}
+
+impl<S: Source> Follower<S> {
+    fn new(source: S, table: &'static str) -> Self {
+        Self {
+            source,
+            table,
+            after: None,
+            whole: false,
+            lost: None,
+            regained: None,
+            pause: PAUSE,
+        }
+    }
+
+    /// The next changes, or the whole table at first and after a gap.
+    async fn next<D: Downstream>(&mut self, relay: &Relay<D>) -> Changes {
+        loop {
+            match self.ask().await {
+                Ok(changes) => {
+                    self.after = Some(changes.revision);
+                    self.regain(relay);
+                    return changes;
+                }
+                Err(Miss::Gap) => {
+                    info!(relay.log, "history gone, reading the table as a whole";
+                        "table" => self.table, "after" => self.after);
+                    self.after = None;
+                }
+                Err(Miss::Failed { error }) => {
+                    if self.lost.is_none() {
+                        warn!(relay.log, "table service lost"; "table" => self.table, "error" => %error);
+                        self.lost = Some(Instant::now());
+                    }
+                    sleep(self.pause).await;
+                    self.pause = (self.pause * 2).min(PAUSE_MOST);
+                }
+            }
+        }
+    }
+
+    async fn ask(&mut self) -> Result<Changes, Miss> {
+        self.whole = self.after.is_none();
+        match self.after {
+            Some(after) => self.source.changes(self.table, after, WAIT).await,
+            None => {
+                let listed = self.source.list(self.table).await;
+                listed.map_err(|error| Miss::Failed { error })
+            }
+        }
+    }
+
+    fn regain<D: Downstream>(&mut self, relay: &Relay<D>) {
+        self.pause = PAUSE;
+        let Some(lost) = self.lost.take() else { return };
+        info!(relay.log, "table service regained";
+            "table" => self.table, "away_ms" => millis(lost.elapsed()));
+        self.regained = Some(Instant::now());
+    }
+
+    /// Until when entries that are gone may only have lapsed.
+    fn lapse(&self) -> Option<Instant> {
+        let until = self.regained? + LAPSE;
+        (Instant::now() < until).then_some(until)
+    }
+}
+
+/// Whole milliseconds, for the log.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,33 @@
+//! Serves requests whose bodies it does not read: routes them to runners that have no agent, runs
+//! the stages before them and passes answers and streams through.
+//!
+//! * [`plan`]: the configuration in force; [`runner`]: the runners that take new work
+//! * [`request`]: requests, answers and refusals
+//! * [`downstream`]: calls to runners, as an adapter carries them out
+//! * [`follow`]: keeps plan and runners as the platform has them
+//! * [`core`]: what the parts share
+//! * [`serve`]: one request from its arrival to its answer
+//! * [`graph`]: the stages of one request; [`batch`]: the calls that carry their pieces
+//! * [`attempt`]: a request and the runners it is sent to; [`splice`]: streams over several runners
+//! * [`event`]: where the events of a stream begin and end
+//! * [`telemetry`]: counters and histograms
+
+pub mod attempt;
+pub mod batch;
+pub mod core;
+pub mod downstream;
+pub mod event;
+pub mod follow;
+pub mod graph;
+pub mod plan;
+pub mod request;
+pub mod runner;
+pub mod serve;
+pub mod splice;
+pub mod telemetry;
+
+pub use core::{Options, Relay};
+pub use downstream::Downstream;
+pub use plan::Plan;
+pub use request::{Answer, Body, Request};
+pub use runner::Runner;
--- /dev/null
+++ b/crates/relay/src/plan.rs
@@ -0,0 +1,239 @@
+//! The configuration in force: routes, services, workspaces and limits.
+
+use decide::{Map, WorkspaceId};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Number of a configuration; a newer one has a greater number.
+pub type Version = u64;
+/// Name of a service.
+pub type ServiceId = Arc<str>;
+/// How urgent a request is; 0 comes first.
+pub type Rank = u8;
+
+/// A whole configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Its number.
+    pub version: Version,
+    /// Routes by host, those with longer prefixes first.
+    routes: Map<String, Vec<Arc<Route>>>,
+    /// Services by name.
+    pub services: Map<ServiceId, Service>,
+    /// Workspaces by key.
+    keys: Map<String, Arc<Workspace>>,
+    /// Bounds on what a caller may send.
+    pub limits: Limits,
+}
+
+/// Where requests of one host and path prefix go and how they may be treated.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name.
+    pub name: String,
+    /// Host that requests ask for.
+    pub host: String,
+    /// Beginning of the path, with a slash at both ends.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time that a request may be kept.
+    pub timeout: Duration,
+    /// Time within which an answer, or its first event, is on time.
+    pub target: Duration,
+    /// Urgency.
+    pub rank: Rank,
+    /// Services that share the route's requests, with their weights.
+    pub split: Vec<Share>,
+    /// Most runners that one request may run on.
+    pub attempts: u32,
+    /// Work that must be done before the request can run.
+    pub stages: Vec<Stage>,
+    /// Whether requests need no key.
+    pub public: bool,
+    /// Whether a stream that broke off may go on at another runner.
+    pub resumable: bool,
+    /// Longest pause between events of a stream that is on time.
+    pub gap: Duration,
+}
+
+/// What may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A request that may run more than once.
+    Safe,
+    /// A request that may run once at most.
+    Unsafe,
+    /// A request that is answered by a stream of events.
+    Streaming,
+}
+
+/// A service's part of a route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceId,
+    /// Its weight among the route's services.
+    pub weight: u32,
+}
+
+/// One stage of a route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stage {
+    /// Service whose runners do the work.
+    pub service: ServiceId,
+    /// Stages whose results it needs, by position.
+    pub after: Vec<usize>,
+    /// Approximate size of a result in bytes.
+    pub result: u64,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub name: ServiceId,
+    /// How its runners take the pieces of stages, if they do.
+    pub batches: Option<Batches>,
+    /// How its runners generate, if they are model engines.
+    pub engine: Option<Engine>,
+}
+
+/// How the runners of a stage service take pieces.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Batches {
+    /// Calls in progress at once.
+    pub slots: u32,
+    /// Most pieces in a call, and what a call costs.
+    pub shape: decide::batch::Shape,
+    /// Room for results in bytes.
+    pub room: u64,
+    /// Time for which a result is kept unless it is released.
+    pub keep: Duration,
+}
+
+/// How the runners of a model service generate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Engine {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that fit into its memory.
+    pub tokens: u64,
+}
+
+/// A workspace.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Workspace {
+    /// Name.
+    pub name: WorkspaceId,
+    /// Urgency of its requests, before that of the route.
+    pub rank: Option<Rank>,
+}
+
+/// Bounds on what a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Longest head of a request in bytes.
+    pub head: usize,
+    /// Longest body of a request in bytes.
+    pub body: usize,
+    /// Time for which a connection may stay without a request.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    /// What holds before a configuration is known.
+    fn default() -> Self {
+        Self {
+            head: 16 << 10,
+            body: 4 << 20,
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+impl Plan {
+    /// A plan of these parts; `keys` holds each workspace with its keys.
+    #[must_use]
+    pub fn new(
+        version: Version,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        keys: Vec<(Workspace, Vec<String>)>,
+        limits: Limits,
+    ) -> Self {
+        let mut plan = Self {
+            version,
+            limits,
+            ..Self::default()
+        };
+        for route in routes {
+            let host = route.host.to_ascii_lowercase();
+            plan.routes.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in plan.routes.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        for service in services {
+            plan.services.insert(service.name.clone(), service);
+        }
+        for (workspace, keys) in keys {
+            let workspace = Arc::new(workspace);
+            let keys = keys.into_iter().map(|key| (key, workspace.clone()));
+            plan.keys.extend(keys);
+        }
+        plan
+    }
+
+    /// The route of a request: that with the longest prefix among those of the host.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(&host.to_ascii_lowercase())?;
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The workspace that holds a key.
+    #[must_use]
+    pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
+        self.keys.get(key)
+    }
+
+    /// How the service's runners take pieces, if the service is known and takes any.
+    #[must_use]
+    pub fn batches(&self, service: &str) -> Option<Batches> {
+        self.services.get(service)?.batches
+    }
+}
+
+impl Route {
+    /// The service for a request, chosen by a number that is drawn once a request.
+    #[must_use]
+    pub fn service(&self, draw: u64) -> Option<&ServiceId> {
+        let total: u64 = self.split.iter().map(|share| u64::from(share.weight)).sum();
+        let mut left = draw.checked_rem(total)?;
+        for share in &self.split {
+            let weight = u64::from(share.weight);
+            if left < weight {
+                return Some(&share.service);
+            }
+            left -= weight;
+        }
+        None
+    }
+
+    /// Whether a request may be sent to another runner after one may have run it.
+    #[must_use]
+    pub fn repeatable(&self) -> bool {
+        match self.kind {
+            Kind::Safe => true,
+            Kind::Unsafe => false,
+            Kind::Streaming => self.resumable,
+        }
+    }
+
+    /// Stages whose results the request itself needs: those that no other stage follows.
+    pub fn leaves(&self) -> impl Iterator<Item = usize> + '_ {
+        let follows = |stage: usize| self.stages.iter().any(|next| next.after.contains(&stage));
+        (0..self.stages.len()).filter(move |&stage| !follows(stage))
+    }
+}
--- /dev/null
+++ b/crates/relay/src/request.rs
@@ -0,0 +1,179 @@
+//! A caller's request, and what a caller gets.
+
+use bytes::Bytes;
+use decide::route::Block;
+use http::{HeaderMap, Method, Uri};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// Name of a request; each attempt of a caller has its own.
+pub type RequestId = Arc<str>;
+/// Position of an event in its stream.
+pub type EventId = u64;
+
+/// A request as its caller sent it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its name.
+    pub id: RequestId,
+    /// Host that it asks for.
+    pub host: String,
+    /// Key of its workspace.
+    pub key: Option<String>,
+    /// When it had been read.
+    pub arrived: Instant,
+    /// Time that the caller waits, if it told.
+    pub patience: Option<Duration>,
+    /// Pieces of each stage; a stage without pieces is left out.
+    pub pieces: Vec<u32>,
+    /// Key of the pieces of the first stages.
+    pub piece_key: String,
+    /// The prompt of a request to a model.
+    pub prompt: Option<Prompt>,
+    /// Last event that the caller has, where it goes on with a stream.
+    pub resume_after: Option<EventId>,
+    /// What is passed on to the runner.
+    pub message: Arc<Message>,
+}
+
+/// The part of a request that is passed on as it is.
+#[derive(Clone, Debug)]
+pub struct Message {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// Headers that are for the runner.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// The prompt of a request to a model.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Prompt {
+    /// Tokens to read.
+    pub input: u32,
+    /// Most tokens to generate.
+    pub output: u32,
+    /// Hashes of the shared prefix, a block for each [`BLOCK_TOKENS`] tokens, longest last.
+    pub blocks: Vec<Block>,
+}
+
+/// Tokens that one block of a prompt's prefix stands for. Routing weighs cached prefixes by their
+/// blocks; finer ones would cost more time for each decision than the weight gains.
+pub const BLOCK_TOKENS: u32 = 256;
+
+/// What a caller gets.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// Headers of the runner's answer, or of the refusal.
+    pub headers: HeaderMap,
+    /// When the caller should come back, where the request has not run.
+    pub retry_after: Option<Duration>,
+    /// Body.
+    pub body: Body,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Body {
+    /// All of it.
+    Whole(Bytes),
+    /// Parts as they come. It ends well only if the channel closes without a [`Broken`].
+    Parts(mpsc::Receiver<Result<Bytes, Broken>>),
+}
+
+/// An answer that ended before it was whole; the caller's connection must not make it look whole.
+#[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("answer broke off: {reason}"))]
+pub struct Broken {
+    /// What happened.
+    pub reason: String,
+}
+
+impl Answer {
+    /// An answer of the relay itself.
+    #[must_use]
+    pub fn own(refusal: &Refusal) -> Self {
+        Self {
+            status: refusal.status(),
+            headers: HeaderMap::new(),
+            retry_after: refusal.retry_after(),
+            body: Body::Whole(Bytes::from(refusal.to_string())),
+        }
+    }
+}
+
+/// Why a request gets no answer of a runner.
+///
+/// Only the first four say that it has not run and never will; a caller may safely send it again
+/// after those.
+#[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
+pub enum Refusal {
+    /// No configuration or no list of runners is known yet.
+    #[snafu(display("not ready"))]
+    NotReady,
+    /// It cannot be served in time, or no runner takes it.
+    #[snafu(display("overloaded: {reason}"))]
+    Overloaded {
+        /// What is short.
+        reason: &'static str,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// No route leads there.
+    #[snafu(display("no such route"))]
+    NoRoute,
+    /// No workspace holds its key.
+    #[snafu(display("unknown key"))]
+    NoKey,
+    /// The request makes no sense.
+    #[snafu(display("bad request: {reason}"))]
+    Malformed {
+        /// What is wrong with it.
+        reason: &'static str,
+    },
+    /// The runner's answer was lost; the request may have run.
+    #[snafu(display("answer lost: {reason}"))]
+    Lost {
+        /// What happened to it.
+        reason: String,
+    },
+    /// No answer came in time; the request may have run.
+    #[snafu(display("timed out"))]
+    Late,
+}
+
+/// Time after which a caller may come back that was refused for want of a configuration: about
+/// that of reading it.
+const NOT_READY: Duration = Duration::from_millis(300);
+
+impl Refusal {
+    /// Its status.
+    #[must_use]
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::NotReady | Self::Overloaded { .. } => 503,
+            Self::NoRoute => 404,
+            Self::NoKey => 401,
+            Self::Malformed { .. } => 400,
+            Self::Lost { .. } => 502,
+            Self::Late => 504,
+        }
+    }
+
+    /// When the caller should come back, where the request has not run.
+    #[must_use]
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::NotReady => Some(NOT_READY),
+            Self::Overloaded { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/runner.rs
@@ -0,0 +1,116 @@
+//! Runners that the platform lists, and which of them get new work.
+
+use crate::plan::ServiceId;
+use decide::Map;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Name of a runner.
+pub type RunnerId = Arc<str>;
+/// Failure domain.
+pub type DomainId = Arc<str>;
+
+/// A runner as the platform's list has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Runner {
+    /// Name.
+    pub id: RunnerId,
+    /// When it started, in Unix milliseconds. A runner may come back under its old name; it then
+    /// knows nothing of what it had before.
+    pub started: Option<u64>,
+    /// Service that it runs for.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain that it runs in.
+    pub domain: DomainId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to leave and takes no new work.
+    pub leaving: bool,
+}
+
+/// A change of what is known of a runner.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// The list has this of the runner.
+    Listed(Runner),
+    /// The list no longer has a usable entry of the runner.
+    Gone(RunnerId),
+}
+
+/// All runners that take new work, by service.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    runners: Map<RunnerId, Arc<Runner>>,
+    by_service: Map<ServiceId, Vec<Arc<Runner>>>,
+    by_address: Map<SocketAddr, Arc<Runner>>,
+}
+
+impl Fleet {
+    /// Takes in a change and tells whether anything is different now.
+    pub fn apply(&mut self, change: Change) -> bool {
+        match change {
+            Change::Listed(runner) if runner.leaving => self.remove(&runner.id),
+            Change::Listed(runner) => self.put(runner),
+            Change::Gone(id) => self.remove(&id),
+        }
+    }
+
+    /// The runner of that name, if it takes new work.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Arc<Runner>> {
+        self.runners.get(id)
+    }
+
+    /// The runner that listens at an address, if it takes new work.
+    #[must_use]
+    pub fn at(&self, address: &SocketAddr) -> Option<&Arc<Runner>> {
+        self.by_address.get(address)
+    }
+
+    /// Runners of a service that take new work.
+    #[must_use]
+    pub fn of(&self, service: &str) -> &[Arc<Runner>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Names of all runners that take new work.
+    pub fn ids(&self) -> impl Iterator<Item = &RunnerId> {
+        self.runners.keys()
+    }
+
+    fn put(&mut self, runner: Runner) -> bool {
+        if self
+            .runners
+            .get(&runner.id)
+            .is_some_and(|old| **old == runner)
+        {
+            return false;
+        }
+        self.remove(&runner.id);
+        let runner = Arc::new(runner);
+        let service = self.by_service.entry(runner.service.clone()).or_default();
+        service.push(runner.clone());
+        self.by_address.insert(runner.address, runner.clone());
+        self.runners.insert(runner.id.clone(), runner);
+        true
+    }
+
+    fn remove(&mut self, id: &str) -> bool {
+        let Some(old) = self.runners.remove(id) else {
+            return false;
+        };
+        if let Some(runners) = self.by_service.get_mut(&old.service) {
+            runners.retain(|runner| runner.id != old.id);
+        }
+        if self
+            .by_address
+            .get(&old.address)
+            .is_some_and(|runner| runner.id == old.id)
+        {
+            self.by_address.remove(&old.address);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/relay/src/serve.rs
@@ -0,0 +1,171 @@
+//! One request from its arrival to its answer.
+
+use crate::attempt;
+use crate::batch::Spoiled;
+use crate::core::Relay;
+use crate::downstream::Downstream;
+use crate::follow::millis;
+use crate::graph::{self, Inputs, Round};
+use crate::plan::{Kind, Plan, Rank, Route, ServiceId, Workspace};
+use crate::request::{Answer, Refusal, Request};
+use slog::{debug, info};
+use std::hash::BuildHasher;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Least time after which a refused request may come back.
+const RETRY_LEAST: Duration = Duration::from_millis(50);
+
+/// A request with all that was decided for it on arrival.
+#[derive(Clone, Debug)]
+pub struct Job<D> {
+    /// Who runs it.
+    pub relay: Arc<Relay<D>>,
+    /// The request.
+    pub request: Arc<Request>,
+    /// The configuration that was in force when it arrived.
+    pub plan: Arc<Plan>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Service that runs it.
+    pub service: ServiceId,
+    /// Its workspace.
+    pub workspace: Option<Arc<Workspace>>,
+    /// Its urgency.
+    pub rank: Rank,
+    /// By when its answer, or its first event, is on time.
+    pub due: Instant,
+    /// When it is given up.
+    pub deadline: Instant,
+}
+
+impl<D: Downstream> Relay<D> {
+    /// Serves a request. Dropping the future gives it up.
+    pub async fn serve(self: &Arc<Self>, request: Request) -> Answer {
+        let request = Arc::new(request);
+        match self.plan_for(&request) {
+            Err(refusal) => self.refuse(&request, None, &refusal),
+            Ok(job) => {
+                let answer = self.run(&job).await;
+                answer.unwrap_or_else(|refusal| self.refuse(&request, Some(&job), &refusal))
+            }
+        }
+    }
+
+    /// Looks up what the configuration says of a request.
+    fn plan_for(self: &Arc<Self>, request: &Arc<Request>) -> Result<Job<D>, Refusal> {
+        if !self.informed() {
+            return Err(Refusal::NotReady);
+        }
+        let plan = self.plan().ok_or(Refusal::NotReady)?;
+        let path = request.message.target.path();
+        let route = plan.route(&request.host, path).ok_or(Refusal::NoRoute)?;
+        let workspace = match &request.key {
+            _ if route.public => None,
+            None => return Err(Refusal::NoKey),
+            Some(key) => Some(plan.workspace(key).ok_or(Refusal::NoKey)?.clone()),
+        };
+        let draw = foldhash::fast::FixedState::default().hash_one(&*request.id);
+        let service = route.service(draw).ok_or(Refusal::NoRoute)?.clone();
+        let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
+        let rank = workspace.as_ref().and_then(|workspace| workspace.rank);
+        Ok(Job {
+            relay: self.clone(),
+            request: request.clone(),
+            route: route.clone(),
+            service,
+            rank: rank.unwrap_or(route.rank),
+            workspace,
+            due: request.arrived + route.target,
+            deadline: request.arrived + patience,
+            plan,
+        })
+    }
+
+    async fn run(self: &Arc<Self>, job: &Job<D>) -> Result<Answer, Refusal> {
+        admit(job)?;
+        let inputs = self.make_inputs(job).await?;
+        let answer = attempt::run(job, inputs).await?;
+        let elapsed = job.request.arrived.elapsed();
+        info!(self.log, "answered"; "request" => &*job.request.id, "route" => &job.route.name,
+            "status" => answer.status, "after_ms" => millis(elapsed),
+            "configuration" => job.plan.version);
+        self.count(job, answer.status);
+        Ok(answer)
+    }
+
+    async fn make_inputs(&self, job: &Job<D>) -> Result<Inputs<D>, Refusal> {
+        let made = timeout_at(job.deadline, graph::run(job, Round::First)).await;
+        let begun = job.request.arrived.elapsed();
+        if !job.route.stages.is_empty() {
+            debug!(self.log, "stages"; "request" => &*job.request.id, "after_ms" => millis(begun));
+        }
+        match made {
+            Ok(Ok(inputs)) => Ok(inputs),
+            Ok(Err(spoiled)) => Err(overloaded(&spoiled)),
+            Err(_) => Err(overloaded(&Spoiled::Late)),
+        }
+    }
+
+    fn count(&self, job: &Job<D>, status: u16) {
+        let workspace = job
+            .workspace
+            .as_ref()
+            .map_or("", |workspace| &*workspace.name);
+        let elapsed = job.request.arrived.elapsed();
+        self.telemetry
+            .answered(workspace, &job.route.name, status, elapsed);
+    }
+
+    fn refuse(&self, request: &Request, job: Option<&Job<D>>, refusal: &Refusal) -> Answer {
+        let answer = Answer::own(refusal);
+        let version = job
+            .map(|job| job.plan.version)
+            .or_else(|| Some(self.plan()?.version));
+        info!(self.log, "refused"; "request" => &*request.id,
+            "route" => job.map(|job| job.route.name.clone()),
+            "status" => answer.status, "reason" => %refusal,
+            "retry_after_ms" => answer.retry_after.map(millis),
+            "after_ms" => millis(request.arrived.elapsed()), "configuration" => version);
+        if let Some(job) = job {
+            self.count(job, answer.status);
+        }
+        answer
+    }
+}
+
+/// Refuses a request that cannot be served in time before anything is spent on it.
+fn admit<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
+    let expected = job.expected();
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    if expected <= left {
+        return Ok(());
+    }
+    Err(Refusal::Overloaded {
+        reason: "the stages cannot be done in time",
+        retry_after: (expected - left).max(RETRY_LEAST),
+    })
+}
+
+/// Nothing of the request itself has run when its stages fail.
+fn overloaded(spoiled: &Spoiled) -> Refusal {
+    let (reason, retry_after) = match spoiled {
+        Spoiled::Late => ("the stages took too long", RETRY_LEAST * 10),
+        Spoiled::InputGone => ("results of stages were lost", RETRY_LEAST),
+        Spoiled::Failed => ("runners of a stage failed", RETRY_LEAST * 4),
+        Spoiled::NoRunner => ("a stage has no runner", RETRY_LEAST * 10),
+    };
+    Refusal::Overloaded {
+        reason,
+        retry_after,
+    }
+}
+
+impl<D> Job<D> {
+    /// Whether the request is answered by a stream of events.
+    #[must_use]
+    pub fn streams(&self) -> bool {
+        self.route.kind == Kind::Streaming
+    }
+}
--- /dev/null
+++ b/crates/relay/src/splice.rs
@@ -0,0 +1,179 @@
+//! One stream for the caller, made of the streams of one or more runners.
+//!
+//! A runner may stop anywhere. Whole events are passed on as they come; where the route allows it,
+//! another runner goes on after the last one that was passed on.
+
+use crate::attempt::{self, Flight, Progress};
+use crate::downstream::{Downstream, Reply};
+use crate::event::Splitter;
+use crate::follow::millis;
+use crate::graph::{self, Inputs, Round};
+use crate::request::{Broken, EventId};
+use crate::serve::Job;
+use bytes::Bytes;
+use futures::StreamExt;
+use slog::info;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+
+/// Silence after which a stream is taken for dead where another runner may go on, at least. Engines
+/// that are merely crowded make an event every few hundred milliseconds.
+const SILENCE_LEAST: Duration = Duration::from_millis(1_000);
+/// The same, as a multiple of the longest pause that is still on time.
+const SILENCE_GAPS: u32 = 3;
+
+type Parts = mpsc::Sender<Result<Bytes, Broken>>;
+
+/// How a runner's stream ended.
+enum End {
+    /// As it should.
+    Whole,
+    /// Before it was whole.
+    Broken(String),
+    /// The caller has left.
+    Left,
+    /// The request's time is over.
+    Late,
+}
+
+/// A stream on its way to the caller.
+pub struct Passing<D: Downstream> {
+    job: Job<D>,
+    inputs: Inputs<D>,
+    progress: Progress,
+    parts: Parts,
+    last: Option<EventId>,
+    events: u64,
+}
+
+impl<D: Downstream> Passing<D> {
+    /// Nothing has been passed on yet.
+    pub fn new(job: Job<D>, inputs: Inputs<D>, progress: Progress, parts: Parts) -> Self {
+        let last = job.request.resume_after;
+        Self {
+            job,
+            inputs,
+            progress,
+            parts,
+            last,
+            events: 0,
+        }
+    }
+
+    /// Passes a runner's stream on, and those of the runners after it.
+    pub async fn run(mut self, flight: Flight<D>, body: D::Body) {
+        let (mut flight, mut body) = (flight, body);
+        loop {
+            let end = self.pass(&flight, body).await;
+            self.log(&flight, &end);
+            let elapsed = flight.sent.elapsed();
+            let reason = match end {
+                End::Whole => return flight.answered(&self.job, elapsed),
+                End::Left => return,
+                End::Late => return self.break_off("out of time").await,
+                End::Broken(reason) => reason,
+            };
+            flight.failed();
+            let Some((next, reply)) = self.go_on().await else {
+                return self.break_off(&reason).await;
+            };
+            (flight, body) = (next, reply.body);
+        }
+    }
+
+    async fn pass(&mut self, flight: &Flight<D>, mut body: D::Body) -> End {
+        let mut splitter = Splitter::default();
+        let mut silent_since = Instant::now();
+        loop {
+            let part = tokio::select! {
+                biased;
+                part = body.next() => part,
+                () = self.parts.closed() => return End::Left,
+                () = sleep_until(self.job.deadline) => return End::Late,
+                () = sleep_until(silent_since + self.patience()) => {
+                    return End::Broken(format!("silent at {}", flight.runner.id));
+                }
+            };
+            silent_since = Instant::now();
+            match part {
+                Some(Ok(bytes)) => {
+                    if let Some(end) = self.take(splitter.push(&bytes)).await {
+                        return end;
+                    }
+                }
+                Some(Err(broken)) => return End::Broken(broken.reason),
+                None if splitter.rest().is_empty() => return End::Whole,
+                None => return End::Broken("ended within an event".to_owned()),
+            }
+        }
+    }
+
+    async fn take(&mut self, whole: Option<(Bytes, Option<EventId>)>) -> Option<End> {
+        let (bytes, last) = whole?;
+        self.events += 1;
+        self.last = last.or(self.last);
+        let sent = self.parts.send(Ok(bytes)).await;
+        sent.is_err().then_some(End::Left)
+    }
+
+    /// How long a silence is borne; for ever where no other runner may go on.
+    fn patience(&self) -> Duration {
+        if !self.job.route.repeatable() {
+            return self.job.route.timeout;
+        }
+        let bearable = SILENCE_LEAST.max(self.job.route.gap * SILENCE_GAPS);
+        if self.events == 0 {
+            return bearable + self.job.model_time() * 2;
+        }
+        bearable
+    }
+
+    /// Asks another runner to go on after the last event that was passed on.
+    async fn go_on(&mut self) -> Option<(Flight<D>, Reply<D::Body>)> {
+        if !self.job.route.repeatable() {
+            return None;
+        }
+        let (flight, reply) = match self.send().await {
+            Ok(sent) => sent,
+            Err(()) if self.progress.input_gone() => self.send_with_new_inputs().await?,
+            Err(()) => return None,
+        };
+        if reply.proven && (200..300).contains(&reply.status) {
+            return Some((flight, reply));
+        }
+        flight.failed();
+        None
+    }
+
+    async fn send(&mut self) -> Result<(Flight<D>, Reply<D::Body>), ()> {
+        attempt::send(&self.job, &self.inputs, &mut self.progress, self.last).await
+    }
+
+    /// The results that the first runner was given lapse after a few seconds, so that a stream that
+    /// breaks off late needs them made again.
+    async fn send_with_new_inputs(&mut self) -> Option<(Flight<D>, Reply<D::Body>)> {
+        self.inputs = graph::run(&self.job, Round::Again).await.ok()?;
+        self.progress.last = None;
+        self.send().await.ok()
+    }
+
+    /// Ends the caller's connection without the mark of a whole answer. The caller may have left
+    /// already, which is no matter.
+    async fn break_off(self, reason: &str) {
+        let reason = reason.to_owned();
+        let _ = self.parts.send(Err(Broken { reason })).await;
+    }
+
+    fn log(&self, flight: &Flight<D>, end: &End) {
+        let outcome = match end {
+            End::Whole => "whole",
+            End::Broken(reason) => reason,
+            End::Left => "caller left",
+            End::Late => "out of time",
+        };
+        info!(self.job.relay.log, "stream"; "request" => &*self.job.request.id,
+            "runner" => &*flight.runner.id, "outcome" => outcome, "last_event" => self.last,
+            "parts" => self.events, "after_ms" => millis(self.job.request.arrived.elapsed()));
+    }
+}
--- /dev/null
+++ b/crates/setting/src/relay.rs
@@ -0,0 +1,96 @@
+//! Settings of a relay.
+
+use crate::check::{self, Field, Findings, Shape};
+use crate::shared::{self, Place};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Bounds of the fixed number of repeats in a window.
+const SLACK: Shape = Shape::Count {
+    min: 0,
+    max: 1_000_000,
+};
+/// Bounds of spans, in milliseconds.
+const SPAN_MS: Shape = Shape::Count {
+    min: 100,
+    max: 3_600_000,
+};
+/// Bounds of the number of processes.
+const PROCESSES: Shape = Shape::Count {
+    min: 1,
+    max: 10_000,
+};
+
+const REPEATS: Shape = Shape::Object(&[
+    Field::required("ratio", Shape::Ratio),
+    Field::required("slack", SLACK),
+    Field::required("window_ms", SPAN_MS),
+    Field::optional("processes", PROCESSES),
+]);
+
+const FIELDS: &[Field] = &[
+    Field::required("id", Shape::Name),
+    Field::required("place", shared::PLACE),
+    Field::required("listen", Shape::Listen),
+    Field::required("ready", Shape::Listen),
+    Field::required("metrics", Shape::Listen),
+    Field::required("store", Shape::Address),
+    Field::required("repeats", REPEATS),
+    Field::required("grace_ms", SPAN_MS),
+];
+
+/// Settings of a relay.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Relay {
+    /// Name of the VM.
+    pub id: String,
+    /// Where it runs.
+    pub place: Place,
+    /// Where callers connect; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Where the platform asks whether callers may come.
+    pub ready: SocketAddr,
+    /// Where metrics are served; port 0 takes a free one.
+    pub metrics: SocketAddr,
+    /// The platform's table service.
+    pub store: SocketAddr,
+    /// Bound on second attempts of the whole fleet.
+    pub repeats: Repeats,
+    /// Time from the request to stop until the process is killed, in milliseconds.
+    pub grace_ms: u64,
+}
+
+/// Bound on second attempts to one service in any window.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Repeats {
+    /// Repeats for each first attempt.
+    pub ratio: f64,
+    /// Repeats besides, over the whole fleet.
+    pub slack: u64,
+    /// Length of the window in milliseconds.
+    pub window_ms: u64,
+    /// Processes that share the bound, as far as they do not know of one another.
+    #[serde(default = "default_processes")]
+    pub processes: usize,
+}
+
+/// More than the usual number of entry VMs: a process that knows of no other takes a small part.
+fn default_processes() -> usize {
+    8
+}
+
+/// Reads the settings of a relay.
+///
+/// # Errors
+///
+/// Everything that is wrong with the file, each with its path and position.
+///
+/// # Examples
+///
+/// ```
+/// let findings = setting::relay::parse("{\"store\": 9}", "relay.jsonc").unwrap_err();
+/// assert!(findings.to_string().contains("relay.jsonc:1:2: store: expected an address"));
+/// ```
+pub fn parse(text: &str, origin: &str) -> Result<Relay, Findings> {
+    check::read(text, origin, &Shape::Object(FIELDS)).map(|(relay, _)| relay)
+}
--- a/crates/platform/examples/lost_answer.rs
+++ b/crates/store/examples/lost_answer.rs
@@ -1,9 +1,9 @@
 //! A write whose answer is lost is settled, and takes effect once: `cargo run -p platform --example
 //! lost_answer`.
 
-use platform::settle::{Patience, TOKEN, commit};
-use platform::{Check, Error, Memory, Put, Table, Transaction};
 use serde_json::json;
+use store::settle::{Patience, TOKEN, commit};
+use store::{Check, Error, Memory, Put, Table, Transaction};
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<(), Error> {
--- a/crates/platform/src/client.rs
+++ b/crates/store/src/client.rs
@@ -26,9 +26,9 @@
 /// # Examples
 ///
 /// ```no_run
-/// use platform::{Client, Table};
+/// use store::{Client, Table};
 ///
-/// # async fn example() -> Result<(), platform::Error> {
+/// # async fn example() -> Result<(), store::Error> {
 /// let address = "127.0.0.1:7000".parse().unwrap();
 /// let client = Client::new(address, address, address);
 /// let row = client.read("record", "head").await?;
@@ -277,8 +277,8 @@
     Failure::Lost(describe(error))
 }
 
-/// The library's message alone says only that the request failed; the causes say why.
-fn describe(error: &dyn std::error::Error) -> String {
+/// An error with its causes: the library's message alone says only that the request failed.
+pub fn describe(error: &dyn std::error::Error) -> String {
     std::iter::successors(Some(error), |error| error.source())
         .map(ToString::to_string)
         .collect::<Vec<_>>()
@@ -296,7 +296,7 @@
 }
 
 /// Percent-encodes all but the characters that a path segment and a query value share.
-fn escape(text: &str) -> String {
+pub fn escape(text: &str) -> String {
     let mut escaped = String::with_capacity(text.len());
     for byte in text.bytes() {
         if byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte) {
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,6 +4,7 @@
 //! behind it.
 //!
 //! * [`table`]: the transactional table service
+//! * [`feed`]: following a table's changes
 //! * [`object`]: the object store
 //! * [`vm`]: the lagging list of live and leaving VMs
 //! * [`client`]: the HTTP clients of all of them
@@ -11,6 +12,7 @@
 //! * [`settle`]: commits a transaction even if its answer is lost
 
 pub mod client;
+pub mod feed;
 pub mod memory;
 pub mod object;
 pub mod settle;
@@ -18,6 +20,7 @@
 pub mod vm;
 
 pub use client::Client;
+pub use feed::{Change, Changes, Feed, Miss};
 pub use memory::Memory;
 pub use object::Objects;
 pub use table::{Check, Error, Put, Row, RowRevision, Table, Transaction};
--- a/crates/platform/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -13,7 +13,7 @@
 /// # Examples
 ///
 /// ```
-/// use platform::{Error, Memory, Put, Table, Transaction};
+/// use store::{Error, Memory, Put, Table, Transaction};
 ///
 /// # futures::executor::block_on(async {
 /// let memory = Memory::default();
--- a/crates/platform/src/settle.rs
+++ b/crates/store/src/settle.rs
@@ -61,8 +61,8 @@
 /// # Examples
 ///
 /// ```
-/// use platform::settle::{Outcome, Patience, commit};
-/// use platform::{Check, Memory, Put, Transaction};
+/// use store::settle::{Outcome, Patience, commit};
+/// use store::{Check, Memory, Put, Transaction};
 ///
 /// # futures::executor::block_on(async {
 /// let (table, key) = ("claim".to_owned(), "label-7".to_owned());
--- a/crates/platform/tests/client_errors.rs
+++ b/crates/store/tests/client_errors.rs
@@ -1,11 +1,11 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use bytes::Bytes;
-use platform::{Check, Client, Error, Objects, Put, Table, Transaction, Vms};
 use standin::fault::{Loss, Share};
 use standin::{Faults, Kind, Options, Server};
 use std::net::SocketAddr;
 use std::time::Duration;
+use store::{Check, Client, Error, Objects, Put, Table, Transaction, Vms};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 async fn start(kind: Kind, options: Options) -> Server {
--- a/crates/platform/tests/lost_writes.rs
+++ b/crates/store/tests/lost_writes.rs
@@ -1,9 +1,9 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use futures::FutureExt;
-use platform::settle::{Outcome, Patience, commit};
-use platform::{Check, Error, Memory, Put, Row, RowRevision, Table, Transaction};
 use std::time::Duration;
+use store::settle::{Outcome, Patience, commit};
+use store::{Check, Error, Memory, Put, Row, RowRevision, Table, Transaction};
 
 const PATIENCE: Patience = Patience {
     retries: 3,
