--- a/crates/agent/tests/link_loss.rs
+++ b/crates/agent/tests/link_loss.rs
@@ -136,7 +136,7 @@
 #[tokio::test]
 async fn wrong_key() {
     let (runner, agent, _link) = small().await;
-    let refused = wire::connect(agent.ready.listen, &Key::new("other")).await;
+    let refused = wire::connect::<wire::Frame>(agent.ready.listen, &Key::new("other")).await;
     assert!(matches!(refused.unwrap_err(), Error::Unauthorized));
     assert_eq!(runner.count(), 0);
 }
--- a/crates/ctl/src/measure/links.rs
+++ b/crates/ctl/src/measure/links.rs
@@ -73,7 +73,7 @@
 async fn listen(key: &str) -> Result<SocketAddr, Error> {
     let key = Key::new(key.as_bytes());
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = Listener::bind(any, key).await.map_err(failed)?;
+    let listener: Listener = Listener::bind(any, key).await.map_err(failed)?;
     let address = listener.address().map_err(failed)?;
     tokio::spawn(async move {
         let mut links = Vec::new();
--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -5,13 +5,14 @@
 //! while every runner has a call in progress and are bound to a runner only when it is free:
 //! whatever arrives in between shares the next call.
 
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Names a group of pieces for as long as it waits.
 pub type Ticket = u64;
 
 /// What one call of a runner holds and costs.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Shape {
     /// Most pieces in a call.
     pub size: u32,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`budget`]: by when a stage must start so that the request meets its deadline
 //! * [`retry`]: retries, hedges and ejection of outliers
 //! * [`demand`]: estimates of service time by class
+//! * [`owner`]: which process does work that only one should do at a time
 //! * [`place`]: which models are loaded where
 //! * [`subset`]: which targets of a large pool a process keeps links to
 
@@ -20,6 +21,7 @@
 pub mod demand;
 mod either;
 pub mod limit;
+pub mod owner;
 pub mod place;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/crates/decide/src/owner.rs
@@ -0,0 +1,48 @@
+//! Which process does work that only one should do at a time.
+
+use crate::subset::rank;
+
+/// A process that may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate<'a> {
+    /// Name of the process.
+    pub id: &'a str,
+    /// How much work it can do compared to the others.
+    pub weight: f64,
+}
+
+/// Greatest value of a hash, as a number.
+const HASHES: f64 = u64::MAX as f64;
+
+/// Chooses the owner of a piece of work by weighted rendezvous hashing.
+///
+/// All processes that know the same candidates choose the same one, without a word between them;
+/// when a candidate comes or goes, only its own work moves. Two processes that know different
+/// candidates may choose different owners for a moment, so the work must bear two of them.
+///
+/// # Examples
+///
+/// ```
+/// use decide::owner::{Candidate, choose};
+///
+/// let all = ["a", "b", "c"].map(|id| Candidate { id, weight: 1.0 });
+/// let owner = choose("letters", &all).unwrap();
+/// let others: Vec<_> = all.into_iter().filter(|one| one.id != owner).collect();
+/// assert!(choose("letters", &others).is_some());
+/// assert_eq!(choose("letters", &all), Some(owner));
+/// ```
+#[must_use]
+pub fn choose<'a>(work: &str, candidates: &[Candidate<'a>]) -> Option<&'a str> {
+    let score = |candidate: &Candidate<'_>| {
+        let hash = (rank(work, candidate.id) as f64 + 1.0) / (HASHES + 2.0);
+        -candidate.weight / hash.ln()
+    };
+    candidates
+        .iter()
+        .max_by(|one, other| {
+            score(one)
+                .total_cmp(&score(other))
+                .then(one.id.cmp(other.id))
+        })
+        .map(|candidate| candidate.id)
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -91,7 +91,7 @@
             hits: u32::try_from(prefix.len()).unwrap_or(u32::MAX),
         };
         self.relay.pool(&self.service, |pool| {
-            pool.answered(&self.runner.id, now, &answer)
+            pool.answered(&self.runner.id, now, &answer);
         });
         self.relay.telemetry.attempt("answered");
     }
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -1,4 +1,4 @@
-//! The calls that carry pieces to the runners of one stage service.
+//! The calls that carry pieces to the runners of stage services.
 //!
 //! A runner has one call in progress at a time for each of its slots. Pieces wait here, not in the
 //! runner's queue, until a runner is free: what waits here can still share a call, change its place
@@ -12,6 +12,7 @@
 use crate::runner::{Runner, RunnerId};
 use decide::Map;
 use decide::batch::{Former, Group, Portion, Slack, Ticket};
+use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use snafu::Snafu;
 use std::marker::PhantomData;
@@ -27,6 +28,9 @@
 const WAY: Duration = Duration::from_millis(300);
 /// Pause before a runner gets work again that was full.
 const REST_FULL: Duration = Duration::from_millis(50);
+/// Pause before a runner gets work again that had no room for results. Those that it holds were
+/// asked for by another process, or are larger than the configuration says.
+const REST_ROOM: Duration = Duration::from_millis(150);
 /// Pause before a runner gets work again that failed; doubles with each failure.
 const REST_FAILED: Duration = Duration::from_millis(500);
 /// Failures after which the pause doubles no further.
@@ -42,6 +46,46 @@
 /// for another one.
 const SLOW: f64 = 2.0;
 
+/// Runners of a stage service whose calls one process forms, and their number among the cells of
+/// the service. A process that formed the calls of all runners of a large service would spend more
+/// time on it than a small VM has.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Cell {
+    /// The service.
+    pub service: ServiceId,
+    /// Number among the service's cells.
+    pub index: usize,
+}
+
+/// Runners in a cell at most. At 8 pieces and 0.37 s a call, eight runners make 175 pieces a second
+/// in 22 calls, some hundredths of a core; more runners in one cell share calls hardly better.
+const CELL: usize = 8;
+
+impl Cell {
+    /// Cells of a service with this many runners.
+    #[must_use]
+    pub fn count(runners: usize) -> usize {
+        runners.div_ceil(CELL).max(1)
+    }
+
+    /// The part of a service's runners that is in the cell. All processes that know the same
+    /// runners form the same cells.
+    fn runners(&self, runners: &[Arc<Runner>]) -> Vec<Arc<Runner>> {
+        let mut sorted = runners.to_vec();
+        sorted.sort_by(|one, other| one.id.cmp(&other.id));
+        let (cells, all) = (Self::count(sorted.len()), sorted.len());
+        let part = |index: usize| all * index / cells;
+        let range = part(self.index).min(all)..part(self.index + 1).min(all);
+        sorted.drain(range).collect()
+    }
+
+    /// The name by which its owner is chosen.
+    #[must_use]
+    pub fn name(&self) -> String {
+        format!("{}/{}", self.service, self.index)
+    }
+}
+
 /// The pieces of one stage of one request.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -64,7 +108,7 @@
 }
 
 /// Why the pieces of a stage were not made.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
 pub enum Spoiled {
     /// They could not be made in time.
     #[snafu(display("no time left"))]
@@ -83,10 +127,10 @@
 /// What an order ends with: the results in the order of the pieces.
 pub type Outcome = Result<Vec<Handle>, Spoiled>;
 
-/// The calls to the runners of one stage service.
+/// The calls to the runners of one cell.
 #[derive(Debug)]
 pub struct Batcher<D> {
-    service: ServiceId,
+    cell: Cell,
     state: Mutex<State>,
     downstream: PhantomData<fn() -> D>,
 }
@@ -149,9 +193,9 @@
 impl<D: Downstream> Batcher<D> {
     /// No calls yet.
     #[must_use]
-    pub fn new(service: ServiceId) -> Self {
+    pub fn new(cell: Cell) -> Self {
         Self {
-            service,
+            cell,
             state: Mutex::default(),
             downstream: PhantomData,
         }
@@ -164,7 +208,10 @@
         order: Order,
     ) -> oneshot::Receiver<Outcome> {
         let (reply, outcome) = oneshot::channel();
-        let Some(batches) = relay.plan().and_then(|plan| plan.batches(&self.service)) else {
+        let Some(batches) = relay
+            .plan()
+            .and_then(|plan| plan.batches(&self.cell.service))
+        else {
             let _ = reply.send(Err(Spoiled::NoRunner));
             return outcome;
         };
@@ -175,7 +222,7 @@
 
     /// Takes in which runners take work.
     pub fn refresh(&self, relay: &Relay<D>) {
-        let runners = relay.fleet(|fleet| fleet.of(&self.service).to_vec());
+        let runners = relay.fleet(|fleet| self.cell.runners(fleet.of(&self.cell.service)));
         lock(&self.state).refresh(runners.unwrap_or_default());
     }
 
@@ -223,7 +270,10 @@
 
     /// Starts calls as long as pieces wait and a runner is free.
     fn pump(self: &Arc<Self>, relay: &Arc<Relay<D>>) {
-        let Some(batches) = relay.plan().and_then(|plan| plan.batches(&self.service)) else {
+        let Some(batches) = relay
+            .plan()
+            .and_then(|plan| plan.batches(&self.cell.service))
+        else {
             return;
         };
         loop {
@@ -254,11 +304,11 @@
             .await;
         let elapsed = begun.elapsed();
         info!(relay.log, "stage call";
-            "service" => &*self.service, "runner" => &*runner.id, "pieces" => count,
+            "service" => &*self.cell.service, "runner" => &*runner.id, "pieces" => count,
             "requests" => self.requests(&launch),
             "expected_ms" => millis(launch.expected), "took_ms" => millis(elapsed),
             "outcome" => result.as_ref().map_or_else(ToString::to_string, |made| outcome(made)));
-        lock(&self.state).finish(&relay, &self.service, &launch, result, elapsed);
+        lock(&self.state).finish(&relay, &self.cell.service, &launch, result, elapsed);
         self.pump(&relay);
         self.pump_later(relay);
     }
@@ -329,8 +379,7 @@
     }
 
     fn refresh(&mut self, runners: Vec<Arc<Runner>>) {
-        self.places
-            .retain(|place| runners.iter().any(|runner| *runner == place.runner));
+        self.places.retain(|place| runners.contains(&place.runner));
         for runner in runners {
             if self.places.iter().all(|place| place.runner.id != runner.id) {
                 self.places.push(Place::new(runner));
@@ -355,7 +404,15 @@
             return None;
         }
         place.calls += 1;
-        let released = if room.tight {
+        let waiting = &self.waiting;
+        let bytes = |portion: &Portion| {
+            let result = waiting
+                .get(&portion.ticket)
+                .map_or(0, |waiting| waiting.order.result);
+            result * u64::from(portion.pieces)
+        };
+        let needed: u64 = portions.iter().map(bytes).sum();
+        let released = if needed > room.unreleased {
             place.give_back()
         } else {
             Vec::new()
@@ -460,6 +517,11 @@
         place.calls = place.calls.saturating_sub(1);
         let now = Instant::now();
         match result {
+            // It answers at once when it has no room, which must not make it look fast: it would
+            // draw all calls and refuse them.
+            Ok(made) if made.contains(&Made::NoRoom) => {
+                place.rests_until = Some(now + REST_ROOM);
+            }
             Ok(_) => {
                 place.failures = 0;
                 let ratio = elapsed.as_secs_f64() / launch.expected.as_secs_f64().max(0.001);
@@ -570,9 +632,10 @@
 /// Room for results at a runner.
 #[derive(Clone, Copy, Debug)]
 struct Room {
+    /// Once all that is released has been given back.
     free: u64,
-    /// Whether released results must be given back before the call.
-    tight: bool,
+    /// As long as it has not.
+    unreleased: u64,
 }
 
 impl Place {
@@ -614,7 +677,7 @@
         let free = batches.room.saturating_sub(kept.saturating_sub(released));
         Room {
             free,
-            tight: batches.room < kept * 2,
+            unreleased: batches.room.saturating_sub(kept),
         }
     }
 
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -1,15 +1,17 @@
 //! What the parts of the relay share.
 
-use crate::batch::Batcher;
+use crate::batch::{Batcher, Cell};
 use crate::downstream::Downstream;
+use crate::member::Member;
+use crate::peer::Peers;
 use crate::plan::{Plan, ServiceId};
 use crate::runner::{Change, DomainId, Fleet, Runner};
 use crate::telemetry::Telemetry;
 use decide::Map;
 use decide::retry::window::{Bound, Quota};
 use decide::route::{Pool, Target};
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use slog::Logger;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -22,8 +24,12 @@
     pub domain: DomainId,
     /// Bound on second attempts of the whole fleet.
     pub repeats: Bound,
-    /// Processes that share this bound.
+    /// Processes that share this bound, as far as they do not know of one another.
     pub processes: usize,
+    /// This process, as the others see it.
+    pub member: Member,
+    /// Shared key of the processes.
+    pub key: wire::Key,
 }
 
 /// One process that takes requests and passes them on.
@@ -37,12 +43,14 @@
     pub log: Logger,
     /// Counters and histograms.
     pub telemetry: Telemetry,
+    /// The other processes.
+    pub peers: Peers,
     started: Instant,
     plan: RwLock<Option<Arc<Plan>>>,
     fleet: RwLock<Option<Fleet>>,
     pools: Mutex<Map<ServiceId, Pool>>,
     quotas: Mutex<Map<ServiceId, Quota>>,
-    batchers: Mutex<Map<ServiceId, Arc<Batcher<D>>>>,
+    batchers: Mutex<Map<Cell, Arc<Batcher<D>>>>,
     rng: Mutex<SmallRng>,
 }
 
@@ -57,6 +65,7 @@
     #[must_use]
     pub fn new(options: Options, downstream: D, log: Logger, telemetry: Telemetry) -> Arc<Self> {
         Arc::new(Self {
+            peers: Peers::new(options.member.clone(), options.key.clone()),
             options,
             downstream,
             log,
@@ -105,7 +114,10 @@
         {
             return false;
         }
+        let version = plan.version;
         *current = Some(Arc::new(plan));
+        drop(current);
+        self.peers.announce(version);
         true
     }
 
@@ -132,8 +144,13 @@
                 self.update_one(fleet, change, &mut services);
             }
         }
-        for service in services {
-            self.batcher(&service).refresh(self);
+        let batchers: Vec<_> = lock(&self.batchers)
+            .iter()
+            .filter(|(cell, _)| services.contains(&cell.service))
+            .map(|(_, batcher)| batcher.clone())
+            .collect();
+        for batcher in batchers {
+            batcher.refresh(self);
         }
     }
 
@@ -183,7 +200,7 @@
     /// Whether a second attempt may be sent to a service now; if so, it is counted.
     pub fn may_repeat(&self, service: &ServiceId) -> bool {
         let now = self.now();
-        let processes = self.options.processes;
+        let processes = self.peers.count().unwrap_or(self.options.processes);
         self.quota(service, |quota| quota.repeat(now, processes))
     }
 
@@ -195,13 +212,37 @@
         work(quota)
     }
 
-    /// The calls to the runners of a stage service.
-    pub fn batcher(&self, service: &ServiceId) -> Arc<Batcher<D>> {
-        let mut batchers = lock(&self.batchers);
-        let batcher = batchers
-            .entry(service.clone())
-            .or_insert_with(|| Arc::new(Batcher::new(service.clone())));
-        batcher.clone()
+    /// The calls that this process forms for a cell.
+    pub fn batcher(&self, cell: &Cell) -> Arc<Batcher<D>> {
+        if let Some(batcher) = lock(&self.batchers).get(cell) {
+            return batcher.clone();
+        }
+        let batcher = Arc::new(Batcher::new(cell.clone()));
+        batcher.refresh(self);
+        lock(&self.batchers)
+            .entry(cell.clone())
+            .or_insert(batcher)
+            .clone()
+    }
+
+    /// The cell that makes the pieces of one more request.
+    pub fn cell(&self, service: &ServiceId) -> Cell {
+        let runners = self.fleet(|fleet| fleet.of(service).len()).unwrap_or(0);
+        let cells = Cell::count(runners);
+        let cell = |index: usize| Cell {
+            service: service.clone(),
+            index,
+        };
+        if cells == 1 {
+            return cell(0);
+        }
+        let (one, other) =
+            self.random(|rng| (rng.random_range(0..cells), rng.random_range(0..cells)));
+        let expected = |index: usize| self.peers.expected(self, &cell(index));
+        if expected(other) < expected(one) {
+            return cell(other);
+        }
+        cell(one)
     }
 
     /// Works with the source of random choices.
--- a/crates/relay/src/downstream.rs
+++ b/crates/relay/src/downstream.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures::Stream;
 use http::HeaderMap;
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,7 +52,7 @@
 }
 
 /// What a piece is made from.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Source {
     /// The caller's key, for a stage that follows no other.
     Key(Arc<str>),
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -184,7 +184,7 @@
 }
 
 /// Asks for the changes of one table, over outages and gaps in its history.
-struct Follower<S> {
+pub(crate) struct Follower<S> {
     source: S,
     table: &'static str,
     after: Option<RowRevision>,
@@ -196,7 +196,7 @@
 }
 
 impl<S: Source> Follower<S> {
-    fn new(source: S, table: &'static str) -> Self {
+    pub(crate) fn new(source: S, table: &'static str) -> Self {
         Self {
             source,
             table,
@@ -209,7 +209,7 @@
     }
 
     /// The next changes, or the whole table at first and after a gap.
-    async fn next<D: Downstream>(&mut self, relay: &Relay<D>) -> Changes {
+    pub(crate) async fn next<D: Downstream>(&mut self, relay: &Relay<D>) -> Changes {
         loop {
             match self.ask().await {
                 Ok(changes) => {
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -1,9 +1,10 @@
 //! The stages of one request.
 
-use crate::batch::{Order, Spoiled};
+use crate::batch::{Cell, Order, Outcome, Spoiled};
 use crate::core::Relay;
 use crate::downstream::{Downstream, Handle, Source};
-use crate::plan::ServiceId;
+use crate::peer;
+use crate::plan::Stage;
 use crate::serve::Job;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -32,7 +33,7 @@
 #[derive(Debug)]
 pub struct Inputs<D: Downstream> {
     relay: Arc<Relay<D>>,
-    stages: Vec<(ServiceId, Vec<Handle>)>,
+    stages: Vec<(usize, Cell, Vec<Handle>)>,
     /// Results that the request itself needs.
     pub leaves: Vec<Handle>,
 }
@@ -46,10 +47,17 @@
         }
     }
 
-    /// Gives all results back.
-    pub fn release(&mut self) {
-        for (service, handles) in self.stages.drain(..) {
-            self.relay.batcher(&service).release(&self.relay, &handles);
+    /// Gives the results of some stages back.
+    ///
+    /// A runner has room for the results of ten to sixty pieces. Those of a stage in the middle are
+    /// of no more use once the stages behind it are made; kept until the request's end they take up
+    /// the room of the next requests.
+    pub fn release(&mut self, which: impl Fn(usize) -> bool) {
+        let (over, left) = self.stages.drain(..).partition(|(stage, ..)| which(*stage));
+        self.stages = left;
+        let over: Vec<(usize, Cell, Vec<Handle>)> = over;
+        for (_, cell, handles) in over {
+            self.relay.peers.release(&self.relay, &cell, handles);
         }
     }
 }
@@ -58,7 +66,7 @@
 /// lapse: runners without room turn the next requests' pieces away.
 impl<D: Downstream> Drop for Inputs<D> {
     fn drop(&mut self) {
-        self.release();
+        self.release(|_| true);
     }
 }
 
@@ -96,20 +104,30 @@
                 running.push(make(job, stage, source(job, stage, &made), round));
             }
         }
-        let Some((stage, outcome)) = running.next().await else {
+        let Some((stage, cell, outcome)) = running.next().await else {
             break;
         };
         let handles = outcome?;
-        inputs
-            .stages
-            .push((stages[stage].service.clone(), handles.clone()));
+        inputs.stages.push((stage, cell, handles.clone()));
         made[stage] = Some(handles);
+        let used = |before: usize| is_used(stages, &made, before);
+        inputs.release(used);
     }
     let leaves = job.route.leaves().filter_map(|stage| made[stage].clone());
     inputs.leaves = leaves.flatten().collect();
     Ok(inputs)
 }
 
+/// Whether the results of a stage have served: other stages follow it, and those are made.
+fn is_used(stages: &[Stage], made: &[Option<Vec<Handle>>], stage: usize) -> bool {
+    let mut next = (0..stages.len()).filter(|&next| stages[next].after.contains(&stage));
+    let mut followed = false;
+    next.all(|next| {
+        followed = true;
+        made[next].is_some()
+    }) && followed
+}
+
 /// What the pieces of a stage are made from.
 fn source<D: Downstream>(job: &Job<D>, stage: usize, made: &[Option<Vec<Handle>>]) -> Source {
     let after = &job.route.stages[stage].after;
@@ -125,12 +143,13 @@
     stage: usize,
     source: Source,
     round: Round,
-) -> (usize, Result<Vec<Handle>, Spoiled>) {
+) -> (usize, Cell, Outcome) {
     let spec = &job.route.stages[stage];
+    let cell = job.relay.cell(&spec.service);
     if round == Round::First {
         job.relay.count_first(&spec.service);
     } else if !job.relay.may_repeat(&spec.service) {
-        return (stage, Err(Spoiled::Failed));
+        return (stage, cell, Err(Spoiled::Failed));
     }
     let behind = job.behind(stage);
     let order = Order {
@@ -146,9 +165,8 @@
             .unwrap_or(job.request.arrived),
         rank: job.rank,
     };
-    let outcome = job.relay.batcher(&spec.service).submit(&job.relay, order);
-    // The sending end is dropped without a word only when the order has been withdrawn.
-    (stage, outcome.await.unwrap_or(Err(Spoiled::Failed)))
+    let outcome = peer::make(&job.relay, &cell, order).await;
+    (stage, cell, outcome)
 }
 
 impl<D: Downstream> Job<D> {
@@ -197,11 +215,7 @@
 
     /// Expected time until the pieces of a stage are made.
     fn waiting(&self, stage: usize) -> Duration {
-        let service = &self.route.stages[stage].service;
-        let Some(batches) = self.plan.batches(service) else {
-            return Duration::ZERO;
-        };
-        let expected = self.relay.batcher(service).expected(&batches);
-        expected.unwrap_or_default()
+        let cell = self.relay.cell(&self.route.stages[stage].service);
+        self.relay.peers.expected(&self.relay, &cell)
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`core`]: what the parts share
 //! * [`serve`]: one request from its arrival to its answer
 //! * [`graph`]: the stages of one request; [`batch`]: the calls that carry their pieces
+//! * [`member`]: the processes of the system; [`peer`]: what they say to one another
 //! * [`attempt`]: a request and the runners it is sent to; [`splice`]: streams over several runners
 //! * [`event`]: where the events of a stream begin and end
 //! * [`telemetry`]: counters and histograms
@@ -19,6 +20,8 @@
 pub mod event;
 pub mod follow;
 pub mod graph;
+pub mod member;
+pub mod peer;
 pub mod plan;
 pub mod request;
 pub mod runner;
--- /dev/null
+++ b/crates/relay/src/member.rs
@@ -0,0 +1,194 @@
+//! The processes of the system, as their rows in the table service tell.
+//!
+//! Each process writes one row at its start. No row says that a process is gone: that shows when it
+//! cannot be reached, and ends when it can be again or has started anew.
+
+use crate::core::Relay;
+use crate::downstream::Downstream;
+use crate::follow::{Follower, Source, millis};
+use decide::Map;
+use decide::owner::{Candidate, choose};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use store::{Error, Put, Table, Transaction};
+use tokio::time::{Instant, sleep};
+
+/// Name of a process.
+pub type MemberId = Arc<str>;
+
+/// Table with a row for each process.
+const TABLE: &str = "relay";
+/// Time for which a process that could not be reached is left out.
+const SUSPECT: Duration = Duration::from_secs(2);
+/// Longest pause between tries to write the own row.
+const PAUSE_MOST: Duration = Duration::from_millis(800);
+
+/// One process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name: that of its VM.
+    pub id: MemberId,
+    /// Drawn anew at each start.
+    pub incarnation: u64,
+    /// Where the others connect.
+    pub address: SocketAddr,
+    /// How much work it can do compared to the others.
+    pub weight: f64,
+}
+
+/// What is known of the processes.
+#[derive(Debug)]
+pub struct Members {
+    own: Member,
+    others: Map<MemberId, Member>,
+    suspects: Map<MemberId, (u64, Instant)>,
+    listed: bool,
+    leaving: bool,
+}
+
+impl Members {
+    /// Only the own process is known.
+    #[must_use]
+    pub fn new(own: Member) -> Self {
+        Self {
+            own,
+            others: Map::default(),
+            suspects: Map::default(),
+            listed: false,
+            leaving: false,
+        }
+    }
+
+    /// Takes in a row.
+    pub fn put(&mut self, member: Member) {
+        if member.id != self.own.id {
+            self.others.insert(member.id.clone(), member);
+        }
+    }
+
+    /// Forgets a process whose row is gone.
+    pub fn remove(&mut self, id: &str) {
+        self.others.remove(id);
+    }
+
+    /// A process could not be reached.
+    pub fn suspect(&mut self, member: &Member) {
+        let until = Instant::now() + SUSPECT;
+        self.suspects
+            .insert(member.id.clone(), (member.incarnation, until));
+    }
+
+    /// The own process stops and takes no more work from the others.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Processes that are there, the own one included; `None` before they are listed.
+    #[must_use]
+    pub fn count(&self) -> Option<usize> {
+        self.listed.then(|| self.others.len() + 1)
+    }
+
+    /// The other processes that can be reached, as far as is known.
+    pub fn reachable(&self) -> impl Iterator<Item = &Member> {
+        let now = Instant::now();
+        self.others.values().filter(move |member| {
+            let suspect = self.suspects.get(&member.id);
+            suspect.is_none_or(|(incarnation, until)| {
+                *incarnation != member.incarnation || *until <= now
+            })
+        })
+    }
+
+    /// The process that does a piece of work.
+    #[must_use]
+    pub fn owner(&self, work: &str) -> Member {
+        let own = (!self.leaving).then_some(&self.own);
+        let members: Vec<&Member> = self.reachable().chain(own).collect();
+        let candidate = |member: &&'_ Member| (member.id.clone(), member.weight);
+        let candidates: Vec<(MemberId, f64)> = members.iter().map(candidate).collect();
+        let candidates: Vec<Candidate<'_>> = candidates
+            .iter()
+            .map(|(id, weight)| Candidate {
+                id,
+                weight: *weight,
+            })
+            .collect();
+        let chosen = choose(work, &candidates);
+        let found = members.iter().find(|member| Some(&*member.id) == chosen);
+        found.map_or_else(|| self.own.clone(), |member| (*member).clone())
+    }
+}
+
+/// Writes the own row, however long the table service is away.
+pub async fn enlist<D: Downstream, T: Table>(relay: Arc<Relay<D>>, table: T) {
+    let member = relay.options.member.clone();
+    let value = match serde_json::to_value(&member) {
+        Ok(value) => value,
+        Err(error) => {
+            warn!(relay.log, "own row cannot be written"; "error" => %error);
+            return;
+        }
+    };
+    let put = Put {
+        table: TABLE.to_owned(),
+        key: member.id.to_string(),
+        value: Some(value),
+    };
+    let transaction = Transaction {
+        checks: Vec::new(),
+        puts: vec![put],
+    };
+    let begun = Instant::now();
+    let mut pause = Duration::from_millis(20);
+    loop {
+        let error = match table.transact(&transaction).await {
+            Ok(_) => break,
+            Err(error @ Error::Conflict { .. }) => {
+                warn!(relay.log, "own row cannot be written"; "error" => %error);
+                return;
+            }
+            Err(error) => error,
+        };
+        info!(relay.log, "own row not written yet"; "error" => %error);
+        let jitter = relay.random(|rng| rng.random_range(0.5..1.0));
+        sleep(pause.mul_f64(jitter)).await;
+        pause = (pause * 2).min(PAUSE_MOST);
+    }
+    info!(relay.log, "enlisted"; "after_ms" => millis(begun.elapsed()));
+}
+
+/// Follows the rows of the other processes until the task is dropped.
+pub async fn follow<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
+    let mut follower = Follower::new(source, TABLE);
+    loop {
+        let changes = follower.next(&relay).await;
+        relay.peers.members(|members| {
+            members.listed = true;
+            for change in changes.rows {
+                take(&relay, members, &change);
+            }
+        });
+    }
+}
+
+fn take<D: Downstream>(relay: &Relay<D>, members: &mut Members, change: &store::Change) {
+    let Some(value) = &change.value else {
+        members.remove(&change.key);
+        return;
+    };
+    match Member::deserialize(value) {
+        Ok(member) => {
+            info!(relay.log, "member"; "member" => &*member.id, "address" => %member.address,
+                "incarnation" => member.incarnation);
+            members.put(member);
+        }
+        Err(error) => {
+            warn!(relay.log, "row of a member unreadable"; "row" => &change.key, "error" => %error);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/peer.rs
@@ -0,0 +1,284 @@
+//! What the processes say to one another: pieces for the one that forms a cell's calls, and which
+//! configuration is in force.
+
+mod serving;
+mod talk;
+
+pub use serving::serve;
+pub use talk::{Frame, Sheet};
+
+use crate::batch::{Cell, Order, Outcome, Spoiled};
+use crate::core::{Relay, lock};
+use crate::downstream::{Downstream, Handle};
+use crate::member::{Member, MemberId, Members};
+use crate::plan::Version;
+use decide::Map;
+use slog::{info, warn};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
+use wire::{Key, Sender};
+
+/// Processes that are asked, one after the other, to make the pieces of an order.
+const OWNERS: usize = 3;
+/// Time for a link to come about: some round trips of a few milliseconds and the work of two
+/// handshakes on a slow VM.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Age up to which a peer's word on its load is believed.
+const LOAD_LIFE: Duration = Duration::from_secs(1);
+
+/// The other processes.
+#[derive(Debug)]
+pub struct Peers {
+    key: Key,
+    members: Mutex<Members>,
+    slots: Mutex<Map<MemberId, Arc<Slot>>>,
+    voices: Mutex<Vec<Sender<Frame>>>,
+    loads: Mutex<Map<Cell, (Duration, Instant)>>,
+}
+
+/// The link to one process; whoever finds none opens it while the others wait.
+type Slot = tokio::sync::Mutex<Option<Arc<Line>>>;
+
+/// A link with the orders that wait for their outcome on it.
+#[derive(Debug)]
+pub(crate) struct Line {
+    incarnation: u64,
+    sender: Sender<Frame>,
+    pending: Mutex<Pending>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Pending {
+    next: u64,
+    heard: Instant,
+    waiting: Map<u64, oneshot::Sender<Outcome>>,
+}
+
+impl Peers {
+    /// None is known yet.
+    #[must_use]
+    pub fn new(own: Member, key: Key) -> Self {
+        Self {
+            key,
+            members: Mutex::new(Members::new(own)),
+            slots: Mutex::default(),
+            voices: Mutex::default(),
+            loads: Mutex::default(),
+        }
+    }
+
+    /// Works on what is known of the processes.
+    pub fn members<T>(&self, work: impl FnOnce(&mut Members) -> T) -> T {
+        work(&mut lock(&self.members))
+    }
+
+    /// Processes that are there, the own one included; `None` before they are listed.
+    #[must_use]
+    pub fn count(&self) -> Option<usize> {
+        lock(&self.members).count()
+    }
+
+    /// Tells all linked processes which configuration is in force here.
+    pub fn announce(&self, version: Version) {
+        lock(&self.voices).retain(|voice| voice.try_send(&Frame::Version(version)).is_ok());
+    }
+
+    /// From now on this process is told of what is announced.
+    pub(crate) fn listen(&self, voice: Sender<Frame>) {
+        lock(&self.voices).push(voice);
+    }
+
+    /// Expected time until pieces that come now are made in a cell.
+    pub fn expected<D: Downstream>(&self, relay: &Relay<D>, cell: &Cell) -> Duration {
+        let batches = relay.plan().and_then(|plan| plan.batches(&cell.service));
+        let Some(batches) = batches else {
+            return Duration::ZERO;
+        };
+        let owner = lock(&self.members).owner(&cell.name());
+        if owner.id == relay.options.member.id {
+            return relay.batcher(cell).expected(&batches).unwrap_or_default();
+        }
+        let told = lock(&self.loads).get(cell).copied();
+        let fresh = told.filter(|(_, heard)| heard.elapsed() < LOAD_LIFE);
+        fresh.map_or(batches.shape.call, |(expected, _)| expected)
+    }
+
+    pub(crate) fn told_load(&self, cell: Cell, expected: Duration) {
+        lock(&self.loads).insert(cell, (expected, Instant::now()));
+    }
+
+    /// Gives results of a cell back.
+    pub fn release<D: Downstream>(&self, relay: &Relay<D>, cell: &Cell, handles: Vec<Handle>) {
+        let owner = lock(&self.members).owner(&cell.name());
+        if owner.id == relay.options.member.id {
+            relay.batcher(cell).release(relay, &handles);
+            return;
+        }
+        let slot = lock(&self.slots).get(&owner.id).cloned();
+        // Without a link the results lapse by themselves.
+        if let Some(line) = slot.and_then(|slot| slot.try_lock().ok()?.clone()) {
+            let cell = cell.clone();
+            let _ = line.sender.try_send(&Frame::Release { cell, handles });
+        }
+    }
+
+    /// The link to a process, opened if there is none.
+    async fn line<D: Downstream>(
+        &self,
+        relay: &Arc<Relay<D>>,
+        member: &Member,
+    ) -> Option<Arc<Line>> {
+        let slot = lock(&self.slots)
+            .entry(member.id.clone())
+            .or_default()
+            .clone();
+        let mut line = slot.lock().await;
+        if let Some(open) = line.as_ref()
+            && !open.sender.is_lost()
+            && open.incarnation == member.incarnation
+        {
+            return Some(open.clone());
+        }
+        *line = None;
+        let linked = timeout(CONNECT, wire::connect(member.address, &self.key)).await;
+        match linked {
+            Ok(Ok((sender, receiver))) => {
+                let open = Arc::new(Line::new(member.incarnation, sender));
+                talk::start(relay.clone(), open.clone(), receiver);
+                *line = Some(open.clone());
+                Some(open)
+            }
+            Ok(Err(error)) => {
+                warn!(relay.log, "peer not reached"; "peer" => &*member.id, "error" => %error);
+                None
+            }
+            Err(_) => {
+                warn!(relay.log, "peer not reached"; "peer" => &*member.id, "error" => "no link in time");
+                None
+            }
+        }
+    }
+}
+
+impl Line {
+    fn new(incarnation: u64, sender: Sender<Frame>) -> Self {
+        let pending = Pending {
+            next: 0,
+            heard: Instant::now(),
+            waiting: Map::default(),
+        };
+        Self {
+            incarnation,
+            sender,
+            pending: Mutex::new(pending),
+        }
+    }
+
+    fn enter(&self) -> (u64, oneshot::Receiver<Outcome>) {
+        let (reply, outcome) = oneshot::channel();
+        let mut pending = lock(&self.pending);
+        if pending.waiting.is_empty() {
+            pending.heard = Instant::now();
+        }
+        let ticket = pending.next;
+        pending.next += 1;
+        pending.waiting.insert(ticket, reply);
+        (ticket, outcome)
+    }
+}
+
+/// An order that waits on a link. One that is dropped is withdrawn, so that no runner works for a
+/// caller that has left.
+struct Waiting {
+    line: Arc<Line>,
+    ticket: u64,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if lock(&self.line.pending)
+            .waiting
+            .remove(&self.ticket)
+            .is_some()
+        {
+            let withdraw = Frame::Withdraw {
+                ticket: self.ticket,
+            };
+            // A link that is gone takes the order with it.
+            let _ = self.line.sender.try_send(&withdraw);
+        }
+    }
+}
+
+/// Has the pieces of an order made by the process that forms the cell's calls, or by the next one
+/// if that is gone.
+///
+/// # Errors
+///
+/// [`Spoiled`].
+pub async fn make<D: Downstream>(relay: &Arc<Relay<D>>, cell: &Cell, order: Order) -> Outcome {
+    for _ in 0..OWNERS {
+        let owner = relay.peers.members(|members| members.owner(&cell.name()));
+        if owner.id == relay.options.member.id {
+            return make_here(relay, cell, order).await;
+        }
+        let asked = ask(relay, &owner, cell, &order).await;
+        match asked {
+            Asked::Ended(Err(Spoiled::NoRunner)) => break,
+            Asked::Ended(outcome) => return outcome,
+            Asked::Unreached => relay.peers.members(|members| members.suspect(&owner)),
+            Asked::Lost => {
+                info!(relay.log, "peer lost with an order"; "peer" => &*owner.id,
+                    "request" => &*order.id, "stage" => order.stage);
+                relay.peers.members(|members| members.suspect(&owner));
+                if !relay.may_repeat(&cell.service) {
+                    return Err(Spoiled::Failed);
+                }
+            }
+        }
+    }
+    make_here(relay, cell, order).await
+}
+
+async fn make_here<D: Downstream>(relay: &Arc<Relay<D>>, cell: &Cell, order: Order) -> Outcome {
+    let outcome = relay.batcher(cell).submit(relay, order).await;
+    // The sending end is dropped without a word only when the order has been withdrawn.
+    outcome.unwrap_or(Err(Spoiled::Failed))
+}
+
+/// What became of an order that another process was asked to carry out.
+enum Asked {
+    /// It told.
+    Ended(Outcome),
+    /// It was not reached.
+    Unreached,
+    /// The link was lost; the pieces may have been made.
+    Lost,
+}
+
+async fn ask<D: Downstream>(
+    relay: &Arc<Relay<D>>,
+    owner: &Member,
+    cell: &Cell,
+    order: &Order,
+) -> Asked {
+    let Some(line) = relay.peers.line(relay, owner).await else {
+        return Asked::Unreached;
+    };
+    let (ticket, outcome) = line.enter();
+    let waiting = Waiting { line, ticket };
+    let frame = Frame::Order {
+        ticket,
+        cell: cell.clone(),
+        sheet: Box::new(Sheet::new(order)),
+    };
+    if waiting.line.sender.send(frame).await.is_err() {
+        return Asked::Unreached;
+    }
+    match outcome.await {
+        Ok(outcome) => Asked::Ended(outcome),
+        Err(_) => Asked::Lost,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/peer/talk.rs
@@ -0,0 +1,209 @@
+//! The frames, and what the asking end of a link does with them.
+
+use super::Line;
+use crate::batch::{Cell, Order, Outcome};
+use crate::core::{Relay, lock};
+use crate::downstream::{Downstream, Handle, Source};
+use crate::plan::{Plan, Rank, Version};
+use crate::request::RequestId;
+use serde::{Deserialize, Serialize};
+use slog::info;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+use wire::{Receiver, Sender};
+
+/// Silence after which a link with orders on it is given up. The other end tells its load every
+/// [`super::serving::LOAD_EVERY`] as long as orders wait; waiting much longer for a process that is
+/// frozen would cost the requests their aim.
+const SILENCE: Duration = Duration::from_millis(900);
+/// Time between two looks at the silence of a link.
+const LOOK: Duration = Duration::from_millis(300);
+/// Time that the table service is given to tell a configuration that a peer has already: the usual
+/// way is as fast, and asking the peer would cost the whole text once more.
+const OWN_WAY: Duration = Duration::from_millis(400);
+
+/// What processes say to one another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Have these pieces made.
+    Order {
+        /// Names the order on this link.
+        ticket: u64,
+        /// Cell whose calls the other process forms.
+        cell: Cell,
+        /// The pieces.
+        sheet: Box<Sheet>,
+    },
+    /// The order's request is gone.
+    Withdraw {
+        /// The order.
+        ticket: u64,
+    },
+    /// What the order ended with.
+    Outcome {
+        /// The order.
+        ticket: u64,
+        /// The results, or why there are none.
+        outcome: Outcome,
+    },
+    /// Results are needed no more.
+    Release {
+        /// Cell that made them.
+        cell: Cell,
+        /// The results.
+        handles: Vec<Handle>,
+    },
+    /// How long pieces that come now would take.
+    Load {
+        /// The cell.
+        cell: Cell,
+        /// Expected time until they are made.
+        expected: Duration,
+    },
+    /// The configuration that is in force at the sender.
+    Version(Version),
+    /// Asks for the configuration.
+    Ask,
+    /// A whole configuration.
+    Plan(Box<Plan>),
+}
+
+/// An order as another process gets it: clocks differ, so that times are told from now on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sheet {
+    id: RequestId,
+    stage: usize,
+    pieces: u32,
+    source: Source,
+    result: u64,
+    due: Duration,
+    last: Duration,
+    rank: Rank,
+}
+
+impl Sheet {
+    /// The order as of now.
+    #[must_use]
+    pub fn new(order: &Order) -> Self {
+        let now = Instant::now();
+        Self {
+            id: order.id.clone(),
+            stage: order.stage,
+            pieces: order.pieces,
+            source: order.source.clone(),
+            result: order.result,
+            due: order.due.saturating_duration_since(now),
+            last: order.last.saturating_duration_since(now),
+            rank: order.rank,
+        }
+    }
+
+    /// The order at the end that carries it out.
+    #[must_use]
+    pub fn order(self) -> Order {
+        let now = Instant::now();
+        Order {
+            id: self.id,
+            stage: self.stage,
+            pieces: self.pieces,
+            source: self.source,
+            result: self.result,
+            due: now + self.due,
+            last: now + self.last,
+            rank: self.rank,
+        }
+    }
+}
+
+/// Reads the link's frames until it is lost.
+pub(super) fn start<D: Downstream>(
+    relay: Arc<Relay<D>>,
+    line: Arc<Line>,
+    receiver: Receiver<Frame>,
+) {
+    relay.peers.listen(line.sender.clone());
+    greet(&relay, &line.sender);
+    tokio::spawn(read(relay, line, receiver));
+}
+
+/// Tells a new peer which configuration is in force here.
+pub(super) fn greet<D: Downstream>(relay: &Relay<D>, sender: &Sender<Frame>) {
+    if let Some(plan) = relay.plan() {
+        // A link that is gone already shows when it is read.
+        let _ = sender.try_send(&Frame::Version(plan.version));
+    }
+}
+
+async fn read<D: Downstream>(relay: Arc<Relay<D>>, line: Arc<Line>, mut receiver: Receiver<Frame>) {
+    loop {
+        let frame = tokio::select! {
+            frame = receiver.recv() => frame,
+            () = sleep(LOOK) => {
+                if line.is_silent() {
+                    info!(relay.log, "peer silent, link given up");
+                    break;
+                }
+                continue;
+            }
+        };
+        let Ok(Some(frame)) = frame else { break };
+        lock(&line.pending).heard = Instant::now();
+        match frame {
+            Frame::Outcome { ticket, outcome } => {
+                let reply = lock(&line.pending).waiting.remove(&ticket);
+                // Whoever waited may have left meanwhile.
+                let _ = reply.map(|reply| reply.send(outcome));
+            }
+            Frame::Load { cell, expected } => relay.peers.told_load(cell, expected),
+            other => common(&relay, &line.sender, other),
+        }
+    }
+    line.sender.abandon();
+    // Dropping the senders tells all who wait that the link is gone.
+    lock(&line.pending).waiting.clear();
+}
+
+impl Line {
+    fn is_silent(&self) -> bool {
+        let pending = lock(&self.pending);
+        !pending.waiting.is_empty() && pending.heard.elapsed() > SILENCE
+    }
+}
+
+/// Frames that both ends understand.
+pub(super) fn common<D: Downstream>(relay: &Arc<Relay<D>>, sender: &Sender<Frame>, frame: Frame) {
+    match frame {
+        Frame::Version(version) => heard_version(relay, sender, version),
+        Frame::Ask => {
+            if let Some(plan) = relay.plan() {
+                let plan = Box::new(Plan::clone(&plan));
+                // A peer that is gone asks another one.
+                let _ = sender.try_send(&Frame::Plan(plan));
+            }
+        }
+        Frame::Plan(plan) => {
+            let version = plan.version;
+            let adopted = relay.adopt(*plan);
+            info!(relay.log, "configuration from a peer"; "version" => version, "adopted" => adopted);
+        }
+        _ => {}
+    }
+}
+
+/// A process that the table service turns away still learns of a new configuration, and of keys
+/// that were taken away, from its peers.
+fn heard_version<D: Downstream>(relay: &Arc<Relay<D>>, sender: &Sender<Frame>, version: Version) {
+    let behind = move |relay: &Relay<D>| relay.plan().is_none_or(|plan| plan.version < version);
+    if !behind(relay) {
+        return;
+    }
+    let (relay, sender) = (relay.clone(), sender.clone());
+    tokio::spawn(async move {
+        sleep(OWN_WAY).await;
+        if behind(&relay) {
+            // Lost with the link, if at all; the next peer announces the version as well.
+            let _ = sender.send(Frame::Ask).await;
+        }
+    });
+}
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -1,6 +1,7 @@
 //! The configuration in force: routes, services, workspaces and limits.
 
 use decide::{Map, WorkspaceId};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 pub type Rank = u8;
 
 /// A whole configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
     /// Its number.
     pub version: Version,
@@ -27,7 +28,7 @@
 }
 
 /// Where requests of one host and path prefix go and how they may be treated.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name.
     pub name: String,
@@ -58,7 +59,7 @@
 }
 
 /// What may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// A request that may run more than once.
     Safe,
@@ -69,7 +70,7 @@
 }
 
 /// A service's part of a route's requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Share {
     /// The service.
     pub service: ServiceId,
@@ -78,7 +79,7 @@
 }
 
 /// One stage of a route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Stage {
     /// Service whose runners do the work.
     pub service: ServiceId,
@@ -89,7 +90,7 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Name.
     pub name: ServiceId,
@@ -100,7 +101,7 @@
 }
 
 /// How the runners of a stage service take pieces.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Batches {
     /// Calls in progress at once.
     pub slots: u32,
@@ -113,7 +114,7 @@
 }
 
 /// How the runners of a model service generate.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// Requests that run at once.
     pub slots: u32,
@@ -122,7 +123,7 @@
 }
 
 /// A workspace.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Workspace {
     /// Name.
     pub name: WorkspaceId,
@@ -131,7 +132,7 @@
 }
 
 /// Bounds on what a caller may send.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Limits {
     /// Longest head of a request in bytes.
     pub head: usize,
--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -111,6 +111,10 @@
 
     async fn take(&mut self, whole: Option<(Bytes, Option<EventId>)>) -> Option<End> {
         let (bytes, last) = whole?;
+        // The runner has fetched its inputs before it reads the prompt. Kept until the stream's end
+        // they would fill the runners that made them: 1.5 MB a piece for seconds where there is
+        // room for twelve.
+        self.inputs.release(|_| true);
         self.events += 1;
         self.last = last.or(self.last);
         let sent = self.parts.send(Ok(bytes)).await;
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -34,6 +34,9 @@
     Field::required("listen", Shape::Listen),
     Field::required("ready", Shape::Listen),
     Field::required("metrics", Shape::Listen),
+    Field::required("peers", Shape::Listen),
+    Field::required("key", Shape::Text),
+    Field::optional("weight", Shape::Ratio),
     Field::required("store", Shape::Address),
     Field::required("repeats", REPEATS),
     Field::required("grace_ms", SPAN_MS),
@@ -52,6 +55,13 @@
     pub ready: SocketAddr,
     /// Where metrics are served; port 0 takes a free one.
     pub metrics: SocketAddr,
+    /// Where the other relays connect; port 0 takes a free one.
+    pub peers: SocketAddr,
+    /// Shared key of the relays.
+    pub key: String,
+    /// How much work for the others it takes on compared to them: its part of a core.
+    #[serde(default = "default_weight")]
+    pub weight: f64,
     /// The platform's table service.
     pub store: SocketAddr,
     /// Bound on second attempts of the whole fleet.
@@ -79,6 +89,10 @@
     8
 }
 
+fn default_weight() -> f64 {
+    1.0
+}
+
 /// Reads the settings of a relay.
 ///
 /// # Errors
--- a/crates/wire/examples/hop.rs
+++ b/crates/wire/examples/hop.rs
@@ -39,7 +39,7 @@
 
 async fn link() -> Outcome<Vec<Duration>> {
     let key = Key::new("key");
-    let listener = Listener::bind(loopback(), key.clone()).await?;
+    let listener: Listener = Listener::bind(loopback(), key.clone()).await?;
     let (sender, mut receiver) = wire::connect(listener.address()?, &key).await?;
     let (echo, mut heard) = listener.accept().await?;
     tokio::spawn(async move {
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,4 +1,6 @@
-//! An ordered link between one entry and one agent: length-delimited postcard frames over TCP.
+//! An ordered link between two processes: length-delimited postcard frames over TCP.
+//!
+//! What the frames say is a type of the caller's; between an entry and an agent it is [`Frame`].
 //!
 //! A link starts with a [`crate::handshake`] and is watched for
 //! [silence](crate::silence). An empty frame only says that the peer is alive.
@@ -8,7 +10,10 @@
 use crate::silence::{KEEPALIVE, Watch};
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu, ensure};
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -90,24 +95,54 @@
 }
 
 /// Sending end of a link; clones share the link.
-#[derive(Clone, Debug)]
-pub struct Sender {
+#[derive(Debug)]
+pub struct Sender<M = Frame> {
     queue: mpsc::Sender<Item>,
     lost: CancellationToken,
+    message: PhantomData<fn(M)>,
+}
+
+impl<M> Clone for Sender<M> {
+    fn clone(&self) -> Self {
+        Self {
+            queue: self.queue.clone(),
+            lost: self.lost.clone(),
+            message: PhantomData,
+        }
+    }
 }
 
-impl Sender {
+impl<M: Serialize> Sender<M> {
     /// Queues a frame behind those sent before it.
     ///
     /// # Errors
     ///
     /// [`Error::Closed`] if the link is gone, [`Error::Oversize`] if the frame is too long; the
     /// frame may or may not have been sent otherwise.
-    pub async fn send(&self, frame: Frame) -> Result<(), Error> {
-        let bytes = postcard::to_stdvec(&frame).context(CodecSnafu)?;
-        let length = bytes.len();
-        ensure!(length <= MAX_FRAME, OversizeSnafu { length });
-        self.queue(Item::Frame(bytes.into())).await
+    pub async fn send(&self, frame: M) -> Result<(), Error> {
+        self.queue(Item::Frame(encode(&frame)?)).await
+    }
+
+    /// Queues a frame if there is room for it, without waiting.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Closed`] also if the queue is full: a peer that reads so slowly is as good as gone.
+    pub fn try_send(&self, frame: &M) -> Result<(), Error> {
+        ensure!(!self.lost.is_cancelled(), ClosedSnafu);
+        let item = Item::Frame(encode(frame)?);
+        self.queue.try_send(item).map_err(|_| Error::Closed)
+    }
+
+    /// Whether the link is known to be gone.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.lost.is_cancelled()
+    }
+
+    /// Ends the link at once.
+    pub fn abandon(&self) {
+        self.lost.cancel();
     }
 
     /// Waits until all frames sent before have been handed to the operating system.
@@ -127,21 +162,29 @@
     }
 }
 
+fn encode(frame: &impl Serialize) -> Result<Bytes, Error> {
+    let bytes = postcard::to_stdvec(frame).context(CodecSnafu)?;
+    let length = bytes.len();
+    ensure!(length <= MAX_FRAME, OversizeSnafu { length });
+    Ok(bytes.into())
+}
+
 /// Receiving end of a link.
 #[derive(Debug)]
-pub struct Receiver {
+pub struct Receiver<M = Frame> {
     frames: FramedRead<Watch<OwnedReadHalf>, LengthDelimitedCodec>,
     lost: CancellationToken,
+    message: PhantomData<fn() -> M>,
 }
 
-impl Receiver {
+impl<M: DeserializeOwned> Receiver<M> {
     /// The next frame, or `None` once the link is closed. Dropping the future loses no frame.
     ///
     /// # Errors
     ///
     /// [`Error::Socket`] or [`Error::Codec`]; the link is of no further use after either. Its
     /// [`Sender`]s fail from then on, as they do once it is closed.
-    pub async fn recv(&mut self) -> Result<Option<Frame>, Error> {
+    pub async fn recv(&mut self) -> Result<Option<M>, Error> {
         let received = self.read().await;
         // A writer that went on after the peer has closed would take frames that nobody reads,
         // and their sender would count them as sent.
@@ -151,7 +194,7 @@
         received
     }
 
-    async fn read(&mut self) -> Result<Option<Frame>, Error> {
+    async fn read(&mut self) -> Result<Option<M>, Error> {
         while let Some(bytes) = self.frames.next().await {
             let bytes = bytes.context(SocketSnafu)?;
             if !bytes.is_empty() {
@@ -163,17 +206,17 @@
 }
 
 /// Both ends of a link.
-type Link = (Sender, Receiver);
+type Link<M> = (Sender<M>, Receiver<M>);
 
-/// Accepts links from entries.
+/// Accepts links.
 #[derive(Debug)]
-pub struct Listener {
+pub struct Listener<M = Frame> {
     address: SocketAddr,
-    links: Mutex<mpsc::Receiver<Result<Link, Error>>>,
+    links: Mutex<mpsc::Receiver<Result<Link<M>, Error>>>,
     _accepting: DropGuard,
 }
 
-impl Listener {
+impl<M: 'static> Listener<M> {
     /// Listens on an address; port 0 takes a free one.
     ///
     /// # Errors
@@ -208,14 +251,18 @@
     ///
     /// [`Error::Socket`] or [`Error::Unauthorized`] if one connection failed; the listener goes
     /// on.
-    pub async fn accept(&self) -> Result<Link, Error> {
+    pub async fn accept(&self) -> Result<Link<M>, Error> {
         self.links.lock().await.recv().await.ok_or(Error::Closed)?
     }
 }
 
 /// Takes connections and carries out each handshake in a task of its own, so that a peer that
 /// connects and stays silent does not keep others waiting.
-async fn accept_all(socket: TcpListener, key: Key, ready: mpsc::Sender<Result<Link, Error>>) {
+async fn accept_all<M: 'static>(
+    socket: TcpListener,
+    key: Key,
+    ready: mpsc::Sender<Result<Link<M>, Error>>,
+) {
     let handshakes = Arc::new(Semaphore::new(HANDSHAKES));
     while let Ok(permit) = handshakes.clone().acquire_owned().await {
         let stream = match socket.accept().await {
@@ -235,13 +282,13 @@
     }
 }
 
-async fn authenticate(mut stream: TcpStream, key: &Key) -> Result<Link, Error> {
+async fn authenticate<M>(mut stream: TcpStream, key: &Key) -> Result<Link<M>, Error> {
     stream.set_nodelay(true).context(SocketSnafu)?;
     handshake::accept(&mut stream, key).await?;
     Ok(split(stream))
 }
 
-/// Opens a link to an agent.
+/// Opens a link to a listener.
 ///
 /// # Examples
 ///
@@ -261,9 +308,9 @@
 ///
 /// # Errors
 ///
-/// [`Error::Socket`] if the agent cannot be reached in time, [`Error::Unauthorized`] if the keys
+/// [`Error::Socket`] if it cannot be reached in time, [`Error::Unauthorized`] if the keys
 /// differ.
-pub async fn connect(address: SocketAddr, key: &Key) -> Result<Link, Error> {
+pub async fn connect<M>(address: SocketAddr, key: &Key) -> Result<Link<M>, Error> {
     let mut stream = timeout(handshake::TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(std::io::Error::from)
@@ -274,7 +321,7 @@
     Ok(split(stream))
 }
 
-fn split(stream: TcpStream) -> Link {
+fn split<M>(stream: TcpStream) -> Link<M> {
     let (read, write) = stream.into_split();
     let (queue, items) = mpsc::channel(QUEUE);
     let mut sink = FramedWrite::new(write, codec());
@@ -288,8 +335,14 @@
     let sender = Sender {
         queue,
         lost: lost.clone(),
+        message: PhantomData,
+    };
+    let receiver = Receiver {
+        frames,
+        lost,
+        message: PhantomData,
     };
-    (sender, Receiver { frames, lost })
+    (sender, receiver)
 }
 
 fn codec() -> LengthDelimitedCodec {
--- a/crates/wire/tests/wrong_key.rs
+++ b/crates/wire/tests/wrong_key.rs
@@ -17,7 +17,10 @@
     let listener = listener().await;
     let address = listener.address().unwrap();
     let wrong = Key::new(*b"wrong");
-    let (entry, agent) = tokio::join!(wire::connect(address, &wrong), listener.accept());
+    let (entry, agent) = tokio::join!(
+        wire::connect::<wire::Frame>(address, &wrong),
+        listener.accept()
+    );
     assert!(matches!(entry.unwrap_err(), Error::Unauthorized));
     assert!(agent.is_err());
 }
