--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -227,7 +227,7 @@
     let parsed = read.map(|text| setting::relay::parse(&text, path));
     match parsed {
         Ok(Ok(_)) => {
-            info!(log, "reload"; "settings" => path, "outcome" => "in force at the next start")
+            info!(log, "reload"; "settings" => path, "outcome" => "in force at the next start");
         }
         Ok(Err(findings)) => warn!(log, "reload"; "settings" => path, "findings" => %findings),
         Err(error) => warn!(log, "reload"; "settings" => path, "error" => %error),
--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -6,8 +6,13 @@
 //! whatever arrives in between shares the next call.
 
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 use std::time::Duration;
 
+/// Time that a group waits longer so that its results are made where they are fetched: some tenths
+/// of a call. A group that none of its domain's runners takes goes elsewhere after it.
+const AWAY: Duration = Duration::from_millis(150);
+
 /// Names a group of pieces for as long as it waits.
 pub type Ticket = u64;
 
@@ -23,7 +28,7 @@
 }
 
 /// The pieces of one stage of one request.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Group {
     /// Name of the group.
     pub ticket: Ticket,
@@ -37,6 +42,8 @@
     pub last: Duration,
     /// How urgent the request is; 0 comes first.
     pub rank: u8,
+    /// Failure domain in which the results will be fetched, as far as is known.
+    pub domain: Option<Arc<str>>,
 }
 
 /// Pieces of one group that go into a call.
@@ -56,8 +63,11 @@
     fn withdraw(&mut self, ticket: Ticket);
     /// Removes and gives the groups that cannot be made by their last moment.
     fn expire(&mut self, now: Duration) -> Vec<Ticket>;
-    /// Takes the pieces of a call that starts now at a runner with room for `room` bytes.
-    fn take(&mut self, now: Duration, room: u64) -> Vec<Portion>;
+    /// Takes the pieces of a call that starts now at a runner of this failure domain with room for
+    /// `room` bytes.
+    fn take(&mut self, now: Duration, room: u64, domain: &str) -> Vec<Portion>;
+    /// Failure domain of the group that is first in turn, if it has one.
+    fn first(&self, now: Duration) -> Option<Arc<str>>;
     /// Pieces that wait.
     fn waiting(&self) -> u32;
 }
@@ -76,10 +86,10 @@
 /// let second = Duration::from_secs(1);
 /// let shape = Shape { size: 4, call: second / 5, piece: second / 50 };
 /// let mut former = Slack::new(shape);
-/// let group = Group { ticket: 1, pieces: 3, result: 10, due: second, last: second * 8, rank: 0 };
-/// former.push(group);
+/// let group = Group { ticket: 1, pieces: 3, result: 10, due: second, last: second * 8, rank: 0, domain: None };
+/// former.push(group.clone());
 /// former.push(Group { ticket: 2, due: second / 2, ..group });
-/// let taken = former.take(Duration::ZERO, 1_000);
+/// let taken = former.take(Duration::ZERO, 1_000, "a");
 /// assert_eq!(taken[0], Portion { ticket: 2, pieces: 3 });
 /// assert_eq!(taken[1], Portion { ticket: 1, pieces: 1 });
 /// ```
@@ -121,16 +131,23 @@
 
     fn expire(&mut self, now: Duration) -> Vec<Ticket> {
         let end = now + self.shortest();
-        let (useless, useful) = self.groups.iter().partition(|group| group.last < end);
+        let groups = std::mem::take(&mut self.groups);
+        let (useless, useful): (Vec<_>, Vec<_>) =
+            groups.into_iter().partition(|group| group.last < end);
         self.groups = useful;
-        let useless: Vec<Group> = useless;
         useless.iter().map(|group| group.ticket).collect()
     }
 
-    fn take(&mut self, now: Duration, room: u64) -> Vec<Portion> {
+    fn take(&mut self, now: Duration, room: u64, domain: &str) -> Vec<Portion> {
         let end = now + self.shortest();
-        self.groups
-            .sort_by_key(|group| (group.due < end, group.rank, group.due));
+        self.groups.sort_by_key(|group| {
+            let near = group
+                .domain
+                .as_deref()
+                .is_none_or(|wanted| wanted == domain);
+            let handicap = if near { Duration::ZERO } else { AWAY };
+            (group.due < end, group.rank, group.due + handicap)
+        });
         let portions = fill(&self.groups, self.shape.size, room);
         for portion in &portions {
             if let Some(group) = self
@@ -145,6 +162,15 @@
         portions
     }
 
+    fn first(&self, now: Duration) -> Option<Arc<str>> {
+        let end = now + self.shortest();
+        let first = self
+            .groups
+            .iter()
+            .min_by_key(|group| (group.due < end, group.rank, group.due));
+        first?.domain.clone()
+    }
+
     fn waiting(&self) -> u32 {
         self.groups.iter().map(|group| group.pieces).sum()
     }
@@ -204,16 +230,20 @@
         self.inner.expire(now)
     }
 
-    fn take(&mut self, _now: Duration, room: u64) -> Vec<Portion> {
+    fn take(&mut self, _now: Duration, room: u64, _domain: &str) -> Vec<Portion> {
         let Some(first) = self.inner.groups.first_mut() else {
             return Vec::new();
         };
-        let portions = fill(&[*first], self.inner.shape.size, room);
+        let portions = fill(std::slice::from_ref(first), self.inner.shape.size, room);
         first.pieces -= portions.first().map_or(0, |portion| portion.pieces);
         self.inner.groups.retain(|group| group.pieces > 0);
         portions
     }
 
+    fn first(&self, _now: Duration) -> Option<Arc<str>> {
+        self.inner.groups.first()?.domain.clone()
+    }
+
     fn waiting(&self) -> u32 {
         self.inner.waiting()
     }
--- a/crates/decide/src/route/mod.rs
+++ b/crates/decide/src/route/mod.rs
@@ -1,11 +1,13 @@
 //! Which target a call goes to.
 //!
+//! * [`affine`]: the same few targets for calls that share a prompt prefix
 //! * [`pool`]: what is known of a service's targets
 //! * [`target`]: what is known of one target
 //! * [`prefix`]: which targets are believed to have which prompt prefixes in cache
 //! * [`robin`]: the baseline, each target in turn
 //! * [`sampled`]: the best of a few sampled candidates by expected finish
 
+pub mod affine;
 pub mod pool;
 pub mod prefix;
 pub mod robin;
@@ -13,6 +15,7 @@
 pub mod target;
 mod trust;
 
+pub use affine::Affine;
 pub use pool::Pool;
 pub use robin::RoundRobin;
 pub use sampled::Sampled;
--- a/crates/decide/src/route/target.rs
+++ b/crates/decide/src/route/target.rs
@@ -99,6 +99,12 @@
         self.in_flight
     }
 
+    /// Calls that its runner takes at once.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
     /// Whether it takes no new work because it is about to go.
     #[must_use]
     pub fn leaving(&self) -> bool {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -3,25 +3,29 @@
 use crate::core::Relay;
 use crate::downstream::{Call, Downstream, Failure, NotRun, Reply};
 use crate::follow::millis;
-use crate::graph::Inputs;
+use crate::graph::{self, Inputs, Round};
 use crate::plan::ServiceId;
 use crate::request::{Answer, Body, EventId, Refusal};
-use crate::runner::{Runner, RunnerId};
+use crate::runner::{DomainId, Runner, RunnerId};
 use crate::serve::Job;
 use crate::splice;
 use bytes::{Bytes, BytesMut};
-use decide::route::{self, Router, Sampled};
+use decide::route::{self, Affine, Router};
 use futures::StreamExt;
 use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Runners that refuse a request before it is given up; each costs a round trip only.
 const REFUSALS: u32 = 3;
 /// Time below which no call is sent any more: the way there and back and the shortest work.
 const CALL_LEAST: Duration = Duration::from_millis(5);
+/// Time after which a runner that was sent a request has fetched its inputs. It does so before it
+/// reads the prompt, and its answer begins only after that; a few megabytes take milliseconds, and
+/// the room that they take up bounds what the stages can do.
+const FETCHED: Duration = Duration::from_millis(60);
 /// When a caller may come back whose request no runner took.
 const RETRY_FULL: Duration = Duration::from_millis(200);
 /// Parts of a stream that wait for a slow caller before its runner is read no further.
@@ -40,6 +44,9 @@
     pub last: Option<Failure>,
 }
 
+/// A call that has begun to be answered.
+pub type Sent<D> = (Flight<D>, Reply<<D as Downstream>::Body>);
+
 impl Progress {
     /// Whether the last runner refused the request because results that it needs are gone.
     #[must_use]
@@ -122,15 +129,14 @@
 /// # Errors
 ///
 /// [`Refusal`], of which only those that say so are given if no runner may have run it.
-pub async fn run<D: Downstream>(job: &Job<D>, inputs: Inputs<D>) -> Result<Answer, Refusal> {
+pub async fn run<D: Downstream>(job: &Job<D>, mut inputs: Inputs<D>) -> Result<Answer, Refusal> {
     let mut progress = Progress::default();
     job.relay.count_first(&job.service);
     loop {
-        let (flight, reply) =
-            match send(job, &inputs, &mut progress, job.request.resume_after).await {
-                Ok(sent) => sent,
-                Err(()) => return Err(give_up(job, &progress)),
-            };
+        let sent = send_anew(job, &mut inputs, &mut progress, job.request.resume_after).await;
+        let Ok((flight, reply)) = sent else {
+            return Err(give_up(job, &progress));
+        };
         if job.streams() && is_success(reply.status) {
             return Ok(stream(job, inputs, flight, reply, progress));
         }
@@ -147,16 +153,16 @@
 /// Nothing more than what `progress` says.
 pub async fn send<D: Downstream>(
     job: &Job<D>,
-    inputs: &Inputs<D>,
+    inputs: &mut Inputs<D>,
     progress: &mut Progress,
     resume_after: Option<EventId>,
-) -> Result<(Flight<D>, Reply<D::Body>), ()> {
+) -> Result<Sent<D>, ()> {
     loop {
         let left = job.deadline.saturating_duration_since(Instant::now());
         if left < CALL_LEAST || !may_send(job, progress) {
             return Err(());
         }
-        let Some(runner) = pick(job, inputs, progress, left) else {
+        let Some(runner) = pick(job, &progress.tried, left) else {
             return Err(());
         };
         if !progress.tried.is_empty() && !job.relay.may_repeat(&job.service) {
@@ -165,11 +171,9 @@
         progress.tried.push(runner.id.clone());
         let call = call(job, inputs, left, resume_after);
         let flight = Flight::new(job, runner);
-        let result = timeout_at(
-            job.deadline,
-            job.relay.downstream.call(&flight.runner, call),
-        )
-        .await;
+        let calling = job.relay.downstream.call(&flight.runner, call);
+        let calling = until_fetched(calling, inputs);
+        let result = timeout_at(job.deadline, calling).await;
         let result = result.unwrap_or_else(|_| {
             let reason = "no answer before the deadline".to_owned();
             Err(Failure::Lost { reason })
@@ -185,6 +189,40 @@
     }
 }
 
+/// The same, with the results made once more if they are gone: a runner that made some may have
+/// crashed, or was told to drop them before they were fetched.
+///
+/// # Errors
+///
+/// As [`send`].
+pub async fn send_anew<D: Downstream>(
+    job: &Job<D>,
+    inputs: &mut Inputs<D>,
+    progress: &mut Progress,
+    resume_after: Option<EventId>,
+) -> Result<Sent<D>, ()> {
+    let sent = send(job, inputs, progress, resume_after).await;
+    if sent.is_ok() || !progress.input_gone() {
+        return sent;
+    }
+    *inputs = graph::run(job, Round::Again).await.map_err(drop)?;
+    progress.last = None;
+    send(job, inputs, progress, resume_after).await
+}
+
+/// Waits for the beginning of an answer, and gives the inputs back once the runner has them.
+async fn until_fetched<D: Downstream, T>(
+    calling: impl Future<Output = T>,
+    inputs: &mut Inputs<D>,
+) -> T {
+    let mut calling = std::pin::pin!(calling);
+    tokio::select! {
+        result = &mut calling => return result,
+        () = sleep(FETCHED) => inputs.release(|_| true),
+    }
+    calling.await
+}
+
 fn fail<D: Downstream>(flight: Flight<D>, failure: Failure, progress: &mut Progress) {
     match &failure {
         Failure::Lost { .. } => {
@@ -210,38 +248,27 @@
     progress.ran == 0 || (job.route.repeatable() && progress.ran < job.route.attempts)
 }
 
-fn pick<D: Downstream>(
-    job: &Job<D>,
-    inputs: &Inputs<D>,
-    progress: &Progress,
-    left: Duration,
-) -> Option<Arc<Runner>> {
+fn pick<D: Downstream>(job: &Job<D>, tried: &[RunnerId], left: Duration) -> Option<Arc<Runner>> {
     let relay = &job.relay;
-    let domain = input_domain(job, inputs).unwrap_or_else(|| relay.options.domain.clone());
-    let prefix = job
-        .request
-        .prompt
-        .as_ref()
-        .map_or(&[][..], |prompt| &prompt.blocks);
+    let prefix = job.request.prompt.as_ref();
     let call = route::Call {
         now: relay.now(),
-        domain: &domain,
-        prefix,
-        tried: &progress.tried,
+        domain: &relay.options.domain,
+        prefix: prefix.map_or(&[][..], |prompt| &prompt.blocks),
+        tried,
         slack: left,
     };
     let id = relay.pool(&job.service, |pool| {
-        relay.random(|rng| Sampled.pick(pool, &call, rng))
+        relay.random(|rng| Affine.pick(pool, &call, rng))
     })?;
     relay.runner(&id)
 }
 
-/// Failure domain in which most of the request's inputs lie.
-fn input_domain<D: Downstream>(job: &Job<D>, inputs: &Inputs<D>) -> Option<Arc<str>> {
-    let handle = inputs.leaves.first()?;
-    let address = job.relay.downstream.holder(handle)?;
-    job.relay
-        .fleet(|fleet| fleet.at(&address).map(|runner| runner.domain.clone()))?
+/// Failure domain of the runner that would be picked now. What is made for the request is best
+/// made there: results that cross failure domains cost far more than those that do not.
+pub fn likely_domain<D: Downstream>(job: &Job<D>) -> Option<DomainId> {
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    pick(job, &[], left).map(|runner| runner.domain.clone())
 }
 
 fn call<D: Downstream>(
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -9,7 +9,7 @@
 use crate::follow::millis;
 use crate::plan::{Batches, Rank, ServiceId};
 use crate::request::RequestId;
-use crate::runner::{Runner, RunnerId};
+use crate::runner::{DomainId, Runner, RunnerId};
 use decide::Map;
 use decide::batch::{Former, Group, Portion, Slack, Ticket};
 use serde::{Deserialize, Serialize};
@@ -105,6 +105,8 @@
     pub last: Instant,
     /// Urgency.
     pub rank: Rank,
+    /// Failure domain in which the results will be fetched, as far as can be told.
+    pub domain: Option<DomainId>,
 }
 
 /// Why the pieces of a stage were not made.
@@ -141,6 +143,37 @@
     waiting: Map<Ticket, Waiting>,
     places: Vec<Place>,
     next: Ticket,
+    /// How much larger than the configuration says results are taken to be.
+    inflation: Inflation,
+}
+
+/// Results differ in size, and the configuration tells an approximate one. Pieces without room are
+/// made once more, which costs a call: too large an estimate only leaves some room unused.
+#[derive(Clone, Copy, Debug)]
+struct Inflation(f64);
+
+impl Default for Inflation {
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
+impl Inflation {
+    /// Factor by which the estimate grows when results had no room.
+    const GROW: f64 = 1.1;
+    /// Factor by which it shrinks with each call whose results had.
+    const SHRINK: f64 = 0.995;
+    /// Greatest estimate.
+    const MOST: f64 = 2.0;
+
+    fn learn(&mut self, had_room: bool) {
+        let factor = if had_room { Self::SHRINK } else { Self::GROW };
+        self.0 = (self.0 * factor).clamp(1.0, Self::MOST);
+    }
+
+    fn apply(self, bytes: u64) -> u64 {
+        (bytes as f64 * self.0) as u64
+    }
 }
 
 /// An order whose pieces are not all made.
@@ -361,10 +394,11 @@
         let group = Group {
             ticket,
             pieces: order.pieces,
-            result: order.result,
+            result: self.inflation.apply(order.result),
             due: relay.at(order.due),
             last: relay.at(order.last),
             rank: order.rank,
+            domain: order.domain.clone(),
         };
         let former = self.former.get_or_insert_with(|| Slack::new(batches.shape));
         former.reshape(batches.shape);
@@ -396,10 +430,12 @@
         if former.waiting() == 0 {
             return None;
         }
-        let index = free_place(&self.places, batches, now)?;
+        let first = former.first(at);
+        let index = free_place(&self.places, first.as_deref(), batches, now)?;
         let place = &mut self.places[index];
         let room = place.room(batches, now);
-        let portions = former.take(at, room.free);
+        let domain = place.runner.domain.clone();
+        let portions = former.take(at, room.free, &domain);
         if portions.is_empty() {
             return None;
         }
@@ -516,6 +552,9 @@
         };
         place.calls = place.calls.saturating_sub(1);
         let now = Instant::now();
+        if let Ok(made) = result {
+            self.inflation.learn(!made.contains(&Made::NoRoom));
+        }
         match result {
             // It answers at once when it has no room, which must not make it look fast: it would
             // draw all calls and refuse them.
@@ -559,6 +598,7 @@
                 .waiting
                 .get(&ticket)
                 .map_or(0, |waiting| waiting.order.result);
+            let bytes = self.inflation.apply(bytes);
             let wanted = self.waiting.contains_key(&ticket);
             self.keep(&launch.runner.id, handle, bytes, launch.batches, wanted);
         }
@@ -580,7 +620,7 @@
                     return Some(Err(Spoiled::Failed));
                 }
                 waiting.todo.push(piece);
-                let group = waiting.group(ticket, relay);
+                let group = waiting.group(ticket, relay, self.inflation);
                 let former = self.former.as_mut()?;
                 former.withdraw(ticket);
                 former.push(group);
@@ -612,7 +652,14 @@
 ///
 /// A slow one is left idle while others of its service are faster by more than a call: pieces bound
 /// to it would end later than those that wait for the next free one.
-fn free_place(places: &[Place], batches: Batches, now: Instant) -> Option<usize> {
+/// Among equals it is one in the failure domain of the most urgent pieces, then that with the least
+/// results.
+fn free_place(
+    places: &[Place],
+    domain: Option<&str>,
+    batches: Batches,
+    now: Instant,
+) -> Option<usize> {
     let fastest = places
         .iter()
         .filter(|place| !place.rests(now))
@@ -623,9 +670,10 @@
             let place = &places[index];
             place.calls < batches.slots && !place.rests(now) && place.slowness(now) < fastest * SLOW
         })
-        .min_by(|&one, &other| {
-            let key = |index: usize| places[index].results.len();
-            key(one).cmp(&key(other))
+        .min_by_key(|&index| {
+            let place = &places[index];
+            let away = domain.is_some_and(|domain| *place.runner.domain != *domain);
+            (away, place.results.len())
         })
 }
 
@@ -703,14 +751,20 @@
     }
 
     /// The pieces that still wait, as the former sees them.
-    fn group<D: Downstream>(&self, ticket: Ticket, relay: &Relay<D>) -> Group {
+    fn group<D: Downstream>(
+        &self,
+        ticket: Ticket,
+        relay: &Relay<D>,
+        inflation: Inflation,
+    ) -> Group {
         Group {
             ticket,
             pieces: u32::try_from(self.todo.len()).unwrap_or(u32::MAX),
-            result: self.order.result,
+            result: inflation.apply(self.order.result),
             due: relay.at(self.order.due),
             last: relay.at(self.order.last),
             rank: self.order.rank,
+            domain: self.order.domain.clone(),
         }
     }
 }
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -1,5 +1,6 @@
 //! The stages of one request.
 
+use crate::attempt;
 use crate::batch::{Cell, Order, Outcome, Spoiled};
 use crate::core::Relay;
 use crate::downstream::{Downstream, Handle, Source};
@@ -29,6 +30,10 @@
     Again,
 }
 
+/// Stages beside a longer chain are begun when the chain needs this many times their own time at
+/// most, which leaves them half a call to wait.
+const JUST_IN_TIME: f64 = 1.5;
+
 /// Results that a request holds at the runners that made them, and gives back in the end.
 #[derive(Debug)]
 pub struct Inputs<D: Downstream> {
@@ -99,7 +104,7 @@
     loop {
         for stage in 0..stages.len() {
             let ready = |&before: &usize| made.get(before).is_none_or(Option::is_some);
-            if !begun[stage] && stages[stage].after.iter().all(ready) {
+            if !begun[stage] && stages[stage].after.iter().all(ready) && !early(job, stage, &made) {
                 begun[stage] = true;
                 running.push(make(job, stage, source(job, stage, &made), round));
             }
@@ -118,6 +123,17 @@
     Ok(inputs)
 }
 
+/// Whether a stage is better begun later: its results would lie at their runner until a longer
+/// chain of stages beside it is done, and take up room for results that long.
+fn early<D: Downstream>(job: &Job<D>, stage: usize, made: &[Option<Vec<Handle>>]) -> bool {
+    let own = (job.call_time(stage) + job.behind(stage)).mul_f64(JUST_IN_TIME);
+    let left = (0..made.len()).filter(|&other| other != stage && made[other].is_none());
+    let longest = left
+        .map(|other| job.call_time(other) + job.behind(other))
+        .max();
+    longest.is_some_and(|longest| longest > own)
+}
+
 /// Whether the results of a stage have served: other stages follow it, and those are made.
 fn is_used(stages: &[Stage], made: &[Option<Vec<Handle>>], stage: usize) -> bool {
     let mut next = (0..stages.len()).filter(|&next| stages[next].after.contains(&stage));
@@ -164,6 +180,7 @@
             .checked_sub(behind)
             .unwrap_or(job.request.arrived),
         rank: job.rank,
+        domain: attempt::likely_domain(job),
     };
     let outcome = peer::make(&job.relay, &cell, order).await;
     (stage, cell, outcome)
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -6,6 +6,7 @@
 use crate::downstream::{Downstream, Handle, Source};
 use crate::plan::{Plan, Rank, Version};
 use crate::request::RequestId;
+use crate::runner::DomainId;
 use serde::{Deserialize, Serialize};
 use slog::info;
 use std::sync::Arc;
@@ -80,6 +81,7 @@
     due: Duration,
     last: Duration,
     rank: Rank,
+    domain: Option<DomainId>,
 }
 
 impl Sheet {
@@ -96,6 +98,7 @@
             due: order.due.saturating_duration_since(now),
             last: order.last.saturating_duration_since(now),
             rank: order.rank,
+            domain: order.domain.clone(),
         }
     }
 
@@ -112,6 +115,7 @@
             due: now + self.due,
             last: now + self.last,
             rank: self.rank,
+            domain: self.domain,
         }
     }
 }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -58,14 +58,10 @@
     pub input: u32,
     /// Most tokens to generate.
     pub output: u32,
-    /// Hashes of the shared prefix, a block for each [`BLOCK_TOKENS`] tokens, longest last.
+    /// Hashes of the parts that it shares with other requests; each covers all parts before it.
     pub blocks: Vec<Block>,
 }
 
-/// Tokens that one block of a prompt's prefix stands for. Routing weighs cached prefixes by their
-/// blocks; finer ones would cost more time for each decision than the weight gains.
-pub const BLOCK_TOKENS: u32 = 256;
-
 /// What a caller gets.
 #[derive(Debug)]
 pub struct Answer {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -8,7 +8,7 @@
 use crate::graph::{self, Inputs, Round};
 use crate::plan::{Kind, Plan, Rank, Route, ServiceId, Workspace};
 use crate::request::{Answer, Refusal, Request};
-use slog::{debug, info};
+use slog::info;
 use std::hash::BuildHasher;
 use std::sync::Arc;
 use std::time::Duration;
@@ -99,7 +99,7 @@
         let made = timeout_at(job.deadline, graph::run(job, Round::First)).await;
         let begun = job.request.arrived.elapsed();
         if !job.route.stages.is_empty() {
-            debug!(self.log, "stages"; "request" => &*job.request.id, "after_ms" => millis(begun));
+            info!(self.log, "stages"; "request" => &*job.request.id, "after_ms" => millis(begun));
         }
         match made {
             Ok(Ok(inputs)) => Ok(inputs),
--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -7,7 +7,7 @@
 use crate::downstream::{Downstream, Reply};
 use crate::event::Splitter;
 use crate::follow::millis;
-use crate::graph::{self, Inputs, Round};
+use crate::graph::Inputs;
 use crate::request::{Broken, EventId};
 use crate::serve::Job;
 use bytes::Bytes;
@@ -138,11 +138,9 @@
         if !self.job.route.repeatable() {
             return None;
         }
-        let (flight, reply) = match self.send().await {
-            Ok(sent) => sent,
-            Err(()) if self.progress.input_gone() => self.send_with_new_inputs().await?,
-            Err(()) => return None,
-        };
+        let (job, last) = (&self.job, self.last);
+        let sent = attempt::send_anew(job, &mut self.inputs, &mut self.progress, last).await;
+        let (flight, reply) = sent.ok()?;
         if reply.proven && (200..300).contains(&reply.status) {
             return Some((flight, reply));
         }
@@ -150,18 +148,6 @@
         None
     }
 
-    async fn send(&mut self) -> Result<(Flight<D>, Reply<D::Body>), ()> {
-        attempt::send(&self.job, &self.inputs, &mut self.progress, self.last).await
-    }
-
-    /// The results that the first runner was given lapse after a few seconds, so that a stream that
-    /// breaks off late needs them made again.
-    async fn send_with_new_inputs(&mut self) -> Option<(Flight<D>, Reply<D::Body>)> {
-        self.inputs = graph::run(&self.job, Round::Again).await.ok()?;
-        self.progress.last = None;
-        self.send().await.ok()
-    }
-
     /// Ends the caller's connection without the mark of a whole answer. The caller may have left
     /// already, which is no matter.
     async fn break_off(self, reason: &str) {
