Model runners by what waits there to be read

Cause: a home runner for each prefix drew up to 51 calls while others had 2; 33 to 38 streams ran into their deadline.

--- a/crates/decide/src/route/affine.rs
+++ b/crates/decide/src/route/affine.rs
@@ -1,26 +1,50 @@
-//! The same few targets for calls that share a prompt prefix.
+//! The same few targets for calls that share a prompt prefix, as far as load allows.
 //!
 //! A runner that has read a prefix need not read it again. Which runner has what in its cache is
 //! known late and in part at best; but processes that all send the same prefix to the same runner
 //! need not know. The names of prefix and runner alone say which that is.
 
-use super::{Call, Pool, Router, Target, TargetId};
+use super::{Block, Call, Pool, Router, Target, TargetId};
 use crate::subset::rank;
 use rand::Rng;
 
-/// Share of the targets that calls with the same first block are kept to. The first block is
-/// shared by many prefixes, and each target that serves one of them reads it once.
-const GROUP_SHARE: usize = 4;
-/// Targets that calls with the same first block are kept to, at least.
+/// Seconds that an engine takes to read a token of a prompt: one that reads 25 in a millisecond.
+/// Only the balance of waiting against reading again depends on it.
+const TOKEN: f64 = 40e-6;
+/// How much worse it is to read tokens that another runner holds than to wait as long. Reading
+/// again holds up all calls of the runner and evicts what others need.
+const AGAIN: f64 = 2.0;
+/// Seconds that a call adds to each other one at its engine, by making its steps longer: about
+/// 0.12 ms a step with a context of 9,000 tokens, for some fifty steps.
+const CROWDING: f64 = 0.008;
+/// Part of the targets that calls with the same first part are kept to. The first part is shared by
+/// many prefixes, and each target that serves one of them reads it once.
+const GROUP_PART: usize = 3;
+/// Targets that calls with the same first part are kept to, at least.
 const GROUP_LEAST: usize = 3;
-/// How much later than at the best target a call may be answered for the sake of the prefix, as a
-/// multiple. Expected times are rough, so that a smaller one would chase noise.
-const PATIENCE: f64 = 2.0;
-/// The same in seconds, besides: about what reading a prefix of some thousand tokens takes.
-const PATIENCE_LEAST: f64 = 0.2;
+/// Seconds by which the next target in the order of a prefix must be better. Processes that spill
+/// over should agree where to.
+const NEXT: f64 = 0.001;
+/// Round trip in seconds that a call to another failure domain costs.
+const CROSSING: f64 = 0.002;
+
+/// Part of a prompt that other calls share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Hash of this part and all before it.
+    pub block: Block,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// Seconds that an engine takes to read this many tokens.
+#[must_use]
+pub fn reading(tokens: u32) -> f64 {
+    f64::from(tokens) * TOKEN
+}
 
-/// Sends a call where its prefix belongs, unless that is expected to take much longer than
-/// elsewhere; calls without a prefix go to the target that is expected to answer first.
+/// Sends a call where it is expected to begin first: what waits there to be read, what it must read
+/// itself, and what it costs to have a shared part read by one more runner.
 ///
 /// A decision costs time in proportion to the targets, so that it is for the subset of a pool that
 /// one process sends to.
@@ -28,6 +52,7 @@
 /// # Examples
 ///
 /// ```
+/// use decide::route::affine::Part;
 /// use decide::route::{Affine, Call, Pool, Router, Target};
 /// use rand::{SeedableRng, rngs::SmallRng};
 /// use std::time::Duration;
@@ -39,64 +64,90 @@
 /// let call = Call {
 ///     now: Duration::ZERO,
 ///     domain: "a",
-///     prefix: &[7, 8],
+///     prefix: &[],
 ///     tried: &[],
 ///     slack: Duration::from_secs(1),
 /// };
+/// let parts = [Part { block: 7, tokens: 2_000 }];
 /// let mut rng = SmallRng::seed_from_u64(1);
-/// let first = Affine.pick(&pool, &call, &mut rng);
-/// assert_eq!(first, Affine.pick(&pool, &call, &mut rng));
+/// let first = Affine::new(4, &parts).pick(&pool, &call, &mut rng);
+/// assert_eq!(first, Affine::new(4, &parts).pick(&pool, &call, &mut rng));
 /// ```
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Affine;
+#[derive(Clone, Copy, Debug)]
+pub struct Affine<'a> {
+    processes: f64,
+    parts: &'a [Part],
+}
+
+impl<'a> Affine<'a> {
+    /// A router for a call with these shared parts, in one of `processes` that see about the same
+    /// calls.
+    #[must_use]
+    pub fn new(processes: usize, parts: &'a [Part]) -> Self {
+        Self {
+            processes: processes.max(1) as f64,
+            parts,
+        }
+    }
 
-impl Router for Affine {
+    /// Seconds until the call would begin at a target, and what else speaks against it.
+    fn cost(&self, pool: &Pool, call: &Call<'_>, target: &Target) -> f64 {
+        let crowd = f64::from(target.in_flight()) * CROWDING;
+        let queue = (target.reading() + crowd) * self.processes;
+        let away = if *target.domain == *call.domain {
+            0.0
+        } else {
+            CROSSING
+        };
+        if self.parts.is_empty() {
+            return queue + away + pool.expected(target, call);
+        }
+        let norm = pool.norm();
+        let slowness = target.service(call.now, norm) / norm.service;
+        queue * slowness + away
+    }
+
+    /// What it costs to have shared parts read again, for each target by its place.
+    fn again(&self, targets: &[&Target]) -> Vec<f64> {
+        let Some((first, rest)) = self.parts.split_first() else {
+            return vec![0.0; targets.len()];
+        };
+        let rest: u32 = rest.iter().map(|part| part.tokens).sum();
+        let whole = self.parts.last().map_or(first.block, |part| part.block);
+        let mut order: Vec<usize> = (0..targets.len()).collect();
+        sort(&mut order, targets, first.block);
+        let size = (order.len() / GROUP_PART).max(GROUP_LEAST).min(order.len());
+        let (group, others) = order.split_at_mut(size);
+        sort(group, targets, whole);
+        let mut costs = vec![0.0; targets.len()];
+        for (place, &index) in group.iter().enumerate().skip(1) {
+            costs[index] = AGAIN * reading(rest) + NEXT * place as f64;
+        }
+        for &mut index in others {
+            costs[index] = AGAIN * reading(rest + first.tokens) + NEXT * size as f64;
+        }
+        costs
+    }
+}
+
+impl Router for Affine<'_> {
     fn pick(&mut self, pool: &Pool, call: &Call<'_>, rng: &mut impl Rng) -> Option<TargetId> {
         let targets: Vec<&Target> = pool
             .live()
             .iter()
             .filter(|target| !call.tried.contains(&target.id))
             .collect();
+        let again = self.again(&targets);
         let offset = rng.random_range(0..targets.len().max(1));
-        let cost = |target: &&Target| pool.expected(target, call) + away(target, call);
-        let best = (0..targets.len())
-            .map(|step| targets[(offset + step) % targets.len()])
-            .min_by(|one, other| cost(one).total_cmp(&cost(other)))?;
-        let bearable = cost(&best) * PATIENCE + PATIENCE_LEAST;
-        let home = homes(&targets, call).find(|target| {
-            // A target at its limit would let the call wait behind others.
-            cost(target) <= bearable && target.in_flight() < target.limit()
-        });
-        Some(home.unwrap_or(best).id.clone())
-    }
-}
-
-/// Round trip in seconds that a call to another failure domain costs.
-const CROSSING: f64 = 0.002;
-
-fn away(target: &Target, call: &Call<'_>) -> f64 {
-    if *target.domain == *call.domain {
-        0.0
-    } else {
-        CROSSING
-    }
-}
-
-/// The targets to which the call's prefix belongs, the first choice first.
-fn homes<'a>(targets: &[&'a Target], call: &Call<'_>) -> impl Iterator<Item = &'a Target> {
-    let mut group = targets.to_vec();
-    if let (Some(first), Some(whole)) = (call.prefix.first(), call.prefix.last()) {
-        let size = (group.len() / GROUP_SHARE).max(GROUP_LEAST);
-        sort(&mut group, *first);
-        group.truncate(size);
-        sort(&mut group, *whole);
-    } else {
-        group.clear();
+        (0..targets.len())
+            .map(|step| (offset + step) % targets.len())
+            .map(|index| (self.cost(pool, call, targets[index]) + again[index], index))
+            .min_by(|(one, _), (other, _)| one.total_cmp(other))
+            .map(|(_, index)| targets[index].id.clone())
     }
-    group.into_iter()
 }
 
-fn sort(targets: &mut [&Target], block: u64) {
+fn sort(places: &mut [usize], targets: &[&Target], block: Block) {
     let name = format!("{block:x}");
-    targets.sort_by_cached_key(|target| rank(&name, &target.id));
+    places.sort_by_cached_key(|&place| rank(&name, &targets[place].id));
 }
--- a/crates/decide/src/route/pool.rs
+++ b/crates/decide/src/route/pool.rs
@@ -133,6 +133,20 @@
         }
     }
 
+    /// A call that was sent has a prompt that takes this many seconds to read.
+    pub fn reads(&mut self, id: &str, seconds: f64) {
+        if let Some(target) = self.get_mut(id) {
+            target.reading += seconds;
+        }
+    }
+
+    /// A prompt has been read, or is not read any more.
+    pub fn has_read(&mut self, id: &str, seconds: f64) {
+        if let Some(target) = self.get_mut(id) {
+            target.reading = (target.reading - seconds).max(0.0);
+        }
+    }
+
     /// A sent call was refused, revoked or cancelled, which says nothing about the target's health.
     pub fn returned(&mut self, id: &str) {
         if let Some(target) = self.get_mut(id) {
--- a/crates/decide/src/route/target.rs
+++ b/crates/decide/src/route/target.rs
@@ -52,6 +52,7 @@
     /// Failure domain that it runs in.
     pub domain: Arc<str>,
     pub(super) in_flight: u32,
+    pub(super) reading: f64,
     pub(super) limit: u32,
     pub(super) others: f64,
     pub(super) reported: Option<Duration>,
@@ -81,6 +82,7 @@
             id: id.into(),
             domain: domain.into(),
             in_flight: 0,
+            reading: 0.0,
             limit: limit.max(1),
             others: 0.0,
             reported: None,
@@ -99,10 +101,11 @@
         self.in_flight
     }
 
-    /// Calls that its runner takes at once.
+    /// Seconds of reading prompts that this process has sent to it and that have not begun to
+    /// answer.
     #[must_use]
-    pub fn limit(&self) -> u32 {
-        self.limit
+    pub fn reading(&self) -> f64 {
+        self.reading
     }
 
     /// Whether it takes no new work because it is about to go.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,7 +10,7 @@
 use crate::serve::Job;
 use crate::splice;
 use bytes::{Bytes, BytesMut};
-use decide::route::{self, Affine, Router};
+use decide::route::{self, Affine, Router, affine};
 use futures::StreamExt;
 use slog::info;
 use std::sync::Arc;
@@ -65,37 +65,48 @@
     pub runner: Arc<Runner>,
     /// When the call was sent.
     pub sent: Instant,
+    reading: f64,
     over: bool,
 }
 
 impl<D: Downstream> Flight<D> {
     fn new(job: &Job<D>, runner: Arc<Runner>) -> Self {
         let now = job.relay.now();
-        job.relay
-            .pool(&job.service, |pool| pool.sent(&runner.id, now));
+        let prompt = job.request.prompt.as_ref();
+        let reading = prompt.map_or(0.0, |prompt| affine::reading(prompt.own()));
+        job.relay.pool(&job.service, |pool| {
+            pool.sent(&runner.id, now);
+            pool.reads(&runner.id, reading);
+        });
         Self {
             relay: job.relay.clone(),
             service: job.service.clone(),
             runner,
             sent: Instant::now(),
+            reading,
             over: false,
         }
     }
 
+    /// The runner has begun to answer, and has read the prompt by then.
+    fn begun(&mut self) {
+        let reading = std::mem::take(&mut self.reading);
+        if reading > 0.0 {
+            self.relay.pool(&self.service, |pool| {
+                pool.has_read(&self.runner.id, reading);
+            });
+        }
+    }
+
     /// The runner answered as it should; `elapsed` is the time that speaks for its speed.
-    pub fn answered(mut self, job: &Job<D>, elapsed: Duration) {
+    pub fn answered(mut self, elapsed: Duration) {
         self.over = true;
         let now = self.relay.now();
-        let prefix = job
-            .request
-            .prompt
-            .as_ref()
-            .map_or(&[][..], |prompt| &prompt.blocks);
         let answer = route::Answer {
             busy: elapsed,
             elapsed,
-            prefix,
-            hits: u32::try_from(prefix.len()).unwrap_or(u32::MAX),
+            prefix: &[],
+            hits: 0,
         };
         self.relay.pool(&self.service, |pool| {
             pool.answered(&self.runner.id, now, &answer);
@@ -117,6 +128,7 @@
 /// it for ever.
 impl<D: Downstream> Drop for Flight<D> {
     fn drop(&mut self) {
+        self.begun();
         if !self.over {
             self.relay
                 .pool(&self.service, |pool| pool.returned(&self.runner.id));
@@ -170,7 +182,7 @@
         }
         progress.tried.push(runner.id.clone());
         let call = call(job, inputs, left, resume_after);
-        let flight = Flight::new(job, runner);
+        let mut flight = Flight::new(job, runner);
         let calling = job.relay.downstream.call(&flight.runner, call);
         let calling = until_fetched(calling, inputs);
         let result = timeout_at(job.deadline, calling).await;
@@ -181,6 +193,7 @@
         log(job, &flight, left, inputs, progress, &result);
         match result {
             Ok(reply) => {
+                flight.begun();
                 progress.ran += 1;
                 return Ok((flight, reply));
             }
@@ -250,16 +263,18 @@
 
 fn pick<D: Downstream>(job: &Job<D>, tried: &[RunnerId], left: Duration) -> Option<Arc<Runner>> {
     let relay = &job.relay;
-    let prefix = job.request.prompt.as_ref();
+    let shared = job.request.prompt.as_ref();
+    let shared = shared.map_or(&[][..], |prompt| &prompt.shared);
     let call = route::Call {
         now: relay.now(),
         domain: &relay.options.domain,
-        prefix: prefix.map_or(&[][..], |prompt| &prompt.blocks),
+        prefix: &[],
         tried,
         slack: left,
     };
+    let processes = relay.processes();
     let id = relay.pool(&job.service, |pool| {
-        relay.random(|rng| Affine.pick(pool, &call, rng))
+        relay.random(|rng| Affine::new(processes, shared).pick(pool, &call, rng))
     })?;
     relay.runner(&id)
 }
@@ -325,7 +340,7 @@
         Ok(Ok(body)) if reply.proven => {
             let good = status < 500;
             if good || !may_send(job, progress) {
-                flight.answered(job, elapsed);
+                flight.answered(elapsed);
                 return Some(Answer {
                     status,
                     headers,
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -200,10 +200,16 @@
     /// Whether a second attempt may be sent to a service now; if so, it is counted.
     pub fn may_repeat(&self, service: &ServiceId) -> bool {
         let now = self.now();
-        let processes = self.peers.count().unwrap_or(self.options.processes);
+        let processes = self.processes();
         self.quota(service, |quota| quota.repeat(now, processes))
     }
 
+    /// Processes that serve, this one included.
+    #[must_use]
+    pub fn processes(&self) -> usize {
+        self.peers.count().unwrap_or(self.options.processes)
+    }
+
     fn quota<T>(&self, service: &ServiceId, work: impl FnOnce(&mut Quota) -> T) -> T {
         let mut quotas = lock(&self.quotas);
         let quota = quotas
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -1,7 +1,7 @@
 //! A caller's request, and what a caller gets.
 
 use bytes::Bytes;
-use decide::route::Block;
+use decide::route::affine::Part;
 use http::{HeaderMap, Method, Uri};
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,8 +58,17 @@
     pub input: u32,
     /// Most tokens to generate.
     pub output: u32,
-    /// Hashes of the parts that it shares with other requests; each covers all parts before it.
-    pub blocks: Vec<Block>,
+    /// Parts that it shares with other requests, in their order.
+    pub shared: Vec<Part>,
+}
+
+impl Prompt {
+    /// Tokens that are its own, which a runner reads in any case.
+    #[must_use]
+    pub fn own(&self) -> u32 {
+        let shared: u32 = self.shared.iter().map(|part| part.tokens).sum();
+        self.input.saturating_sub(shared)
+    }
 }
 
 /// What a caller gets.
--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -69,7 +69,7 @@
             self.log(&flight, &end);
             let elapsed = flight.sent.elapsed();
             let reason = match end {
-                End::Whole => return flight.answered(&self.job, elapsed),
+                End::Whole => return flight.answered(elapsed),
                 End::Left => return,
                 End::Late => return self.break_off("out of time").await,
                 End::Broken(reason) => reason,
