--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -196,6 +196,8 @@
     judged: Instant,
     failures: u32,
     rests_until: Option<Instant>,
+    /// Whether it has just turned results away, so that it holds more than is known here.
+    full: bool,
 }
 
 /// A result that takes up room at its runner.
@@ -260,8 +262,15 @@
     }
 
     /// Results that are needed no more.
+    ///
+    /// Some may have been made for another process that formed the cell's calls before. They take
+    /// up room here all the same, of a size that is not known.
     pub fn release(&self, relay: &Relay<D>, handles: &[Handle]) {
         let mut state = lock(&self.state);
+        let keep = relay
+            .plan()
+            .and_then(|plan| plan.batches(&self.cell.service));
+        let until = Instant::now() + keep.map_or(Duration::ZERO, |batches| batches.keep);
         for handle in handles {
             let Some(address) = relay.downstream.holder(handle) else {
                 continue;
@@ -271,6 +280,8 @@
                 .iter_mut()
                 .find(|place| place.runner.address == address);
             if let Some(place) = place {
+                let unknown = Kept { bytes: 0, until };
+                place.results.entry(handle.clone()).or_insert(unknown);
                 place.released.push(handle.clone());
             }
         }
@@ -448,7 +459,7 @@
             result * u64::from(portion.pieces)
         };
         let needed: u64 = portions.iter().map(bytes).sum();
-        let released = if needed > room.unreleased {
+        let released = if needed > room.unreleased || place.full {
             place.give_back()
         } else {
             Vec::new()
@@ -560,6 +571,7 @@
             // draw all calls and refuse them.
             Ok(made) if made.contains(&Made::NoRoom) => {
                 place.rests_until = Some(now + REST_ROOM);
+                place.full = true;
             }
             Ok(_) => {
                 place.failures = 0;
@@ -697,6 +709,7 @@
             judged: Instant::now(),
             failures: 0,
             rests_until: None,
+            full: false,
         }
     }
 
@@ -731,6 +744,7 @@
 
     /// Results that the runner is told to drop now.
     fn give_back(&mut self) -> Vec<Handle> {
+        self.full = false;
         let released = std::mem::take(&mut self.released);
         for handle in &released {
             self.results.remove(handle);
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -92,35 +92,56 @@
 /// Follows the list of runners until the task is dropped.
 pub async fn runners<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
     let mut follower = Follower::new(source, S::RUNNERS);
-    let mut lapsed: Map<RunnerId, Instant> = Map::default();
+    let mut lapses = Lapses::default();
     loop {
-        let due = lapsed.values().min().copied();
         let changes = tokio::select! {
             changes = follower.next(&relay) => changes,
-            () = until(due) => Changes::default(),
+            () = until(lapses.due()) => Changes::default(),
         };
         let mut news = read::<D, S>(&relay, &changes);
         if changes.revision > 0 && follower.whole {
             news.extend(missing(&relay, &news));
         }
-        let heard: Vec<RunnerId> = news.iter().map(|change| id(change).clone()).collect();
-        for id in &heard {
-            lapsed.remove(id);
-        }
-        if let Some(until) = follower.lapse() {
-            news.retain(|change| defer(change, until, &mut lapsed));
+        let mut news = lapses.defer(news, follower.lapse());
+        news.extend(lapses.over());
+        relay.update(news);
+    }
+}
+
+/// Runners whose entries are gone and may only have lapsed, with the moment at which they count as
+/// gone.
+#[derive(Debug, Default)]
+struct Lapses(Map<RunnerId, Instant>);
+
+impl Lapses {
+    /// The changes that count now; with `until`, the removal of a runner waits until then. An entry
+    /// that comes back ends the wait, also where both are told at once.
+    fn defer(&mut self, changes: Vec<Change>, until: Option<Instant>) -> Vec<Change> {
+        let mut now = Vec::new();
+        for change in changes {
+            self.0.remove(id(&change));
+            match (&change, until) {
+                (Change::Gone(id), Some(until)) => {
+                    self.0.insert(id.clone(), until);
+                }
+                _ => now.push(change),
+            }
         }
+        now
+    }
+
+    fn due(&self) -> Option<Instant> {
+        self.0.values().min().copied()
+    }
+
+    /// Removals whose time has come.
+    fn over(&mut self) -> Vec<Change> {
         let now = Instant::now();
-        let over: Vec<RunnerId> = lapsed
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in over {
-            lapsed.remove(&id);
-            news.push(Change::Gone(id));
-        }
-        relay.update(news);
+        let over = |until: &Instant| *until <= now;
+        let gone = self.0.iter().filter(|(_, until)| over(until));
+        let gone: Vec<Change> = gone.map(|(id, _)| Change::Gone(id.clone())).collect();
+        self.0.retain(|_, until| !over(until));
+        gone
     }
 }
 
@@ -171,18 +192,6 @@
         .unwrap_or_default()
 }
 
-/// Whether a change counts now; the removal of a runner whose entry may have lapsed while the
-/// table service was away waits until `until`.
-fn defer(change: &Change, until: Instant, lapsed: &mut Map<RunnerId, Instant>) -> bool {
-    match change {
-        Change::Listed(_) => true,
-        Change::Gone(id) => {
-            lapsed.entry(id.clone()).or_insert(until);
-            false
-        }
-    }
-}
-
 /// Asks for the changes of one table, over outages and gaps in its history.
 pub(crate) struct Follower<S> {
     source: S,
--- /dev/null
+++ b/crates/relay/tests/at_most_once.rs
@@ -0,0 +1,146 @@
+//! What may run once at most, and what a refusal says.
+
+mod common;
+
+use common::{Act, Fake, body, ready, request};
+use relay::downstream::NotRun;
+
+const FAILED: Act = Act::Answer {
+    status: 500,
+    proven: true,
+    body: "failed",
+};
+
+async fn serve(route: &str, acts: impl IntoIterator<Item = Act>) -> (Fake, (u16, String, bool)) {
+    let fake = Fake::doing(acts);
+    let relay = ready(fake.clone());
+    let answer = relay.serve(request("a", route)).await;
+    (fake, body(answer).await)
+}
+
+/// A runner prints a label and its answer is lost. A second runner would print it once more, so
+/// that two looms carry one serial; the caller hears that it may have run.
+#[tokio::test(start_paused = true)]
+async fn answer_lost() {
+    let (fake, (status, ..)) = serve("unsafe", [Act::Lose]).await;
+    assert_eq!((status, fake.sent().len()), (502, 1));
+}
+
+/// The same for a request that may be repeated: another runner answers it.
+#[tokio::test(start_paused = true)]
+async fn answer_lost_safe() {
+    let (fake, (status, text, _)) = serve("safe", [Act::Lose]).await;
+    assert_eq!((status, text.as_str()), (200, "done"));
+    let sent = fake.sent();
+    assert_eq!(sent.len(), 2);
+    assert_ne!(sent[0].runner, sent[1].runner);
+}
+
+/// A stream that no other runner may go on with is lost before its first event. It is not sent
+/// again.
+#[tokio::test(start_paused = true)]
+async fn answer_lost_once() {
+    let (fake, (status, ..)) = serve("once", [Act::Lose]).await;
+    assert_eq!((status, fake.sent().len()), (502, 1));
+}
+
+/// A runner says that it has not run a request. That is certain, and another one may.
+#[tokio::test(start_paused = true)]
+async fn refused_by_runner() {
+    for reason in [
+        NotRun::Full,
+        NotRun::Replaced,
+        NotRun::Unreachable {
+            reason: "reset".to_owned(),
+        },
+    ] {
+        let (fake, (status, ..)) = serve("unsafe", [Act::Refuse(reason)]).await;
+        assert_eq!((status, fake.sent().len()), (200, 2));
+    }
+}
+
+/// Every runner refuses: the caller hears that the request has not run, and when to come back.
+#[tokio::test(start_paused = true)]
+async fn refused_by_all() {
+    let fake = Fake::doing([Act::Refuse(NotRun::Full), Act::Refuse(NotRun::Full)]);
+    let relay = ready(fake.clone());
+    let answer = relay.serve(request("a", "unsafe")).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+}
+
+/// One runner refuses and the next one loses the answer. It may have run: saying otherwise would
+/// let the caller send it again.
+#[tokio::test(start_paused = true)]
+async fn refused_then_lost() {
+    let (_, (status, ..)) = serve("unsafe", [Act::Refuse(NotRun::Full), Act::Lose]).await;
+    assert_eq!(status, 502);
+}
+
+/// A runner is silent until the deadline. The caller is told so, and nobody claims that the
+/// request has not run.
+#[tokio::test(start_paused = true)]
+async fn silent_runner() {
+    let (fake, (status, ..)) = serve("unsafe", [Act::Silent]).await;
+    assert_eq!((status, fake.sent().len()), (504, 1));
+}
+
+/// A runner's own failure counts as run. For what may be repeated another runner is asked, and if
+/// it fails as well, its answer is the caller's.
+#[tokio::test(start_paused = true)]
+async fn runner_fails() {
+    let (fake, (status, ..)) = serve("safe", [FAILED]).await;
+    assert_eq!((status, fake.sent().len()), (200, 2));
+    let (fake, (status, text, _)) = serve("safe", [FAILED, FAILED]).await;
+    assert_eq!(
+        (status, text.as_str(), fake.sent().len()),
+        (500, "failed", 2)
+    );
+    let (fake, (status, ..)) = serve("unsafe", [FAILED]).await;
+    assert_eq!((status, fake.sent().len()), (500, 1));
+}
+
+/// An answer without the runner's proof is nobody's answer, whatever its status says.
+#[tokio::test(start_paused = true)]
+async fn answer_without_proof() {
+    let forged = || Act::Answer {
+        status: 200,
+        proven: false,
+        body: "forged",
+    };
+    let (_, (status, text, _)) = serve("unsafe", [forged()]).await;
+    assert_eq!(status, 502);
+    assert!(!text.contains("forged"));
+    let (_, (status, text, _)) = serve("safe", [forged()]).await;
+    assert_eq!((status, text.as_str()), (200, "done"));
+}
+
+/// An open connection may have died unnoticed, and takes the request with it. What may run once at
+/// most is given a new one.
+#[tokio::test(start_paused = true)]
+async fn fresh_connection() {
+    for (route, reuse) in [
+        ("unsafe", false),
+        ("once", false),
+        ("safe", true),
+        ("stream", true),
+    ] {
+        let (fake, _) = serve(route, []).await;
+        assert_eq!(fake.sent()[0].reuse, reuse, "{route}");
+    }
+}
+
+/// The budget of repeats is spent: a lost answer is told as such. Repeats of every request would
+/// double the load just when runners fail.
+#[tokio::test(start_paused = true)]
+async fn budget_spent() {
+    let fake = Fake::doing((0..200).map(|_| Act::Lose));
+    let relay = ready(fake.clone());
+    for index in 0..100 {
+        relay.serve(request(&index.to_string(), "safe")).await;
+    }
+    // A fifth of a hundred, and this process's part of the fixed number.
+    let most = 100 + 20 + 40 / 4;
+    let sent = fake.sent().len();
+    assert!((101..=most).contains(&sent), "{sent}");
+}
--- /dev/null
+++ b/crates/relay/tests/common/mod.rs
@@ -0,0 +1,500 @@
+//! Fakes at the relay's interfaces.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use decide::retry::window::Bound;
+use futures::stream::{self, Stream};
+use relay::downstream::{Call, Failure, Handle, Item, Made, NotRun, Reply, Source as Origin};
+use relay::follow::{Source, Unreadable};
+use relay::member::Member;
+use relay::plan::{Batches, Kind, Limits, Route, Service, Share, Stage, Workspace};
+use relay::request::{Broken, Message};
+use relay::telemetry::Telemetry;
+use relay::{Downstream, Options, Plan, Relay, Request, Runner};
+use serde_json::{Value, json};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use store::{Change, Changes, Error, Feed, Miss, RowRevision};
+use tokio::time::{Instant, sleep};
+
+/// What a fake feed does on one question.
+#[derive(Clone, Debug)]
+pub enum Told {
+    /// Tells these rows; no value means that the row is gone.
+    Rows(Vec<(&'static str, Option<Value>)>),
+    /// Fails after this time.
+    Away(Duration),
+    /// The history is gone.
+    Gap,
+}
+
+/// A feed that tells what it was given, question by question, and then nothing more.
+#[derive(Clone, Debug)]
+pub struct Script(Arc<Mutex<VecDeque<Told>>>);
+
+impl Script {
+    pub fn new(told: impl IntoIterator<Item = Told>) -> Self {
+        Self(Arc::new(Mutex::new(told.into_iter().collect())))
+    }
+
+    async fn next(&self, wait: Duration) -> Result<Changes, Miss> {
+        let told = self.0.lock().expect("no holder panics").pop_front();
+        match told {
+            None => {
+                sleep(wait).await;
+                Ok(Changes {
+                    rows: Vec::new(),
+                    revision: 9,
+                })
+            }
+            Some(Told::Gap) => Err(Miss::Gap),
+            Some(Told::Away(time)) => {
+                sleep(time).await;
+                let reason = "away".to_owned();
+                let error = Error::Unavailable {
+                    reason,
+                    retry_after: None,
+                };
+                Err(Miss::Failed { error })
+            }
+            Some(Told::Rows(rows)) => {
+                let change = |(key, value): (&str, Option<Value>)| Change {
+                    key: key.to_owned(),
+                    value,
+                };
+                let rows = rows.into_iter().map(change).collect();
+                Ok(Changes { rows, revision: 9 })
+            }
+        }
+    }
+}
+
+impl Feed for Script {
+    async fn list(&self, _table: &str) -> Result<Changes, Error> {
+        match self.next(Duration::from_secs(1)).await {
+            Ok(changes) => Ok(changes),
+            Err(Miss::Failed { error }) => Err(error),
+            Err(Miss::Gap) => panic!("a list has no gap"),
+        }
+    }
+
+    async fn changes(
+        &self,
+        _table: &str,
+        _after: RowRevision,
+        wait: Duration,
+    ) -> Result<Changes, Miss> {
+        self.next(wait).await
+    }
+}
+
+impl Source for Script {
+    const PLANS: &'static str = "plans";
+    const RUNNERS: &'static str = "runners";
+
+    fn plan(_key: &str, value: &Value) -> Result<Option<Plan>, Unreadable> {
+        let version = value.as_u64().ok_or_else(|| Unreadable {
+            reason: "no number".to_owned(),
+        })?;
+        Ok(Some(plan(version)))
+    }
+
+    fn runner(key: &str, value: &Value) -> Result<Runner, Unreadable> {
+        let service = value["service"].as_str();
+        let service = service.ok_or_else(|| Unreadable {
+            reason: "no service".to_owned(),
+        })?;
+        let mut runner = runner(key, service);
+        runner.started = value["started"].as_u64();
+        runner.leaving = value["leaving"].as_bool().unwrap_or(false);
+        Ok(runner)
+    }
+}
+
+/// An entry of a runner.
+pub fn entry(service: &str) -> Option<Value> {
+    Some(json!({ "service": service }))
+}
+
+/// A runner; its port is the sum of the bytes of its name.
+pub fn runner(id: &str, service: &str) -> Runner {
+    let port = id.bytes().map(u16::from).sum::<u16>();
+    Runner {
+        id: id.into(),
+        started: None,
+        service: service.into(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        domain: "a".into(),
+        slots: 4,
+        leaving: false,
+    }
+}
+
+/// Time that a call of the stage service takes, and what a piece adds.
+pub const CALL: Duration = Duration::from_millis(200);
+pub const PIECE: Duration = Duration::from_millis(20);
+
+/// A plan with routes of each kind: `/unsafe/`, `/safe/`, `/stream/` (resumable), `/once/` (a
+/// stream that is not) and `/staged/`.
+pub fn plan(version: u64) -> Plan {
+    let staged = Route {
+        stages: vec![Stage {
+            service: "stage".into(),
+            after: vec![],
+            result: 100,
+        }],
+        ..route("staged", Kind::Streaming)
+    };
+    let chained = Route {
+        stages: vec![
+            Stage {
+                service: "stage".into(),
+                after: vec![],
+                result: 100,
+            },
+            Stage {
+                service: "stage".into(),
+                after: vec![0],
+                result: 100,
+            },
+        ],
+        ..route("chained", Kind::Streaming)
+    };
+    let routes = vec![
+        route("unsafe", Kind::Unsafe),
+        route("safe", Kind::Safe),
+        route("stream", Kind::Streaming),
+        Route {
+            resumable: false,
+            ..route("once", Kind::Streaming)
+        },
+        staged,
+        chained,
+    ];
+    let batches = Batches {
+        slots: 1,
+        shape: decide::batch::Shape {
+            size: 4,
+            call: CALL,
+            piece: PIECE,
+        },
+        room: 1_200,
+        keep: Duration::from_secs(4),
+    };
+    let services = vec![
+        Service {
+            name: "plain".into(),
+            batches: None,
+            engine: None,
+        },
+        Service {
+            name: "stage".into(),
+            batches: Some(batches),
+            engine: None,
+        },
+    ];
+    let workspace = Workspace {
+        name: "coop".into(),
+        rank: None,
+    };
+    Plan::new(
+        version,
+        routes,
+        services,
+        vec![(workspace, vec!["key".to_owned()])],
+        Limits::default(),
+    )
+}
+
+fn route(name: &str, kind: Kind) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "host".to_owned(),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout: Duration::from_secs(5),
+        target: Duration::from_secs(1),
+        rank: 1,
+        split: vec![Share {
+            service: "plain".into(),
+            weight: 1,
+        }],
+        attempts: 2,
+        stages: Vec::new(),
+        public: false,
+        resumable: true,
+        gap: Duration::from_millis(400),
+    }
+}
+
+/// A request to a route of [`plan`].
+pub fn request(id: &str, route: &str) -> Request {
+    Request {
+        id: id.into(),
+        host: "host".to_owned(),
+        key: Some("key".to_owned()),
+        arrived: Instant::now(),
+        patience: Some(Duration::from_secs(4)),
+        pieces: vec![3, 2],
+        piece_key: "piece".to_owned(),
+        prompt: None,
+        resume_after: None,
+        message: Arc::new(Message {
+            method: http::Method::POST,
+            target: format!("/{route}/x").parse().expect("a valid path"),
+            headers: http::HeaderMap::new(),
+            body: Bytes::new(),
+        }),
+    }
+}
+
+/// What the fake does with one call.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Answers with this status, with or without proof, and this body.
+    Answer {
+        status: u16,
+        proven: bool,
+        body: &'static str,
+    },
+    /// Streams these parts, one every 10 ms, and then ends as told.
+    Stream { parts: Vec<&'static str>, end: End },
+    /// Refuses.
+    Refuse(NotRun),
+    /// Takes the call and loses the answer.
+    Lose,
+    /// Takes the call and says nothing.
+    Silent,
+}
+
+/// How a stream ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Whole,
+    Broken,
+    Silent,
+}
+
+/// A call that a runner was sent.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub runner: String,
+    pub id: String,
+    pub resume_after: Option<u64>,
+    pub inputs: usize,
+    pub remaining: Duration,
+    pub reuse: bool,
+    pub workspace: Option<String>,
+}
+
+/// A call that carried pieces.
+#[derive(Clone, Debug)]
+pub struct Carried {
+    pub runner: String,
+    pub items: Vec<Item>,
+}
+
+/// What the fake does with one call that carries pieces.
+pub type StageAct = Result<Vec<Made>, Failure>;
+
+/// Runners that do what they were told, call by call, whichever of them is called.
+#[derive(Clone, Debug, Default)]
+pub struct Fake {
+    pub acts: Arc<Mutex<VecDeque<Act>>>,
+    pub stage_acts: Arc<Mutex<VecDeque<StageAct>>>,
+    pub sent: Arc<Mutex<Vec<Sent>>>,
+    pub carried: Arc<Mutex<Vec<Carried>>>,
+    pub released: Arc<Mutex<Vec<Handle>>>,
+}
+
+impl Fake {
+    pub fn doing(acts: impl IntoIterator<Item = Act>) -> Self {
+        let fake = Self::default();
+        fake.acts.lock().expect("no holder panics").extend(acts);
+        fake
+    }
+
+    pub fn sent(&self) -> Vec<Sent> {
+        self.sent.lock().expect("no holder panics").clone()
+    }
+
+    pub fn carried(&self) -> Vec<Carried> {
+        self.carried.lock().expect("no holder panics").clone()
+    }
+}
+
+type Parts = Pin<Box<dyn Stream<Item = Result<Bytes, Broken>> + Send>>;
+
+fn parts(parts: Vec<&'static str>, end: End) -> Parts {
+    let parts = parts
+        .into_iter()
+        .map(|part| Ok(Bytes::from_static(part.as_bytes())));
+    let parts = stream::iter(parts);
+    let parts = futures::StreamExt::then(parts, |part| async {
+        sleep(Duration::from_millis(10)).await;
+        part
+    });
+    let broken = Broken {
+        reason: "reset".to_owned(),
+    };
+    match end {
+        End::Whole => Box::pin(parts),
+        End::Broken => Box::pin(futures::StreamExt::chain(
+            parts,
+            stream::iter([Err(broken)]),
+        )),
+        End::Silent => Box::pin(futures::StreamExt::chain(parts, stream::pending())),
+    }
+}
+
+impl Downstream for Fake {
+    type Body = Parts;
+
+    async fn call(&self, runner: &Runner, call: Call) -> Result<Reply<Parts>, Failure> {
+        self.sent.lock().expect("no holder panics").push(Sent {
+            runner: runner.id.to_string(),
+            id: call.id.to_string(),
+            resume_after: call.resume_after,
+            inputs: call.inputs.len(),
+            remaining: call.remaining,
+            reuse: call.reuse,
+            workspace: call.workspace.as_deref().map(str::to_owned),
+        });
+        let act = self.acts.lock().expect("no holder panics").pop_front();
+        sleep(Duration::from_millis(5)).await;
+        let reply = |status, proven, body| Reply {
+            status,
+            proven,
+            headers: http::HeaderMap::new(),
+            body,
+        };
+        match act.unwrap_or(Act::Answer {
+            status: 200,
+            proven: true,
+            body: "done",
+        }) {
+            Act::Answer {
+                status,
+                proven,
+                body,
+            } => Ok(reply(status, proven, parts(vec![body], End::Whole))),
+            Act::Stream { parts: events, end } => Ok(reply(200, true, parts(events, end))),
+            Act::Refuse(reason) => Err(Failure::NotRun { reason }),
+            Act::Lose => Err(Failure::Lost {
+                reason: "reset".to_owned(),
+            }),
+            Act::Silent => std::future::pending().await,
+        }
+    }
+
+    async fn make(
+        &self,
+        runner: &Runner,
+        items: Vec<Item>,
+        patience: Duration,
+    ) -> Result<Vec<Made>, Failure> {
+        let count = u32::try_from(items.len()).expect("few items");
+        let carried = Carried {
+            runner: runner.id.to_string(),
+            items: items.clone(),
+        };
+        self.carried.lock().expect("no holder panics").push(carried);
+        let act = self
+            .stage_acts
+            .lock()
+            .expect("no holder panics")
+            .pop_front();
+        sleep((CALL + PIECE * count).min(patience)).await;
+        let made = |item: &Item| {
+            let name = format!(
+                "{}/{}-{}-{}",
+                runner.address, item.id, item.stage, item.piece
+            );
+            Made::Done(name.into())
+        };
+        act.unwrap_or_else(|| Ok(items.iter().map(made).collect()))
+    }
+
+    async fn release(&self, _runner: &Runner, handles: Vec<Handle>) -> Result<(), Failure> {
+        self.released
+            .lock()
+            .expect("no holder panics")
+            .extend(handles);
+        Ok(())
+    }
+
+    fn holder(&self, handle: &Handle) -> Option<SocketAddr> {
+        handle.split_once('/')?.0.parse().ok()
+    }
+}
+
+/// A relay that knows nothing yet.
+pub fn blank(fake: Fake) -> Arc<Relay<Fake>> {
+    let mut registry = metric::Registry::default();
+    let options = Options {
+        domain: "a".into(),
+        repeats: Bound {
+            ratio: 0.2,
+            slack: 40.0,
+            window: Duration::from_secs(10),
+        },
+        processes: 4,
+        member: Member {
+            id: "relay-1".into(),
+            incarnation: 1,
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            weight: 1.0,
+        },
+        key: wire::Key::new("key"),
+    };
+    Relay::new(
+        options,
+        fake,
+        metric::log::silent(),
+        Telemetry::new(&mut registry),
+    )
+}
+
+/// A relay with [`plan`] in force and two runners of each service.
+pub fn ready(fake: Fake) -> Arc<Relay<Fake>> {
+    let relay = blank(fake);
+    relay.adopt(plan(1));
+    let runners = [
+        ("p-1", "plain"),
+        ("p-2", "plain"),
+        ("s-1", "stage"),
+        ("s-2", "stage"),
+    ];
+    let listed = runners.map(|(id, service)| relay::runner::Change::Listed(runner(id, service)));
+    relay.update(listed.into());
+    relay
+}
+
+/// The body of an answer, and whether it ended as a whole one.
+pub async fn body(answer: relay::Answer) -> (u16, String, bool) {
+    let mut text = Vec::new();
+    let mut whole = true;
+    match answer.body {
+        relay::Body::Whole(bytes) => text.extend_from_slice(&bytes),
+        relay::Body::Parts(mut parts) => {
+            while let Some(part) = parts.recv().await {
+                match part {
+                    Ok(bytes) => text.extend_from_slice(&bytes),
+                    Err(_) => whole = false,
+                }
+            }
+        }
+    }
+    (answer.status, String::from_utf8(text).expect("text"), whole)
+}
+
+/// Source of an item's piece, for matching.
+pub fn inputs(item: &Item) -> usize {
+    match &item.source {
+        Origin::Key(_) => 0,
+        Origin::Inputs(handles) => handles.len(),
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/event_streams.rs
@@ -0,0 +1,107 @@
+//! Streams: every event once and in order, over several runners where the route allows it.
+
+mod common;
+
+use common::{Act, End, Fake, body, ready, request};
+use std::time::Duration;
+use tokio::time::sleep;
+
+const ONE: &str = "id: 1\ndata: a\n\n";
+const TWO: &str = "id: 2\ndata: b\n\n";
+const THREE: &str = "id: 3\ndata: c\n\n";
+
+fn stream(parts: &[&'static str], end: End) -> Act {
+    Act::Stream {
+        parts: parts.to_vec(),
+        end,
+    }
+}
+
+async fn serve(route: &str, acts: Vec<Act>) -> (Fake, (u16, String, bool)) {
+    let fake = Fake::doing(acts);
+    let relay = ready(fake.clone());
+    let answer = relay.serve(request("a", route)).await;
+    (fake, body(answer).await)
+}
+
+/// A runner dies in the middle of an event. Another one goes on after the last whole event; the
+/// caller sees one stream without a gap or a repeat.
+#[tokio::test(start_paused = true)]
+async fn broken_within_event() {
+    let first = stream(&[ONE, "id: 2\nda"], End::Broken);
+    let second = stream(&[TWO, THREE], End::Whole);
+    let (fake, answer) = serve("stream", vec![first, second]).await;
+    assert_eq!(answer, (200, [ONE, TWO, THREE].concat(), true));
+    assert_eq!(fake.sent()[1].resume_after, Some(1));
+}
+
+/// A runner goes silent in the middle of a stream without closing anything. Waiting for it until
+/// the deadline would leave the caller with half an answer.
+#[tokio::test(start_paused = true)]
+async fn silent_within_stream() {
+    let first = stream(&[ONE], End::Silent);
+    let second = stream(&[TWO], End::Whole);
+    let (_, answer) = serve("stream", vec![first, second]).await;
+    assert_eq!(answer, (200, [ONE, TWO].concat(), true));
+}
+
+/// A stream that no other runner may go on with breaks off. The caller must see that it is not
+/// whole.
+#[tokio::test(start_paused = true)]
+async fn not_resumable() {
+    let (fake, (_, text, whole)) = serve("once", vec![stream(&[ONE], End::Broken)]).await;
+    assert_eq!((text.as_str(), whole), (ONE, false));
+    assert_eq!(fake.sent().len(), 1);
+}
+
+/// No other runner can go on: what the caller has is not whole either.
+#[tokio::test(start_paused = true)]
+async fn resumed_in_vain() {
+    let acts = vec![
+        stream(&[ONE], End::Broken),
+        Act::Answer {
+            status: 500,
+            proven: true,
+            body: "",
+        },
+    ];
+    let (_, (_, text, whole)) = serve("stream", acts).await;
+    assert_eq!((text.as_str(), whole), (ONE, false));
+}
+
+/// The stream ends well, but within an event. That is no whole answer.
+#[tokio::test(start_paused = true)]
+async fn ends_within_event() {
+    let (_, (_, text, whole)) = serve("once", vec![stream(&[ONE, "id: 2\n"], End::Whole)]).await;
+    assert_eq!((text.as_str(), whole), (ONE, false));
+}
+
+/// A caller leaves during a pause of its stream. The runner is told within moments, not with the
+/// next event: it works for nobody meanwhile.
+#[tokio::test(start_paused = true)]
+async fn caller_left() {
+    let fake = Fake::doing([stream(&[ONE], End::Silent)]);
+    let relay = ready(fake.clone());
+    let answer = relay.serve(request("a", "once")).await;
+    drop(answer);
+    sleep(Duration::from_millis(50)).await;
+    let busy = relay.pool(&"plain".into(), |pool| {
+        pool.targets()
+            .iter()
+            .map(decide::route::Target::in_flight)
+            .sum::<u32>()
+    });
+    assert_eq!(busy, 0);
+}
+
+/// A caller goes on with a stream that it has the beginning of. The runner hears after which event.
+#[tokio::test(start_paused = true)]
+async fn caller_resumes() {
+    let fake = Fake::doing([stream(&[THREE], End::Whole)]);
+    let relay = ready(fake.clone());
+    let mut request = request("a", "stream");
+    request.resume_after = Some(2);
+    let answer = relay.serve(request).await;
+    assert_eq!(body(answer).await, (200, THREE.to_owned(), true));
+    assert_eq!(fake.sent()[0].resume_after, Some(2));
+}
--- /dev/null
+++ b/crates/relay/tests/plan_rules.rs
@@ -0,0 +1,103 @@
+//! What the configuration says of a request, and which configuration holds.
+
+mod common;
+
+use common::{Fake, Script, Told, blank, body, plan, ready, request, runner};
+use relay::follow;
+use relay::runner::Change;
+use serde_json::json;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// An older configuration arrives late, from a slow store or a peer. It must not undo the newer
+/// one: keys that were taken away would work again.
+#[tokio::test(start_paused = true)]
+async fn never_back() {
+    let told = vec![
+        Told::Rows(vec![("config", Some(json!(5)))]),
+        Told::Rows(vec![("config", Some(json!(3)))]),
+        Told::Rows(vec![("config", Some(json!("rubbish")))]),
+        Told::Rows(vec![("config", None)]),
+    ];
+    let relay = blank(Fake::default());
+    let following = tokio::spawn(follow::plans(relay.clone(), Script::new(told)));
+    sleep(Duration::from_millis(100)).await;
+    following.abort();
+    assert_eq!(relay.plan().map(|plan| plan.version), Some(5));
+}
+
+/// A process that has just started knows no configuration. It must not say that a route or key does
+/// not exist: callers would not come back.
+#[tokio::test(start_paused = true)]
+async fn nothing_known() {
+    let relay = blank(Fake::default());
+    let answer = relay.serve(request("a", "safe")).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+    relay.adopt(plan(1));
+    assert!(!relay.informed(), "runners are not known yet");
+    relay.update(vec![Change::Listed(runner("p-1", "plain"))]);
+    assert!(relay.informed());
+}
+
+/// Unknown keys and routes get their own refusals, and nothing is sent.
+#[tokio::test(start_paused = true)]
+async fn refusals() {
+    let fake = Fake::default();
+    let relay = ready(fake.clone());
+    let mut wrong_key = request("a", "safe");
+    wrong_key.key = Some("other".to_owned());
+    let mut no_key = request("b", "safe");
+    no_key.key = None;
+    for (request, status) in [
+        (wrong_key, 401),
+        (no_key, 401),
+        (request("c", "nowhere"), 404),
+    ] {
+        assert_eq!(body(relay.serve(request).await).await.0, status);
+    }
+    assert!(fake.sent().is_empty());
+}
+
+/// The runner hears whose request it is and how much time is left, whatever the caller wrote.
+#[tokio::test(start_paused = true)]
+async fn told_to_runner() {
+    let fake = Fake::default();
+    let relay = ready(fake.clone());
+    let mut request = request("a", "safe");
+    request.patience = Some(Duration::from_secs(60));
+    relay.serve(request).await;
+    let sent = &fake.sent()[0];
+    assert_eq!(sent.workspace.as_deref(), Some("coop"));
+    assert_eq!(
+        sent.remaining,
+        Duration::from_secs(5),
+        "the route's own limit"
+    );
+}
+
+/// Pieces that cannot be made before the deadline: the caller is told at once and can go
+/// elsewhere, rather than when its time is over.
+#[tokio::test(start_paused = true)]
+async fn refused_at_once() {
+    let relay = ready(Fake::default());
+    let mut request = request("a", "staged");
+    request.patience = Some(Duration::from_millis(100));
+    let begun = tokio::time::Instant::now();
+    let answer = relay.serve(request).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+    assert_eq!(begun.elapsed(), Duration::ZERO);
+}
+
+/// A host is named with capitals, or two routes share the beginning of a path: the longest one
+/// that fits holds.
+#[test]
+fn longest_prefix() {
+    let plan = plan(1);
+    let found = plan
+        .route("HOST", "/safe/x")
+        .map(|route| route.name.clone());
+    assert_eq!(found.as_deref(), Some("safe"));
+    assert!(plan.route("host", "/safe").is_none());
+}
--- /dev/null
+++ b/crates/relay/tests/stage_pieces.rs
@@ -0,0 +1,208 @@
+//! Pieces of stages, the calls that carry them and the room for their results.
+
+mod common;
+
+use common::{Act, End, Fake, body, inputs, ready, request};
+use relay::Relay;
+use relay::batch::{Cell, Order};
+use relay::downstream::{Failure, Handle, Made, NotRun, Source};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+fn order(id: &str, pieces: u32) -> Order {
+    let now = Instant::now();
+    Order {
+        id: id.into(),
+        stage: 0,
+        pieces,
+        source: Source::Key("piece".into()),
+        result: 100,
+        due: now + Duration::from_secs(1),
+        last: now + Duration::from_secs(4),
+        rank: 1,
+        domain: None,
+    }
+}
+
+fn cell() -> Cell {
+    Cell {
+        service: "stage".into(),
+        index: 0,
+    }
+}
+
+async fn submit(relay: &Arc<Relay<Fake>>, order: Order) -> relay::batch::Outcome {
+    let outcome = relay.batcher(&cell()).submit(relay, order).await;
+    outcome.expect("an outcome")
+}
+
+/// Requests that come while both runners are busy share the next call. One call each would take
+/// the runners three times as long, and under load the queue would never end.
+#[tokio::test(start_paused = true)]
+async fn calls_shared() {
+    let fake = Fake::default();
+    let relay = ready(fake.clone());
+    let orders = ["a", "b", "c", "d"].map(|id| submit(&relay, order(id, 2)));
+    for outcome in futures::future::join_all(orders).await {
+        assert_eq!(outcome.map(|made| made.len()), Ok(2));
+    }
+    let sizes: Vec<usize> = fake.carried().iter().map(|call| call.items.len()).collect();
+    assert_eq!(sizes, [2, 2, 4]);
+}
+
+/// A request with two stages: the pieces of the second are made from all results of the first, and
+/// the runner gets those of the second. With another request's or only some of them it would work
+/// on a drawing that is not the caller's.
+#[tokio::test(start_paused = true)]
+async fn results_handed_on() {
+    let events = vec!["id: 1\ndata: x\n\n"];
+    let fake = Fake::doing([Act::Stream {
+        parts: events,
+        end: End::Whole,
+    }]);
+    let relay = ready(fake.clone());
+    let answer = relay.serve(request("a", "chained")).await;
+    assert_eq!(
+        body(answer).await,
+        (200, "id: 1\ndata: x\n\n".to_owned(), true)
+    );
+    let items: Vec<_> = fake
+        .carried()
+        .into_iter()
+        .flat_map(|call| call.items)
+        .collect();
+    let of = |stage: usize| items.iter().filter(move |item| item.stage == stage);
+    assert_eq!(of(0).map(inputs).collect::<Vec<_>>(), [0, 0, 0]);
+    assert_eq!(of(1).map(inputs).collect::<Vec<_>>(), [3, 3]);
+    assert_eq!(fake.sent()[0].inputs, 2);
+}
+
+/// A call to a stage runner is lost. Its pieces are made at another runner; the request neither
+/// fails nor waits for the one that is dark.
+#[tokio::test(start_paused = true)]
+async fn call_lost() {
+    let fake = Fake::default();
+    let lost = Failure::Lost {
+        reason: "reset".to_owned(),
+    };
+    fake.stage_acts.lock().expect("free").push_back(Err(lost));
+    let relay = ready(fake.clone());
+    let outcome = submit(&relay, order("a", 2)).await;
+    assert_eq!(outcome.map(|made| made.len()), Ok(2));
+    let calls = fake.carried();
+    assert_eq!(calls.len(), 2);
+    assert_ne!(calls[0].runner, calls[1].runner);
+}
+
+/// A caller leaves while its pieces wait. They are not sent any more: the runner would work for
+/// nobody while others wait.
+#[tokio::test(start_paused = true)]
+async fn caller_left() {
+    let fake = Fake::default();
+    let relay = ready(fake.clone());
+    let busy = ["a", "b"].map(|id| relay.batcher(&cell()).submit(&relay, order(id, 4)));
+    let left = relay.batcher(&cell()).submit(&relay, order("c", 4));
+    drop(left);
+    for outcome in busy {
+        assert!(outcome.await.is_ok());
+    }
+    sleep(Duration::from_secs(1)).await;
+    let calls = fake.carried();
+    assert!(
+        calls
+            .iter()
+            .all(|call| call.items.iter().all(|item| &*item.id != "c"))
+    );
+}
+
+/// Pieces that can no longer be made in time are given up where they wait, so that the caller is
+/// told at once and no runner works on them.
+#[tokio::test(start_paused = true)]
+async fn too_late() {
+    let fake = Fake::default();
+    let relay = ready(fake.clone());
+    let busy = ["a", "b"].map(|id| relay.batcher(&cell()).submit(&relay, order(id, 4)));
+    let mut late = order("c", 1);
+    late.last = Instant::now() + Duration::from_millis(300);
+    let outcome = submit(&relay, late).await;
+    assert_eq!(outcome, Err(relay::batch::Spoiled::Late));
+    for outcome in busy {
+        assert!(outcome.await.is_ok());
+    }
+    assert_eq!(fake.carried().len(), 2);
+}
+
+/// The process that formed a runner's calls is gone, and another one does so now. It hears of
+/// results that it never asked for and that are needed no more; unless it gives them back, the
+/// runner has no room for seconds and turns the next requests' pieces away.
+#[tokio::test(start_paused = true)]
+async fn results_of_another_owner() {
+    let fake = Fake::default();
+    let no_room = || Ok(vec![Made::NoRoom]);
+    fake.stage_acts
+        .lock()
+        .expect("free")
+        .extend([no_room(), no_room()]);
+    let relay = ready(fake.clone());
+    let runners = relay
+        .fleet(|fleet| fleet.of("stage").to_vec())
+        .expect("listed");
+    let old: Vec<Handle> = runners
+        .iter()
+        .map(|runner| format!("{}/old", runner.address).into())
+        .collect();
+    relay.batcher(&cell()).release(&relay, &old);
+    let outcome = submit(&relay, order("a", 1)).await;
+    assert_eq!(outcome.map(|made| made.len()), Ok(1));
+    let released = fake.released.lock().expect("free").clone();
+    assert!(
+        old.iter().any(|handle| released.contains(handle)),
+        "{released:?}"
+    );
+}
+
+/// A runner answers at once that it has no room. It must not look fast for that: it would be given
+/// all calls, refuse them and starve the others.
+#[tokio::test(start_paused = true)]
+async fn no_room_is_not_fast() {
+    let fake = Fake::default();
+    let no_room = Ok(vec![Made::NoRoom, Made::NoRoom]);
+    fake.stage_acts.lock().expect("free").push_back(no_room);
+    let relay = ready(fake.clone());
+    let outcome = submit(&relay, order("a", 2)).await;
+    assert_eq!(outcome.map(|made| made.len()), Ok(2));
+    let calls = fake.carried();
+    assert_ne!(calls[0].runner, calls[1].runner);
+}
+
+/// A runner is full. That says nothing of its health, and the pieces go elsewhere.
+#[tokio::test(start_paused = true)]
+async fn runner_full() {
+    let fake = Fake::default();
+    let full = Err(Failure::NotRun {
+        reason: NotRun::Full,
+    });
+    fake.stage_acts.lock().expect("free").push_back(full);
+    let relay = ready(fake.clone());
+    let outcome = submit(&relay, order("a", 1)).await;
+    assert_eq!(outcome.map(|made| made.len()), Ok(1));
+}
+
+/// The results of a request whose answer has begun are given back before the next call that needs
+/// their room.
+#[tokio::test(start_paused = true)]
+async fn room_given_back() {
+    let fake = Fake::default();
+    let relay = ready(fake.clone());
+    let mut made = Vec::new();
+    for id in ["a", "b", "c", "d"] {
+        made.extend(submit(&relay, order(id, 4)).await.expect("made"));
+    }
+    relay.batcher(&cell()).release(&relay, &made);
+    for id in ["e", "f", "g", "h"] {
+        assert!(submit(&relay, order(id, 4)).await.is_ok());
+    }
+    let released = fake.released.lock().expect("free").len();
+    assert!(released >= 4, "{released}");
+}
