--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -9,10 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time that a group waits longer so that its results are made where they are fetched: some tenths
-/// of a call. A group that none of its domain's runners takes goes elsewhere after it.
-const AWAY: Duration = Duration::from_millis(150);
-
 /// Names a group of pieces for as long as it waits.
 pub type Ticket = u64;
 
@@ -42,8 +38,39 @@
     pub last: Duration,
     /// How urgent the request is; 0 comes first.
     pub rank: u8,
-    /// Failure domain in which the results will be fetched, as far as is known.
+    /// Failure domain where the pieces are best made: near their inputs, or near where their
+    /// results will be fetched.
     pub domain: Option<Arc<str>>,
+    /// When the group came.
+    pub since: Duration,
+    /// How long the group waits for a runner of that domain as long as it is not late for that.
+    pub patience: Duration,
+}
+
+impl Group {
+    /// Whether a runner of this domain is as good as any.
+    fn is_near(&self, domain: &str) -> bool {
+        self.domain.as_deref().is_none_or(|wanted| wanted == domain)
+    }
+
+    /// From when on a runner of any domain may make the pieces. A call takes `call`.
+    fn anywhere_from(&self, call: Duration) -> Duration {
+        let latest = self.due.saturating_sub(call * CALLS_LEFT);
+        (self.since + self.patience).min(latest)
+    }
+}
+
+/// Calls' times before the moment at which a group is due from which on it waits for no particular
+/// runner: its own call, and the rest of one that a runner may be busy with.
+const CALLS_LEFT: u32 = 2;
+
+/// Which groups a call must hold at least.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// One that is best made in the runner's domain.
+    Near,
+    /// Any that may be made there.
+    Any,
 }
 
 /// Pieces of one group that go into a call.
@@ -64,10 +91,10 @@
     /// Removes and gives the groups that cannot be made by their last moment.
     fn expire(&mut self, now: Duration) -> Vec<Ticket>;
     /// Takes the pieces of a call that starts now at a runner of this failure domain with room for
-    /// `room` bytes.
-    fn take(&mut self, now: Duration, room: u64, domain: &str) -> Vec<Portion>;
-    /// Failure domain of the group that is first in turn, if it has one.
-    fn first(&self, now: Duration) -> Option<Arc<str>>;
+    /// `room` bytes; none if there is no group as it needs.
+    fn take(&mut self, now: Duration, room: u64, domain: &str, need: Need) -> Vec<Portion>;
+    /// When the next group that waits for a runner of its domain may go anywhere.
+    fn next(&self, now: Duration) -> Option<Duration>;
     /// Pieces that wait.
     fn waiting(&self) -> u32;
 }
@@ -80,16 +107,26 @@
 /// # Examples
 ///
 /// ```
-/// use decide::batch::{Former, Group, Portion, Shape, Slack};
+/// use decide::batch::{Former, Group, Need, Portion, Shape, Slack};
 /// use std::time::Duration;
 ///
 /// let second = Duration::from_secs(1);
 /// let shape = Shape { size: 4, call: second / 5, piece: second / 50 };
 /// let mut former = Slack::new(shape);
-/// let group = Group { ticket: 1, pieces: 3, result: 10, due: second, last: second * 8, rank: 0, domain: None };
+/// let group = Group {
+///     ticket: 1,
+///     pieces: 3,
+///     result: 10,
+///     due: second,
+///     last: second * 8,
+///     rank: 0,
+///     domain: None,
+///     since: Duration::ZERO,
+///     patience: Duration::ZERO,
+/// };
 /// former.push(group.clone());
 /// former.push(Group { ticket: 2, due: second / 2, ..group });
-/// let taken = former.take(Duration::ZERO, 1_000, "a");
+/// let taken = former.take(Duration::ZERO, 1_000, "a", Need::Any);
 /// assert_eq!(taken[0], Portion { ticket: 2, pieces: 3 });
 /// assert_eq!(taken[1], Portion { ticket: 1, pieces: 1 });
 /// ```
@@ -138,17 +175,24 @@
         useless.iter().map(|group| group.ticket).collect()
     }
 
-    fn take(&mut self, now: Duration, room: u64, domain: &str) -> Vec<Portion> {
+    fn take(&mut self, now: Duration, room: u64, domain: &str, need: Need) -> Vec<Portion> {
         let end = now + self.shortest();
-        self.groups.sort_by_key(|group| {
-            let near = group
-                .domain
-                .as_deref()
-                .is_none_or(|wanted| wanted == domain);
-            let handicap = if near { Duration::ZERO } else { AWAY };
-            (group.due < end, group.rank, group.due + handicap)
-        });
-        let portions = fill(&self.groups, self.shape.size, room);
+        let call = self.shape.call;
+        let may = |group: &Group| group.is_near(domain) || group.anywhere_from(call) <= now;
+        let found = match need {
+            Need::Near => self.groups.iter().any(|group| group.is_near(domain)),
+            Need::Any => self.groups.iter().any(may),
+        };
+        if !found {
+            return Vec::new();
+        }
+        self.groups
+            .sort_by_key(|group| (group.due < end, group.rank, group.due));
+        let portions = fill(
+            self.groups.iter().filter(|group| may(group)),
+            self.shape.size,
+            room,
+        );
         for portion in &portions {
             if let Some(group) = self
                 .groups
@@ -162,13 +206,12 @@
         portions
     }
 
-    fn first(&self, now: Duration) -> Option<Arc<str>> {
-        let end = now + self.shortest();
-        let first = self
+    fn next(&self, now: Duration) -> Option<Duration> {
+        let moments = self
             .groups
             .iter()
-            .min_by_key(|group| (group.due < end, group.rank, group.due));
-        first?.domain.clone()
+            .map(|group| group.anywhere_from(self.shape.call));
+        moments.filter(|moment| *moment > now).min()
     }
 
     fn waiting(&self) -> u32 {
@@ -177,7 +220,7 @@
 }
 
 /// Portions of the groups in their order, as far as places and room go.
-fn fill(groups: &[Group], size: u32, mut room: u64) -> Vec<Portion> {
+fn fill<'a>(groups: impl Iterator<Item = &'a Group>, size: u32, mut room: u64) -> Vec<Portion> {
     let mut free = size;
     let mut portions = Vec::new();
     for group in groups {
@@ -230,18 +273,18 @@
         self.inner.expire(now)
     }
 
-    fn take(&mut self, _now: Duration, room: u64, _domain: &str) -> Vec<Portion> {
+    fn take(&mut self, _now: Duration, room: u64, _domain: &str, _need: Need) -> Vec<Portion> {
         let Some(first) = self.inner.groups.first_mut() else {
             return Vec::new();
         };
-        let portions = fill(std::slice::from_ref(first), self.inner.shape.size, room);
+        let portions = fill(std::iter::once(&*first), self.inner.shape.size, room);
         first.pieces -= portions.first().map_or(0, |portion| portion.pieces);
         self.inner.groups.retain(|group| group.pieces > 0);
         portions
     }
 
-    fn first(&self, _now: Duration) -> Option<Arc<str>> {
-        self.inner.groups.first()?.domain.clone()
+    fn next(&self, _now: Duration) -> Option<Duration> {
+        None
     }
 
     fn waiting(&self) -> u32 {
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -11,7 +11,7 @@
 use crate::request::RequestId;
 use crate::runner::{DomainId, Runner, RunnerId};
 use decide::Map;
-use decide::batch::{Former, Group, Portion, Slack, Ticket};
+use decide::batch::{Former, Group, Need, Portion, Slack, Ticket};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use snafu::Snafu;
@@ -105,10 +105,17 @@
     pub last: Instant,
     /// Urgency.
     pub rank: Rank,
-    /// Failure domain in which the results will be fetched, as far as can be told.
+    /// Failure domain where they are best made, as far as can be told.
     pub domain: Option<DomainId>,
+    /// Bytes that cross failure domains if they are made elsewhere.
+    pub crossing: u64,
 }
 
+/// Bytes a second up to which it is worth waiting for a runner of the right failure domain. Links
+/// between failure domains are far dearer than those within; at this rate the results of a few
+/// megabytes wait for about a call.
+const CROSSING: f64 = 15e6;
+
 /// Why the pieces of a stage were not made.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
 pub enum Spoiled {
@@ -143,6 +150,8 @@
     waiting: Map<Ticket, Waiting>,
     places: Vec<Place>,
     next: Ticket,
+    /// When calls are looked for next without a cause.
+    wakes: Option<Instant>,
     /// How much larger than the configuration says results are taken to be.
     inflation: Inflation,
 }
@@ -182,6 +191,7 @@
     order: Order,
     todo: Vec<u32>,
     made: Vec<Option<Handle>>,
+    since: Instant,
     reply: oneshot::Sender<Outcome>,
 }
 
@@ -326,6 +336,7 @@
             relay.telemetry.batch(launch.items.len());
             tokio::spawn(self.clone().carry(relay.clone(), launch));
         }
+        self.pump_later(relay);
     }
 
     /// Carries out one call and hands out what became of its pieces.
@@ -354,17 +365,18 @@
             "outcome" => result.as_ref().map_or_else(ToString::to_string, |made| outcome(made)));
         lock(&self.state).finish(&relay, &self.cell.service, &launch, result, elapsed);
         self.pump(&relay);
-        self.pump_later(relay);
     }
 
-    /// A runner that rests starts no call by itself when its rest is over.
-    fn pump_later(self: Arc<Self>, relay: Arc<Relay<D>>) {
-        let Some(until) = lock(&self.state).next_rest() else {
+    /// Nothing else wakes a runner whose rest is over, or a group that has waited long enough for a
+    /// runner of its failure domain.
+    fn pump_later(self: &Arc<Self>, relay: &Arc<Relay<D>>) {
+        let Some(until) = lock(&self.state).next_wake(relay.started()) else {
             return;
         };
+        let (batcher, relay) = (self.clone(), relay.clone());
         tokio::spawn(async move {
             tokio::time::sleep_until(until).await;
-            self.pump(&relay);
+            batcher.pump(&relay);
         });
     }
 
@@ -402,27 +414,40 @@
     ) {
         let ticket = self.next;
         self.next += 1;
-        let group = Group {
-            ticket,
-            pieces: order.pieces,
-            result: self.inflation.apply(order.result),
-            due: relay.at(order.due),
-            last: relay.at(order.last),
-            rank: order.rank,
-            domain: order.domain.clone(),
-        };
-        let former = self.former.get_or_insert_with(|| Slack::new(batches.shape));
-        former.reshape(batches.shape);
-        former.push(group);
         let waiting = Waiting {
             todo: (0..order.pieces).rev().collect(),
             made: vec![None; order.pieces as usize],
+            since: Instant::now(),
             order,
             reply,
         };
+        let group = self.group(&waiting, ticket, relay);
+        let former = self.former.get_or_insert_with(|| Slack::new(batches.shape));
+        former.reshape(batches.shape);
+        former.push(group);
         self.waiting.insert(ticket, waiting);
     }
 
+    /// The pieces of an order that still wait, as the former sees them.
+    fn group<D: Downstream>(&self, waiting: &Waiting, ticket: Ticket, relay: &Relay<D>) -> Group {
+        let order = &waiting.order;
+        let domain = order.domain.clone().filter(|domain| {
+            let there = |place: &Place| place.runner.domain == *domain;
+            self.places.iter().any(there)
+        });
+        Group {
+            ticket,
+            pieces: u32::try_from(waiting.todo.len()).unwrap_or(u32::MAX),
+            result: self.inflation.apply(order.result),
+            due: relay.at(order.due),
+            last: relay.at(order.last),
+            rank: order.rank,
+            domain,
+            since: relay.at(waiting.since),
+            patience: Duration::from_secs_f64(order.crossing as f64 / CROSSING),
+        }
+    }
+
     fn refresh(&mut self, runners: Vec<Arc<Runner>>) {
         self.places.retain(|place| runners.contains(&place.runner));
         for runner in runners {
@@ -441,15 +466,16 @@
         if former.waiting() == 0 {
             return None;
         }
-        let first = former.first(at);
-        let index = free_place(&self.places, first.as_deref(), batches, now)?;
+        let places = free_places(&self.places, batches, now);
+        let tries = [Need::Near, Need::Any].into_iter();
+        let mut tries = tries.flat_map(|need| places.iter().map(move |&index| (index, need)));
+        let (index, room, portions) = tries.find_map(|(index, need)| {
+            let place = &mut self.places[index];
+            let room = place.room(batches, now);
+            let portions = former.take(at, room.free, &place.runner.domain, need);
+            (!portions.is_empty()).then_some((index, room, portions))
+        })?;
         let place = &mut self.places[index];
-        let room = place.room(batches, now);
-        let domain = place.runner.domain.clone();
-        let portions = former.take(at, room.free, &domain);
-        if portions.is_empty() {
-            return None;
-        }
         place.calls += 1;
         let waiting = &self.waiting;
         let bytes = |portion: &Portion| {
@@ -632,7 +658,8 @@
                     return Some(Err(Spoiled::Failed));
                 }
                 waiting.todo.push(piece);
-                let group = waiting.group(ticket, relay, self.inflation);
+                let waiting = self.waiting.get(&ticket)?;
+                let group = self.group(waiting, ticket, relay);
                 let former = self.former.as_mut()?;
                 former.withdraw(ticket);
                 former.push(group);
@@ -653,40 +680,45 @@
         }
     }
 
-    fn next_rest(&self) -> Option<Instant> {
+    /// When something may change that no call or order tells; once for each such moment.
+    fn next_wake(&mut self, started: Instant) -> Option<Instant> {
         let now = Instant::now();
         let rests = self.places.iter().filter_map(|place| place.rests_until);
-        rests.filter(|until| *until > now).min()
+        let rest = rests.filter(|until| *until > now).min();
+        let former = self.former.as_ref().filter(|former| former.waiting() > 0)?;
+        let at = now.saturating_duration_since(started);
+        let moved = former.next(at).map(|moment| started + moment);
+        let wake = rest.into_iter().chain(moved).min()?;
+        if self
+            .wakes
+            .is_some_and(|planned| planned > now && planned <= wake)
+        {
+            return None;
+        }
+        self.wakes = Some(wake);
+        Some(wake)
     }
 }
 
-/// The runner that the next call goes to: of those that are free, the fastest.
+/// The runners that a call may go to now, those with the least results first.
 ///
 /// A slow one is left idle while others of its service are faster by more than a call: pieces bound
 /// to it would end later than those that wait for the next free one.
-/// Among equals it is one in the failure domain of the most urgent pieces, then that with the least
-/// results.
-fn free_place(
-    places: &[Place],
-    domain: Option<&str>,
-    batches: Batches,
-    now: Instant,
-) -> Option<usize> {
-    let fastest = places
-        .iter()
-        .filter(|place| !place.rests(now))
+fn free_places(places: &[Place], batches: Batches, now: Instant) -> Vec<usize> {
+    let awake = places.iter().filter(|place| !place.rests(now));
+    let Some(fastest) = awake
         .map(|place| place.slowness(now))
-        .min_by(f64::total_cmp)?;
-    (0..places.len())
-        .filter(|&index| {
-            let place = &places[index];
-            place.calls < batches.slots && !place.rests(now) && place.slowness(now) < fastest * SLOW
-        })
-        .min_by_key(|&index| {
-            let place = &places[index];
-            let away = domain.is_some_and(|domain| *place.runner.domain != *domain);
-            (away, place.results.len())
-        })
+        .min_by(f64::total_cmp)
+    else {
+        return Vec::new();
+    };
+    let free = |&index: &usize| {
+        let place = &places[index];
+        place.calls < batches.slots && !place.rests(now) && place.slowness(now) < fastest * SLOW
+    };
+    let mut free: Vec<usize> = (0..places.len()).filter(free).collect();
+    free.sort_by_key(|&index| places[index].results.len());
+    free
 }
 
 /// Room for results at a runner.
@@ -763,22 +795,4 @@
             source: self.order.source.clone(),
         }
     }
-
-    /// The pieces that still wait, as the former sees them.
-    fn group<D: Downstream>(
-        &self,
-        ticket: Ticket,
-        relay: &Relay<D>,
-        inflation: Inflation,
-    ) -> Group {
-        Group {
-            ticket,
-            pieces: u32::try_from(self.todo.len()).unwrap_or(u32::MAX),
-            result: inflation.apply(self.order.result),
-            due: relay.at(self.order.due),
-            last: relay.at(self.order.last),
-            rank: self.order.rank,
-            domain: self.order.domain.clone(),
-        }
-    }
 }
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -6,6 +6,7 @@
 use crate::downstream::{Downstream, Handle, Source};
 use crate::peer;
 use crate::plan::Stage;
+use crate::runner::{DomainId, Fleet};
 use crate::serve::Job;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -168,6 +169,7 @@
         return (stage, cell, Err(Spoiled::Failed));
     }
     let behind = job.behind(stage);
+    let (domain, crossing) = place(job, stage, &source);
     let order = Order {
         id: job.request.id.clone(),
         stage,
@@ -180,12 +182,36 @@
             .checked_sub(behind)
             .unwrap_or(job.request.arrived),
         rank: job.rank,
-        domain: attempt::likely_domain(job),
+        domain,
+        crossing,
     };
     let outcome = peer::make(&job.relay, &cell, order).await;
     (stage, cell, outcome)
 }
 
+/// Where the pieces of a stage are best made, and how many bytes cross failure domains if they are
+/// made elsewhere. Each piece fetches all inputs of its stage, so that a stage of many pieces
+/// belongs near its inputs; one with large results belongs where the model will run.
+fn place<D: Downstream>(job: &Job<D>, stage: usize, source: &Source) -> (Option<DomainId>, u64) {
+    let spec = &job.route.stages[stage];
+    let bytes = |stage: usize| job.route.stages[stage].result * u64::from(job.pieces(stage));
+    let fetched: u64 = spec.after.iter().map(|&before| bytes(before)).sum();
+    let fetched = fetched * u64::from(job.pieces(stage));
+    let given = bytes(stage);
+    match source {
+        Source::Inputs(handles) if fetched > given => (domain_of(job, handles), fetched),
+        _ => (attempt::likely_domain(job), given),
+    }
+}
+
+/// Failure domain of the runner that holds the first of some results; the pieces of a stage are
+/// mostly made in one call.
+fn domain_of<D: Downstream>(job: &Job<D>, handles: &[Handle]) -> Option<DomainId> {
+    let address = job.relay.downstream.holder(handles.first()?)?;
+    let domain = |fleet: &Fleet| Some(fleet.at(&address)?.domain.clone());
+    job.relay.fleet(domain)?
+}
+
 impl<D: Downstream> Job<D> {
     /// Pieces of a stage.
     pub fn pieces(&self, stage: usize) -> u32 {
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -82,6 +82,7 @@
     last: Duration,
     rank: Rank,
     domain: Option<DomainId>,
+    crossing: u64,
 }
 
 impl Sheet {
@@ -99,6 +100,7 @@
             last: order.last.saturating_duration_since(now),
             rank: order.rank,
             domain: order.domain.clone(),
+            crossing: order.crossing,
         }
     }
 
@@ -116,6 +118,7 @@
             last: now + self.last,
             rank: self.rank,
             domain: self.domain,
+            crossing: self.crossing,
         }
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -22,7 +22,7 @@
 
 /// What a fake feed does on one question.
 #[derive(Clone, Debug)]
-pub enum Told {
+pub(crate) enum Told {
     /// Tells these rows; no value means that the row is gone.
     Rows(Vec<(&'static str, Option<Value>)>),
     /// Fails after this time.
@@ -33,10 +33,10 @@
 
 /// A feed that tells what it was given, question by question, and then nothing more.
 #[derive(Clone, Debug)]
-pub struct Script(Arc<Mutex<VecDeque<Told>>>);
+pub(crate) struct Script(Arc<Mutex<VecDeque<Told>>>);
 
 impl Script {
-    pub fn new(told: impl IntoIterator<Item = Told>) -> Self {
+    pub(crate) fn new(told: impl IntoIterator<Item = Told>) -> Self {
         Self(Arc::new(Mutex::new(told.into_iter().collect())))
     }
 
@@ -115,12 +115,12 @@
 }
 
 /// An entry of a runner.
-pub fn entry(service: &str) -> Option<Value> {
+pub(crate) fn entry(service: &str) -> Option<Value> {
     Some(json!({ "service": service }))
 }
 
 /// A runner; its port is the sum of the bytes of its name.
-pub fn runner(id: &str, service: &str) -> Runner {
+pub(crate) fn runner(id: &str, service: &str) -> Runner {
     let port = id.bytes().map(u16::from).sum::<u16>();
     Runner {
         id: id.into(),
@@ -134,12 +134,12 @@
 }
 
 /// Time that a call of the stage service takes, and what a piece adds.
-pub const CALL: Duration = Duration::from_millis(200);
-pub const PIECE: Duration = Duration::from_millis(20);
+pub(crate) const CALL: Duration = Duration::from_millis(200);
+pub(crate) const PIECE: Duration = Duration::from_millis(20);
 
 /// A plan with routes of each kind: `/unsafe/`, `/safe/`, `/stream/` (resumable), `/once/` (a
 /// stream that is not) and `/staged/`.
-pub fn plan(version: u64) -> Plan {
+pub(crate) fn plan(version: u64) -> Plan {
     let staged = Route {
         stages: vec![Stage {
             service: "stage".into(),
@@ -231,7 +231,7 @@
 }
 
 /// A request to a route of [`plan`].
-pub fn request(id: &str, route: &str) -> Request {
+pub(crate) fn request(id: &str, route: &str) -> Request {
     Request {
         id: id.into(),
         host: "host".to_owned(),
@@ -253,7 +253,7 @@
 
 /// What the fake does with one call.
 #[derive(Clone, Debug)]
-pub enum Act {
+pub(crate) enum Act {
     /// Answers with this status, with or without proof, and this body.
     Answer {
         status: u16,
@@ -272,7 +272,7 @@
 
 /// How a stream ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
+pub(crate) enum End {
     Whole,
     Broken,
     Silent,
@@ -280,48 +280,48 @@
 
 /// A call that a runner was sent.
 #[derive(Clone, Debug)]
-pub struct Sent {
-    pub runner: String,
-    pub id: String,
-    pub resume_after: Option<u64>,
-    pub inputs: usize,
-    pub remaining: Duration,
-    pub reuse: bool,
-    pub workspace: Option<String>,
+pub(crate) struct Sent {
+    pub(crate) runner: String,
+    pub(crate) id: String,
+    pub(crate) resume_after: Option<u64>,
+    pub(crate) inputs: usize,
+    pub(crate) remaining: Duration,
+    pub(crate) reuse: bool,
+    pub(crate) workspace: Option<String>,
 }
 
 /// A call that carried pieces.
 #[derive(Clone, Debug)]
-pub struct Carried {
-    pub runner: String,
-    pub items: Vec<Item>,
+pub(crate) struct Carried {
+    pub(crate) runner: String,
+    pub(crate) items: Vec<Item>,
 }
 
 /// What the fake does with one call that carries pieces.
-pub type StageAct = Result<Vec<Made>, Failure>;
+pub(crate) type StageAct = Result<Vec<Made>, Failure>;
 
 /// Runners that do what they were told, call by call, whichever of them is called.
 #[derive(Clone, Debug, Default)]
-pub struct Fake {
-    pub acts: Arc<Mutex<VecDeque<Act>>>,
-    pub stage_acts: Arc<Mutex<VecDeque<StageAct>>>,
-    pub sent: Arc<Mutex<Vec<Sent>>>,
-    pub carried: Arc<Mutex<Vec<Carried>>>,
-    pub released: Arc<Mutex<Vec<Handle>>>,
+pub(crate) struct Fake {
+    pub(crate) acts: Arc<Mutex<VecDeque<Act>>>,
+    pub(crate) stage_acts: Arc<Mutex<VecDeque<StageAct>>>,
+    pub(crate) sent: Arc<Mutex<Vec<Sent>>>,
+    pub(crate) carried: Arc<Mutex<Vec<Carried>>>,
+    pub(crate) released: Arc<Mutex<Vec<Handle>>>,
 }
 
 impl Fake {
-    pub fn doing(acts: impl IntoIterator<Item = Act>) -> Self {
+    pub(crate) fn doing(acts: impl IntoIterator<Item = Act>) -> Self {
         let fake = Self::default();
         fake.acts.lock().expect("no holder panics").extend(acts);
         fake
     }
 
-    pub fn sent(&self) -> Vec<Sent> {
+    pub(crate) fn sent(&self) -> Vec<Sent> {
         self.sent.lock().expect("no holder panics").clone()
     }
 
-    pub fn carried(&self) -> Vec<Carried> {
+    pub(crate) fn carried(&self) -> Vec<Carried> {
         self.carried.lock().expect("no holder panics").clone()
     }
 }
@@ -432,7 +432,7 @@
 }
 
 /// A relay that knows nothing yet.
-pub fn blank(fake: Fake) -> Arc<Relay<Fake>> {
+pub(crate) fn blank(fake: Fake) -> Arc<Relay<Fake>> {
     let mut registry = metric::Registry::default();
     let options = Options {
         domain: "a".into(),
@@ -459,7 +459,7 @@
 }
 
 /// A relay with [`plan`] in force and two runners of each service.
-pub fn ready(fake: Fake) -> Arc<Relay<Fake>> {
+pub(crate) fn ready(fake: Fake) -> Arc<Relay<Fake>> {
     let relay = blank(fake);
     relay.adopt(plan(1));
     let runners = [
@@ -474,7 +474,7 @@
 }
 
 /// The body of an answer, and whether it ended as a whole one.
-pub async fn body(answer: relay::Answer) -> (u16, String, bool) {
+pub(crate) async fn body(answer: relay::Answer) -> (u16, String, bool) {
     let mut text = Vec::new();
     let mut whole = true;
     match answer.body {
@@ -492,7 +492,7 @@
 }
 
 /// Source of an item's piece, for matching.
-pub fn inputs(item: &Item) -> usize {
+pub(crate) fn inputs(item: &Item) -> usize {
     match &item.source {
         Origin::Key(_) => 0,
         Origin::Inputs(handles) => handles.len(),
