Stage calls: a leaving owner hands over, results given back with every call, slow runners used under backlog

Pieces without room no longer spend the budget of repeats, and the budget counts pieces on both sides.

--- a/crates/decide/src/retry/window.rs
+++ b/crates/decide/src/retry/window.rs
@@ -42,8 +42,7 @@
 /// let bound = Bound { ratio: 0.5, slack: 4.0, window: Duration::from_secs(10) };
 /// let mut quota = Quota::new(bound);
 /// let now = Duration::from_secs(1);
-/// quota.first(now);
-/// quota.first(now);
+/// quota.first(now, 2);
 /// let granted = (0..9).filter(|_| quota.repeat(now, 4)).count();
 /// assert_eq!(granted, 2);
 /// ```
@@ -63,9 +62,9 @@
         }
     }
 
-    /// A first attempt was sent.
-    pub fn first(&mut self, now: Duration) {
-        self.step(now).firsts += 1;
+    /// First attempts were sent.
+    pub fn first(&mut self, now: Duration, count: u32) {
+        self.step(now).firsts += count;
     }
 
     /// Whether a repeat may be sent now by one of `processes`; if so, it is counted.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -143,7 +143,7 @@
 /// [`Refusal`], of which only those that say so are given if no runner may have run it.
 pub async fn run<D: Downstream>(job: &Job<D>, mut inputs: Inputs<D>) -> Result<Answer, Refusal> {
     let mut progress = Progress::default();
-    job.relay.count_first(&job.service);
+    job.relay.count_first(&job.service, 1);
     loop {
         let sent = send_anew(job, &mut inputs, &mut progress, job.request.resume_after).await;
         let Ok((flight, reply)) = sent else {
--- /dev/null
+++ b/crates/relay/src/batch/place.rs
@@ -0,0 +1,222 @@
+//! A runner of a cell: its calls in progress, its speed and the room for results.
+
+use crate::downstream::{Failure, Handle, Made, NotRun};
+use crate::plan::Batches;
+use crate::runner::Runner;
+use decide::Map;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Pause before a runner gets work again that was full.
+const REST_FULL: Duration = Duration::from_millis(50);
+/// Pause before a runner gets work again that had no room for results. Those that it holds were
+/// asked for by another process, or are larger than the configuration says.
+const REST_ROOM: Duration = Duration::from_millis(150);
+/// Pause before a runner gets work again that failed; doubles with each failure.
+const REST_FAILED: Duration = Duration::from_millis(500);
+/// Failures after which the pause doubles no further.
+const MOST_DOUBLINGS: u32 = 4;
+/// Weight of one call in a runner's smoothed slowness.
+const SLOWNESS_WEIGHT: f64 = 0.4;
+/// Time after which half of a runner's slowness is forgotten. One that is left idle for being slow
+/// could never show that it has recovered otherwise.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Factor of a runner's slowness when a call to it is given up: it took at least that much longer.
+const LOST_SLOWNESS: f64 = 2.0;
+/// Slowness above which a runner is left idle as long as pieces would be made sooner by waiting
+/// for another one.
+const SLOW: f64 = 2.0;
+
+/// A runner of the service.
+#[derive(Debug)]
+pub(super) struct Place {
+    pub(super) runner: Arc<Runner>,
+    pub(super) calls: u32,
+    pub(super) results: Map<Handle, Kept>,
+    pub(super) released: Vec<Handle>,
+    slowness: f64,
+    judged: Instant,
+    failures: u32,
+    pub(super) rests_until: Option<Instant>,
+    /// Whether it has just turned results away, so that it holds more than is known here.
+    pub(super) full: bool,
+}
+
+/// A result that takes up room at its runner.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Kept {
+    pub(super) bytes: u64,
+    pub(super) until: Instant,
+}
+
+/// Results differ in size, and the configuration tells an approximate one. Pieces without room are
+/// made once more, which costs a call: too large an estimate only leaves some room unused.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Inflation(f64);
+
+impl Default for Inflation {
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
+impl Inflation {
+    /// Factor by which the estimate grows when results had no room.
+    const GROW: f64 = 1.1;
+    /// Factor by which it shrinks with each call whose results had.
+    const SHRINK: f64 = 0.995;
+    /// Greatest estimate.
+    const MOST: f64 = 2.0;
+
+    pub(super) fn learn(&mut self, had_room: bool) {
+        let factor = if had_room { Self::SHRINK } else { Self::GROW };
+        self.0 = (self.0 * factor).clamp(1.0, Self::MOST);
+    }
+
+    pub(super) fn apply(self, bytes: u64) -> u64 {
+        (bytes as f64 * self.0) as u64
+    }
+}
+
+/// The runners that a call may go to now, those with the least results first.
+///
+/// A slow one is left idle as long as pieces would be made sooner by waiting for another one:
+/// `queue` is the time that those wait that come last.
+pub(super) fn free_places(
+    places: &[Place],
+    batches: Batches,
+    queue: Duration,
+    now: Instant,
+) -> Vec<usize> {
+    let awake = places.iter().filter(|place| !place.rests(now));
+    let Some(fastest) = awake
+        .map(|place| place.slowness(now))
+        .min_by(f64::total_cmp)
+    else {
+        return Vec::new();
+    };
+    let call = batches.shape.call + batches.shape.piece * batches.shape.size;
+    let elsewhere = queue + call.mul_f64(fastest * SLOW);
+    let free = |&index: &usize| {
+        let place = &places[index];
+        let here = call.mul_f64(place.slowness(now));
+        place.calls < batches.slots && !place.rests(now) && here < elsewhere
+    };
+    let mut free: Vec<usize> = (0..places.len()).filter(free).collect();
+    free.sort_by_key(|&index| places[index].results.len());
+    free
+}
+
+/// Room for results at a runner.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Room {
+    /// Once all that is released has been given back.
+    pub(super) free: u64,
+    /// As long as it has not.
+    pub(super) unreleased: u64,
+}
+
+impl Place {
+    pub(super) fn new(runner: Arc<Runner>) -> Self {
+        Self {
+            runner,
+            calls: 0,
+            results: Map::default(),
+            released: Vec::new(),
+            slowness: 1.0,
+            judged: Instant::now(),
+            failures: 0,
+            rests_until: None,
+            full: false,
+        }
+    }
+
+    /// How many times longer than expected its calls take, as far as is still believed.
+    pub(super) fn slowness(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.judged);
+        let faded = decide::smooth::decay(age, SLOWNESS_HALF_LIFE);
+        1.0 + (self.slowness - 1.0) * faded
+    }
+
+    pub(super) fn rests(&self, now: Instant) -> bool {
+        self.rests_until.is_some_and(|until| now < until)
+    }
+
+    /// Room for the next call's results once all that is released has been given back.
+    pub(super) fn room(&mut self, batches: Batches, now: Instant) -> Room {
+        self.results.retain(|_, kept| kept.until > now);
+        let results = &self.results;
+        self.released.retain(|handle| results.contains_key(handle));
+        let kept: u64 = self.results.values().map(|kept| kept.bytes).sum();
+        let released: u64 = self
+            .released
+            .iter()
+            .filter_map(|handle| Some(self.results.get(handle)?.bytes))
+            .sum();
+        let free = batches.room.saturating_sub(kept.saturating_sub(released));
+        Room {
+            free,
+            unreleased: batches.room.saturating_sub(kept),
+        }
+    }
+
+    /// Results that the runner is told to drop now.
+    pub(super) fn give_back(&mut self) -> Vec<Handle> {
+        self.full = false;
+        let released = std::mem::take(&mut self.released);
+        for handle in &released {
+            self.results.remove(handle);
+        }
+        released
+    }
+
+    /// Learns from a call that it has ended.
+    pub(super) fn judge(&mut self, call: &Judged<'_>, now: Instant) {
+        self.calls = self.calls.saturating_sub(1);
+        match call.result {
+            Ok(made) if made.iter().all(|made| matches!(made, Made::Done(_))) => {
+                self.failures = 0;
+                self.learn_slowness(call, now);
+            }
+            // Pieces without room or inputs are answered at once, which must not make a runner look
+            // fast: it would draw all calls and refuse them.
+            Ok(made) => {
+                if made.contains(&Made::NoRoom) {
+                    self.rests_until = Some(now + REST_ROOM);
+                    self.full = true;
+                }
+            }
+            Err(Failure::NotRun {
+                reason: NotRun::Full,
+            }) => self.rests_until = Some(now + REST_FULL),
+            Err(_) => self.fail(now),
+        }
+    }
+
+    fn learn_slowness(&mut self, call: &Judged<'_>, now: Instant) {
+        let ratio = call.elapsed.as_secs_f64() / call.expected.as_secs_f64().max(0.001);
+        let faded = self.slowness(now);
+        let sample = call.slowness * ratio;
+        self.slowness = faded + SLOWNESS_WEIGHT * (sample - faded);
+        self.judged = now;
+    }
+
+    fn fail(&mut self, now: Instant) {
+        let rest = REST_FAILED * 2_u32.pow(self.failures.min(MOST_DOUBLINGS));
+        self.failures += 1;
+        self.rests_until = Some(now + rest);
+        self.slowness = self.slowness(now) * LOST_SLOWNESS;
+        self.judged = now;
+    }
+}
+
+/// A call that has ended.
+#[derive(Debug)]
+pub(super) struct Judged<'a> {
+    pub(super) result: &'a Result<Vec<Made>, Failure>,
+    pub(super) elapsed: Duration,
+    /// What it was expected to take, by what was believed of the runner's slowness then.
+    pub(super) expected: Duration,
+    pub(super) slowness: f64,
+}
--- /dev/null
+++ b/crates/relay/src/batch/state.rs
@@ -0,0 +1,397 @@
+//! What waits in a cell and what its runners do.
+
+use super::place::{Inflation, Judged, Kept, Place, free_places};
+use super::{Order, Outcome, Spoiled};
+use crate::core::Relay;
+use crate::downstream::{Downstream, Failure, Handle, Item, Made};
+use crate::plan::{Batches, ServiceId};
+use crate::runner::{Runner, RunnerId};
+use decide::Map;
+use decide::batch::{Former, Group, Need, Portion, Slack, Ticket};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// A call that takes so many times its expected time is given up: its runner is dark or much
+/// slower than the others, and its pieces are better made elsewhere.
+const PATIENCE: f64 = 2.5;
+/// Time for the way there and back, and for delays of this process, besides.
+const WAY: Duration = Duration::from_millis(300);
+/// Bytes a second up to which it is worth waiting for a runner of the right failure domain. Links
+/// between failure domains are far dearer than those within; at this rate the results of a few
+/// megabytes wait for about a call.
+const CROSSING: f64 = 15e6;
+/// Speed of a cell below which its runners are taken to be as slow as that, compared to one that
+/// works as configured: an expected wait must stay finite.
+const MOST_SLOW: f64 = 0.1;
+
+#[derive(Debug, Default)]
+pub(super) struct State {
+    former: Option<Slack>,
+    waiting: Map<Ticket, Waiting>,
+    places: Vec<Place>,
+    next: Ticket,
+    /// When calls are looked for next without a cause.
+    wakes: Option<Instant>,
+    /// How much larger than the configuration says results are taken to be.
+    inflation: Inflation,
+}
+
+/// An order whose pieces are not all made.
+#[derive(Debug)]
+struct Waiting {
+    order: Order,
+    todo: Vec<u32>,
+    made: Vec<Option<Handle>>,
+    since: Instant,
+    reply: oneshot::Sender<Outcome>,
+}
+
+/// A call on its way.
+#[derive(Debug)]
+pub(super) struct Launch {
+    pub(super) runner: Arc<Runner>,
+    pub(super) portions: Vec<(Ticket, Vec<u32>)>,
+    pub(super) items: Vec<Item>,
+    pub(super) released: Vec<Handle>,
+    /// Whether the results must be given back before there is room for the call's.
+    pub(super) tight: bool,
+    slowness: f64,
+    pub(super) expected: Duration,
+    batches: Batches,
+}
+
+impl Launch {
+    pub(super) fn patience(&self) -> Duration {
+        self.expected.mul_f64(PATIENCE) + WAY
+    }
+}
+
+impl State {
+    /// Results are needed no more.
+    pub(super) fn release(&mut self, address: SocketAddr, handle: &Handle, until: Instant) {
+        let mut places = self.places.iter_mut();
+        let place = places.find(|place| place.runner.address == address);
+        if let Some(place) = place {
+            let unknown = Kept { bytes: 0, until };
+            place.results.entry(handle.clone()).or_insert(unknown);
+            place.released.push(handle.clone());
+        }
+    }
+
+    /// Time that what waits now takes the runners.
+    fn queue(&self, batches: &Batches) -> Duration {
+        let shape = batches.shape;
+        let now = Instant::now();
+        let speed = |place: &Place| 1.0 / place.slowness(now).max(1.0);
+        let speed: f64 = self.places.iter().map(speed).sum();
+        let waiting = self.former.as_ref().map_or(0, Former::waiting);
+        let calls = f64::from(waiting) / f64::from(shape.size.max(1));
+        let full = shape.call + shape.piece * shape.size;
+        full.mul_f64(calls / speed.max(MOST_SLOW))
+    }
+
+    /// Expected time until pieces that come now are made.
+    pub(super) fn expected(&self, batches: &Batches) -> Option<Duration> {
+        let places = u32::try_from(self.places.len()).unwrap_or(u32::MAX);
+        if places == 0 {
+            return None;
+        }
+        let shape = batches.shape;
+        let busy = self.places.iter().all(|place| place.calls > 0);
+        let full = shape.call + shape.piece * shape.size;
+        let rest = if busy {
+            full / 2 / places
+        } else {
+            Duration::ZERO
+        };
+        Some(self.queue(batches) + rest + shape.call + shape.piece * (shape.size / 2))
+    }
+
+    /// Names of the requests whose pieces a call carries.
+    pub(super) fn requests(&self, launch: &Launch) -> String {
+        let waiting = |(ticket, _): &(Ticket, Vec<u32>)| self.waiting.get(ticket);
+        let ids = launch.portions.iter().filter_map(waiting);
+        ids.map(|waiting| &*waiting.order.id)
+            .collect::<Vec<_>>()
+            .join(",")
+    }
+
+    pub(super) fn enqueue<D: Downstream>(
+        &mut self,
+        relay: &Relay<D>,
+        batches: Batches,
+        order: Order,
+        reply: oneshot::Sender<Outcome>,
+    ) {
+        let ticket = self.next;
+        self.next += 1;
+        let waiting = Waiting {
+            todo: (0..order.pieces).rev().collect(),
+            made: vec![None; order.pieces as usize],
+            since: Instant::now(),
+            order,
+            reply,
+        };
+        let group = self.group(&waiting, ticket, relay);
+        let former = self.former.get_or_insert_with(|| Slack::new(batches.shape));
+        former.reshape(batches.shape);
+        former.push(group);
+        self.waiting.insert(ticket, waiting);
+    }
+
+    /// The pieces of an order that still wait, as the former sees them.
+    fn group<D: Downstream>(&self, waiting: &Waiting, ticket: Ticket, relay: &Relay<D>) -> Group {
+        let order = &waiting.order;
+        let domain = order.domain.clone().filter(|domain| {
+            let there = |place: &Place| place.runner.domain == *domain;
+            self.places.iter().any(there)
+        });
+        Group {
+            ticket,
+            pieces: u32::try_from(waiting.todo.len()).unwrap_or(u32::MAX),
+            result: self.inflation.apply(order.result),
+            due: relay.at(order.due),
+            last: relay.at(order.last),
+            rank: order.rank,
+            domain,
+            since: relay.at(waiting.since),
+            patience: Duration::from_secs_f64(order.crossing as f64 / CROSSING),
+        }
+    }
+
+    pub(super) fn refresh(&mut self, runners: Vec<Arc<Runner>>) {
+        self.places.retain(|place| runners.contains(&place.runner));
+        for runner in runners {
+            if self.places.iter().all(|place| place.runner.id != runner.id) {
+                self.places.push(Place::new(runner));
+            }
+        }
+    }
+
+    /// The next call that can start now.
+    pub(super) fn launch(&mut self, started: Instant, batches: Batches) -> Option<Launch> {
+        let now = Instant::now();
+        let at = now.saturating_duration_since(started);
+        self.drop_useless(at);
+        if self.former.as_ref()?.waiting() == 0 {
+            return None;
+        }
+        let queue = self.queue(&batches);
+        let former = self.former.as_mut()?;
+        let places = free_places(&self.places, batches, queue, now);
+        let tries = [Need::Near, Need::Any].into_iter();
+        let mut tries = tries.flat_map(|need| places.iter().map(move |&index| (index, need)));
+        let (index, room, portions) = tries.find_map(|(index, need)| {
+            let place = &mut self.places[index];
+            let room = place.room(batches, now);
+            let portions = former.take(at, room.free, &place.runner.domain, need);
+            (!portions.is_empty()).then_some((index, room, portions))
+        })?;
+        let place = &mut self.places[index];
+        place.calls += 1;
+        let waiting = &self.waiting;
+        let bytes = |portion: &Portion| {
+            let result = waiting
+                .get(&portion.ticket)
+                .map_or(0, |waiting| waiting.order.result);
+            result * u64::from(portion.pieces)
+        };
+        let needed: u64 = portions.iter().map(bytes).sum();
+        let tight = needed > room.unreleased || place.full;
+        let released = place.give_back();
+        let runner = place.runner.clone();
+        let slowness = place.slowness(now);
+        let launch = Launch {
+            runner,
+            slowness,
+            released,
+            tight,
+            batches,
+            portions: Vec::new(),
+            items: Vec::new(),
+            expected: Duration::ZERO,
+        };
+        Some(self.assemble(launch, &portions, now))
+    }
+
+    /// Binds the pieces of a call to its runner.
+    fn assemble(&mut self, mut launch: Launch, portions: &[Portion], now: Instant) -> Launch {
+        for portion in portions {
+            let Some(waiting) = self.waiting.get_mut(&portion.ticket) else {
+                continue;
+            };
+            let at = waiting.todo.len().saturating_sub(portion.pieces as usize);
+            let pieces = waiting.todo.split_off(at);
+            let items = pieces.iter().map(|&piece| waiting.item(piece, now));
+            launch.items.extend(items);
+            launch.portions.push((portion.ticket, pieces));
+        }
+        let count = u32::try_from(launch.items.len()).unwrap_or(u32::MAX);
+        let shape = launch.batches.shape;
+        launch.expected = (shape.call + shape.piece * count).mul_f64(launch.slowness);
+        launch
+    }
+
+    /// Drops the orders whose requests are gone, and ends those that cannot be made in time.
+    fn drop_useless(&mut self, at: Duration) {
+        let Some(former) = self.former.as_mut() else {
+            return;
+        };
+        let gone: Vec<Ticket> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| waiting.reply.is_closed())
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in gone {
+            former.withdraw(ticket);
+            self.waiting.remove(&ticket);
+        }
+        for ticket in former.expire(at) {
+            self.end(ticket, Err(Spoiled::Late));
+        }
+    }
+
+    /// Ends an order; whoever waited for it may be gone by now, which is no matter.
+    fn end(&mut self, ticket: Ticket, outcome: Outcome) {
+        if let Some(former) = self.former.as_mut() {
+            former.withdraw(ticket);
+        }
+        if let Some(waiting) = self.waiting.remove(&ticket) {
+            let _ = waiting.reply.send(outcome);
+        }
+    }
+
+    pub(super) fn finish<D: Downstream>(
+        &mut self,
+        relay: &Relay<D>,
+        service: &ServiceId,
+        launch: &Launch,
+        result: Result<Vec<Made>, Failure>,
+        elapsed: Duration,
+    ) {
+        self.judge(launch, &result, elapsed);
+        let pieces = launch
+            .portions
+            .iter()
+            .flat_map(|(ticket, pieces)| pieces.iter().map(move |&piece| (*ticket, piece)));
+        let mut made = result
+            .map_or_else(|_| Vec::new(), std::convert::identity)
+            .into_iter();
+        for (ticket, piece) in pieces {
+            let made = made.next().unwrap_or(Made::Failed);
+            if let Some(outcome) = self.settle(relay, service, launch, (ticket, piece), made) {
+                self.end(ticket, outcome);
+            }
+        }
+    }
+
+    fn judge(&mut self, launch: &Launch, result: &Result<Vec<Made>, Failure>, elapsed: Duration) {
+        if let Ok(made) = result {
+            self.inflation.learn(!made.contains(&Made::NoRoom));
+        }
+        let id = &launch.runner.id;
+        let place = self.places.iter_mut().find(|place| place.runner.id == *id);
+        let call = Judged {
+            result,
+            elapsed,
+            expected: launch.expected,
+            slowness: launch.slowness,
+        };
+        // A runner that is listed no more has nothing to learn of.
+        if let Some(place) = place {
+            place.judge(&call, Instant::now());
+        }
+    }
+
+    /// Takes in what became of one piece; gives the outcome of the order if that ends it.
+    fn settle<D: Downstream>(
+        &mut self,
+        relay: &Relay<D>,
+        service: &ServiceId,
+        launch: &Launch,
+        (ticket, piece): (Ticket, u32),
+        made: Made,
+    ) -> Option<Outcome> {
+        if let Made::Done(handle) = &made {
+            let bytes = self
+                .waiting
+                .get(&ticket)
+                .map_or(0, |waiting| waiting.order.result);
+            let bytes = self.inflation.apply(bytes);
+            let wanted = self.waiting.contains_key(&ticket);
+            self.keep(&launch.runner.id, handle, bytes, launch.batches, wanted);
+        }
+        let waiting = self.waiting.get_mut(&ticket)?;
+        match made {
+            Made::Done(handle) => {
+                waiting.made[piece as usize] = Some(handle);
+                waiting
+                    .made
+                    .iter()
+                    .cloned()
+                    .collect::<Option<Vec<_>>>()
+                    .map(Ok)
+            }
+            Made::Late => Some(Err(Spoiled::Late)),
+            Made::InputGone => Some(Err(Spoiled::InputGone)),
+            // One without room has not been worked on.
+            Made::Failed if !relay.may_repeat(service) => Some(Err(Spoiled::Failed)),
+            Made::NoRoom | Made::Failed => {
+                waiting.todo.push(piece);
+                let waiting = self.waiting.get(&ticket)?;
+                let group = self.group(waiting, ticket, relay);
+                let former = self.former.as_mut()?;
+                former.withdraw(ticket);
+                former.push(group);
+                None
+            }
+        }
+    }
+
+    /// Counts a result at its runner; one that nobody waits for is released.
+    fn keep(&mut self, id: &RunnerId, handle: &Handle, bytes: u64, batches: Batches, wanted: bool) {
+        let Some(place) = self.places.iter_mut().find(|place| place.runner.id == *id) else {
+            return;
+        };
+        let until = Instant::now() + batches.keep;
+        place.results.insert(handle.clone(), Kept { bytes, until });
+        if !wanted {
+            place.released.push(handle.clone());
+        }
+    }
+
+    /// When something may change that no call or order tells; once for each such moment.
+    pub(super) fn next_wake(&mut self, started: Instant) -> Option<Instant> {
+        let now = Instant::now();
+        let rests = self.places.iter().filter_map(|place| place.rests_until);
+        let rest = rests.filter(|until| *until > now).min();
+        let former = self.former.as_ref().filter(|former| former.waiting() > 0)?;
+        let at = now.saturating_duration_since(started);
+        let moved = former.next(at).map(|moment| started + moment);
+        let wake = rest.into_iter().chain(moved).min()?;
+        if self
+            .wakes
+            .is_some_and(|planned| planned > now && planned <= wake)
+        {
+            return None;
+        }
+        self.wakes = Some(wake);
+        Some(wake)
+    }
+}
+
+impl Waiting {
+    fn item(&self, piece: u32, now: Instant) -> Item {
+        Item {
+            id: self.order.id.clone(),
+            stage: self.order.stage,
+            piece,
+            remaining: self.order.last.saturating_duration_since(now),
+            source: self.order.source.clone(),
+        }
+    }
+}
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -191,10 +191,10 @@
         work(lock(&self.pools).entry(service.clone()).or_default())
     }
 
-    /// Counts the first attempt of a request to a service.
-    pub fn count_first(&self, service: &ServiceId) {
+    /// Counts first attempts at a service: one of a request, or those of its pieces.
+    pub fn count_first(&self, service: &ServiceId, count: u32) {
         let now = self.now();
-        self.quota(service, |quota| quota.first(now));
+        self.quota(service, |quota| quota.first(now, count));
     }
 
     /// Whether a second attempt may be sent to a service now; if so, it is counted.
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -164,7 +164,7 @@
     let spec = &job.route.stages[stage];
     let cell = job.relay.cell(&spec.service);
     if round == Round::First {
-        job.relay.count_first(&spec.service);
+        job.relay.count_first(&spec.service, job.pieces(stage));
     } else if !job.relay.may_repeat(&spec.service) {
         return (stage, cell, Err(Spoiled::Failed));
     }
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -46,6 +46,7 @@
     own: Member,
     others: Map<MemberId, Member>,
     suspects: Map<MemberId, (u64, Instant)>,
+    left: Map<MemberId, u64>,
     listed: bool,
     leaving: bool,
 }
@@ -58,6 +59,7 @@
             own,
             others: Map::default(),
             suspects: Map::default(),
+            left: Map::default(),
             listed: false,
             leaving: false,
         }
@@ -82,6 +84,11 @@
             .insert(member.id.clone(), (member.incarnation, until));
     }
 
+    /// A process said that it stops; it does no more work for others until it starts anew.
+    pub fn left(&mut self, id: MemberId, incarnation: u64) {
+        self.left.insert(id, incarnation);
+    }
+
     /// The own process stops and takes no more work from the others.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -97,6 +104,9 @@
     pub fn reachable(&self) -> impl Iterator<Item = &Member> {
         let now = Instant::now();
         self.others.values().filter(move |member| {
+            if self.left.get(&member.id) == Some(&member.incarnation) {
+                return false;
+            }
             let suspect = self.suspects.get(&member.id);
             suspect.is_none_or(|(incarnation, until)| {
                 *incarnation != member.incarnation || *until <= now
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
+use tokio_util::task::TaskTracker;
 use wire::{Key, Sender};
 
 /// Processes that are asked, one after the other, to make the pieces of an order.
@@ -36,6 +37,8 @@
     slots: Mutex<Map<MemberId, Arc<Slot>>>,
     voices: Mutex<Vec<Sender<Frame>>>,
     loads: Mutex<Map<Cell, (Duration, Instant)>>,
+    /// Orders of other processes that are being carried out.
+    pub(crate) orders: TaskTracker,
 }
 
 /// The link to one process; whoever finds none opens it while the others wait.
@@ -66,6 +69,7 @@
             slots: Mutex::default(),
             voices: Mutex::default(),
             loads: Mutex::default(),
+            orders: TaskTracker::new(),
         }
     }
 
@@ -80,6 +84,24 @@
         lock(&self.members).count()
     }
 
+    /// Tells all linked processes that this one stops, and that its work is for the next one.
+    ///
+    /// Others would go on to send it orders until it is gone, and lose them with it.
+    pub fn leave(&self, own: &Member) {
+        lock(&self.members).leave();
+        let leaving = Frame::Leaving {
+            id: own.id.clone(),
+            incarnation: own.incarnation,
+        };
+        lock(&self.voices).retain(|voice| voice.try_send(&leaving).is_ok());
+    }
+
+    /// Waits until the orders of other processes have been carried out.
+    pub async fn finish(&self) {
+        self.orders.close();
+        self.orders.wait().await;
+    }
+
     /// Tells all linked processes which configuration is in force here.
     pub fn announce(&self, version: Version) {
         lock(&self.voices).retain(|voice| voice.try_send(&Frame::Version(version)).is_ok());
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -4,6 +4,7 @@
 use crate::batch::{Cell, Order, Outcome};
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle, Source};
+use crate::member::MemberId;
 use crate::plan::{Plan, Rank, Version};
 use crate::request::RequestId;
 use crate::runner::DomainId;
@@ -64,6 +65,13 @@
     },
     /// The configuration that is in force at the sender.
     Version(Version),
+    /// The sender stops, and takes no more orders until it starts anew.
+    Leaving {
+        /// Its name.
+        id: MemberId,
+        /// The start that is about to end.
+        incarnation: u64,
+    },
     /// Asks for the configuration.
     Ask,
     /// A whole configuration.
@@ -182,6 +190,10 @@
 pub(super) fn common<D: Downstream>(relay: &Arc<Relay<D>>, sender: &Sender<Frame>, frame: Frame) {
     match frame {
         Frame::Version(version) => heard_version(relay, sender, version),
+        Frame::Leaving { id, incarnation } => {
+            info!(relay.log, "peer leaves"; "peer" => &*id, "incarnation" => incarnation);
+            relay.peers.members(|members| members.left(id, incarnation));
+        }
         Frame::Ask => {
             if let Some(plan) = relay.plan() {
                 let plan = Box::new(Plan::clone(&plan));
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -433,6 +433,17 @@
 
 /// A relay that knows nothing yet.
 pub(crate) fn blank(fake: Fake) -> Arc<Relay<Fake>> {
+    let member = Member {
+        id: "relay-1".into(),
+        incarnation: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        weight: 1.0,
+    };
+    blank_as(fake, member)
+}
+
+/// The same as one of several processes.
+pub(crate) fn blank_as(fake: Fake, member: Member) -> Arc<Relay<Fake>> {
     let mut registry = metric::Registry::default();
     let options = Options {
         domain: "a".into(),
@@ -442,12 +453,7 @@
             window: Duration::from_secs(10),
         },
         processes: 4,
-        member: Member {
-            id: "relay-1".into(),
-            incarnation: 1,
-            address: SocketAddr::from(([127, 0, 0, 1], 1)),
-            weight: 1.0,
-        },
+        member,
         key: wire::Key::new("key"),
     };
     Relay::new(
--- /dev/null
+++ b/crates/relay/tests/peer_orders.rs
@@ -0,0 +1,162 @@
+//! Pieces that another process has made, over real links.
+
+mod common;
+
+use common::{Act, End, Fake, blank, body, plan, request, runner};
+use relay::member::Member;
+use relay::runner::Change;
+use relay::{Relay, peer};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use wire::{Key, Listener};
+
+/// Longer than any step takes, however busy the machine is.
+const LONG: Duration = Duration::from_secs(60);
+
+struct Node {
+    relay: Arc<Relay<Fake>>,
+    fake: Fake,
+    member: Member,
+    serving: JoinHandle<()>,
+}
+
+/// A process that knows the plan and the runners, and takes links.
+async fn node(id: &str) -> Node {
+    let events = (0..8).map(|_| Act::Stream {
+        parts: vec!["id: 1\ndata: x\n\n"],
+        end: End::Whole,
+    });
+    let fake = Fake::doing(events);
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let listener = Listener::bind(any, Key::new("key")).await.expect("bound");
+    let member = Member {
+        id: id.into(),
+        incarnation: 1,
+        address: listener.address().expect("bound"),
+        weight: 1.0,
+    };
+    let relay = common::blank_as(fake.clone(), member.clone());
+    relay.adopt(plan(1));
+    let runners = [("p-1", "plain"), ("s-1", "stage"), ("s-2", "stage")];
+    relay.update(
+        runners
+            .map(|(id, service)| Change::Listed(runner(id, service)))
+            .into(),
+    );
+    let serving = tokio::spawn(peer::serve(relay.clone(), listener));
+    Node {
+        relay,
+        fake,
+        member,
+        serving,
+    }
+}
+
+/// Two processes, of which the second forms the calls of the stage.
+async fn pair() -> (Node, Node) {
+    let (one, other) = (node("relay-1").await, node("relay-2").await);
+    for (node, peer) in [(&one, &other), (&other, &one)] {
+        node.relay
+            .peers
+            .members(|members| members.put(peer.member.clone()));
+    }
+    let owner = one.relay.peers.members(|members| members.owner("stage/0"));
+    if owner.id == one.member.id {
+        (other, one)
+    } else {
+        (one, other)
+    }
+}
+
+async fn serve(node: &Node) -> (u16, String, bool) {
+    let answer = timeout(LONG, node.relay.serve(request("a", "staged"))).await;
+    timeout(LONG, body(answer.expect("an answer")))
+        .await
+        .expect("a body")
+}
+
+/// Each process sends its pieces to the one that forms the calls, so that they share calls.
+#[tokio::test]
+async fn made_by_owner() {
+    let (asking, owner) = pair().await;
+    assert_eq!(serve(&asking).await.0, 200);
+    assert!(asking.fake.carried().is_empty());
+    assert_eq!(owner.fake.carried().len(), 1);
+    assert_eq!(asking.fake.sent()[0].inputs, 3);
+}
+
+/// The process that forms the calls dies. The others go on with the next one, and their requests
+/// do not fail with it.
+#[tokio::test]
+async fn owner_dies() {
+    let (asking, owner) = pair().await;
+    assert_eq!(serve(&asking).await.0, 200);
+    owner.serving.abort();
+    drop(owner.serving.await);
+    // Its links are still there; it falls silent as if it were frozen.
+    owner.fake.stage_acts.lock().expect("free").clear();
+    asking
+        .relay
+        .peers
+        .members(|members| members.suspect(&owner.member));
+    assert_eq!(serve(&asking).await.0, 200);
+    assert_eq!(asking.fake.carried().len(), 1);
+}
+
+/// The process that forms the calls is asked to stop. It says so: new pieces go elsewhere at once,
+/// and those that it has are finished first.
+#[tokio::test]
+async fn owner_leaves() {
+    let (asking, owner) = pair().await;
+    let begun = tokio::spawn({
+        let relay = asking.relay.clone();
+        async move { body(relay.serve(request("b", "staged")).await).await }
+    });
+    let carried = || async {
+        while owner.fake.carried().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(LONG, carried()).await.expect("the order arrives");
+    owner.relay.peers.leave(&owner.member);
+    timeout(LONG, owner.relay.peers.finish())
+        .await
+        .expect("orders end");
+    assert_eq!(
+        timeout(LONG, begun)
+            .await
+            .expect("in time")
+            .expect("no panic")
+            .0,
+        200
+    );
+    assert_eq!(serve(&asking).await.0, 200);
+    assert_eq!(asking.fake.carried().len(), 1);
+}
+
+/// The table service turns one process away, so that it misses a configuration that takes a key
+/// away. A peer tells it.
+#[tokio::test]
+async fn configuration_from_peer() {
+    let (asking, owner) = pair().await;
+    assert_eq!(serve(&asking).await.0, 200);
+    owner.relay.adopt(plan(7));
+    let told = || async {
+        while asking.relay.plan().map(|plan| plan.version) != Some(7) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LONG, told())
+        .await
+        .expect("the configuration arrives");
+}
+
+/// A process that is alone forms all calls itself.
+#[tokio::test]
+async fn alone() {
+    let relay = blank(Fake::default());
+    let owner = relay.peers.members(|members| members.owner("stage/0"));
+    assert_eq!(owner.id, relay.options.member.id);
+}
--- a/crates/relay/tests/stage_pieces.rs
+++ b/crates/relay/tests/stage_pieces.rs
@@ -207,3 +207,30 @@
     let released = fake.released.lock().expect("free").len();
     assert!(released >= 4, "{released}");
 }
+
+/// A runner answers at once that an input is gone. Like one without room it must not look fast.
+#[tokio::test(start_paused = true)]
+async fn input_gone_is_not_fast() {
+    let fake = Fake::default();
+    let gone = || Ok(vec![Made::InputGone]);
+    fake.stage_acts
+        .lock()
+        .expect("free")
+        .extend((0..4).map(|_| gone()));
+    let relay = ready(fake.clone());
+    for _ in 0..4 {
+        let outcome = submit(&relay, order("a", 1)).await;
+        assert_eq!(outcome, Err(relay::batch::Spoiled::InputGone));
+    }
+    for id in ["b", "c", "d", "e"] {
+        assert!(submit(&relay, order(id, 4)).await.is_ok());
+    }
+    let runners: Vec<String> = fake.carried()[4..]
+        .iter()
+        .map(|call| call.runner.clone())
+        .collect();
+    assert!(
+        runners.iter().any(|runner| *runner != runners[0]),
+        "{runners:?}"
+    );
+}
