--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -9,6 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// How much faster than expected a queue may turn out to be before a group in it is given up: some
+/// of the requests ahead will leave, and calls differ.
+const HOPE: f64 = 1.5;
+
 /// Names a group of pieces for as long as it waits.
 pub type Ticket = u64;
 
@@ -88,8 +92,9 @@
     fn push(&mut self, group: Group);
     /// Forgets a group whose request is gone.
     fn withdraw(&mut self, ticket: Ticket);
-    /// Removes and gives the groups that cannot be made by their last moment.
-    fn expire(&mut self, now: Duration) -> Vec<Ticket>;
+    /// Removes and gives the groups that cannot be made by their last moment, where what waits
+    /// takes the runners `piece` for each piece.
+    fn expire(&mut self, now: Duration, piece: Duration) -> Vec<Ticket>;
     /// Takes the pieces of a call that starts now at a runner of this failure domain with room for
     /// `room` bytes; none if there is no group as it needs.
     fn take(&mut self, now: Duration, room: u64, domain: &str, need: Need) -> Vec<Portion>;
@@ -97,6 +102,8 @@
     fn next(&self, now: Duration) -> Option<Duration>;
     /// Pieces that wait.
     fn waiting(&self) -> u32;
+    /// Pieces that wait and would be taken before those of a new group of this rank.
+    fn ahead(&self, now: Duration, rank: u8) -> u32;
 }
 
 /// Fills calls with those that can still be on time first, by urgency and then by due time.
@@ -151,6 +158,13 @@
         self.shape = shape;
     }
 
+    /// Puts the groups into the order in which they are taken.
+    fn sort(&mut self, now: Duration) {
+        let end = now + self.shortest();
+        self.groups
+            .sort_by_key(|group| (group.due < end, group.rank, group.due));
+    }
+
     /// Shortest time in which a call with one piece ends.
     fn shortest(&self) -> Duration {
         self.shape.call + self.shape.piece
@@ -166,17 +180,25 @@
         self.groups.retain(|group| group.ticket != ticket);
     }
 
-    fn expire(&mut self, now: Duration) -> Vec<Ticket> {
-        let end = now + self.shortest();
-        let groups = std::mem::take(&mut self.groups);
-        let (useless, useful): (Vec<_>, Vec<_>) =
-            groups.into_iter().partition(|group| group.last < end);
-        self.groups = useful;
-        useless.iter().map(|group| group.ticket).collect()
+    fn expire(&mut self, now: Duration, piece: Duration) -> Vec<Ticket> {
+        self.sort(now);
+        let shortest = self.shortest();
+        let mut ahead = 0;
+        let mut useless = Vec::new();
+        self.groups.retain(|group| {
+            let wait = (piece * ahead).div_f64(HOPE);
+            let keep = now + wait + shortest <= group.last;
+            if keep {
+                ahead += group.pieces;
+            } else {
+                useless.push(group.ticket);
+            }
+            keep
+        });
+        useless
     }
 
     fn take(&mut self, now: Duration, room: u64, domain: &str, need: Need) -> Vec<Portion> {
-        let end = now + self.shortest();
         let call = self.shape.call;
         let may = |group: &Group| group.is_near(domain) || group.anywhere_from(call) <= now;
         let found = match need {
@@ -186,8 +208,7 @@
         if !found {
             return Vec::new();
         }
-        self.groups
-            .sort_by_key(|group| (group.due < end, group.rank, group.due));
+        self.sort(now);
         let portions = fill(
             self.groups.iter().filter(|group| may(group)),
             self.shape.size,
@@ -217,6 +238,13 @@
     fn waiting(&self) -> u32 {
         self.groups.iter().map(|group| group.pieces).sum()
     }
+
+    fn ahead(&self, now: Duration, rank: u8) -> u32 {
+        let end = now + self.shortest();
+        let before = |group: &&Group| group.due >= end && group.rank <= rank;
+        let groups = self.groups.iter().filter(before);
+        groups.map(|group| group.pieces).sum()
+    }
 }
 
 /// Portions of the groups in their order, as far as places and room go.
@@ -269,8 +297,8 @@
         self.inner.withdraw(ticket);
     }
 
-    fn expire(&mut self, now: Duration) -> Vec<Ticket> {
-        self.inner.expire(now)
+    fn expire(&mut self, now: Duration, _piece: Duration) -> Vec<Ticket> {
+        self.inner.expire(now, Duration::ZERO)
     }
 
     fn take(&mut self, _now: Duration, room: u64, _domain: &str, _need: Need) -> Vec<Portion> {
@@ -290,4 +318,8 @@
     fn waiting(&self) -> u32 {
         self.inner.waiting()
     }
+
+    fn ahead(&self, _now: Duration, _rank: u8) -> u32 {
+        self.inner.waiting()
+    }
 }
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -10,7 +10,7 @@
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle, Made, Source};
 use crate::follow::millis;
-use crate::plan::{Batches, Rank, ServiceId};
+use crate::plan::{Batches, LAST_RANK, Rank, ServiceId};
 use crate::request::RequestId;
 use crate::runner::{DomainId, Runner};
 use serde::{Deserialize, Serialize};
@@ -84,8 +84,27 @@
     pub rank: Rank,
     /// Failure domain where they are best made, as far as can be told.
     pub domain: Option<DomainId>,
-    /// Bytes that cross failure domains if they are made elsewhere.
-    pub crossing: u64,
+    /// How long they wait for a runner of that domain.
+    pub patience: Duration,
+}
+
+/// Expected times until pieces are made, by the rank of their request: urgent ones are taken before
+/// those that wait already.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Waits(Vec<Duration>);
+
+impl Waits {
+    /// The times that a function gives for each rank.
+    pub fn new(wait: impl FnMut(Rank) -> Duration) -> Self {
+        Self((0..=LAST_RANK).map(wait).collect())
+    }
+
+    /// The time for a rank.
+    #[must_use]
+    pub fn of(&self, rank: Rank) -> Duration {
+        let rank = usize::from(rank.min(LAST_RANK));
+        self.0.get(rank).copied().unwrap_or_default()
+    }
 }
 
 /// Why the pieces of a stage were not made.
@@ -169,9 +188,23 @@
         }
     }
 
-    /// Expected time until pieces that come now are made.
-    pub fn expected(&self, batches: &Batches) -> Option<Duration> {
-        lock(&self.state).expected(batches)
+    /// Results that take up room and were made before this process formed the cell's calls.
+    pub fn hold(&self, relay: &Relay<D>, results: &[(Handle, u64)]) {
+        let mut state = lock(&self.state);
+        let keep = relay
+            .plan()
+            .and_then(|plan| plan.batches(&self.cell.service));
+        let until = Instant::now() + keep.map_or(Duration::ZERO, |batches| batches.keep);
+        for (handle, bytes) in results {
+            if let Some(address) = relay.downstream.holder(handle) {
+                state.hold(address, handle, *bytes, until);
+            }
+        }
+    }
+
+    /// Expected times until pieces that come now are made.
+    pub fn expected(&self, relay: &Relay<D>, batches: &Batches) -> Option<Waits> {
+        lock(&self.state).expected(relay.started(), batches)
     }
 
     /// Starts calls as long as pieces wait and a runner is free.
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -1,10 +1,10 @@
 //! What waits in a cell and what its runners do.
 
 use super::place::{Inflation, Judged, Kept, Place, free_places};
-use super::{Order, Outcome, Spoiled};
+use super::{Order, Outcome, Spoiled, Waits};
 use crate::core::Relay;
 use crate::downstream::{Downstream, Failure, Handle, Item, Made};
-use crate::plan::{Batches, ServiceId};
+use crate::plan::{Batches, Rank, ServiceId};
 use crate::runner::{Runner, RunnerId};
 use decide::Map;
 use decide::batch::{Former, Group, Need, Portion, Slack, Ticket};
@@ -19,10 +19,6 @@
 const PATIENCE: f64 = 2.5;
 /// Time for the way there and back, and for delays of this process, besides.
 const WAY: Duration = Duration::from_millis(300);
-/// Bytes a second up to which it is worth waiting for a runner of the right failure domain. Links
-/// between failure domains are far dearer than those within; at this rate the results of a few
-/// megabytes wait for about a call.
-const CROSSING: f64 = 15e6;
 /// Speed of a cell below which its runners are taken to be as slow as that, compared to one that
 /// works as configured: an expected wait must stay finite.
 const MOST_SLOW: f64 = 0.1;
@@ -81,20 +77,33 @@
         }
     }
 
-    /// Time that what waits now takes the runners.
-    fn queue(&self, batches: &Batches) -> Duration {
+    /// Results that another process asked for and may still hold.
+    pub(super) fn hold(
+        &mut self,
+        address: SocketAddr,
+        handle: &Handle,
+        bytes: u64,
+        until: Instant,
+    ) {
+        let mut places = self.places.iter_mut();
+        if let Some(place) = places.find(|place| place.runner.address == address) {
+            let held = Kept { bytes, until };
+            place.results.entry(handle.clone()).or_insert(held);
+        }
+    }
+
+    /// Time that the runners take for each piece that waits.
+    fn piece_time(&self, batches: &Batches) -> Duration {
         let shape = batches.shape;
         let now = Instant::now();
         let speed = |place: &Place| 1.0 / place.slowness(now).max(1.0);
         let speed: f64 = self.places.iter().map(speed).sum();
-        let waiting = self.former.as_ref().map_or(0, Former::waiting);
-        let calls = f64::from(waiting) / f64::from(shape.size.max(1));
         let full = shape.call + shape.piece * shape.size;
-        full.mul_f64(calls / speed.max(MOST_SLOW))
+        full.div_f64(speed.max(MOST_SLOW) * f64::from(shape.size.max(1)))
     }
 
-    /// Expected time until pieces that come now are made.
-    pub(super) fn expected(&self, batches: &Batches) -> Option<Duration> {
+    /// Expected times until pieces that come now are made, by the rank of their request.
+    pub(super) fn expected(&self, started: Instant, batches: &Batches) -> Option<Waits> {
         let places = u32::try_from(self.places.len()).unwrap_or(u32::MAX);
         if places == 0 {
             return None;
@@ -107,7 +116,14 @@
         } else {
             Duration::ZERO
         };
-        Some(self.queue(batches) + rest + shape.call + shape.piece * (shape.size / 2))
+        let work = rest + shape.call + shape.piece * (shape.size / 2);
+        let piece = self.piece_time(batches);
+        let now = Instant::now().saturating_duration_since(started);
+        let ahead = |rank: Rank| {
+            let former = self.former.as_ref();
+            former.map_or(0, |former| former.ahead(now, rank))
+        };
+        Some(Waits::new(|rank| work + piece * ahead(rank)))
     }
 
     /// Names of the requests whose pieces a call carries.
@@ -158,7 +174,7 @@
             rank: order.rank,
             domain,
             since: relay.at(waiting.since),
-            patience: Duration::from_secs_f64(order.crossing as f64 / CROSSING),
+            patience: order.patience,
         }
     }
 
@@ -175,11 +191,12 @@
     pub(super) fn launch(&mut self, started: Instant, batches: Batches) -> Option<Launch> {
         let now = Instant::now();
         let at = now.saturating_duration_since(started);
-        self.drop_useless(at);
+        self.drop_useless(at, self.piece_time(&batches));
         if self.former.as_ref()?.waiting() == 0 {
             return None;
         }
-        let queue = self.queue(&batches);
+        let waiting = self.former.as_ref()?.waiting();
+        let queue = self.piece_time(&batches) * waiting;
         let former = self.former.as_mut()?;
         let places = free_places(&self.places, batches, queue, now);
         let tries = [Need::Near, Need::Any].into_iter();
@@ -236,7 +253,7 @@
     }
 
     /// Drops the orders whose requests are gone, and ends those that cannot be made in time.
-    fn drop_useless(&mut self, at: Duration) {
+    fn drop_useless(&mut self, at: Duration, piece: Duration) {
         let Some(former) = self.former.as_mut() else {
             return;
         };
@@ -250,7 +267,7 @@
             former.withdraw(ticket);
             self.waiting.remove(&ticket);
         }
-        for ticket in former.expire(at) {
+        for ticket in former.expire(at, piece) {
             self.end(ticket, Err(Spoiled::Late));
         }
     }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -4,7 +4,7 @@
 use crate::downstream::Downstream;
 use crate::member::Member;
 use crate::peer::Peers;
-use crate::plan::{Plan, ServiceId};
+use crate::plan::{LAST_RANK, Plan, ServiceId};
 use crate::runner::{Change, DomainId, Fleet, Runner};
 use crate::telemetry::Telemetry;
 use decide::Map;
@@ -244,7 +244,7 @@
         }
         let (one, other) =
             self.random(|rng| (rng.random_range(0..cells), rng.random_range(0..cells)));
-        let expected = |index: usize| self.peers.expected(self, &cell(index));
+        let expected = |index: usize| self.peers.expected(self, &cell(index), LAST_RANK);
         if expected(other) < expected(one) {
             return cell(other);
         }
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -12,6 +12,7 @@
 use futures::stream::FuturesUnordered;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Times that the stages of a request are begun anew because a result was gone.
 const RESTARTS: u32 = 1;
@@ -21,6 +22,11 @@
 /// engine that reads 25 tokens in a millisecond. Only the order of pieces depends on it.
 const TOKEN: Duration = Duration::from_micros(40);
 
+/// Bytes a second up to which it is worth waiting for a runner of the right failure domain. Links
+/// between failure domains are far dearer than those within; at this rate the results of a few
+/// megabytes wait for about a call.
+const CROSSING: f64 = 15e6;
+
 /// Whether the pieces of a request are asked for the first time. Repeats are paid for from the
 /// budget that the whole fleet shares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,6 +120,7 @@
             break;
         };
         let handles = outcome?;
+        job.relay.peers.hold(&cell, &handles, stages[stage].result);
         inputs.stages.push((stage, cell, handles.clone()));
         made[stage] = Some(handles);
         let used = |before: usize| is_used(stages, &made, before);
@@ -169,7 +176,7 @@
         return (stage, cell, Err(Spoiled::Failed));
     }
     let behind = job.behind(stage);
-    let (domain, crossing) = place(job, stage, &source);
+    let (domain, patience) = place(job, stage, &source);
     let order = Order {
         id: job.request.id.clone(),
         stage,
@@ -183,25 +190,35 @@
             .unwrap_or(job.request.arrived),
         rank: job.rank,
         domain,
-        crossing,
+        patience,
     };
     let outcome = peer::make(&job.relay, &cell, order).await;
     (stage, cell, outcome)
 }
 
-/// Where the pieces of a stage are best made, and how many bytes cross failure domains if they are
-/// made elsewhere. Each piece fetches all inputs of its stage, so that a stage of many pieces
-/// belongs near its inputs; one with large results belongs where the model will run.
-fn place<D: Downstream>(job: &Job<D>, stage: usize, source: &Source) -> (Option<DomainId>, u64) {
+/// Where the pieces of a stage are best made, and how long they wait for a runner there.
+///
+/// Each piece fetches all inputs of its stage, so that a stage of many pieces belongs near its
+/// inputs; one with large results belongs where the model will run. The wait is worth what would
+/// cross failure domains otherwise, as far as the request has time for it.
+fn place<D: Downstream>(
+    job: &Job<D>,
+    stage: usize,
+    source: &Source,
+) -> (Option<DomainId>, Duration) {
     let spec = &job.route.stages[stage];
     let bytes = |stage: usize| job.route.stages[stage].result * u64::from(job.pieces(stage));
     let fetched: u64 = spec.after.iter().map(|&before| bytes(before)).sum();
     let fetched = fetched * u64::from(job.pieces(stage));
     let given = bytes(stage);
-    match source {
+    let (domain, crossing) = match source {
         Source::Inputs(handles) if fetched > given => (domain_of(job, handles), fetched),
         _ => (attempt::likely_domain(job), given),
-    }
+    };
+    let left = job.due.saturating_duration_since(Instant::now());
+    let spare = left.saturating_sub(job.waiting(stage) + job.expected_behind(stage));
+    let worth = Duration::from_secs_f64(crossing as f64 / CROSSING);
+    (domain, worth.min(spare / 2))
 }
 
 /// Failure domain of the runner that holds the first of some results; the pieces of a stage are
@@ -227,6 +244,16 @@
             .unwrap_or_else(|| self.model_time())
     }
 
+    /// Expected time from the end of a stage to the first event of the answer, waits included.
+    fn expected_behind(&self, stage: usize) -> Duration {
+        let follows = |&next: &usize| self.route.stages[next].after.contains(&stage);
+        let next = (stage + 1..self.route.stages.len()).filter(follows);
+        next.filter(|&next| self.pieces(next) > 0)
+            .map(|next| self.waiting(next) + self.expected_behind(next))
+            .max()
+            .unwrap_or_else(|| self.model_time())
+    }
+
     /// Time of a call that makes the pieces of a stage, waits excluded.
     fn call_time(&self, stage: usize) -> Duration {
         let pieces = self.pieces(stage);
@@ -259,6 +286,6 @@
     /// Expected time until the pieces of a stage are made.
     fn waiting(&self, stage: usize) -> Duration {
         let cell = self.relay.cell(&self.route.stages[stage].service);
-        self.relay.peers.expected(&self.relay, &cell)
+        self.relay.peers.expected(&self.relay, &cell, self.rank)
     }
 }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -7,11 +7,11 @@
 pub use serving::serve;
 pub use talk::{Frame, Sheet};
 
-use crate::batch::{Cell, Order, Outcome, Spoiled};
+use crate::batch::{Cell, Order, Outcome, Spoiled, Waits};
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle};
 use crate::member::{Member, MemberId, Members};
-use crate::plan::Version;
+use crate::plan::{Rank, Version};
 use decide::Map;
 use slog::{info, warn};
 use std::sync::{Arc, Mutex};
@@ -36,11 +36,35 @@
     members: Mutex<Members>,
     slots: Mutex<Map<MemberId, Arc<Slot>>>,
     voices: Mutex<Vec<Sender<Frame>>>,
-    loads: Mutex<Map<Cell, (Duration, Instant)>>,
+    loads: Mutex<Map<Cell, (Waits, Instant)>>,
+    held: Mutex<Map<Cell, Held>>,
     /// Orders of other processes that are being carried out.
     pub(crate) orders: TaskTracker,
 }
 
+/// Results that requests of this process hold in one cell.
+#[derive(Debug, Default)]
+struct Held {
+    /// Who forms the cell's calls, as of the last order.
+    owner: Option<(MemberId, u64)>,
+    results: Map<Handle, u64>,
+}
+
+impl Held {
+    /// The results, if the owner is another one than it was.
+    fn news_for(&mut self, owner: &Member) -> Option<Vec<(Handle, u64)>> {
+        let now = (owner.id.clone(), owner.incarnation);
+        let before = self.owner.replace(now.clone());
+        let changed = before.is_some_and(|before| before != now) && !self.results.is_empty();
+        changed.then(|| {
+            let results = self.results.iter();
+            results
+                .map(|(handle, bytes)| (handle.clone(), *bytes))
+                .collect()
+        })
+    }
+}
+
 /// The link to one process; whoever finds none opens it while the others wait.
 type Slot = tokio::sync::Mutex<Option<Arc<Line>>>;
 
@@ -69,6 +93,7 @@
             slots: Mutex::default(),
             voices: Mutex::default(),
             loads: Mutex::default(),
+            held: Mutex::default(),
             orders: TaskTracker::new(),
         }
     }
@@ -112,27 +137,51 @@
         lock(&self.voices).push(voice);
     }
 
-    /// Expected time until pieces that come now are made in a cell.
-    pub fn expected<D: Downstream>(&self, relay: &Relay<D>, cell: &Cell) -> Duration {
+    /// Expected time until pieces of this rank that come now are made in a cell.
+    pub fn expected<D: Downstream>(&self, relay: &Relay<D>, cell: &Cell, rank: Rank) -> Duration {
         let batches = relay.plan().and_then(|plan| plan.batches(&cell.service));
         let Some(batches) = batches else {
             return Duration::ZERO;
         };
         let owner = lock(&self.members).owner(&cell.name());
         if owner.id == relay.options.member.id {
-            return relay.batcher(cell).expected(&batches).unwrap_or_default();
+            let waits = relay.batcher(cell).expected(relay, &batches);
+            return waits.map_or(Duration::ZERO, |waits| waits.of(rank));
         }
-        let told = lock(&self.loads).get(cell).copied();
-        let fresh = told.filter(|(_, heard)| heard.elapsed() < LOAD_LIFE);
-        fresh.map_or(batches.shape.call, |(expected, _)| expected)
+        let loads = lock(&self.loads);
+        let fresh = loads
+            .get(cell)
+            .filter(|(_, heard)| heard.elapsed() < LOAD_LIFE);
+        fresh.map_or(batches.shape.call, |(waits, _)| waits.of(rank))
+    }
+
+    pub(crate) fn told_load(&self, cell: Cell, waits: Waits) {
+        lock(&self.loads).insert(cell, (waits, Instant::now()));
     }
 
-    pub(crate) fn told_load(&self, cell: Cell, expected: Duration) {
-        lock(&self.loads).insert(cell, (expected, Instant::now()));
+    /// Notes results of a cell that a request holds now, each of this size.
+    pub fn hold(&self, cell: &Cell, handles: &[Handle], bytes: u64) {
+        let mut held = lock(&self.held);
+        let results = &mut held.entry(cell.clone()).or_default().results;
+        results.extend(handles.iter().map(|handle| (handle.clone(), bytes)));
+    }
+
+    /// Results that a new owner of a cell must be told of.
+    ///
+    /// It would take the runners for empty, and have pieces made that find no room, until the
+    /// results lapse some seconds later.
+    fn news_for(&self, cell: &Cell, owner: &Member) -> Option<Vec<(Handle, u64)>> {
+        let mut held = lock(&self.held);
+        held.entry(cell.clone()).or_default().news_for(owner)
     }
 
     /// Gives results of a cell back.
     pub fn release<D: Downstream>(&self, relay: &Relay<D>, cell: &Cell, handles: Vec<Handle>) {
+        if let Some(held) = lock(&self.held).get_mut(cell) {
+            for handle in &handles {
+                held.results.remove(handle);
+            }
+        }
         let owner = lock(&self.members).owner(&cell.name());
         if owner.id == relay.options.member.id {
             relay.batcher(cell).release(relay, &handles);
@@ -243,9 +292,18 @@
 pub async fn make<D: Downstream>(relay: &Arc<Relay<D>>, cell: &Cell, order: Order) -> Outcome {
     for _ in 0..OWNERS {
         let owner = relay.peers.members(|members| members.owner(&cell.name()));
+        let news = relay.peers.news_for(cell, &owner);
         if owner.id == relay.options.member.id {
+            if let Some(results) = news {
+                relay.batcher(cell).hold(relay, &results);
+            }
             return make_here(relay, cell, order).await;
         }
+        if let (Some(results), Some(line)) = (news, relay.peers.line(relay, &owner).await) {
+            let cell = cell.clone();
+            // A link that is lost shows when the order is sent.
+            let _ = line.sender.send(Frame::Held { cell, results }).await;
+        }
         let asked = ask(relay, &owner, cell, &order).await;
         match asked {
             Asked::Ended(Err(Spoiled::NoRunner)) => break,
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -93,6 +93,7 @@
                     handle.abort();
                 }
             }
+            Frame::Held { cell, results } => relay.batcher(&cell).hold(relay, &results),
             Frame::Release { cell, handles } => relay.batcher(&cell).release(relay, &handles),
             other => talk::common(relay, sender, other),
         }
@@ -113,9 +114,10 @@
             let Some(batches) = relay.plan().and_then(|plan| plan.batches(&cell.service)) else {
                 continue;
             };
-            let expected = relay.batcher(cell).expected(&batches).unwrap_or_default();
-            let cell = cell.clone();
-            sender.send(Frame::Load { cell, expected }).await?;
+            if let Some(waits) = relay.batcher(cell).expected(relay, &batches) {
+                let cell = cell.clone();
+                sender.send(Frame::Load { cell, waits }).await?;
+            }
         }
         Ok(())
     }
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -1,7 +1,7 @@
 //! The frames, and what the asking end of a link does with them.
 
 use super::Line;
-use crate::batch::{Cell, Order, Outcome};
+use crate::batch::{Cell, Order, Outcome, Waits};
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle, Source};
 use crate::member::MemberId;
@@ -56,12 +56,19 @@
         /// The results.
         handles: Vec<Handle>,
     },
+    /// Results that the sender holds, for a process that has not formed the cell's calls before.
+    Held {
+        /// Cell that made them.
+        cell: Cell,
+        /// The results with their sizes in bytes.
+        results: Vec<(Handle, u64)>,
+    },
     /// How long pieces that come now would take.
     Load {
         /// The cell.
         cell: Cell,
-        /// Expected time until they are made.
-        expected: Duration,
+        /// Expected times until they are made.
+        waits: Waits,
     },
     /// The configuration that is in force at the sender.
     Version(Version),
@@ -90,7 +97,7 @@
     last: Duration,
     rank: Rank,
     domain: Option<DomainId>,
-    crossing: u64,
+    patience: Duration,
 }
 
 impl Sheet {
@@ -108,7 +115,7 @@
             last: order.last.saturating_duration_since(now),
             rank: order.rank,
             domain: order.domain.clone(),
-            crossing: order.crossing,
+            patience: order.patience,
         }
     }
 
@@ -126,7 +133,7 @@
             last: now + self.last,
             rank: self.rank,
             domain: self.domain,
-            crossing: self.crossing,
+            patience: self.patience,
         }
     }
 }
@@ -170,7 +177,7 @@
                 // Whoever waited may have left meanwhile.
                 let _ = reply.map(|reply| reply.send(outcome));
             }
-            Frame::Load { cell, expected } => relay.peers.told_load(cell, expected),
+            Frame::Load { cell, waits } => relay.peers.told_load(cell, waits),
             other => common(&relay, &line.sender, other),
         }
     }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -14,8 +14,11 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Least time after which a refused request may come back.
-const RETRY_LEAST: Duration = Duration::from_millis(50);
+/// Time after which a request may come back that failed for a reason which passes soon.
+const RETRY_SOON: Duration = Duration::from_millis(200);
+/// Least time after which a request may come back that was refused for want of capacity. What waits
+/// then takes the runners some seconds; one that comes back sooner is refused once more.
+const RETRY_BUSY: Duration = Duration::from_millis(1_500);
 
 /// A request with all that was decided for it on arrival.
 #[derive(Clone, Debug)]
@@ -144,17 +147,17 @@
     }
     Err(Refusal::Overloaded {
         reason: "the stages cannot be done in time",
-        retry_after: (expected - left).max(RETRY_LEAST),
+        retry_after: (expected - left).max(RETRY_BUSY),
     })
 }
 
 /// Nothing of the request itself has run when its stages fail.
 fn overloaded(spoiled: &Spoiled) -> Refusal {
     let (reason, retry_after) = match spoiled {
-        Spoiled::Late => ("the stages took too long", RETRY_LEAST * 10),
-        Spoiled::InputGone => ("results of stages were lost", RETRY_LEAST),
-        Spoiled::Failed => ("runners of a stage failed", RETRY_LEAST * 4),
-        Spoiled::NoRunner => ("a stage has no runner", RETRY_LEAST * 10),
+        Spoiled::Late => ("the stages took too long", RETRY_BUSY),
+        Spoiled::InputGone => ("results of stages were lost", RETRY_SOON),
+        Spoiled::Failed => ("runners of a stage failed", RETRY_SOON),
+        Spoiled::NoRunner => ("a stage has no runner", RETRY_BUSY),
     };
     Refusal::Overloaded {
         reason,
--- a/crates/relay/tests/peer_orders.rs
+++ b/crates/relay/tests/peer_orders.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use common::{Act, End, Fake, blank, body, plan, request, runner};
+use relay::batch::Cell;
+use relay::downstream::Handle;
 use relay::member::Member;
 use relay::runner::Change;
 use relay::{Relay, peer};
@@ -160,3 +162,27 @@
     let owner = relay.peers.members(|members| members.owner("stage/0"));
     assert_eq!(owner.id, relay.options.member.id);
 }
+
+/// Another process takes over the calls of a cell while requests hold results there. It hears of
+/// them; it would have pieces made that find no room otherwise.
+#[tokio::test]
+async fn results_told_to_next_owner() {
+    let (asking, owner) = pair().await;
+    assert_eq!(serve(&asking).await.0, 200);
+    let cell = Cell {
+        service: "stage".into(),
+        index: 0,
+    };
+    let runner = runner("s-1", "stage");
+    let held: Vec<Handle> = (0..11)
+        .map(|n| format!("{}/{n}", runner.address).into())
+        .collect();
+    asking.relay.peers.hold(&cell, &held, 100);
+    asking
+        .relay
+        .peers
+        .members(|members| members.suspect(&owner.member));
+    assert_eq!(serve(&asking).await.0, 200);
+    // Room for one more result there, and all three pieces of the request fit elsewhere.
+    assert_eq!(asking.fake.carried()[0].runner, "s-2");
+}
--- a/crates/relay/tests/stage_pieces.rs
+++ b/crates/relay/tests/stage_pieces.rs
@@ -22,7 +22,7 @@
         last: now + Duration::from_secs(4),
         rank: 1,
         domain: None,
-        crossing: 0,
+        patience: Duration::ZERO,
     }
 }
 
