Late pieces are given up while the runners are busy; callers that come back are known as such

Now one that is late goes only while the queue is shorter than a call, and a retry, which shows by its shorter patience, does not pass for a fresh request.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -92,8 +92,13 @@
     fn push(&mut self, group: Group);
     /// Forgets a group whose request is gone.
     fn withdraw(&mut self, ticket: Ticket);
-    /// Removes and gives the groups that cannot be made by their last moment, where what waits
-    /// takes the runners `piece` for each piece.
+    /// Removes and gives the groups that are better given up: those that cannot be made by their
+    /// last moment, and those that are late while the runners are busy with more than a call's time
+    /// of others. What waits takes the runners `piece` for each piece.
+    ///
+    /// A late group goes behind all that can still be on time. As long as those come as fast as the
+    /// runners make them it would wait for its last moment, and its caller would learn then, with
+    /// no time left, what was plain seconds before.
     fn expire(&mut self, now: Duration, piece: Duration) -> Vec<Ticket>;
     /// Takes the pieces of a call that starts now at a runner of this failure domain with room for
     /// `room` bytes; none if there is no group as it needs.
@@ -182,12 +187,15 @@
 
     fn expire(&mut self, now: Duration, piece: Duration) -> Vec<Ticket> {
         self.sort(now);
-        let shortest = self.shortest();
+        let (call, shortest) = (self.shape.call, self.shortest());
         let mut ahead = 0;
         let mut useless = Vec::new();
         self.groups.retain(|group| {
-            let wait = (piece * ahead).div_f64(HOPE);
-            let keep = now + wait + shortest <= group.last;
+            let wait = piece * ahead;
+            let late = group.due < now + shortest;
+            let hopeless = now + wait.div_f64(HOPE) + shortest > group.last;
+            let crowded_out = late && wait > call;
+            let keep = !hopeless && !crowded_out;
             if keep {
                 ahead += group.pieces;
             } else {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -51,6 +51,8 @@
     pools: Mutex<Map<ServiceId, Pool>>,
     quotas: Mutex<Map<ServiceId, Quota>>,
     batchers: Mutex<Map<Cell, Arc<Batcher<D>>>>,
+    /// Longest time that a caller of each route has been ready to wait.
+    patience: Mutex<Map<String, Duration>>,
     rng: Mutex<SmallRng>,
 }
 
@@ -76,6 +78,7 @@
             pools: Mutex::default(),
             quotas: Mutex::default(),
             batchers: Mutex::default(),
+            patience: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
         })
     }
@@ -251,6 +254,21 @@
         cell(one)
     }
 
+    /// How long a caller has waited before it sent this attempt, as far as its patience tells: one
+    /// that comes back after a refusal has less left than others of the route.
+    ///
+    /// The time within which an answer is on time counts from the first attempt. Taken from the
+    /// second one, requests that are late already would go before those that can be on time.
+    pub fn waited_before(&self, route: &str, patience: Duration) -> Duration {
+        let mut longest = lock(&self.patience);
+        let Some(known) = longest.get_mut(route) else {
+            longest.insert(route.to_owned(), patience);
+            return Duration::ZERO;
+        };
+        *known = patience.max(*known);
+        *known - patience
+    }
+
     /// Works with the source of random choices.
     pub fn random<T>(&self, work: impl FnOnce(&mut SmallRng) -> T) -> T {
         work(&mut lock(&self.rng))
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -71,7 +71,9 @@
         };
         let draw = foldhash::fast::FixedState::default().hash_one(&*request.id);
         let service = route.service(draw).ok_or(Refusal::NoRoute)?.clone();
-        let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
+        let patience = request.patience.unwrap_or(route.timeout);
+        let before = self.waited_before(&route.name, patience);
+        let patience = patience.min(route.timeout);
         let rank = workspace.as_ref().and_then(|workspace| workspace.rank);
         Ok(Job {
             relay: self.clone(),
@@ -80,7 +82,9 @@
             service,
             rank: rank.unwrap_or(route.rank),
             workspace,
-            due: request.arrived + route.target,
+            due: (request.arrived + route.target)
+                .checked_sub(before)
+                .unwrap_or(request.arrived),
             deadline: request.arrived + patience,
             plan,
         })
--- a/crates/relay/tests/plan_rules.rs
+++ b/crates/relay/tests/plan_rules.rs
@@ -101,3 +101,15 @@
     assert_eq!(found.as_deref(), Some("safe"));
     assert!(plan.route("host", "/safe").is_none());
 }
+
+/// A caller comes back after a refusal with less time than others of its route. Its pieces go
+/// behind those of requests that can still be on time; it is late already, whatever is done.
+#[tokio::test(start_paused = true)]
+async fn comes_back() {
+    let relay = ready(Fake::default());
+    let whole = Duration::from_secs(4);
+    assert_eq!(relay.waited_before("staged", whole), Duration::ZERO);
+    let left = Duration::from_secs(3);
+    assert_eq!(relay.waited_before("staged", left), Duration::from_secs(1));
+    assert_eq!(relay.waited_before("other", left), Duration::ZERO);
+}
