--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -119,6 +119,9 @@
     /// Runners failed, and the budget of repeats is spent.
     #[snafu(display("runners failed"))]
     Failed,
+    /// The process that serves the request ends.
+    #[snafu(display("process ends"))]
+    Ending,
     /// No runner of the service takes work.
     #[snafu(display("no runner"))]
     NoRunner,
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -241,7 +241,8 @@
                 continue;
             };
             let at = waiting.todo.len().saturating_sub(portion.pieces as usize);
-            let pieces = waiting.todo.split_off(at);
+            let mut pieces = waiting.todo.split_off(at);
+            pieces.reverse();
             let items = pieces.iter().map(|&piece| waiting.item(piece, now));
             launch.items.extend(items);
             launch.portions.push((portion.ticket, pieces));
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -16,6 +16,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// What a relay is told at its start.
 #[derive(Clone, Debug)]
@@ -45,6 +46,8 @@
     pub telemetry: Telemetry,
     /// The other processes.
     pub peers: Peers,
+    /// Set shortly before the process ends: what no runner has by then is refused.
+    pub ending: CancellationToken,
     started: Instant,
     plan: RwLock<Option<Arc<Plan>>>,
     fleet: RwLock<Option<Fleet>>,
@@ -68,6 +71,7 @@
     pub fn new(options: Options, downstream: D, log: Logger, telemetry: Telemetry) -> Arc<Self> {
         Arc::new(Self {
             peers: Peers::new(options.member.clone(), options.key.clone()),
+            ending: CancellationToken::new(),
             options,
             downstream,
             log,
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -107,9 +107,6 @@
     pub fn reachable(&self) -> impl Iterator<Item = &Member> {
         let now = Instant::now();
         self.others.values().filter(move |member| {
-            if self.left.get(&member.id) == Some(&member.incarnation) {
-                return false;
-            }
             let suspect = self.suspects.get(&member.id);
             suspect.is_none_or(|(incarnation, until)| {
                 *incarnation != member.incarnation || *until <= now
@@ -117,11 +114,27 @@
         })
     }
 
+    fn leaves(&self, member: &Member) -> bool {
+        if member.id == self.own.id {
+            return self.leaving;
+        }
+        self.left.get(&member.id) == Some(&member.incarnation)
+    }
+
     /// The process that does a piece of work.
+    ///
+    /// One that stops does none as long as another can. Where all of them stop at once, they go on
+    /// to agree on one: each working for itself, they would get into one another's way just when
+    /// they have to be done.
     #[must_use]
     pub fn owner(&self, work: &str) -> Member {
-        let own = (!self.leaving).then_some(&self.own);
-        let members: Vec<&Member> = self.reachable().chain(own).collect();
+        let all: Vec<&Member> = self.reachable().chain([&self.own]).collect();
+        let staying: Vec<&Member> = all
+            .iter()
+            .copied()
+            .filter(|member| !self.leaves(member))
+            .collect();
+        let members = if staying.is_empty() { all } else { staying };
         let candidate = |member: &&'_ Member| (member.id.clone(), member.weight);
         let candidates: Vec<(MemberId, f64)> = members.iter().map(candidate).collect();
         let candidates: Vec<Candidate<'_>> = candidates
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -58,7 +58,7 @@
 
     /// Looks up what the configuration says of a request.
     fn plan_for(self: &Arc<Self>, request: &Arc<Request>) -> Result<Job<D>, Refusal> {
-        if !self.informed() {
+        if !self.informed() || self.ending.is_cancelled() {
             return Err(Refusal::NotReady);
         }
         let plan = self.plan().ok_or(Refusal::NotReady)?;
@@ -103,7 +103,12 @@
     }
 
     async fn make_inputs(&self, job: &Job<D>) -> Result<Inputs<D>, Refusal> {
-        let made = timeout_at(job.deadline, graph::run(job, Round::First)).await;
+        let making = timeout_at(job.deadline, graph::run(job, Round::First));
+        let made = tokio::select! {
+            made = making => made,
+            // Cut off with the process, the caller would not know that it has not run.
+            () = self.ending.cancelled() => Ok(Err(Spoiled::Ending)),
+        };
         let begun = job.request.arrived.elapsed();
         if !job.route.stages.is_empty() {
             info!(self.log, "stages"; "request" => &*job.request.id, "after_ms" => millis(begun));
@@ -161,6 +166,7 @@
         Spoiled::Late => ("the stages took too long", RETRY_BUSY),
         Spoiled::InputGone => ("results of stages were lost", RETRY_SOON),
         Spoiled::Failed => ("runners of a stage failed", RETRY_SOON),
+        Spoiled::Ending => ("the process ends", RETRY_SOON),
         Spoiled::NoRunner => ("a stage has no runner", RETRY_BUSY),
     };
     Refusal::Overloaded {
--- a/crates/relay/tests/peer_orders.rs
+++ b/crates/relay/tests/peer_orders.rs
@@ -186,3 +186,25 @@
     // Room for one more result there, and all three pieces of the request fit elsewhere.
     assert_eq!(asking.fake.carried()[0].runner, "s-2");
 }
+
+/// All processes are asked to stop at the same time. They still agree on one that forms the calls;
+/// each for itself, they would send the same runners four times the calls.
+#[tokio::test]
+async fn all_leave() {
+    let (asking, owner) = pair().await;
+    assert_eq!(serve(&asking).await.0, 200);
+    owner.relay.peers.leave(&owner.member);
+    asking.relay.peers.leave(&asking.member);
+    for (node, peer) in [(&asking, &owner), (&owner, &asking)] {
+        let left = (peer.member.id.clone(), peer.member.incarnation);
+        node.relay
+            .peers
+            .members(|members| members.left(left.0, left.1));
+    }
+    let chosen = [&asking, &owner].map(|node| {
+        node.relay
+            .peers
+            .members(|members| members.owner("stage/0").id)
+    });
+    assert_eq!(chosen[0], chosen[1]);
+}
--- a/crates/relay/tests/plan_rules.rs
+++ b/crates/relay/tests/plan_rules.rs
@@ -113,3 +113,21 @@
     assert_eq!(relay.waited_before("staged", left), Duration::from_secs(1));
     assert_eq!(relay.waited_before("other", left), Duration::ZERO);
 }
+
+/// The process is about to end while a request still waits for its stages. The caller hears that
+/// it has not run; a connection that is cut says nothing.
+#[tokio::test(start_paused = true)]
+async fn process_ends() {
+    let fake = Fake::default();
+    let relay = ready(fake.clone());
+    let waiting = tokio::spawn({
+        let relay = relay.clone();
+        async move { relay.serve(request("a", "staged")).await }
+    });
+    sleep(Duration::from_millis(50)).await;
+    relay.ending.cancel();
+    let answer = waiting.await.expect("no panic");
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+    assert!(fake.sent().is_empty());
+}
