--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,7 +10,7 @@
 use crate::serve::Job;
 use crate::splice;
 use bytes::{Bytes, BytesMut};
-use decide::route::{self, Affine, Router, affine};
+use decide::route::{self, Affine, Router, Target, affine};
 use futures::StreamExt;
 use slog::info;
 use std::sync::Arc;
@@ -66,6 +66,8 @@
     /// When the call was sent.
     pub sent: Instant,
     reading: f64,
+    /// Calls of this process that were at the runner when this one was sent.
+    others: u32,
     over: bool,
 }
 
@@ -74,9 +76,11 @@
         let now = job.relay.now();
         let prompt = job.request.prompt.as_ref();
         let reading = prompt.map_or(0.0, |prompt| affine::reading(prompt.own()));
-        job.relay.pool(&job.service, |pool| {
+        let others = job.relay.pool(&job.service, |pool| {
+            let others = pool.get(&runner.id).map_or(0, Target::in_flight);
             pool.sent(&runner.id, now);
             pool.reads(&runner.id, reading);
+            others
         });
         Self {
             relay: job.relay.clone(),
@@ -84,6 +88,7 @@
             runner,
             sent: Instant::now(),
             reading,
+            others,
             over: false,
         }
     }
@@ -318,6 +323,7 @@
     info!(job.relay.log, "call"; "request" => &*job.request.id,
         "runner" => &*flight.runner.id, "service" => &*job.service,
         "attempt" => progress.tried.len(), "left_ms" => millis(left),
+        "in_flight" => flight.others, "runners_age_ms" => job.relay.list_age().map(millis),
         "inputs" => inputs.leaves.len(), "took_ms" => millis(flight.sent.elapsed()),
         "outcome" => result.as_ref().map_or_else(ToString::to_string, |reply| reply.status.to_string()));
 }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -2,7 +2,7 @@
 
 use crate::batch::{Batcher, Cell};
 use crate::downstream::Downstream;
-use crate::member::Member;
+use crate::member::{Member, MemberId};
 use crate::peer::Peers;
 use crate::plan::{LAST_RANK, Plan, ServiceId};
 use crate::runner::{Change, DomainId, Fleet, Runner};
@@ -56,6 +56,8 @@
     batchers: Mutex<Map<Cell, Arc<Batcher<D>>>>,
     /// Longest time that a caller of each route has been ready to wait.
     patience: Mutex<Map<String, Duration>>,
+    /// When the list of runners was last known to be complete.
+    listed: Mutex<Option<Instant>>,
     rng: Mutex<SmallRng>,
 }
 
@@ -83,6 +85,7 @@
             quotas: Mutex::default(),
             batchers: Mutex::default(),
             patience: Mutex::default(),
+            listed: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
         })
     }
@@ -141,8 +144,21 @@
         fleet.as_ref().map(read)
     }
 
+    /// Age of what is known of the runners.
+    #[must_use]
+    pub fn list_age(&self) -> Option<Duration> {
+        lock(&self.listed).map(|listed| listed.elapsed())
+    }
+
+    /// The process that forms a cell's calls, as far as is known now.
+    #[must_use]
+    pub fn owner(&self, cell: &Cell) -> MemberId {
+        self.peers.members(|members| members.owner(&cell.name()).id)
+    }
+
     /// Takes in changes of the list of runners, the first of them even if there are none.
     pub fn update(&self, changes: Vec<Change>) {
+        *lock(&self.listed) = Some(Instant::now());
         let mut services = Vec::new();
         {
             let mut fleet = self.fleet.write().unwrap_or_else(PoisonError::into_inner);
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -4,12 +4,14 @@
 use crate::batch::{Cell, Order, Outcome, Spoiled};
 use crate::core::Relay;
 use crate::downstream::{Downstream, Handle, Source};
+use crate::follow::millis;
 use crate::peer;
 use crate::plan::Stage;
 use crate::runner::{DomainId, Fleet};
 use crate::serve::Job;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -41,6 +43,10 @@
 /// most, which leaves them half a call to wait.
 const JUST_IN_TIME: f64 = 1.5;
 
+/// Times of its own call that the pieces of each stage are given to be on time: the rest of the call
+/// that a runner is busy with, the call itself, and one more for those that are ahead.
+const CALLS_LEAST: u32 = 3;
+
 /// Results that a request holds at the runners that made them, and gives back in the end.
 #[derive(Debug)]
 pub struct Inputs<D: Downstream> {
@@ -183,7 +189,7 @@
         pieces: job.pieces(stage),
         source,
         result: spec.result,
-        due: job.due.checked_sub(behind).unwrap_or(job.request.arrived),
+        due: stage_due(job, stage, behind),
         last: job
             .deadline
             .checked_sub(behind)
@@ -192,10 +198,31 @@
         domain,
         patience,
     };
+    let asked = Instant::now();
+    let expected = job.waiting(stage);
     let outcome = peer::make(&job.relay, &cell, order).await;
+    info!(job.relay.log, "stage"; "request" => &*job.request.id, "stage" => stage,
+        "cell" => cell.name(), "owner" => &*job.relay.owner(&cell), "pieces" => job.pieces(stage),
+        "expected_ms" => millis(expected), "patience_ms" => millis(patience),
+        "took_ms" => millis(asked.elapsed()),
+        "outcome" => outcome.as_ref().map_or_else(ToString::to_string, |_| "made".to_owned()));
     (stage, cell, outcome)
 }
 
+/// Moment by which the pieces of a stage must be made for the request to be on time.
+///
+/// A prompt of tens of thousands of tokens takes longer than the aim of its route, whatever is done.
+/// Counted as late from the start, such requests would be the first to be given up in every burst,
+/// and hardly any of them would be served. They get about as much time here as the others.
+fn stage_due<D: Downstream>(job: &Job<D>, stage: usize, behind: Duration) -> Instant {
+    let arrived = job.request.arrived;
+    let due = job.due.checked_sub(behind).unwrap_or(arrived);
+    if job.comes_back {
+        return due;
+    }
+    due.max(Instant::now() + job.call_time(stage) * CALLS_LEAST)
+}
+
 /// Where the pieces of a stage are best made, and how long they wait for a runner there.
 ///
 /// Each piece fetches all inputs of its stage, so that a stage of many pieces belongs near its
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -37,6 +37,8 @@
     pub workspace: Option<Arc<Workspace>>,
     /// Its urgency.
     pub rank: Rank,
+    /// Whether its caller seems to have tried before.
+    pub comes_back: bool,
     /// By when its answer, or its first event, is on time.
     pub due: Instant,
     /// When it is given up.
@@ -82,6 +84,7 @@
             service,
             rank: rank.unwrap_or(route.rank),
             workspace,
+            comes_back: before > Duration::ZERO,
             due: (request.arrived + route.target)
                 .checked_sub(before)
                 .unwrap_or(request.arrived),
@@ -109,10 +112,6 @@
             // Cut off with the process, the caller would not know that it has not run.
             () = self.ending.cancelled() => Ok(Err(Spoiled::Ending)),
         };
-        let begun = job.request.arrived.elapsed();
-        if !job.route.stages.is_empty() {
-            info!(self.log, "stages"; "request" => &*job.request.id, "after_ms" => millis(begun));
-        }
         match made {
             Ok(Ok(inputs)) => Ok(inputs),
             Ok(Err(spoiled)) => Err(overloaded(&spoiled)),
@@ -151,6 +150,12 @@
 fn admit<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
     let expected = job.expected();
     let left = job.deadline.saturating_duration_since(Instant::now());
+    let on_time = job.due.saturating_duration_since(Instant::now());
+    info!(job.relay.log, "admission"; "request" => &*job.request.id,
+        "workspace" => job.workspace.as_ref().map(|workspace| workspace.name.to_string()),
+        "rank" => job.rank, "expected_ms" => millis(expected), "left_ms" => millis(left),
+        "on_time_ms" => millis(on_time), "configuration" => job.plan.version,
+        "runners_age_ms" => job.relay.list_age().map(millis), "admitted" => expected <= left);
     if expected <= left {
         return Ok(());
     }
