--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -98,7 +98,9 @@
     ///
     /// A late group goes behind all that can still be on time. As long as those come as fast as the
     /// runners make them it would wait for its last moment, and its caller would learn then, with
-    /// no time left, what was plain seconds before.
+    /// no time left, what was plain seconds before. This holds also for requests whose first stages
+    /// are made: kept for the sake of that work, their results lapse while they wait, and have to be
+    /// made again.
     fn expire(&mut self, now: Duration, piece: Duration) -> Vec<Ticket>;
     /// Takes the pieces of a call that starts now at a runner of this failure domain with room for
     /// `room` bytes; none if there is no group as it needs.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -26,6 +26,8 @@
 /// reads the prompt, and its answer begins only after that; a few megabytes take milliseconds, and
 /// the room that they take up bounds what the stages can do.
 const FETCHED: Duration = Duration::from_millis(60);
+/// Part of the connections that a runner bears that all processes together may leave open unused.
+const IDLE_PART: usize = 3;
 /// When a caller may come back whose request no runner took.
 const RETRY_FULL: Duration = Duration::from_millis(200);
 /// Parts of a stream that wait for a slow caller before its runner is read no further.
@@ -309,9 +311,21 @@
         inputs: inputs.leaves.clone(),
         resume_after,
         reuse: job.route.repeatable(),
+        idle: idle_connections(job),
     }
 }
 
+/// Connections to one runner that this process may leave open unused.
+///
+/// A runner resets connections beyond those that it bears, and a request that was just sent on one
+/// may have run as far as anybody can tell. Thirty processes that each keep a few open would take
+/// them all up.
+fn idle_connections<D: Downstream>(job: &Job<D>) -> usize {
+    let service = job.plan.services.get(&job.service);
+    let bearable = service.map_or(0, |service| service.connections as usize);
+    bearable / (job.relay.processes() * IDLE_PART)
+}
+
 fn log<D: Downstream, B>(
     job: &Job<D>,
     flight: &Flight<D>,
--- a/crates/relay/src/downstream.rs
+++ b/crates/relay/src/downstream.rs
@@ -34,6 +34,8 @@
     /// Whether an open connection may be used again. One that died unnoticed takes the request
     /// with it, and nobody can tell whether it has run: never for what may run once at most.
     pub reuse: bool,
+    /// Connections to the runner that may stay open unused.
+    pub idle: usize,
 }
 
 /// One piece of a stage.
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -96,6 +96,8 @@
 pub struct Service {
     /// Name.
     pub name: ServiceId,
+    /// Connections that one runner takes from all callers together.
+    pub connections: u32,
     /// How its runners take the pieces of stages, if they do.
     pub batches: Option<Batches>,
     /// How its runners generate, if they are model engines.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -16,9 +16,10 @@
 
 /// Time after which a request may come back that failed for a reason which passes soon.
 const RETRY_SOON: Duration = Duration::from_millis(200);
-/// Least time after which a request may come back that was refused for want of capacity. What waits
-/// then takes the runners some seconds; one that comes back sooner is refused once more.
-const RETRY_BUSY: Duration = Duration::from_millis(1_500);
+/// Part of the time that its caller has left after which a request may come back that was refused for
+/// want of capacity. Bursts last for seconds, and one that comes back sooner is refused once more;
+/// two thirds of the time are enough to be served.
+const RETRY_PART: u32 = 3;
 
 /// A request with all that was decided for it on arrival.
 #[derive(Clone, Debug)]
@@ -114,8 +115,8 @@
         };
         match made {
             Ok(Ok(inputs)) => Ok(inputs),
-            Ok(Err(spoiled)) => Err(overloaded(&spoiled)),
-            Err(_) => Err(overloaded(&Spoiled::Late)),
+            Ok(Err(spoiled)) => Err(overloaded(job, &spoiled)),
+            Err(_) => Err(overloaded(job, &Spoiled::Late)),
         }
     }
 
@@ -161,18 +162,23 @@
     }
     Err(Refusal::Overloaded {
         reason: "the stages cannot be done in time",
-        retry_after: (expected - left).max(RETRY_BUSY),
+        retry_after: retry_busy(job),
     })
 }
 
+fn retry_busy<D: Downstream>(job: &Job<D>) -> Duration {
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    (left / RETRY_PART).max(RETRY_SOON)
+}
+
 /// Nothing of the request itself has run when its stages fail.
-fn overloaded(spoiled: &Spoiled) -> Refusal {
+fn overloaded<D: Downstream>(job: &Job<D>, spoiled: &Spoiled) -> Refusal {
     let (reason, retry_after) = match spoiled {
-        Spoiled::Late => ("the stages took too long", RETRY_BUSY),
+        Spoiled::Late => ("the stages took too long", retry_busy(job)),
         Spoiled::InputGone => ("results of stages were lost", RETRY_SOON),
         Spoiled::Failed => ("runners of a stage failed", RETRY_SOON),
         Spoiled::Ending => ("the process ends", RETRY_SOON),
-        Spoiled::NoRunner => ("a stage has no runner", RETRY_BUSY),
+        Spoiled::NoRunner => ("a stage has no runner", retry_busy(job)),
     };
     Refusal::Overloaded {
         reason,
