Stages are due by the expected waits of those behind them

Cause: a tenth of the stage runners' time went into requests that were given up at a later stage, since the due time of the first stages counted the later ones as if nobody waited there. Ruled out: keeping such requests (tried before, dearer).

--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -27,7 +27,7 @@
 /// Bytes a second up to which it is worth waiting for a runner of the right failure domain. Links
 /// between failure domains are far dearer than those within; at this rate the results of a few
 /// megabytes wait for about a call.
-const CROSSING: f64 = 15e6;
+const CROSSING: f64 = 10e6;
 
 /// Whether the pieces of a request are asked for the first time. Repeats are paid for from the
 /// budget that the whole fleet shares.
@@ -182,6 +182,7 @@
         return (stage, cell, Err(Spoiled::Failed));
     }
     let behind = job.behind(stage);
+    let expected_behind = job.expected_behind(stage);
     let (domain, patience) = place(job, stage, &source);
     let order = Order {
         id: job.request.id.clone(),
@@ -189,7 +190,7 @@
         pieces: job.pieces(stage),
         source,
         result: spec.result,
-        due: stage_due(job, stage, behind),
+        due: stage_due(job, stage, expected_behind),
         last: job
             .deadline
             .checked_sub(behind)
