--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -25,7 +25,7 @@
 /// Time after which a runner that was sent a request has fetched its inputs. It does so before it
 /// reads the prompt, and its answer begins only after that; a few megabytes take milliseconds, and
 /// the room that they take up bounds what the stages can do.
-const FETCHED: Duration = Duration::from_millis(60);
+const FETCHED: Duration = Duration::from_millis(35);
 /// Part of the connections that a runner bears that all processes together may leave open unused.
 const IDLE_PART: usize = 3;
 /// When a caller may come back whose request no runner took.
--- a/crates/relay/src/batch/place.rs
+++ b/crates/relay/src/batch/place.rs
@@ -12,7 +12,7 @@
 const REST_FULL: Duration = Duration::from_millis(50);
 /// Pause before a runner gets work again that had no room for results. Those that it holds were
 /// asked for by another process, or are larger than the configuration says.
-const REST_ROOM: Duration = Duration::from_millis(150);
+const REST_ROOM: Duration = Duration::from_millis(60);
 /// Pause before a runner gets work again that failed; doubles with each failure.
 const REST_FAILED: Duration = Duration::from_millis(500);
 /// Failures after which the pause doubles no further.
