--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -292,7 +292,8 @@
 /// One group a call, in order of arrival: the baseline.
 #[derive(Clone, Debug)]
 pub struct Arrival {
-    inner: Slack,
+    shape: Shape,
+    groups: Vec<Group>,
 }
 
 impl Arrival {
@@ -300,31 +301,36 @@
     #[must_use]
     pub fn new(shape: Shape) -> Self {
         Self {
-            inner: Slack::new(shape),
+            shape,
+            groups: Vec::new(),
         }
     }
 }
 
 impl Former for Arrival {
     fn push(&mut self, group: Group) {
-        self.inner.push(group);
+        self.groups.push(group);
     }
 
     fn withdraw(&mut self, ticket: Ticket) {
-        self.inner.withdraw(ticket);
+        self.groups.retain(|group| group.ticket != ticket);
     }
 
     fn expire(&mut self, now: Duration, _piece: Duration) -> Vec<Ticket> {
-        self.inner.expire(now, Duration::ZERO)
+        let end = now + self.shape.call + self.shape.piece;
+        let useless = self.groups.iter().filter(|group| group.last < end);
+        let useless = useless.map(|group| group.ticket).collect();
+        self.groups.retain(|group| group.last >= end);
+        useless
     }
 
     fn take(&mut self, _now: Duration, room: u64, _domain: &str, _need: Need) -> Vec<Portion> {
-        let Some(first) = self.inner.groups.first_mut() else {
+        let Some(first) = self.groups.first_mut() else {
             return Vec::new();
         };
-        let portions = fill(std::iter::once(&*first), self.inner.shape.size, room);
+        let portions = fill(std::iter::once(&*first), self.shape.size, room);
         first.pieces -= portions.first().map_or(0, |portion| portion.pieces);
-        self.inner.groups.retain(|group| group.pieces > 0);
+        self.groups.retain(|group| group.pieces > 0);
         portions
     }
 
@@ -333,10 +339,10 @@
     }
 
     fn waiting(&self) -> u32 {
-        self.inner.waiting()
+        self.groups.iter().map(|group| group.pieces).sum()
     }
 
     fn ahead(&self, _now: Duration, _rank: u8) -> u32 {
-        self.inner.waiting()
+        self.waiting()
     }
 }
