Settings of a relay: spans as numbers, what a deployment does not tell has a default

Cause: by reading. A bound of 7.5 s would have rendered as 7.5000 and ended every process with findings, and a deployment without retry bounds left a hole in the file.

--- a/crates/record/src/shape.rs
+++ b/crates/record/src/shape.rs
@@ -30,6 +30,8 @@
     },
     /// A number from 0 to 1.
     Ratio,
+    /// A number of 0 or more.
+    Amount,
     /// `true` or `false`.
     Flag,
     /// One of a few words.
@@ -202,6 +204,10 @@
             value.as_f64().is_some_and(|n| (0.0..=1.0).contains(&n)),
             "a number from 0 to 1".to_owned(),
         ),
+        Shape::Amount => (
+            value.as_f64().is_some_and(|n| n >= 0.0 && n.is_finite()),
+            "a number of 0 or more".to_owned(),
+        ),
         Shape::Flag => (value.is_boolean(), "true or false".to_owned()),
         Shape::Word(words) => (
             text.is_some_and(|text| words.contains(&text)),
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -5,16 +5,6 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Bounds of the fixed number of repeats in a window.
-const SLACK: Shape = Shape::Count {
-    min: 0,
-    max: 1_000_000,
-};
-/// Bounds of spans, in milliseconds.
-const SPAN_MS: Shape = Shape::Count {
-    min: 100,
-    max: 3_600_000,
-};
 /// Bounds of the number of processes.
 const PROCESSES: Shape = Shape::Count {
     min: 1,
@@ -23,8 +13,8 @@
 
 const REPEATS: Shape = Shape::Object(&[
     Field::required("ratio", Shape::Ratio),
-    Field::required("slack", SLACK),
-    Field::required("window_ms", SPAN_MS),
+    Field::required("slack", Shape::Amount),
+    Field::required("window_s", Shape::Amount),
     Field::optional("processes", PROCESSES),
 ]);
 
@@ -36,10 +26,10 @@
     Field::required("metrics", Shape::Listen),
     Field::required("peers", Shape::Listen),
     Field::required("key", Shape::Text),
-    Field::optional("weight", Shape::Ratio),
+    Field::optional("weight", Shape::Amount),
     Field::required("store", Shape::Address),
-    Field::required("repeats", REPEATS),
-    Field::required("grace_ms", SPAN_MS),
+    Field::optional("repeats", REPEATS),
+    Field::optional("grace_s", Shape::Amount),
 ];
 
 /// Settings of a relay.
@@ -65,9 +55,11 @@
     /// The platform's table service.
     pub store: SocketAddr,
     /// Bound on second attempts of the whole fleet.
+    #[serde(default)]
     pub repeats: Repeats,
-    /// Time from the request to stop until the process is killed, in milliseconds.
-    pub grace_ms: u64,
+    /// Time from the request to stop until the process is killed, in seconds.
+    #[serde(default = "default_grace_s")]
+    pub grace_s: f64,
 }
 
 /// Bound on second attempts to one service in any window.
@@ -76,14 +68,31 @@
     /// Repeats for each first attempt.
     pub ratio: f64,
     /// Repeats besides, over the whole fleet.
-    pub slack: u64,
-    /// Length of the window in milliseconds.
-    pub window_ms: u64,
+    pub slack: f64,
+    /// Length of the window in seconds.
+    pub window_s: f64,
     /// Processes that share the bound, as far as they do not know of one another.
     #[serde(default = "default_processes")]
     pub processes: usize,
 }
 
+impl Default for Repeats {
+    /// A usual retry budget: a tenth of the requests, and a few for a quiet service.
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            slack: 20.0,
+            window_s: 10.0,
+            processes: default_processes(),
+        }
+    }
+}
+
+/// That of common process managers, where nobody tells.
+fn default_grace_s() -> f64 {
+    8.0
+}
+
 /// More than the usual number of entry VMs: a process that knows of no other takes a small part.
 fn default_processes() -> usize {
     8
