Cells by failure domain, and orders to the cell near their domain

Cause: results that cross failure domains were the dearest price of the grown deployments; a service with more than eight runners was cut into cells by name, so that half of the pieces went to a cell without a runner of their domain.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -39,18 +39,43 @@
 const CELL: usize = 8;
 
 impl Cell {
-    /// Cells of a service with this many runners.
+    /// The first cell of a service, which each has.
     #[must_use]
-    pub fn count(runners: usize) -> usize {
-        runners.div_ceil(CELL).max(1)
+    pub fn first(service: &ServiceId) -> Self {
+        Self {
+            service: service.clone(),
+            index: 0,
+        }
+    }
+
+    /// All cells of a service with these runners, each with the failure domains that are in it.
+    #[must_use]
+    pub fn all(service: &ServiceId, runners: &[Arc<Runner>]) -> Vec<(Self, Vec<DomainId>)> {
+        let count = runners.len().div_ceil(CELL).max(1);
+        let cells = (0..count).map(|index| Self {
+            service: service.clone(),
+            index,
+        });
+        cells
+            .map(|cell| {
+                let mut domains: Vec<DomainId> = cell
+                    .runners(runners)
+                    .into_iter()
+                    .map(|runner| runner.domain.clone())
+                    .collect();
+                domains.dedup();
+                (cell, domains)
+            })
+            .collect()
     }
 
     /// The part of a service's runners that is in the cell. All processes that know the same
-    /// runners form the same cells.
+    /// runners form the same cells, and those of one failure domain are mostly in one.
     fn runners(&self, runners: &[Arc<Runner>]) -> Vec<Arc<Runner>> {
         let mut sorted = runners.to_vec();
-        sorted.sort_by(|one, other| one.id.cmp(&other.id));
-        let (cells, all) = (Self::count(sorted.len()), sorted.len());
+        sorted.sort_by(|one, other| (&one.domain, &one.id).cmp(&(&other.domain, &other.id)));
+        let all = sorted.len();
+        let cells = all.div_ceil(CELL).max(1);
         let part = |index: usize| all * index / cells;
         let range = part(self.index).min(all)..part(self.index + 1).min(all);
         sorted.drain(range).collect()
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -254,24 +254,25 @@
             .clone()
     }
 
-    /// The cell that makes the pieces of one more request.
-    pub fn cell(&self, service: &ServiceId) -> Cell {
-        let runners = self.fleet(|fleet| fleet.of(service).len()).unwrap_or(0);
-        let cells = Cell::count(runners);
-        let cell = |index: usize| Cell {
-            service: service.clone(),
-            index,
+    /// The cell that makes the pieces of one more request, best in a failure domain, for which they
+    /// may wait `patience`.
+    pub fn cell(&self, service: &ServiceId, domain: Option<&str>, patience: Duration) -> Cell {
+        let runners = self.fleet(|fleet| fleet.of(service).to_vec());
+        let cells = Cell::all(service, &runners.unwrap_or_default());
+        let expected = |cell: &Cell| self.peers.expected(self, cell, LAST_RANK);
+        let cost = |(cell, domains): &(Cell, Vec<DomainId>)| {
+            let near = domain.is_none_or(|wanted| domains.iter().any(|there| **there == *wanted));
+            expected(cell) + if near { Duration::ZERO } else { patience }
         };
-        if cells == 1 {
-            return cell(0);
-        }
-        let (one, other) =
-            self.random(|rng| (rng.random_range(0..cells), rng.random_range(0..cells)));
-        let expected = |index: usize| self.peers.expected(self, &cell(index), LAST_RANK);
-        if expected(other) < expected(one) {
-            return cell(other);
-        }
-        cell(one)
+        // Two drawn at random, not the best of all: many processes that go by the same news would
+        // all go to the same cell. One near the wanted domain is always looked at.
+        let near = cells.iter().filter(|(_, domains)| {
+            domain.is_some_and(|wanted| domains.iter().any(|there| **there == *wanted))
+        });
+        let drawn = |_| self.random(|rng| rng.random_range(0..cells.len()));
+        let drawn = (0..2).map(drawn).map(|index| &cells[index]);
+        let chosen = drawn.chain(near).min_by_key(|cell| cost(cell));
+        chosen.map_or_else(|| Cell::first(service), |(cell, _)| cell.clone())
     }
 
     /// How long a caller has waited before it sent this attempt, as far as its patience tells: one
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -175,7 +175,8 @@
     round: Round,
 ) -> (usize, Cell, Outcome) {
     let spec = &job.route.stages[stage];
-    let cell = job.relay.cell(&spec.service);
+    let (domain, patience) = place(job, stage, &source);
+    let cell = job.relay.cell(&spec.service, domain.as_deref(), patience);
     if round == Round::First {
         job.relay.count_first(&spec.service, job.pieces(stage));
     } else if !job.relay.may_repeat(&spec.service) {
@@ -183,7 +184,6 @@
     }
     let behind = job.behind(stage);
     let expected_behind = job.expected_behind(stage);
-    let (domain, patience) = place(job, stage, &source);
     let order = Order {
         id: job.request.id.clone(),
         stage,
@@ -313,7 +313,8 @@
 
     /// Expected time until the pieces of a stage are made.
     fn waiting(&self, stage: usize) -> Duration {
-        let cell = self.relay.cell(&self.route.stages[stage].service);
+        let service = &self.route.stages[stage].service;
+        let cell = self.relay.cell(service, None, Duration::ZERO);
         self.relay.peers.expected(&self.relay, &cell, self.rank)
     }
 }
