--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -4,11 +4,11 @@
 
 use crate::answer::End;
 use crate::job::Job;
-use metric::{Bound, Registry};
+use metric::{Bound, Latency, Registry, latency};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
-use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::metrics::histogram::Histogram;
 use std::time::Duration;
 
 /// Workspaces with a label of their own; the rest share one. At 14 buckets, 4 classes and 256
@@ -18,19 +18,6 @@
 const CLASSES: usize = 4;
 /// Stages with a label of their own.
 const STAGES: usize = 128;
-/// Smallest latency bucket in seconds.
-const BUCKET_FIRST: f64 = 0.001;
-/// Ratio between neighbouring latency buckets.
-const BUCKET_FACTOR: f64 = 2.0;
-/// Number of latency buckets; the last ends at 8 s, twice the usual deadline.
-const BUCKETS: u16 = 14;
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct Request {
-    workspace: String,
-    class: String,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Ended {
     outcome: &'static str,
@@ -45,10 +32,8 @@
 /// Counters and histograms of an entry.
 #[derive(Debug)]
 pub struct Telemetry {
-    workspaces: Bound,
-    classes: Bound,
     stages: Bound,
-    latency: Family<Request, Histogram>,
+    latency: Latency,
     ended: Family<Ended, Counter>,
     attempts: Family<Attempted, Histogram>,
     refused: Counter,
@@ -58,30 +43,25 @@
     pub placement: placement::Placement,
 }
 
-fn histogram() -> Histogram {
-    Histogram::new(exponential_buckets(BUCKET_FIRST, BUCKET_FACTOR, BUCKETS))
-}
-
 impl Telemetry {
     /// Metrics registered under the names that the operators' page explains.
     pub fn new(registry: &mut Registry) -> Self {
         let telemetry = Self {
-            workspaces: Bound::new(WORKSPACES),
-            classes: Bound::new(CLASSES),
             stages: Bound::new(STAGES),
-            latency: Family::new_with_constructor(histogram),
+            latency: Latency::new(
+                registry,
+                "entry_request_seconds",
+                "Time from acceptance to the end of a request",
+                WORKSPACES,
+                CLASSES,
+            ),
             ended: Family::default(),
-            attempts: Family::new_with_constructor(histogram),
+            attempts: Family::new_with_constructor(latency::histogram),
             refused: Counter::default(),
             hedges: Counter::default(),
             dropped: Counter::default(),
             placement: placement::Placement::new(registry),
         };
-        registry.register(
-            "entry_request_seconds",
-            "Time from acceptance to the end of a request",
-            telemetry.latency.clone(),
-        );
         registry.register(
             "entry_requests",
             "Requests that ended, by outcome",
@@ -127,12 +107,8 @@
             End::Failed { .. } => "failed",
         };
         self.ended.get_or_create(&Ended { outcome }).inc();
-        let labels = Request {
-            workspace: self.workspaces.label(&job.workspace).to_owned(),
-            class: self.classes.label(&job.class).to_owned(),
-        };
-        let taken = job.accepted.elapsed().as_secs_f64();
-        self.latency.get_or_create(&labels).observe(taken);
+        let taken = job.accepted.elapsed();
+        self.latency.observe(&job.workspace, &job.class, taken);
     }
 
     /// Counts an attempt that has ended.
