--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -213,7 +213,7 @@
     let running = platform::run(settings, log.clone(), ready, signal::stop());
     let result = tokio::select! {
         result = running => result,
-        () = reloading => unreachable!("the process reloads until it ends"),
+        never = reloading => match never {},
     };
     result.map_err(|error| Error::Failed {
         reason: error.to_string(),
--- a/crates/ctl/src/signal.rs
+++ b/crates/ctl/src/signal.rs
@@ -1,5 +1,6 @@
 //! Signals that ask a process to stop or to read its settings again.
 
+use std::convert::Infallible;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Waits for SIGTERM or SIGINT.
@@ -13,16 +14,14 @@
     }
 }
 
-/// Calls `reload` at each SIGHUP, for as long as it is polled.
-pub async fn reload(reload: impl Fn()) {
-    match signal(SignalKind::hangup()) {
-        Ok(mut signals) => {
-            while signals.recv().await.is_some() {
-                reload();
-            }
+/// Calls `reload` at each SIGHUP; never ends.
+pub async fn reload(reload: impl Fn()) -> Infallible {
+    if let Ok(mut signals) = signal(SignalKind::hangup()) {
+        while signals.recv().await.is_some() {
+            reload();
         }
-        Err(_) => std::future::pending().await,
     }
+    std::future::pending().await
 }
 
 async fn received(kind: SignalKind) {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,13 +2,13 @@
 
 use crate::core::Relay;
 use crate::downstream::{Call, Downstream, Failure, NotRun, Reply};
-use crate::follow::millis;
 use crate::graph::{self, Inputs, Round};
 use crate::plan::ServiceId;
 use crate::request::{Answer, Body, EventId, Refusal};
 use crate::runner::{DomainId, Runner, RunnerId};
 use crate::serve::Job;
 use crate::splice;
+use crate::telemetry::millis;
 use bytes::{Bytes, BytesMut};
 use decide::route::{self, Affine, Router, Target, affine};
 use futures::StreamExt;
@@ -156,7 +156,7 @@
         let Ok((flight, reply)) = sent else {
             return Err(give_up(job, &progress));
         };
-        if job.streams() && is_success(reply.status) {
+        if job.streams() && reply.proven && is_success(reply.status) {
             return Ok(stream(job, inputs, flight, reply, progress));
         }
         if let Some(answer) = whole(job, flight, reply, &mut progress).await {
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -9,10 +9,10 @@
 
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle, Made, Source};
-use crate::follow::millis;
 use crate::plan::{Batches, LAST_RANK, Rank, ServiceId};
 use crate::request::RequestId;
 use crate::runner::{DomainId, Runner};
+use crate::telemetry::millis;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use snafu::Snafu;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -4,6 +4,7 @@
 use crate::downstream::Downstream;
 use crate::plan::Plan;
 use crate::runner::{Change, Runner, RunnerId};
+use crate::telemetry::millis;
 use decide::Map;
 use serde::de::StdError;
 use slog::{info, warn};
@@ -297,8 +298,3 @@
         (Instant::now() < until).then_some(until)
     }
 }
-
-/// Whole milliseconds, for the log.
-pub(crate) fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -5,7 +5,8 @@
 
 use crate::core::Relay;
 use crate::downstream::Downstream;
-use crate::follow::{Follower, Source, millis};
+use crate::follow::{Follower, Source};
+use crate::telemetry::millis;
 use decide::Map;
 use decide::owner::{Candidate, choose};
 use rand::Rng;
--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -6,10 +6,10 @@
 use crate::attempt::{self, Flight, Progress};
 use crate::downstream::{Downstream, Reply};
 use crate::event::Splitter;
-use crate::follow::millis;
 use crate::graph::Inputs;
 use crate::request::{Broken, EventId};
 use crate::serve::Job;
+use crate::telemetry::millis;
 use bytes::Bytes;
 use futures::StreamExt;
 use slog::info;
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -87,3 +87,8 @@
         self.pieces.inc_by(pieces as u64);
     }
 }
+
+/// Whole milliseconds, for the log.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/relay/tests/event_streams.rs
+++ b/crates/relay/tests/event_streams.rs
@@ -105,3 +105,19 @@
     assert_eq!(body(answer).await, (200, THREE.to_owned(), true));
     assert_eq!(fake.sent()[0].resume_after, Some(2));
 }
+
+/// A stream begins without the runner's proof that it is its own. It is nobody's answer, like any
+/// other without it.
+#[tokio::test(start_paused = true)]
+async fn without_proof() {
+    let forged = || Act::Answer {
+        status: 200,
+        proven: false,
+        body: ONE,
+    };
+    let (_, (status, text, _)) = serve("once", vec![forged()]).await;
+    assert_eq!(status, 502);
+    assert!(!text.contains("data"));
+    let (_, answer) = serve("stream", vec![forged(), stream(&[ONE], End::Whole)]).await;
+    assert_eq!(answer, (200, ONE.to_owned(), true));
+}
