Cells are formed only when the runners of a service change

Cause: since cells follow failure domains, each piece sorted all runners of its service once for each cell. Ruled out: pages of the list turned away by the store (tried, no change).

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -48,37 +48,30 @@
         }
     }
 
-    /// All cells of a service with these runners, each with the failure domains that are in it.
+    /// All cells of a service with these runners. All processes that know the same runners form the
+    /// same cells, and those of one failure domain are mostly in one.
     #[must_use]
-    pub fn all(service: &ServiceId, runners: &[Arc<Runner>]) -> Vec<(Self, Vec<DomainId>)> {
-        let count = runners.len().div_ceil(CELL).max(1);
-        let cells = (0..count).map(|index| Self {
-            service: service.clone(),
-            index,
-        });
-        cells
-            .map(|cell| {
-                let mut domains: Vec<DomainId> = cell
-                    .runners(runners)
-                    .into_iter()
-                    .map(|runner| runner.domain.clone())
-                    .collect();
-                domains.dedup();
-                (cell, domains)
-            })
-            .collect()
-    }
-
-    /// The part of a service's runners that is in the cell. All processes that know the same
-    /// runners form the same cells, and those of one failure domain are mostly in one.
-    fn runners(&self, runners: &[Arc<Runner>]) -> Vec<Arc<Runner>> {
+    pub fn all(service: &ServiceId, runners: &[Arc<Runner>]) -> Vec<Share> {
         let mut sorted = runners.to_vec();
         sorted.sort_by(|one, other| (&one.domain, &one.id).cmp(&(&other.domain, &other.id)));
-        let all = sorted.len();
-        let cells = all.div_ceil(CELL).max(1);
+        let (all, cells) = (sorted.len(), sorted.len().div_ceil(CELL).max(1));
         let part = |index: usize| all * index / cells;
-        let range = part(self.index).min(all)..part(self.index + 1).min(all);
-        sorted.drain(range).collect()
+        let share = |index: usize| {
+            let runners = sorted[part(index)..part(index + 1)].to_vec();
+            let mut domains: Vec<DomainId> =
+                runners.iter().map(|runner| runner.domain.clone()).collect();
+            domains.dedup();
+            let cell = Self {
+                service: service.clone(),
+                index,
+            };
+            Share {
+                cell,
+                runners,
+                domains,
+            }
+        };
+        (0..cells).map(share).collect()
     }
 
     /// The name by which its owner is chosen.
@@ -88,6 +81,25 @@
     }
 }
 
+/// A cell with its part of the service's runners.
+#[derive(Clone, Debug)]
+pub struct Share {
+    /// The cell.
+    pub cell: Cell,
+    /// Its runners.
+    pub runners: Vec<Arc<Runner>>,
+    /// Failure domains that they run in.
+    pub domains: Vec<DomainId>,
+}
+
+impl Share {
+    /// Whether one of its runners is in a failure domain.
+    #[must_use]
+    pub fn is_near(&self, domain: &str) -> bool {
+        self.domains.iter().any(|there| **there == *domain)
+    }
+}
+
 /// The pieces of one stage of one request.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -195,7 +207,9 @@
 
     /// Takes in which runners take work.
     pub fn refresh(&self, relay: &Relay<D>) {
-        let runners = relay.fleet(|fleet| self.cell.runners(fleet.of(&self.cell.service)));
+        let shares = relay.shares(&self.cell.service);
+        let share = shares.get(self.cell.index);
+        let runners = share.map(|share| share.runners.clone());
         lock(&self.state).refresh(runners.unwrap_or_default());
     }
 
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -1,6 +1,6 @@
 //! What the parts of the relay share.
 
-use crate::batch::{Batcher, Cell};
+use crate::batch::{Batcher, Cell, Share};
 use crate::downstream::Downstream;
 use crate::member::{Member, MemberId};
 use crate::peer::Peers;
@@ -56,6 +56,7 @@
     batchers: Mutex<Map<Cell, Arc<Batcher<D>>>>,
     /// Longest time that a caller of each route has been ready to wait.
     patience: Mutex<Map<String, Duration>>,
+    shares: Mutex<Map<ServiceId, Arc<Vec<Share>>>>,
     /// When the list of runners was last known to be complete.
     listed: Mutex<Option<Instant>>,
     rng: Mutex<SmallRng>,
@@ -85,6 +86,7 @@
             quotas: Mutex::default(),
             batchers: Mutex::default(),
             patience: Mutex::default(),
+            shares: Mutex::default(),
             listed: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
         })
@@ -167,6 +169,7 @@
                 self.update_one(fleet, change, &mut services);
             }
         }
+        lock(&self.shares).retain(|service, _| !services.contains(service));
         let batchers: Vec<_> = lock(&self.batchers)
             .iter()
             .filter(|(cell, _)| services.contains(&cell.service))
@@ -257,22 +260,33 @@
     /// The cell that makes the pieces of one more request, best in a failure domain, for which they
     /// may wait `patience`.
     pub fn cell(&self, service: &ServiceId, domain: Option<&str>, patience: Duration) -> Cell {
-        let runners = self.fleet(|fleet| fleet.of(service).to_vec());
-        let cells = Cell::all(service, &runners.unwrap_or_default());
-        let expected = |cell: &Cell| self.peers.expected(self, cell, LAST_RANK);
-        let cost = |(cell, domains): &(Cell, Vec<DomainId>)| {
-            let near = domain.is_none_or(|wanted| domains.iter().any(|there| **there == *wanted));
-            expected(cell) + if near { Duration::ZERO } else { patience }
+        let shares = self.shares(service);
+        let near = |share: &Share| domain.is_some_and(|wanted| share.is_near(wanted));
+        let cost = |share: &&Share| {
+            let away = domain.is_some() && !near(share);
+            let wait = if away { patience } else { Duration::ZERO };
+            self.peers.expected(self, &share.cell, LAST_RANK) + wait
         };
         // Two drawn at random, not the best of all: many processes that go by the same news would
-        // all go to the same cell. One near the wanted domain is always looked at.
-        let near = cells.iter().filter(|(_, domains)| {
-            domain.is_some_and(|wanted| domains.iter().any(|there| **there == *wanted))
-        });
-        let drawn = |_| self.random(|rng| rng.random_range(0..cells.len()));
-        let drawn = (0..2).map(drawn).map(|index| &cells[index]);
-        let chosen = drawn.chain(near).min_by_key(|cell| cost(cell));
-        chosen.map_or_else(|| Cell::first(service), |(cell, _)| cell.clone())
+        // all go to the same cell. One near the wanted domain is among them, if there is one.
+        let drawn = (0..2).map(|_| &shares[self.random(|rng| rng.random_range(0..shares.len()))]);
+        let offset = self.random(|rng| rng.random_range(0..shares.len()));
+        let turned = (0..shares.len()).map(|step| &shares[(offset + step) % shares.len()]);
+        let wanted = turned.filter(|share| near(share)).take(1);
+        let chosen = drawn.chain(wanted).min_by_key(cost);
+        chosen.map_or_else(|| Cell::first(service), |share| share.cell.clone())
+    }
+
+    /// The cells of a service, formed anew only when its runners change: at a thousand runners
+    /// sorting them for each piece took longer than all else.
+    pub fn shares(&self, service: &ServiceId) -> Arc<Vec<Share>> {
+        if let Some(shares) = lock(&self.shares).get(service) {
+            return shares.clone();
+        }
+        let runners = self.fleet(|fleet| fleet.of(service).to_vec());
+        let shares = Arc::new(Cell::all(service, &runners.unwrap_or_default()));
+        lock(&self.shares).insert(service.clone(), shares.clone());
+        shares
     }
 
     /// How long a caller has waited before it sent this attempt, as far as its patience tells: one
