--- /dev/null
+++ b/crates/relay/tests/common/feed.rs
@@ -0,0 +1,105 @@
+//! A feed that tells what a test gave it.
+
+use super::{plan, runner};
+use relay::follow::{Source, Unreadable};
+use relay::{Plan, Runner};
+use serde_json::Value;
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use store::{Change, Changes, Error, Feed, Miss, RowRevision};
+use tokio::time::sleep;
+
+/// What a fake feed does on one question.
+#[derive(Clone, Debug)]
+pub(crate) enum Told {
+    /// Tells these rows; no value means that the row is gone.
+    Rows(Vec<(&'static str, Option<Value>)>),
+    /// Fails after this time.
+    Away(Duration),
+    /// The history is gone.
+    Gap,
+}
+
+/// A feed that tells what it was given, question by question, and then nothing more.
+#[derive(Clone, Debug)]
+pub(crate) struct Script(Arc<Mutex<VecDeque<Told>>>);
+
+impl Script {
+    pub(crate) fn new(told: impl IntoIterator<Item = Told>) -> Self {
+        Self(Arc::new(Mutex::new(told.into_iter().collect())))
+    }
+
+    async fn next(&self, wait: Duration) -> Result<Changes, Miss> {
+        let told = self.0.lock().expect("no holder panics").pop_front();
+        match told {
+            None => {
+                sleep(wait).await;
+                Ok(Changes {
+                    rows: Vec::new(),
+                    revision: 9,
+                })
+            }
+            Some(Told::Gap) => Err(Miss::Gap),
+            Some(Told::Away(time)) => {
+                sleep(time).await;
+                let reason = "away".to_owned();
+                let error = Error::Unavailable {
+                    reason,
+                    retry_after: None,
+                };
+                Err(Miss::Failed { error })
+            }
+            Some(Told::Rows(rows)) => {
+                let change = |(key, value): (&str, Option<Value>)| Change {
+                    key: key.to_owned(),
+                    value,
+                };
+                let rows = rows.into_iter().map(change).collect();
+                Ok(Changes { rows, revision: 9 })
+            }
+        }
+    }
+}
+
+impl Feed for Script {
+    async fn list(&self, _table: &str) -> Result<Changes, Error> {
+        match self.next(Duration::from_secs(1)).await {
+            Ok(changes) => Ok(changes),
+            Err(Miss::Failed { error }) => Err(error),
+            Err(Miss::Gap) => panic!("a list has no gap"),
+        }
+    }
+
+    async fn changes(
+        &self,
+        _table: &str,
+        _after: RowRevision,
+        wait: Duration,
+    ) -> Result<Changes, Miss> {
+        self.next(wait).await
+    }
+}
+
+impl Source for Script {
+    const PLANS: &'static str = "plans";
+    const RUNNERS: &'static str = "runners";
+
+    fn plan(_key: &str, value: &Value) -> Result<Option<Plan>, Unreadable> {
+        let version = value.as_u64().ok_or_else(|| Unreadable {
+            reason: "no number".to_owned(),
+        })?;
+        Ok(Some(plan(version)))
+    }
+
+    fn runner(key: &str, value: &Value) -> Result<Runner, Unreadable> {
+        let service = value["service"].as_str();
+        let service = service.ok_or_else(|| Unreadable {
+            reason: "no service".to_owned(),
+        })?;
+        let mut runner = runner(key, service);
+        runner.started = value["started"].as_u64();
+        runner.leaving = value["leaving"].as_bool().unwrap_or(false);
+        Ok(runner)
+    }
+}
