--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Time, as a multiple of that of its work, by which a group goes behind others that are due as soon.
-/// In a burst not all can be on time, and more are if the small ones go first: over twelve played
+/// In a burst not all can be on time, and more are if the small ones go first: over twelve emulated
 /// days with bursts the worth of what was served rose by 0.02, of 0.44.
 const WORK: u32 = 6;
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -1,9 +1,7 @@
 //! Fakes at the relay's interfaces.
 #![allow(dead_code)]
 
-mod feed;
-
-pub(crate) use feed::{Script, Told};
+pub(crate) mod feed;
 
 use bytes::Bytes;
 use decide::retry::window::Bound;
--- a/crates/relay/tests/plan_rules.rs
+++ b/crates/relay/tests/plan_rules.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{Fake, Script, Told, blank, body, plan, ready, request, runner};
+use common::feed::{Script, Told};
+use common::{Fake, blank, body, plan, ready, request, runner};
 use relay::follow;
 use relay::runner::Change;
 use serde_json::json;
--- a/crates/relay/tests/runner_list.rs
+++ b/crates/relay/tests/runner_list.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{Fake, Script, Told, blank, entry};
+use common::feed::{Script, Told};
+use common::{Fake, blank, entry};
 use relay::{Relay, follow};
 use serde_json::json;
 use std::sync::Arc;
