A stage without runners refuses at once

Cause: found by reading. Pieces of a service whose runners are all gone waited until their request's deadline. Test no_runner failed first (4 s, now 0). Links that are lost are forgotten when new ones come.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -200,7 +200,13 @@
             let _ = reply.send(Err(Spoiled::NoRunner));
             return outcome;
         };
-        lock(&self.state).enqueue(relay, batches, order, reply);
+        let mut state = lock(&self.state);
+        if state.is_empty() {
+            let _ = reply.send(Err(Spoiled::NoRunner));
+            return outcome;
+        }
+        state.enqueue(relay, batches, order, reply);
+        drop(state);
         self.pump(relay);
         outcome
     }
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -66,6 +66,11 @@
 }
 
 impl State {
+    /// Whether the cell has no runner that takes work.
+    pub(super) fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
     /// Results are needed no more.
     pub(super) fn release(&mut self, address: SocketAddr, handle: &Handle, until: Instant) {
         let mut places = self.places.iter_mut();
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -134,7 +134,9 @@
 
     /// From now on this process is told of what is announced.
     pub(crate) fn listen(&self, voice: Sender<Frame>) {
-        lock(&self.voices).push(voice);
+        let mut voices = lock(&self.voices);
+        voices.retain(|voice| !voice.is_lost());
+        voices.push(voice);
     }
 
     /// Expected time until pieces of this rank that come now are made in a cell.
--- a/crates/relay/tests/stage_pieces.rs
+++ b/crates/relay/tests/stage_pieces.rs
@@ -234,3 +234,17 @@
         "{runners:?}"
     );
 }
+
+/// All runners of a stage are gone. The caller hears so at once; its pieces would wait for nobody
+/// until it has no time left to come back.
+#[tokio::test(start_paused = true)]
+async fn no_runner() {
+    let relay = ready(Fake::default());
+    let gone = ["s-1", "s-2"].map(|id| relay::runner::Change::Gone(id.into()));
+    relay.update(gone.into());
+    let begun = Instant::now();
+    let answer = relay.serve(request("a", "staged")).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+    assert_eq!(begun.elapsed(), Duration::ZERO);
+}
