--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -193,10 +193,7 @@
         order: Order,
     ) -> oneshot::Receiver<Outcome> {
         let (reply, outcome) = oneshot::channel();
-        let Some(batches) = relay
-            .plan()
-            .and_then(|plan| plan.batches(&self.cell.service))
-        else {
+        let Some(batches) = relay.batches(&self.cell.service) else {
             let _ = reply.send(Err(Spoiled::NoRunner));
             return outcome;
         };
@@ -225,9 +222,7 @@
     /// up room here all the same, of a size that is not known.
     pub fn release(&self, relay: &Relay<D>, handles: &[Handle]) {
         let mut state = lock(&self.state);
-        let keep = relay
-            .plan()
-            .and_then(|plan| plan.batches(&self.cell.service));
+        let keep = relay.batches(&self.cell.service);
         let until = Instant::now() + keep.map_or(Duration::ZERO, |batches| batches.keep);
         for handle in handles {
             if let Some(address) = relay.downstream.holder(handle) {
@@ -239,9 +234,7 @@
     /// Results that take up room and were made before this process formed the cell's calls.
     pub fn hold(&self, relay: &Relay<D>, results: &[(Handle, u64)]) {
         let mut state = lock(&self.state);
-        let keep = relay
-            .plan()
-            .and_then(|plan| plan.batches(&self.cell.service));
+        let keep = relay.batches(&self.cell.service);
         let until = Instant::now() + keep.map_or(Duration::ZERO, |batches| batches.keep);
         for (handle, bytes) in results {
             if let Some(address) = relay.downstream.holder(handle) {
@@ -257,10 +250,7 @@
 
     /// Starts calls as long as pieces wait and a runner is free.
     fn pump(self: &Arc<Self>, relay: &Arc<Relay<D>>) {
-        let Some(batches) = relay
-            .plan()
-            .and_then(|plan| plan.batches(&self.cell.service))
-        else {
+        let Some(batches) = relay.batches(&self.cell.service) else {
             return;
         };
         loop {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -4,7 +4,7 @@
 use crate::downstream::Downstream;
 use crate::member::{Member, MemberId};
 use crate::peer::Peers;
-use crate::plan::{LAST_RANK, Plan, ServiceId};
+use crate::plan::{Batches, LAST_RANK, Plan, ServiceId};
 use crate::runner::{Change, DomainId, Fleet, Runner};
 use crate::telemetry::Telemetry;
 use decide::Map;
@@ -280,13 +280,20 @@
     /// The cells of a service, formed anew only when its runners change: at a thousand runners
     /// sorting them for each piece took longer than all else.
     pub fn shares(&self, service: &ServiceId) -> Arc<Vec<Share>> {
-        if let Some(shares) = lock(&self.shares).get(service) {
-            return shares.clone();
-        }
-        let runners = self.fleet(|fleet| fleet.of(service).to_vec());
-        let shares = Arc::new(Cell::all(service, &runners.unwrap_or_default()));
-        lock(&self.shares).insert(service.clone(), shares.clone());
-        shares
+        // Under one lock: a list that is read before a change and kept after it would hold a runner
+        // that has left.
+        let mut shares = lock(&self.shares);
+        let form = || {
+            let runners = self.fleet(|fleet| fleet.of(service).to_vec());
+            Arc::new(Cell::all(service, &runners.unwrap_or_default()))
+        };
+        shares.entry(service.clone()).or_insert_with(form).clone()
+    }
+
+    /// How the service's runners take pieces by the configuration in force, if they do.
+    #[must_use]
+    pub fn batches(&self, service: &str) -> Option<Batches> {
+        self.plan()?.batches(service)
     }
 
     /// How long a caller has waited before it sent this attempt, as far as its patience tells: one
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -5,10 +5,11 @@
 use crate::core::Relay;
 use crate::downstream::{Downstream, Handle, Source};
 use crate::peer;
-use crate::plan::Stage;
+use crate::plan::Route;
 use crate::runner::{DomainId, Fleet};
 use crate::serve::Job;
 use crate::telemetry::millis;
+use decide::route::affine;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use slog::info;
@@ -20,9 +21,6 @@
 const RESTARTS: u32 = 1;
 /// Least time from the last stage to the first event that a request is given, whatever its prompt.
 const MODEL_LEAST: Duration = Duration::from_millis(60);
-/// Time that a model runner takes to read a token of the prompt, where nothing else runs: an
-/// engine that reads 25 tokens in a millisecond. Only the order of pieces depends on it.
-const TOKEN: Duration = Duration::from_micros(40);
 
 /// Bytes a second up to which it is worth waiting for a runner of the right failure domain. Links
 /// between failure domains are far dearer than those within; at this rate the results of a few
@@ -129,7 +127,7 @@
         job.relay.peers.hold(&cell, &handles, stages[stage].result);
         inputs.stages.push((stage, cell, handles.clone()));
         made[stage] = Some(handles);
-        let used = |before: usize| is_used(stages, &made, before);
+        let used = |before: usize| is_used(&job.route, &made, before);
         inputs.release(used);
     }
     let leaves = job.route.leaves().filter_map(|stage| made[stage].clone());
@@ -149,13 +147,9 @@
 }
 
 /// Whether the results of a stage have served: other stages follow it, and those are made.
-fn is_used(stages: &[Stage], made: &[Option<Vec<Handle>>], stage: usize) -> bool {
-    let mut next = (0..stages.len()).filter(|&next| stages[next].after.contains(&stage));
-    let mut followed = false;
-    next.all(|next| {
-        followed = true;
-        made[next].is_some()
-    }) && followed
+fn is_used(route: &Route, made: &[Option<Vec<Handle>>], stage: usize) -> bool {
+    let mut followers = route.followers(stage).peekable();
+    followers.peek().is_some() && followers.all(|next| made[next].is_some())
 }
 
 /// What the pieces of a stage are made from.
@@ -175,7 +169,8 @@
     round: Round,
 ) -> (usize, Cell, Outcome) {
     let spec = &job.route.stages[stage];
-    let (domain, patience) = place(job, stage, &source);
+    let (expected, expected_behind) = (job.waiting(stage), job.expected_behind(stage));
+    let (domain, patience) = place(job, stage, &source, expected + expected_behind);
     let cell = job.relay.cell(&spec.service, domain.as_deref(), patience);
     if round == Round::First {
         job.relay.count_first(&spec.service, job.pieces(stage));
@@ -183,7 +178,6 @@
         return (stage, cell, Err(Spoiled::Failed));
     }
     let behind = job.behind(stage);
-    let expected_behind = job.expected_behind(stage);
     let order = Order {
         id: job.request.id.clone(),
         stage,
@@ -200,7 +194,6 @@
         patience,
     };
     let asked = Instant::now();
-    let expected = job.waiting(stage);
     let outcome = peer::make(&job.relay, &cell, order).await;
     info!(job.relay.log, "stage"; "request" => &*job.request.id, "stage" => stage,
         "cell" => cell.name(), "owner" => &*job.relay.owner(&cell), "pieces" => job.pieces(stage),
@@ -233,6 +226,7 @@
     job: &Job<D>,
     stage: usize,
     source: &Source,
+    expected: Duration,
 ) -> (Option<DomainId>, Duration) {
     let spec = &job.route.stages[stage];
     let bytes = |stage: usize| job.route.stages[stage].result * u64::from(job.pieces(stage));
@@ -244,7 +238,7 @@
         _ => (attempt::likely_domain(job), given),
     };
     let left = job.due.saturating_duration_since(Instant::now());
-    let spare = left.saturating_sub(job.waiting(stage) + job.expected_behind(stage));
+    let spare = left.saturating_sub(expected);
     let worth = Duration::from_secs_f64(crossing as f64 / CROSSING);
     (domain, worth.min(spare / 2))
 }
@@ -265,8 +259,7 @@
 
     /// Least time from the end of a stage to the first event of the answer.
     fn behind(&self, stage: usize) -> Duration {
-        let follows = |&next: &usize| self.route.stages[next].after.contains(&stage);
-        let next = (stage + 1..self.route.stages.len()).filter(follows);
+        let next = self.route.followers(stage).filter(|&next| next > stage);
         next.map(|next| self.call_time(next) + self.behind(next))
             .max()
             .unwrap_or_else(|| self.model_time())
@@ -274,8 +267,7 @@
 
     /// Expected time from the end of a stage to the first event of the answer, waits included.
     fn expected_behind(&self, stage: usize) -> Duration {
-        let follows = |&next: &usize| self.route.stages[next].after.contains(&stage);
-        let next = (stage + 1..self.route.stages.len()).filter(follows);
+        let next = self.route.followers(stage).filter(|&next| next > stage);
         next.filter(|&next| self.pieces(next) > 0)
             .map(|next| self.waiting(next) + self.expected_behind(next))
             .max()
@@ -299,7 +291,7 @@
             .prompt
             .as_ref()
             .map_or(0, |prompt| prompt.input);
-        MODEL_LEAST + TOKEN * tokens
+        MODEL_LEAST + Duration::from_secs_f64(affine::reading(tokens))
     }
 
     /// Expected time until the answer begins, with what waits now before the first stages.
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -141,7 +141,7 @@
 
     /// Expected time until pieces of this rank that come now are made in a cell.
     pub fn expected<D: Downstream>(&self, relay: &Relay<D>, cell: &Cell, rank: Rank) -> Duration {
-        let batches = relay.plan().and_then(|plan| plan.batches(&cell.service));
+        let batches = relay.batches(&cell.service);
         let Some(batches) = batches else {
             return Duration::ZERO;
         };
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -111,7 +111,7 @@
             }
         }
         for cell in cells {
-            let Some(batches) = relay.plan().and_then(|plan| plan.batches(&cell.service)) else {
+            let Some(batches) = relay.batches(&cell.service) else {
                 continue;
             };
             if let Some(waits) = relay.batcher(cell).expected(relay, &batches) {
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -100,8 +100,6 @@
     pub connections: u32,
     /// How its runners take the pieces of stages, if they do.
     pub batches: Option<Batches>,
-    /// How its runners generate, if they are model engines.
-    pub engine: Option<Engine>,
 }
 
 /// How the runners of a stage service take pieces.
@@ -117,15 +115,6 @@
     pub keep: Duration,
 }
 
-/// How the runners of a model service generate.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Engine {
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Tokens that fit into its memory.
-    pub tokens: u64,
-}
-
 /// A workspace.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Workspace {
@@ -236,9 +225,14 @@
         }
     }
 
+    /// Stages that need the results of a stage.
+    pub fn followers(&self, stage: usize) -> impl Iterator<Item = usize> + '_ {
+        let follows = move |&next: &usize| self.stages[next].after.contains(&stage);
+        (0..self.stages.len()).filter(follows)
+    }
+
     /// Stages whose results the request itself needs: those that no other stage follows.
     pub fn leaves(&self) -> impl Iterator<Item = usize> + '_ {
-        let follows = |stage: usize| self.stages.iter().any(|next| next.after.contains(&stage));
-        (0..self.stages.len()).filter(move |&stage| !follows(stage))
+        (0..self.stages.len()).filter(|&stage| self.followers(stage).next().is_none())
     }
 }
