A process that paused asks for news before it serves; SIGHUP takes effect

Cause: a VM that is suspended, or a process that is stopped, goes by a list of runners and a configuration from before, while the question for changes waits up to four seconds more. The steady clock does not count a suspension, so that runners were told of time that no caller had left. SIGHUP only checked the file. Found on the way: the relay's line with its addresses and its log go to the same output from two threads and were written into one another ("ts":"{"role"...); the log line has the addresses now. Ruled out: timers alone; none is late after a suspension.

--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use tokio::runtime::{Builder, Runtime};
+use tokio::sync::watch;
 
 /// First lines of the help.
 const USAGE: &str = "\
@@ -17,7 +18,8 @@
 Serves one role with the settings of a file until SIGTERM or SIGINT asks it to stop; it then
 finishes what runs and exits with 0. Bad settings are all reported and end it with 2. Once it
 serves, it prints one line of JSON with its addresses. Logs go to standard error, those of a
-relay to standard output. Without SETTINGS the variable LINNETDRIFT_CONFIG names the file.";
+relay to standard output, where `started` has the addresses. Without SETTINGS the variable
+LINNETDRIFT_CONFIG names the file.";
 
 /// Roles that the first argument names.
 const ROLES: [&str; 3] = ["entry", "agent", "relay"];
@@ -199,17 +201,11 @@
 }
 
 async fn run_relay(settings: setting::Relay, path: String, log: Logger) -> Result<(), Error> {
-    let id = settings.id.clone();
-    let ready = |ready: platform::Ready| {
-        announce(&Ready {
-            role: "relay",
-            id,
-            listen: ready.listen,
-            news: None,
-            metrics: ready.metrics,
-        });
-    };
-    let reloading = signal::reload(|| reload(&path, &log));
+    // Its log goes to the same output and has the addresses: a line from here could end up in the
+    // middle of one from the thread that writes the log, and neither could be read.
+    let ready = |_: platform::Ready| {};
+    let (newest, settings) = watch::channel(settings);
+    let reloading = signal::reload(|| reload(&path, &newest, &log));
     let running = platform::run(settings, log.clone(), ready, signal::stop());
     let result = tokio::select! {
         result = running => result,
@@ -220,15 +216,13 @@
     })
 }
 
-/// Checks the settings after they may have changed. What a relay listens on and where it finds the
-/// platform hold until its next start; a file with findings is reported while it still serves.
-fn reload(path: &str, log: &Logger) {
+/// Reads the settings again after they may have changed. A file with findings is reported, and those
+/// in force stay.
+fn reload(path: &str, newest: &watch::Sender<setting::Relay>, log: &Logger) {
     let read = std::fs::read_to_string(path);
     let parsed = read.map(|text| setting::relay::parse(&text, path));
     match parsed {
-        Ok(Ok(_)) => {
-            info!(log, "reload"; "settings" => path, "outcome" => "in force at the next start");
-        }
+        Ok(Ok(settings)) => drop(newest.send_replace(settings)),
         Ok(Err(findings)) => warn!(log, "reload"; "settings" => path, "findings" => %findings),
         Err(error) => warn!(log, "reload"; "settings" => path, "error" => %error),
     }
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -5,14 +5,14 @@
 use crate::Error;
 use serde::Deserialize;
 use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 
 /// Name of the program that serves stand-ins.
 const DESK: &str = "linnetdrift";
-/// Name of the program that serves entries and agents.
+/// Name of the program that serves entries, agents and relays.
 const DAEMON: &str = "linnetdriftd";
 
 /// Line that a process prints once it serves.
@@ -49,6 +49,8 @@
     Continue,
     /// Asks it to stop gracefully.
     Terminate,
+    /// Asks it to read its settings again.
+    Reload,
 }
 
 impl Signal {
@@ -60,6 +62,7 @@
             Self::Stop => "STOP",
             Self::Continue => "CONT",
             Self::Terminate => "TERM",
+            Self::Reload => "HUP",
         }
     }
 }
@@ -145,6 +148,33 @@
         self.daemon("agent", &settings.id, settings)
     }
 
+    /// Starts a relay.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if it does not serve.
+    pub fn relay(&mut self, settings: &setting::Relay) -> Result<Ready, Error> {
+        self.daemon("relay", &settings.id, settings)
+    }
+
+    /// File with what a process has written.
+    #[must_use]
+    pub fn log(&self, name: &str) -> PathBuf {
+        self.directory.join(format!("{name}.log"))
+    }
+
+    /// Writes the settings of a process anew; it hears of them by a signal or at its next start.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if they cannot be written.
+    pub fn configure(&self, id: &str, settings: &impl serde::Serialize) -> Result<PathBuf, Error> {
+        let path = self.directory.join(format!("{id}.json"));
+        let text = serde_json::to_string_pretty(settings).map_err(failed(id))?;
+        std::fs::write(&path, text).map_err(failed(id))?;
+        Ok(path)
+    }
+
     /// Ends a process at once, as a machine that fails does.
     ///
     /// # Errors
@@ -221,30 +251,21 @@
         id: &str,
         settings: &impl serde::Serialize,
     ) -> Result<Ready, Error> {
-        let path = self.directory.join(format!("{id}.json"));
-        let text = serde_json::to_string_pretty(settings).map_err(failed(id))?;
-        std::fs::write(&path, text).map_err(failed(id))?;
-        let path = path.display().to_string();
+        let path = self.configure(id, settings)?.display().to_string();
         self.start(id, DAEMON, &[role, &path])
     }
 
     fn start(&mut self, name: &str, program: &str, arguments: &[&str]) -> Result<Ready, Error> {
-        let log = self.directory.join(format!("{name}.log"));
-        let log = File::create(log).map_err(failed(name))?;
+        let mut log = File::create(self.log(name)).map_err(failed(name))?;
         let mut child = Command::new(self.program(program))
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(log)
+            .stderr(log.try_clone().map_err(failed(name))?)
             .spawn()
             .map_err(failed(name))?;
-        let mut line = String::new();
-        if let Some(output) = child.stdout.take() {
-            BufReader::new(output)
-                .read_line(&mut line)
-                .map_err(failed(name))?;
-        }
-        let Ok(ready) = serde_json::from_str(&line) else {
+        let output = child.stdout.take().map(BufReader::new);
+        let Some(ready) = output.and_then(|output| until_ready(output, &mut log)) else {
             let status = child.wait().map_err(failed(name))?;
             return Err(Error::Failed {
                 reason: format!("{name} ended with {status} before it served"),
@@ -293,6 +314,23 @@
     }
 }
 
+/// Waits for the line that tells the addresses. A relay logs to the same output: all lines go to its
+/// log.
+fn until_ready(mut output: BufReader<ChildStdout>, log: &mut File) -> Option<Ready> {
+    let mut line = String::new();
+    while output.read_line(&mut line).ok()? > 0 {
+        log.write_all(line.as_bytes()).ok()?;
+        if let Ok(ready) = serde_json::from_str(&line) {
+            let mut log = log.try_clone().ok()?;
+            // Ends with the process, whose output ends then.
+            std::thread::spawn(move || std::io::copy(&mut output, &mut log));
+            return Some(ready);
+        }
+        line.clear();
+    }
+    None
+}
+
 fn unknown(name: &str) -> Error {
     Error::Failed {
         reason: format!("there is no process {name}"),
--- /dev/null
+++ b/crates/ctl/tests/relay_reload.rs
@@ -0,0 +1,73 @@
+//! Changed settings of a relay that serves.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use ctl::fleet::{Fleet, Signal};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// Longer than any step takes, however busy the machine is.
+const LONG: Duration = Duration::from_secs(60);
+
+fn free() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn settings() -> setting::Relay {
+    let text = format!(
+        r#"{{"id": "relay-1", "place": {{"region": "r", "domain": "a"}}, "listen": "127.0.0.1:0",
+        "ready": "127.0.0.1:0", "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0", "key": "k",
+        "store": "{}", "grace_s": 1.5}}"#,
+        free()
+    );
+    setting::relay::parse(&text, "test").unwrap()
+}
+
+/// Waits until a line with all of these stands in a log, and gives it.
+fn line(log: &Path, parts: &[&str]) -> String {
+    let end = Instant::now() + LONG;
+    loop {
+        let text = std::fs::read_to_string(log).unwrap();
+        let whole = |line: &&str| parts.iter().all(|part| line.contains(part));
+        if let Some(found) = text.lines().find(whole) {
+            return found.to_owned();
+        }
+        assert!(Instant::now() < end, "no line with {parts:?} in {text}");
+        sleep(Duration::from_millis(10));
+    }
+}
+
+/// The operator changes the bound on repeats and sends SIGHUP, then writes a file that makes no
+/// sense and sends it again. The process takes the first one into force and says so, reports the
+/// second one and goes on by the first; it must end by neither, and what listens elsewhere only at
+/// its next start is named.
+#[test]
+fn hangup() {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("relay_reload");
+    let programs = Path::new(env!("CARGO_BIN_EXE_linnetdriftd")).parent();
+    let mut fleet = Fleet::of(directory, programs.unwrap()).unwrap();
+    let mut settings = settings();
+    fleet.relay(&settings).unwrap();
+    let log = fleet.log("relay-1");
+    line(&log, &["\"started\""]);
+
+    settings.repeats.ratio = 0.375;
+    fleet.configure("relay-1", &settings).unwrap();
+    fleet.signal("relay-1", Signal::Reload).unwrap();
+    line(&log, &["\"reload\"", "0.375", "\"rest_needs_start\":false"]);
+
+    let path = fleet.configure("relay-1", &"rubbish").unwrap();
+    fleet.signal("relay-1", Signal::Reload).unwrap();
+    let found = line(&log, &["\"reload\"", "findings"]);
+    assert!(found.contains(path.to_str().unwrap()), "{found}");
+
+    settings.listen = free();
+    fleet.configure("relay-1", &settings).unwrap();
+    fleet.signal("relay-1", Signal::Reload).unwrap();
+    line(&log, &["\"reload\"", "\"rest_needs_start\":true"]);
+    fleet.stop().unwrap();
+    line(&log, &["\"stopped\"", "\"clean\":true"]);
+}
--- a/crates/decide/src/retry/window.rs
+++ b/crates/decide/src/retry/window.rs
@@ -62,6 +62,17 @@
         }
     }
 
+    /// The operator has changed the bound. Repeats so far go on to count, for a whole window from
+    /// now; first attempts so far do not, as the new bound may look back less far.
+    pub fn rebind(&mut self, now: Duration, bound: Bound) {
+        if bound == self.bound {
+            return;
+        }
+        let repeats = self.steps.iter().map(|step| step.repeats).sum();
+        *self = Self::new(bound);
+        self.step(now).repeats = repeats;
+    }
+
     /// First attempts were sent.
     pub fn first(&mut self, now: Duration, count: u32) {
         self.step(now).firsts += count;
--- a/crates/decide/tests/retry_storm.rs
+++ b/crates/decide/tests/retry_storm.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use decide::retry::eject::Ejection;
+use decide::retry::window::{Bound, Quota};
 use decide::retry::{Always, Budgeted, Failure, Retry, Share};
 use decide::route::{Pool, Target};
 use std::time::Duration;
@@ -103,3 +104,25 @@
     pool.readmit(Duration::from_secs(2));
     assert!(pool.get("r0").unwrap().ejected());
 }
+
+/// The operator lowers the bound in the middle of a storm. Repeats that were just sent must go on to
+/// count: with an empty window each change of the settings would grant the whole bound once more.
+#[test]
+fn bound_changed() {
+    let bound = |slack| Bound {
+        ratio: 0.0,
+        slack,
+        window: Duration::from_secs(10),
+    };
+    let mut quota = Quota::new(bound(8.0));
+    let granted = |quota: &mut Quota, at| {
+        let now = Duration::from_secs(at);
+        (0..20).filter(|_| quota.repeat(now, 1)).count()
+    };
+    assert_eq!(granted(&mut quota, 1), 8);
+    quota.rebind(Duration::from_secs(2), bound(10.0));
+    assert_eq!(granted(&mut quota, 2), 2);
+    quota.rebind(Duration::from_secs(3), bound(4.0));
+    assert_eq!(granted(&mut quota, 3), 0);
+    assert_eq!(granted(&mut quota, 30), 4, "the window is over");
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -177,7 +177,7 @@
     resume_after: Option<EventId>,
 ) -> Result<Sent<D>, ()> {
     loop {
-        let left = job.deadline.saturating_duration_since(Instant::now());
+        let left = job.left();
         if left < CALL_LEAST || !may_send(job, progress) {
             return Err(());
         }
@@ -289,7 +289,7 @@
 /// Failure domain of the runner that would be picked now. What is made for the request is best
 /// made there: results that cross failure domains cost far more than those that do not.
 pub fn likely_domain<D: Downstream>(job: &Job<D>) -> Option<DomainId> {
-    let left = job.deadline.saturating_duration_since(Instant::now());
+    let left = job.left();
     pick(job, &[], left).map(|runner| runner.domain.clone())
 }
 
@@ -414,7 +414,7 @@
 
 /// What the caller is told once no more runner is asked.
 fn give_up<D: Downstream>(job: &Job<D>, progress: &Progress) -> Refusal {
-    let left = job.deadline.saturating_duration_since(Instant::now());
+    let left = job.left();
     match &progress.last {
         _ if progress.ran == 0 => Refusal::Overloaded {
             reason: "no runner took it",
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -3,6 +3,7 @@
 use crate::batch::{Batcher, Cell, Share};
 use crate::downstream::Downstream;
 use crate::member::{Member, MemberId};
+use crate::pause::{Clock, Pause};
 use crate::peer::Peers;
 use crate::plan::{Batches, LAST_RANK, Plan, ServiceId};
 use crate::runner::{Change, DomainId, Fleet, Runner};
@@ -23,7 +24,7 @@
 pub struct Options {
     /// Failure domain that it runs in.
     pub domain: DomainId,
-    /// Bound on second attempts of the whole fleet.
+    /// Bound on second attempts of the whole fleet, until it is changed.
     pub repeats: Bound,
     /// Processes that share this bound, as far as they do not know of one another.
     pub processes: usize,
@@ -31,6 +32,8 @@
     pub member: Member,
     /// Shared key of the processes.
     pub key: wire::Key,
+    /// Clock that counts suspensions.
+    pub clock: Clock,
 }
 
 /// One process that takes requests and passes them on.
@@ -46,12 +49,15 @@
     pub telemetry: Telemetry,
     /// The other processes.
     pub peers: Peers,
+    /// Spans in which the process did not run.
+    pub(crate) pause: Pause,
     /// Set shortly before the process ends: what no runner has by then is refused.
     pub ending: CancellationToken,
     started: Instant,
     plan: RwLock<Option<Arc<Plan>>>,
     fleet: RwLock<Option<Fleet>>,
     pools: Mutex<Map<ServiceId, Pool>>,
+    repeats: Mutex<Bound>,
     quotas: Mutex<Map<ServiceId, Quota>>,
     batchers: Mutex<Map<Cell, Arc<Batcher<D>>>>,
     /// Longest time that a caller of each route has been ready to wait.
@@ -74,7 +80,9 @@
     pub fn new(options: Options, downstream: D, log: Logger, telemetry: Telemetry) -> Arc<Self> {
         Arc::new(Self {
             peers: Peers::new(options.member.clone(), options.key.clone()),
+            pause: Pause::new(options.clock),
             ending: CancellationToken::new(),
+            repeats: Mutex::new(options.repeats),
             options,
             downstream,
             log,
@@ -230,6 +238,15 @@
         self.quota(service, |quota| quota.repeat(now, processes))
     }
 
+    /// The operator has changed the bound on second attempts.
+    pub fn bound_repeats(&self, bound: Bound) {
+        *lock(&self.repeats) = bound;
+        let now = self.now();
+        for quota in lock(&self.quotas).values_mut() {
+            quota.rebind(now, bound);
+        }
+    }
+
     /// Processes that serve, this one included.
     #[must_use]
     pub fn processes(&self) -> usize {
@@ -237,10 +254,11 @@
     }
 
     fn quota<T>(&self, service: &ServiceId, work: impl FnOnce(&mut Quota) -> T) -> T {
+        let bound = *lock(&self.repeats);
         let mut quotas = lock(&self.quotas);
         let quota = quotas
             .entry(service.clone())
-            .or_insert_with(|| Quota::new(self.options.repeats));
+            .or_insert_with(|| Quota::new(bound));
         work(quota)
     }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -73,7 +73,7 @@
 
 /// Follows the configuration until the task is dropped.
 pub async fn plans<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
-    let mut follower = Follower::new(source, S::PLANS);
+    let mut follower = Follower::new(&relay, source, S::PLANS);
     loop {
         let changes = follower.next(&relay).await;
         for change in changes.rows {
@@ -99,7 +99,7 @@
 
 /// Follows the list of runners until the task is dropped.
 pub async fn runners<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
-    let mut follower = Follower::new(source, S::RUNNERS);
+    let mut follower = Follower::new(&relay, source, S::RUNNERS);
     let mut lapses = Lapses::default();
     loop {
         let changes = tokio::select! {
@@ -209,6 +209,8 @@
     whole: bool,
     /// Longest time that a question waits.
     wait: Duration,
+    /// Pauses of the process before the last question that was answered.
+    pauses: u64,
     /// When changes were told last, until the next question.
     told: Option<Instant>,
     lost: Option<Instant>,
@@ -217,8 +219,10 @@
 }
 
 impl<S: Source> Follower<S> {
-    pub(crate) fn new(source: S, table: &'static str) -> Self {
+    pub(crate) fn new<D: Downstream>(relay: &Relay<D>, source: S, table: &'static str) -> Self {
+        relay.pause.enroll();
         Self {
+            pauses: relay.pause.count(),
             source,
             table,
             after: None,
@@ -239,8 +243,17 @@
     /// The next changes, or the whole table at first and after a gap.
     pub(crate) async fn next<D: Downstream>(&mut self, relay: &Relay<D>) -> Changes {
         loop {
-            match self.ask().await {
+            let pauses = relay.pause.count();
+            // A question from before a pause may have been lost with its connection, and waits for
+            // seconds if nothing has changed; the next one is answered at once.
+            let answer = tokio::select! {
+                answer = self.ask(pauses) => answer,
+                () = relay.pause.beyond(pauses) => continue,
+            };
+            match answer {
                 Ok(changes) => {
+                    relay.pause.heard(self.pauses, pauses);
+                    self.pauses = pauses;
                     self.after = Some(changes.revision);
                     self.told = (!changes.rows.is_empty()).then(Instant::now);
                     self.regain(relay);
@@ -263,14 +276,17 @@
         }
     }
 
-    async fn ask(&mut self) -> Result<Changes, Miss> {
+    async fn ask(&mut self, pauses: u64) -> Result<Changes, Miss> {
         self.whole = self.after.is_none();
+        let paused = pauses > self.pauses;
         match self.after {
             Some(after) => {
-                if let Some(told) = self.told.take() {
+                if let Some(told) = self.told.take().filter(|_| !paused) {
                     sleep_until(told + GATHER).await;
                 }
-                let wait = if self.lost.is_some() {
+                let wait = if paused {
+                    Duration::ZERO
+                } else if self.lost.is_some() {
                     WAIT_LOST
                 } else {
                     self.wait
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`member`]: the processes of the system; [`peer`]: what they say to one another
 //! * [`attempt`]: a request and the runners it is sent to; [`splice`]: streams over several runners
 //! * [`event`]: where the events of a stream begin and end
+//! * [`pause`]: what is done after the process did not run for a while
 //! * [`telemetry`]: counters and histograms
 
 pub mod attempt;
@@ -21,6 +22,7 @@
 pub mod follow;
 pub mod graph;
 pub mod member;
+pub mod pause;
 pub mod peer;
 pub mod plan;
 pub mod request;
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -191,7 +191,7 @@
 
 /// Follows the rows of the other processes until the task is dropped.
 pub async fn follow<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
-    let mut follower = Follower::new(source, TABLE).waiting(WAIT);
+    let mut follower = Follower::new(&relay, source, TABLE).waiting(WAIT);
     loop {
         let changes = follower.next(&relay).await;
         relay.peers.members(|members| {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -44,12 +44,15 @@
     pub due: Instant,
     /// When it is given up.
     pub deadline: Instant,
+    /// Time that the steady clock had not counted when it arrived.
+    pub uncounted: Duration,
 }
 
 impl<D: Downstream> Relay<D> {
     /// Serves a request. Dropping the future gives it up.
     pub async fn serve(self: &Arc<Self>, request: Request) -> Answer {
         let request = Arc::new(request);
+        self.catch_up().await;
         match self.plan_for(&request) {
             Err(refusal) => self.refuse(&request, None, &refusal),
             Ok(job) => {
@@ -90,6 +93,7 @@
                 .checked_sub(before)
                 .unwrap_or(request.arrived),
             deadline: request.arrived + patience,
+            uncounted: self.pause.uncounted(),
             plan,
         })
     }
@@ -150,7 +154,7 @@
 /// Refuses a request that cannot be served in time before anything is spent on it.
 fn admit<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
     let expected = job.expected();
-    let left = job.deadline.saturating_duration_since(Instant::now());
+    let left = job.left();
     let on_time = job.due.saturating_duration_since(Instant::now());
     info!(job.relay.log, "admission"; "request" => &*job.request.id,
         "workspace" => job.workspace.as_ref().map(|workspace| workspace.name.to_string()),
@@ -167,8 +171,7 @@
 }
 
 fn retry_busy<D: Downstream>(job: &Job<D>) -> Duration {
-    let left = job.deadline.saturating_duration_since(Instant::now());
-    (left / RETRY_PART).max(RETRY_SOON)
+    (job.left() / RETRY_PART).max(RETRY_SOON)
 }
 
 /// Nothing of the request itself has run when its stages fail.
@@ -186,7 +189,16 @@
     }
 }
 
-impl<D> Job<D> {
+impl<D: Downstream> Job<D> {
+    /// Time that its caller still waits. A suspension counts for the caller, though not for the
+    /// steady clock: a runner would be given time that nobody waits.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.relay.look();
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left.saturating_sub(self.relay.pause.uncounted() - self.uncounted)
+    }
+
     /// Whether the request is answered by a stream of events.
     #[must_use]
     pub fn streams(&self) -> bool {
--- a/crates/relay/tests/common/feed.rs
+++ b/crates/relay/tests/common/feed.rs
@@ -17,6 +17,8 @@
     Rows(Vec<(&'static str, Option<Value>)>),
     /// Fails after this time.
     Away(Duration),
+    /// Has nothing to tell for as long as the question waits.
+    Quiet,
     /// The history is gone.
     Gap,
 }
@@ -33,7 +35,7 @@
     async fn next(&self, wait: Duration) -> Result<Changes, Miss> {
         let told = self.0.lock().expect("no holder panics").pop_front();
         match told {
-            None => {
+            None | Some(Told::Quiet) => {
                 sleep(wait).await;
                 Ok(Changes {
                     rows: Vec::new(),
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use relay::telemetry::Telemetry;
 use relay::{Downstream, Options, Plan, Relay, Request, Runner};
 use serde_json::{Value, json};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -337,6 +338,15 @@
     }
 }
 
+thread_local! {
+    /// What the clock shows that counts suspensions; each test has a thread of its own.
+    pub(crate) static SINCE_START: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+}
+
+fn since_start() -> Duration {
+    SINCE_START.get()
+}
+
 /// A relay that knows nothing yet.
 pub(crate) fn blank(fake: Fake) -> Arc<Relay<Fake>> {
     let member = Member {
@@ -361,6 +371,7 @@
         processes: 4,
         member,
         key: wire::Key::new("key"),
+        clock: since_start,
     };
     Relay::new(
         options,
