--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -19,6 +19,11 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+/// Difference of callers' patience that tells of an attempt before this one. Those of first attempts
+/// differ by some milliseconds, and nobody comes back sooner than this after a refusal: callers are
+/// told to wait longer.
+const WAITED_LEAST: Duration = Duration::from_millis(100);
+
 /// What a relay is told at its start.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -326,7 +331,9 @@
             return Duration::ZERO;
         };
         *known = patience.max(*known);
-        *known - patience
+        Some(*known - patience)
+            .filter(|waited| *waited >= WAITED_LEAST)
+            .unwrap_or_default()
     }
 
     /// Works with the source of random choices.
--- a/crates/relay/tests/plan_rules.rs
+++ b/crates/relay/tests/plan_rules.rs
@@ -115,6 +115,18 @@
     assert_eq!(relay.waited_before("other", left), Duration::ZERO);
 }
 
+/// Callers count the time that they have left to the millisecond, and one that has just connected has
+/// a few less than one that was connected. That is no second attempt: nearly all first ones would go
+/// behind the few that came with the longest time.
+#[tokio::test(start_paused = true)]
+async fn first_attempts_differ() {
+    let relay = ready(Fake::default());
+    let whole = Duration::from_secs(4);
+    relay.waited_before("staged", whole);
+    let connected = Duration::from_millis(3_994);
+    assert_eq!(relay.waited_before("staged", connected), Duration::ZERO);
+}
+
 /// The process is about to end while a request still waits for its stages. The caller hears that
 /// it has not run; a connection that is cut says nothing.
 #[tokio::test(start_paused = true)]
