Settings switch the relay's naive decisions on, for comparisons

policy.batches: one request a call in order of arrival; policy.admission: nobody refused before the last moment. Tests naive_calls and naive_admission show both beside what ships.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -5,6 +5,10 @@
 //! while every runner has a call in progress and are bound to a runner only when it is free:
 //! whatever arrives in between shares the next call.
 
+mod choice;
+
+pub use choice::Choice;
+
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +36,13 @@
     pub piece: Duration,
 }
 
+impl Shape {
+    /// Shortest time in which a call ends.
+    fn shortest(&self) -> Duration {
+        self.call + self.piece
+    }
+}
+
 /// The pieces of one stage of one request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Group {
@@ -172,16 +183,16 @@
 
     /// Puts the groups into the order in which they are taken.
     fn sort(&mut self, now: Duration) {
-        let end = now + self.shortest();
+        let end = now + self.shape.shortest();
         let work = self.shape.piece * WORK;
         let turn = |group: &Group| group.due + work * group.pieces;
         self.groups
             .sort_by_key(|group| (group.due < end, group.rank, turn(group)));
     }
 
-    /// Shortest time in which a call with one piece ends.
-    fn shortest(&self) -> Duration {
-        self.shape.call + self.shape.piece
+    /// Removes and gives only the groups that cannot be made by their last moment any more.
+    pub fn drop_past(&mut self, now: Duration) -> Vec<Ticket> {
+        past(&mut self.groups, self.shape, now)
     }
 }
 
@@ -196,7 +207,7 @@
 
     fn expire(&mut self, now: Duration, piece: Duration) -> Vec<Ticket> {
         self.sort(now);
-        let (call, shortest) = (self.shape.call, self.shortest());
+        let (call, shortest) = (self.shape.call, self.shape.shortest());
         let mut ahead = 0;
         let mut useless = Vec::new();
         self.groups.retain(|group| {
@@ -257,7 +268,7 @@
     }
 
     fn ahead(&self, now: Duration, rank: u8) -> u32 {
-        let end = now + self.shortest();
+        let end = now + self.shape.shortest();
         let before = |group: &&Group| group.due >= end && group.rank <= rank;
         let groups = self.groups.iter().filter(before);
         groups.map(|group| group.pieces).sum()
@@ -289,6 +300,15 @@
     portions
 }
 
+/// Removes and gives the groups that a call which starts now makes too late.
+fn past(groups: &mut Vec<Group>, shape: Shape, now: Duration) -> Vec<Ticket> {
+    let end = now + shape.shortest();
+    let useless = groups.iter().filter(|group| group.last < end);
+    let useless = useless.map(|group| group.ticket).collect();
+    groups.retain(|group| group.last >= end);
+    useless
+}
+
 /// One group a call, in order of arrival: the baseline.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -305,6 +325,11 @@
             groups: Vec::new(),
         }
     }
+
+    /// Takes over the shape that the configuration now gives.
+    pub fn reshape(&mut self, shape: Shape) {
+        self.shape = shape;
+    }
 }
 
 impl Former for Arrival {
@@ -317,11 +342,7 @@
     }
 
     fn expire(&mut self, now: Duration, _piece: Duration) -> Vec<Ticket> {
-        let end = now + self.shape.call + self.shape.piece;
-        let useless = self.groups.iter().filter(|group| group.last < end);
-        let useless = useless.map(|group| group.ticket).collect();
-        self.groups.retain(|group| group.last >= end);
-        useless
+        past(&mut self.groups, self.shape, now)
     }
 
     fn take(&mut self, _now: Duration, room: u64, _domain: &str, _need: Need) -> Vec<Portion> {
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -7,7 +7,8 @@
 use crate::plan::{Batches, Rank, ServiceId};
 use crate::runner::{Runner, RunnerId};
 use decide::Map;
-use decide::batch::{Former, Group, Need, Portion, Slack, Ticket};
+use decide::batch::{Choice, Former, Group, Need, Portion, Shape, Ticket};
+use setting::Policy;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,7 +26,7 @@
 
 #[derive(Debug, Default)]
 pub(super) struct State {
-    former: Option<Slack>,
+    former: Option<Choice>,
     waiting: Map<Ticket, Waiting>,
     places: Vec<Place>,
     next: Ticket,
@@ -35,6 +36,14 @@
     inflation: Inflation,
 }
 
+fn former(policy: setting::relay::Choice, shape: Shape) -> Choice {
+    match (policy.batches, policy.admission) {
+        (Policy::Shipped, Policy::Shipped) => Choice::shipped(shape),
+        (Policy::Shipped, Policy::Naive) => Choice::patient(shape),
+        (Policy::Naive, _) => Choice::naive(shape),
+    }
+}
+
 /// An order whose pieces are not all made.
 #[derive(Debug)]
 struct Waiting {
@@ -157,7 +166,9 @@
             reply,
         };
         let group = self.group(&waiting, ticket, relay);
-        let former = self.former.get_or_insert_with(|| Slack::new(batches.shape));
+        let policy = relay.options.policy;
+        let former = || former(policy, batches.shape);
+        let former = self.former.get_or_insert_with(former);
         former.reshape(batches.shape);
         former.push(group);
         self.waiting.insert(ticket, waiting);
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -37,6 +37,8 @@
     pub member: Member,
     /// Shared key of the processes.
     pub key: wire::Key,
+    /// Which decisions it takes.
+    pub policy: setting::relay::Choice,
     /// Clock that counts suspensions.
     pub clock: Clock,
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -8,6 +8,7 @@
 use crate::plan::{Kind, Plan, Rank, Route, ServiceId, Workspace};
 use crate::request::{Answer, Refusal, Request};
 use crate::telemetry::millis;
+use setting::Policy;
 use slog::info;
 use std::hash::BuildHasher;
 use std::sync::Arc;
@@ -155,13 +156,14 @@
 fn admit<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
     let expected = job.expected();
     let left = job.left();
+    let admitted = expected <= left || job.relay.options.policy.admission == Policy::Naive;
     let on_time = job.due.saturating_duration_since(Instant::now());
     info!(job.relay.log, "admission"; "request" => &*job.request.id,
         "workspace" => job.workspace.as_ref().map(|workspace| workspace.name.to_string()),
         "rank" => job.rank, "expected_ms" => millis(expected), "left_ms" => millis(left),
         "on_time_ms" => millis(on_time), "configuration" => job.plan.version,
-        "runners_age_ms" => job.relay.list_age().map(millis), "admitted" => expected <= left);
-    if expected <= left {
+        "runners_age_ms" => job.relay.list_age().map(millis), "admitted" => admitted);
+    if admitted {
         return Ok(());
     }
     Err(Refusal::Overloaded {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -349,19 +349,25 @@
 
 /// A relay that knows nothing yet.
 pub(crate) fn blank(fake: Fake) -> Arc<Relay<Fake>> {
-    let member = Member {
+    blank_as(fake, member())
+}
+
+fn member() -> Member {
+    Member {
         id: "relay-1".into(),
         incarnation: 1,
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         weight: 1.0,
-    };
-    blank_as(fake, member)
+    }
 }
 
 /// The same as one of several processes.
 pub(crate) fn blank_as(fake: Fake, member: Member) -> Arc<Relay<Fake>> {
-    let mut registry = metric::Registry::default();
-    let options = Options {
+    start(fake, options(member))
+}
+
+fn options(member: Member) -> Options {
+    Options {
         domain: "a".into(),
         repeats: Bound {
             ratio: 0.2,
@@ -371,8 +377,13 @@
         processes: 4,
         member,
         key: wire::Key::new("key"),
+        policy: setting::relay::Choice::default(),
         clock: since_start,
-    };
+    }
+}
+
+fn start(fake: Fake, options: Options) -> Arc<Relay<Fake>> {
+    let mut registry = metric::Registry::default();
     Relay::new(
         options,
         fake,
@@ -383,7 +394,19 @@
 
 /// A relay with [`plan`] in force and two runners of each service.
 pub(crate) fn ready(fake: Fake) -> Arc<Relay<Fake>> {
-    let relay = blank(fake);
+    informed(blank(fake))
+}
+
+/// The same with other decisions than those that ship.
+pub(crate) fn choosing(fake: Fake, policy: setting::relay::Choice) -> Arc<Relay<Fake>> {
+    let options = Options {
+        policy,
+        ..options(member())
+    };
+    informed(start(fake, options))
+}
+
+fn informed(relay: Arc<Relay<Fake>>) -> Arc<Relay<Fake>> {
     relay.adopt(plan(1));
     let runners = [
         ("p-1", "plain"),
--- a/crates/relay/tests/stage_pieces.rs
+++ b/crates/relay/tests/stage_pieces.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
-use common::{Act, End, Fake, body, inputs, ready, request, runner};
+use common::{Act, End, Fake, body, choosing, inputs, ready, request, runner};
 use relay::Relay;
 use relay::batch::{Cell, Order};
 use relay::downstream::{Failure, Handle, Made, NotRun, Source};
 use relay::runner::Change;
+use setting::Policy;
+use setting::relay::Choice;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -53,6 +55,54 @@
     assert_eq!(sizes, [2, 2, 4]);
 }
 
+/// The naive decisions, for comparison: each request has calls of its own, and nobody is refused
+/// before the last moment.
+#[tokio::test(start_paused = true)]
+async fn naive_calls() {
+    let fake = Fake::default();
+    let naive = Choice {
+        batches: Policy::Naive,
+        admission: Policy::Naive,
+    };
+    let relay = choosing(fake.clone(), naive);
+    let orders = ["a", "b", "c", "d"].map(|id| submit(&relay, order(id, 2)));
+    for outcome in futures::future::join_all(orders).await {
+        assert_eq!(outcome.map(|made| made.len()), Ok(2));
+    }
+    let sizes: Vec<usize> = fake.carried().iter().map(|call| call.items.len()).collect();
+    assert_eq!(sizes, [2, 2, 2, 2]);
+}
+
+/// Without admission a late request keeps its place in the queue until its last moment; with it, it
+/// hears at once that it is too late, while more than a call's worth waits that is not.
+#[tokio::test(start_paused = true)]
+async fn naive_admission() {
+    for (admission, given_up) in [(Policy::Shipped, true), (Policy::Naive, false)] {
+        let policy = Choice {
+            admission,
+            ..Choice::default()
+        };
+        let relay = choosing(Fake::default(), policy);
+        for number in 0..8 {
+            let order = Order {
+                due: Instant::now() + Duration::from_secs(3),
+                ..order(&format!("burst-{number}"), 4)
+            };
+            let relay = relay.clone();
+            tokio::spawn(async move { submit(&relay, order).await });
+        }
+        sleep(Duration::from_millis(10)).await;
+        let late = Order {
+            due: Instant::now(),
+            ..order("late", 1)
+        };
+        let begun = Instant::now();
+        let outcome = submit(&relay, late).await;
+        assert_eq!(outcome.is_err(), given_up);
+        assert_eq!(begun.elapsed() < Duration::from_millis(500), given_up);
+    }
+}
+
 /// A request with two stages: the pieces of the second are made from all results of the first, and
 /// the runner gets those of the second. With another request's or only some of them it would work
 /// on a drawing that is not the caller's.
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -1,7 +1,7 @@
 //! Settings of a relay.
 
 use crate::check::{self, Field, Findings, Shape};
-use crate::shared::{self, Place};
+use crate::shared::{self, Place, Policy};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -18,6 +18,11 @@
     Field::optional("processes", PROCESSES),
 ]);
 
+const POLICY: Shape = Shape::Object(&[
+    Field::optional("batches", shared::POLICY),
+    Field::optional("admission", shared::POLICY),
+]);
+
 const FIELDS: &[Field] = &[
     Field::required("id", Shape::Name),
     Field::required("place", shared::PLACE),
@@ -30,6 +35,7 @@
     Field::required("store", Shape::Address),
     Field::optional("repeats", REPEATS),
     Field::optional("grace_s", Shape::Amount),
+    Field::optional("policy", POLICY),
 ];
 
 /// Settings of a relay.
@@ -60,6 +66,21 @@
     /// Time from the request to stop until the process is killed, in seconds.
     #[serde(default = "default_grace_s")]
     pub grace_s: f64,
+    /// Which decisions it takes.
+    #[serde(default)]
+    pub policy: Choice,
+}
+
+/// Which decisions a relay takes, for comparisons.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Choice {
+    /// What goes into the calls of stages: shared by slack, or one request a call in order of
+    /// arrival.
+    #[serde(default)]
+    pub batches: Policy,
+    /// Who is refused: whoever cannot be served in time, or nobody before the deadline.
+    #[serde(default)]
+    pub admission: Policy,
 }
 
 /// Bound on second attempts to one service in any window.
