--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -200,6 +200,13 @@
         process.signal(signal).map_err(failed(name))
     }
 
+    /// Where a process serves that was started here and has not been seen to end.
+    #[must_use]
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        let process = self.processes.iter().find(|process| process.name == name)?;
+        Some(process.ready.listen)
+    }
+
     /// Whether a process was started here and has not been seen to end.
     #[must_use]
     pub fn has(&self, name: &str) -> bool {
--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -7,11 +7,13 @@
 use crate::torture::operators::{self, Ledger};
 use crate::torture::probe::until;
 use crate::torture::record::{ASSISTANT, LABEL, POOLS, REPORT};
+use crate::torture::relays;
 use crate::torture::runner::Plan;
 use crate::torture::tally::{self, Log, Tally};
 use crate::torture::world::World;
 use crate::{Common, Error, output};
 use getopts::{Matches, Options};
+use serde::Serialize;
 use serde_json::json;
 use standin::log::Ended;
 use std::path::PathBuf;
@@ -77,9 +79,13 @@
     },
 ];
 
-/// Soaks both deployments.
+/// Name of the soak of relays, beside those of the deployments.
+const RELAYS: &str = "relays";
+
+/// Soaks the deployments.
 #[derive(Debug)]
 pub struct Torture {
+    only: Option<String>,
     seed: u64,
     time: Duration,
     logs: Option<PathBuf>,
@@ -94,7 +100,18 @@
 
     fn declare(options: &mut Options) {
         options.optopt("", "seed", "seed of demand and faults", "N");
-        options.optopt("", "seconds", "time under faults, both deployments", "S");
+        options.optopt(
+            "",
+            "seconds",
+            "time under faults, over all that is soaked",
+            "S",
+        );
+        options.optopt(
+            "",
+            "only",
+            "harness, proofreading or relays; all if not given",
+            "NAME",
+        );
         options.optopt("", "logs", "directory for settings and logs", "DIR");
     }
 
@@ -110,7 +127,15 @@
             let message = format!("--seconds {seconds}: expected 1 to {MOST}");
             return Err(Error::usage(message));
         }
+        let only = matches.opt_str("only");
+        let known =
+            |name: &String| name == RELAYS || DEPLOYMENTS.iter().any(|one| one.name == name);
+        if let Some(name) = only.as_ref().filter(|name| !known(name)) {
+            let message = format!("--only {name}: expected harness, proofreading or relays");
+            return Err(Error::usage(message));
+        }
         Ok(Self {
+            only,
             seed: number("seed", 1)?,
             time: Duration::from_secs(seconds),
             logs: matches.opt_str("logs").map(PathBuf::from),
@@ -120,20 +145,31 @@
     async fn run(self, _common: &Common) -> Result<(), Error> {
         let own = std::env::temp_dir().join(format!("linnetdrift-torture-{}", std::process::id()));
         let logs = self.logs.unwrap_or(own);
-        let time = self.time / DEPLOYMENTS.len() as u32;
+        let wanted = |name: &str| self.only.as_ref().is_none_or(|only| only == name);
+        let share = if self.only.is_some() {
+            1
+        } else {
+            DEPLOYMENTS.len() + 1
+        };
+        let time = self.time / share as u32;
         let mut clean = true;
-        for (number, deployment) in (0..).zip(&DEPLOYMENTS) {
+        if wanted(RELAYS) {
+            let verdict = relays::soak(self.seed, time, logs.join(RELAYS), programs()?).await?;
+            clean &= verdict.is_clean();
+            report(RELAYS, self.seed, time, &verdict.counts, &verdict.trails)?;
+        }
+        let deployments = (0..).zip(&DEPLOYMENTS);
+        for (number, deployment) in deployments.filter(|(_, one)| wanted(one.name)) {
             let seed = self.seed.wrapping_mul(DEPLOYMENTS.len() as u64) + number;
             let tally = soak(deployment, seed, time, logs.join(deployment.name)).await?;
-            for trail in tally.trails.iter().take(TRAILS) {
-                eprintln!("{trail}");
-            }
             clean &= tally.is_clean();
-            let counts = serde_json::to_value(&tally.counts).unwrap_or_default();
-            output::line(json!({
-                "deployment": deployment.name, "seed": self.seed, "seconds": time.as_secs_f64(),
-                "counts": counts,
-            }))?;
+            report(
+                deployment.name,
+                self.seed,
+                time,
+                &tally.counts,
+                &tally.trails,
+            )?;
         }
         match clean {
             true => Ok(()),
@@ -147,16 +183,37 @@
     }
 }
 
+fn report(
+    name: &str,
+    seed: u64,
+    time: Duration,
+    counts: &impl Serialize,
+    trails: &[String],
+) -> Result<(), Error> {
+    for trail in trails.iter().take(TRAILS) {
+        eprintln!("{trail}");
+    }
+    let counts = serde_json::to_value(counts).unwrap_or_default();
+    output::line(json!({
+        "deployment": name, "seed": seed, "seconds": time.as_secs_f64(), "counts": counts,
+    }))
+}
+
+/// Directory of the programs.
+fn programs() -> Result<PathBuf, Error> {
+    let own = std::env::current_exe().map_err(|error| Error::Failed {
+        reason: error.to_string(),
+    })?;
+    Ok(own.parent().map(PathBuf::from).unwrap_or_default())
+}
+
 async fn soak(
     deployment: &Deployment,
     seed: u64,
     time: Duration,
     logs: PathBuf,
 ) -> Result<Tally, Error> {
-    let programs = std::env::current_exe().map_err(|error| Error::Failed {
-        reason: error.to_string(),
-    })?;
-    let programs = programs.parent().map(PathBuf::from).unwrap_or_default();
+    let programs = programs()?;
     let world = Arc::new(World::default());
     let mut bench = start(deployment, &world, logs, programs).await?;
     let ledger = Arc::new(Ledger::default());
--- a/crates/ctl/src/torture/mod.rs
+++ b/crates/ctl/src/torture/mod.rs
@@ -7,6 +7,7 @@
 //! * [`caller`] and [`stream`]: a caller that keeps asking until it has a final word
 //! * [`command`]: the soak, from [`demand`], [`fault`]s and [`operators`] of a seed
 //! * [`world`]: what these share; [`tally`]: what came of it
+//! * [`relays`]: the soak of relays before stand-ins of the users' platform
 
 pub mod bench;
 pub mod caller;
@@ -17,6 +18,7 @@
 pub mod probe;
 pub mod record;
 pub mod relay;
+pub mod relays;
 pub mod runner;
 pub mod stream;
 pub mod tally;
--- a/crates/ctl/src/torture/relay.rs
+++ b/crates/ctl/src/torture/relay.rs
@@ -21,6 +21,10 @@
     Delay(Duration),
     /// Keeps connections open and passes nothing on, as a cut without a reset does.
     Freeze,
+    /// Keeps connections open and passes on only what callers send.
+    NoAnswers,
+    /// Keeps connections open and passes on only what comes back.
+    NoCalls,
     /// Closes all connections, new ones at once.
     Cut,
 }
@@ -87,13 +91,19 @@
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     tokio::join!(
-        pump(near_read, far_write, mode.clone()),
-        pump(far_read, near_write, mode),
+        pump(near_read, far_write, mode.clone(), Mode::NoCalls),
+        pump(far_read, near_write, mode, Mode::NoAnswers),
     );
 }
 
-/// Passes one direction on; an end of it is passed on too, and the other direction goes on.
-async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut mode: watch::Receiver<Mode>) {
+/// Passes one direction on, which `held` holds up; an end of it is passed on too, and the other
+/// direction goes on.
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut mode: watch::Receiver<Mode>,
+    held: Mode,
+) {
     let mut buffer = vec![0; BUFFER];
     let mut cut = mode.clone();
     loop {
@@ -103,7 +113,7 @@
         };
         let Ok(count) = read else { return };
         let Ok(now) = mode
-            .wait_for(|mode| *mode != Mode::Freeze)
+            .wait_for(|mode| *mode != Mode::Freeze && *mode != held)
             .await
             .map(|now| *now)
         else {
@@ -112,7 +122,7 @@
         match now {
             Mode::Cut => return,
             Mode::Delay(time) => tokio::time::sleep(time).await,
-            Mode::Pass | Mode::Freeze => {}
+            Mode::Pass | Mode::Freeze | Mode::NoAnswers | Mode::NoCalls => {}
         }
         if count == 0 {
             let _ = to.shutdown().await;
--- /dev/null
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -0,0 +1,244 @@
+//! The processes and the stand-ins of a soak of relays.
+
+use crate::Error;
+use crate::fleet::Fleet;
+use crate::torture::probe::{failed, until};
+use crate::torture::relay::Relay;
+use crate::torture::world::World;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
+use stub::config::{self, MODEL, PLAIN, STAGE};
+use stub::runner::{Log, Runner};
+use stub::store::{Entry, Store};
+use stub::{Micros, now};
+
+/// Relays of a soak.
+const RELAYS: usize = 4;
+/// Failure domains, in which runners and relays are spread.
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Runners of each service.
+const RUNNERS: [(&str, usize); 3] = [(PLAIN, 3), (MODEL, 4), (STAGE, 3)];
+/// Time from the request to stop until a process is taken to hang, in seconds.
+pub const GRACE_S: f64 = 8.0;
+
+/// A key, and from when until when it was in force, as far as the operator was told.
+#[derive(Clone, Debug)]
+pub struct Key {
+    /// The key.
+    pub text: String,
+    /// When it was accepted.
+    pub from: Micros,
+    /// When its end was accepted.
+    pub until: Option<Micros>,
+}
+
+/// Keys of all versions of the configuration.
+pub type Keys = Arc<Mutex<Vec<Key>>>;
+
+/// A runner behind a connection that can be disturbed.
+#[derive(Debug)]
+pub struct Target {
+    /// Its name.
+    pub id: String,
+    /// Its service.
+    pub service: &'static str,
+    /// Its failure domain.
+    pub domain: &'static str,
+    /// The runner.
+    pub runner: Runner,
+    /// What callers connect to.
+    pub door: Relay,
+    /// Unix millisecond of its start.
+    pub started: u64,
+}
+
+/// Everything of one soak.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The relays.
+    pub fleet: Fleet,
+    /// The table service.
+    pub store: Store,
+    /// Settings of each relay, and its connection to the table service.
+    pub relays: Vec<(setting::Relay, Relay)>,
+    /// The runners.
+    pub targets: Vec<Target>,
+    /// What runners ran.
+    pub log: Log,
+    /// Keys so far.
+    pub keys: Keys,
+    version: u64,
+}
+
+impl Cluster {
+    /// Starts all of it.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if something does not start.
+    pub async fn start(logs: PathBuf, programs: PathBuf, world: &World) -> Result<Self, Error> {
+        let mut cluster = Self {
+            fleet: Fleet::of(logs, programs)?,
+            store: Store::start().await.map_err(|error| system(&error))?,
+            relays: Vec::new(),
+            targets: Vec::new(),
+            log: Log::default(),
+            keys: Keys::default(),
+            version: 0,
+        };
+        cluster.configure();
+        for (service, count) in RUNNERS {
+            for number in 0..count {
+                cluster.target(service, number).await?;
+            }
+        }
+        for number in 0..RELAYS {
+            let door = Relay::start(cluster.store.address())
+                .await
+                .map_err(|error| system(&error))?;
+            let settings = settings(number, door.address())?;
+            cluster.relays.push((settings, door));
+            cluster.relay(number, world)?;
+        }
+        Ok(cluster)
+    }
+
+    async fn target(&mut self, service: &'static str, number: usize) -> Result<(), Error> {
+        let id = format!("{service}-{number}");
+        let runner = Runner::start(&id, &self.log)
+            .await
+            .map_err(|error| system(&error))?;
+        let door = Relay::start(runner.address())
+            .await
+            .map_err(|error| system(&error))?;
+        runner.known_at(door.address());
+        self.targets.push(Target {
+            id,
+            service,
+            domain: DOMAINS[number % DOMAINS.len()],
+            runner,
+            door,
+            started: now() / 1_000,
+        });
+        self.list(self.targets.len() - 1, false);
+        Ok(())
+    }
+
+    /// Starts the process of a relay, at first or again.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if it does not serve.
+    pub fn relay(&mut self, number: usize, world: &World) -> Result<(), Error> {
+        let settings = &self.relays[number].0;
+        let ready = self.fleet.relay(settings)?;
+        world.born(&settings.id, ready.listen);
+        Ok(())
+    }
+
+    /// Writes the entry of a runner.
+    pub fn list(&self, number: usize, leaving: bool) {
+        let target = &self.targets[number];
+        self.store.list(&Entry {
+            id: &target.id,
+            service: target.service,
+            address: target.door.address(),
+            domain: target.domain,
+            started: target.started,
+            leaving,
+        });
+    }
+
+    /// Starts a crashed runner again.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if its address is taken.
+    pub async fn revive(&mut self, number: usize) -> Result<(), Error> {
+        let target = &mut self.targets[number];
+        target
+            .runner
+            .revive()
+            .await
+            .map_err(|error| system(&error))?;
+        target.started = now() / 1_000;
+        self.list(number, false);
+        Ok(())
+    }
+
+    /// Puts the next version of the configuration into force: the first key stays, the second one is
+    /// replaced.
+    pub fn configure(&mut self) {
+        self.version += 1;
+        let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
+        let names: &[&str] = if self.version == 1 {
+            &["key-stays", "key-1"]
+        } else {
+            &["key"]
+        };
+        let new = names.iter().map(|name| match *name {
+            "key" => format!("key-{}", self.version),
+            name => name.to_owned(),
+        });
+        let new: Vec<String> = new.collect();
+        let mut valid = vec!["key-stays".to_owned()];
+        valid.extend(new.iter().filter(|key| *key != "key-stays").cloned());
+        self.store.configure(&config::plan(self.version, &valid));
+        let now = now();
+        for key in keys.iter_mut().skip(1).filter(|key| key.until.is_none()) {
+            key.until = Some(now);
+        }
+        keys.extend(new.into_iter().map(|text| Key {
+            text,
+            from: now,
+            until: None,
+        }));
+    }
+
+    /// Waits until all relays take callers.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if one does not.
+    pub async fn ready(&self) -> Result<(), Error> {
+        for (settings, _) in &self.relays {
+            let what = format!("{} is ready", settings.id);
+            until(&what, || stub::caller::is_ready(settings.ready)).await?;
+        }
+        Ok(())
+    }
+}
+
+fn settings(number: usize, store: SocketAddr) -> Result<setting::Relay, Error> {
+    let place = setting::Place {
+        region: "test".to_owned(),
+        domain: DOMAINS[number % DOMAINS.len()].to_owned(),
+    };
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    Ok(setting::Relay {
+        id: format!("relay-{number}"),
+        place,
+        listen: any,
+        ready: free()?,
+        metrics: any,
+        peers: any,
+        key: "soak".to_owned(),
+        weight: 1.0,
+        store,
+        repeats: setting::relay::Repeats::default(),
+        grace_s: GRACE_S,
+        policy: setting::relay::Choice::default(),
+    })
+}
+
+/// An address that was free a moment ago: the log does not tell where a process is asked whether it
+/// is ready.
+fn free() -> Result<SocketAddr, Error> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(|error| system(&error))?;
+    listener.local_addr().map_err(|error| system(&error))
+}
+
+fn system(error: &std::io::Error) -> Error {
+    failed(error.to_string())
+}
--- /dev/null
+++ b/crates/ctl/src/torture/relays/demand.rs
@@ -0,0 +1,122 @@
+//! Callers of a soak of relays, from a seed.
+
+use crate::torture::relays::cluster::{Cluster, Key, Keys};
+use crate::torture::relays::verdict::{PROPAGATION, is_good};
+use crate::torture::world::World;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+use stub::caller::{Ask, Connection, Kind, Word, unsent};
+use stub::now;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+/// Connections that are opened a second.
+const RATE: f64 = 25.0;
+/// Requests on a connection at most, and the longest pause between two of them.
+const REQUESTS: usize = 5;
+const PAUSE: Duration = Duration::from_millis(400);
+/// Bounds of a caller's patience, in milliseconds.
+const PATIENCE_MS: std::ops::Range<u64> = 800..2_500;
+/// Part of the requests with the newest key, and with one that is over.
+const OTHER_KEY: (f64, f64) = (0.2, 0.1);
+/// Longest time from the end of the last fault until all is served again.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// Sends demand for a time and gives what became of it.
+pub async fn send(world: Arc<World>, keys: Keys, seed: u64, time: Duration) -> Vec<Word> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let end = Instant::now() + time;
+    let mut callers = JoinSet::new();
+    let mut number = 0_u64;
+    while Instant::now() < end {
+        let gap = -rng.random::<f64>().max(f64::MIN_POSITIVE).ln() / RATE;
+        sleep(Duration::from_secs_f64(gap)).await;
+        number += 1;
+        let Some(entry) = world.entries().choose(&mut rng).copied() else {
+            continue;
+        };
+        let own = StdRng::seed_from_u64(rng.random());
+        callers.spawn(call(entry, keys.clone(), number, own));
+    }
+    callers.join_all().await.into_iter().flatten().collect()
+}
+
+/// A caller that sends some requests on one connection, for as long as it stays open.
+async fn call(entry: SocketAddr, keys: Keys, number: u64, mut rng: StdRng) -> Vec<Word> {
+    let mut words = Vec::new();
+    let mut asks = (0..rng.random_range(1..=REQUESTS))
+        .map(|turn| ask(&keys, format!("r{number}x{turn}"), &mut rng))
+        .collect::<Vec<_>>()
+        .into_iter();
+    let Some(mut connection) = Connection::open(entry).await else {
+        words.extend(asks.next().map(|ask| unsent(ask, entry)));
+        return words;
+    };
+    for ask in asks {
+        if !connection.is_open().await {
+            break;
+        }
+        words.push(connection.ask(ask).await);
+        sleep(PAUSE.mul_f64(rng.random())).await;
+    }
+    words
+}
+
+fn ask(keys: &Keys, id: String, rng: &mut StdRng) -> Ask {
+    let kind = Kind::ALL.choose(rng).copied().unwrap_or(Kind::Safe);
+    let draw: f64 = rng.random();
+    let keys = keys.lock().unwrap_or_else(PoisonError::into_inner);
+    let now = now();
+    let settled = |key: &&Key| key.from + PROPAGATION < now && key.until.is_none();
+    let over = |key: &&Key| key.until.is_some();
+    let key = if draw < OTHER_KEY.0 {
+        keys.iter().rev().find(settled)
+    } else if draw < OTHER_KEY.0 + OTHER_KEY.1 {
+        keys.iter().rev().find(over)
+    } else {
+        None
+    };
+    let key = key.or(keys.first()).map(|key| key.text.clone());
+    Ask {
+        id,
+        kind,
+        key: key.unwrap_or_default(),
+        patience: Duration::from_millis(rng.random_range(PATIENCE_MS)),
+    }
+}
+
+/// Asks each relay for each kind of request after the last fault, again until all is served or the
+/// time is over, and gives the last words.
+pub async fn recover(cluster: &Cluster) -> Vec<Word> {
+    let end = Instant::now() + RECOVERY;
+    let mut round = 0;
+    loop {
+        let mut words = Vec::new();
+        for name in cluster.relays.iter().map(|(settings, _)| &settings.id) {
+            let Some(entry) = cluster.fleet.address(name) else {
+                continue;
+            };
+            for kind in Kind::ALL {
+                let ask = Ask {
+                    id: format!("{name}r{round}{kind:?}"),
+                    kind,
+                    key: "key-stays".to_owned(),
+                    patience: Duration::from_secs(2),
+                };
+                words.push(match Connection::open(entry).await {
+                    Some(mut connection) => connection.ask(ask).await,
+                    None => unsent(ask, entry),
+                });
+            }
+        }
+        let all = words.iter().all(|word| is_good(word, true));
+        if all || Instant::now() > end {
+            return words;
+        }
+        round += 1;
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/torture/relays/fault.rs
@@ -0,0 +1,329 @@
+//! What is done to a soak of relays, from a seed, each with its end.
+
+use crate::Error;
+use crate::fleet::Signal;
+use crate::torture::relay::Mode;
+use crate::torture::relays::cluster::{Cluster, GRACE_S};
+use crate::torture::world::{TABLE, World};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use stub::runner::Trouble;
+use stub::store;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Bounds of the pause between two faults, and of the time that one lasts, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 100..600;
+const LENGTH_MS: std::ops::Range<u64> = 100..4_000;
+/// Time beyond its grace in which a process that was asked to stop must have ended: it may have been
+/// frozen meanwhile.
+const BEYOND: Duration = Duration::from_secs(6);
+/// Pause before something that cannot be undone yet is looked at again.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// What can be done. Those that name nobody hit the table service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Kill,
+    Freeze,
+    Stop,
+    Reload,
+    StoreLink,
+    Runner,
+    Crash,
+    RunnerLink,
+    Leave,
+    Store,
+    Forget,
+    Spoil,
+    Configure,
+}
+
+/// All kinds; those that hit the whole system come up less often.
+const KINDS: [Kind; 18] = [
+    Kind::Kill,
+    Kind::Freeze,
+    Kind::Freeze,
+    Kind::Stop,
+    Kind::Stop,
+    Kind::Reload,
+    Kind::StoreLink,
+    Kind::StoreLink,
+    Kind::Runner,
+    Kind::Runner,
+    Kind::Runner,
+    Kind::Crash,
+    Kind::RunnerLink,
+    Kind::Leave,
+    Kind::Store,
+    Kind::Forget,
+    Kind::Spoil,
+    Kind::Configure,
+];
+
+/// A fault that lasts, at a relay or a runner of that number.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    due: Instant,
+    kind: Kind,
+    number: usize,
+}
+
+impl Kind {
+    fn hits_relay(self) -> bool {
+        matches!(self, Self::Kill | Self::Freeze | Self::Stop | Self::Reload)
+    }
+
+    /// Whether promises are excused for what it hits.
+    fn disturbs(self) -> bool {
+        !matches!(
+            self,
+            Self::Reload | Self::Leave | Self::Spoil | Self::Configure
+        )
+    }
+
+    /// Whether two faults take hold of the same thing.
+    fn meets(self, other: Self) -> bool {
+        let process = |kind: Self| matches!(kind, Self::Kill | Self::Stop);
+        let runner = |kind: Self| matches!(kind, Self::Crash | Self::Leave);
+        self == other || process(self) && process(other) || runner(self) && runner(other)
+    }
+}
+
+/// The faults of one soak.
+#[derive(Debug)]
+pub struct Faults<'a> {
+    cluster: &'a mut Cluster,
+    world: Arc<World>,
+    rng: StdRng,
+    pending: Vec<Pending>,
+    /// How often each kind came up.
+    pub counts: BTreeMap<String, u64>,
+    /// Relays that did not stop as they were asked to.
+    pub stuck: Vec<String>,
+}
+
+impl<'a> Faults<'a> {
+    /// No fault yet.
+    pub fn new(cluster: &'a mut Cluster, world: Arc<World>, seed: u64) -> Self {
+        Self {
+            cluster,
+            world,
+            rng: StdRng::seed_from_u64(seed),
+            pending: Vec::new(),
+            counts: BTreeMap::new(),
+            stuck: Vec::new(),
+        }
+    }
+
+    /// Does and undoes faults for a time, then undoes what is left.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if a process cannot be started.
+    pub async fn run(&mut self, time: Duration) -> Result<(), Error> {
+        let end = Instant::now() + time;
+        let mut next = Instant::now();
+        loop {
+            let due = self.pending.iter().map(|pending| pending.due).min();
+            let draw = (next < end).then_some(next);
+            let Some(first) = due.into_iter().chain(draw).min() else {
+                return Ok(());
+            };
+            sleep_until(first).await;
+            if draw == Some(first) {
+                next += Duration::from_millis(self.rng.random_range(PAUSE_MS));
+                self.draw().await?;
+            } else {
+                self.undo_due().await?;
+            }
+        }
+    }
+
+    async fn draw(&mut self) -> Result<(), Error> {
+        let kind = KINDS.choose(&mut self.rng).copied().unwrap_or(Kind::Reload);
+        let among = match kind {
+            Kind::StoreLink => self.cluster.relays.len(),
+            kind if kind.hits_relay() => self.cluster.relays.len(),
+            _ => self.cluster.targets.len(),
+        };
+        let number = self.rng.random_range(0..among);
+        let length = Duration::from_millis(self.rng.random_range(LENGTH_MS));
+        let taken = |pending: &Pending| pending.number == number && pending.kind.meets(kind);
+        if self.pending.iter().any(taken) {
+            return Ok(());
+        }
+        if !self.act(kind, number).await? {
+            return Ok(());
+        }
+        *self.counts.entry(format!("{kind:?}")).or_default() += 1;
+        self.pending.push(Pending {
+            due: Instant::now() + length,
+            kind,
+            number,
+        });
+        Ok(())
+    }
+
+    /// Name of what a fault hits.
+    fn subject(&self, kind: Kind, number: usize) -> String {
+        match kind {
+            Kind::Store | Kind::Forget => TABLE.to_owned(),
+            Kind::StoreLink => self.cluster.relays[number].0.id.clone(),
+            kind if kind.hits_relay() => self.cluster.relays[number].0.id.clone(),
+            _ => self.cluster.targets[number].id.clone(),
+        }
+    }
+
+    /// Does a fault, if it can be done now.
+    async fn act(&mut self, kind: Kind, number: usize) -> Result<bool, Error> {
+        let subject = self.subject(kind, number);
+        if kind.hits_relay() && !self.cluster.fleet.has(&subject) {
+            return Ok(false);
+        }
+        if kind.disturbs() {
+            self.world.disturb(&subject);
+        }
+        match kind {
+            Kind::Kill => {
+                self.world.killed(&subject);
+                self.cluster.fleet.kill(&subject)?;
+            }
+            Kind::Freeze => self.cluster.fleet.signal(&subject, Signal::Stop)?,
+            Kind::Stop => self.cluster.fleet.signal(&subject, Signal::Terminate)?,
+            Kind::Reload => self.cluster.fleet.signal(&subject, Signal::Reload)?,
+            Kind::StoreLink => {
+                let mode = self.mode();
+                self.cluster.relays[number].1.set(mode);
+            }
+            Kind::RunnerLink => {
+                let mode = self.mode();
+                self.cluster.targets[number].door.set(mode);
+            }
+            Kind::Runner => {
+                let trouble = self.trouble();
+                self.cluster.targets[number].runner.disturb(trouble);
+            }
+            Kind::Crash => self.cluster.targets[number].runner.crash(),
+            Kind::Leave => {
+                self.cluster.list(number, true);
+                self.world.leave(&subject);
+            }
+            Kind::Store => {
+                let trouble = self.store_trouble();
+                self.cluster.store.disturb(trouble);
+            }
+            Kind::Forget => self.cluster.store.forget(),
+            Kind::Spoil => self.cluster.store.spoil(&format!("odd-{number}")),
+            Kind::Configure => self.cluster.configure(),
+        }
+        Ok(true)
+    }
+
+    fn mode(&mut self) -> Mode {
+        let delay = Mode::Delay(Duration::from_millis(self.rng.random_range(1..60)));
+        let modes = [
+            Mode::Cut,
+            Mode::Freeze,
+            Mode::NoAnswers,
+            Mode::NoCalls,
+            delay,
+        ];
+        modes.choose(&mut self.rng).copied().unwrap_or(delay)
+    }
+
+    fn trouble(&mut self) -> Trouble {
+        let slow = Trouble::Slow(Duration::from_millis(self.rng.random_range(20..400)));
+        let troubles = [
+            Trouble::Refuse,
+            Trouble::Fail,
+            Trouble::Lose,
+            Trouble::Truncate,
+            Trouble::Mute,
+            Trouble::Cross,
+            slow,
+        ];
+        troubles.choose(&mut self.rng).copied().unwrap_or(slow)
+    }
+
+    fn store_trouble(&mut self) -> store::Trouble {
+        let slow = store::Trouble::Slow(Duration::from_millis(self.rng.random_range(20..600)));
+        let (busy, silent) = (store::Trouble::Busy, store::Trouble::Silent);
+        let troubles = [busy, silent, store::Trouble::Lose, slow];
+        troubles.choose(&mut self.rng).copied().unwrap_or(slow)
+    }
+
+    async fn undo_due(&mut self) -> Result<(), Error> {
+        let now = Instant::now();
+        let pending = std::mem::take(&mut self.pending).into_iter();
+        let (due, later): (Vec<_>, Vec<_>) = pending.partition(|pending| pending.due <= now);
+        self.pending = later;
+        let mut waits = false;
+        for pending in due {
+            if !self.undo(pending).await? {
+                self.pending.push(pending);
+                waits = true;
+            }
+        }
+        if waits {
+            sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    /// Undoes a fault, or says that it must be tried again later.
+    async fn undo(&mut self, pending: Pending) -> Result<bool, Error> {
+        let Pending { kind, number, due } = pending;
+        let subject = self.subject(kind, number);
+        match kind {
+            Kind::Kill => self.cluster.relay(number, &self.world)?,
+            Kind::Freeze if self.cluster.fleet.has(&subject) => {
+                self.cluster.fleet.signal(&subject, Signal::Continue)?;
+            }
+            Kind::Stop => {
+                if !self.stopped(&subject, due)? {
+                    return Ok(false);
+                }
+                self.cluster.relay(number, &self.world)?;
+            }
+            Kind::StoreLink => self.cluster.relays[number].1.set(Mode::Pass),
+            Kind::RunnerLink => self.cluster.targets[number].door.set(Mode::Pass),
+            Kind::Runner => self.cluster.targets[number].runner.disturb(Trouble::None),
+            Kind::Crash => self.cluster.revive(number).await?,
+            Kind::Leave => {
+                self.world.stay(&subject);
+                self.cluster.targets[number].runner.crash();
+                self.cluster.revive(number).await?;
+            }
+            Kind::Store => self.cluster.store.disturb(store::Trouble::None),
+            Kind::Freeze | Kind::Reload | Kind::Forget | Kind::Spoil | Kind::Configure => {}
+        }
+        if kind.disturbs() {
+            self.world.settle(&subject);
+        }
+        Ok(true)
+    }
+
+    /// Whether a process that was asked to stop has ended; one that hangs is killed and noted.
+    fn stopped(&mut self, subject: &str, due: Instant) -> Result<bool, Error> {
+        if !self.cluster.fleet.has(subject) {
+            return Ok(true);
+        }
+        if let Some(status) = self.cluster.fleet.ended(subject)? {
+            if !status.success() {
+                self.stuck.push(format!("{subject} ended with {status}"));
+            }
+            return Ok(true);
+        }
+        if due.elapsed() < Duration::from_secs_f64(GRACE_S) + BEYOND {
+            return Ok(false);
+        }
+        self.stuck.push(format!("{subject} does not end"));
+        self.world.killed(subject);
+        self.cluster.fleet.kill(subject)?;
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/torture/relays/mod.rs
@@ -0,0 +1,60 @@
+//! The soak of relays: processes of their own between callers and stand-ins of the users' platform.
+//!
+//! * [`cluster`]: the processes and the stand-ins; [`fault`]: what is done to them
+//! * [`demand`]: callers; [`verdict`]: what they and the runners say must not have happened
+
+pub mod cluster;
+pub mod demand;
+pub mod fault;
+pub mod verdict;
+
+use crate::Error;
+use crate::torture::relays::cluster::Cluster;
+use crate::torture::relays::fault::Faults;
+use crate::torture::relays::verdict::Verdict;
+use crate::torture::world::World;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Soaks a cluster for a time under the faults and the demand of a seed.
+///
+/// # Errors
+///
+/// [`Error::Failed`] if a process or a stand-in cannot be started.
+pub async fn soak(
+    seed: u64,
+    time: Duration,
+    logs: PathBuf,
+    programs: PathBuf,
+) -> Result<Verdict, Error> {
+    let world = Arc::new(World::default());
+    let mut cluster = Cluster::start(logs, programs, &world).await?;
+    cluster.ready().await?;
+    let keys = cluster.keys.clone();
+    let callers = tokio::spawn(demand::send(world.clone(), keys, seed ^ 2, time));
+    let mut faults = Faults::new(&mut cluster, world.clone(), seed ^ 3);
+    faults.run(time).await?;
+    let (counts, stuck) = (faults.counts, faults.stuck);
+    let mut words = callers.await.map_err(|error| Error::Failed {
+        reason: error.to_string(),
+    })?;
+    let last = demand::recover(&cluster).await;
+    let recovered = last.iter().all(|word| verdict::is_good(word, true));
+    words.extend(last);
+    let mut verdict = verdict::judge(&words, &cluster.log.runs(), &cluster.keys, &world);
+    verdict.counts.faults = counts;
+    if !recovered {
+        verdict.note(
+            "not recovered",
+            &"requests fail after the last fault has ended",
+        );
+    }
+    for id in stuck {
+        verdict.note("planned stop", &id);
+    }
+    if let Err(error) = cluster.fleet.stop() {
+        verdict.note("stop at the end", &error);
+    }
+    Ok(verdict)
+}
--- /dev/null
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -0,0 +1,207 @@
+//! What must not have happened, from what callers were told and what runners ran.
+
+use crate::torture::relays::cluster::{Key, Keys};
+use crate::torture::world::{Span, World};
+use foldhash::fast::RandomState;
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Debug;
+use std::sync::PoisonError;
+use stub::Micros;
+use stub::caller::{Told, Word};
+use stub::runner::{EVENTS, Run, answer, event};
+
+/// Time within which a change of the platform's tables is in force at every relay that is sound and
+/// reaches them.
+pub const PROPAGATION: Micros = 4_000_000;
+/// Statuses that promise that a request has not run and never will.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// Counts of one soak.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Counts {
+    /// Requests.
+    pub sent: u64,
+    /// Answered whole and right.
+    pub answered: u64,
+    /// Told that they have not run.
+    pub not_run: u64,
+    /// Told that they may have run, or that they failed.
+    pub unsure: u64,
+    /// Streams that broke off.
+    pub broken: u64,
+    /// Connections that ended without an answer, or did not come about.
+    pub closed: u64,
+    /// Faults by kind.
+    pub faults: BTreeMap<String, u64>,
+    /// Violations by kind.
+    pub violations: BTreeMap<String, u64>,
+}
+
+/// Counts, and a text for each violation.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    /// The counts.
+    pub counts: Counts,
+    /// What happened.
+    pub trails: Vec<String>,
+}
+
+impl Verdict {
+    /// Notes a violation.
+    pub fn note(&mut self, what: &str, found: &impl Debug) {
+        let count = self.counts.violations.entry(what.to_owned()).or_default();
+        *count += 1;
+        self.trails.push(format!("{what}: {found:?}"));
+    }
+
+    /// Whether there is none.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.trails.is_empty()
+    }
+}
+
+/// Whether a word is a right answer as far as it goes, and whole if it must be.
+#[must_use]
+pub fn is_good(word: &Word, must_be_whole: bool) -> bool {
+    let expected = expected(word);
+    match &word.told {
+        Told::Whole {
+            status: 200,
+            proven: true,
+            text,
+            ..
+        } => *text == expected,
+        Told::Broken { status: 200, text } => {
+            !must_be_whole && word.ask.kind.streams() && expected.starts_with(text.as_str())
+        }
+        _ => false,
+    }
+}
+
+fn expected(word: &Word) -> String {
+    let id = &word.ask.id;
+    if word.ask.kind.streams() {
+        return (1..=EVENTS).map(|number| event(id, number)).collect();
+    }
+    answer(id)
+}
+
+/// Runs of each request.
+type Runs<'a> = HashMap<&'a str, Vec<&'a Run>, RandomState>;
+
+/// Judges all words and runs.
+#[must_use]
+pub fn judge(words: &[Word], runs: &[Run], keys: &Keys, world: &World) -> Verdict {
+    let mut by_id = Runs::default();
+    for run in runs {
+        by_id.entry(run.id.as_str()).or_default().push(run);
+    }
+    let mut verdict = Verdict::default();
+    for run in runs.iter().filter(|run| run.foreign.is_some()) {
+        verdict.note("results of another request", run);
+    }
+    let keys = keys.lock().unwrap_or_else(PoisonError::into_inner);
+    for word in words {
+        let runs = by_id
+            .get(word.ask.id.as_str())
+            .map_or(&[][..], Vec::as_slice);
+        verdict.judge(word, runs, world);
+        verdict.judge_key(word, &keys, world);
+    }
+    verdict.judge_leaving(words, &by_id, world);
+    verdict
+}
+
+impl Verdict {
+    fn judge(&mut self, word: &Word, runs: &[&Run], world: &World) {
+        self.counts.sent += 1;
+        let found = (word, runs);
+        if !word.ask.kind.repeatable() && runs.len() > 1 {
+            self.note("run twice", &found);
+        }
+        match &word.told {
+            Told::Whole { status: 200, .. } => {
+                self.counts.answered += 1;
+                if !is_good(word, true) {
+                    self.note("wrong answer", &found);
+                }
+            }
+            Told::Whole {
+                status, comes_back, ..
+            } if NOT_RUN.contains(status) => {
+                self.counts.not_run += 1;
+                if !runs.is_empty() {
+                    self.note("not run, but ran", &found);
+                }
+                if !comes_back {
+                    self.note("no word of when to come back", &found);
+                }
+            }
+            Told::Whole { .. } => self.counts.unsure += 1,
+            Told::Broken { .. } => {
+                self.counts.broken += 1;
+                if !is_good(word, false) && !world.was_killed(word.entry) {
+                    self.note("wrong beginning", &found);
+                }
+            }
+            Told::Closed => {
+                self.counts.closed += 1;
+                if !runs.is_empty() && !world.was_killed(word.entry) {
+                    self.note("answer cut off", &found);
+                }
+            }
+            Told::Unreachable => self.counts.closed += 1,
+            Told::Silent => {
+                if !world.disturbed_at(word.entry, word.sent, word.done) {
+                    self.note("no answer", &found);
+                }
+            }
+        }
+    }
+
+    /// Keys that are in force must open, and those that are not must not.
+    fn judge_key(&mut self, word: &Word, keys: &[Key], world: &World) {
+        let Some(key) = keys.iter().find(|key| key.text == word.ask.key) else {
+            return;
+        };
+        let Told::Whole { status, .. } = word.told else {
+            return;
+        };
+        let sound = |since: Micros| {
+            since + PROPAGATION < word.sent && !world.unheard(word.entry, since, word.sent)
+        };
+        if status == 401 && key.until.is_none() && sound(key.from) {
+            self.note("key refused", word);
+        }
+        if status == 200 && key.until.is_some_and(sound) {
+            self.note("key over, but served", word);
+        }
+        if status == 404 {
+            self.note("route refused", word);
+        }
+    }
+
+    /// A relay that is sound and hears of it gives a leaving runner nothing new.
+    fn judge_leaving(&mut self, words: &[Word], runs: &Runs<'_>, world: &World) {
+        let leaving = world.leaving();
+        for word in words {
+            let runs = runs.get(word.ask.id.as_str()).into_iter().flatten();
+            for run in runs {
+                let late = |span: &&Span| {
+                    let over = span.until.is_some_and(|until| run.started >= until);
+                    let after = run.started > span.from + PROPAGATION;
+                    span.subject == run.runner && after && !over
+                };
+                let sound = |span: &Span| {
+                    let heard = !world.unheard(word.entry, span.from, run.started);
+                    heard && !world.hit(&run.runner, span.from, run.started)
+                };
+                if leaving.iter().filter(late).any(sound) {
+                    self.note("new work at a leaving runner", &(word, run));
+                }
+            }
+        }
+    }
+}
--- a/crates/ctl/src/torture/world.rs
+++ b/crates/ctl/src/torture/world.rs
@@ -48,6 +48,13 @@
     leaving: Vec<Span>,
 }
 
+impl State {
+    fn hit(&self, subject: &str, from: Micros, until: Micros) -> bool {
+        let mut faults = self.faults.iter();
+        faults.any(|span| span.subject == subject && span.meets(from, until))
+    }
+}
+
 /// Shared state of a soak.
 #[derive(Debug)]
 pub struct World {
@@ -189,6 +196,26 @@
         faults.any(|span| concerns(span) && span.meets(from, until))
     }
 
+    /// Whether something was done to the process that served at an address.
+    #[must_use]
+    pub fn disturbed_at(&self, address: SocketAddr, from: Micros, until: Micros) -> bool {
+        let state = self.lock();
+        let at = state.lives.iter().find(|life| life.address == address);
+        at.is_some_and(|life| state.hit(&life.id, from, until))
+    }
+
+    /// Whether something was done to a subject.
+    #[must_use]
+    pub fn hit(&self, subject: &str, from: Micros, until: Micros) -> bool {
+        self.lock().hit(subject, from, until)
+    }
+
+    /// Whether something kept news of the table service from the process that served at an address.
+    #[must_use]
+    pub fn unheard(&self, address: SocketAddr, from: Micros, until: Micros) -> bool {
+        self.hit(TABLE, from, until) || self.disturbed_at(address, from, until)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
