--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -23,6 +23,9 @@
     /// Where it publishes news, if it does.
     #[serde(default)]
     pub news: Option<SocketAddr>,
+    /// Where it is asked whether it takes callers, if it is.
+    #[serde(default)]
+    pub ready: Option<SocketAddr>,
     /// Where it serves metrics, if it does.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
@@ -200,11 +203,11 @@
         process.signal(signal).map_err(failed(name))
     }
 
-    /// Where a process serves that was started here and has not been seen to end.
+    /// Addresses of a process that was started here and has not been seen to end.
     #[must_use]
-    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+    pub fn ready(&self, name: &str) -> Option<Ready> {
         let process = self.processes.iter().find(|process| process.name == name)?;
-        Some(process.ready.listen)
+        Some(process.ready)
     }
 
     /// Whether a process was started here and has not been seen to end.
--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -5,7 +5,7 @@
 use crate::torture::probe::{failed, until};
 use crate::torture::relay::Relay;
 use crate::torture::world::World;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 use stub::config::{self, MODEL, PLAIN, STAGE};
@@ -97,7 +97,7 @@
             let door = Relay::start(cluster.store.address())
                 .await
                 .map_err(|error| system(&error))?;
-            let settings = settings(number, door.address())?;
+            let settings = settings(number, door.address());
             cluster.relays.push((settings, door));
             cluster.relay(number, world)?;
         }
@@ -204,23 +204,29 @@
     pub async fn ready(&self) -> Result<(), Error> {
         for (settings, _) in &self.relays {
             let what = format!("{} is ready", settings.id);
-            until(&what, || stub::caller::is_ready(settings.ready)).await?;
+            let Some(asked) = self.fleet.ready(&settings.id).and_then(|ready| ready.ready) else {
+                return Err(failed(format!(
+                    "{} does not tell its addresses",
+                    settings.id
+                )));
+            };
+            until(&what, || stub::caller::is_ready(asked)).await?;
         }
         Ok(())
     }
 }
 
-fn settings(number: usize, store: SocketAddr) -> Result<setting::Relay, Error> {
+fn settings(number: usize, store: SocketAddr) -> setting::Relay {
     let place = setting::Place {
         region: "test".to_owned(),
         domain: DOMAINS[number % DOMAINS.len()].to_owned(),
     };
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    Ok(setting::Relay {
+    setting::Relay {
         id: format!("relay-{number}"),
         place,
         listen: any,
-        ready: free()?,
+        ready: any,
         metrics: any,
         peers: any,
         key: "soak".to_owned(),
@@ -229,14 +235,7 @@
         repeats: setting::relay::Repeats::default(),
         grace_s: GRACE_S,
         policy: setting::relay::Choice::default(),
-    })
-}
-
-/// An address that was free a moment ago: the log does not tell where a process is asked whether it
-/// is ready.
-fn free() -> Result<SocketAddr, Error> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(|error| system(&error))?;
-    listener.local_addr().map_err(|error| system(&error))
+    }
 }
 
 fn system(error: &std::io::Error) -> Error {
--- a/crates/ctl/src/torture/relays/demand.rs
+++ b/crates/ctl/src/torture/relays/demand.rs
@@ -97,7 +97,7 @@
     loop {
         let mut words = Vec::new();
         for name in cluster.relays.iter().map(|(settings, _)| &settings.id) {
-            let Some(entry) = cluster.fleet.address(name) else {
+            let Some(entry) = cluster.fleet.ready(name).map(|ready| ready.listen) else {
                 continue;
             };
             for kind in Kind::ALL {
