--- a/crates/ctl/src/torture/relays/fault.rs
+++ b/crates/ctl/src/torture/relays/fault.rs
@@ -22,9 +22,12 @@
 /// Time beyond its grace in which a process that was asked to stop must have ended: it may have been
 /// frozen meanwhile.
 const BEYOND: Duration = Duration::from_secs(6);
+/// How much longer the pauses of a seed are at most. Faults that follow close on each other show what
+/// goes wrong between them, and excuse much that is seen far apart.
+const PACE: std::ops::RangeInclusive<u64> = 1..=6;
 /// Time that a runner goes on beyond that after it said that it leaves: work that it is given later
 /// than the news takes is a violation, and must have time to come.
-const LEAVES: Duration = Duration::from_millis(PROPAGATION / 1_000);
+const LEAVES: Duration = Duration::from_millis(PROPAGATION / 500);
 /// Pause before something that cannot be undone yet is looked at again.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -103,6 +106,7 @@
     cluster: &'a mut Cluster,
     world: Arc<World>,
     rng: StdRng,
+    pace: u64,
     pending: Vec<Pending>,
     /// How often each kind came up.
     pub counts: BTreeMap<String, u64>,
@@ -113,10 +117,12 @@
 impl<'a> Faults<'a> {
     /// No fault yet.
     pub fn new(cluster: &'a mut Cluster, world: Arc<World>, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
         Self {
             cluster,
             world,
-            rng: StdRng::seed_from_u64(seed),
+            pace: rng.random_range(PACE),
+            rng,
             pending: Vec::new(),
             counts: BTreeMap::new(),
             stuck: Vec::new(),
@@ -139,7 +145,7 @@
             };
             sleep_until(first).await;
             if draw == Some(first) {
-                next += Duration::from_millis(self.rng.random_range(PAUSE_MS));
+                next += Duration::from_millis(self.pace * self.rng.random_range(PAUSE_MS));
                 self.draw().await?;
             } else {
                 self.undo_due().await?;
