--- a/crates/ctl/src/torture/fault.rs
+++ b/crates/ctl/src/torture/fault.rs
@@ -4,6 +4,7 @@
 use crate::torture::probe::fault;
 use crate::torture::record::{LABEL, REPORT, drain};
 use crate::torture::relay::Mode;
+use crate::torture::schedule::{Pending, Schedule, Step};
 use crate::torture::world::{OBJECTS, TABLE, VMS, World};
 use crate::{Error, fleet::Signal};
 use foldhash::fast::RandomState;
@@ -14,14 +15,13 @@
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until};
 
 /// Bounds of the pause between two faults, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 150..700;
 /// Bounds of the time that a fault lasts, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 200..5_000;
-/// Pause before a process that was asked to stop is looked at again.
-const LOOK: Duration = Duration::from_millis(100);
+/// Longest wait for an operator's change; the next entry is asked after it.
+const CHANGE: Duration = Duration::from_millis(500);
 /// Longest time that a planned stop may take once nothing else is wrong.
 const STOP: Duration = Duration::from_secs(60);
 
@@ -96,8 +96,7 @@
 
 /// A fault that lasts.
 #[derive(Clone, Debug)]
-struct Pending {
-    due: Instant,
+struct Held {
     /// What it has taken hold of.
     key: String,
     undo: Undo,
@@ -110,7 +109,7 @@
     rng: StdRng,
     /// Subjects that something is being done to.
     taken: HashSet<String, RandomState>,
-    undos: Vec<Pending>,
+    schedule: Schedule<Held>,
     /// How often each kind came up.
     pub counts: BTreeMap<String, u64>,
 }
@@ -123,7 +122,7 @@
             world,
             rng: StdRng::seed_from_u64(seed),
             taken: HashSet::default(),
-            undos: Vec::new(),
+            schedule: Schedule::new(Duration::ZERO),
             counts: BTreeMap::new(),
         }
     }
@@ -134,20 +133,15 @@
     ///
     /// [`Error::Failed`] if a process cannot be started or stopped.
     pub async fn run(&mut self, time: Duration) -> Result<(), Error> {
-        let end = Instant::now() + time;
-        let mut next = Instant::now();
-        while Instant::now() < end || !self.undos.is_empty() {
-            let due = self.undos.iter().map(|pending| pending.due).min();
-            let draw = (next < end).then_some(next);
-            let Some(first) = due.into_iter().chain(draw).min() else {
-                break;
-            };
-            sleep_until(first).await;
-            if draw == Some(first) {
-                self.draw().await?;
-                next += Duration::from_millis(self.rng.random_range(PAUSE_MS));
-            } else {
-                self.undo_due().await?;
+        self.schedule = Schedule::new(time);
+        while let Some(step) = self.schedule.step().await {
+            match step {
+                Step::Draw => {
+                    self.draw().await?;
+                    let pause = Duration::from_millis(self.rng.random_range(PAUSE_MS));
+                    self.schedule.pause(pause);
+                }
+                Step::Undo(due) => self.undo_due(due).await?,
             }
         }
         Ok(())
@@ -163,11 +157,8 @@
         let length = Duration::from_millis(self.rng.random_range(LENGTH_MS));
         let undo = self.act(kind, &subject).await?;
         *self.counts.entry(format!("{kind:?}")).or_default() += 1;
-        self.undos.push(Pending {
-            due: Instant::now() + length,
-            key: kind.key(&subject),
-            undo,
-        });
+        let key = kind.key(&subject);
+        self.schedule.last(length, Held { key, undo });
         Ok(())
     }
 
@@ -299,7 +290,7 @@
         let documents = [drain(subject)];
         for entry in self.world.entries() {
             let applied = self.bench.apply(entry, &documents);
-            if let Ok(Ok(_)) = tokio::time::timeout(LOOK * 5, applied).await {
+            if let Ok(Ok(_)) = tokio::time::timeout(CHANGE, applied).await {
                 self.world.leave(subject);
                 break;
             }
@@ -312,7 +303,7 @@
         let keys = [key.as_str()];
         for entry in self.world.entries() {
             let deleted = self.bench.delete(entry, &keys);
-            if let Ok(Ok(_)) = tokio::time::timeout(LOOK * 5, deleted).await {
+            if let Ok(Ok(_)) = tokio::time::timeout(CHANGE, deleted).await {
                 return true;
             }
         }
@@ -325,24 +316,19 @@
         self.bench.list(&vm).await
     }
 
-    async fn undo_due(&mut self) -> Result<(), Error> {
-        let now = Instant::now();
-        let pending = std::mem::take(&mut self.undos).into_iter();
-        let (due, later): (Vec<_>, Vec<_>) = pending.partition(|pending| pending.due <= now);
-        self.undos = later;
+    async fn undo_due(&mut self, due: Vec<Pending<Held>>) -> Result<(), Error> {
         for pending in due {
-            if self.undo(&pending.undo).await? {
-                self.taken.remove(&pending.key);
+            let undo = &pending.what.undo;
+            if self.undo(undo).await? {
+                self.taken.remove(&pending.what.key);
                 continue;
             }
-            let undo = &pending.undo;
             if pending.due.elapsed() > STOP {
                 return Err(Error::Failed {
                     reason: format!("{undo:?}: it does not come to an end in {STOP:?}"),
                 });
             }
-            self.undos.push(pending);
-            tokio::time::sleep(LOOK).await;
+            self.schedule.put_off(pending).await;
         }
         Ok(())
     }
--- a/crates/ctl/src/torture/mod.rs
+++ b/crates/ctl/src/torture/mod.rs
@@ -5,7 +5,8 @@
 //! * [`record`]: the records that the bench applies
 //! * [`relay`]: a TCP connection that can be cut, frozen and delayed
 //! * [`caller`] and [`stream`]: a caller that keeps asking until it has a final word
-//! * [`command`]: the soak, from [`demand`], [`fault`]s and [`operators`] of a seed
+//! * [`command`]: the soak, from [`demand`], [`fault`]s on a [`schedule`] and
+//!   [`operators`] of a seed
 //! * [`world`]: what these share; [`tally`]: what came of it
 //! * [`relays`]: the soak of relays before stand-ins of the users' platform
 
@@ -20,6 +21,7 @@
 pub mod relay;
 pub mod relays;
 pub mod runner;
+pub mod schedule;
 pub mod stream;
 pub mod tally;
 pub mod world;
--- a/crates/ctl/src/torture/relays/fault.rs
+++ b/crates/ctl/src/torture/relays/fault.rs
@@ -5,6 +5,7 @@
 use crate::torture::relay::Mode;
 use crate::torture::relays::cluster::{Cluster, GRACE_S};
 use crate::torture::relays::verdict::PROPAGATION;
+use crate::torture::schedule::{Pending, Schedule, Step};
 use crate::torture::world::{TABLE, World};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -14,7 +15,7 @@
 use std::time::Duration;
 use stub::runner::Trouble;
 use stub::store;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::Instant;
 
 /// Bounds of the pause between two faults, and of the time that one lasts, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 100..600;
@@ -28,8 +29,6 @@
 /// Time that a runner goes on beyond that after it said that it leaves: work that it is given later
 /// than the news takes is a violation, and must have time to come.
 const LEAVES: Duration = Duration::from_millis(PROPAGATION / 500);
-/// Pause before something that cannot be undone yet is looked at again.
-const LOOK: Duration = Duration::from_millis(100);
 
 /// What can be done. Those that name nobody hit the table service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,8 +72,7 @@
 
 /// A fault that lasts, at a relay or a runner of that number.
 #[derive(Clone, Copy, Debug)]
-struct Pending {
-    due: Instant,
+struct Held {
     kind: Kind,
     number: usize,
 }
@@ -107,7 +105,7 @@
     world: Arc<World>,
     rng: StdRng,
     pace: u64,
-    pending: Vec<Pending>,
+    schedule: Schedule<Held>,
     /// How often each kind came up.
     pub counts: BTreeMap<String, u64>,
     /// Relays that did not stop as they were asked to.
@@ -123,7 +121,7 @@
             world,
             pace: rng.random_range(PACE),
             rng,
-            pending: Vec::new(),
+            schedule: Schedule::new(Duration::ZERO),
             counts: BTreeMap::new(),
             stuck: Vec::new(),
         }
@@ -135,22 +133,18 @@
     ///
     /// [`Error::Failed`] if a process cannot be started.
     pub async fn run(&mut self, time: Duration) -> Result<(), Error> {
-        let end = Instant::now() + time;
-        let mut next = Instant::now();
-        loop {
-            let due = self.pending.iter().map(|pending| pending.due).min();
-            let draw = (next < end).then_some(next);
-            let Some(first) = due.into_iter().chain(draw).min() else {
-                return Ok(());
-            };
-            sleep_until(first).await;
-            if draw == Some(first) {
-                next += Duration::from_millis(self.pace * self.rng.random_range(PAUSE_MS));
-                self.draw().await?;
-            } else {
-                self.undo_due().await?;
+        self.schedule = Schedule::new(time);
+        while let Some(step) = self.schedule.step().await {
+            match step {
+                Step::Draw => {
+                    let pause = self.pace * self.rng.random_range(PAUSE_MS);
+                    self.schedule.pause(Duration::from_millis(pause));
+                    self.draw().await?;
+                }
+                Step::Undo(due) => self.undo_due(due).await?,
             }
         }
+        Ok(())
     }
 
     async fn draw(&mut self) -> Result<(), Error> {
@@ -162,8 +156,13 @@
         };
         let number = self.rng.random_range(0..among);
         let length = Duration::from_millis(self.rng.random_range(LENGTH_MS));
-        let taken = |pending: &Pending| pending.number == number && pending.kind.meets(kind);
-        if self.pending.iter().any(taken) {
+        let taken = |held: &Held| held.number == number && held.kind.meets(kind);
+        if self
+            .schedule
+            .pending
+            .iter()
+            .any(|pending| taken(&pending.what))
+        {
             return Ok(());
         }
         if !self.act(kind, number).await? {
@@ -175,11 +174,7 @@
         } else {
             Duration::ZERO
         };
-        self.pending.push(Pending {
-            due: Instant::now() + length + more,
-            kind,
-            number,
-        });
+        self.schedule.last(length + more, Held { kind, number });
         Ok(())
     }
 
@@ -271,27 +266,18 @@
         troubles.choose(&mut self.rng).copied().unwrap_or(slow)
     }
 
-    async fn undo_due(&mut self) -> Result<(), Error> {
-        let now = Instant::now();
-        let pending = std::mem::take(&mut self.pending).into_iter();
-        let (due, later): (Vec<_>, Vec<_>) = pending.partition(|pending| pending.due <= now);
-        self.pending = later;
-        let mut waits = false;
+    async fn undo_due(&mut self, due: Vec<Pending<Held>>) -> Result<(), Error> {
         for pending in due {
-            if !self.undo(pending).await? {
-                self.pending.push(pending);
-                waits = true;
+            if !self.undo(pending.what, pending.due).await? {
+                self.schedule.put_off(pending).await;
             }
         }
-        if waits {
-            sleep(LOOK).await;
-        }
         Ok(())
     }
 
     /// Undoes a fault, or says that it must be tried again later.
-    async fn undo(&mut self, pending: Pending) -> Result<bool, Error> {
-        let Pending { kind, number, due } = pending;
+    async fn undo(&mut self, held: Held, due: Instant) -> Result<bool, Error> {
+        let Held { kind, number } = held;
         let subject = self.subject(kind, number);
         match kind {
             Kind::Kill => self.cluster.relay(number, &self.world)?,
--- a/crates/relay/tests/process_paused.rs
+++ b/crates/relay/tests/process_paused.rs
@@ -37,6 +37,15 @@
     (relay, following)
 }
 
+/// Runner p-1 is known; during the pause it leaves and p-2 comes.
+fn replaced() -> Vec<Told> {
+    vec![
+        Told::Rows(vec![("p-1", entry("plain"))]),
+        Told::Quiet,
+        Told::Rows(vec![("p-1", None), ("p-2", entry("plain"))]),
+    ]
+}
+
 fn runners(fake: &Fake) -> Vec<String> {
     fake.sent().into_iter().map(|sent| sent.runner).collect()
 }
@@ -47,12 +56,7 @@
 #[tokio::test(start_paused = true)]
 async fn news_first() {
     let fake = Fake::default();
-    let told = vec![
-        Told::Rows(vec![("p-1", entry("plain"))]),
-        Told::Quiet,
-        Told::Rows(vec![("p-1", None), ("p-2", entry("plain"))]),
-    ];
-    let (relay, _following) = following(&fake, told).await;
+    let (relay, _following) = following(&fake, replaced()).await;
     suspend();
     assert!(!relay.caught_up(), "no callers are wanted yet");
     let answer = body(relay.serve(request("a", "safe")).await).await;
@@ -65,12 +69,7 @@
 #[tokio::test(start_paused = true)]
 async fn stopped() {
     let fake = Fake::default();
-    let told = vec![
-        Told::Rows(vec![("p-1", entry("plain"))]),
-        Told::Quiet,
-        Told::Rows(vec![("p-1", None), ("p-2", entry("plain"))]),
-    ];
-    let (relay, _following) = following(&fake, told).await;
+    let (relay, _following) = following(&fake, replaced()).await;
     stop(PAUSE).await;
     body(relay.serve(request("a", "safe")).await).await;
     assert_eq!(runners(&fake), ["p-2"]);
