--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,7 +5,7 @@
 //! * [`client`], [`operator`]: calls to entries
 //! * [`demo`], [`deployment`], [`fleet`], [`listing`]: a whole deployment on one machine
 //! * [`load`], [`experiment`], [`measure`], [`report`]: load, and what it shows
-//! * [`torture`]: a deployment under faults, for the soak and the failure tests
+//! * [`rig`]: a deployment in small, for failure tests and soaks; [`torture`]: the soaks
 //! * [`error`]: what can go wrong, with the exit codes
 
 pub mod apply;
@@ -31,6 +31,7 @@
 pub mod output;
 pub mod plan;
 pub mod report;
+pub mod rig;
 pub mod signal;
 pub mod standin;
 pub mod status;
--- a/crates/ctl/src/measure/placement.rs
+++ b/crates/ctl/src/measure/placement.rs
@@ -3,7 +3,7 @@
 use crate::Error;
 use crate::deployment::{Deployment, Plan, Runner};
 use crate::fleet::Fleet;
-use crate::torture::probe::get;
+use crate::rig::probe::get;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use setting::Placement;
--- a/crates/ctl/src/torture/bench.rs
+++ b/crates/ctl/src/rig/bench.rs
@@ -2,9 +2,9 @@
 
 use crate::client::Client;
 use crate::fleet::{Fleet, Signal};
-use crate::torture::probe::{LIMIT, LOOK, apply, failed, get, post, status, target, until};
-use crate::torture::runner::{Plan, Runner, free, listed, place, serve};
-use crate::{Error, torture::record};
+use crate::rig::probe::{LIMIT, LOOK, apply, failed, get, post, status, target, until};
+use crate::rig::runner::{Plan, Runner, free, listed, place, serve};
+use crate::{Error, rig::record};
 use ::record::Document;
 use bytes::Bytes;
 use hyper::Method;
--- a/crates/ctl/src/torture/caller.rs
+++ b/crates/ctl/src/rig/caller.rs
@@ -3,8 +3,8 @@
 use crate::Error;
 use crate::client::{Answer, Client, collect};
 use crate::error::{Outcome, Problem};
-use crate::torture::record;
-use crate::torture::stream::{Stream, is_stream, token};
+use crate::rig::record;
+use crate::rig::stream::{Stream, is_stream, token};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -82,7 +82,7 @@
         record::expected(self.pipeline, &self.text, self.tokens)
     }
 
-    pub(super) fn headers(&self) -> HeaderMap {
+    pub(crate) fn headers(&self) -> HeaderMap {
         let mut headers = HeaderMap::new();
         let mut set = |name: &'static str, value: &str| {
             if let Ok(value) = HeaderValue::from_str(value) {
@@ -158,7 +158,7 @@
         }
     }
 
-    pub(super) fn judge(&self, answer: &Answer) -> Told {
+    pub(crate) fn judge(&self, answer: &Answer) -> Told {
         if !answer.status.is_success() {
             return Told::Problem(answer.problem());
         }
@@ -171,7 +171,7 @@
         self.compare(found, &output["serial"], whole["late"] == true)
     }
 
-    pub(super) fn compare(&self, found: String, serial: &Value, late: bool) -> Told {
+    pub(crate) fn compare(&self, found: String, serial: &Value, late: bool) -> Told {
         if found != self.expected() {
             return Told::Wrong(found);
         }
@@ -309,7 +309,7 @@
 }
 
 impl Told {
-    pub(super) fn from_error(error: &Error) -> Self {
+    pub(crate) fn from_error(error: &Error) -> Self {
         match error {
             Error::Unreachable { .. } => Self::Unreachable,
             _ => Self::Lost,
--- a/crates/ctl/src/torture/probe.rs
+++ b/crates/ctl/src/rig/probe.rs
@@ -92,7 +92,7 @@
     answer.await?.json()
 }
 
-pub(super) async fn post(address: SocketAddr, path: &str, body: &Value) -> Result<(), Error> {
+pub(crate) async fn post(address: SocketAddr, path: &str, body: &Value) -> Result<(), Error> {
     let client = Client::plain(address);
     let body = body.to_string().into();
     let answer = client
@@ -106,6 +106,6 @@
     }
 }
 
-pub(super) fn failed(reason: String) -> Error {
+pub(crate) fn failed(reason: String) -> Error {
     Error::Failed { reason }
 }
--- a/crates/ctl/src/torture/relay.rs
+++ b/crates/ctl/src/rig/proxy.rs
@@ -1,4 +1,4 @@
-//! A TCP relay that can be cut, frozen and delayed.
+//! A TCP proxy that can be cut, frozen and delayed.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -11,7 +11,7 @@
 /// Bytes passed on at once at most.
 const BUFFER: usize = 16 << 10;
 
-/// What the relay does with what reaches it.
+/// What the proxy does with what reaches it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
     /// Passes everything on.
@@ -31,14 +31,14 @@
 
 /// A relay to one address; dropping it closes all its connections.
 #[derive(Debug)]
-pub struct Relay {
+pub struct Proxy {
     address: SocketAddr,
     mode: watch::Sender<Mode>,
     task: JoinHandle<()>,
 }
 
-impl Relay {
-    /// Starts a relay on a free port.
+impl Proxy {
+    /// Starts a proxy on a free port.
     ///
     /// # Errors
     ///
@@ -67,7 +67,7 @@
     }
 }
 
-impl Drop for Relay {
+impl Drop for Proxy {
     fn drop(&mut self) {
         self.mode.send_replace(Mode::Cut);
         self.task.abort();
--- a/crates/ctl/src/torture/runner.rs
+++ b/crates/ctl/src/rig/runner.rs
@@ -2,9 +2,9 @@
 
 use crate::Error;
 use crate::fleet::Ready;
-use crate::torture::probe::{failed, get};
-use crate::torture::record;
-use crate::torture::relay::Relay;
+use crate::rig::probe::{failed, get};
+use crate::rig::proxy::Proxy;
+use crate::rig::record;
 use setting::Place;
 use standin::log::{Execution, Page};
 use standin::{Kind, Options, Server};
@@ -23,13 +23,13 @@
     /// Where the runner serves.
     pub address: SocketAddr,
     /// Between the entries and the agent, if they do not speak directly.
-    pub relay: Option<Relay>,
-    pub(super) kind: Kind,
-    pub(super) options: Options,
-    pub(super) settings: setting::Agent,
-    pub(super) server: Option<Server>,
+    pub relay: Option<Proxy>,
+    pub(crate) kind: Kind,
+    pub(crate) options: Options,
+    pub(crate) settings: setting::Agent,
+    pub(crate) server: Option<Server>,
     /// Executions of earlier lives of the runner.
-    pub(super) past: Vec<Execution>,
+    pub(crate) past: Vec<Execution>,
 }
 
 /// What a runner and its agent are like.
@@ -95,8 +95,8 @@
     }
 
     /// Puts a new relay before the agent.
-    pub(super) async fn interpose(&mut self, agent: SocketAddr) -> Result<(), Error> {
-        let relay = Relay::start(agent).await;
+    pub(crate) async fn interpose(&mut self, agent: SocketAddr) -> Result<(), Error> {
+        let relay = Proxy::start(agent).await;
         let relay = relay.map_err(|error| failed(error.to_string()))?;
         self.vm.address = relay.address();
         self.relay = Some(relay);
@@ -104,7 +104,7 @@
     }
 }
 
-pub(super) async fn serve(
+pub(crate) async fn serve(
     kind: Kind,
     listen: SocketAddr,
     options: Options,
@@ -113,7 +113,7 @@
     server.map_err(|error| failed(error.to_string()))
 }
 
-pub(super) fn listed(
+pub(crate) fn listed(
     id: &str,
     role: Role,
     service: &str,
@@ -134,13 +134,13 @@
     }
 }
 
-pub(super) fn place(index: usize) -> Place {
+pub(crate) fn place(index: usize) -> Place {
     Place {
         region: REGION.to_owned(),
         domain: DOMAINS[index % DOMAINS.len()].to_owned(),
     }
 }
 
-pub(super) fn free() -> SocketAddr {
+pub(crate) fn free() -> SocketAddr {
     (Ipv4Addr::LOCALHOST, 0).into()
 }
--- a/crates/ctl/src/torture/stream.rs
+++ b/crates/ctl/src/rig/stream.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{Client, collect};
 use crate::event::{Event, Parser};
-use crate::torture::caller::{Ask, Told};
+use crate::rig::caller::{Ask, Told};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -27,7 +27,7 @@
 }
 
 impl Stream {
-    pub(super) async fn new(
+    pub(crate) async fn new(
         ask: Ask,
         entry: SocketAddr,
         response: Response<Incoming>,
@@ -151,12 +151,12 @@
 }
 
 /// Whether an answer comes as a stream.
-pub(super) fn is_stream(response: &Response<Incoming>) -> bool {
+pub(crate) fn is_stream(response: &Response<Incoming>) -> bool {
     let kind = response.headers().get("content-type");
     kind.is_some_and(|kind| kind == "text/event-stream")
 }
 
 /// Text of one token.
-pub(super) fn token(data: &Value) -> String {
+pub(crate) fn token(data: &Value) -> String {
     data["token"].as_str().unwrap_or_default().to_owned()
 }
--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -1,14 +1,14 @@
 //! `torture`: a bounded soak of both deployments under faults, from a seed.
 
 use crate::command::{Command, Help};
-use crate::torture::bench::Bench;
+use crate::rig::bench::Bench;
+use crate::rig::probe::until;
+use crate::rig::record::{ASSISTANT, LABEL, POOLS, REPORT};
+use crate::rig::runner::Plan;
 use crate::torture::demand::{self, Mix};
 use crate::torture::fault::Faults;
 use crate::torture::operators::{self, Ledger};
-use crate::torture::probe::until;
-use crate::torture::record::{ASSISTANT, LABEL, POOLS, REPORT};
 use crate::torture::relays;
-use crate::torture::runner::Plan;
 use crate::torture::tally::{self, Log, Tally};
 use crate::torture::world::World;
 use crate::{Common, Error, output};
--- a/crates/ctl/src/torture/demand.rs
+++ b/crates/ctl/src/torture/demand.rs
@@ -1,7 +1,7 @@
 //! Open-loop demand from a seed: callers arrive whether or not earlier ones were answered.
 
-use crate::torture::caller::{Ask, Word};
-use crate::torture::record::{CHECK, DRAFT, PRINT, READ};
+use crate::rig::caller::{Ask, Word};
+use crate::rig::record::{CHECK, DRAFT, PRINT, READ};
 use crate::torture::world::World;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
--- a/crates/ctl/src/torture/fault.rs
+++ b/crates/ctl/src/torture/fault.rs
@@ -1,9 +1,9 @@
 //! Faults from a seed, each with its end.
 
-use crate::torture::bench::Bench;
-use crate::torture::probe::fault;
-use crate::torture::record::{LABEL, REPORT, drain};
-use crate::torture::relay::Mode;
+use crate::rig::bench::Bench;
+use crate::rig::probe::fault;
+use crate::rig::proxy::Mode;
+use crate::rig::record::{LABEL, REPORT, drain};
 use crate::torture::schedule::{Pending, Schedule, Step};
 use crate::torture::world::{OBJECTS, TABLE, VMS, World};
 use crate::{Error, fleet::Signal};
--- a/crates/ctl/src/torture/operators.rs
+++ b/crates/ctl/src/torture/operators.rs
@@ -2,9 +2,9 @@
 
 use crate::client::Answer;
 use crate::error::Outcome;
-use crate::torture::bench::OPERATORS;
-use crate::torture::probe::{apply, get};
-use crate::torture::record::workspace;
+use crate::rig::bench::OPERATORS;
+use crate::rig::probe::{apply, get};
+use crate::rig::record::workspace;
 use crate::torture::world::World;
 use foldhash::fast::RandomState;
 use hyper::StatusCode;
--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -2,8 +2,8 @@
 
 use crate::Error;
 use crate::fleet::Fleet;
-use crate::torture::probe::{failed, until};
-use crate::torture::relay::Relay;
+use crate::rig::probe::{failed, until};
+use crate::rig::proxy::Proxy;
 use crate::torture::world::World;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -48,7 +48,7 @@
     /// The runner.
     pub runner: Runner,
     /// What callers connect to.
-    pub door: Relay,
+    pub door: Proxy,
     /// Unix millisecond of its start.
     pub started: u64,
 }
@@ -61,7 +61,7 @@
     /// The table service.
     pub store: Store,
     /// Settings of each relay, and its connection to the table service.
-    pub relays: Vec<(setting::Relay, Relay)>,
+    pub relays: Vec<(setting::Relay, Proxy)>,
     /// The runners.
     pub targets: Vec<Target>,
     /// What runners ran.
@@ -94,7 +94,7 @@
             }
         }
         for number in 0..RELAYS {
-            let door = Relay::start(cluster.store.address())
+            let door = Proxy::start(cluster.store.address())
                 .await
                 .map_err(|error| system(&error))?;
             let settings = settings(number, door.address());
@@ -109,7 +109,7 @@
         let runner = Runner::start(&id, &self.log)
             .await
             .map_err(|error| system(&error))?;
-        let door = Relay::start(runner.address())
+        let door = Proxy::start(runner.address())
             .await
             .map_err(|error| system(&error))?;
         runner.known_at(door.address());
--- a/crates/ctl/src/torture/relays/fault.rs
+++ b/crates/ctl/src/torture/relays/fault.rs
@@ -2,7 +2,7 @@
 
 use crate::Error;
 use crate::fleet::Signal;
-use crate::torture::relay::Mode;
+use crate::rig::proxy::Mode;
 use crate::torture::relays::cluster::{Cluster, GRACE_S};
 use crate::torture::relays::verdict::PROPAGATION;
 use crate::torture::schedule::{Pending, Schedule, Step};
--- a/crates/ctl/src/torture/tally.rs
+++ b/crates/ctl/src/torture/tally.rs
@@ -1,10 +1,10 @@
 //! What came of a soak: counts, and the trail of everything that must not happen.
 
 use crate::error::Outcome;
-use crate::torture::caller::{Ask, Told, Word};
+use crate::rig::caller::{Ask, Told, Word};
+use crate::rig::record::PRINT;
 use crate::torture::demand::Trail;
 use crate::torture::operators::Findings;
-use crate::torture::record::PRINT;
 use crate::torture::world::World;
 use foldhash::fast::RandomState;
 use serde::Serialize;
--- a/crates/ctl/tests/bench/mod.rs
+++ b/crates/ctl/tests/bench/mod.rs
@@ -5,7 +5,7 @@
 use ctl::deployment::{Deployment, Plan, Runner};
 use ctl::fleet::{Fleet, Ready, Signal};
 use ctl::operator::Change;
-use ctl::torture::probe;
+use ctl::rig::probe;
 use ctl::{Client, Common, Format, Operator};
 use hyper::Method;
 use hyper::header::HeaderMap;
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -3,9 +3,9 @@
 #![allow(dead_code)]
 
 use ctl::error::Outcome;
-use ctl::torture::bench::Bench;
-use ctl::torture::caller::{Ask, Told, Word};
-use ctl::torture::probe::until;
+use ctl::rig::bench::Bench;
+use ctl::rig::caller::{Ask, Told, Word};
+use ctl::rig::probe::until;
 use standin::log::Ended;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
--- a/crates/ctl/tests/failure_answers.rs
+++ b/crates/ctl/tests/failure_answers.rs
@@ -5,12 +5,12 @@
 mod common;
 
 use common::{PATIENCE, run, spawn, until_runs};
-use ctl::torture::bench::Bench;
-use ctl::torture::caller::{Ask, Told};
-use ctl::torture::probe::{fault, target};
-use ctl::torture::record::{ASSISTANT, CHECK, DRAFT, POOLS, PRINT, READ, REPORT, drain};
-use ctl::torture::relay::Mode;
-use ctl::torture::runner::Plan;
+use ctl::rig::bench::Bench;
+use ctl::rig::caller::{Ask, Told};
+use ctl::rig::probe::{fault, target};
+use ctl::rig::proxy::Mode;
+use ctl::rig::record::{ASSISTANT, CHECK, DRAFT, POOLS, PRINT, READ, REPORT, drain};
+use ctl::rig::runner::Plan;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/ctl/tests/failure_outage.rs
+++ b/crates/ctl/tests/failure_outage.rs
@@ -6,10 +6,10 @@
 
 use common::{PATIENCE, run, spawn, until_runs};
 use ctl::fleet::Signal;
-use ctl::torture::caller::Ask;
-use ctl::torture::probe::{fault, until};
-use ctl::torture::record::{LABEL, PRINT};
-use ctl::torture::runner::Plan;
+use ctl::rig::caller::Ask;
+use ctl::rig::probe::{fault, until};
+use ctl::rig::record::{LABEL, PRINT};
+use ctl::rig::runner::Plan;
 use serde_json::json;
 
 /// The table service goes down while a label prints, and the entry is asked to stop. The fitter gets
--- a/crates/ctl/tests/failure_pairs.rs
+++ b/crates/ctl/tests/failure_pairs.rs
@@ -7,12 +7,12 @@
 use common::{PATIENCE, check, run, spawn, until_idle, until_runs};
 use ctl::error::Outcome;
 use ctl::fleet::Signal;
-use ctl::torture::bench::Bench;
-use ctl::torture::caller::{Ask, Told};
-use ctl::torture::probe::{fault, get, status, target, until};
-use ctl::torture::record::{ASSISTANT, DRAFT, LABEL, PRINT};
-use ctl::torture::relay::Mode;
-use ctl::torture::runner::Plan;
+use ctl::rig::bench::Bench;
+use ctl::rig::caller::{Ask, Told};
+use ctl::rig::probe::{fault, get, status, target, until};
+use ctl::rig::proxy::Mode;
+use ctl::rig::record::{ASSISTANT, DRAFT, LABEL, PRINT};
+use ctl::rig::runner::Plan;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 
--- a/crates/ctl/tests/failure_stops.rs
+++ b/crates/ctl/tests/failure_stops.rs
@@ -7,12 +7,12 @@
 use common::{PATIENCE, run};
 use ctl::error::Outcome;
 use ctl::fleet::Signal;
-use ctl::torture::bench::Bench;
-use ctl::torture::caller::{Ask, Told};
-use ctl::torture::probe::{status, target, until};
-use ctl::torture::record::{ASSISTANT, DRAFT, drain};
-use ctl::torture::runner::Plan;
-use ctl::torture::stream::Stream;
+use ctl::rig::bench::Bench;
+use ctl::rig::caller::{Ask, Told};
+use ctl::rig::probe::{status, target, until};
+use ctl::rig::record::{ASSISTANT, DRAFT, drain};
+use ctl::rig::runner::Plan;
+use ctl::rig::stream::Stream;
 use std::net::SocketAddr;
 
 /// Two entries and two engines.
--- a/crates/ctl/tests/tls_peers.rs
+++ b/crates/ctl/tests/tls_peers.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use ctl::fleet::Fleet;
-use ctl::torture::probe::until;
+use ctl::rig::probe::until;
 use ctl::{Client, Common, Format, listing};
 use hyper::Method;
 use hyper::header::{HeaderMap, HeaderValue};
