--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -11,6 +11,8 @@
 pub type ServiceId = Arc<str>;
 /// How urgent a request is; 0 comes first.
 pub type Rank = u8;
+/// The most urgent rank.
+pub const FIRST_RANK: Rank = 0;
 /// The least urgent rank that is told apart.
 pub const LAST_RANK: Rank = 9;
 
--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -7,6 +7,7 @@
 use crate::downstream::{Downstream, Reply};
 use crate::event::{Events, Splitter};
 use crate::graph::Inputs;
+use crate::plan::FIRST_RANK;
 use crate::request::{Broken, EventId};
 use crate::serve::Job;
 use crate::telemetry::millis;
@@ -157,14 +158,16 @@
         None
     }
 
-    /// The request with its aim counted from now, if the caller has a part of its answer.
+    /// The request as one of the most urgent, with time until half of what is left has passed, if the
+    /// caller has a part of its answer.
     ///
     /// Results that have to be made again count as late by when the request came. In a burst that is
     /// what is given up first, although one call more saves all that went into the stream.
     fn urgent(&self) -> Job<D> {
         let mut job = self.job.clone();
         if self.events > 0 {
-            job.due = Instant::now() + job.route.target;
+            job.rank = FIRST_RANK;
+            job.due = Instant::now() + job.route.target.max(job.left() / 2);
         }
         job
     }
