Orders that wait for room are looked at again when results lapse

They waited until their callers gave up, also after the results had lapsed. Ruled out: the naive former; what ships stalls alike (test room_lapses hangs without). The first test now has results that never fill a runner, which is what it meant.

--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -398,6 +398,20 @@
         }
     }
 
+    /// When a result lapses or an order is over, if no call is in progress.
+    ///
+    /// With the room of all runners taken there is nothing whose end would tell. Orders would wait
+    /// until their callers give up, beside runners that have long had room again.
+    fn stuck_until(&self) -> Option<Instant> {
+        if self.places.iter().any(|place| place.calls > 0) {
+            return None;
+        }
+        let results = self.places.iter().flat_map(|place| place.results.values());
+        let lapses = results.map(|kept| kept.until);
+        let orders = self.waiting.values().map(|waiting| waiting.order.last);
+        lapses.chain(orders).min()
+    }
+
     /// When something may change that no call or order tells; once for each such moment.
     pub(super) fn next_wake(&mut self, started: Instant) -> Option<Instant> {
         let now = Instant::now();
@@ -406,7 +420,8 @@
         let former = self.former.as_ref().filter(|former| former.waiting() > 0)?;
         let at = now.saturating_duration_since(started);
         let moved = former.next(at).map(|moment| started + moment);
-        let wake = rest.into_iter().chain(moved).min()?;
+        let stuck = self.stuck_until().filter(|until| *until > now);
+        let wake = rest.into_iter().chain(moved).chain(stuck).min()?;
         if self
             .wakes
             .is_some_and(|planned| planned > now && planned <= wake)
--- a/crates/relay/tests/stage_pieces.rs
+++ b/crates/relay/tests/stage_pieces.rs
@@ -36,6 +36,9 @@
     }
 }
 
+/// Size of results that never fill a runner.
+const SMALL: u64 = 10;
+
 async fn submit(relay: &Arc<Relay<Fake>>, order: Order) -> relay::batch::Outcome {
     let outcome = relay.batcher(&cell()).submit(relay, order).await;
     outcome.expect("an outcome")
@@ -86,6 +89,7 @@
         for number in 0..8 {
             let order = Order {
                 due: Instant::now() + Duration::from_secs(3),
+                result: SMALL,
                 ..order(&format!("burst-{number}"), 4)
             };
             let relay = relay.clone();
@@ -94,6 +98,7 @@
         sleep(Duration::from_millis(10)).await;
         let late = Order {
             due: Instant::now(),
+            result: SMALL,
             ..order("late", 1)
         };
         let begun = Instant::now();
@@ -259,6 +264,32 @@
     assert!(released >= 4, "{released}");
 }
 
+/// The room of all runners is taken by results that nobody gives back, and nothing else happens: no
+/// call ends and no order comes. The next order must be made as soon as those lapse, and one that
+/// cannot wait so long is told at its last moment; both would wait until their callers give up,
+/// beside idle runners.
+#[tokio::test(start_paused = true)]
+async fn room_lapses() {
+    let relay = ready(Fake::default());
+    for number in 0..6 {
+        let made = submit(&relay, order(&format!("kept-{number}"), 4)).await;
+        assert!(made.is_ok());
+    }
+    let begun = Instant::now();
+    let hasty = Order {
+        last: begun + Duration::from_secs(1),
+        ..order("hasty", 4)
+    };
+    let patient = Order {
+        last: begun + Duration::from_secs(8),
+        ..order("patient", 4)
+    };
+    let (hasty, patient) = tokio::join!(submit(&relay, hasty), submit(&relay, patient));
+    assert!(hasty.is_err());
+    assert!(patient.is_ok());
+    assert!(begun.elapsed() < Duration::from_secs(5));
+}
+
 /// A runner answers at once that an input is gone. Like one without room it must not look fast.
 #[tokio::test(start_paused = true)]
 async fn input_gone_is_not_fast() {
