--- a/crates/relay/tests/runner_list.rs
+++ b/crates/relay/tests/runner_list.rs
@@ -114,3 +114,27 @@
     );
     assert_eq!(known(&relay, "plain"), 1);
 }
+
+/// The table service answers some questions, refuses others and leaves some hanging. What it does
+/// tell counts at once, and what it told before holds: a relay that took each failure for an outage
+/// would sit on news of seconds ago, or forget its runners.
+#[tokio::test(start_paused = true)]
+async fn answers_some() {
+    let hanging = Told::Away(Duration::from_millis(700));
+    let told = vec![
+        Told::Rows(vec![("r-1", entry("plain"))]),
+        AWAY,
+        Told::Rows(vec![("r-2", entry("plain"))]),
+        hanging.clone(),
+        AWAY,
+        Told::Rows(vec![(
+            "r-1",
+            Some(json!({ "service": "plain", "leaving": true })),
+        )]),
+        hanging,
+        Told::Rows(vec![("r-3", entry("plain"))]),
+    ];
+    let relay = follow_for(told, Duration::from_secs(5)).await;
+    assert!(relay.runner("r-1").is_none());
+    assert_eq!(known(&relay, "plain"), 2);
+}
