--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -12,6 +12,7 @@
 use rustls::{ClientConfig, RootCertStore};
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, ServerName};
+use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::str::FromStr;
@@ -203,6 +204,16 @@
         Err(last)
     }
 
+    /// Reads a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Those of the call; an answer that is something else.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let answer = self.call(Method::GET, path, HeaderMap::new(), Bytes::new());
+        answer.await?.json()
+    }
+
     /// Sends a call and waits for the whole answer.
     ///
     /// # Errors
--- a/crates/ctl/src/experiment/system.rs
+++ b/crates/ctl/src/experiment/system.rs
@@ -7,9 +7,6 @@
 use crate::fleet::Fleet;
 use crate::listing::{post, register, vm};
 use crate::{Error, option};
-use bytes::Bytes;
-use hyper::Method;
-use hyper::header::HeaderMap;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use setting::Policy;
@@ -177,9 +174,7 @@
         address: SocketAddr,
         path: &str,
     ) -> Result<T, Error> {
-        let client = Client::plain(address);
-        let answer = client.call(Method::GET, path, HeaderMap::new(), Bytes::new());
-        answer.await?.json()
+        Client::plain(address).get(path).await
     }
 
     /// Ends all processes that are left, at once: what they ran is known by now, and graceful stops
--- a/crates/ctl/src/rig/bench.rs
+++ b/crates/ctl/src/rig/bench.rs
@@ -3,8 +3,8 @@
 use crate::client::Client;
 use crate::fleet::{Fleet, Signal};
 use crate::rig::probe::{LIMIT, LOOK, apply, failed, get, post, status, target, until};
-use crate::rig::runner::{Plan, Runner, free, listed, place, serve};
-use crate::{Error, rig::record};
+use crate::rig::runner::{Plan, Runner, free, place, serve};
+use crate::{Error, listing, rig::record};
 use ::record::Document;
 use bytes::Bytes;
 use hyper::Method;
@@ -72,7 +72,10 @@
         let ready = self.fleet.entry(&settings)?;
         let known = self.entries.iter().position(|vm| vm.id == id);
         let incarnation = known.map_or(1, |index| self.entries[index].incarnation + 1);
-        let vm = listed(id, Role::Entry, "", &settings.place, ready, incarnation);
+        let vm = Vm {
+            incarnation,
+            ..listing::vm(id, Role::Entry, "", &settings.place, ready)
+        };
         self.list(&vm).await?;
         match known {
             Some(index) => self.entries[index] = vm,
@@ -105,14 +108,7 @@
             news: None,
         };
         let ready = self.fleet.agent(&settings)?;
-        let vm = listed(
-            id,
-            Role::Target,
-            &settings.service,
-            &settings.place,
-            ready,
-            1,
-        );
+        let vm = listing::vm(id, Role::Target, &settings.service, &settings.place, ready);
         let mut runner = Runner {
             vm,
             address,
--- a/crates/ctl/src/rig/probe.rs
+++ b/crates/ctl/src/rig/probe.rs
@@ -2,7 +2,6 @@
 
 use crate::Error;
 use crate::client::{Answer, Client};
-use bytes::Bytes;
 use hyper::Method;
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderValue};
 use serde_json::Value;
@@ -87,9 +86,7 @@
     address: SocketAddr,
     path: &str,
 ) -> Result<T, Error> {
-    let client = Client::plain(address);
-    let answer = client.call(Method::GET, path, HeaderMap::new(), Bytes::new());
-    answer.await?.json()
+    Client::plain(address).get(path).await
 }
 
 pub(crate) async fn post(address: SocketAddr, path: &str, body: &Value) -> Result<(), Error> {
--- a/crates/ctl/src/rig/runner.rs
+++ b/crates/ctl/src/rig/runner.rs
@@ -1,7 +1,6 @@
 //! A runner of a bench and the agent beside it.
 
 use crate::Error;
-use crate::fleet::Ready;
 use crate::rig::probe::{failed, get};
 use crate::rig::proxy::Proxy;
 use crate::rig::record;
@@ -9,7 +8,7 @@
 use standin::log::{Execution, Page};
 use standin::{Kind, Options, Server};
 use std::net::{Ipv4Addr, SocketAddr};
-use store::{Role, Vm};
+use store::Vm;
 
 /// Region of the bench.
 const REGION: &str = "test";
@@ -113,27 +112,6 @@
     server.map_err(|error| failed(error.to_string()))
 }
 
-pub(crate) fn listed(
-    id: &str,
-    role: Role,
-    service: &str,
-    place: &Place,
-    ready: Ready,
-    incarnation: u64,
-) -> Vm {
-    Vm {
-        id: id.to_owned(),
-        incarnation,
-        role,
-        service: service.to_owned(),
-        region: place.region.clone(),
-        domain: place.domain.clone(),
-        address: ready.listen,
-        news: ready.news,
-        leaving: false,
-    }
-}
-
 pub(crate) fn place(index: usize) -> Place {
     Place {
         region: REGION.to_owned(),
--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -4,6 +4,7 @@
 use crate::fleet::Fleet;
 use crate::rig::probe::{failed, until};
 use crate::rig::proxy::Proxy;
+use crate::rig::runner::place;
 use crate::torture::world::World;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -15,8 +16,8 @@
 
 /// Relays of a soak.
 const RELAYS: usize = 4;
-/// Failure domains, in which runners and relays are spread.
-const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Key that is in every version of the configuration.
+pub const STAYS: &str = "key-stays";
 /// Runners of each service.
 const RUNNERS: [(&str, usize); 3] = [(PLAIN, 3), (MODEL, 4), (STAGE, 3)];
 /// Time from the request to stop until a process is taken to hang, in seconds.
@@ -44,7 +45,7 @@
     /// Its service.
     pub service: &'static str,
     /// Its failure domain.
-    pub domain: &'static str,
+    pub domain: String,
     /// The runner.
     pub runner: Runner,
     /// What callers connect to.
@@ -116,7 +117,7 @@
         self.targets.push(Target {
             id,
             service,
-            domain: DOMAINS[number % DOMAINS.len()],
+            domain: place(number).domain,
             runner,
             door,
             started: now() / 1_000,
@@ -144,7 +145,7 @@
             id: &target.id,
             service: target.service,
             address: target.door.address(),
-            domain: target.domain,
+            domain: &target.domain,
             started: target.started,
             leaving,
         });
@@ -167,33 +168,29 @@
         Ok(())
     }
 
-    /// Puts the next version of the configuration into force: the first key stays, the second one is
+    /// Puts the next version of the configuration into force: one key stays, the other one is
     /// replaced.
     pub fn configure(&mut self) {
         self.version += 1;
+        let text = format!("key-{}", self.version);
+        let valid = [STAYS.to_owned(), text.clone()];
         let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
-        let names: &[&str] = if self.version == 1 {
-            &["key-stays", "key-1"]
-        } else {
-            &["key"]
-        };
-        let new = names.iter().map(|name| match *name {
-            "key" => format!("key-{}", self.version),
-            name => name.to_owned(),
-        });
-        let new: Vec<String> = new.collect();
-        let mut valid = vec!["key-stays".to_owned()];
-        valid.extend(new.iter().filter(|key| *key != "key-stays").cloned());
         self.store.configure(&config::plan(self.version, &valid));
-        let now = now();
-        for key in keys.iter_mut().skip(1).filter(|key| key.until.is_none()) {
-            key.until = Some(now);
-        }
-        keys.extend(new.into_iter().map(|text| Key {
+        let accepted = now();
+        let new = Key {
             text,
-            from: now,
+            from: accepted,
             until: None,
-        }));
+        };
+        if keys.is_empty() {
+            keys.push(Key {
+                text: STAYS.to_owned(),
+                ..new.clone()
+            });
+        }
+        let replaced = keys.iter_mut().skip(1).filter(|key| key.until.is_none());
+        replaced.for_each(|key| key.until = Some(accepted));
+        keys.push(new);
     }
 
     /// Waits until all relays take callers.
@@ -217,14 +214,10 @@
 }
 
 fn settings(number: usize, store: SocketAddr) -> setting::Relay {
-    let place = setting::Place {
-        region: "test".to_owned(),
-        domain: DOMAINS[number % DOMAINS.len()].to_owned(),
-    };
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     setting::Relay {
         id: format!("relay-{number}"),
-        place,
+        place: place(number),
         listen: any,
         ready: any,
         metrics: any,
@@ -234,7 +227,7 @@
         store,
         repeats: setting::relay::Repeats::default(),
         grace_s: GRACE_S,
-        policy: setting::relay::Choice::default(),
+        policy: setting::relay::Policies::default(),
     }
 }
 
--- a/crates/ctl/src/torture/relays/demand.rs
+++ b/crates/ctl/src/torture/relays/demand.rs
@@ -1,6 +1,6 @@
 //! Callers of a soak of relays, from a seed.
 
-use crate::torture::relays::cluster::{Cluster, Key, Keys};
+use crate::torture::relays::cluster::{Cluster, Key, Keys, STAYS};
 use crate::torture::relays::verdict::{PROPAGATION, is_good};
 use crate::torture::world::World;
 use rand::rngs::StdRng;
@@ -104,7 +104,7 @@
                 let ask = Ask {
                     id: format!("{name}r{round}{kind:?}"),
                     kind,
-                    key: "key-stays".to_owned(),
+                    key: STAYS.to_owned(),
                     patience: Duration::from_secs(2),
                 };
                 words.push(match Connection::open(entry).await {
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -36,7 +36,7 @@
     inflation: Inflation,
 }
 
-fn former(policy: setting::relay::Choice, shape: Shape) -> Choice {
+fn former(policy: setting::relay::Policies, shape: Shape) -> Choice {
     match (policy.batches, policy.admission) {
         (Policy::Shipped, Policy::Shipped) => Choice::shipped(shape),
         (Policy::Shipped, Policy::Naive) => Choice::patient(shape),
@@ -402,14 +402,14 @@
     ///
     /// With the room of all runners taken there is nothing whose end would tell. Orders would wait
     /// until their callers give up, beside runners that have long had room again.
-    fn stuck_until(&self) -> Option<Instant> {
+    fn stuck_until(&self, now: Instant) -> Option<Instant> {
         if self.places.iter().any(|place| place.calls > 0) {
             return None;
         }
         let results = self.places.iter().flat_map(|place| place.results.values());
         let lapses = results.map(|kept| kept.until);
         let orders = self.waiting.values().map(|waiting| waiting.order.last);
-        lapses.chain(orders).min()
+        lapses.chain(orders).filter(|until| *until > now).min()
     }
 
     /// When something may change that no call or order tells; once for each such moment.
@@ -420,7 +420,7 @@
         let former = self.former.as_ref().filter(|former| former.waiting() > 0)?;
         let at = now.saturating_duration_since(started);
         let moved = former.next(at).map(|moment| started + moment);
-        let stuck = self.stuck_until().filter(|until| *until > now);
+        let stuck = self.stuck_until(now);
         let wake = rest.into_iter().chain(moved).chain(stuck).min()?;
         if self
             .wakes
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -38,7 +38,7 @@
     /// Shared key of the processes.
     pub key: wire::Key,
     /// Which decisions it takes.
-    pub policy: setting::relay::Choice,
+    pub policy: setting::relay::Policies,
     /// Clock that counts suspensions.
     pub clock: Clock,
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -377,7 +377,7 @@
         processes: 4,
         member,
         key: wire::Key::new("key"),
-        policy: setting::relay::Choice::default(),
+        policy: setting::relay::Policies::default(),
         clock: since_start,
     }
 }
@@ -398,7 +398,7 @@
 }
 
 /// The same with other decisions than those that ship.
-pub(crate) fn choosing(fake: Fake, policy: setting::relay::Choice) -> Arc<Relay<Fake>> {
+pub(crate) fn choosing(fake: Fake, policy: setting::relay::Policies) -> Arc<Relay<Fake>> {
     let options = Options {
         policy,
         ..options(member())
--- a/crates/relay/tests/stage_pieces.rs
+++ b/crates/relay/tests/stage_pieces.rs
@@ -8,7 +8,7 @@
 use relay::downstream::{Failure, Handle, Made, NotRun, Source};
 use relay::runner::Change;
 use setting::Policy;
-use setting::relay::Choice;
+use setting::relay::Policies;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -63,7 +63,7 @@
 #[tokio::test(start_paused = true)]
 async fn naive_calls() {
     let fake = Fake::default();
-    let naive = Choice {
+    let naive = Policies {
         batches: Policy::Naive,
         admission: Policy::Naive,
     };
@@ -81,9 +81,9 @@
 #[tokio::test(start_paused = true)]
 async fn naive_admission() {
     for (admission, given_up) in [(Policy::Shipped, true), (Policy::Naive, false)] {
-        let policy = Choice {
+        let policy = Policies {
             admission,
-            ..Choice::default()
+            ..Policies::default()
         };
         let relay = choosing(Fake::default(), policy);
         for number in 0..8 {
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -68,12 +68,12 @@
     pub grace_s: f64,
     /// Which decisions it takes.
     #[serde(default)]
-    pub policy: Choice,
+    pub policy: Policies,
 }
 
 /// Which decisions a relay takes, for comparisons.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Choice {
+pub struct Policies {
     /// What goes into the calls of stages: shared by slack, or one request a call in order of
     /// arrival.
     #[serde(default)]
