Inputs that a stage's call has fetched make room where it is needed

Cause: a stage's runner has room for the results of 2.25 calls on all three deployments, and holds each from the turn of its call until the next stage's call has ended, 0.8 to 0.95 s: at most 2.4 to 2.8 calls a second where full calls make 2.7.

Change: 60 ms after a call was sent, the owner of its cell tells where the inputs were made that they have been fetched.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -14,6 +14,7 @@
 use crate::runner::{DomainId, Runner};
 use crate::telemetry::millis;
 use serde::{Deserialize, Serialize};
+use setting::Policy;
 use slog::{info, warn};
 use snafu::Snafu;
 use state::{Launch, State};
@@ -34,6 +35,10 @@
     pub index: usize,
 }
 
+/// Time after which a runner that was sent a call has fetched its inputs. It does so before it works;
+/// the 17 MB of a full call take 14 ms at 10 Gbit/s, and calls fetch beside one another.
+const FETCHED: Duration = Duration::from_millis(60);
+
 /// Runners in a cell at most. At 8 pieces and 0.37 s a call, eight runners make 175 pieces a second
 /// in 22 calls, some hundredths of a core; more runners in one cell share calls hardly better.
 const CELL: usize = 8;
@@ -100,6 +105,24 @@
     }
 }
 
+/// How far results are done with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Spent {
+    /// A call has fetched them. Until it has ended they are given back only where room is needed.
+    Fetched,
+    /// Nobody needs them any more.
+    Over,
+}
+
+/// Results of one cell.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Results {
+    /// The cell.
+    pub cell: Cell,
+    /// The results.
+    pub handles: Vec<Handle>,
+}
+
 /// The pieces of one stage of one request.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -111,6 +134,8 @@
     pub pieces: u32,
     /// What they are made from.
     pub source: Source,
+    /// Those of the inputs that nothing else needs.
+    pub inputs: Vec<Results>,
     /// Size of one result in bytes.
     pub result: u64,
     /// Moment by which they must be made for the request to be on time.
@@ -216,17 +241,20 @@
         lock(&self.state).refresh(runners.unwrap_or_default());
     }
 
-    /// Results that are needed no more.
+    /// Results that are done with.
     ///
     /// Some may have been made for another process that formed the cell's calls before. They take
     /// up room here all the same, of a size that is not known.
-    pub fn release(&self, relay: &Relay<D>, handles: &[Handle]) {
+    pub fn release(&self, relay: &Relay<D>, handles: &[Handle], spent: Spent) {
         let mut state = lock(&self.state);
         let keep = relay.batches(&self.cell.service);
         let until = Instant::now() + keep.map_or(Duration::ZERO, |batches| batches.keep);
         for handle in handles {
             if let Some(address) = relay.downstream.holder(handle) {
-                state.release(address, handle, until);
+                match spent {
+                    Spent::Fetched => state.fetched(address, handle),
+                    Spent::Over => state.release(address, handle, until),
+                }
             }
         }
     }
@@ -275,10 +303,8 @@
         }
         let items = std::mem::take(&mut launch.items);
         let count = items.len();
-        let result = relay
-            .downstream
-            .make(&runner, items, launch.patience())
-            .await;
+        let making = relay.downstream.make(&runner, items, launch.patience());
+        let result = self.until_fetched(&relay, &launch, making).await;
         let elapsed = begun.elapsed();
         info!(relay.log, "stage call";
             "service" => &*self.cell.service, "runner" => &*runner.id, "pieces" => count,
@@ -289,6 +315,33 @@
         self.pump(&relay);
     }
 
+    /// Waits for the end of a call, and tells where its inputs were made once it has them.
+    ///
+    /// A runner has room for the results of two calls and a bit. Held until the next stage's call has
+    /// ended, they took up that room for a third of a second longer than it takes to fetch them, and
+    /// in bursts runners stood still beside pieces that waited. Over 60 emulated days of three
+    /// deployments the worth of what was served rose by 0.003 to 0.029, of 0.60.
+    async fn until_fetched<T>(
+        &self,
+        relay: &Relay<D>,
+        launch: &Launch,
+        making: impl Future<Output = T>,
+    ) -> T {
+        if relay.options.policy.fetched == Policy::Naive {
+            return making.await;
+        }
+        let mut making = std::pin::pin!(making);
+        tokio::select! {
+            result = &mut making => return result,
+            () = tokio::time::sleep(FETCHED) => {}
+        }
+        let inputs = lock(&self.state).inputs(launch);
+        for Results { cell, handles } in inputs {
+            relay.peers.release(relay, &cell, handles, Spent::Fetched);
+        }
+        making.await
+    }
+
     /// Nothing else wakes a runner whose rest is over, or a group that has waited long enough for a
     /// runner of its failure domain.
     fn pump_later(self: &Arc<Self>, relay: &Arc<Relay<D>>) {
--- a/crates/relay/src/batch/place.rs
+++ b/crates/relay/src/batch/place.rs
@@ -36,6 +36,9 @@
     pub(super) calls: Vec<Instant>,
     pub(super) results: Map<Handle, Kept>,
     pub(super) released: Vec<Handle>,
+    /// Results that the call which needs them has fetched, the oldest first. If that call fails they
+    /// are needed again.
+    fetched: Vec<Handle>,
     slowness: f64,
     judged: Instant,
     failures: u32,
@@ -112,9 +115,9 @@
 /// Room for results at a runner.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Room {
-    /// Once all that is released has been given back.
+    /// Once all that is released or fetched has been given back.
     pub(super) free: u64,
-    /// As long as it has not.
+    /// As long as none of it has.
     pub(super) unreleased: u64,
 }
 
@@ -125,6 +128,7 @@
             calls: Vec::new(),
             results: Map::default(),
             released: Vec::new(),
+            fetched: Vec::new(),
             slowness: 1.0,
             judged: Instant::now(),
             failures: 0,
@@ -158,32 +162,67 @@
         self.rests_until.is_some_and(|until| now < until)
     }
 
-    /// Room for the next call's results once all that is released has been given back.
+    /// Room for the next call's results once all that is released or fetched has been given back.
     pub(super) fn room(&mut self, batches: Batches, now: Instant) -> Room {
         self.results.retain(|_, kept| kept.until > now);
         let results = &self.results;
         self.released.retain(|handle| results.contains_key(handle));
-        let kept: u64 = self.results.values().map(|kept| kept.bytes).sum();
-        let released: u64 = self
-            .released
-            .iter()
-            .filter_map(|handle| Some(self.results.get(handle)?.bytes))
-            .sum();
-        let free = batches.room.saturating_sub(kept.saturating_sub(released));
+        self.fetched.retain(|handle| results.contains_key(handle));
+        let kept = self.kept();
+        let spent = self.bytes(&self.released) + self.bytes(&self.fetched);
         Room {
-            free,
+            free: batches.room.saturating_sub(kept.saturating_sub(spent)),
             unreleased: batches.room.saturating_sub(kept),
         }
     }
 
-    /// Results that the runner is told to drop now.
-    pub(super) fn give_back(&mut self) -> Vec<Handle> {
+    /// Bytes of all results.
+    fn kept(&self) -> u64 {
+        self.results.values().map(|kept| kept.bytes).sum()
+    }
+
+    /// Bytes of some results.
+    fn bytes(&self, handles: &[Handle]) -> u64 {
+        let kept = handles.iter().filter_map(|handle| self.results.get(handle));
+        kept.map(|kept| kept.bytes).sum()
+    }
+
+    /// Results are needed no more; some that came before this process may not be known.
+    pub(super) fn release(&mut self, handle: &Handle, until: Instant) {
+        let unknown = Kept { bytes: 0, until };
+        self.results.entry(handle.clone()).or_insert(unknown);
+        self.fetched.retain(|fetched| fetched != handle);
+        self.released.push(handle.clone());
+    }
+
+    /// A result has been fetched by the call that needs it.
+    pub(super) fn fetched(&mut self, handle: &Handle) {
+        let known = self.results.contains_key(handle);
+        if known && !self.released.contains(handle) && !self.fetched.contains(handle) {
+            self.fetched.push(handle.clone());
+        }
+    }
+
+    /// Results that the runner is told to drop now, so that there is room for `needed` bytes: all that
+    /// are released, and of those that are fetched no more than it takes.
+    pub(super) fn give_back(&mut self, batches: Batches, needed: u64) -> Vec<Handle> {
         self.full = false;
-        let released = std::mem::take(&mut self.released);
-        for handle in &released {
+        let mut dropped = std::mem::take(&mut self.released);
+        for handle in &dropped {
             self.results.remove(handle);
         }
-        released
+        let mut missing = (self.kept() + needed).saturating_sub(batches.room);
+        let fetched = std::mem::take(&mut self.fetched);
+        for handle in fetched {
+            if missing == 0 {
+                self.fetched.push(handle);
+                continue;
+            }
+            let kept = self.results.remove(&handle);
+            missing = missing.saturating_sub(kept.map_or(0, |kept| kept.bytes));
+            dropped.push(handle);
+        }
+        dropped
     }
 
     /// Learns from a call that it has ended.
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -1,7 +1,7 @@
 //! What waits in a cell and what its runners do.
 
 use super::place::{Inflation, Judged, Kept, Place, free_places};
-use super::{Order, Outcome, Spoiled, Waits};
+use super::{Order, Outcome, Results, Spoiled, Waits};
 use crate::core::Relay;
 use crate::downstream::{Downstream, Failure, Handle, Item, Made};
 use crate::plan::{Batches, Rank, ServiceId};
@@ -88,17 +88,34 @@
         self.places.is_empty()
     }
 
-    /// Results are needed no more.
+    /// A result is needed no more.
     pub(super) fn release(&mut self, address: SocketAddr, handle: &Handle, until: Instant) {
-        let mut places = self.places.iter_mut();
-        let place = places.find(|place| place.runner.address == address);
-        if let Some(place) = place {
-            let unknown = Kept { bytes: 0, until };
-            place.results.entry(handle.clone()).or_insert(unknown);
-            place.released.push(handle.clone());
+        if let Some(place) = self.at(address) {
+            place.release(handle, until);
         }
     }
 
+    /// A result has been fetched by the call that needs it.
+    pub(super) fn fetched(&mut self, address: SocketAddr, handle: &Handle) {
+        if let Some(place) = self.at(address) {
+            place.fetched(handle);
+        }
+    }
+
+    fn at(&mut self, address: SocketAddr) -> Option<&mut Place> {
+        let mut places = self.places.iter_mut();
+        places.find(|place| place.runner.address == address)
+    }
+
+    /// The inputs of a call's orders that have no pieces left which might fetch them.
+    pub(super) fn inputs(&self, launch: &Launch) -> Vec<Results> {
+        let waiting = |(ticket, _): &(Ticket, Vec<u32>)| self.waiting.get(ticket);
+        let orders = launch.portions.iter().filter_map(waiting);
+        let sent = orders.filter(|waiting| waiting.todo.is_empty());
+        sent.flat_map(|waiting| waiting.order.inputs.clone())
+            .collect()
+    }
+
     /// Results that another process asked for and may still hold.
     pub(super) fn hold(
         &mut self,
@@ -107,8 +124,7 @@
         bytes: u64,
         until: Instant,
     ) {
-        let mut places = self.places.iter_mut();
-        if let Some(place) = places.find(|place| place.runner.address == address) {
+        if let Some(place) = self.at(address) {
             let held = Kept { bytes, until };
             place.results.entry(handle.clone()).or_insert(held);
         }
@@ -254,7 +270,7 @@
         };
         let needed: u64 = portions.iter().map(bytes).sum();
         let tight = needed > room.unreleased || place.full;
-        let released = place.give_back();
+        let released = place.give_back(batches, needed);
         let runner = place.runner.clone();
         let slowness = place.slowness(now);
         let launch = Launch {
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -1,7 +1,7 @@
 //! The stages of one request.
 
 use crate::attempt;
-use crate::batch::{Cell, Order, Outcome, Spoiled};
+use crate::batch::{Cell, Order, Outcome, Results, Spent, Spoiled};
 use crate::core::Relay;
 use crate::downstream::{Downstream, Handle, Source};
 use crate::peer;
@@ -64,6 +64,18 @@
         }
     }
 
+    /// The results that one stage needs and no other.
+    fn only_for(&self, route: &Route, stage: usize) -> Vec<Results> {
+        let after = &route.stages[stage].after;
+        let only = |before: usize| after.contains(&before) && route.followers(before).count() == 1;
+        let stages = self.stages.iter().filter(|(before, ..)| only(*before));
+        let results = stages.map(|(_, cell, handles)| Results {
+            cell: cell.clone(),
+            handles: handles.clone(),
+        });
+        results.collect()
+    }
+
     /// Gives the results of some stages back.
     ///
     /// A runner has room for the results of ten to sixty pieces. Those of a stage in the middle are
@@ -74,7 +86,8 @@
         self.stages = left;
         let over: Vec<(usize, Cell, Vec<Handle>)> = over;
         for (_, cell, handles) in over {
-            self.relay.peers.release(&self.relay, &cell, handles);
+            let peers = &self.relay.peers;
+            peers.release(&self.relay, &cell, handles, Spent::Over);
         }
     }
 }
@@ -118,7 +131,8 @@
             let ready = |&before: &usize| made.get(before).is_none_or(Option::is_some);
             if !begun[stage] && stages[stage].after.iter().all(ready) && !early(job, stage, &made) {
                 begun[stage] = true;
-                running.push(make(job, stage, source(job, stage, &made), round));
+                let only = inputs.only_for(&job.route, stage);
+                running.push(make(job, stage, source(job, stage, &made), only, round));
             }
         }
         let Some((stage, cell, outcome)) = running.next().await else {
@@ -167,6 +181,7 @@
     job: &Job<D>,
     stage: usize,
     source: Source,
+    inputs: Vec<Results>,
     round: Round,
 ) -> (usize, Cell, Outcome) {
     let spec = &job.route.stages[stage];
@@ -184,6 +199,7 @@
         stage,
         pieces: job.pieces(stage),
         source,
+        inputs,
         result: spec.result,
         due: stage_due(job, stage, expected_behind),
         last: job
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -7,7 +7,7 @@
 pub use serving::serve;
 pub use talk::{Frame, Sheet};
 
-use crate::batch::{Cell, Order, Outcome, Spoiled, Waits};
+use crate::batch::{Cell, Order, Outcome, Results, Spent, Spoiled, Waits};
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle};
 use crate::member::{Member, MemberId, Members};
@@ -177,23 +177,32 @@
         held.entry(cell.clone()).or_default().news_for(owner)
     }
 
-    /// Gives results of a cell back.
-    pub fn release<D: Downstream>(&self, relay: &Relay<D>, cell: &Cell, handles: Vec<Handle>) {
-        if let Some(held) = lock(&self.held).get_mut(cell) {
+    /// Tells the owner of a cell that results are done with.
+    pub fn release<D: Downstream>(
+        &self,
+        relay: &Relay<D>,
+        cell: &Cell,
+        handles: Vec<Handle>,
+        spent: Spent,
+    ) {
+        if spent == Spent::Over
+            && let Some(held) = lock(&self.held).get_mut(cell)
+        {
             for handle in &handles {
                 held.results.remove(handle);
             }
         }
         let owner = lock(&self.members).owner(&cell.name());
         if owner.id == relay.options.member.id {
-            relay.batcher(cell).release(relay, &handles);
+            relay.batcher(cell).release(relay, &handles, spent);
             return;
         }
         let slot = lock(&self.slots).get(&owner.id).cloned();
         // Without a link the results lapse by themselves.
         if let Some(line) = slot.and_then(|slot| slot.try_lock().ok()?.clone()) {
             let cell = cell.clone();
-            let _ = line.sender.try_send(&Frame::Release { cell, handles });
+            let results = Results { cell, handles };
+            let _ = line.sender.try_send(&Frame::Release { results, spent });
         }
     }
 
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -94,7 +94,10 @@
                 }
             }
             Frame::Held { cell, results } => relay.batcher(&cell).hold(relay, &results),
-            Frame::Release { cell, handles } => relay.batcher(&cell).release(relay, &handles),
+            Frame::Release { results, spent } => {
+                let batcher = relay.batcher(&results.cell);
+                batcher.release(relay, &results.handles, spent);
+            }
             other => talk::common(relay, sender, other),
         }
     }
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -1,7 +1,7 @@
 //! The frames, and what the asking end of a link does with them.
 
 use super::Line;
-use crate::batch::{Cell, Order, Outcome, Waits};
+use crate::batch::{Cell, Order, Outcome, Results, Spent, Waits};
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle, Source};
 use crate::member::MemberId;
@@ -49,12 +49,12 @@
         /// The results, or why there are none.
         outcome: Outcome,
     },
-    /// Results are needed no more.
+    /// Results are done with.
     Release {
-        /// Cell that made them.
-        cell: Cell,
         /// The results.
-        handles: Vec<Handle>,
+        results: Results,
+        /// How far.
+        spent: Spent,
     },
     /// Results that the sender holds, for a process that has not formed the cell's calls before.
     Held {
@@ -92,6 +92,7 @@
     stage: usize,
     pieces: u32,
     source: Source,
+    inputs: Vec<Results>,
     result: u64,
     due: Duration,
     last: Duration,
@@ -110,6 +111,7 @@
             stage: order.stage,
             pieces: order.pieces,
             source: order.source.clone(),
+            inputs: order.inputs.clone(),
             result: order.result,
             due: order.due.saturating_duration_since(now),
             last: order.last.saturating_duration_since(now),
@@ -128,6 +130,7 @@
             stage: self.stage,
             pieces: self.pieces,
             source: self.source,
+            inputs: self.inputs,
             result: self.result,
             due: now + self.due,
             last: now + self.last,
--- /dev/null
+++ b/crates/relay/tests/inputs_fetched.rs
@@ -0,0 +1,127 @@
+//! Results that the next stage's call has fetched, and the room that they take up until it has ended.
+//!
+//! A runner has room for the results of two calls and a bit, and each is held from the turn of its
+//! call until the next stage's call has ended: under a burst the room of all runners is taken by
+//! results that have long been fetched.
+
+mod common;
+
+use common::{Carried, Fake, choosing, ready, request};
+use relay::Relay;
+use relay::batch::{Cell, Order, Spent};
+use relay::downstream::{Handle, Source};
+use setting::Policy;
+use setting::relay::Policies;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+fn cell() -> Cell {
+    Cell::first(&"stage".into())
+}
+
+async fn make(relay: &Arc<Relay<Fake>>, id: &str) -> Vec<Handle> {
+    let now = Instant::now();
+    let order = Order {
+        id: id.into(),
+        stage: 0,
+        pieces: 4,
+        source: Source::Key("piece".into()),
+        inputs: Vec::new(),
+        result: 100,
+        due: now + Duration::from_secs(8),
+        last: now + Duration::from_secs(8),
+        rank: 1,
+        domain: None,
+        patience: Duration::ZERO,
+    };
+    let outcome = relay.batcher(&cell()).submit(relay, order).await;
+    outcome.expect("an outcome").expect("made")
+}
+
+/// Fills the room of both runners, three calls each.
+async fn fill(relay: &Arc<Relay<Fake>>) -> Vec<Handle> {
+    let mut made = Vec::new();
+    for number in 0..6 {
+        made.extend(make(relay, &format!("kept-{number}")).await);
+    }
+    made
+}
+
+/// With all room taken, a request's pieces are made as soon as some of the results there have been
+/// fetched. Held until the calls that fetched them end, the request would stand still meanwhile; its
+/// user would see a late answer.
+#[tokio::test(start_paused = true)]
+async fn makes_room() {
+    let fake = Fake::default();
+    let relay = ready(fake.clone());
+    let kept = fill(&relay).await;
+    relay
+        .batcher(&cell())
+        .release(&relay, &kept, Spent::Fetched);
+    let begun = Instant::now();
+    make(&relay, "next").await;
+    assert!(begun.elapsed() < Duration::from_secs(1));
+    let released = fake.released.lock().expect("free").len();
+    assert_eq!(released, 4, "no more than the call needs");
+}
+
+/// Results that have been fetched stay as long as there is room. The call that fetched them may still
+/// fail, and without them its request would have to begin anew.
+#[tokio::test(start_paused = true)]
+async fn stays_otherwise() {
+    let fake = Fake::default();
+    let relay = ready(fake.clone());
+    let made = make(&relay, "first").await;
+    relay
+        .batcher(&cell())
+        .release(&relay, &made, Spent::Fetched);
+    make(&relay, "second").await;
+    make(&relay, "third").await;
+    assert_eq!(fake.released.lock().expect("free").len(), 0);
+    relay.batcher(&cell()).release(&relay, &made, Spent::Over);
+    make(&relay, "fourth").await;
+    make(&relay, "fifth").await;
+    assert_eq!(fake.released.lock().expect("free").len(), made.len());
+}
+
+/// A request's second stage is at work. The results of its first stage make room for others from
+/// shortly after that call's start, not only from its end.
+#[tokio::test(start_paused = true)]
+async fn told_by_next_stage() {
+    for (fetched, given_back) in [(Policy::Shipped, 3), (Policy::Naive, 0)] {
+        let fake = Fake::default();
+        let policy = Policies {
+            fetched,
+            ..Policies::default()
+        };
+        let relay = choosing(fake.clone(), policy);
+        for number in 0..4 {
+            make(&relay, &format!("kept-{number}")).await;
+        }
+        let serving = tokio::spawn({
+            let relay = relay.clone();
+            async move { relay.serve(request("chained", "chained")).await }
+        });
+        while !fake.carried().iter().any(is_second) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        sleep(Duration::from_millis(80)).await;
+        let next = tokio::spawn({
+            let relay = relay.clone();
+            async move { make(&relay, "next").await }
+        });
+        sleep(Duration::from_millis(20)).await;
+        let released = fake.released.lock().expect("free").clone();
+        let inputs = released
+            .iter()
+            .filter(|handle| handle.contains("chained-0-"));
+        assert_eq!(inputs.count(), given_back, "{fetched:?} {released:?}");
+        assert_eq!(serving.await.expect("served").status, 200);
+        next.await.expect("made");
+    }
+}
+
+fn is_second(call: &Carried) -> bool {
+    call.items.iter().any(|item| item.stage == 1)
+}
--- a/crates/relay/tests/stage_pieces.rs
+++ b/crates/relay/tests/stage_pieces.rs
@@ -4,7 +4,7 @@
 
 use common::{Act, End, Fake, body, choosing, inputs, ready, request, runner};
 use relay::Relay;
-use relay::batch::{Cell, Order};
+use relay::batch::{Cell, Order, Spent};
 use relay::downstream::{Failure, Handle, Made, NotRun, Source};
 use relay::runner::Change;
 use setting::Policy;
@@ -20,6 +20,7 @@
         stage: 0,
         pieces,
         source: Source::Key("piece".into()),
+        inputs: Vec::new(),
         result: 100,
         due: now + Duration::from_secs(1),
         last: now + Duration::from_secs(4),
@@ -210,7 +211,7 @@
         .iter()
         .map(|runner| format!("{}/old", runner.address).into())
         .collect();
-    relay.batcher(&cell()).release(&relay, &old);
+    relay.batcher(&cell()).release(&relay, &old, Spent::Over);
     let outcome = submit(&relay, order("a", 1)).await;
     assert_eq!(outcome.map(|made| made.len()), Ok(1));
     let released = fake.released.lock().expect("free").clone();
@@ -257,7 +258,7 @@
     for id in ["a", "b", "c", "d"] {
         made.extend(submit(&relay, order(id, 4)).await.expect("made"));
     }
-    relay.batcher(&cell()).release(&relay, &made);
+    relay.batcher(&cell()).release(&relay, &made, Spent::Over);
     for id in ["e", "f", "g", "h"] {
         assert!(submit(&relay, order(id, 4)).await.is_ok());
     }
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -24,6 +24,7 @@
     Field::optional("near", shared::POLICY),
     Field::optional("whole", shared::POLICY),
     Field::optional("small_first", shared::POLICY),
+    Field::optional("fetched", shared::POLICY),
 ]);
 
 const FIELDS: &[Field] = &[
@@ -93,6 +94,9 @@
     /// Which pieces go first among those that are due as soon: the requests with few, or any.
     #[serde(default)]
     pub small_first: Policy,
+    /// Until when inputs of a stage take up room: until its call has fetched them, or has ended.
+    #[serde(default)]
+    pub fetched: Policy,
 }
 
 /// Bound on second attempts to one service in any window.
