--- a/crates/decide/tests/shared_burdens.rs
+++ b/crates/decide/tests/shared_burdens.rs
@@ -112,7 +112,10 @@
     }
 
     fn end(&mut self, now: Duration) {
-        for sent in self.open.extract_if(.., |sent| sent.until <= now) {
+        let open = std::mem::take(&mut self.open);
+        let (over, open): (Vec<_>, Vec<_>) = open.into_iter().partition(|sent| sent.until <= now);
+        self.open = open;
+        for sent in over {
             let pool = &mut self.pools[sent.process];
             let id = sent.runner.to_string();
             pool.has_read(&id, sent.reading);
