--- a/crates/decide/src/route/pool.rs
+++ b/crates/decide/src/route/pool.rs
@@ -183,8 +183,13 @@
     /// Calls of other processes at a target, unless they have not told for a while.
     #[must_use]
     pub fn elsewhere(&self, target: &Target, now: Duration) -> Option<Burden> {
-        let fresh = now.saturating_sub(self.told?) < TOLD;
-        fresh.then_some(target.elsewhere)
+        (self.told_age(now)? < TOLD).then_some(target.elsewhere)
+    }
+
+    /// Age of what other processes have told of their calls.
+    #[must_use]
+    pub fn told_age(&self, now: Duration) -> Option<Duration> {
+        Some(now.saturating_sub(self.told?))
     }
 
     /// A prompt has been read, or is not read any more.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,7 +10,7 @@
 use crate::splice;
 use crate::telemetry::millis;
 use bytes::{Bytes, BytesMut};
-use decide::route::{self, Affine, Router, Target, affine};
+use decide::route::{self, Affine, Pool, Router, Target, affine};
 use futures::StreamExt;
 use slog::info;
 use std::sync::Arc;
@@ -58,6 +58,29 @@
     }
 }
 
+/// Calls that were at a runner when one was sent there.
+#[derive(Clone, Copy, Debug, Default)]
+struct Before {
+    /// Those of this process.
+    own: u32,
+    /// Those of the other processes, unless they had not told lately.
+    others: Option<u32>,
+    /// Age of their word.
+    told: Option<Duration>,
+}
+
+impl Before {
+    fn new(pool: &Pool, id: &str, now: Duration) -> Self {
+        let target = pool.get(id);
+        let others = target.and_then(|target| pool.elsewhere(target, now));
+        Self {
+            own: target.map_or(0, Target::in_flight),
+            others: others.map(|others| others.calls),
+            told: pool.told_age(now),
+        }
+    }
+}
+
 /// A call at a runner, counted there until it is over.
 #[derive(Debug)]
 pub struct Flight<D: Downstream> {
@@ -68,8 +91,8 @@
     /// When the call was sent.
     pub sent: Instant,
     reading: f64,
-    /// Calls of this process that were at the runner when this one was sent.
-    others: u32,
+    /// Calls that were at the runner when this one was sent, as far as was known.
+    before: Before,
     over: bool,
 }
 
@@ -78,13 +101,13 @@
         let now = job.relay.now();
         let prompt = job.request.prompt.as_ref();
         let reading = prompt.map_or(0.0, |prompt| affine::reading(prompt.own()));
-        let others = job.relay.pool(&job.service, |pool| {
-            let others = pool.get(&runner.id).map_or(0, Target::in_flight);
+        let before = job.relay.pool(&job.service, |pool| {
+            let before = Before::new(pool, &runner.id, now);
             pool.sent(&runner.id, now);
             if prompt.is_some() {
                 pool.reads(&runner.id, now, reading);
             }
-            others
+            before
         });
         Self {
             relay: job.relay.clone(),
@@ -92,7 +115,7 @@
             runner,
             sent: Instant::now(),
             reading,
-            others,
+            before,
             over: false,
         }
     }
@@ -339,7 +362,8 @@
     info!(job.relay.log, "call"; "request" => &*job.request.id,
         "runner" => &*flight.runner.id, "service" => &*job.service,
         "attempt" => progress.tried.len(), "left_ms" => millis(left),
-        "in_flight" => flight.others, "runners_age_ms" => job.relay.list_age().map(millis),
+        "in_flight" => flight.before.own,
+        "others_in_flight" => flight.before.others, "told_age_ms" => flight.before.told.map(millis), "runners_age_ms" => job.relay.list_age().map(millis),
         "inputs" => inputs.leaves.len(), "took_ms" => millis(flight.sent.elapsed()),
         "outcome" => result.as_ref().map_or_else(ToString::to_string, |reply| reply.status.to_string()));
 }
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -210,11 +210,12 @@
         domain,
         patience,
     };
-    let asked = Instant::now();
+    let (asked, wanted) = (Instant::now(), order.domain.clone());
     let outcome = peer::make(&job.relay, &cell, order).await;
     info!(job.relay.log, "stage"; "request" => &*job.request.id, "stage" => stage,
         "cell" => cell.name(), "owner" => &*job.relay.owner(&cell), "pieces" => job.pieces(stage),
-        "expected_ms" => millis(expected), "patience_ms" => millis(patience),
+        "expected_ms" => millis(expected), "domain" => wanted.as_deref(),
+        "patience_ms" => millis(patience),
         "took_ms" => millis(asked.elapsed()),
         "outcome" => outcome.as_ref().map_or_else(ToString::to_string, |_| "made".to_owned()));
     (stage, cell, outcome)
