Reading of the change: one formula for the time of a call, results with their cell, a dead constructor gone

Nothing is decided differently. The time of a call with so many pieces stood in nine places and is Shape::time and Shape::full now. Results travel as one piece of data with their cell, as the frames have them. The outlook works out a call's start and the places left in one step in place of three. What runners will be free is not worked out any more while none is. Choice::shipped had no caller left. Orders of the stage tests come from one fixture. Assertions unchanged.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -41,9 +41,33 @@
 }
 
 impl Shape {
+    /// Time of a call with so many pieces.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use decide::batch::Shape;
+    /// use std::time::Duration;
+    ///
+    /// let ms = Duration::from_millis;
+    /// let shape = Shape { size: 8, call: ms(200), piece: ms(20) };
+    /// assert_eq!(shape.time(3), ms(260));
+    /// assert_eq!(shape.full(), shape.time(8));
+    /// ```
+    #[must_use]
+    pub fn time(&self, pieces: u32) -> Duration {
+        self.call + self.piece * pieces
+    }
+
+    /// Time of a full call.
+    #[must_use]
+    pub fn full(&self) -> Duration {
+        self.time(self.size)
+    }
+
     /// Shortest time in which a call ends.
     fn shortest(&self) -> Duration {
-        self.call + self.piece
+        self.time(1)
     }
 }
 
@@ -77,22 +101,18 @@
         self.domain.as_deref().is_none_or(|wanted| wanted == domain)
     }
 
-    /// Latest moment at which a call with this many pieces would make it in time.
-    fn latest(&self, shape: Shape, pieces: u32) -> Duration {
-        self.due.saturating_sub(shape.call + shape.piece * pieces)
-    }
-
     /// From when on a runner of any domain may make the pieces.
     ///
     /// A group that is late has nothing to lose by the wait; one that is not goes elsewhere before
     /// it would be late.
     fn anywhere_from(&self, shape: Shape, now: Duration) -> Duration {
         let patient = self.since + self.patience;
-        let late = self.latest(shape, self.pieces) < now;
+        let before_due = |time: Duration| self.due.saturating_sub(time);
+        let late = before_due(shape.time(self.pieces)) < now;
         if late {
             return patient;
         }
-        patient.min(self.latest(shape, shape.size))
+        patient.min(before_due(shape.full()))
     }
 }
 
--- a/crates/decide/src/batch/choice.rs
+++ b/crates/decide/src/batch/choice.rs
@@ -8,11 +8,11 @@
 /// # Examples
 ///
 /// ```
-/// use decide::batch::{Choice, Former, Shape};
+/// use decide::batch::{Choice, Former, Rules, Shape};
 /// use std::time::Duration;
 ///
 /// let shape = Shape { size: 4, call: Duration::from_millis(200), piece: Duration::ZERO };
-/// assert_eq!(Choice::shipped(shape).waiting(), 0);
+/// assert_eq!(Choice::with(shape, Rules::default()).waiting(), 0);
 /// ```
 #[derive(Clone, Debug)]
 pub enum Choice {
@@ -23,13 +23,7 @@
 }
 
 impl Choice {
-    /// What ships.
-    #[must_use]
-    pub fn shipped(shape: Shape) -> Self {
-        Self::Slack(Slack::new(shape))
-    }
-
-    /// The same with some rules left out.
+    /// What ships, or the same with some rules left out.
     #[must_use]
     pub fn with(shape: Shape, rules: Rules) -> Self {
         Self::Slack(Slack::with(shape, rules))
--- a/crates/decide/src/batch/outlook.rs
+++ b/crates/decide/src/batch/outlook.rs
@@ -79,6 +79,12 @@
 #[derive(Clone, Debug)]
 struct Next {
     domain: Arc<str>,
+    turn: Turn,
+}
+
+/// When a call starts, and the places that are left in it.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
     at: Duration,
     places: u32,
 }
@@ -89,8 +95,10 @@
     pub fn new(shape: Shape, frees: &[Free]) -> Self {
         let next = |free: &Free| Next {
             domain: free.domain.clone(),
-            at: free.at,
-            places: shape.size,
+            turn: Turn {
+                at: free.at,
+                places: shape.size,
+            },
         };
         let calls = frees.iter().map(next).collect();
         Self { shape, calls }
@@ -107,33 +115,26 @@
         }
         let shape = self.shape;
         let near = self.calls.iter_mut().filter(|next| *next.domain == *domain);
-        let Some(next) = near.min_by_key(|next| next.start(group.pieces, shape)) else {
-            return false;
-        };
-        if next.start(group.pieces, shape) > until {
-            return false;
+        let turns = near.map(|next| (next.turn.with(group.pieces, shape), next));
+        match turns.min_by_key(|(turn, _)| turn.at) {
+            Some((turn, next)) if turn.at <= until => {
+                next.turn = turn;
+                true
+            }
+            _ => false,
         }
-        next.book(group.pieces, shape);
-        true
     }
 }
 
-impl Next {
-    /// When a call would start that holds so many more pieces.
-    fn start(&self, pieces: u32, shape: Shape) -> Duration {
-        if pieces <= self.places {
-            return self.at;
-        }
-        self.at + shape.call + shape.piece * shape.size
-    }
-
-    fn book(&mut self, pieces: u32, shape: Shape) {
-        self.at = self.start(pieces, shape);
-        let places = if pieces <= self.places {
-            self.places
-        } else {
-            shape.size
+impl Turn {
+    /// The call that takes so many more pieces: this one, or the one after it.
+    fn with(self, pieces: u32, shape: Shape) -> Self {
+        let Some(places) = self.places.checked_sub(pieces) else {
+            return Self {
+                at: self.at + shape.full(),
+                places: shape.size.saturating_sub(pieces),
+            };
         };
-        self.places = places.saturating_sub(pieces);
+        Self { places, ..self }
     }
 }
--- a/crates/decide/src/route/target.rs
+++ b/crates/decide/src/route/target.rs
@@ -1,7 +1,6 @@
 //! What is known of one target.
 
-use super::Block;
-use super::Burden;
+use super::{Block, Burden};
 use crate::retry::eject::Health;
 use crate::smooth::{Mean, decay};
 use std::sync::Arc;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -363,7 +363,9 @@
         "runner" => &*flight.runner.id, "service" => &*job.service,
         "attempt" => progress.tried.len(), "left_ms" => millis(left),
         "in_flight" => flight.before.own,
-        "others_in_flight" => flight.before.others, "told_age_ms" => flight.before.told.map(millis), "runners_age_ms" => job.relay.list_age().map(millis),
+        "others_in_flight" => flight.before.others,
+        "told_age_ms" => flight.before.told.map(millis),
+        "runners_age_ms" => job.relay.list_age().map(millis),
         "inputs" => inputs.leaves.len(), "took_ms" => millis(flight.sent.elapsed()),
         "outcome" => result.as_ref().map_or_else(ToString::to_string, |reply| reply.status.to_string()));
 }
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -336,8 +336,8 @@
             () = tokio::time::sleep(FETCHED) => {}
         }
         let inputs = lock(&self.state).inputs(launch);
-        for Results { cell, handles } in inputs {
-            relay.peers.release(relay, &cell, handles, Spent::Fetched);
+        for results in inputs {
+            relay.peers.release(relay, results, Spent::Fetched);
         }
         making.await
     }
--- a/crates/relay/src/batch/place.rs
+++ b/crates/relay/src/batch/place.rs
@@ -100,7 +100,7 @@
     else {
         return Vec::new();
     };
-    let call = batches.shape.call + batches.shape.piece * batches.shape.size;
+    let call = batches.shape.full();
     let elsewhere = queue + call.mul_f64(fastest * SLOW);
     let free = |&index: &usize| {
         let place = &places[index];
@@ -151,7 +151,7 @@
     /// When its next call is expected to start. A slow runner counts as free later by the time that
     /// its call takes longer than that of others.
     pub(super) fn free_at(&self, batches: Batches, now: Instant) -> Instant {
-        let call = batches.shape.call + batches.shape.piece * batches.shape.size;
+        let call = batches.shape.full();
         let longer = call.mul_f64((self.slowness(now) - 1.0).max(0.0));
         let rested = self.rests_until.map_or(now, |until| until.max(now));
         let slot = self.calls.iter().min().filter(|_| !self.has_slot(batches));
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -136,7 +136,7 @@
         let now = Instant::now();
         let speed = |place: &Place| 1.0 / place.slowness(now).max(1.0);
         let speed: f64 = self.places.iter().map(speed).sum();
-        let full = shape.call + shape.piece * shape.size;
+        let full = shape.full();
         full.div_f64(speed.max(MOST_SLOW) * f64::from(shape.size.max(1)))
     }
 
@@ -148,13 +148,13 @@
         }
         let shape = batches.shape;
         let busy = self.places.iter().all(|place| !place.calls.is_empty());
-        let full = shape.call + shape.piece * shape.size;
+        let full = shape.full();
         let rest = if busy {
             full / 2 / places
         } else {
             Duration::ZERO
         };
-        let work = rest + shape.call + shape.piece * (shape.size / 2);
+        let work = rest + shape.time(shape.size / 2);
         let piece = self.piece_time(batches);
         let now = Instant::now().saturating_duration_since(started);
         let ahead = |rank: Rank| {
@@ -232,12 +232,12 @@
         let now = Instant::now();
         let at = now.saturating_duration_since(started);
         self.drop_useless(at, self.piece_time(&batches));
-        if self.former.as_ref()?.waiting() == 0 {
+        let former = self.former.as_ref()?;
+        let queue = self.piece_time(&batches) * former.waiting();
+        let places = free_places(&self.places, batches, queue, now);
+        if former.waiting() == 0 || places.is_empty() {
             return None;
         }
-        let waiting = self.former.as_ref()?.waiting();
-        let queue = self.piece_time(&batches) * waiting;
-        let former = self.former.as_mut()?;
         let free = |place: &Place| Free {
             domain: place.runner.domain.clone(),
             at: place
@@ -245,7 +245,7 @@
                 .saturating_duration_since(started),
         };
         let frees: Vec<Free> = self.places.iter().map(free).collect();
-        let places = free_places(&self.places, batches, queue, now);
+        let former = self.former.as_mut()?;
         let tries = [Need::Near, Need::Any].into_iter();
         let mut tries = tries.flat_map(|need| places.iter().map(move |&index| (index, need)));
         let (index, room, portions) = tries.find_map(|(index, need)| {
@@ -304,7 +304,7 @@
         }
         let count = u32::try_from(launch.items.len()).unwrap_or(u32::MAX);
         let shape = launch.batches.shape;
-        launch.expected = (shape.call + shape.piece * count).mul_f64(launch.slowness);
+        launch.expected = shape.time(count).mul_f64(launch.slowness);
         launch.until = now + launch.expected;
         launch
     }
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 pub struct Inputs<D: Downstream> {
     relay: Arc<Relay<D>>,
-    stages: Vec<(usize, Cell, Vec<Handle>)>,
+    stages: Vec<(usize, Results)>,
     /// Results that the request itself needs.
     pub leaves: Vec<Handle>,
 }
@@ -69,11 +69,7 @@
         let after = &route.stages[stage].after;
         let only = |before: usize| after.contains(&before) && route.followers(before).count() == 1;
         let stages = self.stages.iter().filter(|(before, ..)| only(*before));
-        let results = stages.map(|(_, cell, handles)| Results {
-            cell: cell.clone(),
-            handles: handles.clone(),
-        });
-        results.collect()
+        stages.map(|(_, results)| results.clone()).collect()
     }
 
     /// Gives the results of some stages back.
@@ -84,10 +80,10 @@
     pub fn release(&mut self, which: impl Fn(usize) -> bool) {
         let (over, left) = self.stages.drain(..).partition(|(stage, ..)| which(*stage));
         self.stages = left;
-        let over: Vec<(usize, Cell, Vec<Handle>)> = over;
-        for (_, cell, handles) in over {
+        let over: Vec<(usize, Results)> = over;
+        for (_, results) in over {
             let peers = &self.relay.peers;
-            peers.release(&self.relay, &cell, handles, Spent::Over);
+            peers.release(&self.relay, results, Spent::Over);
         }
     }
 }
@@ -140,8 +136,8 @@
         };
         let handles = outcome?;
         job.relay.peers.hold(&cell, &handles, stages[stage].result);
-        inputs.stages.push((stage, cell, handles.clone()));
-        made[stage] = Some(handles);
+        made[stage] = Some(handles.clone());
+        inputs.stages.push((stage, Results { cell, handles }));
         let used = |before: usize| is_used(&job.route, &made, before);
         inputs.release(used);
     }
@@ -311,7 +307,7 @@
         let pieces = self.pieces(stage);
         let batches = self.plan.batches(&self.route.stages[stage].service);
         match batches {
-            Some(batches) if pieces > 0 => batches.shape.call + batches.shape.piece * pieces,
+            Some(batches) if pieces > 0 => batches.shape.time(pieces),
             _ => Duration::ZERO,
         }
     }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -182,30 +182,23 @@
     }
 
     /// Tells the owner of a cell that results are done with.
-    pub fn release<D: Downstream>(
-        &self,
-        relay: &Relay<D>,
-        cell: &Cell,
-        handles: Vec<Handle>,
-        spent: Spent,
-    ) {
+    pub fn release<D: Downstream>(&self, relay: &Relay<D>, results: Results, spent: Spent) {
+        let Results { cell, handles } = &results;
         if spent == Spent::Over
             && let Some(held) = lock(&self.held).get_mut(cell)
         {
-            for handle in &handles {
+            for handle in handles {
                 held.results.remove(handle);
             }
         }
         let owner = lock(&self.members).owner(&cell.name());
         if owner.id == relay.options.member.id {
-            relay.batcher(cell).release(relay, &handles, spent);
+            relay.batcher(cell).release(relay, handles, spent);
             return;
         }
         let slot = lock(&self.slots).get(&owner.id).cloned();
         // Without a link the results lapse by themselves.
         if let Some(line) = slot.and_then(|slot| slot.try_lock().ok()?.clone()) {
-            let cell = cell.clone();
-            let results = Results { cell, handles };
             let _ = line.sender.try_send(&Frame::Release { results, spent });
         }
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod feed;
+pub(crate) mod stage;
 
 use bytes::Bytes;
 use decide::retry::window::Bound;
--- /dev/null
+++ b/crates/relay/tests/common/stage.rs
@@ -0,0 +1,32 @@
+//! Orders of a stage, for the tests of what carries them.
+
+use relay::batch::{Cell, Order};
+use relay::downstream::Source;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Pieces of the first stage that are on time for a second.
+pub(crate) fn order(id: &str, pieces: u32) -> Order {
+    let now = Instant::now();
+    Order {
+        id: id.into(),
+        stage: 0,
+        pieces,
+        source: Source::Key("piece".into()),
+        inputs: Vec::new(),
+        result: 100,
+        due: now + Duration::from_secs(1),
+        last: now + Duration::from_secs(4),
+        rank: 1,
+        domain: None,
+        patience: Duration::ZERO,
+    }
+}
+
+/// The cell that makes them.
+pub(crate) fn cell() -> Cell {
+    Cell {
+        service: "stage".into(),
+        index: 0,
+    }
+}
--- a/crates/relay/tests/inputs_fetched.rs
+++ b/crates/relay/tests/inputs_fetched.rs
@@ -6,34 +6,23 @@
 
 mod common;
 
+use common::stage::{cell, order};
 use common::{Carried, Fake, choosing, ready, request};
 use relay::Relay;
-use relay::batch::{Cell, Order, Spent};
-use relay::downstream::{Handle, Source};
+use relay::batch::{Order, Spent};
+use relay::downstream::Handle;
 use setting::Policy;
 use setting::relay::Policies;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-fn cell() -> Cell {
-    Cell::first(&"stage".into())
-}
-
 async fn make(relay: &Arc<Relay<Fake>>, id: &str) -> Vec<Handle> {
-    let now = Instant::now();
+    let patient = Instant::now() + Duration::from_secs(8);
     let order = Order {
-        id: id.into(),
-        stage: 0,
-        pieces: 4,
-        source: Source::Key("piece".into()),
-        inputs: Vec::new(),
-        result: 100,
-        due: now + Duration::from_secs(8),
-        last: now + Duration::from_secs(8),
-        rank: 1,
-        domain: None,
-        patience: Duration::ZERO,
+        due: patient,
+        last: patient,
+        ..order(id, 4)
     };
     let outcome = relay.batcher(&cell()).submit(relay, order).await;
     outcome.expect("an outcome").expect("made")
--- a/crates/relay/tests/stage_pieces.rs
+++ b/crates/relay/tests/stage_pieces.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
+use common::stage::{cell, order};
 use common::{Act, End, Fake, body, choosing, inputs, ready, request, runner};
 use relay::Relay;
-use relay::batch::{Cell, Order, Spent};
-use relay::downstream::{Failure, Handle, Made, NotRun, Source};
+use relay::batch::{Order, Spent};
+use relay::downstream::{Failure, Handle, Made, NotRun};
 use relay::runner::Change;
 use setting::Policy;
 use setting::relay::Policies;
@@ -13,30 +14,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-fn order(id: &str, pieces: u32) -> Order {
-    let now = Instant::now();
-    Order {
-        id: id.into(),
-        stage: 0,
-        pieces,
-        source: Source::Key("piece".into()),
-        inputs: Vec::new(),
-        result: 100,
-        due: now + Duration::from_secs(1),
-        last: now + Duration::from_secs(4),
-        rank: 1,
-        domain: None,
-        patience: Duration::ZERO,
-    }
-}
-
-fn cell() -> Cell {
-    Cell {
-        service: "stage".into(),
-        index: 0,
-    }
-}
-
 /// Size of results that never fill a runner.
 const SMALL: u64 = 10;
 
