Routes' ranks count among workspaces of one rank; less patience is no earlier attempt

Cause: on the larger deployments first attempts state 85 to 100% of the longest patience. Whatever was missing was taken for time waited, so that up to half of what waited before a stage was late by belief. It held as a lottery, because all requests had one rank: the workspace's rank replaced the route's.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -7,6 +7,7 @@
 use crate::peer::{Burdens, Peers};
 use crate::plan::{Batches, LAST_RANK, Plan, ServiceId};
 use crate::runner::{Change, DomainId, Fleet, Runner};
+use crate::serve::RETRY_PART;
 use crate::telemetry::Telemetry;
 use decide::Map;
 use decide::retry::window::{Bound, Quota};
@@ -19,10 +20,11 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// Difference of callers' patience that tells of an attempt before this one. Those of first attempts
-/// differ by some milliseconds, and nobody comes back sooner than this after a refusal: callers are
-/// told to wait longer.
-const WAITED_LEAST: Duration = Duration::from_millis(100);
+/// Part of the longest patience on a route below which a caller has tried before. One that was refused
+/// for want of capacity is told to let a [`RETRY_PART`] of its time pass; the bound lies midway
+/// between what it has left then and the whole, since callers of one route differ in what they state
+/// from the start.
+const FIRST_LEAST: f64 = 1.0 - 0.5 / RETRY_PART as f64;
 
 /// What a relay is told at its start.
 #[derive(Clone, Debug)]
@@ -332,10 +334,12 @@
     }
 
     /// How long a caller has waited before it sent this attempt, as far as its patience tells: one
-    /// that comes back after a refusal has less left than others of the route.
+    /// that comes back after a refusal has far less left than others of the route.
     ///
     /// The time within which an answer is on time counts from the first attempt. Taken from the
-    /// second one, requests that are late already would go before those that can be on time.
+    /// second one, requests that are late already would go before those that can be on time. A small
+    /// difference tells nothing: callers who were merely less patient from the start would be taken
+    /// for late ones, go behind all others and be refused beside runners that could have served them.
     pub fn waited_before(&self, route: &str, patience: Duration) -> Duration {
         let mut longest = lock(&self.patience);
         let Some(known) = longest.get_mut(route) else {
@@ -343,9 +347,10 @@
             return Duration::ZERO;
         };
         *known = patience.max(*known);
-        Some(*known - patience)
-            .filter(|waited| *waited >= WAITED_LEAST)
-            .unwrap_or_default()
+        if patience < known.mul_f64(FIRST_LEAST) {
+            return *known - patience;
+        }
+        Duration::ZERO
     }
 
     /// Works with the source of random choices.
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -29,6 +29,8 @@
     keys: Map<String, Arc<Workspace>>,
     /// Bounds on what a caller may send.
     pub limits: Limits,
+    /// Ranks of workspace and route that requests may have together, the most urgent first.
+    urgencies: Vec<(Rank, Rank)>,
 }
 
 /// Where requests of one host and path prefix go and how they may be treated.
@@ -173,6 +175,7 @@
         for service in services {
             plan.services.insert(service.name.clone(), service);
         }
+        plan.urgencies = plan.pairs_of_ranks(&keys);
         for (workspace, keys) in keys {
             let workspace = Arc::new(workspace);
             let keys = keys.into_iter().map(|key| (key, workspace.clone()));
@@ -194,6 +197,37 @@
         self.keys.get(key)
     }
 
+    /// Urgency of a workspace's request on a route: the workspace's rank decides, and among
+    /// workspaces of one rank that of the route.
+    ///
+    /// Operators give many workspaces the same rank. If the routes' ranks counted for nothing then,
+    /// a burst on the least urgent route would make requests of the most urgent one late.
+    #[must_use]
+    pub fn rank(&self, workspace: Option<&Workspace>, route: &Route) -> Rank {
+        let pair = pair_of_ranks(workspace, route);
+        let before = self.urgencies.partition_point(|other| *other < pair);
+        let told_apart = usize::from(LAST_RANK) + 1;
+        // More pairs than ranks share them, in their order.
+        let most = self.urgencies.len().max(told_apart);
+        Rank::try_from(before * told_apart / most).map_or(LAST_RANK, |rank| rank.min(LAST_RANK))
+    }
+
+    /// All pairs of ranks that requests may have, in their order, each once.
+    fn pairs_of_ranks(&self, keys: &[(Workspace, Vec<String>)]) -> Vec<(Rank, Rank)> {
+        let routes = self.routes.values().flatten();
+        let workspaces = || keys.iter().map(|(workspace, _)| Some(workspace));
+        let pairs = routes.flat_map(|route| {
+            let public = route.public.then_some(None);
+            let held = workspaces().filter(|_| !route.public);
+            let all = public.into_iter().chain(held);
+            all.map(|workspace| pair_of_ranks(workspace, route))
+        });
+        let mut pairs: Vec<(Rank, Rank)> = pairs.collect();
+        pairs.sort_unstable();
+        pairs.dedup();
+        pairs
+    }
+
     /// How the service's runners take pieces, if the service is known and takes any.
     #[must_use]
     pub fn batches(&self, service: &str) -> Option<Batches> {
@@ -201,6 +235,12 @@
     }
 }
 
+/// Ranks of workspace and route; a workspace without one is as urgent as the route.
+fn pair_of_ranks(workspace: Option<&Workspace>, route: &Route) -> (Rank, Rank) {
+    let rank = workspace.and_then(|workspace| workspace.rank);
+    (rank.unwrap_or(route.rank), route.rank)
+}
+
 impl Route {
     /// The service for a request, chosen by a number that is drawn once a request.
     #[must_use]
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -20,7 +20,7 @@
 /// Part of the time that its caller has left after which a request may come back that was refused for
 /// want of capacity. Bursts last for seconds, and one that comes back sooner is refused once more;
 /// two thirds of the time are enough to be served.
-const RETRY_PART: u32 = 3;
+pub(crate) const RETRY_PART: u32 = 3;
 
 /// A request with all that was decided for it on arrival.
 #[derive(Clone, Debug)]
@@ -81,13 +81,12 @@
         let patience = request.patience.unwrap_or(route.timeout);
         let before = self.waited_before(&route.name, patience);
         let patience = patience.min(route.timeout);
-        let rank = workspace.as_ref().and_then(|workspace| workspace.rank);
         Ok(Job {
             relay: self.clone(),
             request: request.clone(),
             route: route.clone(),
             service,
-            rank: rank.unwrap_or(route.rank),
+            rank: plan.rank(workspace.as_deref(), route),
             workspace,
             comes_back: before > Duration::ZERO,
             due: (request.arrived + route.target)
@@ -160,7 +159,7 @@
     let on_time = job.due.saturating_duration_since(Instant::now());
     info!(job.relay.log, "admission"; "request" => &*job.request.id,
         "workspace" => job.workspace.as_ref().map(|workspace| workspace.name.to_string()),
-        "rank" => job.rank, "expected_ms" => millis(expected), "left_ms" => millis(left),
+"rank" => job.rank, "comes_back" => job.comes_back, "expected_ms" => millis(expected), "left_ms" => millis(left),
         "on_time_ms" => millis(on_time), "configuration" => job.plan.version,
         "runners_age_ms" => job.relay.list_age().map(millis), "admitted" => admitted);
     if admitted {
--- a/crates/relay/tests/plan_rules.rs
+++ b/crates/relay/tests/plan_rules.rs
@@ -5,6 +5,7 @@
 use common::feed::{Script, Told};
 use common::{Fake, blank, body, plan, ready, request, runner};
 use relay::follow;
+use relay::plan::{LAST_RANK, Limits, Plan, Route, Workspace};
 use relay::runner::Change;
 use serde_json::json;
 use std::time::Duration;
@@ -127,6 +128,76 @@
     assert_eq!(relay.waited_before("staged", connected), Duration::ZERO);
 }
 
+/// Callers of one route differ in how long they are ready to wait, by a seventh of it. Taken for
+/// waited time, the difference would make every second one late on arrival: it is refused in a burst
+/// that leaves room for it.
+#[tokio::test(start_paused = true)]
+async fn patience_differs() {
+    let relay = ready(Fake::default());
+    relay.waited_before("staged", Duration::from_secs(6));
+    for patience in [5_100, 5_400, 5_900] {
+        let patience = Duration::from_millis(patience);
+        assert_eq!(relay.waited_before("staged", patience), Duration::ZERO);
+    }
+    let refused_once = Duration::from_secs(4);
+    let waited = relay.waited_before("staged", refused_once);
+    assert_eq!(waited, Duration::from_secs(2));
+}
+
+/// Two workspaces of one rank send requests on routes of different ranks. Without the route's rank
+/// all would be as urgent; without that of the workspace first, an urgent workspace would wait behind
+/// the urgent routes of others.
+#[test]
+fn ranks_combine() {
+    let route = |name: &str, rank| Route {
+        rank,
+        ..Route::clone(plan(1).route("host", &format!("/{name}/")).expect("listed"))
+    };
+    let (urgent, patient) = (route("safe", 0), route("stream", 2));
+    let workspace = |rank| Workspace {
+        name: "coop".into(),
+        rank,
+    };
+    let workspaces = [Some(0), Some(1)].map(workspace);
+    let keys = workspaces.clone().map(|workspace| (workspace, Vec::new()));
+    let routes = vec![urgent.clone(), patient.clone()];
+    let plan = Plan::new(1, routes, Vec::new(), keys.into(), Limits::default());
+    let [first, second] = workspaces.each_ref().map(Some);
+    let ranks = [
+        plan.rank(first, &urgent),
+        plan.rank(first, &patient),
+        plan.rank(second, &urgent),
+        plan.rank(second, &patient),
+    ];
+    assert_eq!(ranks, [0, 1, 2, 3]);
+}
+
+/// A configuration has more pairs of ranks than are told apart. Their order must hold all the same,
+/// and none may be more than the last rank, which runners would not understand.
+#[test]
+fn many_ranks() {
+    let shape = plan(1);
+    let route = |rank: u8| Route {
+        name: format!("route-{rank}"),
+        prefix: format!("/{rank}/"),
+        rank,
+        ..Route::clone(shape.route("host", "/safe/").expect("listed"))
+    };
+    let routes: Vec<Route> = (0..30).map(route).collect();
+    let workspace = Workspace {
+        name: "coop".into(),
+        rank: Some(3),
+    };
+    let keys = vec![(workspace.clone(), Vec::new())];
+    let plan = Plan::new(1, routes.clone(), Vec::new(), keys, Limits::default());
+    let ranks = routes
+        .iter()
+        .map(|route| plan.rank(Some(&workspace), route));
+    let ranks: Vec<u8> = ranks.collect();
+    assert!(ranks.is_sorted(), "{ranks:?}");
+    assert_eq!((ranks.first(), ranks.last()), (Some(&0), Some(&LAST_RANK)));
+}
+
 /// The process is about to end while a request still waits for its stages. The caller hears that
 /// it has not run; a connection that is cut says nothing.
 #[tokio::test(start_paused = true)]
