A few processes read the platform's tables and tell the others

Ruled out: longer questions with TCP keepalives (a service that holds a question without answering looks well); two tellers in place of an age (both can be cut off); sharing in small fleets (readers that must be fresh ask as often as twelve processes do).

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`fence`]: the agent as the fence before engines that check nothing
 //! * [`follower`]: a process that follows the accepted configuration
 //! * [`member`]: which VMs may get new work
+//! * [`reader`]: a process that hears of a table's changes from another one
 
 pub mod call;
 pub mod claim;
@@ -21,6 +22,7 @@
 pub mod id;
 pub mod lease;
 pub mod member;
+pub mod reader;
 pub mod stage;
 
 pub use call::Call;
@@ -33,4 +35,5 @@
 };
 pub use lease::Lease;
 pub use member::Members;
+pub use reader::Reader;
 pub use stage::Stage;
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -169,6 +169,11 @@
         lock(&self.listed).map(|listed| listed.elapsed())
     }
 
+    /// The list of runners was complete at this moment.
+    pub(crate) fn runners_known(&self, moment: Instant) {
+        *lock(&self.listed) = Some(moment);
+    }
+
     /// The process that forms a cell's calls, as far as is known now.
     #[must_use]
     pub fn owner(&self, cell: &Cell) -> MemberId {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,36 +1,34 @@
 //! Keeps plan and runners as the platform's table service has them.
 
+mod follower;
+
+pub(crate) use follower::{Follower, Pace};
+
 use crate::core::Relay;
 use crate::downstream::Downstream;
 use crate::plan::Plan;
 use crate::runner::{Change, Runner, RunnerId};
-use crate::telemetry::millis;
 use decide::Map;
 use serde::de::StdError;
 use slog::{info, warn};
 use snafu::Snafu;
 use std::sync::Arc;
 use std::time::Duration;
-use store::{Changes, Feed, Miss, RowRevision};
-use tokio::time::{Instant, sleep, sleep_until};
-
-/// Longest time that one question waits for changes. A question that a service took before it fell
-/// silent is given up after this time and the client's margin, and a change in the meantime is heard
-/// of as late: within five seconds of the service's return.
-const WAIT: Duration = Duration::from_secs(4);
-/// The same while the service is away: the next question is to be asked as soon as it is back.
-const WAIT_LOST: Duration = Duration::from_millis(300);
-/// Pause after changes before the next question. Runners come and go in groups, and each question of
-/// each process costs a call: with a hundred runners and thirty processes this saved more than half of
-/// the calls. A runner that leaves serves on for some seconds.
-const GATHER: Duration = Duration::from_millis(500);
-/// First pause after a failed question; doubles up to [`PAUSE_MOST`].
-const PAUSE: Duration = Duration::from_millis(50);
-/// Longest pause after a failed question: an outage ends unnoticed for so long at most.
-const PAUSE_MOST: Duration = Duration::from_millis(400);
-/// Time after the table service's return in which entries that lapsed meanwhile come back, by the
-/// platform's promise. Runners whose entries lapsed while the service was away are fine.
-const LAPSE: Duration = Duration::from_millis(1_800);
+use store::{Changes, Feed};
+use tokio::time::Instant;
+
+/// How configuration and runners are followed.
+///
+/// A question that a service took before it fell silent is given up after its wait and the client's
+/// margin, and a change in the meantime is heard of as late: within five seconds of the service's
+/// return. Where others read the table, what they tell is relied on for less than the time that a
+/// leaving runner goes on to serve.
+const PACE: Pace = Pace {
+    gather: Duration::from_millis(500),
+    alone: Duration::from_secs(4),
+    shared: Duration::from_secs(1),
+    most: Duration::from_millis(1_600),
+};
 
 /// A row that holds nothing usable.
 #[derive(Clone, Debug, PartialEq, Snafu)]
@@ -73,13 +71,13 @@
 
 /// Follows the configuration until the task is dropped.
 pub async fn plans<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
-    let mut follower = Follower::new(&relay, source, S::PLANS);
+    let mut follower = Follower::new(&relay, source, S::PLANS, PACE);
     loop {
         let changes = follower.next(&relay).await;
         for change in changes.rows {
             let Some(value) = &change.value else { continue };
             match S::plan(&change.key, value) {
-                Ok(Some(plan)) => adopt(&relay, plan),
+                Ok(Some(plan)) => adopt(&relay, plan, follower.origin()),
                 Ok(None) => {}
                 Err(error) => {
                     warn!(relay.log, "configuration unreadable, the one in force stays";
@@ -90,16 +88,17 @@
     }
 }
 
-fn adopt<D: Downstream>(relay: &Relay<D>, plan: Plan) {
+fn adopt<D: Downstream>(relay: &Relay<D>, plan: Plan, origin: &str) {
     let version = plan.version;
     let before = relay.plan().map(|plan| plan.version);
     let adopted = relay.adopt(plan);
-    info!(relay.log, "configuration"; "version" => version, "before" => before, "adopted" => adopted);
+    info!(relay.log, "configuration"; "version" => version, "before" => before, "adopted" => adopted,
+        "from" => origin);
 }
 
 /// Follows the list of runners until the task is dropped.
 pub async fn runners<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
-    let mut follower = Follower::new(&relay, source, S::RUNNERS);
+    let mut follower = Follower::new(&relay, source, S::RUNNERS, PACE);
     let mut lapses = Lapses::default();
     loop {
         let changes = tokio::select! {
@@ -113,6 +112,7 @@
         let mut news = lapses.defer(news, follower.lapse());
         news.extend(lapses.over());
         relay.update(news);
+        relay.runners_known(relay.started() + follower.current());
     }
 }
 
@@ -199,118 +199,3 @@
         })
         .unwrap_or_default()
 }
-
-/// Asks for the changes of one table, over outages and gaps in its history.
-pub(crate) struct Follower<S> {
-    source: S,
-    table: &'static str,
-    after: Option<RowRevision>,
-    /// Whether the last changes are the whole table.
-    whole: bool,
-    /// Longest time that a question waits.
-    wait: Duration,
-    /// Pauses of the process before the last question that was answered.
-    pauses: u64,
-    /// When changes were told last, until the next question.
-    told: Option<Instant>,
-    lost: Option<Instant>,
-    regained: Option<Instant>,
-    pause: Duration,
-}
-
-impl<S: Source> Follower<S> {
-    pub(crate) fn new<D: Downstream>(relay: &Relay<D>, source: S, table: &'static str) -> Self {
-        relay.pause.enroll();
-        Self {
-            pauses: relay.pause.count(),
-            source,
-            table,
-            after: None,
-            whole: false,
-            wait: WAIT,
-            told: None,
-            lost: None,
-            regained: None,
-            pause: PAUSE,
-        }
-    }
-
-    /// The same with questions that wait for so long, where changes may be heard of late.
-    pub(crate) fn waiting(self, wait: Duration) -> Self {
-        Self { wait, ..self }
-    }
-
-    /// The next changes, or the whole table at first and after a gap.
-    pub(crate) async fn next<D: Downstream>(&mut self, relay: &Relay<D>) -> Changes {
-        loop {
-            let pauses = relay.pause.count();
-            // A question from before a pause may have been lost with its connection, and waits for
-            // seconds if nothing has changed; the next one is answered at once.
-            let answer = tokio::select! {
-                answer = self.ask(pauses) => answer,
-                () = relay.pause.beyond(pauses) => continue,
-            };
-            match answer {
-                Ok(changes) => {
-                    relay.pause.heard(self.pauses, pauses);
-                    self.pauses = pauses;
-                    self.after = Some(changes.revision);
-                    self.told = (!changes.rows.is_empty()).then(Instant::now);
-                    self.regain(relay);
-                    return changes;
-                }
-                Err(Miss::Gap) => {
-                    info!(relay.log, "history gone, reading the table as a whole";
-                        "table" => self.table, "after" => self.after);
-                    self.after = None;
-                }
-                Err(Miss::Failed { error }) => {
-                    if self.lost.is_none() {
-                        warn!(relay.log, "table service lost"; "table" => self.table, "error" => %error);
-                        self.lost = Some(Instant::now());
-                    }
-                    sleep(self.pause).await;
-                    self.pause = (self.pause * 2).min(PAUSE_MOST);
-                }
-            }
-        }
-    }
-
-    async fn ask(&mut self, pauses: u64) -> Result<Changes, Miss> {
-        self.whole = self.after.is_none();
-        let paused = pauses > self.pauses;
-        match self.after {
-            Some(after) => {
-                if let Some(told) = self.told.take().filter(|_| !paused) {
-                    sleep_until(told + GATHER).await;
-                }
-                let wait = if paused {
-                    Duration::ZERO
-                } else if self.lost.is_some() {
-                    WAIT_LOST
-                } else {
-                    self.wait
-                };
-                self.source.changes(self.table, after, wait).await
-            }
-            None => {
-                let listed = self.source.list(self.table).await;
-                listed.map_err(|error| Miss::Failed { error })
-            }
-        }
-    }
-
-    fn regain<D: Downstream>(&mut self, relay: &Relay<D>) {
-        self.pause = PAUSE;
-        let Some(lost) = self.lost.take() else { return };
-        info!(relay.log, "table service regained";
-            "table" => self.table, "away_ms" => millis(lost.elapsed()));
-        self.regained = Some(Instant::now());
-    }
-
-    /// Until when entries that are gone may only have lapsed.
-    fn lapse(&self) -> Option<Instant> {
-        let until = self.regained? + LAPSE;
-        (Instant::now() < until).then_some(until)
-    }
-}
--- /dev/null
+++ b/crates/relay/src/follow/follower.rs
@@ -0,0 +1,276 @@
+//! Asks for the changes of one table, over outages and gaps in its history.
+
+use super::Source;
+use crate::core::Relay;
+use crate::downstream::Downstream;
+use crate::member::MemberId;
+use crate::peer::tables::{Read, Table};
+use crate::telemetry::millis;
+use protocol::reader::{Reader, Take, Told};
+use slog::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+use store::{Changes, Miss};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+/// Longest wait of a question while the service is away: the next one is to be asked as soon as it is
+/// back.
+const WAIT_LOST: Duration = Duration::from_millis(300);
+/// Pause after changes before the next question where others rely on this process: they must hear in
+/// time that nothing else has changed.
+const GATHER_SHARED: Duration = Duration::from_millis(200);
+/// First pause after a failed question; doubles up to [`PAUSE_MOST`].
+const PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause after a failed question: an outage ends unnoticed for so long at most.
+const PAUSE_MOST: Duration = Duration::from_millis(400);
+/// Time after the table service's return in which entries that lapsed meanwhile come back, by the
+/// platform's promise. Runners whose entries lapsed while the service was away are fine.
+const LAPSE: Duration = Duration::from_millis(1_800);
+/// Time after the start in which each process reads the tables itself. The processes that all started
+/// together do not know one another yet, and would each take another one for the reader.
+const SETTLE: Duration = Duration::from_millis(1_500);
+
+/// Where news came from that the table itself told.
+const TABLE: &str = "table";
+
+/// How often a table is asked for changes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    /// Pause after changes before the next question where each process reads the table for itself.
+    /// Rows come and go in groups, and each question costs a call.
+    pub(crate) gather: Duration,
+    /// Longest wait of a question there.
+    pub(crate) alone: Duration,
+    /// Time within which a process that reads it for others hears whether something has changed.
+    pub(crate) shared: Duration,
+    /// Greatest age of knowledge that others have told.
+    pub(crate) most: Duration,
+}
+
+/// One process's view of a table.
+pub(crate) struct Follower<S> {
+    source: S,
+    table: &'static str,
+    pace: Pace,
+    reader: Reader,
+    known: Arc<Table>,
+    /// Whether the last changes are the whole table.
+    pub(crate) whole: bool,
+    /// Pauses of the process before the last question that was answered.
+    pauses: u64,
+    /// When changes were read last, until the next question.
+    told: Option<Instant>,
+    lost: Option<Instant>,
+    /// Until when entries that are gone may only have lapsed.
+    lapse: Option<Instant>,
+    pause: Duration,
+    /// The process that told the last changes; none if the table did.
+    teller: Option<MemberId>,
+}
+
+impl<S: Source> Follower<S> {
+    pub(crate) fn new<D: Downstream>(
+        relay: &Relay<D>,
+        source: S,
+        table: &'static str,
+        pace: Pace,
+    ) -> Self {
+        relay.pause.enroll();
+        Self {
+            pauses: relay.pause.count(),
+            reader: Reader::new(pace.most),
+            known: relay.peers.tables.get(table),
+            source,
+            table,
+            pace,
+            whole: false,
+            told: None,
+            lost: None,
+            lapse: None,
+            pause: PAUSE,
+            teller: None,
+        }
+    }
+
+    /// Who told the last changes.
+    pub(crate) fn origin(&self) -> &str {
+        self.teller.as_deref().unwrap_or(TABLE)
+    }
+
+    /// Latest moment at which nothing newer was in the table, from the start of the process.
+    pub(crate) fn current(&self) -> Duration {
+        self.reader.current()
+    }
+
+    /// Until when entries that are gone may only have lapsed, if that is still to come.
+    pub(crate) fn lapse(&self) -> Option<Instant> {
+        self.lapse.filter(|until| Instant::now() < *until)
+    }
+
+    /// The next changes, or the whole table at first and after a gap.
+    pub(crate) async fn next<D: Downstream>(&mut self, relay: &Arc<Relay<D>>) -> Changes {
+        loop {
+            let pauses = relay.pause.count();
+            // A question from before a pause may have been lost with its connection, and waits for
+            // seconds if nothing has changed; the next one is answered at once.
+            let answer = tokio::select! {
+                answer = self.ask(relay, pauses) => answer,
+                () = relay.pause.beyond(pauses) => continue,
+            };
+            match answer {
+                Ok(changes) => {
+                    relay.telemetry.table_answer(self.teller.is_some());
+                    relay.pause.heard(self.pauses, pauses);
+                    self.pauses = pauses;
+                    self.regain(relay);
+                    return changes;
+                }
+                Err(Miss::Gap) => {
+                    info!(relay.log, "history gone, reading the table as a whole";
+                        "table" => self.table, "after" => self.reader.after());
+                    self.reader.forget();
+                }
+                Err(Miss::Failed { error }) => {
+                    if self.lost.is_none() {
+                        warn!(relay.log, "table service lost"; "table" => self.table, "error" => %error);
+                        self.lost = Some(Instant::now());
+                    }
+                    self.reader.failed(relay.now());
+                    sleep(self.pause).await;
+                    self.pause = (self.pause * 2).min(PAUSE_MOST);
+                }
+            }
+        }
+    }
+
+    async fn ask<D: Downstream>(
+        &mut self,
+        relay: &Arc<Relay<D>>,
+        pauses: u64,
+    ) -> Result<Changes, Miss> {
+        let paused = pauses > self.pauses;
+        if !paused && let Some(changes) = self.hear(relay).await {
+            return Ok(changes);
+        }
+        self.read(relay, paused).await
+    }
+
+    /// What another process tells, if there is one that reads the table and it tells in time.
+    async fn hear<D: Downstream>(&mut self, relay: &Arc<Relay<D>>) -> Option<Changes> {
+        let after = self.reader.after()?;
+        let until = relay.started() + self.reader.trusts_until()?;
+        let asked = Instant::now();
+        if until <= asked || !shared(relay) {
+            return None;
+        }
+        let teller = relay.peers.teller(self.table)?;
+        let known = self.known.clone();
+        let news = tokio::select! {
+            news = timeout_at(until, relay.peers.news(relay, &teller, self.table, after)) => news,
+            () = known.wanted() => return None,
+        };
+        let Ok(Some(news)) = news else {
+            info!(relay.log, "no news from a peer, reading the table"; "peer" => &*teller.id,
+                "table" => self.table, "age_ms" => millis(relay.now().saturating_sub(self.current())));
+            return None;
+        };
+        let offset = Duration::from_millis(news.current.unsigned_abs());
+        let moment = relay.at(asked);
+        let current = if news.current < 0 {
+            moment.saturating_sub(offset)
+        } else {
+            moment + offset
+        };
+        let told = Told {
+            before: news.before,
+            revision: news.revision,
+            current,
+        };
+        let lapse = news.lapse.map(|left| Instant::now() + left);
+        let changes = match self.reader.told(told) {
+            Take::Gap => return None,
+            Take::Ignore => Changes {
+                rows: Vec::new(),
+                revision: after,
+            },
+            Take::Apply => news.changes(),
+        };
+        self.lapse = self.lapse.max(lapse);
+        self.whole = false;
+        self.teller = Some(teller.id);
+        Some(changes)
+    }
+
+    /// What the table itself says; kept for processes that ask this one.
+    async fn read<D: Downstream>(
+        &mut self,
+        relay: &Relay<D>,
+        paused: bool,
+    ) -> Result<Changes, Miss> {
+        let before = self.reader.after();
+        self.whole = before.is_none();
+        let (changes, current) = match before {
+            Some(after) => {
+                let shared = shared(relay);
+                let gather = if shared {
+                    GATHER_SHARED
+                } else {
+                    self.pace.gather
+                };
+                if let Some(told) = self.told.take().filter(|_| !paused) {
+                    sleep_until(told + gather).await;
+                }
+                let wait = self.wait(relay, shared, paused);
+                let asked = Instant::now();
+                let changes = self.source.changes(self.table, after, wait).await?;
+                // One that says nothing new has waited for it all the time.
+                let waited = changes.rows.is_empty() && asked.elapsed() >= wait;
+                (changes, if waited { asked + wait } else { asked })
+            }
+            None => {
+                let asked = Instant::now();
+                let listed = self.source.list(self.table).await;
+                (listed.map_err(|error| Miss::Failed { error })?, asked)
+            }
+        };
+        self.reader.read(changes.revision, relay.at(current));
+        self.told = (!changes.rows.is_empty()).then(Instant::now);
+        self.teller = None;
+        if self.lost.is_some() {
+            self.lapse = Some(Instant::now() + LAPSE);
+        }
+        self.known.publish(&Read {
+            before,
+            changes: &changes,
+            current,
+            lapse: self.lapse(),
+        });
+        Ok(changes)
+    }
+
+    /// How long the next question waits for changes.
+    fn wait<D: Downstream>(&self, relay: &Relay<D>, shared: bool, paused: bool) -> Duration {
+        if paused {
+            return Duration::ZERO;
+        }
+        if self.lost.is_some() {
+            return WAIT_LOST;
+        }
+        if !shared {
+            return self.pace.alone;
+        }
+        (self.current() + self.pace.shared).saturating_sub(relay.now())
+    }
+
+    fn regain<D: Downstream>(&mut self, relay: &Relay<D>) {
+        self.pause = PAUSE;
+        let Some(lost) = self.lost.take() else { return };
+        info!(relay.log, "table service regained"; "table" => self.table,
+            "away_ms" => millis(lost.elapsed()), "from" => self.origin());
+    }
+}
+
+/// Whether a few processes read the tables for all.
+fn shared<D: Downstream>(relay: &Relay<D>) -> bool {
+    relay.now() >= SETTLE && relay.peers.members(|members| members.share_tables())
+}
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -5,13 +5,14 @@
 
 use crate::core::Relay;
 use crate::downstream::Downstream;
-use crate::follow::{Follower, Source};
+use crate::follow::{Follower, Pace, Source};
 use crate::telemetry::millis;
 use decide::Map;
 use decide::owner::{Candidate, choose};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
+use std::hash::BuildHasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,9 +26,21 @@
 const TABLE: &str = "relay";
 /// Time for which a process that could not be reached is left out.
 const SUSPECT: Duration = Duration::from_secs(2);
-/// Longest time that one question for the others' rows waits. A process that is new to the others is
-/// given no work meanwhile, and one that is gone shows by its links.
-const WAIT: Duration = Duration::from_secs(15);
+/// How the others' rows are followed. A process that is new to the others is given no work until it
+/// is known, and one that is gone shows by its links.
+const PACE: Pace = Pace {
+    gather: Duration::from_secs(2),
+    alone: Duration::from_secs(15),
+    shared: Duration::from_secs(5),
+    most: Duration::from_secs(8),
+};
+/// Processes from which on a few read the tables for all: fewer would ask the table service as often
+/// when each reads for itself.
+const SHARED_FROM: usize = 12;
+/// Processes that one reader tells of the tables, on average.
+const TOLD: usize = 32;
+/// Fewest readers.
+const READERS: usize = 2;
 /// Longest pause between tries to write the own row.
 const PAUSE_MOST: Duration = Duration::from_millis(800);
 
@@ -93,6 +106,11 @@
         self.left.insert(id, incarnation);
     }
 
+    /// All rows that there were have been taken in.
+    pub fn listed(&mut self) {
+        self.listed = true;
+    }
+
     /// The own process stops and takes no more work from the others.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -115,6 +133,22 @@
         })
     }
 
+    /// Whether there are so many processes that a few read the tables for all.
+    #[must_use]
+    pub fn share_tables(&self) -> bool {
+        self.count().is_some_and(|count| count >= SHARED_FROM)
+    }
+
+    /// The process that tells this one what is new in the platform's tables; none if it reads them.
+    #[must_use]
+    pub fn teller(&self) -> Option<Member> {
+        let count = self.count().filter(|_| self.share_tables())?;
+        let readers = READERS.max(count.div_ceil(TOLD)) as u64;
+        let hash = foldhash::fast::FixedState::default().hash_one(&*self.own.id);
+        let teller = self.owner(&format!("tables/{}", hash % readers));
+        (teller.id != self.own.id).then_some(teller)
+    }
+
     fn leaves(&self, member: &Member) -> bool {
         if member.id == self.own.id {
             return self.leaving;
@@ -191,14 +225,14 @@
 
 /// Follows the rows of the other processes until the task is dropped.
 pub async fn follow<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
-    let mut follower = Follower::new(&relay, source, TABLE).waiting(WAIT);
+    let mut follower = Follower::new(&relay, source, TABLE, PACE);
     loop {
         let changes = follower.next(&relay).await;
         relay.peers.members(|members| {
-            members.listed = true;
             for change in changes.rows {
                 take(&relay, members, &change);
             }
+            members.listed();
         });
     }
 }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -3,10 +3,12 @@
 
 mod board;
 mod serving;
+pub(crate) mod tables;
 mod talk;
 
 pub use board::{Board, Burdens, tell};
 pub use serving::serve;
+pub use tables::{News, Tables};
 pub use talk::{Frame, Sheet};
 
 use crate::batch::{Cell, Order, Outcome, Results, Spent, Spoiled, Waits};
@@ -41,6 +43,8 @@
     loads: Mutex<Map<Cell, (Waits, Instant)>>,
     held: Mutex<Map<Cell, Held>>,
     pub(crate) board: Board,
+    /// What was read of the platform's tables.
+    pub(crate) tables: Tables,
     /// Orders of other processes that are being carried out.
     pub(crate) orders: TaskTracker,
 }
@@ -84,6 +88,8 @@
     next: u64,
     heard: Instant,
     waiting: Map<u64, oneshot::Sender<Outcome>>,
+    /// Questions for news of a table.
+    news: Map<u64, oneshot::Sender<Option<News>>>,
 }
 
 impl Peers {
@@ -98,6 +104,7 @@
             loads: Mutex::default(),
             held: Mutex::default(),
             board: Board::default(),
+            tables: Tables::default(),
             orders: TaskTracker::new(),
         }
     }
@@ -247,6 +254,7 @@
             next: 0,
             heard: Instant::now(),
             waiting: Map::default(),
+            news: Map::default(),
         };
         Self {
             incarnation,
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -1,5 +1,6 @@
 //! The end of a link that carries out the other process's orders.
 
+use super::tables;
 use super::talk::{self, Frame};
 use crate::batch::{Cell, Outcome, Spoiled};
 use crate::core::Relay;
@@ -102,6 +103,14 @@
                 // A link that is gone or full needs no reply: the sender asks again.
                 let _ = sender.try_send(&Frame::Elsewhere { service, burdens });
             }
+            Frame::AskNews {
+                ticket,
+                table,
+                after,
+            } => {
+                let telling = tables::tell(relay.clone(), sender.clone(), ticket, table, after);
+                tokio::spawn(telling);
+            }
             Frame::Held { cell, results } => relay.batcher(&cell).hold(relay, &results),
             Frame::Release { results, spent } => {
                 let batcher = relay.batcher(&results.cell);
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -1,6 +1,6 @@
 //! The frames, and what the asking end of a link does with them.
 
-use super::{Burdens, Line, board};
+use super::{Burdens, Line, News, board};
 use crate::batch::{Cell, Order, Outcome, Results, Spent, Waits};
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle, Source};
@@ -12,6 +12,7 @@
 use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
+use store::RowRevision;
 use tokio::time::{Instant, sleep};
 use wire::{Receiver, Sender};
 
@@ -86,6 +87,22 @@
         /// The calls.
         burdens: Burdens,
     },
+    /// What is new in a table of the platform?
+    AskNews {
+        /// Names the question on this link.
+        ticket: u64,
+        /// The table.
+        table: String,
+        /// Revision up to which the sender knows it.
+        after: RowRevision,
+    },
+    /// What is new there, if the sender knows the table.
+    News {
+        /// The question.
+        ticket: u64,
+        /// What is new.
+        news: Option<News>,
+    },
     /// The configuration that is in force at the sender.
     Version(Version),
     /// The sender stops, and takes no more orders until it starts anew.
@@ -198,12 +215,19 @@
                 let _ = reply.map(|reply| reply.send(outcome));
             }
             Frame::Load { cell, waits } => relay.peers.told_load(cell, waits),
+            Frame::News { ticket, news } => {
+                let reply = lock(&line.pending).news.remove(&ticket);
+                // Whoever asked may have read the table meanwhile.
+                let _ = reply.map(|reply| reply.send(news));
+            }
             other => common(&relay, &line.sender, other),
         }
     }
     line.sender.abandon();
     // Dropping the senders tells all who wait that the link is gone.
-    lock(&line.pending).waiting.clear();
+    let mut pending = lock(&line.pending);
+    pending.waiting.clear();
+    pending.news.clear();
 }
 
 impl Line {
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -21,6 +21,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Told {
+    from: &'static str,
+}
+
 /// Counters and histograms of a relay.
 #[derive(Debug)]
 pub struct Telemetry {
@@ -29,6 +34,7 @@
     attempts: Family<Attempt, Counter>,
     batches: Counter,
     pieces: Counter,
+    tables: Family<Told, Counter>,
 }
 
 impl Telemetry {
@@ -46,6 +52,7 @@
             attempts: Family::default(),
             batches: Counter::default(),
             pieces: Counter::default(),
+            tables: Family::default(),
         };
         registry.register(
             "relay_requests",
@@ -67,6 +74,11 @@
             "Pieces in calls to the runners of stage services",
             telemetry.pieces.clone(),
         );
+        registry.register(
+            "relay_table_answers",
+            "Answers to questions for what is new in the platform's tables, by who gave them",
+            telemetry.tables.clone(),
+        );
         telemetry
     }
 
@@ -81,6 +93,12 @@
         self.attempts.get_or_create(&Attempt { outcome }).inc();
     }
 
+    /// Counts an answer of a peer, or of the table service itself.
+    pub fn table_answer(&self, by_peer: bool) {
+        let from = if by_peer { "peer" } else { "table" };
+        self.tables.get_or_create(&Told { from }).inc();
+    }
+
     /// Counts a call to the runner of a stage service.
     pub fn batch(&self, pieces: usize) {
         self.batches.inc();
--- a/crates/relay/tests/common/feed.rs
+++ b/crates/relay/tests/common/feed.rs
@@ -15,6 +15,8 @@
 pub(crate) enum Told {
     /// Tells these rows; no value means that the row is gone.
     Rows(Vec<(&'static str, Option<Value>)>),
+    /// Tells these rows as of this revision.
+    At(RowRevision, Vec<(&'static str, Option<Value>)>),
     /// Fails after this time.
     Away(Duration),
     /// Has nothing to tell for as long as the question waits.
@@ -52,18 +54,21 @@
                 };
                 Err(Miss::Failed { error })
             }
-            Some(Told::Rows(rows)) => {
-                let change = |(key, value): (&str, Option<Value>)| Change {
-                    key: key.to_owned(),
-                    value,
-                };
-                let rows = rows.into_iter().map(change).collect();
-                Ok(Changes { rows, revision: 9 })
-            }
+            Some(Told::Rows(rows)) => Ok(changes(rows, 9)),
+            Some(Told::At(revision, rows)) => Ok(changes(rows, revision)),
         }
     }
 }
 
+fn changes(rows: Vec<(&str, Option<Value>)>, revision: RowRevision) -> Changes {
+    let change = |(key, value): (&str, Option<Value>)| Change {
+        key: key.to_owned(),
+        value,
+    };
+    let rows = rows.into_iter().map(change).collect();
+    Changes { rows, revision }
+}
+
 impl Feed for Script {
     async fn list(&self, _table: &str) -> Result<Changes, Error> {
         match self.next(Duration::from_secs(1)).await {
--- /dev/null
+++ b/crates/relay/tests/tables_shared.rs
@@ -0,0 +1,171 @@
+//! A few processes read the platform's tables and tell the others.
+
+mod common;
+
+use common::feed::{Script, Told};
+use common::{Fake, blank_as, entry};
+use relay::follow::{self, Source};
+use relay::member::{Member, Members};
+use relay::peer::{self, Frame, News};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use store::RowRevision;
+use tokio::time::{sleep, timeout};
+use wire::{Key, Listener, Receiver, Sender};
+
+/// Longer than any step takes, however busy the machine is.
+const LONG: Duration = Duration::from_secs(60);
+
+fn member(number: usize) -> Member {
+    Member {
+        id: format!("relay-{number}").into(),
+        incarnation: 1,
+        // Nothing listens there.
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        weight: 1.0,
+    }
+}
+
+/// What a process of so many knows of the others.
+fn members(own: usize, count: usize) -> Members {
+    let mut members = Members::new(member(own));
+    (0..count).for_each(|number| members.put(member(number)));
+    members.listed();
+    members
+}
+
+/// Asks a process that follows the list of runners, as another process does.
+struct Asking {
+    sender: Sender<Frame>,
+    receiver: Receiver<Frame>,
+}
+
+impl Asking {
+    async fn new(told: Vec<Told>) -> Self {
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let key = Key::new("key");
+        let listener = Listener::bind(any, key.clone()).await.expect("bound");
+        let address = listener.address().expect("bound");
+        let teller = Member {
+            address,
+            ..member(0)
+        };
+        let relay = blank_as(Fake::default(), teller);
+        tokio::spawn(peer::serve(relay.clone(), listener));
+        tokio::spawn(follow::runners(relay, Script::new(told)));
+        let (sender, receiver) = wire::connect(address, &key).await.expect("linked");
+        Self { sender, receiver }
+    }
+
+    async fn news(&mut self, after: RowRevision) -> News {
+        let question = Frame::AskNews {
+            ticket: after,
+            table: Script::RUNNERS.to_owned(),
+            after,
+        };
+        self.sender.send(question).await.expect("linked");
+        let answer = async {
+            loop {
+                let frame = self.receiver.recv().await.expect("linked").expect("open");
+                if let Frame::News { news, .. } = frame {
+                    return news.expect("the table is known");
+                }
+            }
+        };
+        timeout(LONG, answer).await.expect("an answer")
+    }
+}
+
+/// A runner leaves. The process that reads the list tells those that ask it; they would go on to send
+/// work there until the runner ends with it.
+#[tokio::test]
+async fn change_told() {
+    let told = vec![
+        Told::At(5, vec![("r-1", entry("plain"))]),
+        Told::At(6, vec![("r-1", None)]),
+    ];
+    let mut asking = Asking::new(told).await;
+    let news = asking.news(5).await;
+    assert_eq!((news.before, news.revision), (5, 6));
+    let rows = news.changes().rows;
+    assert_eq!((rows.len(), &rows[0].value), (1, &None));
+}
+
+/// The reader has started anew and lacks the changes that came before. It says so; the other process
+/// would take what it is told for all there was, and keep a runner that has left.
+#[tokio::test]
+async fn history_lacking() {
+    let told = vec![Told::At(7, vec![("r-2", entry("plain"))])];
+    let mut asking = Asking::new(told).await;
+    let news = asking.news(4).await;
+    assert_eq!((news.before, news.revision), (7, 7));
+}
+
+/// A change is too large to be told to thirty processes by a small VM, whose callers would wait
+/// behind it. Those that ask read it from the table.
+#[tokio::test]
+async fn large_change() {
+    let long = "x".repeat(20_000);
+    let told = vec![
+        Told::At(5, vec![]),
+        Told::At(6, vec![("r-1", entry(&long))]),
+    ];
+    let mut asking = Asking::new(told).await;
+    let news = asking.news(5).await;
+    assert_eq!((news.before, news.revision), (6, 6));
+    assert!(news.changes().rows.is_empty());
+}
+
+/// Processes that ask must be told when nothing is new, too, and how old that word is: the reader may
+/// have been cut off since.
+#[tokio::test]
+async fn nothing_new() {
+    let told = vec![Told::At(9, vec![("r-1", entry("plain"))])];
+    let mut asking = Asking::new(told).await;
+    let news = asking.news(9).await;
+    assert_eq!((news.before, news.revision), (9, 9));
+    assert!(news.changes().rows.is_empty());
+}
+
+/// The process that should tell is gone, and with it all others that might. This one reads the list
+/// itself before what it knows is too old.
+#[tokio::test(start_paused = true)]
+async fn tellers_gone() {
+    let relay = blank_as(Fake::default(), member(0));
+    relay.peers.members(|known| *known = members(0, 40));
+    assert!(relay.peers.members(|known| known.teller()).is_some());
+    let quiet = (0..4).map(|_| Told::Quiet);
+    let told = [Told::At(5, vec![("r-1", entry("plain"))])];
+    let told = told
+        .into_iter()
+        .chain(quiet)
+        .chain([Told::At(6, vec![("r-1", None)])]);
+    let following = tokio::spawn(follow::runners(relay.clone(), Script::new(told)));
+    sleep(Duration::from_secs(12)).await;
+    following.abort();
+    assert!(relay.runner("r-1").is_none());
+}
+
+/// Each process of a large fleet would ask the table service every few seconds, and once more for each
+/// change. Whatever the size, a few ask; a small fleet has nothing to gain.
+#[test]
+fn few_readers() {
+    let asked = |count: usize| {
+        let tellers = (0..count).map(|own| members(own, count).teller());
+        let tellers: BTreeSet<_> = tellers.flatten().map(|teller| teller.id).collect();
+        tellers.len()
+    };
+    assert_eq!([4, 30, 70, 300].map(asked), [0, 2, 3, 10]);
+}
+
+/// The process that tells is asked to stop, and ends with what it knows. The others turn to the next
+/// one at once, not when they miss it.
+#[test]
+fn teller_leaves() {
+    let mut known = members(0, 40);
+    let teller = known.teller().expect("one of forty");
+    known.left(teller.id.clone(), teller.incarnation);
+    let next = known.teller();
+    assert!(next.is_none_or(|next| next.id != teller.id));
+}
