--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -18,8 +18,7 @@
 use std::time::Duration;
 
 /// Time, as a multiple of that of its work, by which a group goes behind others that are due as soon.
-/// In a burst not all can be on time, and more are if the small ones go first: over twelve emulated
-/// days with bursts the worth of what was served rose by 0.02, of 0.44.
+/// In a burst not all can be on time, and more are if the small ones go first.
 const WORK: u32 = 6;
 
 /// How much faster than expected a queue may turn out to be before a group in it is given up: some
@@ -304,10 +303,8 @@
 /// fits into a call of its own is not divided to fill the last places of one.
 ///
 /// A divided group depends on two calls and on the runners of both, its results lie in two places
-/// for the next stage, and those of the first call take up room until the second has ended. Over 60
-/// emulated days with bursts and failing runners, left whole, the worth of what was served rose by
-/// 0.004 to 0.017, of 0.55. Calls are a tenth less full for it: where one stage alone is asked for
-/// three quarters of what full calls make, 0.01 of the requests more are late.
+/// for the next stage, and those of the first call take up room until the second has ended. Calls are
+/// somewhat less full for it, which costs a stage that is asked for nearly all it can make.
 fn fill<'a>(
     groups: impl Iterator<Item = &'a Group>,
     size: u32,
--- a/crates/decide/src/batch/outlook.rs
+++ b/crates/decide/src/batch/outlook.rs
@@ -40,9 +40,8 @@
 /// A group that waits for a runner near its inputs for a fixed time has lost that time when the
 /// runner turns out to be busy for longer: in a service with one runner a domain and calls of 0.2
 /// to 0.4 s, that happened to two groups in three. What the calls in progress take is known, so that
-/// a group waits if its runner will be free in time, and goes elsewhere at once if not. Over 45
-/// emulated days of three deployments 40 to 60% of the bytes between failure domains were saved
-/// against taking any free runner, for 0.003 to 0.01 of the credit.
+/// a group waits if its runner will be free in time, and goes elsewhere at once if not. That saves
+/// bytes between failure domains, and makes few requests late.
 ///
 /// # Examples
 ///
--- a/crates/decide/src/route/affine.rs
+++ b/crates/decide/src/route/affine.rs
@@ -12,8 +12,7 @@
 /// Only the balance of waiting against reading again depends on it.
 const TOKEN: f64 = 40e-6;
 /// How much worse it is to read tokens that another runner holds than to wait as long. Reading
-/// again holds up all calls of the runner and evicts what others need. With 2 in place of 4 a third
-/// more was read again (60 emulated days), with 8 fewer requests were on time.
+/// again holds up all calls of the runner and evicts what others need.
 const AGAIN: f64 = 4.0;
 /// Part of the targets that calls with the same first part are kept to. The first part is shared by
 /// many prefixes, and each target that serves one of them reads it once.
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -319,8 +319,7 @@
     ///
     /// A runner has room for the results of two calls and a bit. Held until the next stage's call has
     /// ended, they took up that room for a third of a second longer than it takes to fetch them, and
-    /// in bursts runners stood still beside pieces that waited. Over 60 emulated days of three
-    /// deployments the worth of what was served rose by 0.003 to 0.029, of 0.60.
+    /// in bursts runners stood still beside pieces that waited.
     async fn until_fetched<T>(
         &self,
         relay: &Relay<D>,
--- a/crates/relay/src/peer/board.rs
+++ b/crates/relay/src/peer/board.rs
@@ -3,9 +3,6 @@
 //! One process of thirty sees a thirtieth of the calls. Taken for the whole, what it has sent itself
 //! says that a runner is free or hopelessly behind; what the others have sent makes the difference.
 //! One process for each service adds up what all tell it, and tells each what the others have.
-//!
-//! With 28 to 31 processes 0.016 to 0.029 more of all credit was earned for it on 15 emulated days;
-//! with three or four, worth rose by 0.008 to 0.019 on 60 days, weighed reading again included.
 
 use super::talk::Frame;
 use crate::core::{Relay, lock};
