--- a/crates/relay/src/peer/tables.rs
+++ b/crates/relay/src/peer/tables.rs
@@ -81,7 +81,7 @@
     lapse: Option<Instant>,
 }
 
-/// What was read of a table, and by whom it is read.
+/// What this process has read of a table in one go.
 #[derive(Debug)]
 pub(crate) struct Read<'a> {
     /// Revision that was known before; none if the table was read as a whole.
@@ -145,11 +145,13 @@
     }
 }
 
-/// One table.
+/// One table, and whether other processes rely on this one to read it.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     known: watch::Sender<Known>,
+    /// When another process asked last.
     asked: Mutex<Option<Instant>>,
+    /// Wakes the follower of the table, which may be waiting for another process's word.
     wanted: Notify,
 }
 
