--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -4,13 +4,14 @@
 use crate::core::Relay;
 use crate::downstream::Downstream;
 use crate::member::MemberId;
+use crate::peer::News;
 use crate::peer::tables::{Read, Table};
 use crate::telemetry::millis;
 use protocol::reader::{Reader, Take, Told};
 use slog::{info, warn};
 use std::sync::Arc;
 use std::time::Duration;
-use store::{Changes, Miss};
+use store::{Changes, Miss, RowRevision};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// Longest wait of a question while the service is away: the next one is to be asked as soon as it is
@@ -160,10 +161,11 @@
         let after = self.reader.after()?;
         let until = relay.started() + self.reader.trusts_until()?;
         let asked = Instant::now();
-        if until <= asked || !shared(relay) {
+        // One that others rely on reads the table itself.
+        if until <= asked || !shared(relay) || self.known.is_asked() {
             return None;
         }
-        let teller = relay.peers.teller(self.table)?;
+        let teller = relay.peers.members(|members| members.teller())?;
         let known = self.known.clone();
         let news = tokio::select! {
             news = timeout_at(until, relay.peers.news(relay, &teller, self.table, after)) => news,
@@ -174,19 +176,19 @@
                 "table" => self.table, "age_ms" => millis(relay.now().saturating_sub(self.current())));
             return None;
         };
-        let offset = Duration::from_millis(news.current.unsigned_abs());
-        let moment = relay.at(asked);
-        let current = if news.current < 0 {
-            moment.saturating_sub(offset)
-        } else {
-            moment + offset
-        };
+        let changes = self.take(news, after, relay.at(asked))?;
+        self.teller = Some(teller.id);
+        Some(changes)
+    }
+
+    /// Takes in what another process told that was asked at a moment; none if changes are missing.
+    fn take(&mut self, news: News, after: RowRevision, asked: Duration) -> Option<Changes> {
+        let lapse = news.lapse.map(|left| Instant::now() + left);
         let told = Told {
             before: news.before,
             revision: news.revision,
-            current,
+            current: news.current(asked),
         };
-        let lapse = news.lapse.map(|left| Instant::now() + left);
         let changes = match self.reader.told(told) {
             Take::Gap => return None,
             Take::Ignore => Changes {
@@ -197,7 +199,6 @@
         };
         self.lapse = self.lapse.max(lapse);
         self.whole = false;
-        self.teller = Some(teller.id);
         Some(changes)
     }
 
@@ -210,23 +211,7 @@
         let before = self.reader.after();
         self.whole = before.is_none();
         let (changes, current) = match before {
-            Some(after) => {
-                let shared = shared(relay);
-                let gather = if shared {
-                    GATHER_SHARED
-                } else {
-                    self.pace.gather
-                };
-                if let Some(told) = self.told.take().filter(|_| !paused) {
-                    sleep_until(told + gather).await;
-                }
-                let wait = self.wait(relay, shared, paused);
-                let asked = Instant::now();
-                let changes = self.source.changes(self.table, after, wait).await?;
-                // One that says nothing new has waited for it all the time.
-                let waited = changes.rows.is_empty() && asked.elapsed() >= wait;
-                (changes, if waited { asked + wait } else { asked })
-            }
+            Some(after) => self.changes(relay, after, paused).await?,
             None => {
                 let asked = Instant::now();
                 let listed = self.source.list(self.table).await;
@@ -248,6 +233,30 @@
         Ok(changes)
     }
 
+    /// Changes after a revision, with the latest moment at which nothing newer was there.
+    async fn changes<D: Downstream>(
+        &mut self,
+        relay: &Relay<D>,
+        after: RowRevision,
+        paused: bool,
+    ) -> Result<(Changes, Instant), Miss> {
+        let shared = shared(relay);
+        let gather = if shared {
+            GATHER_SHARED
+        } else {
+            self.pace.gather
+        };
+        if let Some(told) = self.told.take().filter(|_| !paused) {
+            sleep_until(told + gather).await;
+        }
+        let wait = self.wait(relay, shared, paused);
+        let asked = Instant::now();
+        let changes = self.source.changes(self.table, after, wait).await?;
+        // One that says nothing new has waited for it all the time.
+        let waited = changes.rows.is_empty() && asked.elapsed() >= wait;
+        Ok((changes, if waited { asked + wait } else { asked }))
+    }
+
     /// How long the next question waits for changes.
     fn wait<D: Downstream>(&self, relay: &Relay<D>, shared: bool, paused: bool) -> Duration {
         if paused {
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -8,7 +8,7 @@
 
 pub use board::{Board, Burdens, tell};
 pub use serving::serve;
-pub use tables::{News, Tables};
+pub use tables::News;
 pub use talk::{Frame, Sheet};
 
 use crate::batch::{Cell, Order, Outcome, Results, Spent, Spoiled, Waits};
@@ -20,6 +20,7 @@
 use slog::{info, warn};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tables::Tables;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 use tokio_util::task::TaskTracker;
@@ -92,6 +93,15 @@
     news: Map<u64, oneshot::Sender<Option<News>>>,
 }
 
+impl Pending {
+    /// Names one more order or question on the link.
+    fn ticket(&mut self) -> u64 {
+        let ticket = self.next;
+        self.next += 1;
+        ticket
+    }
+}
+
 impl Peers {
     /// None is known yet.
     #[must_use]
@@ -269,8 +279,7 @@
         if pending.waiting.is_empty() {
             pending.heard = Instant::now();
         }
-        let ticket = pending.next;
-        pending.next += 1;
+        let ticket = pending.ticket();
         pending.waiting.insert(ticket, reply);
         (ticket, outcome)
     }
--- a/crates/relay/src/peer/tables.rs
+++ b/crates/relay/src/peer/tables.rs
@@ -42,12 +42,22 @@
     rows: Vec<Row>,
     /// Milliseconds from the arrival of the question to the latest moment at which nothing newer was
     /// in the table; negative if that was before.
-    pub current: i64,
+    current: i64,
     /// For how long entries that are gone may only have lapsed.
     pub lapse: Option<Duration>,
 }
 
 impl News {
+    /// Latest moment at which nothing newer was in the table, for one who asked at `asked`.
+    #[must_use]
+    pub fn current(&self, asked: Duration) -> Duration {
+        let offset = Duration::from_millis(self.current.unsigned_abs());
+        if self.current < 0 {
+            return asked.saturating_sub(offset);
+        }
+        asked + offset
+    }
+
     /// The changes. A row that cannot be read as JSON is one that cannot be read here either.
     #[must_use]
     pub fn changes(self) -> Changes {
@@ -192,7 +202,7 @@
 
 /// All tables that are followed here.
 #[derive(Debug, Default)]
-pub struct Tables(Mutex<Map<String, Arc<Table>>>);
+pub(crate) struct Tables(Mutex<Map<String, Arc<Table>>>);
 
 impl Tables {
     /// What is known of a table.
@@ -234,14 +244,6 @@
 }
 
 impl Peers {
-    /// The process that this one asks for news of a table; none if it reads the table itself.
-    pub(crate) fn teller(&self, table: &str) -> Option<Member> {
-        if self.tables.get(table).is_asked() {
-            return None;
-        }
-        self.members(|members| members.teller())
-    }
-
     /// Asks a process what is new in a table, and waits for its word; none if it is not reached or
     /// knows nothing.
     pub(crate) async fn news<D: Downstream>(
@@ -271,8 +273,7 @@
 impl Line {
     fn enter_question(&self, reply: oneshot::Sender<Option<News>>) -> u64 {
         let mut pending = lock(&self.pending);
-        let ticket = pending.next;
-        pending.next += 1;
+        let ticket = pending.ticket();
         pending.news.insert(ticket, reply);
         ticket
     }
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -2,6 +2,7 @@
 
 use decide::{Map, WorkspaceId};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -204,7 +205,7 @@
     /// a burst on the least urgent route would make requests of the most urgent one late.
     #[must_use]
     pub fn rank(&self, workspace: Option<&Workspace>, route: &Route) -> Rank {
-        let pair = pair_of_ranks(workspace, route);
+        let pair = pair_of_ranks(workspace.and_then(|workspace| workspace.rank), route);
         let before = self.urgencies.partition_point(|other| *other < pair);
         let told_apart = usize::from(LAST_RANK) + 1;
         // More pairs than ranks share them, in their order.
@@ -213,19 +214,21 @@
     }
 
     /// All pairs of ranks that requests may have, in their order, each once.
+    ///
+    /// Thousands of workspaces have a few ranks: each rank is paired with each route once, or a new
+    /// configuration would cost a small VM seconds.
     fn pairs_of_ranks(&self, keys: &[(Workspace, Vec<String>)]) -> Vec<(Rank, Rank)> {
-        let routes = self.routes.values().flatten();
-        let workspaces = || keys.iter().map(|(workspace, _)| Some(workspace));
-        let pairs = routes.flat_map(|route| {
-            let public = route.public.then_some(None);
-            let held = workspaces().filter(|_| !route.public);
-            let all = public.into_iter().chain(held);
-            all.map(|workspace| pair_of_ranks(workspace, route))
-        });
-        let mut pairs: Vec<(Rank, Rank)> = pairs.collect();
-        pairs.sort_unstable();
-        pairs.dedup();
-        pairs
+        let ranks: BTreeSet<Option<Rank>> =
+            keys.iter().map(|(workspace, _)| workspace.rank).collect();
+        let mut pairs = BTreeSet::new();
+        for route in self.routes.values().flatten() {
+            if route.public {
+                pairs.insert(pair_of_ranks(None, route));
+            } else {
+                pairs.extend(ranks.iter().map(|rank| pair_of_ranks(*rank, route)));
+            }
+        }
+        pairs.into_iter().collect()
     }
 
     /// How the service's runners take pieces, if the service is known and takes any.
@@ -236,9 +239,8 @@
 }
 
 /// Ranks of workspace and route; a workspace without one is as urgent as the route.
-fn pair_of_ranks(workspace: Option<&Workspace>, route: &Route) -> (Rank, Rank) {
-    let rank = workspace.and_then(|workspace| workspace.rank);
-    (rank.unwrap_or(route.rank), route.rank)
+fn pair_of_ranks(workspace: Option<Rank>, route: &Route) -> (Rank, Rank) {
+    (workspace.unwrap_or(route.rank), route.rank)
 }
 
 impl Route {
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -22,7 +22,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct Told {
+struct Answerer {
     from: &'static str,
 }
 
@@ -34,7 +34,7 @@
     attempts: Family<Attempt, Counter>,
     batches: Counter,
     pieces: Counter,
-    tables: Family<Told, Counter>,
+    tables: Family<Answerer, Counter>,
 }
 
 impl Telemetry {
@@ -96,7 +96,7 @@
     /// Counts an answer of a peer, or of the table service itself.
     pub fn table_answer(&self, by_peer: bool) {
         let from = if by_peer { "peer" } else { "table" };
-        self.tables.get_or_create(&Told { from }).inc();
+        self.tables.get_or_create(&Answerer { from }).inc();
     }
 
     /// Counts a call to the runner of a stage service.
