Relays drain failure domains at the operator's word

Cause: nothing in the product read what an operator asks for a failure domain.

Change: rows of the operator's table name the failure domains; their runners are parked in the fleet and get no request, repeat, resumed stream or call of a stage until the row goes. The set carries the table's revision: relays that the store turns away hear it from peers, and an older word never undoes a newer one.

Ruled out: a filter in each decision (pick, cells, calls) instead of the fleet: three places that can forget it.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::{Batcher, Cell, Share};
 use crate::downstream::Downstream;
+use crate::drain::Drains;
 use crate::member::{Member, MemberId};
 use crate::pause::{Clock, Pause};
 use crate::peer::{Burdens, Peers};
@@ -65,6 +66,7 @@
     started: Instant,
     plan: RwLock<Option<Arc<Plan>>>,
     fleet: RwLock<Option<Fleet>>,
+    pub(crate) drains: Mutex<Drains>,
     pools: Mutex<Map<ServiceId, Pool>>,
     repeats: Mutex<Bound>,
     quotas: Mutex<Map<ServiceId, Quota>>,
@@ -99,6 +101,7 @@
             started: Instant::now(),
             plan: RwLock::default(),
             fleet: RwLock::default(),
+            drains: Mutex::default(),
             pools: Mutex::default(),
             quotas: Mutex::default(),
             batchers: Mutex::default(),
@@ -183,11 +186,24 @@
     /// Takes in changes of the list of runners, the first of them even if there are none.
     pub fn update(&self, changes: Vec<Change>) {
         *lock(&self.listed) = Some(Instant::now());
+        self.change_fleet(changes);
+    }
+
+    /// The runners of the failure domains that are drained by now, and of no others, get no new work.
+    pub(crate) fn drain_runners(&self) {
+        // Before the first list there are none.
+        if self.fleet(|_| ()).is_some() {
+            self.change_fleet(Vec::new());
+        }
+    }
+
+    fn change_fleet(&self, changes: Vec<Change>) {
         let mut services = Vec::new();
         {
             let mut fleet = self.fleet.write().unwrap_or_else(PoisonError::into_inner);
             let fleet = fleet.get_or_insert_default();
-            for change in changes {
+            let drained = fleet.drain(self.drains().domains);
+            for change in drained.into_iter().chain(changes) {
                 self.update_one(fleet, change, &mut services);
             }
         }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -6,8 +6,9 @@
 
 use crate::core::Relay;
 use crate::downstream::Downstream;
+use crate::drain::Drains;
 use crate::plan::Plan;
-use crate::runner::{Change, Runner, RunnerId};
+use crate::runner::{Change, DomainId, Runner, RunnerId};
 use decide::Map;
 use serde::de::StdError;
 use slog::{info, warn};
@@ -49,12 +50,16 @@
 
 /// Where configuration and runners are found.
 pub trait Source: Feed {
-    /// Table of the configuration.
+    /// Table that the operator writes: the configuration, and which failure domains are drained.
     const PLANS: &'static str;
     /// Table of the runners.
     const RUNNERS: &'static str;
 
-    /// Reads a row of the table of the configuration; `None` if the row is something else.
+    /// The failure domain that is drained as long as the operator's table has a row of this key; `None`
+    /// if the row says something else.
+    fn drained(key: &str) -> Option<DomainId>;
+
+    /// Reads a row of the operator's table as a configuration; `None` if the row is something else.
     ///
     /// # Errors
     ///
@@ -69,11 +74,19 @@
     fn runner(key: &str, value: &serde_json::Value) -> Result<Runner, Unreadable>;
 }
 
-/// Follows the configuration until the task is dropped.
+/// Follows what the operator writes until the task is dropped.
 pub async fn plans<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
     let mut follower = Follower::new(&relay, source, S::PLANS, PACE);
+    // As this table tells by itself: what peers have told may be newer, and changes to it older.
+    let mut drains = Drains::default();
     loop {
         let changes = follower.next(&relay).await;
+        if changes.revision > 0 && follower.whole {
+            drains = Drains::default();
+        }
+        drain::<S>(&mut drains, &changes);
+        // Before the configuration: whoever knows one must not send work to a drained failure domain.
+        relay.drain(&drains, follower.origin());
         for change in changes.rows {
             let Some(value) = &change.value else { continue };
             match S::plan(&change.key, value) {
@@ -88,6 +101,20 @@
     }
 }
 
+fn drain<S: Source>(drains: &mut Drains, changes: &Changes) {
+    drains.revision = drains.revision.max(changes.revision);
+    for change in &changes.rows {
+        let Some(domain) = S::drained(&change.key) else {
+            continue;
+        };
+        if change.value.is_some() {
+            drains.domains.insert(domain);
+        } else {
+            drains.domains.remove(&domain);
+        }
+    }
+}
+
 fn adopt<D: Downstream>(relay: &Relay<D>, plan: Plan, origin: &str) {
     let version = plan.version;
     let before = relay.plan().map(|plan| plan.version);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`plan`]: the configuration in force; [`runner`]: the runners that take new work
 //! * [`request`]: requests, answers and refusals
 //! * [`downstream`]: calls to runners, as an adapter carries them out
+//! * [`drain`]: failure domains whose runners get no new work
 //! * [`follow`]: keeps plan and runners as the platform has them
 //! * [`core`]: what the parts share
 //! * [`serve`]: one request from its arrival to its answer
@@ -18,6 +19,7 @@
 pub mod batch;
 pub mod core;
 pub mod downstream;
+pub mod drain;
 pub mod event;
 pub mod follow;
 pub mod graph;
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -14,6 +14,7 @@
 use crate::batch::{Cell, Order, Outcome, Results, Spent, Spoiled, Waits};
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle};
+use crate::drain::Drains;
 use crate::member::{Member, MemberId, Members};
 use crate::plan::{Rank, Version};
 use decide::Map;
@@ -153,6 +154,12 @@
         lock(&self.voices).retain(|voice| voice.try_send(&Frame::Version(version)).is_ok());
     }
 
+    /// Tells all linked processes which failure domains are drained.
+    pub fn announce_drains(&self, drains: &Drains) {
+        let frame = Frame::Drains(drains.clone());
+        lock(&self.voices).retain(|voice| voice.try_send(&frame).is_ok());
+    }
+
     /// From now on this process is told of what is announced.
     pub(crate) fn listen(&self, voice: Sender<Frame>) {
         let mut voices = lock(&self.voices);
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -4,6 +4,7 @@
 use crate::batch::{Cell, Order, Outcome, Results, Spent, Waits};
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle, Source};
+use crate::drain::Drains;
 use crate::member::MemberId;
 use crate::plan::{Plan, Rank, ServiceId, Version};
 use crate::request::RequestId;
@@ -26,6 +27,9 @@
 /// way is as fast, and asking the peer would cost the whole text once more.
 const OWN_WAY: Duration = Duration::from_millis(400);
 
+/// Who told what a peer told.
+const PEER: &str = "peer";
+
 /// What processes say to one another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -105,6 +109,8 @@
     },
     /// The configuration that is in force at the sender.
     Version(Version),
+    /// The failure domains that are drained, as far as the sender knows.
+    Drains(Drains),
     /// The sender stops, and takes no more orders until it starts anew.
     Leaving {
         /// Its name.
@@ -185,8 +191,13 @@
     tokio::spawn(read(relay, line, receiver));
 }
 
-/// Tells a new peer which configuration is in force here.
+/// Tells a new peer which configuration is in force here, and which failure domains are drained.
 pub(super) fn greet<D: Downstream>(relay: &Relay<D>, sender: &Sender<Frame>) {
+    let drains = relay.drains();
+    if drains.revision > 0 {
+        // First: a peer that takes the configuration from here must know them by then.
+        let _ = sender.try_send(&Frame::Drains(drains));
+    }
     if let Some(plan) = relay.plan() {
         // A link that is gone already shows when it is read.
         let _ = sender.try_send(&Frame::Version(plan.version));
@@ -241,6 +252,7 @@
 pub(super) fn common<D: Downstream>(relay: &Arc<Relay<D>>, sender: &Sender<Frame>, frame: Frame) {
     match frame {
         Frame::Version(version) => heard_version(relay, sender, version),
+        Frame::Drains(drains) => relay.drain(&drains, PEER),
         Frame::Leaving { id, incarnation } => {
             info!(relay.log, "peer leaves"; "peer" => &*id, "incarnation" => incarnation);
             relay.peers.members(|members| members.left(id, incarnation));
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -2,8 +2,10 @@
 
 use crate::plan::ServiceId;
 use decide::Map;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Name of a runner.
 pub type RunnerId = Arc<str>;
@@ -28,6 +30,20 @@
     pub slots: u32,
     /// Whether it is about to leave and takes no new work.
     pub leaving: bool,
+    /// How much longer it bears only a few requests a second, as of when its entry was written.
+    pub cold: Duration,
+}
+
+impl Runner {
+    /// Whether two entries tell the same of a runner, but for how long it stays cold.
+    fn is_same(&self, other: &Self) -> bool {
+        let cold = self.cold;
+        *self
+            == Self {
+                cold,
+                ..other.clone()
+            }
+    }
 }
 
 /// A change of what is known of a runner.
@@ -39,10 +55,14 @@
     Gone(RunnerId),
 }
 
-/// All runners that take new work, by service.
+/// All runners that take new work, by service, and those that would if their failure domain were not
+/// drained.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     runners: Map<RunnerId, Arc<Runner>>,
+    /// Runners of drained failure domains.
+    parked: Map<RunnerId, Runner>,
+    drained: BTreeSet<DomainId>,
     by_service: Map<ServiceId, Vec<Arc<Runner>>>,
     by_address: Map<SocketAddr, Arc<Runner>>,
 }
@@ -51,10 +71,30 @@
     /// Takes in a change and tells whether anything is different now.
     pub fn apply(&mut self, change: Change) -> bool {
         match change {
-            Change::Listed(runner) if runner.leaving => self.remove(&runner.id),
-            Change::Listed(runner) => self.put(runner),
-            Change::Gone(id) => self.remove(&id),
+            Change::Listed(runner) if runner.leaving => self.forget(&runner.id),
+            Change::Listed(runner) if self.drained.contains(&runner.domain) => self.park(runner),
+            Change::Listed(runner) => {
+                self.parked.remove(&runner.id);
+                self.put(runner)
+            }
+            Change::Gone(id) => self.forget(&id),
+        }
+    }
+
+    /// Drains these failure domains and no others; gives the runners that this concerns, to be taken
+    /// in as changes.
+    pub fn drain(&mut self, domains: BTreeSet<DomainId>) -> Vec<Change> {
+        if domains == self.drained {
+            return Vec::new();
         }
+        let working = self.runners.values().map(|runner| &**runner);
+        let stopped = working.filter(|runner| domains.contains(&runner.domain));
+        let parked = self.parked.values();
+        let back = parked.filter(|runner| !domains.contains(&runner.domain));
+        let changes = stopped.chain(back).cloned().map(Change::Listed);
+        let changes = changes.collect();
+        self.drained = domains;
+        changes
     }
 
     /// The runner of that name, if it takes new work.
@@ -75,16 +115,27 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Names of all runners that take new work.
+    /// Names of all runners, those of drained failure domains included.
     pub fn ids(&self) -> impl Iterator<Item = &RunnerId> {
-        self.runners.keys()
+        self.runners.keys().chain(self.parked.keys())
+    }
+
+    fn park(&mut self, runner: Runner) -> bool {
+        let stopped = self.remove(&runner.id);
+        self.parked.insert(runner.id.clone(), runner);
+        stopped
+    }
+
+    fn forget(&mut self, id: &str) -> bool {
+        self.parked.remove(id);
+        self.remove(id)
     }
 
     fn put(&mut self, runner: Runner) -> bool {
         if self
             .runners
             .get(&runner.id)
-            .is_some_and(|old| **old == runner)
+            .is_some_and(|old| old.is_same(&runner))
         {
             return false;
         }
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -4,6 +4,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use std::time::Duration;
 
 /// Workspaces with a label of their own; the rest share one. With 14 buckets and 32 classes a
@@ -35,6 +36,7 @@
     batches: Counter,
     pieces: Counter,
     tables: Family<Answerer, Counter>,
+    drained: Gauge,
 }
 
 impl Telemetry {
@@ -53,6 +55,7 @@
             batches: Counter::default(),
             pieces: Counter::default(),
             tables: Family::default(),
+            drained: Gauge::default(),
         };
         registry.register(
             "relay_requests",
@@ -79,9 +82,19 @@
             "Answers to questions for what is new in the platform's tables, by who gave them",
             telemetry.tables.clone(),
         );
+        registry.register(
+            "relay_drained_domains",
+            "Failure domains whose runners get no new work",
+            telemetry.drained.clone(),
+        );
         telemetry
     }
 
+    /// Sets the number of failure domains that are drained.
+    pub fn drained(&self, domains: usize) {
+        self.drained.set(i64::try_from(domains).unwrap_or(i64::MAX));
+    }
+
     /// Counts a request whose answer begins after this time.
     pub fn answered(&self, workspace: &str, class: &str, status: u16, elapsed: Duration) {
         self.latency.observe(workspace, class, elapsed);
--- a/crates/relay/tests/common/feed.rs
+++ b/crates/relay/tests/common/feed.rs
@@ -2,6 +2,7 @@
 
 use super::{plan, runner};
 use relay::follow::{Source, Unreadable};
+use relay::runner::DomainId;
 use relay::{Plan, Runner};
 use serde_json::Value;
 use std::collections::VecDeque;
@@ -92,6 +93,10 @@
     const PLANS: &'static str = "plans";
     const RUNNERS: &'static str = "runners";
 
+    fn drained(key: &str) -> Option<DomainId> {
+        key.strip_prefix("drained-").map(DomainId::from)
+    }
+
     fn plan(_key: &str, value: &Value) -> Result<Option<Plan>, Unreadable> {
         let version = value.as_u64().ok_or_else(|| Unreadable {
             reason: "no number".to_owned(),
@@ -107,6 +112,7 @@
         let mut runner = runner(key, service);
         runner.started = value["started"].as_u64();
         runner.leaving = value["leaving"].as_bool().unwrap_or(false);
+        runner.cold = Duration::from_millis(value["cold_ms"].as_u64().unwrap_or(0));
         Ok(runner)
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -38,6 +38,7 @@
         domain: "a".into(),
         slots: 4,
         leaving: false,
+        cold: Duration::ZERO,
     }
 }
 
