Runners that have just started get a bounded rate of requests from all relays together

Cause: nothing read what a runner says of its being cold, nor what its service bears meanwhile; each relay knew its own calls alone.

Change: decide::warmup divides the bound among a few relays chosen by names (at most half as many as the bound, two a second each at least, a fixed gap); protocol::roster says when a relay may count on the list it has read: an own row that all others know, a list no older than that. Rows are marked settled, so that a restart need not wait. Runners of a failure domain that gets work again count as cold for the service's time.

--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -227,6 +227,7 @@
         store,
         repeats: setting::relay::Repeats::default(),
         grace_s: GRACE_S,
+        warmup: setting::relay::Warmup::default(),
         policy: setting::relay::Policies::default(),
     }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`owner`]: which process does work that only one should do at a time
 //! * [`place`]: which models are loaded where
 //! * [`subset`]: which targets of a large pool a process keeps links to
+//! * [`warmup`]: how often each process may send to a runner that has just started
 
 pub mod admit;
 pub mod batch;
@@ -27,6 +28,7 @@
 pub mod route;
 pub mod smooth;
 pub mod subset;
+pub mod warmup;
 
 pub use either::Either;
 
--- /dev/null
+++ b/crates/decide/src/warmup.rs
@@ -0,0 +1,79 @@
+//! How often each process may send to a runner that has just started.
+//!
+//! Such a runner bears few requests a second for some seconds, and fails under more. To each of many
+//! processes it looks idle, and all of them would send to it at once. So only a few may, chosen by
+//! names alone, and each keeps a fixed gap between two requests: together they stay under the bound
+//! in any second, without a word between them.
+
+use crate::subset::rank;
+use std::time::Duration;
+
+/// Longest time from the decision to send a request until it is on its way: that of a connection.
+const DELAY: Duration = Duration::from_millis(300);
+/// Time over which requests are counted, with the delay of the first one.
+const WINDOW: Duration = Duration::from_millis(1_000).saturating_add(DELAY);
+/// Requests in a second that each process with a place can send, at least. More places would leave
+/// one in some seconds to each; with fewer, one that is gone leaves a larger part unused.
+const EACH: u32 = 2;
+/// What makes a gap longer than the part of the window that it divides.
+const MARGIN: Duration = Duration::from_millis(1);
+
+/// What a runner bears that has just started.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// Requests a second on average.
+    pub rate: f64,
+    /// Requests in any one second.
+    pub most: u32,
+}
+
+/// One process's part of what a runner bears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Processes that may send.
+    pub places: usize,
+    /// Time between two requests of one process, at least.
+    pub gap: Duration,
+}
+
+impl Share {
+    /// The part of each of so many processes; `None` if the runner bears nothing.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use decide::warmup::{Bound, Share};
+    /// use std::time::Duration;
+    ///
+    /// let bound = Bound { rate: 8.0, most: 17 };
+    /// let share = Share::new(&bound, 27).unwrap();
+    /// assert_eq!((share.places, share.gap), (8, Duration::from_secs(1)));
+    /// ```
+    #[must_use]
+    pub fn new(bound: &Bound, processes: usize) -> Option<Self> {
+        if bound.most == 0 || bound.rate <= 0.0 {
+            return None;
+        }
+        let most = (bound.most / EACH).max(1);
+        let places = u32::try_from(processes).unwrap_or(most).clamp(1, most);
+        let each = bound.most / places;
+        let on_average = Duration::from_secs_f64(f64::from(places) / bound.rate);
+        Some(Self {
+            places: places as usize,
+            gap: on_average.max(WINDOW / each + MARGIN),
+        })
+    }
+
+    /// Whether a process has a place, by its name and those of the others.
+    #[must_use]
+    pub fn has_place<'a>(
+        &self,
+        runner: &str,
+        own: &str,
+        others: impl IntoIterator<Item = &'a str>,
+    ) -> bool {
+        let mine = (rank(runner, own), own);
+        let before = |other: &&str| (rank(runner, other), *other) < mine;
+        others.into_iter().filter(before).count() < self.places
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`follower`]: a process that follows the accepted configuration
 //! * [`member`]: which VMs may get new work
 //! * [`reader`]: a process that hears of a table's changes from another one
+//! * [`roster`]: a process that shares a bounded number of places with others
 
 pub mod call;
 pub mod claim;
@@ -23,6 +24,7 @@
 pub mod lease;
 pub mod member;
 pub mod reader;
+pub mod roster;
 pub mod stage;
 
 pub use call::Call;
@@ -36,4 +38,5 @@
 pub use lease::Lease;
 pub use member::Members;
 pub use reader::Reader;
+pub use roster::Roster;
 pub use stage::Stage;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -212,6 +212,7 @@
         if !progress.tried.is_empty() && !job.relay.may_repeat(&job.service) {
             return Err(());
         }
+        job.relay.sends(&runner);
         progress.tried.push(runner.id.clone());
         let call = call(job, inputs, left, resume_after);
         let mut flight = Flight::new(job, runner);
@@ -295,13 +296,15 @@
 
 fn pick<D: Downstream>(job: &Job<D>, tried: &[RunnerId], left: Duration) -> Option<Arc<Runner>> {
     let relay = &job.relay;
+    let closed = relay.closed(&job.service);
+    let without = [tried, &closed].concat();
     let shared = job.request.prompt.as_ref();
     let shared = shared.map_or(&[][..], |prompt| &prompt.shared);
     let call = route::Call {
         now: relay.now(),
         domain: &relay.options.domain,
         prefix: &[],
-        tried,
+        tried: &without,
         slack: left,
     };
     let processes = relay.processes();
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -10,6 +10,7 @@
 use crate::runner::{Change, DomainId, Fleet, Runner};
 use crate::serve::RETRY_PART;
 use crate::telemetry::Telemetry;
+use crate::warmup::Warmups;
 use decide::Map;
 use decide::retry::window::{Bound, Quota};
 use decide::route::{Pool, Target};
@@ -42,6 +43,8 @@
     pub key: wire::Key,
     /// Which decisions it takes.
     pub policy: setting::relay::Policies,
+    /// What runners bear that have just started.
+    pub warmup: setting::relay::Warmup,
     /// Clock that counts suspensions.
     pub clock: Clock,
 }
@@ -67,6 +70,7 @@
     plan: RwLock<Option<Arc<Plan>>>,
     fleet: RwLock<Option<Fleet>>,
     pub(crate) drains: Mutex<Drains>,
+    pub(crate) warmups: Mutex<Warmups>,
     pools: Mutex<Map<ServiceId, Pool>>,
     repeats: Mutex<Bound>,
     quotas: Mutex<Map<ServiceId, Quota>>,
@@ -102,6 +106,7 @@
             plan: RwLock::default(),
             fleet: RwLock::default(),
             drains: Mutex::default(),
+            warmups: Mutex::default(),
             pools: Mutex::default(),
             quotas: Mutex::default(),
             batchers: Mutex::default(),
@@ -202,8 +207,17 @@
         {
             let mut fleet = self.fleet.write().unwrap_or_else(PoisonError::into_inner);
             let fleet = fleet.get_or_insert_default();
-            let drained = fleet.drain(self.drains().domains);
-            for change in drained.into_iter().chain(changes) {
+            for runner in fleet.drain(self.drains().domains) {
+                let id = runner.id.clone();
+                self.update_one(fleet, Change::Listed(runner), &mut services);
+                if let Some(back) = fleet.get(&id) {
+                    self.comes_back(back);
+                }
+            }
+            for change in changes {
+                if let Change::Listed(runner) = &change {
+                    self.warms_up(runner);
+                }
                 self.update_one(fleet, change, &mut services);
             }
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`attempt`]: a request and the runners it is sent to; [`splice`]: streams over several runners
 //! * [`event`]: where the events of a stream begin and end
 //! * [`pause`]: what is done after the process did not run for a while
+//! * [`warmup`]: runners that have just started and bear few requests
 //! * [`telemetry`]: counters and histograms
 
 pub mod attempt;
@@ -32,6 +33,7 @@
 pub mod serve;
 pub mod splice;
 pub mod telemetry;
+pub mod warmup;
 
 pub use core::{Options, Relay};
 pub use downstream::Downstream;
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -9,6 +9,8 @@
 use crate::telemetry::millis;
 use decide::Map;
 use decide::owner::{Candidate, choose};
+use decide::warmup::Share;
+use protocol::roster::Roster;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
@@ -17,7 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use store::{Error, Put, Table, Transaction};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Name of a process.
 pub type MemberId = Arc<str>;
@@ -34,6 +36,12 @@
     shared: Duration::from_secs(5),
     most: Duration::from_secs(8),
 };
+/// Greatest age of the list of processes that is acted on where only so many may act. A question
+/// that waits for changes is answered after [`Pace::alone`] at the latest.
+const ROSTER_AGE: Duration = Duration::from_secs(17);
+/// Time between the last request of one process and the first of the one that takes its place, at
+/// least: requests are counted over a second, and may take some tenths to be sent.
+const ROSTER_APART: Duration = Duration::from_millis(1_500);
 /// Processes from which on a few read the tables for all: fewer would ask the table service as often
 /// when each reads for itself.
 const SHARED_FROM: usize = 12;
@@ -55,6 +63,10 @@
     pub address: SocketAddr,
     /// How much work it can do compared to the others.
     pub weight: f64,
+    /// Whether this row has been there for so long that all others know of it, whatever start of the
+    /// process wrote it.
+    #[serde(default)]
+    pub settled: bool,
 }
 
 /// What is known of the processes.
@@ -66,6 +78,8 @@
     left: Map<MemberId, u64>,
     listed: bool,
     leaving: bool,
+    /// Whether this process takes part in work that only so many may do at a time.
+    pub(crate) roster: Roster,
 }
 
 impl Members {
@@ -79,6 +93,7 @@
             left: Map::default(),
             listed: false,
             leaving: false,
+            roster: Roster::new(ROSTER_AGE, ROSTER_APART),
         }
     }
 
@@ -122,6 +137,19 @@
         self.listed.then(|| self.others.len() + 1)
     }
 
+    /// The own row is in the table as of now.
+    pub fn enlisted(&mut self, now: Duration) {
+        self.roster.enlisted(now);
+    }
+
+    /// Whether this process is one of the few that may send to a runner that has just started. Those
+    /// that cannot be reached keep their places: two processes that disagree on that would both send.
+    #[must_use]
+    pub fn has_place(&self, share: &Share, runner: &str) -> bool {
+        let others = self.others.keys().map(|id| &**id);
+        share.has_place(runner, &self.own.id, others)
+    }
+
     /// The other processes that can be reached, as far as is known.
     pub fn reachable(&self) -> impl Iterator<Item = &Member> {
         let now = Instant::now();
@@ -185,14 +213,50 @@
     }
 }
 
-/// Writes the own row, however long the table service is away.
+/// Writes the own row, however long the table service is away, and once more when all know of it.
 pub async fn enlist<D: Downstream, T: Table>(relay: Arc<Relay<D>>, table: T) {
-    let member = relay.options.member.clone();
-    let value = match serde_json::to_value(&member) {
+    let begun = Instant::now();
+    let mut member = relay.options.member.clone();
+    member.settled = was_settled(&relay, &table, &member.id).await;
+    if !write(&relay, &table, &member).await {
+        return;
+    }
+    info!(relay.log, "enlisted"; "after_ms" => millis(begun.elapsed()), "settled" => member.settled);
+    let settles = relay.peers.members(|members| {
+        members.enlisted(relay.now());
+        if member.settled {
+            members.roster.settle();
+        }
+        members.roster.settles()
+    });
+    if let (false, Some(moment)) = (member.settled, settles) {
+        sleep_until(relay.started() + moment).await;
+        member.settled = true;
+        write(&relay, &table, &member).await;
+    }
+}
+
+/// Whether the row that an earlier start wrote says that all know of it. Not to know costs only a
+/// wait.
+async fn was_settled<D: Downstream, T: Table>(relay: &Relay<D>, table: &T, id: &str) -> bool {
+    let row = match table.read(TABLE, id).await {
+        Ok(row) => row,
+        Err(error) => {
+            info!(relay.log, "own row not read"; "error" => %error);
+            return false;
+        }
+    };
+    let member = row.and_then(|row| Member::deserialize(row.value).ok());
+    member.is_some_and(|member| member.settled)
+}
+
+/// Writes the own row; tells whether it could.
+async fn write<D: Downstream, T: Table>(relay: &Relay<D>, table: &T, member: &Member) -> bool {
+    let value = match serde_json::to_value(member) {
         Ok(value) => value,
         Err(error) => {
             warn!(relay.log, "own row cannot be written"; "error" => %error);
-            return;
+            return false;
         }
     };
     let put = Put {
@@ -204,14 +268,13 @@
         checks: Vec::new(),
         puts: vec![put],
     };
-    let begun = Instant::now();
     let mut pause = Duration::from_millis(20);
     loop {
         let error = match table.transact(&transaction).await {
-            Ok(_) => break,
+            Ok(_) => return true,
             Err(error @ Error::Conflict { .. }) => {
                 warn!(relay.log, "own row cannot be written"; "error" => %error);
-                return;
+                return false;
             }
             Err(error) => error,
         };
@@ -220,7 +283,6 @@
         sleep(pause.mul_f64(jitter)).await;
         pause = (pause * 2).min(PAUSE_MOST);
     }
-    info!(relay.log, "enlisted"; "after_ms" => millis(begun.elapsed()));
 }
 
 /// Follows the rows of the other processes until the task is dropped.
@@ -233,6 +295,7 @@
                 take(&relay, members, &change);
             }
             members.listed();
+            members.roster.read(follower.current());
         });
     }
 }
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -105,6 +105,17 @@
     pub connections: u32,
     /// How its runners take the pieces of stages, if they do.
     pub batches: Option<Batches>,
+    /// What its runners bear that have just started, unless they bear all at once.
+    pub warmup: Option<Warmup>,
+}
+
+/// What a runner bears that has just started.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Warmup {
+    /// Time after its start until it bears as much as the others.
+    pub time: Duration,
+    /// Requests a second until then.
+    pub rate: f64,
 }
 
 /// How the runners of a stage service take pieces.
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -81,9 +81,9 @@
         }
     }
 
-    /// Drains these failure domains and no others; gives the runners that this concerns, to be taken
-    /// in as changes.
-    pub fn drain(&mut self, domains: BTreeSet<DomainId>) -> Vec<Change> {
+    /// Drains these failure domains and no others; gives the runners that this concerns, to be listed
+    /// once more.
+    pub fn drain(&mut self, domains: BTreeSet<DomainId>) -> Vec<Runner> {
         if domains == self.drained {
             return Vec::new();
         }
@@ -91,10 +91,9 @@
         let stopped = working.filter(|runner| domains.contains(&runner.domain));
         let parked = self.parked.values();
         let back = parked.filter(|runner| !domains.contains(&runner.domain));
-        let changes = stopped.chain(back).cloned().map(Change::Listed);
-        let changes = changes.collect();
+        let concerned = stopped.chain(back).cloned().collect();
         self.drained = domains;
-        changes
+        concerned
     }
 
     /// The runner of that name, if it takes new work.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -98,11 +98,13 @@
             name: "plain".into(),
             connections: 64,
             batches: None,
+            warmup: None,
         },
         Service {
             name: "stage".into(),
             connections: 64,
             batches: Some(batches),
+            warmup: None,
         },
     ];
     let workspace = Workspace {
@@ -360,6 +362,7 @@
         incarnation: 1,
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         weight: 1.0,
+        settled: false,
     }
 }
 
@@ -380,6 +383,7 @@
         member,
         key: wire::Key::new("key"),
         policy: setting::relay::Policies::default(),
+        warmup: setting::relay::Warmup::default(),
         clock: since_start,
     }
 }
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -18,6 +18,11 @@
     Field::optional("processes", PROCESSES),
 ]);
 
+const WARMUP: Shape = Shape::Object(&[
+    Field::required("excess", Shape::Amount),
+    Field::required("slack", Shape::Amount),
+]);
+
 const POLICY: Shape = Shape::Object(&[
     Field::optional("batches", shared::POLICY),
     Field::optional("admission", shared::POLICY),
@@ -26,6 +31,7 @@
     Field::optional("small_first", shared::POLICY),
     Field::optional("fetched", shared::POLICY),
     Field::optional("board", shared::POLICY),
+    Field::optional("warmup", shared::POLICY),
 ]);
 
 const FIELDS: &[Field] = &[
@@ -39,6 +45,7 @@
     Field::optional("weight", Shape::Amount),
     Field::required("store", Shape::Address),
     Field::optional("repeats", REPEATS),
+    Field::optional("warmup", WARMUP),
     Field::optional("grace_s", Shape::Amount),
     Field::optional("policy", POLICY),
 ];
@@ -68,6 +75,9 @@
     /// Bound on second attempts of the whole fleet.
     #[serde(default)]
     pub repeats: Repeats,
+    /// What runners bear in any one second that have just started.
+    #[serde(default)]
+    pub warmup: Warmup,
     /// Time from the request to stop until the process is killed, in seconds.
     #[serde(default = "default_grace_s")]
     pub grace_s: f64,
@@ -102,6 +112,10 @@
     /// times their number.
     #[serde(default)]
     pub board: Policy,
+    /// Who sends to runners that have just started: a few processes, at a bounded rate, where no other
+    /// runner is there, or all.
+    #[serde(default)]
+    pub warmup: Policy,
 }
 
 /// Bound on second attempts to one service in any window.
@@ -130,6 +144,25 @@
     }
 }
 
+/// Requests to a runner that has just started, over all processes, in any one second.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Warmup {
+    /// As a multiple of the rate that its service tells.
+    pub excess: f64,
+    /// Besides.
+    pub slack: f64,
+}
+
+impl Default for Warmup {
+    /// No more than the service tells.
+    fn default() -> Self {
+        Self {
+            excess: 1.0,
+            slack: 0.0,
+        }
+    }
+}
+
 /// That of common process managers, where nobody tells.
 fn default_grace_s() -> f64 {
     8.0
