Results that are over are given back at once, and a full runner is believed to be full

Two parts: what was over lay at its runner until the next call told it, so that a kill left runners full of it; and a runner that had turned results away was asked again after 60 ms, made a few pieces of each group and held those as well.

Change: an owner tells runners within 25 ms what is over; a call that finds no room although all that is over had been given back teaches what the runner holds besides, believed for a quarter of the time that results are kept.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -4,6 +4,7 @@
 //! runner's queue, until a runner is free: what waits here can still share a call, change its place
 //! or be withdrawn.
 
+mod launch;
 mod place;
 mod state;
 
@@ -13,11 +14,12 @@
 use crate::request::RequestId;
 use crate::runner::{DomainId, Runner};
 use crate::telemetry::millis;
+use launch::Launch;
 use serde::{Deserialize, Serialize};
 use setting::Policy;
 use slog::{info, warn};
 use snafu::Snafu;
-use state::{Launch, State};
+use state::State;
 use std::marker::PhantomData;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -39,6 +41,9 @@
 /// the 17 MB of a full call take 14 ms at 10 Gbit/s, and calls fetch beside one another.
 const FETCHED: Duration = Duration::from_millis(60);
 
+/// Time for which results that are over are gathered before their runners are told.
+const GATHER: Duration = Duration::from_millis(25);
+
 /// Runners in a cell at most. At 8 pieces and 0.37 s a call, eight runners make 175 pieces a second
 /// in 22 calls, some hundredths of a core; more runners in one cell share calls hardly better.
 const CELL: usize = 8;
@@ -245,7 +250,7 @@
     ///
     /// Some may have been made for another process that formed the cell's calls before. They take
     /// up room here all the same, of a size that is not known.
-    pub fn release(&self, relay: &Relay<D>, handles: &[Handle], spent: Spent) {
+    pub fn release(self: &Arc<Self>, relay: &Arc<Relay<D>>, handles: &[Handle], spent: Spent) {
         let mut state = lock(&self.state);
         let keep = relay.batches(&self.cell.service);
         let until = Instant::now() + keep.map_or(Duration::ZERO, |batches| batches.keep);
@@ -257,6 +262,21 @@
                 }
             }
         }
+        if spent == Spent::Over && state.plan_give_back() {
+            tokio::spawn(self.clone().give_back(relay.clone()));
+        }
+    }
+
+    /// Gives back what is over, without waiting for the next call.
+    ///
+    /// If this process is killed, nobody knows of what still lies at the runners, and it takes up room
+    /// until it lapses: a runner that was told with its next call alone would hold little else.
+    async fn give_back(self: Arc<Self>, relay: Arc<Relay<D>>) {
+        tokio::time::sleep(GATHER).await;
+        let released = lock(&self.state).take_released();
+        for (runner, results) in released {
+            tokio::spawn(release(relay.clone(), runner, results));
+        }
     }
 
     /// Results that take up room and were made before this process formed the cell's calls.
@@ -322,7 +342,7 @@
     /// in bursts runners stood still beside pieces that waited.
     async fn until_fetched<T>(
         &self,
-        relay: &Relay<D>,
+        relay: &Arc<Relay<D>>,
         launch: &Launch,
         making: impl Future<Output = T>,
     ) -> T {
--- /dev/null
+++ b/crates/relay/src/batch/launch.rs
@@ -0,0 +1,39 @@
+//! A call of a cell that is about to be sent.
+
+use crate::downstream::{Handle, Item};
+use crate::plan::Batches;
+use crate::runner::Runner;
+use decide::batch::Ticket;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A call that takes so many times its expected time is given up: its runner is dark or much
+/// slower than the others, and its pieces are better made elsewhere.
+const PATIENCE: f64 = 2.5;
+/// Time for the way there and back, and for delays of this process, besides.
+const WAY: Duration = Duration::from_millis(300);
+/// A call on its way.
+#[derive(Debug)]
+pub(super) struct Launch {
+    pub(super) runner: Arc<Runner>,
+    pub(super) portions: Vec<(Ticket, Vec<u32>)>,
+    pub(super) items: Vec<Item>,
+    pub(super) released: Vec<Handle>,
+    /// Whether the results must be given back before there is room for the call's.
+    pub(super) tight: bool,
+    pub(super) slowness: f64,
+    pub(super) expected: Duration,
+    /// When it is expected to end.
+    pub(super) until: Instant,
+    pub(super) batches: Batches,
+    /// Bytes of its results, and what was believed to be free for them.
+    pub(super) needed: u64,
+    pub(super) room: u64,
+}
+
+impl Launch {
+    pub(super) fn patience(&self) -> Duration {
+        self.expected.mul_f64(PATIENCE) + WAY
+    }
+}
--- a/crates/relay/src/batch/place.rs
+++ b/crates/relay/src/batch/place.rs
@@ -13,6 +13,10 @@
 /// Pause before a runner gets work again that had no room for results. Those that it holds were
 /// asked for by another process, or are larger than the configuration says.
 const REST_ROOM: Duration = Duration::from_millis(60);
+/// Part of the time for which results are kept that a runner which turned some away is taken to hold
+/// what nobody here knows of. Such results lapse or are given back in the meantime; what is left then
+/// costs one more refusal.
+const UNKNOWN_PART: u32 = 4;
 /// Pause before a runner gets work again that failed; doubles with each failure.
 const REST_FAILED: Duration = Duration::from_millis(500);
 /// Failures after which the pause doubles no further.
@@ -45,6 +49,8 @@
     pub(super) rests_until: Option<Instant>,
     /// Whether it has just turned results away, so that it holds more than is known here.
     pub(super) full: bool,
+    /// Bytes that it holds beyond the results that are known here, and until when that is believed.
+    unknown: Option<(u64, Instant)>,
 }
 
 /// A result that takes up room at its runner.
@@ -134,6 +140,7 @@
             failures: 0,
             rests_until: None,
             full: false,
+            unknown: None,
         }
     }
 
@@ -168,7 +175,7 @@
         let results = &self.results;
         self.released.retain(|handle| results.contains_key(handle));
         self.fetched.retain(|handle| results.contains_key(handle));
-        let kept = self.kept();
+        let kept = self.kept() + self.unknown(now);
         let spent = self.bytes(&self.released) + self.bytes(&self.fetched);
         Room {
             free: batches.room.saturating_sub(kept.saturating_sub(spent)),
@@ -176,6 +183,38 @@
         }
     }
 
+    /// When parts of what lies here are gone.
+    pub(super) fn lapses(&self) -> impl Iterator<Item = Instant> + '_ {
+        let known = self.results.values().map(|kept| kept.until);
+        known.chain(self.unknown.map(|(_, until)| until))
+    }
+
+    /// Bytes that are taken to lie here besides the results that are known.
+    fn unknown(&self, now: Instant) -> u64 {
+        let believed = self.unknown.filter(|(_, until)| *until > now);
+        believed.map_or(0, |(bytes, _)| bytes)
+    }
+
+    /// Learns from a call some of whose results had no room, although all that is over had been given
+    /// back, that the runner holds more than was believed.
+    ///
+    /// Results whose process died lie at their runner until they lapse. A runner that is taken for
+    /// empty would be asked again and again, make a few pieces of each group, and hold those as well.
+    fn learn_unknown(&mut self, call: &Judged<'_>, made: &[Made], now: Instant) {
+        let fitted = made.iter().filter(|made| matches!(made, Made::Done(_)));
+        let fitted = call.needed * fitted.count() as u64 / made.len().max(1) as u64;
+        let bytes = self.unknown(now) + call.room.saturating_sub(fitted);
+        self.unknown = Some((bytes, now + call.keep / UNKNOWN_PART));
+    }
+
+    /// Results that are given back by now, to be told to the runner.
+    pub(super) fn take_released(&mut self) -> Vec<Handle> {
+        for handle in &self.released {
+            self.results.remove(handle);
+        }
+        std::mem::take(&mut self.released)
+    }
+
     /// Bytes of all results.
     fn kept(&self) -> u64 {
         self.results.values().map(|kept| kept.bytes).sum()
@@ -207,10 +246,7 @@
     /// are released, and of those that are fetched no more than it takes.
     pub(super) fn give_back(&mut self, batches: Batches, needed: u64) -> Vec<Handle> {
         self.full = false;
-        let mut dropped = std::mem::take(&mut self.released);
-        for handle in &dropped {
-            self.results.remove(handle);
-        }
+        let mut dropped = self.take_released();
         let mut missing = (self.kept() + needed).saturating_sub(batches.room);
         let fetched = std::mem::take(&mut self.fetched);
         for handle in fetched {
@@ -242,6 +278,9 @@
                 if made.contains(&Made::NoRoom) {
                     self.rests_until = Some(now + REST_ROOM);
                     self.full = true;
+                    if call.tight {
+                        self.learn_unknown(call, made, now);
+                    }
                 }
             }
             Err(Failure::NotRun {
@@ -278,4 +317,11 @@
     pub(super) slowness: f64,
     /// When it was expected to end.
     pub(super) until: Instant,
+    /// Whether what was over had been given back before it was sent.
+    pub(super) tight: bool,
+    /// Bytes of its results, and what was believed to be free for them.
+    pub(super) needed: u64,
+    pub(super) room: u64,
+    /// Time for which results are kept.
+    pub(super) keep: Duration,
 }
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -1,5 +1,6 @@
 //! What waits in a cell and what its runners do.
 
+use super::launch::Launch;
 use super::place::{Inflation, Judged, Kept, Place, free_places};
 use super::{Order, Outcome, Results, Spoiled, Waits};
 use crate::core::Relay;
@@ -16,11 +17,6 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// A call that takes so many times its expected time is given up: its runner is dark or much
-/// slower than the others, and its pieces are better made elsewhere.
-const PATIENCE: f64 = 2.5;
-/// Time for the way there and back, and for delays of this process, besides.
-const WAY: Duration = Duration::from_millis(300);
 /// Speed of a cell below which its runners are taken to be as slow as that, compared to one that
 /// works as configured: an expected wait must stay finite.
 const MOST_SLOW: f64 = 0.1;
@@ -35,6 +31,8 @@
     wakes: Option<Instant>,
     /// How much larger than the configuration says results are taken to be.
     inflation: Inflation,
+    /// Whether results that are over are about to be given back.
+    giving_back: bool,
 }
 
 fn former(policy: Policies, shape: Shape) -> Choice {
@@ -60,28 +58,6 @@
     reply: oneshot::Sender<Outcome>,
 }
 
-/// A call on its way.
-#[derive(Debug)]
-pub(super) struct Launch {
-    pub(super) runner: Arc<Runner>,
-    pub(super) portions: Vec<(Ticket, Vec<u32>)>,
-    pub(super) items: Vec<Item>,
-    pub(super) released: Vec<Handle>,
-    /// Whether the results must be given back before there is room for the call's.
-    pub(super) tight: bool,
-    slowness: f64,
-    pub(super) expected: Duration,
-    /// When it is expected to end.
-    until: Instant,
-    batches: Batches,
-}
-
-impl Launch {
-    pub(super) fn patience(&self) -> Duration {
-        self.expected.mul_f64(PATIENCE) + WAY
-    }
-}
-
 impl State {
     /// Whether the cell has no runner that takes work.
     pub(super) fn is_empty(&self) -> bool {
@@ -95,6 +71,18 @@
         }
     }
 
+    /// Whether nobody else is about to give back what is over.
+    pub(super) fn plan_give_back(&mut self) -> bool {
+        !std::mem::replace(&mut self.giving_back, true)
+    }
+
+    /// The results that are over, by the runner that holds them.
+    pub(super) fn take_released(&mut self) -> Vec<(Arc<Runner>, Vec<Handle>)> {
+        self.giving_back = false;
+        let released = |place: &mut Place| (place.runner.clone(), place.take_released());
+        self.places.iter_mut().map(released).collect()
+    }
+
     /// A result has been fetched by the call that needs it.
     pub(super) fn fetched(&mut self, address: SocketAddr, handle: &Handle) {
         if let Some(place) = self.at(address) {
@@ -283,6 +271,8 @@
             items: Vec::new(),
             expected: Duration::ZERO,
             until: now,
+            needed,
+            room: room.free,
         };
         let launch = self.assemble(launch, &portions, now);
         self.places[index].calls.push(launch.until);
@@ -375,6 +365,10 @@
             expected: launch.expected,
             slowness: launch.slowness,
             until: launch.until,
+            tight: launch.tight,
+            needed: launch.needed,
+            room: launch.room,
+            keep: launch.batches.keep,
         };
         // A runner that is listed no more has nothing to learn of.
         if let Some(place) = place {
@@ -447,8 +441,7 @@
         if self.places.iter().any(|place| !place.calls.is_empty()) {
             return None;
         }
-        let results = self.places.iter().flat_map(|place| place.results.values());
-        let lapses = results.map(|kept| kept.until);
+        let lapses = self.places.iter().flat_map(Place::lapses);
         let orders = self.waiting.values().map(|waiting| waiting.order.last);
         lapses.chain(orders).filter(|until| *until > now).min()
     }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -206,7 +206,7 @@
     }
 
     /// Tells the owner of a cell that results are done with.
-    pub fn release<D: Downstream>(&self, relay: &Relay<D>, results: Results, spent: Spent) {
+    pub fn release<D: Downstream>(&self, relay: &Arc<Relay<D>>, results: Results, spent: Spent) {
         let Results { cell, handles } = &results;
         if spent == Spent::Over
             && let Some(held) = lock(&self.held).get_mut(cell)
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -45,6 +45,8 @@
 /// Time that a call of the stage service takes, and what a piece adds.
 pub(crate) const CALL: Duration = Duration::from_millis(200);
 pub(crate) const PIECE: Duration = Duration::from_millis(20);
+/// Time of a call none of whose pieces has room.
+pub(crate) const REFUSAL: Duration = Duration::from_millis(5);
 
 /// A plan with routes of each kind: `/unsafe/`, `/safe/`, `/stream/` (resumable), `/once/` (a
 /// stream that is not) and `/staged/`.
@@ -318,7 +320,13 @@
             .lock()
             .expect("no holder panics")
             .pop_front();
-        sleep((CALL + PIECE * count).min(patience)).await;
+        let refused = |made: &Vec<Made>| made.iter().all(|made| *made == Made::NoRoom);
+        let time = match &act {
+            // Pieces without room are not worked on.
+            Some(Ok(made)) if refused(made) => REFUSAL,
+            _ => CALL + PIECE * count,
+        };
+        sleep(time.min(patience)).await;
         let made = |item: &Item| {
             let name = format!(
                 "{}/{}-{}-{}",
--- /dev/null
+++ b/crates/relay/tests/forgotten_results.rs
@@ -0,0 +1,77 @@
+//! Results that lie at runners of a stage after all processes were killed.
+
+mod common;
+
+use common::stage::{cell, order};
+use common::{Fake, ready};
+use relay::batch::{Order, Spent, Spoiled};
+use relay::downstream::{Handle, Made};
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Answers of runners that are full of what nobody knows of.
+fn full(fake: &Fake, calls: usize) {
+    let mut acts = fake.stage_acts.lock().expect("free");
+    acts.extend(std::iter::repeat_n(Ok(vec![Made::NoRoom]), calls));
+}
+
+fn patient(id: &str) -> Order {
+    Order {
+        last: Instant::now() + Duration::from_secs(3),
+        ..order(id, 1)
+    }
+}
+
+/// All processes were killed, and the room of every runner is taken up by results that nobody knows
+/// of. Runners that are asked again every few milliseconds spend the time that these take to lapse
+/// on refusals, some hundred a second.
+#[tokio::test(start_paused = true)]
+async fn not_asked_again() {
+    let fake = Fake::default();
+    full(&fake, 1_000);
+    let relay = ready(fake.clone());
+    let outcome = relay.batcher(&cell()).submit(&relay, patient("a")).await;
+    assert_eq!(outcome, Ok(Err(Spoiled::Late)));
+    let calls = fake.carried().len();
+    assert!((4..=16).contains(&calls), "{calls} calls to two runners");
+}
+
+/// The results lapse. What waits is made within a second of that, although nothing tells of it.
+#[tokio::test(start_paused = true)]
+async fn found_out() {
+    let fake = Fake::default();
+    full(&fake, 4);
+    let relay = ready(fake.clone());
+    let made = relay.batcher(&cell()).submit(&relay, patient("a"));
+    let made = timeout(Duration::from_millis(1_700), made).await;
+    assert!(made.expect("in time").expect("an outcome").is_ok());
+}
+
+/// A process is killed between two calls to a runner. What is over must have been given back by
+/// then: told with the next call alone, it takes up room for seconds after the kill.
+#[tokio::test(start_paused = true)]
+async fn given_back_at_once() {
+    let fake = Fake::default();
+    let relay = ready(fake.clone());
+    let batcher = relay.batcher(&cell());
+    let made = batcher.submit(&relay, order("a", 3)).await;
+    let made: Vec<Handle> = made.expect("an outcome").expect("made");
+    batcher.release(&relay, &made, Spent::Over);
+    sleep(Duration::from_millis(100)).await;
+    let mut released = fake.released.lock().expect("free").clone();
+    released.sort();
+    assert_eq!(released, made);
+}
+
+/// Results that a call has fetched are kept until it has ended: if it fails they are needed again.
+#[tokio::test(start_paused = true)]
+async fn fetched_are_kept() {
+    let fake = Fake::default();
+    let relay = ready(fake.clone());
+    let batcher = relay.batcher(&cell());
+    let made = batcher.submit(&relay, order("a", 3)).await;
+    let made: Vec<Handle> = made.expect("an outcome").expect("made");
+    batcher.release(&relay, &made, Spent::Fetched);
+    sleep(Duration::from_millis(100)).await;
+    assert!(fake.released.lock().expect("free").is_empty());
+}
