Requests stay in the regions that their route or workspace names

Cause: nothing read the homes of routes and workspaces. Change: runners outside of them are left out of the choice; where both name some, both bind; a failure domain whose region nobody told is no home; without a runner at home the refusal says so. Pieces of stages carry a key and no body and are not confined.

--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -228,6 +228,7 @@
         repeats: setting::relay::Repeats::default(),
         grace_s: GRACE_S,
         warmup: setting::relay::Warmup::default(),
+        places: Vec::new(),
         policy: setting::relay::Policies::default(),
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -297,7 +297,7 @@
 fn pick<D: Downstream>(job: &Job<D>, tried: &[RunnerId], left: Duration) -> Option<Arc<Runner>> {
     let relay = &job.relay;
     let closed = relay.closed(&job.service);
-    let without = [tried, &closed].concat();
+    let without = [tried, &closed, &job.abroad()].concat();
     let shared = job.request.prompt.as_ref();
     let shared = shared.map_or(&[][..], |prompt| &prompt.shared);
     let call = route::Call {
@@ -447,6 +447,10 @@
 fn give_up<D: Downstream>(job: &Job<D>, progress: &Progress) -> Refusal {
     let left = job.left();
     match &progress.last {
+        None if job.is_confined() => Refusal::Overloaded {
+            reason: "no runner takes it in the regions that it may run in",
+            retry_after: RETRY_FULL,
+        },
         _ if progress.ran == 0 => Refusal::Overloaded {
             reason: "no runner took it",
             retry_after: RETRY_FULL,
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -6,7 +6,7 @@
 use crate::member::{Member, MemberId};
 use crate::pause::{Clock, Pause};
 use crate::peer::{Burdens, Peers};
-use crate::plan::{Batches, LAST_RANK, Plan, ServiceId};
+use crate::plan::{Batches, LAST_RANK, Plan, RegionId, ServiceId};
 use crate::runner::{Change, DomainId, Fleet, Runner};
 use crate::serve::RETRY_PART;
 use crate::telemetry::Telemetry;
@@ -43,6 +43,8 @@
     pub key: wire::Key,
     /// Which decisions it takes.
     pub policy: setting::relay::Policies,
+    /// Region of each failure domain.
+    pub regions: Map<DomainId, RegionId>,
     /// What runners bear that have just started.
     pub warmup: setting::relay::Warmup,
     /// Clock that counts suspensions.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`follow`]: keeps plan and runners as the platform has them
 //! * [`core`]: what the parts share
 //! * [`serve`]: one request from its arrival to its answer
+//! * `home`: requests that may run in some regions only
 //! * [`graph`]: the stages of one request; [`batch`]: the calls that carry their pieces
 //! * [`member`]: the processes of the system; [`peer`]: what they say to one another
 //! * [`attempt`]: a request and the runners it is sent to; [`splice`]: streams over several runners
@@ -24,6 +25,7 @@
 pub mod event;
 pub mod follow;
 pub mod graph;
+mod home;
 pub mod member;
 pub mod pause;
 pub mod peer;
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -8,6 +8,10 @@
 
 /// Number of a configuration; a newer one has a greater number.
 pub type Version = u64;
+/// Name of a region.
+pub type RegionId = Arc<str>;
+/// Regions that requests may run in; any if there are none.
+pub type Homes = BTreeSet<RegionId>;
 /// Name of a service.
 pub type ServiceId = Arc<str>;
 /// How urgent a request is; 0 comes first.
@@ -63,6 +67,8 @@
     pub resumable: bool,
     /// Longest pause between events of a stream that is on time.
     pub gap: Duration,
+    /// Regions that its requests may run in.
+    pub homes: Homes,
 }
 
 /// What may be repeated.
@@ -138,6 +144,8 @@
     pub name: WorkspaceId,
     /// Urgency of its requests, before that of the route.
     pub rank: Option<Rank>,
+    /// Regions that its requests may run in.
+    pub homes: Homes,
 }
 
 /// Bounds on what a caller may send.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -110,6 +110,7 @@
         },
     ];
     let workspace = Workspace {
+        homes: Default::default(),
         name: "coop".into(),
         rank: None,
     };
@@ -140,6 +141,7 @@
         public: false,
         resumable: true,
         gap: Duration::from_millis(400),
+        homes: Default::default(),
     }
 }
 
@@ -392,6 +394,7 @@
         key: wire::Key::new("key"),
         policy: setting::relay::Policies::default(),
         warmup: setting::relay::Warmup::default(),
+        regions: decide::Map::default(),
         clock: since_start,
     }
 }
@@ -411,6 +414,16 @@
     informed(blank(fake))
 }
 
+/// A relay that knows nothing yet but which regions failure domains are in.
+pub(crate) fn regional(fake: Fake, domains: &[(&str, &str)]) -> Arc<Relay<Fake>> {
+    let region = |(domain, region): &(&str, &str)| ((*domain).into(), (*region).into());
+    let options = Options {
+        regions: domains.iter().map(region).collect(),
+        ..options(member())
+    };
+    start(fake, options)
+}
+
 /// The same with other decisions than those that ship.
 pub(crate) fn choosing(fake: Fake, policy: setting::relay::Policies) -> Arc<Relay<Fake>> {
     let options = Options {
--- a/crates/relay/tests/plan_rules.rs
+++ b/crates/relay/tests/plan_rules.rs
@@ -155,6 +155,7 @@
     };
     let (urgent, patient) = (route("safe", 0), route("stream", 2));
     let workspace = |rank| Workspace {
+        homes: Default::default(),
         name: "coop".into(),
         rank,
     };
@@ -185,6 +186,7 @@
     };
     let routes: Vec<Route> = (0..30).map(route).collect();
     let workspace = Workspace {
+        homes: Default::default(),
         name: "coop".into(),
         rank: Some(3),
     };
--- a/crates/relay/tests/urgent_kind.rs
+++ b/crates/relay/tests/urgent_kind.rs
@@ -30,6 +30,7 @@
         ..Route::clone(staged)
     };
     let workspace = Workspace {
+        homes: Default::default(),
         name: "coop".into(),
         rank: Some(1),
     };
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -37,6 +37,7 @@
 const FIELDS: &[Field] = &[
     Field::required("id", Shape::Name),
     Field::required("place", shared::PLACE),
+    Field::optional("places", Shape::List(&shared::PLACE)),
     Field::required("listen", Shape::Listen),
     Field::required("ready", Shape::Listen),
     Field::required("metrics", Shape::Listen),
@@ -57,6 +58,9 @@
     pub id: String,
     /// Where it runs.
     pub place: Place,
+    /// All failure domains of the deployment, with their regions.
+    #[serde(default)]
+    pub places: Vec<Place>,
     /// Where callers connect; port 0 takes a free one.
     pub listen: SocketAddr,
     /// Where the platform asks whether callers may come.
