Refusals of a full runner say nothing of the size of results

Cause: each call without room raised the believed size of all results by a tenth, up to twice, and a hundred calls lowered it again; after a mass kill half of the room went unused for seconds.

Change: where all that is over had been given back, a refusal teaches what the runner holds besides and no size.

--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -355,7 +355,12 @@
 
     fn judge(&mut self, launch: &Launch, result: &Result<Vec<Made>, Failure>, elapsed: Duration) {
         if let Ok(made) = result {
-            self.inflation.learn(!made.contains(&Made::NoRoom));
+            let had_room = !made.contains(&Made::NoRoom);
+            // Where all that is over had been given back, the runner holds what nobody here knows of,
+            // which says nothing of the size of results.
+            if had_room || !launch.tight {
+                self.inflation.learn(had_room);
+            }
         }
         let id = &launch.runner.id;
         let place = self.places.iter_mut().find(|place| place.runner.id == *id);
--- a/crates/relay/tests/forgotten_results.rs
+++ b/crates/relay/tests/forgotten_results.rs
@@ -75,3 +75,38 @@
     sleep(Duration::from_millis(100)).await;
     assert!(fake.released.lock().expect("free").is_empty());
 }
+
+/// Runners refuse results for two seconds, since they are full of forgotten ones. The sizes of results
+/// are as before: taken for twice as large, they would leave half of the room unused for the next
+/// hundred calls.
+#[tokio::test(start_paused = true)]
+async fn sizes_stay() {
+    let fake = Fake::default();
+    full(&fake, 9);
+    let relay = ready(fake.clone());
+    let batcher = relay.batcher(&cell());
+    let made = batcher
+        .submit(
+            &relay,
+            Order {
+                last: Instant::now() + Duration::from_secs(20),
+                ..patient("a")
+            },
+        )
+        .await;
+    let made: Vec<Handle> = made.expect("an outcome").expect("made");
+    batcher.release(&relay, &made, Spent::Over);
+    sleep(Duration::from_secs(2)).await;
+    let large = Order {
+        pieces: 4,
+        result: 300,
+        ..patient("b")
+    };
+    let made = batcher.submit(&relay, large).await;
+    assert!(made.expect("an outcome").is_ok());
+    let most = fake.carried().iter().map(|call| call.items.len()).max();
+    assert!(
+        most >= Some(3),
+        "{most:?} of 4 pieces that there is room for"
+    );
+}
