--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -212,7 +212,7 @@
         if !progress.tried.is_empty() && !job.relay.may_repeat(&job.service) {
             return Err(());
         }
-        job.relay.sends(&runner);
+        job.relay.note_sent(&runner);
         progress.tried.push(runner.id.clone());
         let call = call(job, inputs, left, resume_after);
         let mut flight = Flight::new(job, runner);
--- a/crates/relay/src/batch/launch.rs
+++ b/crates/relay/src/batch/launch.rs
@@ -13,6 +13,7 @@
 const PATIENCE: f64 = 2.5;
 /// Time for the way there and back, and for delays of this process, besides.
 const WAY: Duration = Duration::from_millis(300);
+
 /// A call on its way.
 #[derive(Debug)]
 pub(super) struct Launch {
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -79,8 +79,11 @@
     /// The results that are over, by the runner that holds them.
     pub(super) fn take_released(&mut self) -> Vec<(Arc<Runner>, Vec<Handle>)> {
         self.giving_back = false;
-        let released = |place: &mut Place| (place.runner.clone(), place.take_released());
-        self.places.iter_mut().map(released).collect()
+        let released = |place: &mut Place| {
+            let results = place.take_released();
+            (!results.is_empty()).then(|| (place.runner.clone(), results))
+        };
+        self.places.iter_mut().filter_map(released).collect()
     }
 
     /// A result has been fetched by the call that needs it.
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -213,12 +213,12 @@
                 let id = runner.id.clone();
                 self.update_one(fleet, Change::Listed(runner), &mut services);
                 if let Some(back) = fleet.get(&id) {
-                    self.comes_back(back);
+                    self.note_returned(back);
                 }
             }
             for change in changes {
                 if let Change::Listed(runner) = &change {
-                    self.warms_up(runner);
+                    self.note_cold(runner);
                 }
                 self.update_one(fleet, change, &mut services);
             }
--- a/crates/relay/src/warmup.rs
+++ b/crates/relay/src/warmup.rs
@@ -23,7 +23,7 @@
 }
 
 impl Warmups {
-    /// A runner is cold until a moment; at the latest one that is over it is warm.
+    /// Takes in until when a runner is cold. A moment that has passed means that it is warm.
     pub(crate) fn set(&mut self, id: &RunnerId, until: Instant) {
         let now = Instant::now();
         self.until.retain(|_, until| *until > now);
@@ -40,7 +40,8 @@
         self.until.get(id).is_some_and(|until| *until > now)
     }
 
-    fn is_over(&self, id: &str, share: &Share, now: Instant) -> bool {
+    /// Whether this process's gap between two requests to the runner is over.
+    fn has_gap(&self, id: &str, share: &Share, now: Instant) -> bool {
         let sent = self.sent.get(id);
         sent.is_none_or(|sent| now.saturating_duration_since(*sent) >= share.gap)
     }
@@ -48,11 +49,11 @@
 
 impl<D: Downstream> Relay<D> {
     /// Takes in how long a runner stays cold, as of now.
-    pub(crate) fn warms_up(&self, runner: &Runner) {
-        self.is_cold_for(runner, runner.cold, "its entry");
+    pub(crate) fn note_cold(&self, runner: &Runner) {
+        self.mark_cold(runner, runner.cold, "its entry");
     }
 
-    fn is_cold_for(&self, runner: &Runner, time: Duration, reason: &str) {
+    fn mark_cold(&self, runner: &Runner, time: Duration, reason: &str) {
         let now = Instant::now();
         let before = {
             let mut warmups = lock(&self.warmups);
@@ -70,11 +71,11 @@
     ///
     /// Its entry is from before; the runners may have been started anew since, and tell so only with
     /// their next heartbeat. Meanwhile all processes would send to them, as they have nothing to do.
-    pub(crate) fn comes_back(&self, runner: &Runner) {
+    pub(crate) fn note_returned(&self, runner: &Runner) {
         let Some(warmup) = self.warmup(&runner.service) else {
             return;
         };
-        self.is_cold_for(runner, warmup.time.max(runner.cold), "the end of a drain");
+        self.mark_cold(runner, warmup.time.max(runner.cold), "the end of a drain");
     }
 
     fn warmup(&self, service: &str) -> Option<Warmup> {
@@ -103,22 +104,25 @@
         let warmups = lock(&self.warmups);
         let open = |id: &RunnerId| {
             let place = self.peers.members(|members| members.has_place(&share, id));
-            place && warmups.is_over(id, &share, now)
+            place && warmups.has_gap(id, &share, now)
         };
         cold.into_iter().filter(|id| !open(id)).collect()
     }
 
     fn cold(&self, service: &ServiceId) -> Vec<RunnerId> {
-        let now = Instant::now();
-        let warmups = lock(&self.warmups);
-        if warmups.until.is_empty() {
+        if lock(&self.warmups).until.is_empty() {
             return Vec::new();
         }
-        let cold = |fleet: &Fleet| {
-            let ids = fleet.of(service).iter().map(|runner| &runner.id);
-            ids.filter(|id| warmups.is_cold(id, now)).cloned().collect()
+        let ids = |fleet: &Fleet| {
+            let runners = fleet.of(service).iter();
+            runners.map(|runner| runner.id.clone()).collect()
         };
-        self.fleet(cold).unwrap_or_default()
+        let mut ids: Vec<RunnerId> = self.fleet(ids).unwrap_or_default();
+        let now = Instant::now();
+        // Not while the fleet is locked: it is locked first where entries are taken in.
+        let warmups = lock(&self.warmups);
+        ids.retain(|id| warmups.is_cold(id, now));
+        ids
     }
 
     /// This process's part of what a cold runner bears; none if it cannot know who else sends.
@@ -142,7 +146,7 @@
     }
 
     /// A runner is about to be sent a request.
-    pub(crate) fn sends(&self, runner: &Arc<Runner>) {
+    pub(crate) fn note_sent(&self, runner: &Arc<Runner>) {
         let now = Instant::now();
         let mut warmups = lock(&self.warmups);
         if warmups.is_cold(&runner.id, now) {
