Log what a request asks for, beside its name

The incident's logs cannot tell whether the streams that broke belong to one request that comes again: each attempt has a name of its own. admission lines now carry a hash of host, path, workspace and body. The hash is not a cryptographic one: a caller who made two of its own requests collide would only ever harm itself, since the workspace is part of it.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use decide::route::affine::Part;
 use http::{HeaderMap, Method, Uri};
+use std::hash::BuildHasher;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -12,6 +13,8 @@
 pub type RequestId = Arc<str>;
 /// Position of an event in its stream.
 pub type EventId = u64;
+/// Hash of what a request asks for and of who asks; the same for each attempt of its caller.
+pub type ContentId = u64;
 
 /// A request as its caller sent it.
 #[derive(Clone, Debug)]
@@ -38,6 +41,47 @@
     pub message: Arc<Message>,
 }
 
+impl Request {
+    /// Tells requests apart by what they ask for: attempts of one caller with the same host, path and
+    /// body are the same, whatever their names.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use relay::request::{Message, Request};
+    /// use std::sync::Arc;
+    /// use tokio::time::Instant;
+    ///
+    /// let attempt = |id: &str, body: &'static str| Request {
+    ///     id: id.into(),
+    ///     host: "shop.example".to_owned(),
+    ///     key: None,
+    ///     arrived: Instant::now(),
+    ///     patience: None,
+    ///     pieces: Vec::new(),
+    ///     piece_key: String::new(),
+    ///     prompt: None,
+    ///     resume_after: None,
+    ///     message: Arc::new(Message {
+    ///         method: http::Method::POST,
+    ///         target: "/label".parse().unwrap(),
+    ///         headers: http::HeaderMap::new(),
+    ///         body: body.into(),
+    ///     }),
+    /// };
+    /// let content = attempt("a", "W-1042").content(Some("coop"));
+    /// assert_eq!(content, attempt("b", "W-1042").content(Some("coop")));
+    /// assert_ne!(content, attempt("a", "W-1043").content(Some("coop")));
+    /// assert_ne!(content, attempt("a", "W-1042").content(Some("other")));
+    /// ```
+    #[must_use]
+    pub fn content(&self, workspace: Option<&str>) -> ContentId {
+        let path = self.message.target.path();
+        let asked = (&self.host, path, workspace, &self.message.body);
+        foldhash::quality::FixedState::default().hash_one(asked)
+    }
+}
+
 /// The part of a request that is passed on as it is.
 #[derive(Clone, Debug)]
 pub struct Message {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::downstream::Downstream;
 use crate::graph::{self, Inputs, Round};
 use crate::plan::{Kind, Plan, Rank, Route, ServiceId, Workspace};
-use crate::request::{Answer, Refusal, Request};
+use crate::request::{Answer, ContentId, Refusal, Request};
 use crate::telemetry::millis;
 use setting::Policy;
 use slog::info;
@@ -37,6 +37,8 @@
     pub service: ServiceId,
     /// Its workspace.
     pub workspace: Option<Arc<Workspace>>,
+    /// What it asks for.
+    pub content: ContentId,
     /// Its urgency.
     pub rank: Rank,
     /// Whether its caller seems to have tried before.
@@ -86,6 +88,7 @@
             request: request.clone(),
             route: route.clone(),
             service,
+            content: request.content(workspace.as_deref().map(|workspace| &*workspace.name)),
             rank: plan.rank(workspace.as_deref(), route),
             workspace,
             comes_back: before > Duration::ZERO,
@@ -158,8 +161,10 @@
     let admitted = expected <= left || job.relay.options.policy.admission == Policy::Naive;
     let on_time = job.due.saturating_duration_since(Instant::now());
     info!(job.relay.log, "admission"; "request" => &*job.request.id,
+        "content" => content_name(job.content),
         "workspace" => job.workspace.as_ref().map(|workspace| workspace.name.to_string()),
-"rank" => job.rank, "comes_back" => job.comes_back, "expected_ms" => millis(expected), "left_ms" => millis(left),
+        "rank" => job.rank, "comes_back" => job.comes_back, "expected_ms" => millis(expected),
+        "left_ms" => millis(left),
         "on_time_ms" => millis(on_time), "configuration" => job.plan.version,
         "runners_age_ms" => job.relay.list_age().map(millis), "admitted" => admitted);
     if admitted {
@@ -171,6 +176,11 @@
     })
 }
 
+/// A content as logs name it.
+pub(crate) fn content_name(content: ContentId) -> String {
+    format!("{content:016x}")
+}
+
 fn retry_busy<D: Downstream>(job: &Job<D>) -> Duration {
     (job.left() / RETRY_PART).max(RETRY_SOON)
 }
