--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -8,7 +8,7 @@
 use crate::torture::demand::{self, Mix};
 use crate::torture::fault::Faults;
 use crate::torture::operators::{self, Ledger};
-use crate::torture::relays;
+use crate::torture::relays::{self, Trouble};
 use crate::torture::tally::{self, Log, Tally};
 use crate::torture::world::World;
 use crate::{Common, Error, output};
@@ -154,7 +154,10 @@
         let time = self.time / share as u32;
         let mut clean = true;
         if wanted(RELAYS) {
-            let verdict = relays::soak(self.seed, time, logs.join(RELAYS), programs()?).await?;
+            let verdict = {
+                let logs = logs.join(RELAYS);
+                relays::soak(Trouble::Drawn, self.seed, time, logs, programs()?).await?
+            };
             clean &= verdict.is_clean();
             report(RELAYS, self.seed, time, &verdict.counts, &verdict.trails)?;
         }
--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -9,6 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 use stub::config::{self, MODEL, PLAIN, STAGE};
 use stub::runner::{Log, Runner};
 use stub::store::{Entry, Store};
@@ -20,6 +21,10 @@
 pub const STAYS: &str = "key-stays";
 /// Runners of each service.
 const RUNNERS: [(&str, usize); 3] = [(PLAIN, 3), (MODEL, 4), (STAGE, 3)];
+/// Time after which the entry of a runner lapses that a request has ended, and that after which the
+/// runner is back.
+const LAPSE: Duration = Duration::from_millis(1_000);
+const DOWN: Duration = Duration::from_millis(2_000);
 /// Time from the request to stop until a process is taken to hang, in seconds.
 pub const GRACE_S: f64 = 8.0;
 
@@ -52,6 +57,8 @@
     pub door: Proxy,
     /// Unix millisecond of its start.
     pub started: u64,
+    /// Whether its entry has lapsed since a request ended it.
+    lapsed: bool,
 }
 
 /// Everything of one soak.
@@ -121,6 +128,7 @@
             runner,
             door,
             started: now() / 1_000,
+            lapsed: false,
         });
         self.list(self.targets.len() - 1, false);
         Ok(())
@@ -151,6 +159,28 @@
         });
     }
 
+    /// Lists no more the runners that a request has ended, and starts them again after a while.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if an address is taken.
+    pub async fn tend(&mut self) -> Result<(), Error> {
+        for number in 0..self.targets.len() {
+            let target = &mut self.targets[number];
+            let Some(down) = target.runner.down() else {
+                target.lapsed = false;
+                continue;
+            };
+            if down >= DOWN {
+                self.revive(number).await?;
+            } else if down >= LAPSE && !target.lapsed {
+                target.lapsed = true;
+                self.store.unlist(&target.id);
+            }
+        }
+        Ok(())
+    }
+
     /// Starts a crashed runner again.
     ///
     /// # Errors
--- a/crates/ctl/src/torture/relays/demand.rs
+++ b/crates/ctl/src/torture/relays/demand.rs
@@ -23,6 +23,8 @@
 const PATIENCE_MS: std::ops::Range<u64> = 800..2_500;
 /// Part of the requests with the newest key, and with one that is over.
 const OTHER_KEY: (f64, f64) = (0.2, 0.1);
+/// Bounds of the pause between two attempts of the request that ends runners, in milliseconds.
+const POISON_MS: std::ops::Range<u64> = 200..700;
 /// Longest time from the end of the last fault until all is served again.
 const RECOVERY: Duration = Duration::from_secs(15);
 
@@ -45,6 +47,35 @@
     callers.join_all().await.into_iter().flatten().collect()
 }
 
+/// Sends the same request at any relay, which ends each runner that begins to run it, again and again
+/// for a time, and gives what became of it.
+pub async fn poison(world: Arc<World>, seed: u64, time: Duration) -> Vec<Word> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let end = Instant::now() + time;
+    let mut callers = JoinSet::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let ask = Ask {
+            id: format!("poison{number}"),
+            kind: Kind::Once,
+            key: STAYS.to_owned(),
+            patience: Duration::from_secs(2),
+            poison: true,
+        };
+        if let Some(entry) = world.entries().choose(&mut rng).copied() {
+            callers.spawn(async move {
+                match Connection::open(entry).await {
+                    Some(mut connection) => connection.ask(ask).await,
+                    None => unsent(ask, entry),
+                }
+            });
+        }
+        sleep(Duration::from_millis(rng.random_range(POISON_MS))).await;
+    }
+    callers.join_all().await
+}
+
 /// A caller that sends some requests on one connection, for as long as it stays open.
 async fn call(entry: SocketAddr, keys: Keys, number: u64, mut rng: StdRng) -> Vec<Word> {
     let mut words = Vec::new();
@@ -86,6 +117,7 @@
         kind,
         key: key.unwrap_or_default(),
         patience: Duration::from_millis(rng.random_range(PATIENCE_MS)),
+        poison: false,
     }
 }
 
@@ -106,6 +138,7 @@
                     kind,
                     key: STAYS.to_owned(),
                     patience: Duration::from_secs(2),
+                    poison: false,
                 };
                 words.push(match Connection::open(entry).await {
                     Some(mut connection) => connection.ask(ask).await,
--- a/crates/ctl/src/torture/relays/fault.rs
+++ b/crates/ctl/src/torture/relays/fault.rs
@@ -15,11 +15,13 @@
 use std::time::Duration;
 use stub::runner::Trouble;
 use stub::store;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Bounds of the pause between two faults, and of the time that one lasts, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 100..600;
 const LENGTH_MS: std::ops::Range<u64> = 100..4_000;
+/// Time between two looks at runners that a request has ended.
+const TEND: Duration = Duration::from_millis(50);
 /// Time beyond its grace in which a process that was asked to stop must have ended: it may have been
 /// frozen meanwhile.
 const BEYOND: Duration = Duration::from_secs(6);
@@ -134,7 +136,15 @@
     /// [`Error::Failed`] if a process cannot be started.
     pub async fn run(&mut self, time: Duration) -> Result<(), Error> {
         self.schedule = Schedule::new(time);
-        while let Some(step) = self.schedule.step().await {
+        loop {
+            let step = tokio::select! {
+                step = self.schedule.step() => step,
+                () = sleep(TEND) => {
+                    self.cluster.tend().await?;
+                    continue;
+                }
+            };
+            let Some(step) = step else { break };
             match step {
                 Step::Draw => {
                     let pause = self.pace * self.rng.random_range(PAUSE_MS);
@@ -147,6 +157,38 @@
         Ok(())
     }
 
+    /// Does nothing for a time.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if a runner cannot be started again.
+    pub async fn wait(&mut self, time: Duration) -> Result<(), Error> {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            self.cluster.tend().await?;
+            sleep(TEND).await;
+        }
+        Ok(())
+    }
+
+    /// Waits until all runners are there that requests have ended.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if one cannot be started again.
+    pub async fn mend(&mut self) -> Result<(), Error> {
+        while self
+            .cluster
+            .targets
+            .iter()
+            .any(|target| target.runner.down().is_some())
+        {
+            self.cluster.tend().await?;
+            sleep(TEND).await;
+        }
+        Ok(())
+    }
+
     async fn draw(&mut self) -> Result<(), Error> {
         let kind = KINDS.choose(&mut self.rng).copied().unwrap_or(Kind::Reload);
         let among = match kind {
--- a/crates/ctl/src/torture/relays/mod.rs
+++ b/crates/ctl/src/torture/relays/mod.rs
@@ -17,13 +17,30 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinError;
 
-/// Soaks a cluster for a time under the faults and the demand of a seed.
+/// What is done to the cluster of a soak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// Faults drawn from the seed, and from each second seed a poison request.
+    Drawn,
+    /// A poison request, and no fault.
+    Poison,
+}
+
+impl Trouble {
+    fn has_poison(self, seed: u64) -> bool {
+        self == Self::Poison || seed % 2 == 0
+    }
+}
+
+/// Soaks a cluster for a time under the trouble and the demand of a seed.
 ///
 /// # Errors
 ///
 /// [`Error::Failed`] if a process or a stand-in cannot be started.
 pub async fn soak(
+    trouble: Trouble,
     seed: u64,
     time: Duration,
     logs: PathBuf,
@@ -34,12 +51,19 @@
     cluster.ready().await?;
     let keys = cluster.keys.clone();
     let callers = tokio::spawn(demand::send(world.clone(), keys, seed ^ 2, time));
+    let poison = trouble.has_poison(seed);
+    let poison = poison.then(|| tokio::spawn(demand::poison(world.clone(), seed ^ 4, time)));
     let mut faults = Faults::new(&mut cluster, world.clone(), seed ^ 3);
-    faults.run(time).await?;
+    match trouble {
+        Trouble::Drawn => faults.run(time).await?,
+        Trouble::Poison => faults.wait(time).await?,
+    }
+    let mut words = callers.await.map_err(|error| ended(&error))?;
+    if let Some(poison) = poison {
+        words.extend(poison.await.map_err(|error| ended(&error))?);
+    }
+    faults.mend().await?;
     let (counts, stuck) = (faults.counts, faults.stuck);
-    let mut words = callers.await.map_err(|error| Error::Failed {
-        reason: error.to_string(),
-    })?;
     let last = demand::recover(&cluster).await;
     let recovered = last.iter().all(|word| verdict::is_good(word, true));
     words.extend(last);
@@ -63,3 +87,9 @@
     }
     Ok(verdict)
 }
+
+fn ended(error: &JoinError) -> Error {
+    Error::Failed {
+        reason: error.to_string(),
+    }
+}
--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -14,6 +14,10 @@
 /// Time within which a change of the platform's tables is in force at every relay that is sound and
 /// reaches them all that time.
 pub const PROPAGATION: Micros = 4_000_000;
+/// Runners that a request may end before it must be known for it, and those that it may end later.
+const POISONED: usize = 3;
+/// Time for which a relay must have been sound for what it does to be judged.
+const STABLE: Micros = 3_000_000;
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -111,6 +115,7 @@
         verdict.judge_key(word, &keys, world);
     }
     verdict.judge_leaving(words, &by_id, world);
+    verdict.judge_poison(words, runs, world);
     verdict
 }
 
@@ -161,6 +166,26 @@
         }
     }
 
+    /// A request that has ended three runners reaches few more of them, whoever its caller asks.
+    fn judge_poison(&mut self, words: &[Word], runs: &[Run], world: &World) {
+        let mut ended: Vec<&Run> = runs.iter().filter(|run| run.poison).collect();
+        ended.sort_by_key(|run| run.started);
+        let Some(last) = ended.get(POISONED - 1).map(|run| run.started) else {
+            return;
+        };
+        let sound = |run: &Run| {
+            let word = words.iter().find(|word| word.ask.id == run.id);
+            let calm_from = run.started.saturating_sub(STABLE);
+            word.is_some_and(|word| !world.unheard(word.entry, calm_from, run.started))
+        };
+        let late = ended.iter().filter(|run| run.started > last + STABLE);
+        let late = late.filter(|run| sound(run)).count();
+        if late > POISONED {
+            let runners: Vec<&str> = ended.iter().map(|run| run.runner.as_str()).collect();
+            self.note("a request that ends runners sent on", &(late, runners));
+        }
+    }
+
     /// Keys that are in force must open, and those that are not must not.
     fn judge_key(&mut self, word: &Word, keys: &[Key], world: &World) {
         let Some(key) = keys.iter().find(|key| key.text == word.ask.key) else {
--- a/crates/ctl/tests/relay_soak.rs
+++ b/crates/ctl/tests/relay_soak.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use ctl::torture::relays::soak;
+use ctl::torture::relays::{Trouble, soak};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -26,7 +26,13 @@
     let runtime = tokio::runtime::Runtime::new().unwrap();
     for seed in SEEDS {
         let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("relay_soak-{seed}"));
-        let soaking = soak(seed, TIME, logs, programs.unwrap().to_owned());
+        let soaking = soak(
+            Trouble::Drawn,
+            seed,
+            TIME,
+            logs,
+            programs.unwrap().to_owned(),
+        );
         let verdict = runtime.block_on(soaking).unwrap();
         assert!(verdict.is_clean(), "seed {seed}: {:#?}", verdict.trails);
         assert!(verdict.counts.answered > 50, "{:?}", verdict.counts);
