Requests that end the runners that run them are held back

Cause: relays know a request by the name of one attempt. A caller that repeats a request which no runner survives gives it a new name each time, so that each attempt was a new request, at each relay, and ended one runner more. The class: a repeat that only the sender can see as one; the bound on repeats counts within one attempt.

Requests are known by what they ask for (host, path, workspace, body). An answer that is lost at a runner whose entry then goes, or tells of a later start, makes a suspect; three such runners, one after the other, hold it back: refused at once with 503, which is true (not run), and the time of the next trial. Relays tell one another over their links and keep a row for one that starts later. A whole answer clears a suspect, so that a popular request is not blamed for crashes that it merely saw; one trial a minute, then two, lets one back in that was held wrongly or has been mended.

--- a/crates/protocol/src/id.rs
+++ b/crates/protocol/src/id.rs
@@ -4,6 +4,8 @@
 
 /// Identity of one caller's request, drawn at random by the entry that accepted it.
 pub type RequestId = u128;
+/// Hash of what a request asks for and of who asks; the same for each attempt of its caller.
+pub type ContentId = u64;
 /// Position of a stage in its pipeline, from zero.
 pub type StageIndex = u16;
 /// Number of an attempt (first try, retry or hedge) within one stage, from zero.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`fence`]: the agent as the fence before engines that check nothing
 //! * [`follower`]: a process that follows the accepted configuration
 //! * [`member`]: which VMs may get new work
+//! * [`quarantine`]: requests that end the runners that run them
 //! * [`reader`]: a process that hears of a table's changes from another one
 //! * [`roster`]: a process that shares a bounded number of places with others
 
@@ -23,6 +24,7 @@
 pub mod id;
 pub mod lease;
 pub mod member;
+pub mod quarantine;
 pub mod reader;
 pub mod roster;
 pub mod stage;
@@ -32,11 +34,12 @@
 pub use follower::Follower;
 pub use gate::Gate;
 pub use id::{
-    Attempt, CallId, Fence, Incarnation, RequestId, Revision, RowRevision, Sequence, StageIndex,
-    Token,
+    Attempt, CallId, ContentId, Fence, Incarnation, RequestId, Revision, RowRevision, Sequence,
+    StageIndex, Token,
 };
 pub use lease::Lease;
 pub use member::Members;
+pub use quarantine::Quarantine;
 pub use reader::Reader;
 pub use roster::Roster;
 pub use stage::Stage;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,7 +4,8 @@
 use crate::downstream::{Call, Downstream, Failure, NotRun, Reply};
 use crate::graph::{self, Inputs, Round};
 use crate::plan::ServiceId;
-use crate::request::{Answer, Body, EventId, Refusal};
+use crate::quarantine;
+use crate::request::{Answer, Body, ContentId, EventId, Refusal};
 use crate::runner::{DomainId, Runner, RunnerId};
 use crate::serve::Job;
 use crate::splice;
@@ -44,6 +45,8 @@
     pub refused: u32,
     /// Why the last one brought no answer.
     pub last: Option<Failure>,
+    /// Why it was sent to no other one, if it is held back.
+    pub held: Option<Refusal>,
 }
 
 /// A call that has begun to be answered.
@@ -91,6 +94,7 @@
     /// When the call was sent.
     pub sent: Instant,
     reading: f64,
+    content: ContentId,
     /// Calls that were at the runner when this one was sent, as far as was known.
     before: Before,
     over: bool,
@@ -115,6 +119,7 @@
             runner,
             sent: Instant::now(),
             reading,
+            content: job.content,
             before,
             over: false,
         }
@@ -144,9 +149,16 @@
             pool.answered(&self.runner.id, now, &answer);
         });
         self.relay.telemetry.attempt("answered");
+        self.relay.note_served(self.content);
     }
 
-    /// The runner failed, or its answer was lost.
+    /// The runner's answer was lost: it may have ended under the request.
+    pub fn lost(self) {
+        self.relay.note_lost(self.content, &self.runner);
+        self.failed();
+    }
+
+    /// The runner failed.
     pub fn failed(mut self) {
         self.over = true;
         let now = self.relay.now();
@@ -209,6 +221,10 @@
         let Some(runner) = pick(job, &progress.tried, left) else {
             return Err(());
         };
+        if let Err(refusal) = quarantine::begin(job) {
+            progress.held = Some(refusal);
+            return Err(());
+        }
         if !progress.tried.is_empty() && !job.relay.may_repeat(&job.service) {
             return Err(());
         }
@@ -273,7 +289,7 @@
     match &failure {
         Failure::Lost { .. } => {
             progress.ran += 1;
-            flight.failed();
+            flight.lost();
         }
         Failure::NotRun { reason } => {
             progress.refused += 1;
@@ -407,7 +423,7 @@
     };
     info!(job.relay.log, "answer of no use"; "request" => &*job.request.id,
         "runner" => &*flight.runner.id, "status" => status, "reason" => &failure);
-    flight.failed();
+    flight.lost();
     progress.last = Some(Failure::Lost { reason: failure });
     None
 }
@@ -446,6 +462,9 @@
 /// What the caller is told once no more runner is asked.
 fn give_up<D: Downstream>(job: &Job<D>, progress: &Progress) -> Refusal {
     let left = job.left();
+    if let (0, Some(held)) = (progress.ran, &progress.held) {
+        return held.clone();
+    }
     match &progress.last {
         None if job.is_confined() => Refusal::Overloaded {
             reason: "no runner takes it in the regions that it may run in",
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -7,6 +7,7 @@
 use crate::pause::{Clock, Pause};
 use crate::peer::{Burdens, Peers};
 use crate::plan::{Batches, LAST_RANK, Plan, RegionId, ServiceId};
+use crate::quarantine;
 use crate::runner::{Change, DomainId, Fleet, Runner};
 use crate::serve::RETRY_PART;
 use crate::telemetry::Telemetry;
@@ -73,6 +74,7 @@
     fleet: RwLock<Option<Fleet>>,
     pub(crate) drains: Mutex<Drains>,
     pub(crate) warmups: Mutex<Warmups>,
+    pub(crate) quarantine: quarantine::State,
     pools: Mutex<Map<ServiceId, Pool>>,
     repeats: Mutex<Bound>,
     quotas: Mutex<Map<ServiceId, Quota>>,
@@ -109,6 +111,7 @@
             fleet: RwLock::default(),
             drains: Mutex::default(),
             warmups: Mutex::default(),
+            quarantine: quarantine::State::default(),
             pools: Mutex::default(),
             quotas: Mutex::default(),
             batchers: Mutex::default(),
@@ -206,6 +209,7 @@
 
     fn change_fleet(&self, changes: Vec<Change>) {
         let mut services = Vec::new();
+        let mut ended = Vec::new();
         {
             let mut fleet = self.fleet.write().unwrap_or_else(PoisonError::into_inner);
             let fleet = fleet.get_or_insert_default();
@@ -220,9 +224,11 @@
                 if let Change::Listed(runner) = &change {
                     self.note_cold(runner);
                 }
+                ended.extend(fleet.ends(&change).cloned());
                 self.update_one(fleet, change, &mut services);
             }
         }
+        ended.iter().for_each(|runner| self.note_ended(runner));
         lock(&self.shares).retain(|service, _| !services.contains(service));
         let batchers: Vec<_> = lock(&self.batchers)
             .iter()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`event`]: where the events of a stream begin and end
 //! * [`pause`]: what is done after the process did not run for a while
 //! * [`warmup`]: runners that have just started and bear few requests
+//! * [`quarantine`]: requests that end the runners that run them
 //! * [`telemetry`]: counters and histograms
 
 pub mod attempt;
@@ -30,6 +31,7 @@
 pub mod pause;
 pub mod peer;
 pub mod plan;
+pub mod quarantine;
 pub mod request;
 pub mod runner;
 pub mod serve;
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -6,6 +6,7 @@
 use crate::core::Relay;
 use crate::downstream::Downstream;
 use crate::follow::{Follower, Pace, Source};
+use crate::quarantine;
 use crate::telemetry::millis;
 use decide::Map;
 use decide::owner::{Candidate, choose};
@@ -24,8 +25,8 @@
 /// Name of a process.
 pub type MemberId = Arc<str>;
 
-/// Table with a row for each process.
-const TABLE: &str = "relay";
+/// Table with a row for each process, and for each request that is held back.
+pub(crate) const TABLE: &str = "relay";
 /// Time for which a process that could not be reached is left out.
 const SUSPECT: Duration = Duration::from_secs(2);
 /// How the others' rows are followed. A process that is new to the others is given no work until it
@@ -289,7 +290,11 @@
 pub async fn follow<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
     let mut follower = Follower::new(&relay, source, TABLE, PACE);
     loop {
-        let changes = follower.next(&relay).await;
+        let mut changes = follower.next(&relay).await;
+        changes
+            .rows
+            .retain(|change| !quarantine::take(&relay, change));
+        quarantine::forget_old(&relay);
         relay.peers.members(|members| {
             for change in changes.rows {
                 take(&relay, members, &change);
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -17,6 +17,8 @@
 use crate::drain::Drains;
 use crate::member::{Member, MemberId, Members};
 use crate::plan::{Rank, Version};
+use crate::quarantine::Suspicion;
+use crate::request::ContentId;
 use decide::Map;
 use slog::{info, warn};
 use std::sync::{Arc, Mutex};
@@ -160,6 +162,17 @@
         lock(&self.voices).retain(|voice| voice.try_send(&frame).is_ok());
     }
 
+    /// Tells all linked processes of a request that ends runners.
+    pub(crate) fn announce_suspicion(&self, suspicion: &Suspicion) {
+        let frame = Frame::Suspicion(suspicion.clone());
+        lock(&self.voices).retain(|voice| voice.try_send(&frame).is_ok());
+    }
+
+    /// Tells all linked processes that a request was answered that had ended runners.
+    pub(crate) fn announce_cleared(&self, content: ContentId) {
+        lock(&self.voices).retain(|voice| voice.try_send(&Frame::Cleared(content)).is_ok());
+    }
+
     /// From now on this process is told of what is announced.
     pub(crate) fn listen(&self, voice: Sender<Frame>) {
         let mut voices = lock(&self.voices);
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -7,7 +7,8 @@
 use crate::drain::Drains;
 use crate::member::MemberId;
 use crate::plan::{Plan, Rank, ServiceId, Version};
-use crate::request::RequestId;
+use crate::quarantine::Suspicion;
+use crate::request::{ContentId, RequestId};
 use crate::runner::DomainId;
 use serde::{Deserialize, Serialize};
 use slog::info;
@@ -111,6 +112,10 @@
     Version(Version),
     /// The failure domains that are drained, as far as the sender knows.
     Drains(Drains),
+    /// A request that has ended runners.
+    Suspicion(Suspicion),
+    /// A request that had ended runners was answered.
+    Cleared(ContentId),
     /// The sender stops, and takes no more orders until it starts anew.
     Leaving {
         /// Its name.
@@ -198,6 +203,10 @@
         // First: a peer that takes the configuration from here must know them by then.
         let _ = sender.try_send(&Frame::Drains(drains));
     }
+    for suspicion in relay.suspicions() {
+        // Those that do not fit into the queue are told with their next crash.
+        let _ = sender.try_send(&Frame::Suspicion(suspicion));
+    }
     if let Some(plan) = relay.plan() {
         // A link that is gone already shows when it is read.
         let _ = sender.try_send(&Frame::Version(plan.version));
@@ -253,6 +262,8 @@
     match frame {
         Frame::Version(version) => heard_version(relay, sender, version),
         Frame::Drains(drains) => relay.drain(&drains, PEER),
+        Frame::Suspicion(suspicion) => relay.hear_suspicion(&suspicion, PEER),
+        Frame::Cleared(content) => relay.hear_cleared(content, PEER),
         Frame::Leaving { id, incarnation } => {
             info!(relay.log, "peer leaves"; "peer" => &*id, "incarnation" => incarnation);
             relay.peers.members(|members| members.left(id, incarnation));
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use decide::route::affine::Part;
 use http::{HeaderMap, Method, Uri};
+pub use protocol::ContentId;
 use std::hash::BuildHasher;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,8 +14,6 @@
 pub type RequestId = Arc<str>;
 /// Position of an event in its stream.
 pub type EventId = u64;
-/// Hash of what a request asks for and of who asks; the same for each attempt of its caller.
-pub type ContentId = u64;
 
 /// A request as its caller sent it.
 #[derive(Clone, Debug)]
@@ -160,7 +159,7 @@
 
 /// Why a request gets no answer of a runner.
 ///
-/// Only the first four say that it has not run and never will; a caller may safely send it again
+/// Only the first five say that it has not run and never will; a caller may safely send it again
 /// after those.
 #[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
 pub enum Refusal {
@@ -175,6 +174,12 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// It has ended the runners that ran it.
+    #[snafu(display("held back: runners ended under this request"))]
+    Poison {
+        /// When it is tried again.
+        retry_after: Duration,
+    },
     /// No route leads there.
     #[snafu(display("no such route"))]
     NoRoute,
@@ -207,7 +212,7 @@
     #[must_use]
     pub fn status(&self) -> u16 {
         match self {
-            Self::NotReady | Self::Overloaded { .. } => 503,
+            Self::NotReady | Self::Overloaded { .. } | Self::Poison { .. } => 503,
             Self::NoRoute => 404,
             Self::NoKey => 401,
             Self::Malformed { .. } => 400,
@@ -221,7 +226,9 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NotReady => Some(NOT_READY),
-            Self::Overloaded { retry_after, .. } => Some(*retry_after),
+            Self::Overloaded { retry_after, .. } | Self::Poison { retry_after } => {
+                Some(*retry_after)
+            }
             _ => None,
         }
     }
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -96,6 +96,20 @@
         concerned
     }
 
+    /// The runner that a change says has ended without a word: its entry is gone, or tells of a later
+    /// start. One that leaves says so first, or loses its entry while it goes on to serve.
+    #[must_use]
+    pub fn ends(&self, change: &Change) -> Option<&Arc<Runner>> {
+        match change {
+            Change::Gone(id) => self.get(id),
+            Change::Listed(now) => {
+                let before = self.get(&now.id)?;
+                let restarted = before.started.is_some() && before.started != now.started;
+                restarted.then_some(before)
+            }
+        }
+    }
+
     /// The runner of that name, if it takes new work.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Arc<Runner>> {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::downstream::Downstream;
 use crate::graph::{self, Inputs, Round};
 use crate::plan::{Kind, Plan, Rank, Route, ServiceId, Workspace};
+use crate::quarantine;
 use crate::request::{Answer, ContentId, Refusal, Request};
 use crate::telemetry::millis;
 use setting::Policy;
@@ -102,6 +103,7 @@
     }
 
     async fn run(self: &Arc<Self>, job: &Job<D>) -> Result<Answer, Refusal> {
+        quarantine::admit(job)?;
         admit(job)?;
         let inputs = self.make_inputs(job).await?;
         let answer = attempt::run(job, inputs).await?;
--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -75,7 +75,7 @@
                 End::Late => return self.break_off("out of time").await,
                 End::Broken(reason) => reason,
             };
-            flight.failed();
+            flight.lost();
             let Some((next, reply)) = self.go_on().await else {
                 return self.break_off(&reason).await;
             };
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -37,6 +37,7 @@
     pieces: Counter,
     tables: Family<Answerer, Counter>,
     drained: Gauge,
+    held: Gauge,
 }
 
 impl Telemetry {
@@ -56,6 +57,7 @@
             pieces: Counter::default(),
             tables: Family::default(),
             drained: Gauge::default(),
+            held: Gauge::default(),
         };
         registry.register(
             "relay_requests",
@@ -87,9 +89,19 @@
             "Failure domains whose runners get no new work",
             telemetry.drained.clone(),
         );
+        registry.register(
+            "relay_poison_requests",
+            "Requests that are held back since runners ended under them",
+            telemetry.held.clone(),
+        );
         telemetry
     }
 
+    /// Sets the number of requests that are held back.
+    pub fn held(&self, requests: usize) {
+        self.held.set(i64::try_from(requests).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of failure domains that are drained.
     pub fn drained(&self, domains: usize) {
         self.drained.set(i64::try_from(domains).unwrap_or(i64::MAX));
--- a/crates/relay/tests/poison_request.rs
+++ b/crates/relay/tests/poison_request.rs
@@ -2,23 +2,39 @@
 
 mod common;
 
+use common::feed::{Script, Told};
 use common::{Act, End, Fake, body, ready, request, runner};
+use protocol::quarantine::Crash;
+use relay::quarantine::Suspicion;
+use relay::request::Message;
 use relay::runner::Change;
-use relay::{Relay, Request};
+use relay::{Relay, Request, Runner, member, peer};
+use serde_json::{Value, json};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use store::Table as _;
+use tokio::time::{sleep, timeout};
 
+/// Longer than any step takes, however busy the machine is.
+const LONG: Duration = Duration::from_secs(60);
 /// Time between two attempts of a caller.
 const PAUSE: Duration = Duration::from_millis(700);
 
 /// An attempt of the caller whose request no runner survives.
 fn poison(id: &str) -> Request {
-    let mut request = request(id, "once");
-    let mut message = relay::request::Message::clone(&request.message);
-    message.body = "poison".into();
-    request.message = Arc::new(message);
-    request
+    asking(id, "once", "poison")
+}
+
+fn asking(id: &str, route: &str, body: &'static str) -> Request {
+    let request = request(id, route);
+    let message = Message {
+        body: body.into(),
+        ..Message::clone(&request.message)
+    };
+    Request {
+        message: Arc::new(message),
+        ..request
+    }
 }
 
 /// A relay with enough runners to lose some.
@@ -69,3 +85,271 @@
     assert!(answer.retry_after >= Some(Duration::from_secs(1)));
     assert_eq!(relay.downstream.sent().len(), before);
 }
+
+/// The next call is answered as it should be.
+fn whole(relay: &Relay<Fake>) {
+    let whole = Act::Stream {
+        parts: vec!["id: 1\ndata: x\n\n"],
+        end: End::Whole,
+    };
+    *relay.downstream.acts.lock().expect("free") = [whole].into();
+}
+
+/// Serves an attempt whose caller asks for something else.
+async fn innocent(relay: &Arc<Relay<Fake>>) -> u16 {
+    whole(relay);
+    let answer = relay.serve(asking("other", "once", "other")).await;
+    body(answer).await.0
+}
+
+/// Whether an attempt is refused that its runner would survive.
+async fn held(relay: &Arc<Relay<Fake>>) -> bool {
+    whole(relay);
+    let answer = relay.serve(poison("last")).await;
+    body(answer).await.0 == 503
+}
+
+async fn poisoned() -> Arc<Relay<Fake>> {
+    let relay = relay();
+    for number in 0..3 {
+        attempt(&relay, poison(&format!("q{number}"))).await;
+    }
+    relay
+}
+
+/// Other requests of the same workspace and route go on to be served.
+#[tokio::test(start_paused = true)]
+async fn others_served() {
+    let relay = poisoned().await;
+    assert!(held(&relay).await);
+    assert_eq!(innocent(&relay).await, 200);
+}
+
+/// Runners garble answers and live on. A popular request would be refused for a minute, although
+/// nothing is wrong with it.
+#[tokio::test(start_paused = true)]
+async fn runners_live_on() {
+    let relay = relay();
+    for number in 0..6 {
+        broken(&relay, poison(&format!("q{number}"))).await;
+        sleep(PAUSE).await;
+    }
+    assert!(!held(&relay).await);
+}
+
+/// Runners crash under a popular request that others answer in between. They did not crash because of
+/// it.
+#[tokio::test(start_paused = true)]
+async fn answered_in_between() {
+    let relay = relay();
+    for number in 0..4 {
+        attempt(&relay, poison(&format!("q{number}"))).await;
+        whole(&relay);
+        let answer = relay.serve(poison(&format!("r{number}"))).await;
+        assert_eq!(body(answer).await.0, 200);
+    }
+    assert!(!held(&relay).await);
+}
+
+/// A failure domain loses power while each of its runners works on the same popular request.
+#[tokio::test(start_paused = true)]
+async fn ended_in_one_moment() {
+    let relay = relay();
+    let mut ended = Vec::new();
+    for number in 0..3 {
+        ended.extend(broken(&relay, poison(&format!("q{number}"))).await.1);
+    }
+    ended.sort();
+    ended.dedup();
+    let gone = ended.iter().map(|id| Change::Gone(id.as_str().into()));
+    relay.update(gone.collect());
+    assert!(!held(&relay).await);
+}
+
+/// A runner leaves as planned and cuts what it still has at its end: its entry was gone before.
+#[tokio::test(start_paused = true)]
+async fn left_before() {
+    let relay = relay();
+    for number in 0..3 {
+        let (_, sent) = broken(&relay, poison(&format!("q{number}"))).await;
+        let id = sent.expect("sent");
+        let leaving = Runner {
+            leaving: true,
+            ..runner(&id, "plain")
+        };
+        relay.update(vec![Change::Listed(leaving)]);
+        relay.update(vec![Change::Gone(id.as_str().into())]);
+        sleep(PAUSE).await;
+    }
+    assert!(!held(&relay).await);
+}
+
+/// A runner comes back under the name that it had, before its entry lapses.
+#[tokio::test(start_paused = true)]
+async fn restarted() {
+    let relay = ready(Fake::default());
+    let list = |started: u64| {
+        let listed = |id: &str| {
+            Change::Listed(Runner {
+                started: Some(started),
+                ..runner(id, "plain")
+            })
+        };
+        relay.update(vec![listed("p-1"), listed("p-2")]);
+    };
+    list(1);
+    for start in 2..5 {
+        broken(&relay, poison(&format!("q{start}"))).await;
+        list(start);
+        sleep(PAUSE).await;
+    }
+    assert!(held(&relay).await);
+}
+
+/// Two runners have ended under a request, and a third one ends while the next attempt waits for its
+/// stages. It must not be sent on when they are made.
+#[tokio::test(start_paused = true)]
+async fn held_back_after_stages() {
+    let relay = relay();
+    let request = asking("q", "staged", "poison");
+    let crash = |(turn, id): (u32, &&str)| Crash {
+        runner: ((*id).into(), None),
+        ago: PAUSE * turn,
+    };
+    let report = |first, runners: &[&str]| Suspicion {
+        content: request.content(Some("coop")),
+        crashes: (first..).zip(runners).map(crash).collect(),
+        count: 0,
+    };
+    sleep(PAUSE * 4).await;
+    relay.hear_suspicion(&report(1, &["x-2", "x-1"]), "test");
+    let serving = tokio::spawn({
+        let (relay, request) = (relay.clone(), request.clone());
+        async move { relay.serve(request).await.status }
+    });
+    sleep(common::CALL / 2).await;
+    relay.hear_suspicion(&report(0, &["x-3"]), "test");
+    assert_eq!(serving.await.expect("no panic"), 503);
+    assert!(relay.downstream.sent().is_empty());
+}
+
+/// A request is held back for no fault of its own, or the fault has been mended. One attempt is let
+/// through after a while, and its answer clears the request.
+#[tokio::test(start_paused = true)]
+async fn tried_again() {
+    let relay = poisoned().await;
+    assert!(held(&relay).await);
+    sleep(Duration::from_secs(61)).await;
+    assert!(!held(&relay).await);
+    assert!(!held(&relay).await);
+}
+
+/// The trial ends a runner as well: the next one comes twice as late.
+#[tokio::test(start_paused = true)]
+async fn trial_fails() {
+    let relay = poisoned().await;
+    sleep(Duration::from_secs(61)).await;
+    assert!(attempt(&relay, poison("trial")).await.1.is_some());
+    sleep(Duration::from_secs(61)).await;
+    assert!(held(&relay).await);
+    sleep(Duration::from_secs(61)).await;
+    assert!(!held(&relay).await);
+}
+
+/// A row of the table of the processes, as another process wrote it.
+fn row(value: Option<Value>) -> Vec<(&'static str, Option<Value>)> {
+    let name = format!("quarantine/{:016x}", poison("q").content(Some("coop")));
+    vec![(name.leak(), value)]
+}
+
+/// All processes were killed. One that has just started knows nothing from others; the table tells.
+#[tokio::test(start_paused = true)]
+async fn known_after_start() {
+    let relay = relay();
+    let rows = Told::At(5, row(Some(json!({ "crashes": 3 }))));
+    let following = tokio::spawn(member::follow(relay.clone(), Script::new([rows])));
+    sleep(PAUSE).await;
+    assert!(held(&relay).await);
+    following.abort();
+}
+
+/// The row is gone once the request has been answered somewhere.
+#[tokio::test(start_paused = true)]
+async fn row_gone() {
+    let relay = relay();
+    let told = [
+        Told::At(5, row(Some(json!({ "crashes": 3 })))),
+        Told::At(6, row(None)),
+    ];
+    let following = tokio::spawn(member::follow(relay.clone(), Script::new(told)));
+    sleep(Duration::from_secs(4)).await;
+    assert!(!held(&relay).await);
+    following.abort();
+}
+
+/// What is held back is written down, and dropped once it is cleared.
+#[tokio::test(start_paused = true)]
+async fn row_kept() {
+    let relay = poisoned().await;
+    let table = store::Memory::default();
+    let keeping = tokio::spawn(relay::quarantine::keep(relay.clone(), table.clone()));
+    let (key, _) = row(None).remove(0);
+    sleep(PAUSE).await;
+    let written = table.read("relay", key).await.expect("there");
+    assert_eq!(written.map(|row| row.value), Some(json!({ "crashes": 3 })));
+    sleep(Duration::from_secs(61)).await;
+    assert!(!held(&relay).await);
+    sleep(PAUSE).await;
+    assert_eq!(table.read("relay", key).await.expect("there"), None);
+    keeping.abort();
+}
+
+/// Each attempt reaches another process, and each process sees one runner end. None of them alone
+/// would hold the request back.
+#[tokio::test]
+async fn told_by_peers() {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let key = wire::Key::new("key");
+    let listener = wire::Listener::bind(any, key.clone()).await.expect("bound");
+    let address = listener.address().expect("bound");
+    let relay = relay();
+    tokio::spawn(peer::serve(relay.clone(), listener));
+    let (sender, mut receiver) = wire::connect::<peer::Frame>(address, &key)
+        .await
+        .expect("linked");
+    let content = poison("q").content(Some("coop"));
+    for number in 1..=3 {
+        let crash = Crash {
+            runner: (format!("x-{number}").as_str().into(), None),
+            ago: Duration::from_secs(3 - number),
+        };
+        let suspicion = Suspicion {
+            content,
+            crashes: vec![crash],
+            count: 1,
+        };
+        let frame = peer::Frame::Suspicion(suspicion);
+        sender.send(frame).await.expect("linked");
+    }
+    let passed_on = async {
+        // The relay passes on to all what it has taken in.
+        loop {
+            let frame = receiver.recv().await.expect("linked").expect("open");
+            if matches!(frame, peer::Frame::Suspicion(suspicion) if suspicion.count == 3) {
+                break;
+            }
+        }
+    };
+    timeout(LONG, passed_on).await.expect("told");
+    assert!(held(&relay).await);
+    sender
+        .send(peer::Frame::Cleared(content))
+        .await
+        .expect("linked");
+    let cleared = async {
+        while held(&relay).await {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(LONG, cleared).await.expect("cleared");
+}
