A runner that lost an answer is looked for at once

A relay whose answer was lost tries a connection to that runner, once for all streams that broke there: refused means that nothing listens there any more. One that lives on (a garbled answer, a reset) takes the connection; one that is silent leaves it to the list.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -155,6 +155,7 @@
     /// The runner's answer was lost: it may have ended under the request.
     pub fn lost(self) {
         self.relay.note_lost(self.content, &self.runner);
+        quarantine::look_for(&self.relay, &self.runner);
         self.failed();
     }
 
--- a/crates/relay/src/downstream.rs
+++ b/crates/relay/src/downstream.rs
@@ -174,6 +174,10 @@
         handles: Vec<Handle>,
     ) -> impl Future<Output = Result<(), Failure>> + Send;
 
+    /// Whether the runner has ended: nothing listens at its address any more. One that cannot be
+    /// reached may have.
+    fn has_ended(&self, runner: &Runner) -> impl Future<Output = bool> + Send;
+
     /// Address of the runner that holds a result.
     fn holder(&self, handle: &Handle) -> Option<std::net::SocketAddr>;
 }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -36,6 +36,8 @@
     /// Requests whose rows are out of date.
     unwritten: Mutex<BTreeSet<ContentId>>,
     changed: Notify,
+    /// Runners that are being looked for.
+    looking: Mutex<BTreeSet<Start>>,
 }
 
 impl State {
@@ -153,6 +155,23 @@
     }
 }
 
+/// Looks whether a runner has ended that has just lost an answer.
+///
+/// Its entry may stay for seconds, in which the request that ended it would end the next ones.
+pub(crate) fn look_for<D: Downstream>(relay: &Arc<Relay<D>>, runner: &Arc<Runner>) {
+    let looked_for = start(runner);
+    if !lock(&relay.quarantine.looking).insert(looked_for.clone()) {
+        return;
+    }
+    let (relay, runner) = (relay.clone(), runner.clone());
+    tokio::spawn(async move {
+        if relay.downstream.has_ended(&runner).await {
+            relay.note_ended(&runner);
+        }
+        lock(&relay.quarantine.looking).remove(&looked_for);
+    });
+}
+
 /// Whether a request may be worked for.
 ///
 /// # Errors
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -183,6 +183,8 @@
     Lose,
     /// Takes the call and says nothing.
     Silent,
+    /// Ends within a stream; nothing listens there any more.
+    Crash,
 }
 
 /// How a stream ends.
@@ -223,6 +225,8 @@
     pub(crate) sent: Arc<Mutex<Vec<Sent>>>,
     pub(crate) carried: Arc<Mutex<Vec<Carried>>>,
     pub(crate) released: Arc<Mutex<Vec<Handle>>>,
+    /// Runners at whose addresses nothing listens.
+    pub(crate) ended: Arc<Mutex<Vec<String>>>,
 }
 
 impl Fake {
@@ -278,6 +282,11 @@
             reuse: call.reuse,
             workspace: call.workspace.as_deref().map(str::to_owned),
         });
+        if self.has_ended(runner).await {
+            let reason = "refused".to_owned();
+            let reason = NotRun::Unreachable { reason };
+            return Err(Failure::NotRun { reason });
+        }
         let act = self.acts.lock().expect("no holder panics").pop_front();
         sleep(Duration::from_millis(5)).await;
         let reply = |status, proven, body| Reply {
@@ -302,6 +311,15 @@
                 reason: "reset".to_owned(),
             }),
             Act::Silent => std::future::pending().await,
+            Act::Crash => {
+                let mut ended = self.ended.lock().expect("no holder panics");
+                ended.push(runner.id.to_string());
+                Ok(reply(
+                    200,
+                    true,
+                    parts(vec!["id: 1\ndata: x\n\n"], End::Broken),
+                ))
+            }
         }
     }
 
@@ -347,6 +365,11 @@
         Ok(())
     }
 
+    async fn has_ended(&self, runner: &Runner) -> bool {
+        let ended = self.ended.lock().expect("no holder panics");
+        ended.iter().any(|id| **id == *runner.id)
+    }
+
     fn holder(&self, handle: &Handle) -> Option<SocketAddr> {
         handle.split_once('/')?.0.parse().ok()
     }
--- a/crates/relay/tests/poison_request.rs
+++ b/crates/relay/tests/poison_request.rs
@@ -117,6 +117,20 @@
     relay
 }
 
+/// The platform goes on to list a runner for three seconds after its end. A relay that waits for the
+/// list lets the request end four runners more.
+#[tokio::test(start_paused = true)]
+async fn listed_on() {
+    let relay = relay();
+    for number in 0..3 {
+        *relay.downstream.acts.lock().expect("free") = [Act::Crash].into();
+        body(relay.serve(poison(&format!("q{number}"))).await).await;
+        sleep(PAUSE).await;
+    }
+    assert_eq!(relay.downstream.ended.lock().expect("free").len(), 3);
+    assert!(held(&relay).await);
+}
+
 /// Other requests of the same workspace and route go on to be served.
 #[tokio::test(start_paused = true)]
 async fn others_served() {
