Log the limits that runners name in their answers

The adapter reads the header as a mean time between requests, and a relay logs each change; nothing is decided by it yet.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -241,6 +241,7 @@
             Err(Failure::Lost { reason })
         });
         log(job, &flight, left, inputs, progress, &result);
+        job.relay.note_limit(&flight.runner, flight.sent, &result);
         match result {
             Ok(reply) => {
                 flight.begun();
--- a/crates/relay/src/batch/place.rs
+++ b/crates/relay/src/batch/place.rs
@@ -284,7 +284,7 @@
                 }
             }
             Err(Failure::NotRun {
-                reason: NotRun::Full,
+                reason: NotRun::Full { .. },
             }) => self.rests_until = Some(now + REST_FULL),
             Err(_) => self.fail(now),
         }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -3,6 +3,7 @@
 use crate::batch::{Batcher, Cell, Share};
 use crate::downstream::Downstream;
 use crate::drain::Drains;
+use crate::limit::Limits;
 use crate::member::{Member, MemberId};
 use crate::pause::{Clock, Pause};
 use crate::peer::{Burdens, Peers};
@@ -75,6 +76,7 @@
     pub(crate) drains: Mutex<Drains>,
     pub(crate) warmups: Mutex<Warmups>,
     pub(crate) quarantine: quarantine::State,
+    pub(crate) limits: Mutex<Limits>,
     pools: Mutex<Map<ServiceId, Pool>>,
     repeats: Mutex<Bound>,
     quotas: Mutex<Map<ServiceId, Quota>>,
@@ -112,6 +114,7 @@
             drains: Mutex::default(),
             warmups: Mutex::default(),
             quarantine: quarantine::State::default(),
+            limits: Mutex::default(),
             pools: Mutex::default(),
             quotas: Mutex::default(),
             batchers: Mutex::default(),
--- a/crates/relay/src/downstream.rs
+++ b/crates/relay/src/downstream.rs
@@ -86,6 +86,9 @@
     pub proven: bool,
     /// Headers that are for the caller.
     pub headers: HeaderMap,
+    /// Mean time between the requests that the runner takes from all processes together, if it asks
+    /// for some.
+    pub spacing: Option<Duration>,
     /// Body.
     pub body: B,
 }
@@ -118,7 +121,10 @@
     },
     /// It is full.
     #[snafu(display("full"))]
-    Full,
+    Full {
+        /// As in [`Reply::spacing`].
+        spacing: Option<Duration>,
+    },
     /// Another runner listens at its address now.
     #[snafu(display("replaced"))]
     Replaced,
--- a/crates/relay/tests/at_most_once.rs
+++ b/crates/relay/tests/at_most_once.rs
@@ -48,7 +48,7 @@
 #[tokio::test(start_paused = true)]
 async fn refused_by_runner() {
     for reason in [
-        NotRun::Full,
+        NotRun::Full { spacing: None },
         NotRun::Replaced,
         NotRun::Unreachable {
             reason: "reset".to_owned(),
@@ -62,7 +62,10 @@
 /// Every runner refuses: the caller hears that the request has not run, and when to come back.
 #[tokio::test(start_paused = true)]
 async fn refused_by_all() {
-    let fake = Fake::doing([Act::Refuse(NotRun::Full), Act::Refuse(NotRun::Full)]);
+    let fake = Fake::doing([
+        Act::Refuse(NotRun::Full { spacing: None }),
+        Act::Refuse(NotRun::Full { spacing: None }),
+    ]);
     let relay = ready(fake.clone());
     let answer = relay.serve(request("a", "unsafe")).await;
     assert_eq!(answer.status, 503);
@@ -73,7 +76,11 @@
 /// let the caller send it again.
 #[tokio::test(start_paused = true)]
 async fn refused_then_lost() {
-    let (_, (status, ..)) = serve("unsafe", [Act::Refuse(NotRun::Full), Act::Lose]).await;
+    let (_, (status, ..)) = serve(
+        "unsafe",
+        [Act::Refuse(NotRun::Full { spacing: None }), Act::Lose],
+    )
+    .await;
     assert_eq!(status, 502);
 }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -225,6 +225,8 @@
     pub(crate) sent: Arc<Mutex<Vec<Sent>>>,
     pub(crate) carried: Arc<Mutex<Vec<Carried>>>,
     pub(crate) released: Arc<Mutex<Vec<Handle>>>,
+    /// Time between requests that runners ask for in their answers.
+    pub(crate) spacing: Arc<Mutex<Option<Duration>>>,
     /// Runners at whose addresses nothing listens.
     pub(crate) ended: Arc<Mutex<Vec<String>>>,
 }
@@ -293,6 +295,7 @@
             status,
             proven,
             headers: http::HeaderMap::new(),
+            spacing: *self.spacing.lock().expect("no holder panics"),
             body,
         };
         match act.unwrap_or(Act::Answer {
--- a/crates/relay/tests/process_paused.rs
+++ b/crates/relay/tests/process_paused.rs
@@ -111,7 +111,7 @@
 /// of the time that the steady clock left, the next runner would work for nobody.
 #[tokio::test(start_paused = true)]
 async fn time_left() {
-    let fake = Fake::doing([Act::Refuse(NotRun::Full)]);
+    let fake = Fake::doing([Act::Refuse(NotRun::Full { spacing: None })]);
     let told = vec![Told::Rows(vec![
         ("p-1", entry("plain")),
         ("p-2", entry("plain")),
--- a/crates/relay/tests/stage_pieces.rs
+++ b/crates/relay/tests/stage_pieces.rs
@@ -217,7 +217,7 @@
 async fn runner_full() {
     let fake = Fake::default();
     let full = Err(Failure::NotRun {
-        reason: NotRun::Full,
+        reason: NotRun::Full { spacing: None },
     });
     fake.stage_acts.lock().expect("free").push_back(full);
     let relay = ready(fake.clone());
