--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -159,6 +159,13 @@
         });
     }
 
+    /// Has one runner of the model service say that it takes so many requests a second.
+    pub fn limit(&self, rate: u32) {
+        let one = self.targets.iter().find(|target| target.service == MODEL);
+        one.iter()
+            .for_each(|target| target.runner.limit(Some(rate)));
+    }
+
     /// Lists no more the runners that a request has ended, and starts them again after a while.
     ///
     /// # Errors
--- a/crates/ctl/src/torture/relays/mod.rs
+++ b/crates/ctl/src/torture/relays/mod.rs
@@ -19,18 +19,28 @@
 use std::time::Duration;
 use tokio::task::JoinError;
 
+/// Requests a second that a runner says it takes which names a limit.
+const LIMIT: u32 = 2;
+
 /// What is done to the cluster of a soak.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
-    /// Faults drawn from the seed, and from each second seed a poison request.
+    /// Faults drawn from the seed, with a poison request for each second seed and a runner that names
+    /// a limit for each fourth.
     Drawn,
     /// A poison request, and no fault.
     Poison,
+    /// A runner that names a limit, and no fault.
+    Limit,
 }
 
 impl Trouble {
     fn has_poison(self, seed: u64) -> bool {
-        self == Self::Poison || seed % 2 == 0
+        self == Self::Poison || self == Self::Drawn && seed % 2 == 0
+    }
+
+    fn has_limit(self, seed: u64) -> bool {
+        self == Self::Limit || self == Self::Drawn && seed % 4 == 0
     }
 }
 
@@ -49,6 +59,9 @@
     let world = Arc::new(World::default());
     let mut cluster = Cluster::start(logs, programs, &world).await?;
     cluster.ready().await?;
+    if trouble.has_limit(seed) {
+        cluster.limit(LIMIT);
+    }
     let keys = cluster.keys.clone();
     let callers = tokio::spawn(demand::send(world.clone(), keys, seed ^ 2, time));
     let poison = trouble.has_poison(seed);
@@ -56,7 +69,7 @@
     let mut faults = Faults::new(&mut cluster, world.clone(), seed ^ 3);
     match trouble {
         Trouble::Drawn => faults.run(time).await?,
-        Trouble::Poison => faults.wait(time).await?,
+        Trouble::Poison | Trouble::Limit => faults.wait(time).await?,
     }
     let mut words = callers.await.map_err(|error| ended(&error))?;
     if let Some(poison) = poison {
--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::sync::PoisonError;
 use stub::Micros;
 use stub::caller::{Told, Word};
@@ -18,6 +19,12 @@
 const POISONED: usize = 3;
 /// Time for which a relay must have been sound for what it does to be judged.
 const STABLE: Micros = 3_000_000;
+/// Time over which a runner's limit is judged, what it allows beyond the limit, and the time after
+/// which a relay keeps to what a runner has told it.
+const LIMITED: Micros = 4_000_000;
+const EXCESS: f64 = 1.5;
+const BESIDES: f64 = 5.0;
+const TOLD: Micros = 500_000;
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -116,6 +123,7 @@
     }
     verdict.judge_leaving(words, &by_id, world);
     verdict.judge_poison(words, runs, world);
+    verdict.judge_limits(words, runs, world);
     verdict
 }
 
@@ -186,6 +194,52 @@
         }
     }
 
+    /// All relays together keep to the limit that a runner has named in answers that they passed on.
+    fn judge_limits(&mut self, words: &[Word], runs: &[Run], world: &World) {
+        let by_id: HashMap<&str, &Word, RandomState> = words
+            .iter()
+            .map(|word| (word.ask.id.as_str(), word))
+            .collect();
+        let mut told: HashMap<(&str, SocketAddr), Micros, RandomState> = HashMap::default();
+        let limited = || runs.iter().filter(|run| run.limit.is_some());
+        for run in limited() {
+            if let Some(word) = by_id.get(run.id.as_str())
+                && matches!(word.told, Told::Whole { proven: true, .. })
+            {
+                let first = told
+                    .entry((run.runner.as_str(), word.entry))
+                    .or_insert(word.done);
+                *first = word.done.min(*first);
+            }
+        }
+        let mut arrivals: BTreeMap<&str, Vec<Micros>> = BTreeMap::new();
+        for run in limited() {
+            let Some(word) = by_id.get(run.id.as_str()) else {
+                continue;
+            };
+            let knows = told.get(&(run.runner.as_str(), word.entry));
+            let calm = !world.disturbed_at(word.entry, run.started - LIMITED - STABLE, run.started);
+            if calm && knows.is_some_and(|told| told + TOLD < run.started) {
+                arrivals.entry(&run.runner).or_default().push(run.started);
+            }
+        }
+        for (runner, mut arrivals) in arrivals {
+            arrivals.sort_unstable();
+            let rate = limited()
+                .filter(|run| run.runner == runner)
+                .find_map(|run| run.limit);
+            let allowed = EXCESS * f64::from(rate.unwrap_or(0)) * 4.0 + BESIDES;
+            let in_span = |from: &Micros| {
+                let span = *from..from + LIMITED;
+                arrivals.iter().filter(|at| span.contains(at)).count()
+            };
+            let most = arrivals.iter().map(in_span).max().unwrap_or(0);
+            if most as f64 > allowed {
+                self.note("limit of a runner exceeded", &(runner, most, allowed));
+            }
+        }
+    }
+
     /// Keys that are in force must open, and those that are not must not.
     fn judge_key(&mut self, word: &Word, keys: &[Key], world: &World) {
         let Some(key) = keys.iter().find(|key| key.text == word.ask.key) else {
