All relays together keep to the limit that a runner names

Cause: nobody read what a runner in need says in its answers; the choice of a runner goes by calls in progress and prompts to be read, in which it looks like any other. The class: a bound that holds for all processes together, known to none.

A few relays may send to such a runner, chosen by names, each with a gap between two requests (decide::share, cut out of the share at runners that have just started). Relays tell one another of a limit and of its end, since those that may not send would never hear of it; an older word never undoes a newer one, and a restart of the runner ends it.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod place;
 pub mod retry;
 pub mod route;
+pub mod share;
 pub mod smooth;
 pub mod subset;
 pub mod warmup;
--- a/crates/decide/src/warmup.rs
+++ b/crates/decide/src/warmup.rs
@@ -5,7 +5,7 @@
 //! names alone, and each keeps a fixed gap between two requests: together they stay under the bound
 //! in any second, without a word between them.
 
-use crate::subset::rank;
+pub use crate::share::Share;
 use std::time::Duration;
 
 /// Longest time from the decision to send a request until it is on its way: that of a connection.
@@ -27,15 +27,6 @@
     pub most: u32,
 }
 
-/// One process's part of what a runner bears.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Share {
-    /// Processes that may send.
-    pub places: usize,
-    /// Time between two requests of one process, at least.
-    pub gap: Duration,
-}
-
 impl Share {
     /// The part of each of so many processes; `None` if the runner bears nothing.
     ///
@@ -63,17 +54,4 @@
             gap: on_average.max(WINDOW / each + MARGIN),
         })
     }
-
-    /// Whether a process has a place, by its name and those of the others.
-    #[must_use]
-    pub fn has_place<'a>(
-        &self,
-        runner: &str,
-        own: &str,
-        others: impl IntoIterator<Item = &'a str>,
-    ) -> bool {
-        let mine = (rank(runner, own), own);
-        let before = |other: &&str| (rank(runner, other), *other) < mine;
-        others.into_iter().filter(before).count() < self.places
-    }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -315,7 +315,8 @@
 fn pick<D: Downstream>(job: &Job<D>, tried: &[RunnerId], left: Duration) -> Option<Arc<Runner>> {
     let relay = &job.relay;
     let closed = relay.closed(&job.service);
-    let without = [tried, &closed, &job.abroad()].concat();
+    let limited = relay.limited(&job.service);
+    let without = [tried, &closed, &limited, &job.abroad()].concat();
     let shared = job.request.prompt.as_ref();
     let shared = shared.map_or(&[][..], |prompt| &prompt.shared);
     let call = route::Call {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -231,7 +231,10 @@
                 self.update_one(fleet, change, &mut services);
             }
         }
-        ended.iter().for_each(|runner| self.note_ended(runner));
+        for runner in ended {
+            lock(&self.limits).forget(&runner.id);
+            self.note_ended(&runner);
+        }
         lock(&self.shares).retain(|service, _| !services.contains(service));
         let batchers: Vec<_> = lock(&self.batchers)
             .iter()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,7 +10,7 @@
 //! * [`serve`]: one request from its arrival to its answer
 //! * `home`: requests that may run in some regions only
 //! * [`graph`]: the stages of one request; [`batch`]: the calls that carry their pieces
-//! * `limit`: runners that ask for fewer requests
+//! * [`limit`]: runners that ask for fewer requests
 //! * [`member`]: the processes of the system; [`peer`]: what they say to one another
 //! * [`attempt`]: a request and the runners it is sent to; [`splice`]: streams over several runners
 //! * [`event`]: where the events of a stream begin and end
@@ -28,7 +28,7 @@
 pub mod follow;
 pub mod graph;
 mod home;
-mod limit;
+pub mod limit;
 pub mod member;
 pub mod pause;
 pub mod peer;
--- a/crates/relay/src/limit.rs
+++ b/crates/relay/src/limit.rs
@@ -1,14 +1,38 @@
 //! Runners in need, which ask for fewer requests in their answers.
+//!
+//! All relays together keep to what a runner asks for: a few may send to it, each with a gap between
+//! two requests ([`decide::share`]). Those that may not would never hear from it that it asks for
+//! nothing any more, so relays tell one another.
 
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Failure, NotRun, Reply};
+use crate::member::Members;
+use crate::plan::ServiceId;
 use crate::runner::{Runner, RunnerId};
 use crate::telemetry::millis;
 use decide::Map;
+use decide::share::Share;
+use serde::{Deserialize, Serialize};
 use slog::info;
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Time after which a limit is told again that still holds.
+const AGAIN: Duration = Duration::from_secs(15);
+/// Time after which a limit counts no more that nobody tells of.
+const LIFE: Duration = Duration::from_secs(60);
+
+/// What relays tell one another of a runner's limit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The runner.
+    pub runner: RunnerId,
+    /// Mean time between the requests of all processes together; none if it asks for nothing any more.
+    pub spacing: Option<Duration>,
+    /// Age of the answer that says so.
+    pub ago: Duration,
+}
+
 /// What is known of runners that ask for fewer requests.
 #[derive(Debug, Default)]
 pub(crate) struct Limits {
@@ -18,30 +42,94 @@
 /// What one runner asks for.
 #[derive(Clone, Copy, Debug)]
 struct Limit {
-    /// Mean time between the requests of all processes together.
-    spacing: Duration,
-    /// When it said so last.
+    spacing: Option<Duration>,
+    /// Moment of the answer that says so.
     heard: Instant,
+    /// When that was told last.
+    told: Instant,
+    /// When this process last sent the runner a request, or learnt of the limit.
+    sent: Instant,
 }
 
 impl Limits {
-    /// Takes in what an answer to a request says that was sent at a moment. Tells whether that is
-    /// something else than was known.
-    fn hear(&mut self, id: &RunnerId, spacing: Option<Duration>, sent: Instant) -> bool {
-        let before = self.known.get(id).copied();
-        match spacing {
-            Some(spacing) => {
-                let heard = Instant::now();
-                self.known.insert(id.clone(), Limit { spacing, heard });
-                before.is_none_or(|before| before.spacing != spacing)
-            }
-            // An answer that was on its way before the runner asked says nothing of it.
-            None => {
-                let over = before.is_some_and(|before| sent > before.heard);
-                over && self.known.remove(id).is_some()
+    /// Takes in what an answer says, or another process. Tells whether others should be told.
+    fn hear(&mut self, id: &RunnerId, spacing: Option<Duration>, heard: Instant) -> bool {
+        let now = Instant::now();
+        self.known.retain(|_, limit| limit.heard + LIFE > now);
+        let Some(limit) = self.known.get_mut(id) else {
+            if spacing.is_some() {
+                let (told, sent) = (now, now);
+                let limit = Limit {
+                    spacing,
+                    heard,
+                    told,
+                    sent,
+                };
+                self.known.insert(id.clone(), limit);
             }
+            return spacing.is_some();
+        };
+        if heard <= limit.heard {
+            return false;
+        }
+        let news = limit.spacing != spacing || now > limit.told + AGAIN && spacing.is_some();
+        if limit.spacing.is_none() {
+            limit.sent = now;
+        }
+        (limit.spacing, limit.heard) = (spacing, heard);
+        if news {
+            limit.told = now;
+        }
+        news
+    }
+
+    fn spacing(&self, id: &str) -> Option<(Duration, Instant)> {
+        let limit = self.known.get(id)?;
+        let holds = limit.heard.elapsed() < LIFE;
+        limit
+            .spacing
+            .filter(|_| holds)
+            .map(|spacing| (spacing, limit.sent))
+    }
+
+    /// A runner has ended, and what it asked for with it.
+    pub(crate) fn forget(&mut self, id: &str) {
+        self.known.remove(id);
+    }
+
+    /// A runner is about to be sent a request.
+    pub(crate) fn note_sent(&mut self, id: &str) {
+        if let Some(limit) = self.known.get_mut(id) {
+            limit.sent = Instant::now();
         }
     }
+
+    /// What a new peer is told.
+    fn notices(&self) -> Vec<Notice> {
+        let limits = self
+            .known
+            .iter()
+            .filter(|(_, limit)| limit.spacing.is_some());
+        limits.map(|(id, limit)| limit.notice(id)).collect()
+    }
+}
+
+impl Limit {
+    fn notice(&self, id: &RunnerId) -> Notice {
+        Notice {
+            runner: id.clone(),
+            spacing: self.spacing,
+            ago: self.heard.elapsed(),
+        }
+    }
+}
+
+/// Whether this process is one of those that may send to a runner, and its gap is over.
+fn is_open(members: &Members, id: &str, spacing: Duration, sent: Instant) -> bool {
+    // Before the others are listed, an equal part is as good as any.
+    let processes = members.count().unwrap_or(usize::MAX);
+    let share = Share::spaced(spacing, processes);
+    members.has_place(&share, id) && sent.elapsed() >= share.gap
 }
 
 impl<D: Downstream> Relay<D> {
@@ -52,20 +140,75 @@
         sent: Instant,
         result: &Result<Reply<B>, Failure>,
     ) {
-        let spacing = match result {
-            Ok(reply) if reply.proven || reply.spacing.is_some() => reply.spacing,
-            Err(Failure::NotRun {
+        match result {
+            Ok(Reply {
+                spacing: asked @ Some(_),
+                ..
+            })
+            | Err(Failure::NotRun {
                 reason:
                     NotRun::Full {
                         spacing: asked @ Some(_),
                     },
-            }) => *asked,
-            _ => return,
+            }) => {
+                self.hear_limit(&runner.id, *asked, Instant::now(), "its answer");
+            }
+            // An answer to what was sent before the runner asked says nothing of it.
+            Ok(reply) if reply.proven => self.hear_limit(&runner.id, None, sent, "its answer"),
+            _ => {}
+        }
+    }
+
+    /// Takes in what another process tells of a runner's limit.
+    pub(crate) fn hear_notice(&self, notice: &Notice, origin: &str) {
+        let heard = Instant::now().checked_sub(notice.ago);
+        self.hear_limit(
+            &notice.runner,
+            notice.spacing,
+            heard.unwrap_or(self.started()),
+            origin,
+        );
+    }
+
+    fn hear_limit(&self, id: &RunnerId, spacing: Option<Duration>, heard: Instant, origin: &str) {
+        let notice = {
+            let mut limits = lock(&self.limits);
+            if limits.known.is_empty() && spacing.is_none() || !limits.hear(id, spacing, heard) {
+                return;
+            }
+            limits.known.get(id).map(|limit| limit.notice(id))
         };
-        if lock(&self.limits).hear(&runner.id, spacing, sent) {
-            info!(self.log, "runner limits its requests"; "runner" => &*runner.id,
-                "service" => &*runner.service, "one_in_ms" => spacing.map(millis),
-                "from" => "its answer");
+        info!(self.log, "runner limits its requests"; "runner" => &**id,
+            "one_in_ms" => spacing.map(millis), "from" => origin);
+        if let Some(notice) = notice {
+            self.peers.announce_limit(&notice);
+        }
+    }
+
+    /// The limits that a new peer is told.
+    pub(crate) fn limit_notices(&self) -> Vec<Notice> {
+        lock(&self.limits).notices()
+    }
+
+    /// Runners of a service that have named a limit which this process must leave alone now.
+    pub(crate) fn limited(&self, service: &ServiceId) -> Vec<RunnerId> {
+        if lock(&self.limits).known.is_empty() {
+            return Vec::new();
         }
+        let runners = self.fleet(|fleet| fleet.of(service).to_vec());
+        let limits = lock(&self.limits);
+        let is_closed = |id: &RunnerId| {
+            let limit = limits.spacing(id);
+            limit.is_some_and(|(spacing, sent)| {
+                !self
+                    .peers
+                    .members(|members| is_open(members, id, spacing, sent))
+            })
+        };
+        let ids = runners
+            .into_iter()
+            .flatten()
+            .map(|runner| runner.id.clone());
+        ids.filter(is_closed).collect()
     }
 }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -15,6 +15,7 @@
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle};
 use crate::drain::Drains;
+use crate::limit::Notice;
 use crate::member::{Member, MemberId, Members};
 use crate::plan::{Rank, Version};
 use crate::quarantine::Suspicion;
@@ -173,6 +174,12 @@
         lock(&self.voices).retain(|voice| voice.try_send(&Frame::Cleared(content)).is_ok());
     }
 
+    /// Tells all linked processes of a runner's limit.
+    pub(crate) fn announce_limit(&self, notice: &Notice) {
+        let frame = Frame::Limit(notice.clone());
+        lock(&self.voices).retain(|voice| voice.try_send(&frame).is_ok());
+    }
+
     /// From now on this process is told of what is announced.
     pub(crate) fn listen(&self, voice: Sender<Frame>) {
         let mut voices = lock(&self.voices);
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -5,6 +5,7 @@
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle, Source};
 use crate::drain::Drains;
+use crate::limit::Notice;
 use crate::member::MemberId;
 use crate::plan::{Plan, Rank, ServiceId, Version};
 use crate::quarantine::Suspicion;
@@ -116,6 +117,8 @@
     Suspicion(Suspicion),
     /// A request that had ended runners was answered.
     Cleared(ContentId),
+    /// What a runner asks for in its answers.
+    Limit(Notice),
     /// The sender stops, and takes no more orders until it starts anew.
     Leaving {
         /// Its name.
@@ -203,6 +206,10 @@
         // First: a peer that takes the configuration from here must know them by then.
         let _ = sender.try_send(&Frame::Drains(drains));
     }
+    for notice in relay.limit_notices() {
+        // The runner says so again in its next answer.
+        let _ = sender.try_send(&Frame::Limit(notice));
+    }
     for suspicion in relay.suspicions() {
         // Those that do not fit into the queue are told with their next crash.
         let _ = sender.try_send(&Frame::Suspicion(suspicion));
@@ -262,6 +269,7 @@
     match frame {
         Frame::Version(version) => heard_version(relay, sender, version),
         Frame::Drains(drains) => relay.drain(&drains, PEER),
+        Frame::Limit(notice) => relay.hear_notice(&notice, PEER),
         Frame::Suspicion(suspicion) => relay.hear_suspicion(&suspicion, PEER),
         Frame::Cleared(content) => relay.hear_cleared(content, PEER),
         Frame::Leaving { id, incarnation } => {
--- a/crates/relay/tests/runner_limit.rs
+++ b/crates/relay/tests/runner_limit.rs
@@ -2,11 +2,14 @@
 
 mod common;
 
-use common::{Fake, body, ready, request};
-use relay::Relay;
+use common::{Fake, body, ready, request, runner};
+use relay::limit::Notice;
+use relay::member::{Member, Members};
+use relay::runner::Change;
+use relay::{Relay, Runner, peer};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time between two requests of the load.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -25,9 +28,135 @@
 /// many callers ask.
 #[tokio::test(start_paused = true)]
 async fn kept_alone() {
+    let relay = limited().await;
+    assert!(load(&relay, Duration::from_secs(10)).await <= 2 * 11);
+}
+
+fn limit(relay: &Relay<Fake>, spacing: Option<Duration>) {
+    *relay.downstream.spacing.lock().expect("free") = spacing;
+}
+
+/// A relay both of whose runners have just named a limit of one request a second.
+async fn limited() -> Arc<Relay<Fake>> {
     let relay = ready(Fake::default());
-    relay.peers.members(relay::member::Members::listed);
-    *relay.downstream.spacing.lock().expect("free") = Some(Duration::from_secs(1));
+    relay.peers.members(Members::listed);
+    limit(&relay, Some(Duration::from_secs(1)));
     load(&relay, Duration::from_secs(1)).await;
-    assert!(load(&relay, Duration::from_secs(10)).await <= 2 * 11);
+    relay
+}
+
+/// The runner says no more that it is in need. Kept to for ever, the limit would leave it idle.
+#[tokio::test(start_paused = true)]
+async fn over() {
+    let relay = limited().await;
+    limit(&relay, None);
+    load(&relay, Duration::from_secs(2)).await;
+    assert!(load(&relay, Duration::from_secs(1)).await >= 20);
+}
+
+/// Requests that no runner takes now are refused at once, as not run.
+#[tokio::test(start_paused = true)]
+async fn refused_at_once() {
+    let relay = limited().await;
+    // What both runners take in this second.
+    load(&relay, PAUSE * 2).await;
+    let begun = Instant::now();
+    let answer = relay.serve(request("a", "safe")).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+    assert!(begun.elapsed() < Duration::from_millis(50));
+}
+
+/// A runner that starts anew has no limit until it names one.
+#[tokio::test(start_paused = true)]
+async fn forgotten_at_restart() {
+    let relay = limited().await;
+    limit(&relay, None);
+    let restarted = |id| Runner {
+        started: Some(2),
+        ..runner(id, "plain")
+    };
+    for id in ["p-1", "p-2"] {
+        relay.update(vec![Change::Gone(id.into()), Change::Listed(restarted(id))]);
+    }
+    assert!(load(&relay, Duration::from_secs(1)).await >= 20);
+}
+
+/// In a large fleet a few processes send to such a runner. Those that do not would never hear from it
+/// that the limit is over: the others tell.
+#[tokio::test]
+async fn told_by_peers() {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let key = wire::Key::new("key");
+    let listener = wire::Listener::bind(any, key.clone()).await.expect("bound");
+    let address = listener.address().expect("bound");
+    let relay = ready(Fake::default());
+    relay.peers.members(Members::listed);
+    tokio::spawn(peer::serve(relay.clone(), listener));
+    let (sender, mut receiver) = wire::connect::<peer::Frame>(address, &key)
+        .await
+        .expect("linked");
+    let mut status = Vec::new();
+    let turns = [
+        (Some(Duration::from_secs(1_000)), Duration::from_millis(20)),
+        // Older than what is known: it must not undo it.
+        (None, Duration::from_secs(50)),
+        (None, Duration::ZERO),
+    ];
+    for (spacing, ago) in turns {
+        for id in ["p-1", "p-2"] {
+            let notice = Notice {
+                runner: id.into(),
+                spacing,
+                ago,
+            };
+            sender
+                .send(peer::Frame::Limit(notice))
+                .await
+                .expect("linked");
+        }
+        // Answered in their order, so that both have been taken in.
+        sender.send(peer::Frame::Ask).await.expect("linked");
+        let answered = async {
+            while !matches!(
+                receiver.recv().await.expect("linked"),
+                Some(peer::Frame::Plan(_))
+            ) {}
+        };
+        timeout(Duration::from_secs(60), answered)
+            .await
+            .expect("an answer");
+        status.push(relay.serve(request("a", "safe")).await.status);
+    }
+    assert_eq!(status, [503, 503, 200]);
+}
+
+/// Twenty processes are there: a few of them have a place at the runner, and the others leave it alone.
+#[tokio::test(start_paused = true)]
+async fn few_places() {
+    let mut sent = 0;
+    let mut places = 0;
+    for own in 0..20 {
+        let member = |number: usize| Member {
+            id: format!("relay-{number}").into(),
+            incarnation: 1,
+            address: ([127, 0, 0, 1], 1).into(),
+            weight: 1.0,
+            settled: false,
+        };
+        let relay = common::blank_as(Fake::default(), member(own));
+        relay.adopt(common::plan(1));
+        relay.update(vec![Change::Listed(runner("p-1", "plain"))]);
+        relay.peers.members(|members| {
+            (0..20).for_each(|number| members.put(member(number)));
+            members.listed();
+        });
+        limit(&relay, Some(Duration::from_secs(1)));
+        load(&relay, PAUSE).await;
+        let after = load(&relay, Duration::from_secs(20)).await;
+        sent += after;
+        places += usize::from(after > 0);
+    }
+    assert_eq!(places, 4);
+    assert!((16..=24).contains(&sent), "{sent}");
 }
