--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -9,7 +9,7 @@
 mod state;
 
 use crate::core::{Relay, lock};
-use crate::downstream::{Downstream, Handle, Made, Source};
+use crate::downstream::{Batch, Downstream, Failure, Handle, Made, NotRun, Source};
 use crate::plan::{Batches, LAST_RANK, Rank, ServiceId};
 use crate::request::RequestId;
 use crate::runner::{DomainId, Runner};
@@ -326,12 +326,19 @@
         let making = relay.downstream.make(&runner, items, launch.patience());
         let result = self.until_fetched(&relay, &launch, making).await;
         let elapsed = begun.elapsed();
+        let spacing = asked_spacing(&result);
+        let result = result.map(|batch| batch.made);
         info!(relay.log, "stage call";
             "service" => &*self.cell.service, "runner" => &*runner.id, "pieces" => count,
             "requests" => self.requests(&launch),
             "expected_ms" => millis(launch.expected), "took_ms" => millis(elapsed),
+            "one_in_ms" => spacing.map(millis),
             "outcome" => result.as_ref().map_or_else(ToString::to_string, |made| outcome(made)));
-        lock(&self.state).finish(&relay, &self.cell.service, &launch, result, elapsed);
+        {
+            let mut state = lock(&self.state);
+            state.finish(&relay, &self.cell.service, &launch, result, elapsed);
+            state.space(&runner.id, begun, spacing);
+        }
         self.pump(&relay);
     }
 
@@ -379,6 +386,17 @@
     }
 }
 
+/// Time between calls that a runner asks for, if it does.
+fn asked_spacing(result: &Result<Batch, Failure>) -> Option<Duration> {
+    match result {
+        Ok(batch) => batch.spacing,
+        Err(Failure::NotRun {
+            reason: NotRun::Full { spacing },
+        }) => *spacing,
+        Err(_) => None,
+    }
+}
+
 /// Gives results back at their runner.
 async fn release<D: Downstream>(relay: Arc<Relay<D>>, runner: Arc<Runner>, results: Vec<Handle>) {
     let count = results.len();
--- a/crates/relay/src/batch/place.rs
+++ b/crates/relay/src/batch/place.rs
@@ -8,6 +8,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Longest time for which a runner is left alone that asks for one: it is called then, to hear whether
+/// it still does.
+const SPACING_MOST: Duration = Duration::from_secs(60);
 /// Pause before a runner gets work again that was full.
 const REST_FULL: Duration = Duration::from_millis(50);
 /// Pause before a runner gets work again that had no room for results. Those that it holds were
@@ -165,6 +168,12 @@
         slot.map_or(rested, |until| rested.max(*until)) + longer
     }
 
+    /// It asks for this time between its calls, the last of which began then.
+    pub(super) fn space(&mut self, begun: Instant, spacing: Duration) {
+        let until = begun + spacing.min(SPACING_MOST);
+        self.rests_until = self.rests_until.max(Some(until));
+    }
+
     pub(super) fn rests(&self, now: Instant) -> bool {
         self.rests_until.is_some_and(|until| now < until)
     }
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -356,6 +356,15 @@
         }
     }
 
+    /// Leaves a runner alone that asks for this time between its calls, the last of which began then.
+    /// This process alone forms the calls of the cell.
+    pub(super) fn space(&mut self, id: &str, begun: Instant, spacing: Option<Duration>) {
+        let place = self.places.iter_mut().find(|place| *place.runner.id == *id);
+        if let (Some(place), Some(spacing)) = (place, spacing) {
+            place.space(begun, spacing);
+        }
+    }
+
     fn judge(&mut self, launch: &Launch, result: &Result<Vec<Made>, Failure>, elapsed: Duration) {
         if let Ok(made) = result {
             let had_room = !made.contains(&Made::NoRoom);
--- a/crates/relay/src/downstream.rs
+++ b/crates/relay/src/downstream.rs
@@ -77,6 +77,15 @@
     Failed,
 }
 
+/// What became of the pieces of a call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Each of them, in their order.
+    pub made: Vec<Made>,
+    /// As in [`Reply::spacing`].
+    pub spacing: Option<Duration>,
+}
+
 /// The beginning of a runner's answer.
 #[derive(Debug)]
 pub struct Reply<B> {
@@ -157,7 +166,7 @@
         call: Call,
     ) -> impl Future<Output = Result<Reply<Self::Body>, Failure>> + Send;
 
-    /// Has pieces made; gives what became of each, in their order.
+    /// Has pieces made.
     ///
     /// # Errors
     ///
@@ -167,7 +176,7 @@
         runner: &Runner,
         items: Vec<Item>,
         patience: Duration,
-    ) -> impl Future<Output = Result<Vec<Made>, Failure>> + Send;
+    ) -> impl Future<Output = Result<Batch, Failure>> + Send;
 
     /// Tells a runner that these results are needed no more.
     ///
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use decide::retry::window::Bound;
 use futures::stream::{self, Stream};
-use relay::downstream::{Call, Failure, Handle, Item, Made, NotRun, Reply, Source as Origin};
+use relay::downstream::{
+    Batch, Call, Failure, Handle, Item, Made, NotRun, Reply, Source as Origin,
+};
 use relay::member::Member;
 use relay::plan::{Batches, Kind, Limits, Route, Service, Share, Stage, Workspace};
 use relay::request::{Broken, Message};
@@ -331,7 +333,7 @@
         runner: &Runner,
         items: Vec<Item>,
         patience: Duration,
-    ) -> Result<Vec<Made>, Failure> {
+    ) -> Result<Batch, Failure> {
         let count = u32::try_from(items.len()).expect("few items");
         let carried = Carried {
             runner: runner.id.to_string(),
@@ -357,7 +359,9 @@
             );
             Made::Done(name.into())
         };
-        act.unwrap_or_else(|| Ok(items.iter().map(made).collect()))
+        let made = act.unwrap_or_else(|| Ok(items.iter().map(made).collect()))?;
+        let spacing = *self.spacing.lock().expect("no holder panics");
+        Ok(Batch { made, spacing })
     }
 
     async fn release(&self, _runner: &Runner, handles: Vec<Handle>) -> Result<(), Failure> {
--- a/crates/relay/tests/runner_limit.rs
+++ b/crates/relay/tests/runner_limit.rs
@@ -160,3 +160,22 @@
     assert_eq!(places, 4);
     assert!((16..=24).contains(&sent), "{sent}");
 }
+
+/// Runners of a stage name a limit as well. The process that forms their calls keeps to it.
+#[tokio::test(start_paused = true)]
+async fn stage_calls() {
+    let relay = ready(Fake::default());
+    limit(&relay, Some(Duration::from_secs(1)));
+    let serving = (0..40).map(|number| {
+        let relay = relay.clone();
+        tokio::spawn(async move {
+            sleep(PAUSE * number).await;
+            relay.serve(request(&format!("q{number}"), "staged")).await;
+        })
+    });
+    let serving: Vec<_> = serving.collect();
+    sleep(Duration::from_secs(4)).await;
+    let calls = relay.downstream.carried().len();
+    assert!((6..=2 * 5).contains(&calls), "{calls}");
+    serving.iter().for_each(tokio::task::JoinHandle::abort);
+}
