--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -82,6 +82,17 @@
 /// Name of the soak of relays, beside those of the deployments.
 const RELAYS: &str = "relays";
 
+/// What is done to the cluster in the soak of relays of that name.
+fn trouble(name: &str) -> Option<Trouble> {
+    match name {
+        RELAYS => Some(Trouble::Drawn),
+        "poison" => Some(Trouble::Poison),
+        "limit" => Some(Trouble::Limit),
+        "restore" => Some(Trouble::Restore),
+        _ => None,
+    }
+}
+
 /// Soaks the deployments.
 #[derive(Debug)]
 pub struct Torture {
@@ -109,7 +120,7 @@
         options.optopt(
             "",
             "only",
-            "harness, proofreading or relays; all if not given",
+            "harness, proofreading, relays, poison, limit or restore; the first three if not given",
             "NAME",
         );
         options.optopt("", "logs", "directory for settings and logs", "DIR");
@@ -128,10 +139,13 @@
             return Err(Error::usage(message));
         }
         let only = matches.opt_str("only");
-        let known =
-            |name: &String| name == RELAYS || DEPLOYMENTS.iter().any(|one| one.name == name);
+        let known = |name: &String| {
+            trouble(name).is_some() || DEPLOYMENTS.iter().any(|one| one.name == name)
+        };
         if let Some(name) = only.as_ref().filter(|name| !known(name)) {
-            let message = format!("--only {name}: expected harness, proofreading or relays");
+            let message = format!(
+                "--only {name}: expected harness, proofreading, relays, poison, limit or restore"
+            );
             return Err(Error::usage(message));
         }
         Ok(Self {
@@ -153,13 +167,12 @@
         };
         let time = self.time / share as u32;
         let mut clean = true;
-        if wanted(RELAYS) {
-            let verdict = {
-                let logs = logs.join(RELAYS);
-                relays::soak(Trouble::Drawn, self.seed, time, logs, programs()?).await?
-            };
+        let name = self.only.as_deref().unwrap_or(RELAYS);
+        if let Some(trouble) = trouble(name) {
+            let soaking = relays::soak(trouble, self.seed, time, logs.join(name), programs()?);
+            let verdict = soaking.await?;
             clean &= verdict.is_clean();
-            report(RELAYS, self.seed, time, &verdict.counts, &verdict.trails)?;
+            report(name, self.seed, time, &verdict.counts, &verdict.trails)?;
         }
         let deployments = (0..).zip(&DEPLOYMENTS);
         for (number, deployment) in deployments.filter(|(_, one)| wanted(one.name)) {
--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -230,6 +230,14 @@
         keys.push(new);
     }
 
+    /// Writes the configuration in force once more.
+    pub fn configure_again(&self) {
+        let keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
+        let valid = keys.iter().filter(|key| key.until.is_none());
+        let valid: Vec<String> = valid.map(|key| key.text.clone()).collect();
+        self.store.configure(&config::plan(self.version, &valid));
+    }
+
     /// Waits until all relays take callers.
     ///
     /// # Errors
--- a/crates/ctl/src/torture/relays/fault.rs
+++ b/crates/ctl/src/torture/relays/fault.rs
@@ -8,7 +8,7 @@
 use crate::torture::schedule::{Pending, Schedule, Step};
 use crate::torture::world::{TABLE, World};
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -22,6 +22,12 @@
 const LENGTH_MS: std::ops::Range<u64> = 100..4_000;
 /// Time between two looks at runners that a request has ended.
 const TEND: Duration = Duration::from_millis(50);
+/// Rows that are lost with what was written last.
+const LOST: usize = 20;
+/// Age of the copy from which the table service comes back, in milliseconds, and the time between two
+/// entries that are written again after that.
+const BACK_MS: u64 = 3_000;
+const WRITTEN_AGAIN: Duration = Duration::from_millis(100);
 /// Time beyond its grace in which a process that was asked to stop must have ended: it may have been
 /// frozen meanwhile.
 const BEYOND: Duration = Duration::from_secs(6);
@@ -171,6 +177,64 @@
         Ok(())
     }
 
+    /// Has the table service come back from an older copy in the middle of a time. Shortly before, a
+    /// runner says that it leaves, and a key is replaced; both are written again after the return, as
+    /// all entries are, by and by. Another runner says that it leaves right after the return, while one
+    /// relay is cut off from the service until the versions that were lost have been given out again.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if a runner cannot be started again.
+    pub async fn restore(&mut self, time: Duration) -> Result<(), Error> {
+        self.wait(time / 4).await?;
+        let mut order: Vec<usize> = (0..self.cluster.targets.len()).collect();
+        order.shuffle(&mut self.rng);
+        let mut leaving = vec![order[0]];
+        self.leave(order[0]);
+        self.cluster.configure();
+        self.cluster.store.fill(LOST);
+        let before = Duration::from_millis(self.rng.random_range(100..BACK_MS));
+        self.wait(before).await?;
+        let cut = self.rng.random_range(0..self.cluster.relays.len());
+        let relay = self.cluster.relays[cut].0.id.clone();
+        self.world.disturb(&relay);
+        self.cluster.relays[cut].1.set(Mode::Cut);
+        self.away(Duration::from_millis(BACK_MS)).await?;
+        leaving.push(order[1]);
+        self.leave(order[1]);
+        for &number in &order {
+            self.wait(WRITTEN_AGAIN).await?;
+            self.cluster.list(number, leaving.contains(&number));
+        }
+        self.cluster.configure_again();
+        self.cluster.store.fill(LOST * 2);
+        self.cluster.relays[cut].1.set(Mode::Pass);
+        self.world.settle(&relay);
+        self.wait(time / 2).await?;
+        for number in leaving {
+            self.world.stay(&self.cluster.targets[number].id);
+            self.cluster.revive(number).await?;
+        }
+        Ok(())
+    }
+
+    fn leave(&self, number: usize) {
+        self.cluster.list(number, true);
+        self.world.leave(&self.cluster.targets[number].id);
+    }
+
+    /// The table service is away for a moment and comes back from a copy of so long ago.
+    async fn away(&mut self, ago: Duration) -> Result<(), Error> {
+        let away = Duration::from_millis(self.rng.random_range(100..1_000));
+        self.world.disturb(TABLE);
+        self.cluster.store.disturb(store::Trouble::Busy);
+        self.wait(away).await?;
+        self.cluster.store.restore(ago);
+        self.cluster.store.disturb(store::Trouble::None);
+        self.world.settle(TABLE);
+        Ok(())
+    }
+
     /// Waits until all runners are there that requests have ended.
     ///
     /// # Errors
--- a/crates/ctl/src/torture/relays/mod.rs
+++ b/crates/ctl/src/torture/relays/mod.rs
@@ -32,6 +32,8 @@
     Poison,
     /// A runner that names a limit, and no fault.
     Limit,
+    /// The table service comes back from an older copy, and no other fault.
+    Restore,
 }
 
 impl Trouble {
@@ -70,6 +72,7 @@
     match trouble {
         Trouble::Drawn => faults.run(time).await?,
         Trouble::Poison | Trouble::Limit => faults.wait(time).await?,
+        Trouble::Restore => faults.restore(time).await?,
     }
     let mut words = callers.await.map_err(|error| ended(&error))?;
     if let Some(poison) = poison {
