Relays notice a table service that comes back from an older copy

Cause: nothing read the era; revisions were taken for numbers that only grow. A relay that was cut off while the lost numbers were given out again read on behind them, and never heard of what had happened up to there: runners that had said that they leave went on to get work. Lists of the copy brought back runners that had left since.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -278,6 +278,12 @@
         self.fleet(|fleet| fleet.get(id).cloned()).flatten()
     }
 
+    /// Whether the runner takes work, or would but for a drain, just as this entry says.
+    #[must_use]
+    pub(crate) fn knows(&self, runner: &Runner) -> bool {
+        self.fleet(|fleet| fleet.knows(runner)).unwrap_or(false)
+    }
+
     /// Works on what is known of a service's runners.
     pub fn pool<T>(&self, service: &ServiceId, work: impl FnOnce(&mut Pool) -> T) -> T {
         work(lock(&self.pools).entry(service.clone()).or_default())
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -13,6 +13,8 @@
 pub struct Drains {
     /// Revision up to which the operator's changes are known.
     pub revision: RowRevision,
+    /// How often domains that had been kept drained beside what the table says were let go.
+    pub settled: u64,
     /// The failure domains.
     pub domains: BTreeSet<DomainId>,
 }
@@ -33,7 +35,8 @@
     pub fn drain(&self, drains: &Drains, origin: &str) {
         let changed = {
             let mut known = lock(&self.drains);
-            if drains.revision <= known.revision {
+            let order = |drains: &Drains| (drains.revision, drains.settled);
+            if order(drains) <= order(&known) {
                 return;
             }
             let changed = drains.domains != known.domains;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -13,6 +13,7 @@
 use serde::de::StdError;
 use slog::{info, warn};
 use snafu::Snafu;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use store::{Changes, Feed};
@@ -31,6 +32,10 @@
     most: Duration::from_millis(1_600),
 };
 
+/// Time within which runners and operators have written again what a table service has lost that came
+/// back from an older copy, with the time after which the entry of a silent runner lapses.
+pub(crate) const REWRITTEN: Duration = Duration::from_secs(5);
+
 /// A row that holds nothing usable.
 #[derive(Clone, Debug, PartialEq, Snafu)]
 #[snafu(display("unreadable: {reason}"))]
@@ -79,14 +84,22 @@
     let mut follower = Follower::new(&relay, source, S::PLANS, PACE);
     // As this table tells by itself: what peers have told may be newer, and changes to it older.
     let mut drains = Drains::default();
+    let mut kept = Kept::default();
     loop {
-        let changes = follower.next(&relay).await;
+        let changes = tokio::select! {
+            changes = follower.next(&relay) => changes,
+            () = until(kept.until) => Changes::default(),
+        };
         if changes.revision > 0 && follower.whole {
             drains = Drains::default();
         }
+        if changes.revision > 0 && follower.restored {
+            kept = Kept::new(relay.drains());
+        }
         drain::<S>(&mut drains, &changes);
+        kept.take::<S>(&changes, follower.restored);
         // Before the configuration: whoever knows one must not send work to a drained failure domain.
-        relay.drain(&drains, follower.origin());
+        relay.drain(&kept.with(&drains), follower.origin());
         for change in changes.rows {
             let Some(value) = &change.value else { continue };
             match S::plan(&change.key, value) {
@@ -101,6 +114,53 @@
     }
 }
 
+/// Failure domains that were drained when the table service came back from an older copy, which may not
+/// know of it yet. They stay drained until the operator has written it again or taken it back, or has
+/// had the time to.
+#[derive(Debug, Default)]
+struct Kept {
+    domains: BTreeSet<DomainId>,
+    until: Option<Instant>,
+    /// Times that they were over.
+    over: u64,
+}
+
+impl Kept {
+    fn new(drains: Drains) -> Self {
+        Self {
+            domains: drains.domains,
+            until: Some(Instant::now() + REWRITTEN),
+            over: drains.settled,
+        }
+    }
+
+    /// Takes in what has been written since, unless it is the copy itself.
+    fn take<S: Source>(&mut self, changes: &Changes, copy: bool) {
+        if self.until.is_some_and(|until| until <= Instant::now()) {
+            self.domains.clear();
+            self.until = None;
+            self.over += 1;
+        }
+        if !copy {
+            for domain in changes
+                .rows
+                .iter()
+                .filter_map(|change| S::drained(&change.key))
+            {
+                self.domains.remove(&domain);
+            }
+        }
+    }
+
+    /// What the table tells, with what is kept besides.
+    fn with(&self, drains: &Drains) -> Drains {
+        let mut drains = drains.clone();
+        drains.domains.extend(self.domains.iter().cloned());
+        drains.settled = self.over;
+        drains
+    }
+}
+
 fn drain<S: Source>(drains: &mut Drains, changes: &Changes) {
     drains.revision = drains.revision.max(changes.revision);
     for change in &changes.rows {
@@ -137,16 +197,19 @@
             news.extend(missing(&relay, &news));
         }
         let mut news = lapses.defer(news, follower.lapse());
+        if follower.restored {
+            news = lapses.doubt(&relay, news);
+        }
         news.extend(lapses.over());
         relay.update(news);
         relay.runners_known(relay.started() + follower.current());
     }
 }
 
-/// Runners whose entries are gone and may only have lapsed, with the moment at which they count as
-/// gone.
+/// Changes that count only if nothing else is told until a moment: entries that are gone may only have
+/// lapsed, and those of an older copy may be out of date.
 #[derive(Debug, Default)]
-struct Lapses(Map<RunnerId, Instant>);
+struct Lapses(Map<RunnerId, (Change, Instant)>);
 
 impl Lapses {
     /// The changes that count now; with `until`, the removal of a runner waits until then. An entry
@@ -157,7 +220,24 @@
             self.0.remove(id(&change));
             match (&change, until) {
                 (Change::Gone(id), Some(until)) => {
-                    self.0.insert(id.clone(), until);
+                    self.0.insert(id.clone(), (change, until));
+                }
+                _ => now.push(change),
+            }
+        }
+        now
+    }
+
+    /// The entries of a service that has come back from an older copy that count now. One that gives a
+    /// runner work which has none waits until the runner has written it again, or it has stayed for so
+    /// long that the runner must be there: it may have said that it leaves, or have gone, since the copy.
+    fn doubt<D: Downstream>(&mut self, relay: &Relay<D>, changes: Vec<Change>) -> Vec<Change> {
+        let until = Instant::now() + REWRITTEN;
+        let mut now = Vec::new();
+        for change in changes {
+            match &change {
+                Change::Listed(runner) if !runner.leaving && !relay.knows(runner) => {
+                    self.0.insert(runner.id.clone(), (change, until));
                 }
                 _ => now.push(change),
             }
@@ -166,17 +246,17 @@
     }
 
     fn due(&self) -> Option<Instant> {
-        self.0.values().min().copied()
+        self.0.values().map(|(_, until)| *until).min()
     }
 
-    /// Removals whose time has come.
+    /// Changes whose time has come.
     fn over(&mut self) -> Vec<Change> {
         let now = Instant::now();
         let over = |until: &Instant| *until <= now;
-        let gone = self.0.iter().filter(|(_, until)| over(until));
-        let gone: Vec<Change> = gone.map(|(id, _)| Change::Gone(id.clone())).collect();
-        self.0.retain(|_, until| !over(until));
-        gone
+        let due = self.0.values().filter(|(_, until)| over(until));
+        let due: Vec<Change> = due.map(|(change, _)| change.clone()).collect();
+        self.0.retain(|_, (_, until)| !over(until));
+        due
     }
 }
 
--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -8,9 +8,11 @@
 use crate::peer::tables::{Read, Table};
 use crate::telemetry::millis;
 use protocol::reader::{Reader, Take, Told};
+use rand::Rng;
 use slog::{info, warn};
 use std::sync::Arc;
 use std::time::Duration;
+use store::era::{self, Era};
 use store::{Changes, Miss, RowRevision};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
@@ -31,6 +33,9 @@
 /// together do not know one another yet, and would each take another one for the reader.
 const SETTLE: Duration = Duration::from_millis(1_500);
 
+/// Time over which processes spread their first readings of a service that came back from a copy.
+const SPREAD: Duration = Duration::from_millis(300);
+
 /// Where news came from that the table itself told.
 const TABLE: &str = "table";
 
@@ -57,6 +62,10 @@
     known: Arc<Table>,
     /// Whether the last changes are the whole table.
     pub(crate) whole: bool,
+    /// Whether they are the first of a table service that has come back from an older copy.
+    pub(crate) restored: bool,
+    /// Era of the last changes that were read.
+    era: Option<Era>,
     /// Pauses of the process before the last question that was answered.
     pauses: u64,
     /// When changes were read last, until the next question.
@@ -85,6 +94,8 @@
             table,
             pace,
             whole: false,
+            restored: false,
+            era: None,
             told: None,
             lost: None,
             lapse: None,
@@ -131,6 +142,12 @@
                         "table" => self.table, "after" => self.reader.after());
                     self.reader.forget();
                 }
+                Err(Miss::Restored) => {
+                    self.reader.forget();
+                    // All processes hear of it in the same moment, and each reads all tables.
+                    let spread = relay.random(|rng| rng.random_range(0.0..1.0));
+                    sleep(SPREAD.mul_f64(spread)).await;
+                }
                 Err(Miss::Failed { error }) => {
                     if self.lost.is_none() {
                         warn!(relay.log, "table service lost"; "table" => self.table, "error" => %error);
@@ -198,7 +215,7 @@
             Take::Apply => news.changes(),
         };
         self.lapse = self.lapse.max(lapse);
-        self.whole = false;
+        (self.whole, self.restored) = (false, false);
         Some(changes)
     }
 
@@ -219,9 +236,10 @@
             }
         };
         self.reader.read(changes.revision, relay.at(current));
+        self.note_era(relay, changes.revision);
         self.told = (!changes.rows.is_empty()).then(Instant::now);
         self.teller = None;
-        if self.lost.is_some() {
+        if self.lost.is_some() || self.restored {
             self.lapse = Some(Instant::now() + LAPSE);
         }
         self.known.publish(&Read {
@@ -233,6 +251,17 @@
         Ok(changes)
     }
 
+    fn note_era<D: Downstream>(&mut self, relay: &Relay<D>, revision: RowRevision) {
+        let era = era::of(revision);
+        let before = self.era.replace(era);
+        self.restored = self.whole && before.is_some_and(|before| before < era);
+        if self.restored {
+            warn!(relay.log, "table service back from an older copy"; "table" => self.table,
+                "era" => era, "before" => before);
+            relay.telemetry.era(era);
+        }
+    }
+
     /// Changes after a revision, with the latest moment at which nothing newer was there.
     async fn changes<D: Downstream>(
         &mut self,
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -50,6 +50,8 @@
 const TOLD: usize = 32;
 /// Fewest readers.
 const READERS: usize = 2;
+/// Mean time between two processes that write their rows again.
+const REWRITE_EVERY: Duration = Duration::from_millis(10);
 /// Longest pause between tries to write the own row.
 const PAUSE_MOST: Duration = Duration::from_millis(800);
 
@@ -214,7 +216,8 @@
     }
 }
 
-/// Writes the own row, however long the table service is away, and once more when all know of it.
+/// Writes the own row, however long the table service is away, once more when all know of it, and again
+/// whenever the service has come back from a copy that may not have it.
 pub async fn enlist<D: Downstream, T: Table>(relay: Arc<Relay<D>>, table: T) {
     let begun = Instant::now();
     let mut member = relay.options.member.clone();
@@ -235,6 +238,16 @@
         member.settled = true;
         write(&relay, &table, &member).await;
     }
+    loop {
+        relay.peers.rewrite.notified().await;
+        // All processes write again, on top of what all runners write.
+        let others = u32::try_from(relay.processes()).unwrap_or(u32::MAX);
+        let spread = relay.random(|rng| rng.random_range(0.0..1.0));
+        sleep((REWRITE_EVERY * others).mul_f64(spread)).await;
+        if write(&relay, &table, &member).await {
+            info!(relay.log, "own row written again");
+        }
+    }
 }
 
 /// Whether the row that an earlier start wrote says that all know of it. Not to know costs only a
@@ -291,11 +304,21 @@
     let mut follower = Follower::new(&relay, source, TABLE, PACE);
     loop {
         let mut changes = follower.next(&relay).await;
+        if follower.restored {
+            relay.peers.rewrite.notify_one();
+            quarantine::write_again(&relay);
+        }
         changes
             .rows
             .retain(|change| !quarantine::take(&relay, change));
         quarantine::forget_old(&relay);
         relay.peers.members(|members| {
+            if follower.restored {
+                // The copy may have an earlier start of a process; it writes its row again.
+                changes
+                    .rows
+                    .retain(|change| !members.others.contains_key(change.key.as_str()));
+            }
             for change in changes.rows {
                 take(&relay, members, &change);
             }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -25,7 +25,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tables::Tables;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, timeout};
 use tokio_util::task::TaskTracker;
 use wire::{Key, Sender};
@@ -48,6 +48,8 @@
     loads: Mutex<Map<Cell, (Waits, Instant)>>,
     held: Mutex<Map<Cell, Held>>,
     pub(crate) board: Board,
+    /// Wakes the task that writes the own row.
+    pub(crate) rewrite: Notify,
     /// What was read of the platform's tables.
     pub(crate) tables: Tables,
     /// Orders of other processes that are being carried out.
@@ -118,6 +120,7 @@
             loads: Mutex::default(),
             held: Mutex::default(),
             board: Board::default(),
+            rewrite: Notify::new(),
             tables: Tables::default(),
             orders: TaskTracker::new(),
         }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -246,6 +246,15 @@
     }
 }
 
+/// Has the rows written again that a table service lacks which came back from an older copy.
+pub(crate) fn write_again<D: Downstream>(relay: &Relay<D>) {
+    let suspicions = relay.suspicions().into_iter();
+    let held = suspicions.filter(|suspicion| suspicion.count >= protocol::quarantine::CRASHES);
+    for suspicion in held.filter(|suspicion| relay.tries(suspicion.content)) {
+        relay.quarantine.rewrite(suspicion.content);
+    }
+}
+
 /// Keeps the rows of requests that are held back until the task is dropped.
 pub async fn keep<D: Downstream, T: Table>(relay: Arc<Relay<D>>, table: T) {
     loop {
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -110,6 +110,14 @@
         }
     }
 
+    /// Whether an entry tells what is known of a runner that takes new work, or is parked.
+    #[must_use]
+    pub fn knows(&self, runner: &Runner) -> bool {
+        let working = self.runners.get(&runner.id).map(|known| &**known);
+        let known = working.or_else(|| self.parked.get(&runner.id));
+        known.is_some_and(|known| known.is_same(runner))
+    }
+
     /// The runner of that name, if it takes new work.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Arc<Runner>> {
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -6,6 +6,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use std::time::Duration;
+use store::era::Era;
 
 /// Workspaces with a label of their own; the rest share one. With 14 buckets and 32 classes a
 /// scrape stays under 2 MB whatever callers send.
@@ -38,6 +39,7 @@
     tables: Family<Answerer, Counter>,
     drained: Gauge,
     held: Gauge,
+    era: Gauge,
 }
 
 impl Telemetry {
@@ -58,6 +60,7 @@
             tables: Family::default(),
             drained: Gauge::default(),
             held: Gauge::default(),
+            era: Gauge::default(),
         };
         registry.register(
             "relay_requests",
@@ -94,9 +97,19 @@
             "Requests that are held back since runners ended under them",
             telemetry.held.clone(),
         );
+        registry.register(
+            "relay_store_era",
+            "Times that the table service has come back from an older copy, as far as it was seen",
+            telemetry.era.clone(),
+        );
         telemetry
     }
 
+    /// Sets the era of the table service.
+    pub fn era(&self, era: Era) {
+        self.era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of requests that are held back.
     pub fn held(&self, requests: usize) {
         self.held.set(i64::try_from(requests).unwrap_or(i64::MAX));
--- a/crates/relay/tests/cold_runners.rs
+++ b/crates/relay/tests/cold_runners.rs
@@ -147,6 +147,7 @@
     let relay = among(&[]).await;
     let drains = |revision, domains: &[&str]| Drains {
         revision,
+        settled: 0,
         domains: domains.iter().map(|domain| (*domain).into()).collect(),
     };
     relay.drain(&drains(1, &["a"]), "test");
--- a/crates/relay/tests/common/feed.rs
+++ b/crates/relay/tests/common/feed.rs
@@ -24,6 +24,8 @@
     Quiet,
     /// The history is gone.
     Gap,
+    /// The service has come back from an older copy.
+    Restored,
 }
 
 /// A feed that tells what it was given, question by question, and then nothing more.
@@ -46,6 +48,7 @@
                 })
             }
             Some(Told::Gap) => Err(Miss::Gap),
+            Some(Told::Restored) => Err(Miss::Restored),
             Some(Told::Away(time)) => {
                 sleep(time).await;
                 let reason = "away".to_owned();
@@ -75,7 +78,7 @@
         match self.next(Duration::from_secs(1)).await {
             Ok(changes) => Ok(changes),
             Err(Miss::Failed { error }) => Err(error),
-            Err(Miss::Gap) => panic!("a list has no gap"),
+            Err(Miss::Gap | Miss::Restored) => panic!("a list has no gap"),
         }
     }
 
--- a/crates/relay/tests/domain_drained.rs
+++ b/crates/relay/tests/domain_drained.rs
@@ -23,6 +23,7 @@
 fn drains(revision: RowRevision, domains: &[&str]) -> Drains {
     Drains {
         revision,
+        settled: 0,
         domains: domains.iter().map(|domain| (*domain).into()).collect(),
     }
 }
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -28,6 +28,10 @@
     /// The history since that revision is gone: the table must be read as a whole.
     #[snafu(display("history is gone"))]
     Gap,
+    /// The service has come back from an older copy since that revision: the table must be read as a
+    /// whole, and may lack what has not been written again yet.
+    #[snafu(display("back from an older copy"))]
+    Restored,
     /// The call failed; asking again is safe.
     #[snafu(display("{error}"))]
     Failed {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,6 +4,7 @@
 //! behind it.
 //!
 //! * [`table`]: the transactional table service
+//! * [`era`]: revisions of a service that comes back from an older copy
 //! * [`feed`]: following a table's changes
 //! * [`object`]: the object store
 //! * [`vm`]: the lagging list of live and leaving VMs
@@ -12,6 +13,7 @@
 //! * [`settle`]: commits a transaction even if its answer is lost
 
 pub mod client;
+pub mod era;
 pub mod feed;
 pub mod memory;
 pub mod object;
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -4,7 +4,8 @@
 use snafu::Snafu;
 use std::time::Duration;
 
-/// Number of a transaction of the table service; grows with each one that took effect.
+/// Number of a transaction of the table service, behind its era ([`crate::era`]); grows with each one
+/// that took effect.
 pub type RowRevision = u64;
 
 /// A row as the service keeps it.
