--- a/crates/ctl/tests/relay_soak.rs
+++ b/crates/ctl/tests/relay_soak.rs
@@ -2,8 +2,9 @@
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use ctl::torture::relays::{Trouble, soak};
-use std::path::{Path, PathBuf};
+mod soak;
+
+use ctl::torture::relays::Trouble;
 use std::time::Duration;
 
 /// Seeds that are played each time, with what they once showed.
@@ -22,19 +23,7 @@
 /// all is served soon after the last fault.
 #[test]
 fn relays() {
-    let programs = Path::new(env!("CARGO_BIN_EXE_linnetdriftd")).parent();
-    let runtime = tokio::runtime::Runtime::new().unwrap();
     for seed in SEEDS {
-        let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("relay_soak-{seed}"));
-        let soaking = soak(
-            Trouble::Drawn,
-            seed,
-            TIME,
-            logs,
-            programs.unwrap().to_owned(),
-        );
-        let verdict = runtime.block_on(soaking).unwrap();
-        assert!(verdict.is_clean(), "seed {seed}: {:#?}", verdict.trails);
-        assert!(verdict.counts.answered > 50, "{:?}", verdict.counts);
+        soak::clean(Trouble::Drawn, seed, TIME, 50);
     }
 }
--- a/crates/ctl/tests/restore_soak.rs
+++ b/crates/ctl/tests/restore_soak.rs
@@ -2,8 +2,9 @@
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use ctl::torture::relays::{Trouble, soak};
-use std::path::{Path, PathBuf};
+mod soak;
+
+use ctl::torture::relays::Trouble;
 use std::time::Duration;
 
 const SEED: u64 = 9;
@@ -15,17 +16,5 @@
 /// one that it knows, and sends work to a runner that has said that it leaves.
 #[test]
 fn older_copy() {
-    let programs = Path::new(env!("CARGO_BIN_EXE_linnetdriftd")).parent();
-    let runtime = tokio::runtime::Runtime::new().unwrap();
-    let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("restore_soak");
-    let soaking = soak(
-        Trouble::Restore,
-        SEED,
-        TIME,
-        logs,
-        programs.unwrap().to_owned(),
-    );
-    let verdict = runtime.block_on(soaking).unwrap();
-    assert!(verdict.is_clean(), "{:#?}", verdict.trails);
-    assert!(verdict.counts.answered > 100, "{:?}", verdict.counts);
+    soak::clean(Trouble::Restore, SEED, TIME, 100);
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -33,8 +33,8 @@
 };
 
 /// Time within which runners and operators have written again what a table service has lost that came
-/// back from an older copy, with the time after which the entry of a silent runner lapses.
-pub(crate) const REWRITTEN: Duration = Duration::from_secs(5);
+/// back from an older copy, with the time after which the entry of a silent runner deferred.
+pub(crate) const REWRITE_TIME: Duration = Duration::from_secs(5);
 
 /// A row that holds nothing usable.
 #[derive(Clone, Debug, PartialEq, Snafu)]
@@ -129,7 +129,7 @@
     fn new(drains: Drains) -> Self {
         Self {
             domains: drains.domains,
-            until: Some(Instant::now() + REWRITTEN),
+            until: Some(Instant::now() + REWRITE_TIME),
             over: drains.settled,
         }
     }
@@ -186,21 +186,21 @@
 /// Follows the list of runners until the task is dropped.
 pub async fn runners<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
     let mut follower = Follower::new(&relay, source, S::RUNNERS, PACE);
-    let mut lapses = Lapses::default();
+    let mut deferred = Deferred::default();
     loop {
         let changes = tokio::select! {
             changes = follower.next(&relay) => changes,
-            () = until(lapses.due()) => Changes::default(),
+            () = until(deferred.due()) => Changes::default(),
         };
         let mut news = read::<D, S>(&relay, &changes);
         if changes.revision > 0 && follower.whole {
             news.extend(missing(&relay, &news));
         }
-        let mut news = lapses.defer(news, follower.lapse());
+        let mut news = deferred.defer(news, follower.lapse());
         if follower.restored {
-            news = lapses.doubt(&relay, news);
+            news = deferred.defer_unconfirmed(&relay, news);
         }
-        news.extend(lapses.over());
+        news.extend(deferred.over());
         relay.update(news);
         relay.runners_known(relay.started() + follower.current());
     }
@@ -209,9 +209,9 @@
 /// Changes that count only if nothing else is told until a moment: entries that are gone may only have
 /// lapsed, and those of an older copy may be out of date.
 #[derive(Debug, Default)]
-struct Lapses(Map<RunnerId, (Change, Instant)>);
+struct Deferred(Map<RunnerId, (Change, Instant)>);
 
-impl Lapses {
+impl Deferred {
     /// The changes that count now; with `until`, the removal of a runner waits until then. An entry
     /// that comes back ends the wait, also where both are told at once.
     fn defer(&mut self, changes: Vec<Change>, until: Option<Instant>) -> Vec<Change> {
@@ -231,8 +231,12 @@
     /// The entries of a service that has come back from an older copy that count now. One that gives a
     /// runner work which has none waits until the runner has written it again, or it has stayed for so
     /// long that the runner must be there: it may have said that it leaves, or have gone, since the copy.
-    fn doubt<D: Downstream>(&mut self, relay: &Relay<D>, changes: Vec<Change>) -> Vec<Change> {
-        let until = Instant::now() + REWRITTEN;
+    fn defer_unconfirmed<D: Downstream>(
+        &mut self,
+        relay: &Relay<D>,
+        changes: Vec<Change>,
+    ) -> Vec<Change> {
+        let until = Instant::now() + REWRITE_TIME;
         let mut now = Vec::new();
         for change in changes {
             match &change {
--- a/crates/relay/src/limit.rs
+++ b/crates/relay/src/limit.rs
@@ -126,7 +126,7 @@
 
 /// Whether this process is one of those that may send to a runner, and its gap is over.
 fn is_open(members: &Members, id: &str, spacing: Duration, sent: Instant) -> bool {
-    // Before the others are listed, an equal part is as good as any.
+    // Before the others are listed there may be any number of them.
     let processes = members.count().unwrap_or(usize::MAX);
     let share = Share::spaced(spacing, processes);
     members.has_place(&share, id) && sent.elapsed() >= share.gap
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -72,7 +72,7 @@
         for report in reports {
             info!(self.log, "runner ended under a request"; "runner" => &*runner.id,
                 "content" => content_name(report.content), "crashes" => report.count);
-            self.take_in(&report);
+            self.pass_on(&report);
             if report.count >= protocol::quarantine::CRASHES {
                 self.quarantine.rewrite(report.content);
             }
@@ -92,12 +92,12 @@
         let Some(known) = known else { return };
         info!(self.log, "suspect told"; "content" => content_name(known.content),
             "crashes" => known.count, "from" => origin);
-        self.take_in(&known);
+        self.pass_on(&known);
     }
 
-    /// Tells the others of a suspect: each passes on what is new to it, so that all hear of it that
+    /// Tells the linked processes of a suspect. Each passes on what is new to it, so that all hear of it that
     /// any link leads to.
-    fn take_in(&self, report: &Suspicion) {
+    fn pass_on(&self, report: &Suspicion) {
         self.telemetry.held(lock(&self.quarantine.known).held());
         self.peers.announce_suspicion(report);
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -11,6 +11,7 @@
     Batch, Call, Failure, Handle, Item, Made, NotRun, Reply, Source as Origin,
 };
 use relay::member::Member;
+use relay::peer::{self, Frame};
 use relay::plan::{Batches, Kind, Limits, Route, Service, Share, Stage, Workspace};
 use relay::request::{Broken, Message};
 use relay::telemetry::Telemetry;
@@ -494,6 +495,16 @@
     (answer.status, String::from_utf8(text).expect("text"), whole)
 }
 
+/// A link to a relay, as another process has one.
+pub(crate) async fn link(relay: &Arc<Relay<Fake>>) -> (wire::Sender<Frame>, wire::Receiver<Frame>) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let key = wire::Key::new("key");
+    let listener = wire::Listener::bind(any, key.clone()).await.expect("bound");
+    let address = listener.address().expect("bound");
+    tokio::spawn(peer::serve(relay.clone(), listener));
+    wire::connect(address, &key).await.expect("linked")
+}
+
 /// Source of an item's piece, for matching.
 pub(crate) fn inputs(item: &Item) -> usize {
     match &item.source {
--- a/crates/relay/tests/domain_drained.rs
+++ b/crates/relay/tests/domain_drained.rs
@@ -154,15 +154,8 @@
 /// from a peer, or it would go on to send work there for as long as the outage lasts.
 #[tokio::test]
 async fn told_by_a_peer() {
-    let any = "127.0.0.1:0".parse().expect("an address");
-    let key = wire::Key::new("key");
-    let listener = wire::Listener::bind(any, key.clone()).await.expect("bound");
-    let address = listener.address().expect("bound");
     let relay = ready(Fake::default());
-    tokio::spawn(peer::serve(relay.clone(), listener));
-    let (sender, mut receiver) = wire::connect::<peer::Frame>(address, &key)
-        .await
-        .expect("linked");
+    let (sender, mut receiver) = common::link(&relay).await;
     let frame = peer::Frame::Drains(drains(5, &[DOMAIN]));
     sender.send(frame.clone()).await.expect("linked");
     loop {
--- a/crates/relay/tests/poison_request.rs
+++ b/crates/relay/tests/poison_request.rs
@@ -322,15 +322,8 @@
 /// would hold the request back.
 #[tokio::test]
 async fn told_by_peers() {
-    let any = "127.0.0.1:0".parse().expect("an address");
-    let key = wire::Key::new("key");
-    let listener = wire::Listener::bind(any, key.clone()).await.expect("bound");
-    let address = listener.address().expect("bound");
     let relay = relay();
-    tokio::spawn(peer::serve(relay.clone(), listener));
-    let (sender, mut receiver) = wire::connect::<peer::Frame>(address, &key)
-        .await
-        .expect("linked");
+    let (sender, mut receiver) = common::link(&relay).await;
     let content = poison("q").content(Some("coop"));
     for number in 1..=3 {
         let crash = Crash {
--- a/crates/relay/tests/runner_limit.rs
+++ b/crates/relay/tests/runner_limit.rs
@@ -86,16 +86,9 @@
 /// that the limit is over: the others tell.
 #[tokio::test]
 async fn told_by_peers() {
-    let any = "127.0.0.1:0".parse().expect("an address");
-    let key = wire::Key::new("key");
-    let listener = wire::Listener::bind(any, key.clone()).await.expect("bound");
-    let address = listener.address().expect("bound");
     let relay = ready(Fake::default());
     relay.peers.members(Members::listed);
-    tokio::spawn(peer::serve(relay.clone(), listener));
-    let (sender, mut receiver) = wire::connect::<peer::Frame>(address, &key)
-        .await
-        .expect("linked");
+    let (sender, mut receiver) = common::link(&relay).await;
     let mut status = Vec::new();
     let turns = [
         (Some(Duration::from_secs(1_000)), Duration::from_millis(20)),
