A request that is held back is tried again after five seconds, then four times as late each time

Isolating them at the time of a crash was weighed: a crash does not say which of its requests did it.

--- a/crates/ctl/tests/relay_soak.rs
+++ b/crates/ctl/tests/relay_soak.rs
@@ -27,3 +27,10 @@
         soak::clean(Trouble::Drawn, seed, TIME, 50);
     }
 }
+
+/// A poison request ended all runners of a service one after the other, with each of them a popular one
+/// that was held back as well, for a minute at all relays.
+#[test]
+fn popular_beside_poison_soak() {
+    soak::clean(Trouble::Drawn, 12, Duration::from_secs(15), 50);
+}
--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -20,12 +20,15 @@
 const APART: Duration = Duration::from_millis(250);
 /// Time after the loss of an answer in which the end of its runner is put down to the request.
 const WITNESS: Duration = Duration::from_secs(5);
-/// How long a request is held back at first; twice as long after each further crash.
-const HOLD: Duration = Duration::from_secs(60);
-/// Crashes that make it longer.
-const DOUBLINGS: u32 = 5;
-/// Time that one trial may take, before the next.
-const TRIAL: Duration = Duration::from_secs(10);
+/// How long a request is held back at first, and by what factor that grows with each trial. Where few
+/// runners serve popular requests, one that ends them all makes suspects of the others; they must be
+/// back soon, and what deserves it must end few runners more.
+const HOLD: Duration = Duration::from_secs(5);
+const GROWTH: u32 = 4;
+/// Trials that make it longer.
+const GROWTHS: u32 = 5;
+/// How long a caller is told to wait where another process makes the trial.
+const TRIAL: Duration = Duration::from_secs(5);
 /// Time after which a suspect is forgotten that nobody asks for.
 const LIFE: Duration = Duration::from_secs(3_600);
 /// What is added to moments of crashes, which may lie before the start of the process.
@@ -71,6 +74,8 @@
     /// Runners that it has ended, with the moments of those that count.
     crashes: VecDeque<(R, Option<Duration>)>,
     count: u32,
+    /// Times that it has been tried again.
+    trials: u32,
     /// When it is due for a trial.
     until: Duration,
     /// When it was last heard of.
@@ -82,6 +87,7 @@
         Self {
             crashes: VecDeque::new(),
             count: 0,
+            trials: 0,
             until: now,
             heard: now,
         }
@@ -103,7 +109,7 @@
     }
 
     fn hold(&self) -> Duration {
-        HOLD * 2_u32.pow(self.count.saturating_sub(CRASHES).min(DOUBLINGS))
+        HOLD * GROWTH.pow(self.trials.min(GROWTHS))
     }
 }
 
@@ -269,11 +275,11 @@
         }
     }
 
-    /// A request that is due is sent to a runner. Unless that says otherwise, the next trial comes
-    /// when this one must be over.
+    /// A request that is due is sent to a runner. Unless that answers, the next trial comes later.
     pub fn begin_trial(&mut self, content: ContentId, now: Duration) {
         if let Some(suspect) = self.suspects.get_mut(&content) {
-            suspect.until = now + TRIAL;
+            suspect.trials += 1;
+            suspect.until = now + suspect.hold();
             suspect.heard = now;
         }
     }
