--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -58,6 +58,14 @@
     pub count: u32,
 }
 
+impl<R> Report<R> {
+    /// Whether the request is held back.
+    #[must_use]
+    pub fn is_held(&self) -> bool {
+        self.count >= CRASHES
+    }
+}
+
 /// Whether a request may be sent to a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Pass {
@@ -108,6 +116,10 @@
         true
     }
 
+    fn is_held(&self) -> bool {
+        self.count >= CRASHES
+    }
+
     fn hold(&self) -> Duration {
         HOLD * GROWTH.pow(self.trials.min(GROWTHS))
     }
@@ -232,7 +244,7 @@
         }
         suspect.count = suspect.count.max(count);
         suspect.heard = now;
-        if suspect.count > before && suspect.count >= CRASHES {
+        if suspect.count > before && suspect.is_held() {
             suspect.until = suspect.until.max(now + suspect.hold());
         }
         news || suspect.count > before
@@ -258,7 +270,7 @@
         if self.cleared.len() < MOST {
             self.cleared.insert(content, now);
         }
-        Some(suspect.count >= CRASHES)
+        Some(suspect.is_held())
     }
 
     /// Whether a request may be sent to a runner now, by a process that tries requests that are due, or
@@ -266,7 +278,7 @@
     #[must_use]
     pub fn pass(&self, content: ContentId, tries: bool, now: Duration) -> Pass {
         let held = self.suspects.get(&content);
-        let held = held.filter(|suspect| suspect.count >= CRASHES);
+        let held = held.filter(|suspect| suspect.is_held());
         match held.map(|suspect| suspect.until.saturating_sub(now)) {
             None => Pass::Free,
             Some(Duration::ZERO) if tries => Pass::Trial,
@@ -322,7 +334,7 @@
         let mut held = Vec::new();
         self.suspects.retain(|content, suspect| {
             let old = old(suspect);
-            if old && suspect.count >= CRASHES {
+            if old && suspect.is_held() {
                 held.push(*content);
             }
             !old
@@ -334,6 +346,6 @@
     #[must_use]
     pub fn held(&self) -> usize {
         let suspects = self.suspects.values();
-        suspects.filter(|suspect| suspect.count >= CRASHES).count()
+        suspects.filter(|suspect| suspect.is_held()).count()
     }
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -33,7 +33,7 @@
 };
 
 /// Time within which runners and operators have written again what a table service has lost that came
-/// back from an older copy, with the time after which the entry of a silent runner deferred.
+/// back from an older copy, with the time after which the entry of a silent runner lapses.
 pub(crate) const REWRITE_TIME: Duration = Duration::from_secs(5);
 
 /// A row that holds nothing usable.
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -146,7 +146,7 @@
             id: own.id.clone(),
             incarnation: own.incarnation,
         };
-        lock(&self.voices).retain(|voice| voice.try_send(&leaving).is_ok());
+        self.tell_all(&leaving);
     }
 
     /// Waits until the orders of other processes have been carried out.
@@ -157,30 +157,32 @@
 
     /// Tells all linked processes which configuration is in force here.
     pub fn announce(&self, version: Version) {
-        lock(&self.voices).retain(|voice| voice.try_send(&Frame::Version(version)).is_ok());
+        self.tell_all(&Frame::Version(version));
     }
 
     /// Tells all linked processes which failure domains are drained.
     pub fn announce_drains(&self, drains: &Drains) {
-        let frame = Frame::Drains(drains.clone());
-        lock(&self.voices).retain(|voice| voice.try_send(&frame).is_ok());
+        self.tell_all(&Frame::Drains(drains.clone()));
     }
 
     /// Tells all linked processes of a request that ends runners.
     pub(crate) fn announce_suspicion(&self, suspicion: &Suspicion) {
-        let frame = Frame::Suspicion(suspicion.clone());
-        lock(&self.voices).retain(|voice| voice.try_send(&frame).is_ok());
+        self.tell_all(&Frame::Suspicion(suspicion.clone()));
     }
 
     /// Tells all linked processes that a request was answered that had ended runners.
     pub(crate) fn announce_cleared(&self, content: ContentId) {
-        lock(&self.voices).retain(|voice| voice.try_send(&Frame::Cleared(content)).is_ok());
+        self.tell_all(&Frame::Cleared(content));
     }
 
     /// Tells all linked processes of a runner's limit.
     pub(crate) fn announce_limit(&self, notice: &Notice) {
-        let frame = Frame::Limit(notice.clone());
-        lock(&self.voices).retain(|voice| voice.try_send(&frame).is_ok());
+        self.tell_all(&Frame::Limit(notice.clone()));
+    }
+
+    /// Links that are gone, or too full to be told, are told nothing more.
+    fn tell_all(&self, frame: &Frame) {
+        lock(&self.voices).retain(|voice| voice.try_send(frame).is_ok());
     }
 
     /// From now on this process is told of what is announced.
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -73,7 +73,7 @@
             info!(self.log, "runner ended under a request"; "runner" => &*runner.id,
                 "content" => content_name(report.content), "crashes" => report.count);
             self.pass_on(&report);
-            if report.count >= protocol::quarantine::CRASHES {
+            if report.is_held() {
                 self.quarantine.rewrite(report.content);
             }
         }
@@ -177,12 +177,14 @@
 /// # Errors
 ///
 /// [`Refusal::Poison`] if it is held back.
-pub(crate) fn admit<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
-    let Pass::Held(retry_after) = job.relay.pass(job.content) else {
-        return Ok(());
-    };
-    lock(&job.relay.quarantine.known).asked(job.content, job.relay.now());
-    Err(Refusal::Poison { retry_after })
+pub(crate) fn admit<D: Downstream>(job: &Job<D>) -> Result<Pass, Refusal> {
+    match job.relay.pass(job.content) {
+        Pass::Held(retry_after) => {
+            lock(&job.relay.quarantine.known).asked(job.content, job.relay.now());
+            Err(Refusal::Poison { retry_after })
+        }
+        pass => Ok(pass),
+    }
 }
 
 /// Whether a request may be sent to a runner now; counts it as the trial if it is one.
@@ -193,8 +195,7 @@
 ///
 /// As [`admit`].
 pub(crate) fn begin<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
-    admit(job)?;
-    if job.relay.pass(job.content) == Pass::Trial {
+    if admit(job)? == Pass::Trial {
         info!(job.relay.log, "poison request tried again"; "request" => &*job.request.id,
             "content" => content_name(job.content));
         lock(&job.relay.quarantine.known).begin_trial(job.content, job.relay.now());
@@ -249,7 +250,7 @@
 /// Has the rows written again that a table service lacks which came back from an older copy.
 pub(crate) fn write_again<D: Downstream>(relay: &Relay<D>) {
     let suspicions = relay.suspicions().into_iter();
-    let held = suspicions.filter(|suspicion| suspicion.count >= protocol::quarantine::CRASHES);
+    let held = suspicions.filter(Report::is_held);
     for suspicion in held.filter(|suspicion| relay.tries(suspicion.content)) {
         relay.quarantine.rewrite(suspicion.content);
     }
@@ -279,7 +280,7 @@
 /// The row of a request as it should be; none if it is not held back.
 fn write<D: Downstream>(relay: &Relay<D>, content: ContentId) -> Transaction {
     let report = lock(&relay.quarantine.known).report(content, relay.now());
-    let held = report.filter(|report| report.count >= protocol::quarantine::CRASHES);
+    let held = report.filter(Report::is_held);
     let row = held.map(|report| {
         serde_json::json!(Row {
             crashes: report.count
