--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod feed;
+pub(crate) mod link;
 pub(crate) mod stage;
 
 use bytes::Bytes;
@@ -11,7 +12,6 @@
     Batch, Call, Failure, Handle, Item, Made, NotRun, Reply, Source as Origin,
 };
 use relay::member::Member;
-use relay::peer::{self, Frame};
 use relay::plan::{Batches, Kind, Limits, Route, Service, Share, Stage, Workspace};
 use relay::request::{Broken, Message};
 use relay::telemetry::Telemetry;
@@ -495,16 +495,6 @@
     (answer.status, String::from_utf8(text).expect("text"), whole)
 }
 
-/// A link to a relay, as another process has one.
-pub(crate) async fn link(relay: &Arc<Relay<Fake>>) -> (wire::Sender<Frame>, wire::Receiver<Frame>) {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let key = wire::Key::new("key");
-    let listener = wire::Listener::bind(any, key.clone()).await.expect("bound");
-    let address = listener.address().expect("bound");
-    tokio::spawn(peer::serve(relay.clone(), listener));
-    wire::connect(address, &key).await.expect("linked")
-}
-
 /// Source of an item's piece, for matching.
 pub(crate) fn inputs(item: &Item) -> usize {
     match &item.source {
--- a/crates/relay/tests/domain_drained.rs
+++ b/crates/relay/tests/domain_drained.rs
@@ -155,7 +155,7 @@
 #[tokio::test]
 async fn told_by_a_peer() {
     let relay = ready(Fake::default());
-    let (sender, mut receiver) = common::link(&relay).await;
+    let (sender, mut receiver) = common::link::open(&relay).await;
     let frame = peer::Frame::Drains(drains(5, &[DOMAIN]));
     sender.send(frame.clone()).await.expect("linked");
     loop {
--- a/crates/relay/tests/poison_request.rs
+++ b/crates/relay/tests/poison_request.rs
@@ -347,7 +347,7 @@
 #[tokio::test]
 async fn told_by_peers() {
     let relay = relay();
-    let (sender, mut receiver) = common::link(&relay).await;
+    let (sender, mut receiver) = common::link::open(&relay).await;
     let content = poison("q").content(Some("coop"));
     for number in 1..=3 {
         let crash = Crash {
--- a/crates/relay/tests/runner_limit.rs
+++ b/crates/relay/tests/runner_limit.rs
@@ -88,7 +88,7 @@
 async fn told_by_peers() {
     let relay = ready(Fake::default());
     relay.peers.members(Members::listed);
-    let (sender, mut receiver) = common::link(&relay).await;
+    let (sender, mut receiver) = common::link::open(&relay).await;
     let mut status = Vec::new();
     let turns = [
         (Some(Duration::from_secs(1_000)), Duration::from_millis(20)),
