--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -3,24 +3,24 @@
 
 pub(crate) mod feed;
 pub(crate) mod link;
+mod parts;
 pub(crate) mod stage;
 
 use bytes::Bytes;
 use decide::retry::window::Bound;
-use futures::stream::{self, Stream};
+use parts::{Parts, parts};
 use relay::downstream::{
     Batch, Call, Failure, Handle, Item, Made, NotRun, Reply, Source as Origin,
 };
 use relay::member::Member;
 use relay::plan::{Batches, Kind, Limits, Route, Service, Share, Stage, Workspace};
-use relay::request::{Broken, Message};
+use relay::request::Message;
 use relay::telemetry::Telemetry;
 use relay::{Downstream, Options, Plan, Relay, Request, Runner};
 use serde_json::{Value, json};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -250,30 +250,6 @@
     }
 }
 
-type Parts = Pin<Box<dyn Stream<Item = Result<Bytes, Broken>> + Send>>;
-
-fn parts(parts: Vec<&'static str>, end: End) -> Parts {
-    let parts = parts
-        .into_iter()
-        .map(|part| Ok(Bytes::from_static(part.as_bytes())));
-    let parts = stream::iter(parts);
-    let parts = futures::StreamExt::then(parts, |part| async {
-        sleep(Duration::from_millis(10)).await;
-        part
-    });
-    let broken = Broken {
-        reason: "reset".to_owned(),
-    };
-    match end {
-        End::Whole => Box::pin(parts),
-        End::Broken => Box::pin(futures::StreamExt::chain(
-            parts,
-            stream::iter([Err(broken)]),
-        )),
-        End::Silent => Box::pin(futures::StreamExt::chain(parts, stream::pending())),
-    }
-}
-
 impl Downstream for Fake {
     type Body = Parts;
 
--- /dev/null
+++ b/crates/relay/tests/common/parts.rs
@@ -0,0 +1,35 @@
+//! Bodies of the fake's answers.
+
+use super::End;
+use bytes::Bytes;
+use futures::stream::{self, Stream};
+use relay::request::Broken;
+use std::pin::Pin;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Body of an answer.
+pub(crate) type Parts = Pin<Box<dyn Stream<Item = Result<Bytes, Broken>> + Send>>;
+
+/// Parts that come one every 10 ms.
+pub(crate) fn parts(parts: Vec<&'static str>, end: End) -> Parts {
+    let parts = parts
+        .into_iter()
+        .map(|part| Ok(Bytes::from_static(part.as_bytes())));
+    let parts = stream::iter(parts);
+    let parts = futures::StreamExt::then(parts, |part| async {
+        sleep(Duration::from_millis(10)).await;
+        part
+    });
+    let broken = Broken {
+        reason: "reset".to_owned(),
+    };
+    match end {
+        End::Whole => Box::pin(parts),
+        End::Broken => Box::pin(futures::StreamExt::chain(
+            parts,
+            stream::iter([Err(broken)]),
+        )),
+        End::Silent => Box::pin(futures::StreamExt::chain(parts, stream::pending())),
+    }
+}
