--- a/crates/ctl/tests/bench/mod.rs
+++ b/crates/ctl/tests/bench/mod.rs
@@ -199,5 +199,9 @@
 
 /// Waits until a condition holds.
 pub(crate) async fn until(what: &str, holds: impl AsyncFn() -> bool) {
-    probe::until(what, || holds()).await.unwrap();
+    let bounded = || async {
+        let answer = tokio::time::timeout(probe::LIMIT, holds()).await;
+        answer.unwrap_or_else(|_| panic!("no answer while waiting until {what}"))
+    };
+    probe::until(what, bounded).await.unwrap();
 }
--- a/crates/ctl/tests/model_routing.rs
+++ b/crates/ctl/tests/model_routing.rs
@@ -97,3 +97,18 @@
     assert_eq!(bench.models(0).await, json!(["new"]));
     bench.stop();
 }
+
+/// Guards against a model that is never loaded since only callers of another entry than the lease
+/// holder ask for it.
+#[tokio::test]
+async fn wanted_elsewhere() {
+    let bench = Bench::start("elsewhere", false, &[&[]]).await;
+    let records = json!([service(false, &[("new", 0)]), pipeline(1, "new")]);
+    bench.apply(0, &records).await;
+    let other = 1 - bench.holder().await;
+    until("version 1 serves", async || {
+        run(&bench, other, 1).await.status == 200
+    })
+    .await;
+    bench.stop();
+}
