Models that callers of any entry lack reach the lease holder with the engines' answers

Cause of the hang of wanted_model: demand for a model was known only from an entry's own calls, times the number of entries. A model that nobody has is asked for where its callers are; if another entry holds the lease, it sees no demand and orders nothing, and the accepted call waits as long as a record declares the model. Ruled out: the order lost on its way (none was planned), the engine's first word (it came).

Entries name what was lacked in the question that they send each engine every second, the agent passes it on for five seconds, and the plan counts it as one refused call. News between entries was weighed and not taken: its address is optional, and the engines that an entry is linked with are the ones that count.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -322,7 +322,14 @@
     }
 
     /// Tells an entry what the engine holds.
-    pub(crate) fn query(&self, number: u64, fence: Option<protocol::Fence>, sender: &Sender) {
+    pub(crate) fn query(
+        &self,
+        number: u64,
+        fence: Option<protocol::Fence>,
+        wanted: Vec<String>,
+        sender: &Sender,
+    ) {
+        self.guard.engine.want(wanted);
         let (guard, sender) = (self.guard.clone(), sender.clone());
         tokio::spawn(async move {
             let models = guard.ask(fence).await;
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -41,7 +41,11 @@
         Frame::Cancel { call } => core.cancel(call).await,
         Frame::Recall { call, from } => core.recall(link, sender, call, from).await,
         Frame::Order { fence, body } => core.order(fence, body, sender).await,
-        Frame::Query { number, fence } => core.query(number, fence, sender),
+        Frame::Query {
+            number,
+            fence,
+            wanted,
+        } => core.query(number, fence, wanted, sender),
         _ => drop(core.telemetry.strays.inc()),
     }
 }
--- a/crates/agent/src/models.rs
+++ b/crates/agent/src/models.rs
@@ -5,13 +5,18 @@
 use hyper::StatusCode;
 use protocol::fence::{Fence, Verdict};
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use wire::Models;
 
 /// Longest wait for the engine's answer. An engine that hangs would otherwise gather questions.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// Time for which a model counts as wanted after an entry has said so. Entries ask every second.
+const WANTED_TTL: Duration = Duration::from_secs(5);
+/// Most models that count as wanted at a time.
+const MAX_WANTED: usize = 64;
 
 /// Answer of `GET /v1/models`, as far as it matters here.
 #[derive(Deserialize)]
@@ -44,6 +49,8 @@
 struct State {
     fence: Fence,
     order: Option<Order>,
+    /// Models that callers lack, with the time at which an entry last said so.
+    wanted: BTreeMap<String, Instant>,
 }
 
 impl Engine {
@@ -70,6 +77,25 @@
         self.lock().order.take();
     }
 
+    /// Takes in models that callers of an entry lack. Only the lease holder gives orders, and the
+    /// callers of another entry may be the only ones who ask for a model.
+    pub(crate) fn want(&self, models: impl IntoIterator<Item = String>) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        state.wanted.retain(|_, at| *at + WANTED_TTL > now);
+        for model in models {
+            if state.wanted.len() < MAX_WANTED || state.wanted.contains_key(&model) {
+                state.wanted.insert(model, now);
+            }
+        }
+    }
+
+    fn wanted(&self) -> Vec<String> {
+        let mut state = self.lock();
+        state.wanted.retain(|_, at| at.elapsed() < WANTED_TTL);
+        state.wanted.keys().cloned().collect()
+    }
+
     fn order(&self) -> Option<Order> {
         self.lock().order.clone()
     }
@@ -91,7 +117,12 @@
     let leaving = about("unload");
     warm.retain(|model| leaving != Some(model.as_str()));
     let loading = about("load").map(str::to_owned);
-    Some(Models { warm, loading })
+    let wanted = engine.wanted();
+    Some(Models {
+        warm,
+        loading,
+        wanted,
+    })
 }
 
 async fn loaded(runner: &Runner) -> Option<Vec<String>> {
--- a/crates/agent/tests/engine_models.rs
+++ b/crates/agent/tests/engine_models.rs
@@ -8,7 +8,23 @@
 use wire::{Frame, Models, Receiver, Sender};
 
 async fn ask(link: &mut (Sender, Receiver), number: u64, fence: Option<u64>) -> Option<Models> {
-    link.0.send(Frame::Query { number, fence }).await.unwrap();
+    ask_for(link, number, fence, &[]).await
+}
+
+/// Asks as an entry whose callers lack some models.
+async fn ask_for(
+    link: &mut (Sender, Receiver),
+    number: u64,
+    fence: Option<u64>,
+    wanted: &[&str],
+) -> Option<Models> {
+    let wanted = wanted.iter().map(|model| (*model).to_owned()).collect();
+    let query = Frame::Query {
+        number,
+        fence,
+        wanted,
+    };
+    link.0.send(query).await.unwrap();
     match next(&mut link.1).await {
         Frame::Models { number: of, models } if of == number => models,
         other => panic!("{other:?}"),
@@ -38,6 +54,16 @@
     assert_eq!(ask(&mut other, 8, None).await.unwrap().loading, None);
 }
 
+/// Guards against a lease holder that never learns what only another entry's callers ask for.
+#[tokio::test]
+async fn wanted_passed_on() {
+    let runner = Runner::start().await;
+    let agent = Agent::start(settings(runner.address)).await;
+    let (mut one, mut other) = (agent.link().await, agent.link().await);
+    assert!(ask_for(&mut one, 1, None, &["new"]).await.is_some());
+    assert_eq!(ask(&mut other, 1, None).await.unwrap().wanted, ["new"]);
+}
+
 /// The engine is away. The agent must not tell an empty list, which would pass for an engine that
 /// is free for any model.
 #[tokio::test]
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -73,6 +73,8 @@
     pub loading: Option<String>,
     /// Whether an order is open, so that no other may be sent.
     pub busy: bool,
+    /// Models that callers of any entry have lately lacked.
+    pub wanted: Vec<String>,
 }
 
 /// What is known of one target's engine.
@@ -241,6 +243,7 @@
                 .map(|order| order.model.clone())
                 .or_else(|| held.models.loading.clone()),
             busy: order.is_some(),
+            wanted: held.models.wanted.clone(),
         }
     }
 }
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -46,7 +46,10 @@
     for name in names {
         let service = core.services.get(&name);
         let targets = service.targets();
-        targets.iter().for_each(|target| target.query(held));
+        let missed = service.take_missed();
+        for target in &targets {
+            target.query(held, missed.iter().cloned());
+        }
         let busy = service.take_busy();
         let Some(record) = set.service(&name) else {
             continue;
@@ -56,7 +59,7 @@
             continue;
         };
         let fleet = Fleet::survey(&targets, &set, fence);
-        let demand = fleet::demand(record, &busy, span, entries);
+        let demand = fleet.demand(record, &busy, span, entries);
         for (target, order) in planner.plan(&name, &demand, &fleet) {
             order::give(core, target, order);
         }
--- a/crates/entry/src/placement/fleet.rs
+++ b/crates/entry/src/placement/fleet.rs
@@ -1,6 +1,7 @@
 //! One service's engines and what they hold, as the plan needs to know it.
 
 use crate::engine::View;
+use crate::service::models::MISSED;
 use crate::target::Target;
 use decide::place::{self, ModelName};
 use decide::route::TargetId;
@@ -65,31 +66,48 @@
             .filter(|view| view.warm.iter().any(|warm| warm == model))
             .count()
     }
-}
 
-/// The declared models with their demand.
-///
-/// This entry knows only of its own calls. The balancer spreads callers over all entries, so that
-/// the others are taken to have as many.
-#[must_use]
-pub fn demand(
-    service: &Service,
-    busy: &Map<String, Duration>,
-    span: Duration,
-    entries: usize,
-) -> Vec<place::Model> {
-    let seconds = span.as_secs_f64().max(f64::EPSILON);
-    let of = |name: &str| {
-        let busy = busy.get(name).copied().unwrap_or_default();
-        busy.as_secs_f64() / seconds * entries as f64
-    };
-    let models = service.models.iter();
-    models
-        .map(|model| place::Model {
-            name: ModelName::from(model.name.as_str()),
-            min: model.min,
-            max: model.max,
-            demand: of(&model.name),
-        })
-        .collect()
+    /// The declared models with their demand.
+    ///
+    /// This entry knows the busy time of its own calls only. The balancer spreads callers over all
+    /// entries, so that the others are taken to have as many. A model that nobody has may be lacked at
+    /// one entry alone, so that each counts that any entry lacks.
+    #[must_use]
+    pub fn demand(
+        &self,
+        service: &Service,
+        busy: &Map<String, Duration>,
+        span: Duration,
+        entries: usize,
+    ) -> Vec<place::Model> {
+        let seconds = span.as_secs_f64().max(f64::EPSILON);
+        let of = |name: &str| {
+            let busy = busy.get(name).copied().unwrap_or_default();
+            let lacked = if self.lacks(name) {
+                MISSED
+            } else {
+                Duration::ZERO
+            };
+            (busy.as_secs_f64() * entries as f64).max(lacked.as_secs_f64()) / seconds
+        };
+        let models = service.models.iter();
+        models
+            .map(|model| place::Model {
+                name: ModelName::from(model.name.as_str()),
+                min: model.min,
+                max: model.max,
+                demand: of(&model.name),
+            })
+            .collect()
+    }
+
+    /// Whether callers of any entry have lately lacked a model.
+    fn lacks(&self, model: &str) -> bool {
+        let views = self
+            .engines
+            .iter()
+            .filter_map(|engine| engine.view.as_ref());
+        let mut wanted = views.flat_map(|view| &view.wanted);
+        wanted.any(|wanted| wanted == model)
+    }
 }
--- a/crates/entry/src/placement/order.rs
+++ b/crates/entry/src/placement/order.rs
@@ -56,7 +56,7 @@
         core.telemetry.placement.ordered(order.verb, outcome);
         info!(core.log, "order over"; "vm" => &target.vm.id, "model" => &order.model,
             "outcome" => outcome.name());
-        target.query(core.lease.may_act());
+        target.query(core.lease.may_act(), []);
     });
 }
 
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -12,7 +12,7 @@
 use foldhash::fast::RandomState;
 use rand::Rng;
 use record::{Map, Set};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use store::Vm;
@@ -59,6 +59,8 @@
     concurrency: u32,
     /// Time at work for each model since it was last asked for.
     busy: Map<String, Duration>,
+    /// Models that calls have lacked since they were last asked for.
+    missed: BTreeSet<String>,
 }
 
 /// A call's turn to be in flight; given back when dropped.
@@ -113,6 +115,7 @@
                 policy: Policy::new(policy),
                 concurrency: 1,
                 busy: Map::default(),
+                missed: BTreeSet::new(),
             }),
         })
     }
--- a/crates/entry/src/service/models.rs
+++ b/crates/entry/src/service/models.rs
@@ -3,11 +3,12 @@
 use super::{Service, State};
 use decide::route::TargetId;
 use record::{Map, Set};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Time at work that a call refused for want of its model is counted as: enough to have the model
 /// loaded once, too little to want a second replica.
-const MISSED: Duration = Duration::from_millis(100);
+pub const MISSED: Duration = Duration::from_millis(100);
 
 /// Where a model stands in a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,7 +43,16 @@
 
     /// Notes that a call was refused for want of its model.
     pub fn missed(&self, model: &str) {
-        self.lock().spend(model, MISSED);
+        let mut state = self.lock();
+        state.spend(model, MISSED);
+        if !state.missed.contains(model) {
+            state.missed.insert(model.to_owned());
+        }
+    }
+
+    /// Models that calls were refused or kept waiting for since this was last asked.
+    pub fn take_missed(&self) -> BTreeSet<String> {
+        std::mem::take(&mut self.lock().missed)
     }
 
     /// Time that engines were at work for each model since this was last asked.
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -142,12 +142,18 @@
         }
     }
 
-    /// Asks what its engine holds; under the lease's fencing number, if this entry holds it.
-    pub fn query(&self, fence: Option<Fence>) {
+    /// Asks what its engine holds, under the lease's fencing number if this entry holds it, and says
+    /// which models callers have lacked.
+    pub fn query(&self, fence: Option<Fence>, wanted: impl IntoIterator<Item = String>) {
         if self.is_linked()
             && let Some(number) = self.engine.ask(fence)
         {
-            self.send_later(Frame::Query { number, fence });
+            let wanted = wanted.into_iter().collect();
+            self.send_later(Frame::Query {
+                number,
+                fence,
+                wanted,
+            });
         }
     }
 
--- a/crates/entry/tests/placement_plan.rs
+++ b/crates/entry/tests/placement_plan.rs
@@ -206,6 +206,7 @@
         Some(wire::Models {
             warm: vec![warm.to_owned()],
             loading: None,
+            wanted: Vec::new(),
         })
     };
     let number = engine.ask(Some(1)).unwrap();
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -132,6 +132,8 @@
         /// Fencing number of the lease that the asking entry holds, if it does: the answer then
         /// comes only once orders with lower numbers are refused.
         fence: Option<Fence>,
+        /// Models that callers of the asking entry have lacked since its last question.
+        wanted: Vec<String>,
     },
     /// Agent to entry: what the engine held at some moment after the question came.
     Models {
@@ -207,6 +209,8 @@
     pub warm: Vec<String>,
     /// Model that it loads at the agent's order.
     pub loading: Option<String>,
+    /// Models that callers of any entry have lately lacked.
+    pub wanted: Vec<String>,
 }
 
 /// Why an agent refused a call.
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -73,6 +73,14 @@
     })
 }
 
+fn models() -> impl Strategy<Value = Models> {
+    any::<(Vec<String>, Option<String>, Vec<String>)>().prop_map(|(warm, loading, wanted)| Models {
+        warm,
+        loading,
+        wanted,
+    })
+}
+
 fn frame() -> impl Strategy<Value = Frame> {
     let refusals = prop::sample::select(vec![
         Refusal::Full,
@@ -91,14 +99,15 @@
         call().prop_map(|call| Frame::Cancel { call }),
         (call(), any::<u32>()).prop_map(|(call, from)| Frame::Recall { call, from }),
         call().prop_map(|call| Frame::Ask { call }),
-        (any::<u64>(), any::<Option<u64>>())
-            .prop_map(|(number, fence)| Frame::Query { number, fence }),
-        (any::<u64>(), any::<Option<(Vec<String>, Option<String>)>>()).prop_map(
-            |(number, models)| {
-                let models = models.map(|(warm, loading)| Models { warm, loading });
-                Frame::Models { number, models }
+        (any::<u64>(), any::<Option<u64>>(), any::<Vec<String>>()).prop_map(
+            |(number, fence, wanted)| Frame::Query {
+                number,
+                fence,
+                wanted
             }
         ),
+        (any::<u64>(), prop::option::of(models()))
+            .prop_map(|(number, models)| Frame::Models { number, models }),
         (call(), refusals, time(), load()).prop_map(|(call, reason, retry_after, load)| {
             Frame::Refuse {
                 call,
