Bodies are bounded in memory, slow callers harm no runner, refusals promise what is true

A quarter of the memory that the settings tell is for bodies of requests, a quarter for those of answers, 256 KiB for one stream. Ruled out: counting each part of a stream (a caller that keeps up holds nothing; two allocations an event). Not served: a runner whose memory the requests sent to it would exceed; nothing tells that memory.

--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -17,6 +17,8 @@
 
 /// Relays of a soak.
 const RELAYS: usize = 4;
+/// Memory of a relay, in megabytes.
+const MEMORY_MB: usize = 128;
 /// Key that is in every version of the configuration.
 pub const STAYS: &str = "key-stays";
 /// Runners of each service.
@@ -269,6 +271,7 @@
         peers: any,
         key: "soak".to_owned(),
         weight: 1.0,
+        memory_mb: MEMORY_MB,
         store,
         repeats: setting::relay::Repeats::default(),
         grace_s: GRACE_S,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,9 +10,7 @@
 use crate::serve::Job;
 use crate::splice;
 use crate::telemetry::millis;
-use bytes::{Bytes, BytesMut};
 use decide::route::{self, Affine, Pool, Router, Target, affine};
-use futures::StreamExt;
 use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
@@ -392,6 +390,11 @@
         "outcome" => result.as_ref().map_or_else(ToString::to_string, |reply| reply.status.to_string()));
 }
 
+/// Whether callers take the status for the promise that the request has not run.
+fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 fn is_success(status: u16) -> bool {
     (200..300).contains(&status)
 }
@@ -405,8 +408,13 @@
 ) -> Option<Answer> {
     let elapsed = flight.sent.elapsed();
     let (status, headers) = (reply.status, reply.headers);
-    let body = timeout_at(job.deadline, collect(reply.body)).await;
+    let body = job.relay.answers.collect(reply.body);
+    let body = timeout_at(job.deadline, body).await;
     let failure = match body {
+        // A caller would take the status for the promise that nothing has run.
+        Ok(Ok(_)) if !job.route.repeatable() && promises_not_run(status) => {
+            format!("status {status}, though it ran")
+        }
         Ok(Ok(body)) if reply.proven => {
             let good = status < 500;
             if good || !may_send(job, progress) {
@@ -431,17 +439,6 @@
     None
 }
 
-async fn collect<B>(mut body: B) -> Result<Bytes, crate::request::Broken>
-where
-    B: futures::Stream<Item = Result<Bytes, crate::request::Broken>> + Unpin,
-{
-    let mut whole = BytesMut::new();
-    while let Some(part) = body.next().await {
-        whole.extend_from_slice(&part?);
-    }
-    Ok(whole.freeze())
-}
-
 /// Passes a stream through in a task of its own.
 fn stream<D: Downstream>(
     job: &Job<D>,
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -5,6 +5,7 @@
 use crate::drain::Drains;
 use crate::limit::Limits;
 use crate::member::{Member, MemberId};
+use crate::memory::Memory;
 use crate::pause::{Clock, Pause};
 use crate::peer::{Burdens, Peers};
 use crate::plan::{Batches, LAST_RANK, Plan, RegionId, ServiceId};
@@ -30,6 +31,9 @@
 /// from the start.
 const FIRST_LEAST: f64 = 1.0 - 0.5 / RETRY_PART as f64;
 
+/// Part of the process's memory that bodies of requests may take up, and bodies of answers as much.
+const BODIES_PART: usize = 4;
+
 /// What a relay is told at its start.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -51,6 +55,8 @@
     pub warmup: setting::relay::Warmup,
     /// Clock that counts suspensions.
     pub clock: Clock,
+    /// Bytes that the process may take up.
+    pub memory: usize,
 }
 
 /// One process that takes requests and passes them on.
@@ -66,6 +72,10 @@
     pub telemetry: Telemetry,
     /// The other processes.
     pub peers: Peers,
+    /// Memory for the bodies of requests.
+    pub requests: Memory,
+    /// Memory for the bodies of answers.
+    pub answers: Memory,
     /// Spans in which the process did not run.
     pub(crate) pause: Pause,
     /// Set shortly before the process ends: what no runner has by then is refused.
@@ -103,6 +113,8 @@
             peers: Peers::new(options.member.clone(), options.key.clone()),
             pause: Pause::new(options.clock),
             ending: CancellationToken::new(),
+            requests: Memory::new(options.memory / BODIES_PART),
+            answers: Memory::new(options.memory / BODIES_PART),
             repeats: Mutex::new(options.repeats),
             options,
             downstream,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`limit`]: runners that ask for fewer requests
 //! * [`member`]: the processes of the system; [`peer`]: what they say to one another
 //! * [`attempt`]: a request and the runners it is sent to; [`splice`]: streams over several runners
+//! * [`memory`]: what bodies of requests and answers may take up
 //! * [`event`]: where the events of a stream begin and end
 //! * [`pause`]: what is done after the process did not run for a while
 //! * [`warmup`]: runners that have just started and bear few requests
@@ -30,6 +31,7 @@
 mod home;
 pub mod limit;
 pub mod member;
+pub mod memory;
 pub mod pause;
 pub mod peer;
 pub mod plan;
--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -7,6 +7,7 @@
 use crate::downstream::{Downstream, Reply};
 use crate::event::{Events, Splitter};
 use crate::graph::Inputs;
+use crate::memory::Memory;
 use crate::plan::FIRST_RANK;
 use crate::request::{Broken, EventId};
 use crate::serve::Job;
@@ -15,7 +16,7 @@
 use futures::StreamExt;
 use slog::info;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{self, error::SendError};
 use tokio::time::{Instant, sleep_until};
 
 /// Silence after which a stream is taken for dead where another runner may go on, at least. Engines
@@ -23,8 +24,13 @@
 const SILENCE_LEAST: Duration = Duration::from_millis(1_000);
 /// The same, as a multiple of the longest pause that is still on time.
 const SILENCE_GAPS: u32 = 3;
+/// Bytes that wait for one slow caller before its runner is read no further.
+const STREAM_BYTES: usize = 256 << 10;
+/// Time without reading after which a runner may break off a stream for want of a reader.
+const UNREAD: Duration = Duration::from_secs(1);
 
-type Parts = mpsc::Sender<Result<Bytes, Broken>>;
+type Part = Result<Bytes, Broken>;
+type Parts = mpsc::Sender<Part>;
 
 /// How a runner's stream ended.
 enum End {
@@ -44,6 +50,10 @@
     inputs: Inputs<D>,
     progress: Progress,
     parts: Parts,
+    /// Memory for what waits for the caller.
+    memory: Memory,
+    /// Whether the runner's stream was not read for so long that it may break off for that.
+    unread: bool,
     last: Option<EventId>,
     events: u64,
 }
@@ -57,6 +67,8 @@
             inputs,
             progress,
             parts,
+            memory: Memory::new(STREAM_BYTES),
+            unread: false,
             last,
             events: 0,
         }
@@ -72,10 +84,17 @@
             let reason = match end {
                 End::Whole => return flight.answered(elapsed),
                 End::Left => return,
-                End::Late => return self.break_off("out of time").await,
+                End::Late => {
+                    drop(flight);
+                    return self.break_off("out of time").await;
+                }
                 End::Broken(reason) => reason,
             };
-            flight.lost();
+            if self.unread {
+                drop(flight);
+            } else {
+                flight.lost();
+            }
             let Some((next, reply)) = self.go_on().await else {
                 return self.break_off(&reason).await;
             };
@@ -86,6 +105,7 @@
     async fn pass(&mut self, flight: &Flight<D>, mut body: D::Body) -> End {
         let mut splitter = Splitter::default();
         let mut silent_since = Instant::now();
+        self.unread = false;
         loop {
             let part = tokio::select! {
                 biased;
@@ -96,7 +116,6 @@
                     return End::Broken(format!("silent at {}", flight.runner.id));
                 }
             };
-            silent_since = Instant::now();
             match part {
                 Some(Ok(bytes)) => {
                     if let Some(end) = self.take(splitter.push(&bytes)).await {
@@ -107,6 +126,8 @@
                 None if splitter.rest().is_empty() => return End::Whole,
                 None => return End::Broken("ended within an event".to_owned()),
             }
+            // A pause of the caller is no silence of the runner.
+            silent_since = Instant::now();
         }
     }
 
@@ -121,10 +142,28 @@
         self.inputs.release(|_| true);
         self.events += 1;
         self.last = events.last.or(self.last);
-        let sent = self.parts.send(Ok(events.bytes)).await;
+        let begun = Instant::now();
+        let sent = tokio::select! {
+            biased;
+            sent = self.pass_on(events.bytes) => sent,
+            () = sleep_until(self.job.deadline) => return Some(End::Late),
+        };
+        self.unread |= begun.elapsed() >= UNREAD;
         sent.is_err().then_some(End::Left)
     }
 
+    /// Passes bytes on, once there is room for them beside what the caller has not read yet.
+    async fn pass_on(&self, bytes: Bytes) -> Result<(), SendError<Part>> {
+        // A caller that keeps up holds nothing.
+        if self.parts.capacity() == self.parts.max_capacity() {
+            return self.parts.send(Ok(bytes)).await;
+        }
+        let own = self.memory.reserve(bytes.len()).await;
+        let shared = self.job.relay.answers.reserve(bytes.len()).await;
+        let bytes = shared.attach(own.attach(bytes));
+        self.parts.send(Ok(bytes)).await
+    }
+
     /// Whether the caller has this event. Ids increase; a runner that overlooks after which one it
     /// should go on begins anew, and the caller would take text that it has for new.
     fn has(&self, id: EventId) -> bool {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -48,6 +48,8 @@
 /// Time that a call of the stage service takes, and what a piece adds.
 pub(crate) const CALL: Duration = Duration::from_millis(200);
 pub(crate) const PIECE: Duration = Duration::from_millis(20);
+/// Bytes that a relay may take up.
+pub(crate) const MEMORY: usize = 64 << 20;
 /// Time of a call none of whose pieces has room.
 pub(crate) const REFUSAL: Duration = Duration::from_millis(5);
 
@@ -403,6 +405,7 @@
         warmup: setting::relay::Warmup::default(),
         regions: decide::Map::default(),
         clock: since_start,
+        memory: MEMORY,
     }
 }
 
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -11,6 +11,12 @@
     max: 10_000,
 };
 
+/// Bounds of a process's memory in megabytes.
+const MEMORY: Shape = Shape::Count {
+    min: 16,
+    max: 65_536,
+};
+
 const REPEATS: Shape = Shape::Object(&[
     Field::required("ratio", Shape::Ratio),
     Field::required("slack", Shape::Amount),
@@ -44,6 +50,7 @@
     Field::required("peers", Shape::Listen),
     Field::required("key", Shape::Text),
     Field::optional("weight", Shape::Amount),
+    Field::optional("memory_mb", MEMORY),
     Field::required("store", Shape::Address),
     Field::optional("repeats", REPEATS),
     Field::optional("warmup", WARMUP),
@@ -74,6 +81,9 @@
     /// How much work for the others it takes on compared to them: its part of a core.
     #[serde(default = "default_weight")]
     pub weight: f64,
+    /// Memory that the process may take up, in megabytes.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: usize,
     /// The platform's table service.
     pub store: SocketAddr,
     /// Bound on second attempts of the whole fleet.
@@ -181,6 +191,11 @@
     1.0
 }
 
+/// That of a small VM.
+fn default_memory_mb() -> usize {
+    128
+}
+
 /// Reads the settings of a relay.
 ///
 /// # Errors
