--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -19,6 +19,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
+use stub::caller::Kind;
 
 /// Longest soak of one deployment, in seconds.
 const MOST: u64 = 3_600;
@@ -87,6 +88,9 @@
     match name {
         RELAYS => Some(Trouble::Drawn),
         "poison" => Some(Trouble::Poison),
+        "crowd-stream" => Some(Trouble::Crowd(Kind::Once)),
+        "crowd-safe" => Some(Trouble::Crowd(Kind::Safe)),
+        "crowd-unsafe" => Some(Trouble::Crowd(Kind::Unsafe)),
         "limit" => Some(Trouble::Limit),
         "restore" => Some(Trouble::Restore),
         _ => None,
@@ -120,7 +124,8 @@
         options.optopt(
             "",
             "only",
-            "harness, proofreading, relays, poison, limit or restore; the first three if not given",
+            "harness, proofreading, relays, poison, crowd-stream, crowd-safe, crowd-unsafe, limit or restore; \
+             the first three if not given",
             "NAME",
         );
         options.optopt("", "logs", "directory for settings and logs", "DIR");
@@ -144,7 +149,8 @@
         };
         if let Some(name) = only.as_ref().filter(|name| !known(name)) {
             let message = format!(
-                "--only {name}: expected harness, proofreading, relays, poison, limit or restore"
+                "--only {name}: expected harness, proofreading, relays, poison, crowd-stream, crowd-safe, \
+                     crowd-unsafe, limit or restore"
             );
             return Err(Error::usage(message));
         }
--- a/crates/ctl/src/torture/relays/demand.rs
+++ b/crates/ctl/src/torture/relays/demand.rs
@@ -9,8 +9,9 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
-use stub::caller::{Ask, Connection, Kind, Word, unsent};
+use stub::caller::{Ask, Connection, Kind, USUAL, Word, unsent};
 use stub::now;
+use stub::runner::POISON;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
@@ -25,6 +26,13 @@
 const OTHER_KEY: (f64, f64) = (0.2, 0.1);
 /// Bounds of the pause between two attempts of the request that ends runners, in milliseconds.
 const POISON_MS: std::ops::Range<u64> = 200..700;
+/// Time between two requests beside the one that ends runners, how many of them come for each of its
+/// attempts, and what half of them ask for.
+const BESIDE: Duration = Duration::from_millis(100);
+const POISON_TURNS: usize = 4;
+const OTHER_BODIES: [&str; 4] = ["a", "b", "c", "d"];
+/// Kinds that need no links between relays.
+const PLAIN_KINDS: [Kind; 4] = [Kind::Unsafe, Kind::Safe, Kind::Once, Kind::Stream];
 /// Longest time from the end of the last fault until all is served again.
 const RECOVERY: Duration = Duration::from_secs(15);
 
@@ -61,21 +69,60 @@
             kind: Kind::Once,
             key: STAYS.to_owned(),
             patience: Duration::from_secs(2),
-            poison: true,
+            body: POISON,
         };
         if let Some(entry) = world.entries().choose(&mut rng).copied() {
-            callers.spawn(async move {
-                match Connection::open(entry).await {
-                    Some(mut connection) => connection.ask(ask).await,
-                    None => unsent(ask, entry),
-                }
-            });
+            callers.spawn(send_one(entry, ask));
         }
         sleep(Duration::from_millis(rng.random_range(POISON_MS))).await;
     }
     callers.join_all().await
 }
 
+/// Sends a request that ends runners at all relays in turn, and beside it those of other callers, half of
+/// which differ from it in nothing but the body. Gives what became of all.
+pub async fn crowd(world: Arc<World>, kind: Kind, seed: u64, time: Duration) -> Vec<Word> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let end = Instant::now() + time;
+    let mut callers = JoinSet::new();
+    let mut turn = 0;
+    while Instant::now() < end {
+        let entries = world.entries();
+        let ask = |name: &str, kind, body| Ask {
+            id: format!("{name}{turn}"),
+            kind,
+            key: STAYS.to_owned(),
+            patience: Duration::from_secs(2),
+            body,
+        };
+        if turn % POISON_TURNS == 0
+            && let Some(entry) = entries.get(turn / POISON_TURNS % entries.len().max(1))
+        {
+            callers.spawn(send_one(*entry, ask("poison", kind, POISON)));
+        }
+        let beside = if turn % 2 == 0 {
+            let body = OTHER_BODIES.choose(&mut rng).copied();
+            ask("beside", kind, body.unwrap_or(USUAL))
+        } else {
+            let kind = PLAIN_KINDS.choose(&mut rng).copied();
+            ask("other", kind.unwrap_or(Kind::Safe), USUAL)
+        };
+        if let Some(entry) = entries.choose(&mut rng) {
+            callers.spawn(send_one(*entry, beside));
+        }
+        turn += 1;
+        sleep(BESIDE).await;
+    }
+    callers.join_all().await
+}
+
+async fn send_one(entry: SocketAddr, ask: Ask) -> Word {
+    match Connection::open(entry).await {
+        Some(mut connection) => connection.ask(ask).await,
+        None => unsent(ask, entry),
+    }
+}
+
 /// A caller that sends some requests on one connection, for as long as it stays open.
 async fn call(entry: SocketAddr, keys: Keys, number: u64, mut rng: StdRng) -> Vec<Word> {
     let mut words = Vec::new();
@@ -117,7 +164,7 @@
         kind,
         key: key.unwrap_or_default(),
         patience: Duration::from_millis(rng.random_range(PATIENCE_MS)),
-        poison: false,
+        body: USUAL,
     }
 }
 
@@ -138,7 +185,7 @@
                     kind,
                     key: STAYS.to_owned(),
                     patience: Duration::from_secs(2),
-                    poison: false,
+                    body: USUAL,
                 };
                 words.push(match Connection::open(entry).await {
                     Some(mut connection) => connection.ask(ask).await,
--- a/crates/ctl/src/torture/relays/mod.rs
+++ b/crates/ctl/src/torture/relays/mod.rs
@@ -17,6 +17,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
+use stub::caller::Kind;
 use tokio::task::JoinError;
 
 /// Requests a second that a runner says it takes which names a limit.
@@ -30,6 +31,8 @@
     Drawn,
     /// A poison request, and no fault.
     Poison,
+    /// A poison request of a kind beside others that differ from it in little, and no fault.
+    Crowd(Kind),
     /// A runner that names a limit, and no fault.
     Limit,
     /// The table service comes back from an older copy, and no other fault.
@@ -65,13 +68,16 @@
         cluster.limit(LIMIT);
     }
     let keys = cluster.keys.clone();
-    let callers = tokio::spawn(demand::send(world.clone(), keys, seed ^ 2, time));
+    let callers = match trouble {
+        Trouble::Crowd(kind) => tokio::spawn(demand::crowd(world.clone(), kind, seed ^ 2, time)),
+        _ => tokio::spawn(demand::send(world.clone(), keys, seed ^ 2, time)),
+    };
     let poison = trouble.has_poison(seed);
     let poison = poison.then(|| tokio::spawn(demand::poison(world.clone(), seed ^ 4, time)));
     let mut faults = Faults::new(&mut cluster, world.clone(), seed ^ 3);
     match trouble {
         Trouble::Drawn => faults.run(time).await?,
-        Trouble::Poison | Trouble::Limit => faults.wait(time).await?,
+        Trouble::Poison | Trouble::Crowd(_) | Trouble::Limit => faults.wait(time).await?,
         Trouble::Restore => faults.restore(time).await?,
     }
     let mut words = callers.await.map_err(|error| ended(&error))?;
--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -10,7 +10,7 @@
 use std::sync::PoisonError;
 use stub::Micros;
 use stub::caller::{Told, Word};
-use stub::runner::{EVENTS, Run, answer, event};
+use stub::runner::{EVENTS, POISON, Run, WORK, answer, event};
 
 /// Time within which a change of the platform's tables is in force at every relay that is sound and
 /// reaches them all that time.
@@ -25,6 +25,9 @@
 const EXCESS: f64 = 1.5;
 const BESIDES: f64 = 5.0;
 const TOLD: Micros = 500_000;
+/// Longest time for which a request that ends no runners is held back, and how that is told.
+const HELD: Micros = 10_000_000;
+const HELD_BACK: &str = "held back";
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -43,6 +46,10 @@
     pub broken: u64,
     /// Connections that ended without an answer, or did not come about.
     pub closed: u64,
+    /// Sent beside a request that ends runners, and answered whole and right of these.
+    pub beside: u64,
+    /// Of those, answered whole and right.
+    pub beside_answered: u64,
     /// Faults by kind.
     pub faults: BTreeMap<String, u64>,
     /// Violations by kind.
@@ -123,6 +130,7 @@
     }
     verdict.judge_leaving(words, &by_id, world);
     verdict.judge_poison(words, runs, world);
+    verdict.judge_beside(words, runs);
     verdict.judge_limits(words, runs, world);
     verdict
 }
@@ -194,6 +202,41 @@
         }
     }
 
+    /// Requests that end no runners are held back for a short while at most, though they were running
+    /// where another one ended the runner.
+    fn judge_beside(&mut self, words: &[Word], runs: &[Run]) {
+        let mut ended: HashMap<&str, Vec<Micros>, RandomState> = HashMap::default();
+        let by_id: HashMap<&str, &Word, RandomState> = words
+            .iter()
+            .map(|word| (word.ask.id.as_str(), word))
+            .collect();
+        let crashes: Vec<&Run> = runs.iter().filter(|run| run.poison).collect();
+        for run in runs.iter().filter(|run| !run.poison) {
+            let Some(word) = by_id.get(run.id.as_str()) else {
+                continue;
+            };
+            let under = crashes.iter().filter(|crash| {
+                let fell = crash.started + WORK.as_micros() as Micros;
+                crash.runner == run.runner && run.started <= fell && crash.started < word.done
+            });
+            let moments = under.map(|crash| crash.started);
+            ended.entry(word.ask.body).or_default().extend(moments);
+        }
+        if crashes.is_empty() {
+            return;
+        }
+        for word in words.iter().filter(|word| word.ask.body != POISON) {
+            self.counts.beside += 1;
+            self.counts.beside_answered += u64::from(is_good(word, true));
+            let last = ended.get(word.ask.body).into_iter().flatten();
+            let last = last.filter(|at| **at < word.sent).max();
+            let over = last.is_none_or(|last| last + HELD < word.sent);
+            if over && matches!(&word.told, Told::Whole { text, .. } if text.contains(HELD_BACK)) {
+                self.note("held back beside a request that ends runners", word);
+            }
+        }
+    }
+
     /// All relays together keep to the limit that a runner has named in answers that they passed on.
     fn judge_limits(&mut self, words: &[Word], runs: &[Run], world: &World) {
         let by_id: HashMap<&str, &Word, RandomState> = words
