--- a/crates/decide/src/subset.rs
+++ b/crates/decide/src/subset.rs
@@ -60,7 +60,8 @@
 
 /// Hash of both names. FNV alone hardly changes its high bits with the last byte, which names that
 /// are numbered differ by; the final mix spreads them.
-pub(crate) fn rank(own: &str, id: &str) -> u64 {
+#[must_use]
+pub fn rank(own: &str, id: &str) -> u64 {
     let bytes = own.bytes().chain([0]).chain(id.bytes());
     let hash = bytes.fold(OFFSET, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(PRIME)
--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -5,60 +5,99 @@
 //! ask for. A request that was running at a runner when that ended is a suspect, and one that has
 //! ended several runners, one after the other, is held back. A runner may end for any other reason
 //! under a request that many callers send; but then other runners answer that request, and the first
-//! whole answer clears it. One that is held back is tried again after a while, by one process.
+//! whole answer clears it. One that is held back is tried again after a while.
+//!
+//! All processes must come to believe the same, whichever way and order they learn of it. What they
+//! tell one another of a request is therefore its whole state, and taking one in is a merge: crashes
+//! add up by runner, the latest whole answer voids all crashes before it, and the latest trial counts.
+//! Merging the same state again changes nothing.
 
 use crate::id::ContentId;
-use foldhash::fast::RandomState;
+use foldhash::fast::{FixedState, RandomState};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
+use std::hash::{BuildHasher, Hash};
 use std::time::Duration;
 
 /// Runners that a request may end before it is held back.
 pub const CRASHES: u32 = 3;
-/// Time between two crashes that are counted, at least. Many runners may end in one moment, a whole
+/// Least time between two crashes that are counted. Many runners may end in one moment, a whole
 /// failure domain for instance, and each had the same popular request.
-const APART: Duration = Duration::from_millis(250);
+const MIN_SPACING: Duration = Duration::from_millis(250);
 /// Time after the loss of an answer in which the end of its runner is put down to the request.
-const WITNESS: Duration = Duration::from_secs(5);
-/// How long a request is held back at first, and by what factor that grows with each trial. Where few
+const LOSS_TTL: Duration = Duration::from_secs(5);
+/// How long a request is held back at first, and by what factor that grows with each trial that ends a
+/// runner. Where few
 /// runners serve popular requests, one that ends them all makes suspects of the others; they must be
 /// back soon, and what deserves it must end few runners more.
 const HOLD: Duration = Duration::from_secs(5);
-const GROWTH: u32 = 4;
+const HOLD_GROWTH: u32 = 4;
 /// Trials that make it longer.
-const GROWTHS: u32 = 5;
-/// How long a caller is told to wait where another process makes the trial.
-const TRIAL: Duration = Duration::from_secs(5);
+const MAX_GROWTHS: u32 = 5;
+/// Time after which a trial that has neither been answered nor ended a runner is made again.
+const OUTCOME: Duration = Duration::from_secs(3);
+/// Time between the moments at which one process after the other may try a request that is due. A
+/// trial is known everywhere by then, unless processes are cut off from one another.
+pub const TRIAL_STEP: Duration = Duration::from_millis(500);
 /// Time after which a suspect is forgotten that nobody asks for.
-const LIFE: Duration = Duration::from_secs(3_600);
-/// What is added to moments of crashes, which may lie before the start of the process.
-const BEFORE: Duration = LIFE;
+const SUSPECT_TTL: Duration = Duration::from_secs(3_600);
+/// What is added to moments, which may lie before the start of the process.
+const OFFSET: Duration = SUSPECT_TTL;
+/// Accuracy of moments that other processes tell: they are told as ages, and are on their way for a
+/// while.
+const TOLERANCE: Duration = Duration::from_secs(1);
+/// Difference between two moments of one attempt that are told by way of different processes.
+const ACCURACY: Duration = Duration::from_millis(20);
 /// Lost answers, and suspects, that are remembered at most.
-const MOST: usize = 1_024;
+const CAPACITY: usize = 1_024;
 /// Crashes that are remembered of one suspect.
-const REMEMBERED: usize = 16;
+const MAX_CRASHES: usize = 16;
+
+/// A moment, counted from [`OFFSET`] before the start of the process.
+type Moment = Duration;
 
 /// A runner that ended under a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash<R> {
     /// The runner, as one start of it.
     pub runner: R,
+    /// How long ago the request was sent there.
+    pub sent: Duration,
     /// How long ago the answer was lost.
-    pub ago: Duration,
+    pub lost: Duration,
 }
 
-/// What one process tells the others of a suspect.
+/// What one process knows of a suspect, as it tells the others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report<R> {
     /// What the request asks for.
     pub content: ContentId,
     /// Runners that it has ended.
     pub crashes: Vec<Crash<R>>,
-    /// Crashes that count.
+    /// Crashes of it that count at the sender.
     pub count: u32,
+    /// Times that it has been tried again, but for trials that ended no runner.
+    pub trials: u32,
+    /// How long ago it was tried last.
+    pub tried: Option<Duration>,
+    /// How long ago a runner answered it whole, if that has cleared it.
+    pub cleared: Option<Duration>,
 }
 
 impl<R> Report<R> {
+    /// Nothing but the name of a request.
+    #[must_use]
+    pub fn new(content: ContentId) -> Self {
+        Self {
+            content,
+            crashes: Vec::new(),
+            count: 0,
+            trials: 0,
+            tried: None,
+            cleared: None,
+        }
+    }
+
     /// Whether the request is held back.
     #[must_use]
     pub fn is_held(&self) -> bool {
@@ -73,61 +112,194 @@
     Free,
     /// Not before this time has passed.
     Held(Duration),
-    /// It has been held back for long enough, and this process is the one that tries it.
+    /// It has been held back for long enough, and this process may try it.
     Trial,
 }
 
+/// What becomes of what another process tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Merge {
+    /// All of it was known.
+    Known,
+    /// Some of it is new, and the others should be told.
+    New {
+        /// Whether the request was held back before.
+        was_held: bool,
+        /// Whether it is held back now.
+        is_held: bool,
+    },
+}
+
+/// When a request was sent to a runner that ended under it, and when its answer was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Span {
+    sent: Moment,
+    lost: Moment,
+}
+
+/// Crashes whose runners are not known: how many count, and when that was learnt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Kept {
+    count: u32,
+    at: Moment,
+}
+
+/// When runners ended, by the first answer that was lost there.
+type Ends<R> = HashMap<R, Moment, RandomState>;
+
 #[derive(Clone, Debug)]
 struct Suspect<R> {
-    /// Runners that it has ended, with the moments of those that count.
-    crashes: VecDeque<(R, Option<Duration>)>,
-    count: u32,
-    /// Times that it has been tried again.
+    /// Runners that it may have ended, in the order of their ends.
+    crashes: Vec<(R, Span)>,
+    kept: Option<Kept>,
     trials: u32,
-    /// When it is due for a trial.
-    until: Duration,
-    /// When it was last heard of.
-    heard: Duration,
+    tried: Option<Moment>,
+    cleared: Option<Moment>,
+    /// When it was last asked for or told of.
+    used: Moment,
 }
 
-impl<R: Clone + PartialEq> Suspect<R> {
-    fn new(now: Duration) -> Self {
+impl<R: Clone + Eq + Hash> Suspect<R> {
+    fn new(now: Moment) -> Self {
         Self {
-            crashes: VecDeque::new(),
-            count: 0,
+            crashes: Vec::new(),
+            kept: None,
             trials: 0,
-            until: now,
-            heard: now,
+            tried: None,
+            cleared: None,
+            used: now,
         }
     }
 
+    /// Whether what happened at a moment counts for nothing, since the request was answered later.
+    fn is_void(&self, at: Moment) -> bool {
+        self.cleared
+            .is_some_and(|cleared| at <= cleared + TOLERANCE)
+    }
+
     /// Takes in a crash; tells whether it was not known.
-    fn add(&mut self, runner: R, at: Duration) -> bool {
-        if self.crashes.iter().any(|(known, _)| *known == runner) {
+    fn add(&mut self, runner: &R, span: Span) -> bool {
+        if self.is_void(span.lost) {
             return false;
         }
-        let mut counted = self.crashes.iter().filter_map(|(_, at)| *at);
-        let counts = counted.all(|other| other.abs_diff(at) >= APART);
-        self.crashes.push_back((runner, counts.then_some(at)));
-        if self.crashes.len() > REMEMBERED {
-            self.crashes.pop_front();
+        if let Some((_, known)) = self.crashes.iter_mut().find(|(known, _)| known == runner) {
+            // What is told on its way through many processes gets later with each. An earlier attempt may
+            // be the one that ended the runner.
+            let is_earlier = span.sent + ACCURACY < known.sent;
+            known.sent = span.sent.min(known.sent);
+            known.lost = span.lost.min(known.lost);
+            return is_earlier;
+        }
+        let place = self
+            .crashes
+            .partition_point(|(_, known)| known.lost <= span.lost);
+        self.crashes.insert(place, (runner.clone(), span));
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
         }
-        self.count += u32::from(counts);
         true
     }
 
-    fn is_held(&self) -> bool {
-        self.count >= CRASHES
+    /// Takes in crashes whose runners are not known; tells whether more count now.
+    fn keep(&mut self, count: u32, at: Moment) -> bool {
+        if self.is_void(at) || self.kept.is_some_and(|kept| kept.count >= count) {
+            return false;
+        }
+        self.kept = Some(Kept { count, at });
+        true
     }
 
-    fn hold(&self) -> Duration {
-        HOLD * GROWTH.pow(self.trials.min(GROWTHS))
+    /// Takes in a trial; tells whether it was not known.
+    fn note_trial(&mut self, trials: u32, at: Moment) -> bool {
+        let is_later = self.tried.is_none_or(|tried| at > tried + TOLERANCE);
+        if self.is_void(at) || !is_later && trials <= self.trials {
+            return false;
+        }
+        self.trials = self.trials.max(trials);
+        self.tried = Some(self.tried.map_or(at, |tried| tried.max(at)));
+        true
+    }
+
+    /// Takes in a whole answer; tells whether it was not known.
+    fn clear(&mut self, at: Moment) -> bool {
+        if self.is_void(at) {
+            return false;
+        }
+        self.cleared = Some(at);
+        let void = |moment: Moment| moment <= at + TOLERANCE;
+        self.crashes.retain(|(_, span)| !void(span.lost));
+        self.kept = self.kept.filter(|kept| !void(kept.at));
+        if self.tried.is_none_or(void) {
+            (self.trials, self.tried) = (0, None);
+        }
+        true
+    }
+
+    /// Moments of the crashes that count: those under which the request had been sent before the runner
+    /// ended.
+    fn counted(&self, ends: &Ends<R>) -> impl DoubleEndedIterator<Item = Moment> {
+        let was_there = |(runner, span): &&(R, Span)| {
+            let end = ends.get(runner);
+            end.is_none_or(|end| span.sent <= *end)
+        };
+        let crashes = self.crashes.iter().filter(was_there);
+        crashes.map(|(_, span)| span.lost)
+    }
+
+    /// Crashes that count, but for those right after another one.
+    fn count(&self, ends: &Ends<R>) -> u32 {
+        let mut last: Option<Moment> = None;
+        let mut count = 0;
+        for lost in self.counted(ends) {
+            if last.is_none_or(|last| last + MIN_SPACING <= lost) {
+                last = Some(lost);
+                count += 1;
+            }
+        }
+        self.kept.map_or(count, |kept| kept.count.max(count))
+    }
+
+    fn is_held(&self, ends: &Ends<R>) -> bool {
+        self.count(ends) >= CRASHES
+    }
+
+    /// Whether anything speaks against the request.
+    fn is_suspect(&self, ends: &Ends<R>) -> bool {
+        self.count(ends) > 0
+    }
+
+    /// When it is due for a trial.
+    fn due(&self, ends: &Ends<R>) -> Moment {
+        let kept = self.kept.map(|kept| kept.at);
+        let last = self.last_crash(ends).max(kept).unwrap_or_default();
+        let hold = HOLD * HOLD_GROWTH.pow(self.trials.min(MAX_GROWTHS));
+        match self.tried {
+            // The trial has ended no runner so far; what became of it else says nothing.
+            Some(tried) if tried > last => tried + OUTCOME,
+            _ => last + hold,
+        }
+    }
+
+    fn last_crash(&self, ends: &Ends<R>) -> Option<Moment> {
+        self.counted(ends).next_back()
     }
-}
 
-/// When a crash was, from [`BEFORE`] the start of the process on.
-fn moment<R>(crash: &Crash<R>, now: Duration) -> Duration {
-    (now + BEFORE).saturating_sub(crash.ago)
+    fn report(&self, content: ContentId, ends: &Ends<R>, now: Moment) -> Report<R> {
+        let ago = |at: Moment| now.saturating_sub(at);
+        let crash = |(runner, span): &(R, Span)| Crash {
+            runner: runner.clone(),
+            sent: ago(span.sent),
+            lost: ago(span.lost),
+        };
+        Report {
+            content,
+            crashes: self.crashes.iter().map(crash).collect(),
+            count: self.count(ends),
+            trials: self.trials,
+            tried: self.tried.map(ago),
+            cleared: self.cleared.map(ago),
+        }
+    }
 }
 
 /// An answer that was lost.
@@ -135,10 +307,10 @@
 struct Loss<R> {
     content: ContentId,
     runner: R,
-    at: Duration,
+    span: Span,
 }
 
-/// What one process knows of poison requests. Moments are counted from its start; `R` names one start
+/// What one process knows of poison requests. Times are counted from its start; `R` names one start
 /// of a runner.
 ///
 /// # Examples
@@ -151,19 +323,20 @@
 /// for second in 1..=3 {
 ///     let now = Duration::from_secs(second);
 ///     let runner = format!("runner-{second}");
-///     quarantine.lost(7, runner.clone(), now);
+///     quarantine.lost(7, runner.clone(), now, now);
 ///     quarantine.ended(&runner, now);
 /// }
 /// let now = Duration::from_secs(4);
-/// assert!(matches!(quarantine.pass(7, true, now), Pass::Held(_)));
-/// assert_eq!(quarantine.pass(8, true, now), Pass::Free);
+/// assert!(matches!(quarantine.pass(7, 0, now), Pass::Held(_)));
+/// assert_eq!(quarantine.pass(8, 0, now), Pass::Free);
 /// ```
 #[derive(Clone, Debug)]
 pub struct Quarantine<R> {
     suspects: HashMap<ContentId, Suspect<R>, RandomState>,
     losses: VecDeque<Loss<R>>,
-    /// When requests were cleared. What others have told before, and comes late, counts no more.
-    cleared: HashMap<ContentId, Duration, RandomState>,
+    ends: Ends<R>,
+    /// Requests that something speaks against.
+    live: usize,
 }
 
 impl<R> Default for Quarantine<R> {
@@ -171,135 +344,249 @@
         Self {
             suspects: HashMap::default(),
             losses: VecDeque::new(),
-            cleared: HashMap::default(),
+            ends: HashMap::default(),
+            live: 0,
         }
     }
 }
 
-impl<R: Clone + PartialEq> Quarantine<R> {
-    /// Whether no request is a suspect, so that none need be looked up.
+impl<R: Clone + Eq + Hash> Quarantine<R> {
+    /// Whether nothing speaks against any request, so that none need be looked up.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.suspects.is_empty() && self.losses.is_empty()
+        self.live == 0 && self.losses.is_empty()
     }
 
-    /// The answer to a request was lost while a runner ran it.
-    pub fn lost(&mut self, content: ContentId, runner: R, now: Duration) {
-        self.losses.retain(|loss| loss.at + WITNESS >= now);
-        if self.losses.len() >= MOST {
+    /// The answer to a request was lost that had been sent to a runner at a moment.
+    pub fn lost(&mut self, content: ContentId, runner: R, sent: Duration, now: Duration) {
+        let span = Span {
+            sent: sent + OFFSET,
+            lost: now + OFFSET,
+        };
+        self.losses
+            .retain(|loss| loss.span.lost + LOSS_TTL >= span.lost);
+        if self.losses.len() >= CAPACITY {
             self.losses.pop_front();
         }
-        let at = now;
         self.losses.push_back(Loss {
             content,
             runner,
-            at,
+            span,
         });
     }
 
     /// A runner has ended without a word. Gives what the others must be told.
     pub fn ended(&mut self, runner: &R, now: Duration) -> Vec<Report<R>> {
-        let (under, losses) = std::mem::take(&mut self.losses)
+        let at = now + OFFSET;
+        let (under, losses): (VecDeque<Loss<R>>, _) = std::mem::take(&mut self.losses)
             .into_iter()
-            .filter(|loss| loss.at + WITNESS >= now)
-            .partition(|loss: &Loss<R>| loss.runner == *runner);
+            .filter(|loss| loss.span.lost + LOSS_TTL >= at)
+            .partition(|loss| loss.runner == *runner);
         self.losses = losses;
-        let under: VecDeque<Loss<R>> = under;
+        let Some(end) = under.iter().map(|loss| loss.span.lost).min() else {
+            return Vec::new();
+        };
+        // What was sent later met a runner that had ended already.
+        let there = under.into_iter().filter(|loss| loss.span.sent <= end);
         let report = |loss: Loss<R>| {
             let crash = Crash {
                 runner: loss.runner,
-                ago: now - loss.at,
+                sent: at - loss.span.sent,
+                lost: at - loss.span.lost,
             };
             let report = Report {
-                content: loss.content,
                 crashes: vec![crash],
-                count: 0,
+                ..Report::new(loss.content)
             };
-            self.hear(&report, now)
-                .then(|| self.report(loss.content, now))
-                .flatten()
+            match self.merge(&report, now) {
+                Merge::Known => None,
+                Merge::New { .. } => self.report(loss.content, now),
+            }
         };
-        under.into_iter().filter_map(report).collect()
+        there.filter_map(report).collect()
     }
 
-    /// Takes in what another process tells, or what was kept; tells whether any of it is new.
-    pub fn hear(&mut self, report: &Report<R>, now: Duration) -> bool {
-        let cleared = self.cleared.get(&report.content).copied();
-        let stale = cleared.is_some_and(|at| now < at + LIFE);
-        let fresh = |crash: &&Crash<R>| {
-            !stale || cleared.is_some_and(|cleared| moment(crash, now) > cleared + BEFORE)
-        };
-        let crashes: Vec<&Crash<R>> = report.crashes.iter().filter(fresh).collect();
-        let count = if stale { 0 } else { report.count };
-        if crashes.is_empty() && count == 0 {
-            return false;
+    /// Takes in what another process tells.
+    pub fn merge(&mut self, report: &Report<R>, now: Duration) -> Merge {
+        for crash in &report.crashes {
+            let lost = (now + OFFSET).saturating_sub(crash.lost);
+            let end = self.ends.entry(crash.runner.clone()).or_insert(lost);
+            *end = lost.min(*end);
+        }
+        self.change(report.content, now, |suspect, _, now| {
+            let at = |ago: Duration| now.saturating_sub(ago);
+            let mut new = false;
+            if let Some(ago) = report.cleared {
+                new |= suspect.clear(at(ago));
+            }
+            for crash in &report.crashes {
+                let span = Span {
+                    sent: at(crash.sent),
+                    lost: at(crash.lost),
+                };
+                new |= suspect.add(&crash.runner, span);
+            }
+            if let Some(ago) = report.tried {
+                new |= suspect.note_trial(report.trials, at(ago));
+            }
+            new
+        })
+    }
+
+    /// Takes in crashes that were kept without the names of their runners.
+    pub fn restore(&mut self, content: ContentId, count: u32, now: Duration) -> Merge {
+        self.change(content, now, |suspect, _, now| suspect.keep(count, now))
+    }
+
+    /// Crashes are kept no more since at least `ago`: the request was answered before.
+    pub fn lapse(&mut self, content: ContentId, ago: Duration, now: Duration) -> Merge {
+        if !self.is_suspect(content) {
+            return Merge::Known;
         }
-        self.make_room(report.content);
-        let suspect = self.suspects.entry(report.content);
+        self.change(content, now, |suspect, _, now| {
+            let kept = suspect.kept.take().is_some();
+            suspect.clear(now.saturating_sub(ago)) || kept
+        })
+    }
+
+    /// A runner has answered the request. Others must be told if anything spoke against it.
+    pub fn answered(&mut self, content: ContentId, runner: &R, now: Duration) -> Merge {
+        // The runner lives on: answers that it lost before were not lost by its end.
+        self.losses
+            .retain(|loss| loss.content != content && loss.runner != *runner);
+        if !self.is_suspect(content) {
+            return Merge::Known;
+        }
+        self.cleared(content, Duration::ZERO, now)
+    }
+
+    /// The request was answered so long ago.
+    pub fn cleared(&mut self, content: ContentId, ago: Duration, now: Duration) -> Merge {
+        let report = Report {
+            cleared: Some(ago),
+            ..Report::new(content)
+        };
+        self.merge(&report, now)
+    }
+
+    /// Changes what is known of one request.
+    fn change(
+        &mut self,
+        content: ContentId,
+        now: Duration,
+        change: impl FnOnce(&mut Suspect<R>, &Ends<R>, Moment) -> bool,
+    ) -> Merge {
+        let now = now + OFFSET;
+        self.make_room(content);
+        let suspect = self.suspects.entry(content);
         let suspect = suspect.or_insert_with(|| Suspect::new(now));
-        let before = suspect.count;
-        let mut news = false;
-        for crash in crashes {
-            news |= suspect.add(crash.runner.clone(), moment(crash, now));
+        let was_held = suspect.is_held(&self.ends);
+        let new = change(suspect, &self.ends, now);
+        suspect.used = now;
+        let is_held = suspect.is_held(&self.ends);
+        self.recount();
+        if new {
+            return Merge::New { was_held, is_held };
         }
-        suspect.count = suspect.count.max(count);
-        suspect.heard = now;
-        if suspect.count > before && suspect.is_held() {
-            suspect.until = suspect.until.max(now + suspect.hold());
+        Merge::Known
+    }
+
+    /// The end of one runner may change what counts against several requests.
+    fn recount(&mut self) {
+        if self.ends.len() > CAPACITY * MAX_CRASHES {
+            let suspects = &self.suspects;
+            let is_named = |runner: &R| {
+                let mut crashes = suspects.values().flat_map(|suspect| &suspect.crashes);
+                crashes.any(|(named, _)| named == runner)
+            };
+            self.ends.retain(|runner, _| is_named(runner));
         }
-        news || suspect.count > before
+        let live = self.suspects.values();
+        self.live = live
+            .filter(|suspect| suspect.is_suspect(&self.ends))
+            .count();
     }
 
-    /// Forgets the suspect that was heard of least lately, if there are too many.
+    /// Forgets the suspect that was told of least lately, if there are too many.
     fn make_room(&mut self, content: ContentId) {
-        if self.suspects.len() < MOST || self.suspects.contains_key(&content) {
+        if self.suspects.len() < CAPACITY || self.suspects.contains_key(&content) {
             return;
         }
-        let oldest = self.suspects.iter().min_by_key(|(_, one)| one.heard);
+        let order = |suspect: &Suspect<R>| (suspect.is_held(&self.ends), suspect.used);
+        let oldest = self.suspects.iter().min_by_key(|(_, one)| order(one));
         if let Some(oldest) = oldest.map(|(content, _)| *content) {
             self.suspects.remove(&oldest);
         }
     }
 
-    /// A runner has answered the request, or another process says so. Gives whether it was held back,
-    /// if it was a suspect.
-    pub fn clear(&mut self, content: ContentId, now: Duration) -> Option<bool> {
-        self.losses.retain(|loss| loss.content != content);
-        let suspect = self.suspects.remove(&content)?;
-        self.cleared.retain(|_, at| now < *at + LIFE);
-        if self.cleared.len() < MOST {
-            self.cleared.insert(content, now);
+    /// Whether a request may be sent to a runner now. `order` is the place of this process among those
+    /// that may try it: the first one tries it as soon as it is due, each next one only if none before
+    /// it has done so, as far as it knows.
+    #[must_use]
+    pub fn pass(&self, content: ContentId, order: u32, now: Duration) -> Pass {
+        let held = self.suspects.get(&content);
+        let Some(held) = held.filter(|suspect| suspect.is_held(&self.ends)) else {
+            return Pass::Free;
+        };
+        let due = held.due(&self.ends) + TRIAL_STEP.saturating_mul(order);
+        match due.saturating_sub(now + OFFSET) {
+            Duration::ZERO => Pass::Trial,
+            left => Pass::Held(left),
         }
-        Some(suspect.is_held())
     }
 
-    /// Whether a request may be sent to a runner now, by a process that tries requests that are due, or
-    /// by one that leaves that to another.
+    /// A hash of what is known, the same at processes that know the same.
     #[must_use]
-    pub fn pass(&self, content: ContentId, tries: bool, now: Duration) -> Pass {
-        let held = self.suspects.get(&content);
-        let held = held.filter(|suspect| suspect.is_held());
-        match held.map(|suspect| suspect.until.saturating_sub(now)) {
-            None => Pass::Free,
-            Some(Duration::ZERO) if tries => Pass::Trial,
-            Some(Duration::ZERO) => Pass::Held(TRIAL),
-            Some(left) => Pass::Held(left),
-        }
+    pub fn digest(&self) -> u64
+    where
+        R: Hash,
+    {
+        let hasher = FixedState::default();
+        let one = |(content, suspect): (&ContentId, &Suspect<R>)| {
+            let crashes = suspect.crashes.iter();
+            let crashes = crashes.map(|(runner, _)| hasher.hash_one(runner));
+            let crashes = crashes.fold(0, u64::wrapping_add);
+            let cleared = suspect.cleared.is_some();
+            hasher.hash_one((content, crashes, suspect.trials, cleared))
+        };
+        let known = self.suspects.iter();
+        // Those that were only asked about here are not known elsewhere.
+        let known =
+            known.filter(|(_, suspect)| suspect.cleared.is_some() || !suspect.crashes.is_empty());
+        known.map(one).fold(0, u64::wrapping_add)
     }
 
-    /// A request that is due is sent to a runner. Unless that answers, the next trial comes later.
-    pub fn begin_trial(&mut self, content: ContentId, now: Duration) {
-        if let Some(suspect) = self.suspects.get_mut(&content) {
-            suspect.trials += 1;
-            suspect.until = now + suspect.hold();
-            suspect.heard = now;
-        }
+    /// Whether anything speaks against a request.
+    #[must_use]
+    pub fn is_suspect(&self, content: ContentId) -> bool {
+        let suspect = self.suspects.get(&content);
+        suspect.is_some_and(|suspect| suspect.is_suspect(&self.ends))
+    }
+
+    /// Whether a request is held back, so that its turn must be known.
+    #[must_use]
+    pub fn is_held(&self, content: ContentId) -> bool {
+        let suspect = self.suspects.get(&content);
+        suspect.is_some_and(|suspect| suspect.is_held(&self.ends))
+    }
+
+    /// A request that is due is sent to a runner. Unless that answers, the next trial comes later. Gives
+    /// what the others must be told.
+    pub fn begin_trial(&mut self, content: ContentId, now: Duration) -> Option<Report<R>> {
+        self.change(content, now, |suspect, ends, now| {
+            // One that ended no runner is made again, as if it had not been.
+            let has_ended = suspect.last_crash(ends) >= suspect.tried;
+            suspect.trials += u32::from(has_ended);
+            suspect.tried = Some(now);
+            true
+        });
+        self.report(content, now)
     }
 
     /// Somebody asked for a request that is held back.
     pub fn asked(&mut self, content: ContentId, now: Duration) {
         if let Some(suspect) = self.suspects.get_mut(&content) {
-            suspect.heard = now;
+            suspect.used = now + OFFSET;
         }
     }
 
@@ -307,45 +594,44 @@
     #[must_use]
     pub fn report(&self, content: ContentId, now: Duration) -> Option<Report<R>> {
         let suspect = self.suspects.get(&content)?;
-        let crash = |(runner, at): &(R, Option<Duration>)| {
-            let ago = (now + BEFORE).saturating_sub((*at)?);
-            let runner = runner.clone();
-            Some(Crash { runner, ago })
-        };
-        Some(Report {
-            content,
-            crashes: suspect.crashes.iter().filter_map(crash).collect(),
-            count: suspect.count,
-        })
+        Some(suspect.report(content, &self.ends, now + OFFSET))
     }
 
-    /// All suspects, for a process that knows nothing.
+    /// All that is known, for a process that knows nothing.
     #[must_use]
     pub fn reports(&self, now: Duration) -> Vec<Report<R>> {
-        let contents = self.suspects.keys();
-        contents
-            .filter_map(|content| self.report(*content, now))
+        let mut contents: Vec<ContentId> = self.suspects.keys().copied().collect();
+        contents.sort_unstable();
+        let reports = contents.into_iter();
+        reports
+            .filter_map(|content| self.report(content, now))
             .collect()
     }
 
     /// Forgets suspects that nobody has asked for, and gives those that were held back.
     pub fn forget_old(&mut self, now: Duration) -> Vec<ContentId> {
-        let old = |suspect: &Suspect<R>| suspect.heard + LIFE < now && suspect.until < now;
-        let mut held = Vec::new();
-        self.suspects.retain(|content, suspect| {
-            let old = old(suspect);
-            if old && suspect.is_held() {
-                held.push(*content);
-            }
-            !old
-        });
-        held
+        let now = now + OFFSET;
+        let old = |suspect: &Suspect<R>| {
+            suspect.used + SUSPECT_TTL < now && suspect.due(&self.ends) < now
+        };
+        let gone = self.suspects.iter().filter(|(_, suspect)| old(suspect));
+        let gone: Vec<(ContentId, bool)> = gone
+            .map(|(content, suspect)| (*content, suspect.is_held(&self.ends)))
+            .collect();
+        for (content, _) in &gone {
+            self.suspects.remove(content);
+        }
+        self.recount();
+        let held = gone.into_iter().filter(|(_, held)| *held);
+        held.map(|(content, _)| content).collect()
     }
 
     /// Requests that are held back.
     #[must_use]
     pub fn held(&self) -> usize {
         let suspects = self.suspects.values();
-        suspects.filter(|suspect| suspect.is_held()).count()
+        suspects
+            .filter(|suspect| suspect.is_held(&self.ends))
+            .count()
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -147,12 +147,12 @@
             pool.answered(&self.runner.id, now, &answer);
         });
         self.relay.telemetry.attempt("answered");
-        self.relay.note_served(self.content);
+        self.relay.note_served(self.content, &self.runner);
     }
 
     /// The runner's answer was lost: it may have ended under the request.
     pub fn lost(self) {
-        self.relay.note_lost(self.content, &self.runner);
+        self.relay.note_lost(self.content, &self.runner, self.sent);
         quarantine::look_for(&self.relay, &self.runner);
         self.failed();
     }
--- a/crates/relay/src/limit.rs
+++ b/crates/relay/src/limit.rs
@@ -12,8 +12,10 @@
 use crate::telemetry::millis;
 use decide::Map;
 use decide::share::Share;
+use foldhash::fast::FixedState;
 use serde::{Deserialize, Serialize};
 use slog::info;
+use std::hash::BuildHasher;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -84,12 +86,8 @@
     }
 
     fn spacing(&self, id: &str) -> Option<(Duration, Instant)> {
-        let limit = self.known.get(id)?;
-        let holds = limit.heard.elapsed() < LIFE;
-        limit
-            .spacing
-            .filter(|_| holds)
-            .map(|spacing| (spacing, limit.sent))
+        let limit = self.known.get(id).filter(|limit| limit.holds())?;
+        limit.spacing.map(|spacing| (spacing, limit.sent))
     }
 
     /// A runner has ended, and what it asked for with it.
@@ -104,17 +102,27 @@
         }
     }
 
-    /// What a new peer is told.
+    /// What a new peer is told, ends of limits included.
     fn notices(&self) -> Vec<Notice> {
-        let limits = self
-            .known
-            .iter()
-            .filter(|(_, limit)| limit.spacing.is_some());
+        let limits = self.known.iter();
         limits.map(|(id, limit)| limit.notice(id)).collect()
     }
+
+    /// A hash of the limits that hold, the same at processes that know the same.
+    fn digest(&self) -> u64 {
+        let hasher = FixedState::default();
+        let limits = self.known.iter().filter(|(_, limit)| limit.holds());
+        let one = |(id, limit): (&RunnerId, &Limit)| hasher.hash_one((id, limit.spacing));
+        limits.map(one).fold(0, u64::wrapping_add)
+    }
 }
 
 impl Limit {
+    /// Whether it asks for fewer requests, and was told lately.
+    fn holds(&self) -> bool {
+        self.spacing.is_some() && self.heard.elapsed() < LIFE
+    }
+
     fn notice(&self, id: &RunnerId) -> Notice {
         Notice {
             runner: id.clone(),
@@ -190,6 +198,11 @@
         lock(&self.limits).notices()
     }
 
+    /// A hash of the limits that hold.
+    pub(crate) fn limits_digest(&self) -> u64 {
+        lock(&self.limits).digest()
+    }
+
     /// Runners of a service that have named a limit which this process must leave alone now.
     pub(crate) fn limited(&self, service: &ServiceId) -> Vec<RunnerId> {
         if lock(&self.limits).known.is_empty() {
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -7,9 +7,11 @@
 use crate::downstream::Downstream;
 use crate::follow::{Follower, Pace, Source};
 use crate::quarantine;
+use crate::runner::DomainId;
 use crate::telemetry::millis;
 use decide::Map;
 use decide::owner::{Candidate, choose};
+use decide::subset::{self, rank};
 use decide::warmup::Share;
 use protocol::roster::Roster;
 use rand::Rng;
@@ -35,8 +37,10 @@
     gather: Duration::from_secs(2),
     alone: Duration::from_secs(15),
     shared: Duration::from_secs(5),
-    most: Duration::from_secs(8),
+    most: MAX_AGE,
 };
+/// Greatest age of what others tell of the rows.
+pub(crate) const MAX_AGE: Duration = Duration::from_secs(8);
 /// Greatest age of the list of processes that is acted on where only so many may act. A question
 /// that waits for changes is answered after [`Pace::alone`] at the latest.
 const ROSTER_AGE: Duration = Duration::from_secs(17);
@@ -64,6 +68,9 @@
     pub incarnation: u64,
     /// Where the others connect.
     pub address: SocketAddr,
+    /// Failure domain that it runs in.
+    #[serde(default = "no_domain")]
+    pub domain: DomainId,
     /// How much work it can do compared to the others.
     pub weight: f64,
     /// Whether this row has been there for so long that all others know of it, whatever start of the
@@ -72,6 +79,11 @@
     pub settled: bool,
 }
 
+/// That of a process whose row does not tell it.
+fn no_domain() -> DomainId {
+    "".into()
+}
+
 /// What is known of the processes.
 #[derive(Debug)]
 pub struct Members {
@@ -180,6 +192,39 @@
         (teller.id != self.own.id).then_some(teller)
     }
 
+    /// The place of this process in the order in which the processes that can be reached take over a
+    /// piece of work from one another.
+    #[must_use]
+    pub fn order(&self, work: &str) -> u32 {
+        let own = rank(work, &self.own.id);
+        let before = self.reachable().filter(|member| {
+            let other = rank(work, &member.id);
+            (other, &*member.id) < (own, &*self.own.id)
+        });
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
+    /// The few processes that this one keeps links to, spread over the failure domains. Each process
+    /// chooses for itself, and the links of all lead from any process to any other.
+    #[must_use]
+    pub fn neighbours(&self, count: usize) -> Vec<Member> {
+        let others: Map<&str, &Member> = self
+            .reachable()
+            .filter(|member| !self.leaves(member))
+            .map(|member| (&*member.id, member))
+            .collect();
+        let candidates: Vec<subset::Candidate<'_>> = others
+            .values()
+            .map(|member| subset::Candidate {
+                id: &member.id,
+                domain: &member.domain,
+            })
+            .collect();
+        let chosen = subset::choose(&self.own.id, count, &candidates);
+        let found = chosen.iter().filter_map(|chosen| others.get(chosen.id));
+        found.map(|member| (*member).clone()).collect()
+    }
+
     fn leaves(&self, member: &Member) -> bool {
         if member.id == self.own.id {
             return self.leaving;
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -2,11 +2,13 @@
 //! configuration is in force.
 
 mod board;
+mod overlay;
 mod serving;
 pub(crate) mod tables;
 mod talk;
 
 pub use board::{Board, Burdens, tell};
+pub use overlay::{Beat, keep};
 pub use serving::serve;
 pub use tables::News;
 pub use talk::{Frame, Sheet};
@@ -19,7 +21,6 @@
 use crate::member::{Member, MemberId, Members};
 use crate::plan::{Rank, Version};
 use crate::quarantine::Suspicion;
-use crate::request::ContentId;
 use decide::Map;
 use slog::{info, warn};
 use std::sync::{Arc, Mutex};
@@ -94,6 +95,8 @@
 pub(crate) struct Pending {
     next: u64,
     heard: Instant,
+    /// When a beat was sent that has not been answered.
+    beaten: Option<Instant>,
     waiting: Map<u64, oneshot::Sender<Outcome>>,
     /// Questions for news of a table.
     news: Map<u64, oneshot::Sender<Option<News>>>,
@@ -170,19 +173,14 @@
         self.tell_all(&Frame::Suspicion(suspicion.clone()));
     }
 
-    /// Tells all linked processes that a request was answered that had ended runners.
-    pub(crate) fn announce_cleared(&self, content: ContentId) {
-        self.tell_all(&Frame::Cleared(content));
-    }
-
     /// Tells all linked processes of a runner's limit.
     pub(crate) fn announce_limit(&self, notice: &Notice) {
         self.tell_all(&Frame::Limit(notice.clone()));
     }
 
-    /// Links that are gone, or too full to be told, are told nothing more.
+    /// A link whose queue is full misses the frame; what it missed shows in the next beat.
     fn tell_all(&self, frame: &Frame) {
-        lock(&self.voices).retain(|voice| voice.try_send(frame).is_ok());
+        lock(&self.voices).retain(|voice| voice.try_send(frame).is_ok() || !voice.is_lost());
     }
 
     /// From now on this process is told of what is announced.
@@ -295,6 +293,7 @@
         let pending = Pending {
             next: 0,
             heard: Instant::now(),
+            beaten: None,
             waiting: Map::default(),
             news: Map::default(),
         };
--- /dev/null
+++ b/crates/relay/src/peer/overlay.rs
@@ -0,0 +1,101 @@
+//! The links over which processes announce what all of them must know.
+//!
+//! Each process keeps links to a few others. What is new to a process it passes on over all its links,
+//! so that it reaches every process in a few steps, while the links and the messages of one process do
+//! not grow with their number. Messages may be lost, and processes cut off or paused: the two ends of a
+//! link compare what they know every second, and tell each other all of it where that differs.
+
+use super::Line;
+use super::talk::{self, Frame};
+use crate::core::{Relay, lock};
+use crate::downstream::Downstream;
+use crate::member::Member;
+use crate::plan::Version;
+use foldhash::fast::FixedState;
+use futures::future::join_all;
+use serde::{Deserialize, Serialize};
+use std::hash::BuildHasher;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+use wire::Sender;
+
+/// Links that a process opens; the others open as many to it.
+const LINKS: usize = 4;
+/// Time between two comparisons.
+const PERIOD: Duration = Duration::from_secs(1);
+/// Time after which a link on which a beat was not answered is given up.
+pub(super) const SILENCE: Duration = Duration::from_secs(3);
+
+/// What a process knows, in brief.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    suspects: u64,
+    limits: u64,
+    drains: u64,
+    version: Option<Version>,
+}
+
+impl Beat {
+    fn of<D: Downstream>(relay: &Relay<D>) -> Self {
+        Self {
+            suspects: relay.suspicions_digest(),
+            limits: relay.limits_digest(),
+            drains: FixedState::default().hash_one(relay.drains().domains),
+            version: relay.plan().map(|plan| plan.version),
+        }
+    }
+}
+
+/// Keeps links to a few other processes, and compares with them what is known, until the task is
+/// dropped.
+pub async fn keep<D: Downstream>(relay: Arc<Relay<D>>) {
+    let mut ticks = interval(PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let neighbours = relay.peers.members(|members| members.neighbours(LINKS));
+        let beat = Beat::of(&relay);
+        let beats = neighbours.iter().map(|member| send(&relay, member, beat));
+        join_all(beats).await;
+    }
+}
+
+async fn send<D: Downstream>(relay: &Arc<Relay<D>>, member: &Member, beat: Beat) {
+    let Some(line) = relay.peers.line(relay, member).await else {
+        relay.peers.members(|members| members.suspect(member));
+        return;
+    };
+    let answers = false;
+    // One that is too full for it is compared a second later.
+    if line.sender.try_send(&Frame::Beat { beat, answers }).is_ok() {
+        line.beaten();
+    }
+}
+
+impl Line {
+    fn beaten(&self) {
+        let mut pending = lock(&self.pending);
+        pending.beaten = pending.beaten.or_else(|| Some(Instant::now()));
+    }
+}
+
+/// Compares what the other end of a link knows with what is known here.
+pub(super) fn compare<D: Downstream>(
+    relay: &Relay<D>,
+    sender: &Sender<Frame>,
+    other: Beat,
+    answers: bool,
+) {
+    let beat = Beat::of(relay);
+    if !answers {
+        // One that is lost is asked for again.
+        let _ = sender.try_send(&Frame::Beat {
+            beat,
+            answers: true,
+        });
+    }
+    if beat != other {
+        talk::greet(relay, sender);
+    }
+}
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -1,5 +1,6 @@
 //! The frames, and what the asking end of a link does with them.
 
+use super::overlay::{self, Beat};
 use super::{Burdens, Line, News, board};
 use crate::batch::{Cell, Order, Outcome, Results, Spent, Waits};
 use crate::core::{Relay, lock};
@@ -9,7 +10,7 @@
 use crate::member::MemberId;
 use crate::plan::{Plan, Rank, ServiceId, Version};
 use crate::quarantine::Suspicion;
-use crate::request::{ContentId, RequestId};
+use crate::request::RequestId;
 use crate::runner::DomainId;
 use serde::{Deserialize, Serialize};
 use slog::info;
@@ -113,10 +114,15 @@
     Version(Version),
     /// The failure domains that are drained, as far as the sender knows.
     Drains(Drains),
-    /// A request that has ended runners.
+    /// What the sender knows of a request that has ended runners.
     Suspicion(Suspicion),
-    /// A request that had ended runners was answered.
-    Cleared(ContentId),
+    /// What the sender knows, in brief.
+    Beat {
+        /// Hashes of it.
+        beat: Beat,
+        /// Whether this answers the other end's.
+        answers: bool,
+    },
     /// What a runner asks for in its answers.
     Limit(Notice),
     /// The sender stops, and takes no more orders until it starts anew.
@@ -211,7 +217,7 @@
         let _ = sender.try_send(&Frame::Limit(notice));
     }
     for suspicion in relay.suspicions() {
-        // Those that do not fit into the queue are told with their next crash.
+        // Those that do not fit into the queue are announced after the next beat.
         let _ = sender.try_send(&Frame::Suspicion(suspicion));
     }
     if let Some(plan) = relay.plan() {
@@ -233,7 +239,11 @@
             }
         };
         let Ok(Some(frame)) = frame else { break };
-        lock(&line.pending).heard = Instant::now();
+        {
+            let mut pending = lock(&line.pending);
+            pending.heard = Instant::now();
+            pending.beaten = None;
+        }
         match frame {
             Frame::Elsewhere { service, burdens } => board::heard(&relay, &service, burdens),
             Frame::Outcome { ticket, outcome } => {
@@ -260,7 +270,11 @@
 impl Line {
     fn is_silent(&self) -> bool {
         let pending = lock(&self.pending);
-        !pending.waiting.is_empty() && pending.heard.elapsed() > SILENCE
+        let silent = pending.heard.elapsed();
+        let unanswered = pending
+            .beaten
+            .is_some_and(|at| at.elapsed() > overlay::SILENCE);
+        !pending.waiting.is_empty() && silent > SILENCE || unanswered
     }
 }
 
@@ -270,8 +284,8 @@
         Frame::Version(version) => heard_version(relay, sender, version),
         Frame::Drains(drains) => relay.drain(&drains, PEER),
         Frame::Limit(notice) => relay.hear_notice(&notice, PEER),
-        Frame::Suspicion(suspicion) => relay.hear_suspicion(&suspicion, PEER),
-        Frame::Cleared(content) => relay.hear_cleared(content, PEER),
+        Frame::Suspicion(suspicion) => relay.merge_suspicion(&suspicion, PEER),
+        Frame::Beat { beat, answers } => overlay::compare(relay, sender, beat, answers),
         Frame::Leaving { id, incarnation } => {
             info!(relay.log, "peer leaves"; "peer" => &*id, "incarnation" => incarnation);
             relay.peers.members(|members| members.left(id, incarnation));
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,15 +1,17 @@
 //! Requests that end the runners that run them, and are held back for it.
 //!
-//! What one process sees it tells the others over the links that carry orders, and writes to the
+//! What one process sees it announces to the others over the links of the overlay, and writes to the
 //! table of the processes once a request is held back: one that starts later, or that no link leads
 //! to, reads it there.
 
 use crate::core::{Relay, lock};
 use crate::downstream::Downstream;
+use crate::member;
 use crate::request::{ContentId, Refusal};
 use crate::runner::{Runner, RunnerId};
 use crate::serve::{Job, content_name};
-use protocol::quarantine::{Pass, Quarantine, Report};
+use crate::telemetry::millis;
+use protocol::quarantine::{Merge, Pass, Quarantine, Report};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::collections::BTreeSet;
@@ -17,7 +19,7 @@
 use std::time::Duration;
 use store::{Error, Put, Table, Transaction};
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// One start of a runner: its name, and when it started.
 pub type Start = (RunnerId, Option<u64>);
@@ -59,10 +61,10 @@
 }
 
 impl<D: Downstream> Relay<D> {
-    /// The answer to a request was lost while a runner ran it.
-    pub(crate) fn note_lost(&self, content: ContentId, runner: &Runner) {
-        let now = self.now();
-        lock(&self.quarantine.known).lost(content, start(runner), now);
+    /// The answer to a request was lost that had been sent to a runner at a moment.
+    pub(crate) fn note_lost(&self, content: ContentId, runner: &Runner, sent: Instant) {
+        let (sent, now) = (self.at(sent), self.now());
+        lock(&self.quarantine.known).lost(content, start(runner), sent, now);
     }
 
     /// A runner has ended without a word.
@@ -72,66 +74,54 @@
         for report in reports {
             info!(self.log, "runner ended under a request"; "runner" => &*runner.id,
                 "content" => content_name(report.content), "crashes" => report.count);
-            self.pass_on(&report);
+            self.announce(&report);
             if report.is_held() {
                 self.quarantine.rewrite(report.content);
             }
         }
     }
 
-    /// Takes in what another process tells of a suspect.
-    pub fn hear_suspicion(&self, report: &Suspicion, origin: &str) {
-        let now = self.now();
-        let known = {
+    /// Takes in what another process knows of a suspect.
+    pub fn merge_suspicion(&self, report: &Suspicion, origin: &str) {
+        let merged = lock(&self.quarantine.known).merge(report, self.now());
+        self.take_in(report.content, merged, origin);
+    }
+
+    /// A runner has answered a request as it should.
+    pub(crate) fn note_served(&self, content: ContentId, runner: &Runner) {
+        let merged = {
             let mut known = lock(&self.quarantine.known);
-            if !known.hear(report, now) {
+            if known.is_idle() {
                 return;
             }
-            known.report(report.content, now)
+            known.answered(content, &start(runner), self.now())
         };
-        let Some(known) = known else { return };
-        info!(self.log, "suspect told"; "content" => content_name(known.content),
-            "crashes" => known.count, "from" => origin);
-        self.pass_on(&known);
-    }
-
-    /// Tells the linked processes of a suspect. Each passes on what is new to it, so that all hear of it that
-    /// any link leads to.
-    fn pass_on(&self, report: &Suspicion) {
-        self.telemetry.held(lock(&self.quarantine.known).held());
-        self.peers.announce_suspicion(report);
+        if let Merge::New { was_held: true, .. } = merged {
+            self.quarantine.rewrite(content);
+        }
+        self.take_in(content, merged, "its answer");
     }
 
-    /// A runner has answered a request as it should.
-    pub(crate) fn note_served(&self, content: ContentId) {
-        if lock(&self.quarantine.known).is_idle() {
+    /// Passes on what is new, so that it reaches all processes that links lead to, and has the row of
+    /// the request follow it.
+    fn take_in(&self, content: ContentId, merged: Merge, origin: &str) {
+        let Merge::New { was_held, is_held } = merged else {
             return;
-        }
-        if self.clear(content, "its answer") {
+        };
+        let report = lock(&self.quarantine.known).report(content, self.now());
+        let Some(report) = report else { return };
+        info!(self.log, "suspect"; "content" => content_name(content), "crashes" => report.count,
+            "trials" => report.trials, "cleared_ago_ms" => report.cleared.map(millis),
+            "was_held" => was_held, "held" => is_held, "from" => origin);
+        self.announce(&report);
+        if was_held != is_held && self.order(content) == 0 {
             self.quarantine.rewrite(content);
         }
     }
 
-    /// Another process says that a request has been answered.
-    pub(crate) fn hear_cleared(&self, content: ContentId, origin: &str) {
-        self.clear(content, origin);
-    }
-
-    /// Tells whether the request had been held back.
-    fn clear(&self, content: ContentId, origin: &str) -> bool {
-        let now = self.now();
-        let (held, count) = {
-            let mut known = lock(&self.quarantine.known);
-            let Some(held) = known.clear(content, now) else {
-                return false;
-            };
-            (held, known.held())
-        };
-        info!(self.log, "suspect cleared"; "content" => content_name(content), "held" => held,
-            "by" => origin);
-        self.telemetry.held(count);
-        self.peers.announce_cleared(content);
-        held
+    fn announce(&self, report: &Suspicion) {
+        self.telemetry.held(lock(&self.quarantine.known).held());
+        self.peers.announce_suspicion(report);
     }
 
     /// What a new peer is told.
@@ -139,19 +129,29 @@
         lock(&self.quarantine.known).reports(self.now())
     }
 
-    /// Whether this process is the one that tries a request again.
-    fn tries(&self, content: ContentId) -> bool {
+    /// A hash of what is known of suspects.
+    pub(crate) fn suspicions_digest(&self) -> u64 {
+        lock(&self.quarantine.known).digest()
+    }
+
+    /// Whether a request is held back here.
+    #[must_use]
+    pub fn holds_back(&self, content: ContentId) -> bool {
+        lock(&self.quarantine.known).is_held(content)
+    }
+
+    /// The place of this process among those that try a request again.
+    fn order(&self, content: ContentId) -> u32 {
         let row = key(content);
-        let owner = self.peers.members(|members| members.owner(&row));
-        owner.id == self.options.member.id
+        self.peers.members(|members| members.order(&row))
     }
 
     fn pass(&self, content: ContentId) -> Pass {
-        if lock(&self.quarantine.known).is_idle() {
+        if !self.holds_back(content) {
             return Pass::Free;
         }
-        let tries = self.tries(content);
-        lock(&self.quarantine.known).pass(content, tries, self.now())
+        let order = self.order(content);
+        lock(&self.quarantine.known).pass(content, order, self.now())
     }
 }
 
@@ -198,7 +198,10 @@
     if admit(job)? == Pass::Trial {
         info!(job.relay.log, "poison request tried again"; "request" => &*job.request.id,
             "content" => content_name(job.content));
-        lock(&job.relay.quarantine.known).begin_trial(job.content, job.relay.now());
+        let report = lock(&job.relay.quarantine.known).begin_trial(job.content, job.relay.now());
+        if let Some(report) = report {
+            job.relay.announce(&report);
+        }
     }
     Ok(())
 }
@@ -216,23 +219,17 @@
         warn!(relay.log, "row of a poison request unreadable"; "row" => &change.key);
         return true;
     };
-    let Some(value) = &change.value else {
-        relay.hear_cleared(content, "its row");
-        return true;
-    };
-    match Row::deserialize(value) {
-        Ok(row) => {
-            let report = Report {
-                content,
-                crashes: Vec::new(),
-                count: row.crashes,
-            };
-            relay.hear_suspicion(&report, "its row");
-        }
-        Err(error) => {
+    let now = relay.now();
+    let merged = match change.value.as_ref().map(Row::deserialize) {
+        Some(Ok(row)) => lock(&relay.quarantine.known).restore(content, row.crashes, now),
+        // Links tell sooner. What is newer than this says has been announced there as well.
+        None => lock(&relay.quarantine.known).lapse(content, member::MAX_AGE, now),
+        Some(Err(error)) => {
             warn!(relay.log, "row of a poison request unreadable"; "row" => &change.key, "error" => %error);
+            return true;
         }
-    }
+    };
+    relay.take_in(content, merged, "its row");
     true
 }
 
@@ -241,7 +238,7 @@
     let forgotten = lock(&relay.quarantine.known).forget_old(relay.now());
     for content in forgotten {
         info!(relay.log, "poison request forgotten"; "content" => content_name(content));
-        if relay.tries(content) {
+        if relay.order(content) == 0 {
             relay.quarantine.rewrite(content);
         }
     }
@@ -251,7 +248,7 @@
 pub(crate) fn write_again<D: Downstream>(relay: &Relay<D>) {
     let suspicions = relay.suspicions().into_iter();
     let held = suspicions.filter(Report::is_held);
-    for suspicion in held.filter(|suspicion| relay.tries(suspicion.content)) {
+    for suspicion in held.filter(|suspicion| relay.order(suspicion.content) == 0) {
         relay.quarantine.rewrite(suspicion.content);
     }
 }
@@ -287,7 +284,7 @@
         })
     });
     let put = Put {
-        table: crate::member::TABLE.to_owned(),
+        table: member::TABLE.to_owned(),
         key: key(content),
         value: row,
     };
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -381,6 +381,7 @@
         incarnation: 1,
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         weight: 1.0,
+        domain: "a".into(),
         settled: false,
     }
 }
@@ -443,7 +444,8 @@
     informed(start(fake, options))
 }
 
-fn informed(relay: Arc<Relay<Fake>>) -> Arc<Relay<Fake>> {
+/// The same with [`plan`] in force and two runners of each service.
+pub(crate) fn informed(relay: Arc<Relay<Fake>>) -> Arc<Relay<Fake>> {
     relay.adopt(plan(1));
     let runners = [
         ("p-1", "plain"),
--- a/crates/relay/tests/peer_orders.rs
+++ b/crates/relay/tests/peer_orders.rs
@@ -38,6 +38,7 @@
         incarnation: 1,
         address: listener.address().expect("bound"),
         weight: 1.0,
+        domain: "a".into(),
         settled: false,
     };
     let relay = common::blank_as(fake.clone(), member.clone());
--- a/crates/relay/tests/poison_request.rs
+++ b/crates/relay/tests/poison_request.rs
@@ -228,21 +228,21 @@
     let request = asking("q", "staged", "poison");
     let crash = |(turn, id): (u32, &&str)| Crash {
         runner: ((*id).into(), None),
-        ago: PAUSE * turn,
+        sent: PAUSE * turn,
+        lost: PAUSE * turn,
     };
     let report = |first, runners: &[&str]| Suspicion {
-        content: request.content(Some("coop")),
         crashes: (first..).zip(runners).map(crash).collect(),
-        count: 0,
+        ..Suspicion::new(request.content(Some("coop")))
     };
     sleep(PAUSE * 4).await;
-    relay.hear_suspicion(&report(1, &["x-2", "x-1"]), "test");
+    relay.merge_suspicion(&report(1, &["x-2", "x-1"]), "test");
     let serving = tokio::spawn({
         let (relay, request) = (relay.clone(), request.clone());
         async move { relay.serve(request).await.status }
     });
     sleep(common::CALL / 2).await;
-    relay.hear_suspicion(&report(0, &["x-3"]), "test");
+    relay.merge_suspicion(&report(0, &["x-3"]), "test");
     assert_eq!(serving.await.expect("no panic"), 503);
     assert!(relay.downstream.sent().is_empty());
 }
@@ -352,12 +352,12 @@
     for number in 1..=3 {
         let crash = Crash {
             runner: (format!("x-{number}").as_str().into(), None),
-            ago: Duration::from_secs(3 - number),
+            sent: Duration::from_secs(3 - number),
+            lost: Duration::from_secs(3 - number),
         };
         let suspicion = Suspicion {
-            content,
             crashes: vec![crash],
-            count: 1,
+            ..Suspicion::new(content)
         };
         let frame = peer::Frame::Suspicion(suspicion);
         sender.send(frame).await.expect("linked");
@@ -374,7 +374,10 @@
     timeout(LONG, passed_on).await.expect("told");
     assert!(held(&relay).await);
     sender
-        .send(peer::Frame::Cleared(content))
+        .send(peer::Frame::Suspicion(Suspicion {
+            cleared: Some(Duration::ZERO),
+            ..Suspicion::new(content)
+        }))
         .await
         .expect("linked");
     let cleared = async {
--- a/crates/relay/tests/runner_limit.rs
+++ b/crates/relay/tests/runner_limit.rs
@@ -135,6 +135,7 @@
             incarnation: 1,
             address: ([127, 0, 0, 1], 1).into(),
             weight: 1.0,
+            domain: "a".into(),
             settled: false,
         };
         let relay = common::blank_as(Fake::default(), member(own));
--- a/crates/relay/tests/tables_shared.rs
+++ b/crates/relay/tests/tables_shared.rs
@@ -24,6 +24,7 @@
         // Nothing listens there.
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         weight: 1.0,
+        domain: "a".into(),
         settled: false,
     }
 }
