--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -36,6 +36,9 @@
 /// back from an older copy, with the time after which the entry of a silent runner lapses.
 pub(crate) const REWRITE_TIME: Duration = Duration::from_secs(5);
 
+/// Longest wait of a start for the list of the processes.
+const LIST_WAIT: Duration = Duration::from_millis(300);
+
 /// A row that holds nothing usable.
 #[derive(Clone, Debug, PartialEq, Snafu)]
 #[snafu(display("unreadable: {reason}"))]
@@ -79,6 +82,14 @@
     fn runner(key: &str, value: &serde_json::Value) -> Result<Runner, Unreadable>;
 }
 
+/// Follows the tables of the operator and of the runners until the task is dropped, once it is known
+/// which other processes there are to ask.
+pub async fn tables<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
+    relay.peers.listed(LIST_WAIT).await;
+    let plans = plans(relay.clone(), source.clone());
+    tokio::join!(plans, runners(relay, source));
+}
+
 /// Follows what the operator writes until the task is dropped.
 pub async fn plans<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
     let mut follower = Follower::new(&relay, source, S::PLANS, PACE);
--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -3,9 +3,9 @@
 use super::Source;
 use crate::core::Relay;
 use crate::downstream::Downstream;
-use crate::member::MemberId;
+use crate::member::{self, MemberId};
 use crate::peer::News;
-use crate::peer::tables::{Read, Table};
+use crate::peer::tables::{NOTHING, Read, Table};
 use crate::telemetry::millis;
 use protocol::reader::{Reader, Take, Told};
 use rand::Rng;
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use store::era::{self, Era};
 use store::{Changes, Miss, RowRevision};
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// Longest wait of a question while the service is away: the next one is to be asked as soon as it is
 /// back.
@@ -29,9 +29,11 @@
 /// Time after the table service's return in which entries that lapsed meanwhile come back, by the
 /// platform's promise. Runners whose entries lapsed while the service was away are fine.
 const LAPSE: Duration = Duration::from_millis(1_800);
-/// Time after the start in which each process reads the tables itself. The processes that all started
-/// together do not know one another yet, and would each take another one for the reader.
-const SETTLE: Duration = Duration::from_millis(1_500);
+/// Longest wait of a start for a table that another process is asked for.
+const HELP: Duration = Duration::from_millis(600);
+/// What is added to the greatest age of knowledge for each step that the tables are away: whoever tells
+/// must notice first that it hears nothing.
+const STEP: Duration = Duration::from_millis(200);
 
 /// Time over which processes spread their first readings of a service that came back from a copy.
 const SPREAD: Duration = Duration::from_millis(300);
@@ -60,6 +62,8 @@
     pace: Pace,
     reader: Reader,
     known: Arc<Table>,
+    /// Whether nothing has been asked yet.
+    fresh: bool,
     /// Whether the last changes are the whole table.
     pub(crate) whole: bool,
     /// Whether they are the first of a table service that has come back from an older copy.
@@ -90,6 +94,7 @@
             pauses: relay.pause.count(),
             reader: Reader::new(pace.most),
             known: relay.peers.tables.get(table),
+            fresh: true,
             source,
             table,
             pace,
@@ -173,52 +178,120 @@
         self.read(relay, paused).await
     }
 
-    /// What another process tells, if there is one that reads the table and it tells in time.
+    /// What another process tells, if there is one that can and it tells in time.
     async fn hear<D: Downstream>(&mut self, relay: &Arc<Relay<D>>) -> Option<Changes> {
-        let after = self.reader.after()?;
-        let until = relay.started() + self.reader.trusts_until()?;
+        let Some(after) = self.reader.after() else {
+            return self.hear_whole(relay).await;
+        };
+        let (teller, depth) = relay
+            .peers
+            .members(|members| Some((members.teller()?, members.tree.depth())))?;
+        let until = relay.started() + self.reader.trusts_until()? + STEP * depth;
         let asked = Instant::now();
-        // One that others rely on reads the table itself.
-        if until <= asked || !shared(relay) || self.known.is_asked() {
+        if until <= asked {
             return None;
         }
-        let teller = relay.peers.members(|members| members.teller())?;
-        let known = self.known.clone();
-        let news = tokio::select! {
-            news = timeout_at(until, relay.peers.news(relay, &teller, self.table, after)) => news,
-            () = known.wanted() => return None,
-        };
-        let Ok(Some(news)) = news else {
-            info!(relay.log, "no news from a peer, reading the table"; "peer" => &*teller.id,
-                "table" => self.table, "age_ms" => millis(relay.now().saturating_sub(self.current())));
+        let current = self.current();
+        let news = relay.peers.news(relay, &teller, self.table, after);
+        let news = timeout_at(until, news).await.ok().flatten();
+        let changes = news.and_then(|news| self.take(relay, news, after, relay.at(asked)));
+        if changes.is_none() || self.current() <= current {
+            info!(relay.log, "no news from a peer"; "peer" => &*teller.id, "table" => self.table,
+                "age_ms" => millis(relay.now().saturating_sub(self.current())));
+            relay
+                .peers
+                .members(|members| members.tree.note_stale(&teller.id));
+        } else {
+            relay
+                .peers
+                .members(|members| members.tree.note_told(&teller.id));
+        }
+        if changes.is_some() {
+            self.teller = Some(teller.id);
+        }
+        changes
+    }
+
+    /// The whole table from another process, at the start. The list of the processes itself is read: who
+    /// else would tell whom to ask?
+    async fn hear_whole<D: Downstream>(&mut self, relay: &Arc<Relay<D>>) -> Option<Changes> {
+        if !std::mem::take(&mut self.fresh) || self.table == member::TABLE {
+            return None;
+        }
+        let draw = relay.random(|rng| rng.random::<u32>());
+        let helper = relay.peers.members(|members| members.helper(draw))?;
+        let asked = Instant::now();
+        let news = relay.peers.news(relay, &helper, self.table, NOTHING);
+        let news = timeout(HELP, news).await.ok().flatten();
+        let Some(news) = news.filter(News::is_whole) else {
+            info!(relay.log, "no table from a peer, reading it"; "peer" => &*helper.id,
+                "table" => self.table);
             return None;
         };
-        let changes = self.take(news, after, relay.at(asked))?;
-        self.teller = Some(teller.id);
+        relay
+            .peers
+            .members(|members| members.tree.note_told(&helper.id));
+        self.reader
+            .read(news.revision, news.current(relay.at(asked)));
+        self.note_era(relay, news.revision);
+        let lapse = news.lapse.map(|left| Instant::now() + left);
+        let changes = news.changes();
+        self.keep(relay, None, &changes, lapse);
+        self.teller = Some(helper.id);
         Some(changes)
     }
 
     /// Takes in what another process told that was asked at a moment; none if changes are missing.
-    fn take(&mut self, news: News, after: RowRevision, asked: Duration) -> Option<Changes> {
+    fn take<D: Downstream>(
+        &mut self,
+        relay: &Relay<D>,
+        news: News,
+        after: RowRevision,
+        asked: Duration,
+    ) -> Option<Changes> {
         let lapse = news.lapse.map(|left| Instant::now() + left);
+        let is_whole = news.is_whole();
+        if era::of(news.revision) > era::of(after) {
+            // What a copy lacks is for the table itself to tell.
+            return None;
+        }
         let told = Told {
             before: news.before,
             revision: news.revision,
             current: news.current(asked),
         };
-        let changes = match self.reader.told(told) {
+        let taken = self.reader.told(told);
+        let changes = match taken {
             Take::Gap => return None,
             Take::Ignore => Changes {
-                rows: Vec::new(),
                 revision: after,
+                ..Changes::default()
             },
             Take::Apply => news.changes(),
         };
-        self.lapse = self.lapse.max(lapse);
-        (self.whole, self.restored) = (false, false);
+        let before = (!is_whole || taken == Take::Ignore).then_some(after);
+        self.keep(relay, before, &changes, self.lapse.max(lapse));
         Some(changes)
     }
 
+    /// Notes what has become known, for the process itself and for those that ask it.
+    fn keep<D: Downstream>(
+        &mut self,
+        relay: &Relay<D>,
+        before: Option<RowRevision>,
+        changes: &Changes,
+        lapse: Option<Instant>,
+    ) {
+        (self.whole, self.restored) = (before.is_none(), false);
+        self.lapse = lapse;
+        self.known.publish(&Read {
+            before,
+            changes,
+            current: relay.started() + self.current(),
+            lapse: self.lapse(),
+        });
+    }
+
     /// What the table itself says; kept for processes that ask this one.
     async fn read<D: Downstream>(
         &mut self,
@@ -297,6 +370,10 @@
         if !shared {
             return self.pace.alone;
         }
+        if relay.peers.members(|members| members.teller()).is_some() {
+            // It could not tell; another one may.
+            return Duration::ZERO;
+        }
         (self.current() + self.pace.shared).saturating_sub(relay.now())
     }
 
@@ -310,5 +387,5 @@
 
 /// Whether a few processes read the tables for all.
 fn shared<D: Downstream>(relay: &Relay<D>) -> bool {
-    relay.now() >= SETTLE && relay.peers.members(|members| members.share_tables())
+    relay.peers.members(|members| members.share_tables())
 }
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -3,6 +3,8 @@
 //! Each process writes one row at its start. No row says that a process is gone: that shows when it
 //! cannot be reached, and ends when it can be again or has started anew.
 
+pub mod tree;
+
 use crate::core::Relay;
 use crate::downstream::Downstream;
 use crate::follow::{Follower, Pace, Source};
@@ -17,12 +19,12 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use std::hash::BuildHasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use store::{Error, Put, Table, Transaction};
-use tokio::time::{Instant, sleep, sleep_until};
+use store::{Error, Put, RowRevision, Table, Transaction};
+use tokio::time::{Instant, sleep};
+pub use tree::Tree;
 
 /// Name of a process.
 pub type MemberId = Arc<str>;
@@ -50,10 +52,8 @@
 /// Processes from which on a few read the tables for all: fewer would ask the table service as often
 /// when each reads for itself.
 const SHARED_FROM: usize = 12;
-/// Processes that one reader tells of the tables, on average.
-const TOLD: usize = 32;
-/// Fewest readers.
-const READERS: usize = 2;
+/// Longest wait of a start for the first list of the processes.
+const LIST_WAIT: Duration = Duration::from_secs(1);
 /// Mean time between two processes that write their rows again.
 const REWRITE_EVERY: Duration = Duration::from_millis(10);
 /// Longest pause between tries to write the own row.
@@ -73,10 +73,10 @@
     pub domain: DomainId,
     /// How much work it can do compared to the others.
     pub weight: f64,
-    /// Whether this row has been there for so long that all others know of it, whatever start of the
-    /// process wrote it.
+    /// Reading of the table service's clock, in milliseconds, when a row of this name was first
+    /// written, whatever start of the process wrote it.
     #[serde(default)]
-    pub settled: bool,
+    pub since: Option<u64>,
 }
 
 /// That of a process whose row does not tell it.
@@ -91,6 +91,12 @@
     others: Map<MemberId, Member>,
     suspects: Map<MemberId, (u64, Instant)>,
     left: Map<MemberId, u64>,
+    /// Row of an earlier start of this process.
+    former: Option<Member>,
+    /// Reading of the table service's clock when the processes were first listed.
+    clock: Option<Duration>,
+    /// Who tells whom what is new in the tables.
+    pub tree: Tree,
     listed: bool,
     leaving: bool,
     /// Whether this process takes part in work that only so many may do at a time.
@@ -102,25 +108,32 @@
     #[must_use]
     pub fn new(own: Member) -> Self {
         Self {
+            tree: Tree::new(&own),
             own,
             others: Map::default(),
             suspects: Map::default(),
             left: Map::default(),
+            former: None,
+            clock: None,
             listed: false,
             leaving: false,
             roster: Roster::new(ROSTER_AGE, ROSTER_APART),
         }
     }
 
-    /// Takes in a row.
-    pub fn put(&mut self, member: Member) {
+    /// Takes in a row as of a revision.
+    pub fn put(&mut self, member: Member, revision: RowRevision) {
         if member.id != self.own.id {
+            self.tree.put(&member, revision);
             self.others.insert(member.id.clone(), member);
+        } else if member.incarnation != self.own.incarnation {
+            self.former = Some(member);
         }
     }
 
     /// Forgets a process whose row is gone.
     pub fn remove(&mut self, id: &str) {
+        self.tree.remove(id);
         self.others.remove(id);
     }
 
@@ -152,11 +165,22 @@
         self.listed.then(|| self.others.len() + 1)
     }
 
-    /// The own row is in the table as of now.
-    pub fn enlisted(&mut self, now: Duration) {
+    /// The own row is in the table as of now, and a revision.
+    pub fn enlisted(&mut self, now: Duration, revision: RowRevision) {
+        self.tree.put(&self.own, revision);
         self.roster.enlisted(now);
     }
 
+    /// When a row of this name was first written, by the table service's clock, and whether that is so
+    /// long ago that all processes know of it.
+    fn since(&self) -> (Option<Duration>, bool) {
+        let former = self.former.as_ref().and_then(|former| former.since);
+        let since = former.map(Duration::from_millis);
+        let age = since.and_then(|since| self.clock?.checked_sub(since));
+        let is_settled = age.is_some_and(|age| age >= ROSTER_AGE + ROSTER_APART);
+        (since.or(self.clock), is_settled)
+    }
+
     /// Whether this process is one of the few that may send to a runner that has just started. Those
     /// that cannot be reached keep their places: two processes that disagree on that would both send.
     #[must_use]
@@ -167,13 +191,8 @@
 
     /// The other processes that can be reached, as far as is known.
     pub fn reachable(&self) -> impl Iterator<Item = &Member> {
-        let now = Instant::now();
-        self.others.values().filter(move |member| {
-            let suspect = self.suspects.get(&member.id);
-            suspect.is_none_or(|(incarnation, until)| {
-                *incarnation != member.incarnation || *until <= now
-            })
-        })
+        let others = self.others.values();
+        others.filter(|member| !self.is_suspect(member))
     }
 
     /// Whether there are so many processes that a few read the tables for all.
@@ -184,12 +203,32 @@
 
     /// The process that tells this one what is new in the platform's tables; none if it reads them.
     #[must_use]
-    pub fn teller(&self) -> Option<Member> {
-        let count = self.count().filter(|_| self.share_tables())?;
-        let readers = READERS.max(count.div_ceil(TOLD)) as u64;
-        let hash = foldhash::fast::FixedState::default().hash_one(&*self.own.id);
-        let teller = self.owner(&format!("tables/{}", hash % readers));
-        (teller.id != self.own.id).then_some(teller)
+    pub fn teller(&mut self) -> Option<Member> {
+        self.share_tables().then_some(())?;
+        let tellers = self.tree.tellers();
+        tellers.iter().find_map(|id| self.can_tell(id))
+    }
+
+    /// A process that has most likely been there for a while, to be asked for whole tables. `draw` picks
+    /// one of many, so that those which start together don't ask the same one.
+    #[must_use]
+    pub fn helper(&self, draw: u32) -> Option<Member> {
+        self.share_tables().then_some(())?;
+        self.tree.helper(draw, |id| self.can_tell(id))
+    }
+
+    /// The process of that name, if it may be asked.
+    fn can_tell(&self, id: &str) -> Option<Member> {
+        let member = self.others.get(id)?;
+        let can_tell = !self.is_suspect(member) && !self.leaves(member);
+        can_tell.then(|| member.clone())
+    }
+
+    fn is_suspect(&self, member: &Member) -> bool {
+        let suspect = self.suspects.get(&member.id);
+        suspect.is_some_and(|(incarnation, until)| {
+            *incarnation == member.incarnation && *until > Instant::now()
+        })
     }
 
     /// The place of this process in the order in which the processes that can be reached take over a
@@ -261,61 +300,50 @@
     }
 }
 
-/// Writes the own row, however long the table service is away, once more when all know of it, and again
-/// whenever the service has come back from a copy that may not have it.
+/// Writes the own row, however long the table service is away, and again whenever the service has come
+/// back from a copy that may not have it.
 pub async fn enlist<D: Downstream, T: Table>(relay: Arc<Relay<D>>, table: T) {
     let begun = Instant::now();
+    relay.peers.listed(LIST_WAIT).await;
     let mut member = relay.options.member.clone();
-    member.settled = was_settled(&relay, &table, &member.id).await;
-    if !write(&relay, &table, &member).await {
+    let (since, is_settled) = relay.peers.members(|members| members.since());
+    member.since = since.map(millis);
+    let Some(revision) = write(&relay, &table, &member).await else {
         return;
-    }
-    info!(relay.log, "enlisted"; "after_ms" => millis(begun.elapsed()), "settled" => member.settled);
-    let settles = relay.peers.members(|members| {
-        members.enlisted(relay.now());
-        if member.settled {
+    };
+    info!(relay.log, "enlisted"; "after_ms" => millis(begun.elapsed()), "settled" => is_settled);
+    relay.peers.members(|members| {
+        members.enlisted(relay.now(), revision);
+        if is_settled {
             members.roster.settle();
         }
-        members.roster.settles()
     });
-    if let (false, Some(moment)) = (member.settled, settles) {
-        sleep_until(relay.started() + moment).await;
-        member.settled = true;
-        write(&relay, &table, &member).await;
-    }
     loop {
         relay.peers.rewrite.notified().await;
         // All processes write again, on top of what all runners write.
         let others = u32::try_from(relay.processes()).unwrap_or(u32::MAX);
         let spread = relay.random(|rng| rng.random_range(0.0..1.0));
         sleep((REWRITE_EVERY * others).mul_f64(spread)).await;
-        if write(&relay, &table, &member).await {
+        if let Some(revision) = write(&relay, &table, &member).await {
+            relay
+                .peers
+                .members(|members| members.tree.put(&member, revision));
             info!(relay.log, "own row written again");
         }
     }
 }
 
-/// Whether the row that an earlier start wrote says that all know of it. Not to know costs only a
-/// wait.
-async fn was_settled<D: Downstream, T: Table>(relay: &Relay<D>, table: &T, id: &str) -> bool {
-    let row = match table.read(TABLE, id).await {
-        Ok(row) => row,
-        Err(error) => {
-            info!(relay.log, "own row not read"; "error" => %error);
-            return false;
-        }
-    };
-    let member = row.and_then(|row| Member::deserialize(row.value).ok());
-    member.is_some_and(|member| member.settled)
-}
-
-/// Writes the own row; tells whether it could.
-async fn write<D: Downstream, T: Table>(relay: &Relay<D>, table: &T, member: &Member) -> bool {
+/// Writes the own row; gives its revision if it could.
+async fn write<D: Downstream, T: Table>(
+    relay: &Relay<D>,
+    table: &T,
+    member: &Member,
+) -> Option<RowRevision> {
     let value = match serde_json::to_value(member) {
         Ok(value) => value,
         Err(error) => {
             warn!(relay.log, "own row cannot be written"; "error" => %error);
-            return false;
+            return None;
         }
     };
     let put = Put {
@@ -330,10 +358,10 @@
     let mut pause = Duration::from_millis(20);
     loop {
         let error = match table.transact(&transaction).await {
-            Ok(_) => return true,
+            Ok(revision) => return Some(revision),
             Err(error @ Error::Conflict { .. }) => {
                 warn!(relay.log, "own row cannot be written"; "error" => %error);
-                return false;
+                return None;
             }
             Err(error) => error,
         };
@@ -367,9 +395,11 @@
             for change in changes.rows {
                 take(&relay, members, &change);
             }
+            members.clock = members.clock.or(changes.clock);
             members.listed();
             members.roster.read(follower.current());
         });
+        relay.peers.note_listed();
     }
 }
 
@@ -382,7 +412,7 @@
         Ok(member) => {
             info!(relay.log, "member"; "member" => &*member.id, "address" => %member.address,
                 "incarnation" => member.incarnation);
-            members.put(member);
+            members.put(member, change.revision);
         }
         Err(error) => {
             warn!(relay.log, "row of a member unreadable"; "row" => &change.key, "error" => %error);
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -26,7 +26,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tables::Tables;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, timeout};
 use tokio_util::task::TaskTracker;
 use wire::{Key, Sender};
@@ -49,6 +49,8 @@
     loads: Mutex<Map<Cell, (Waits, Instant)>>,
     held: Mutex<Map<Cell, Held>>,
     pub(crate) board: Board,
+    /// Whether the processes have been listed.
+    listed: watch::Sender<bool>,
     /// Wakes the task that writes the own row.
     pub(crate) rewrite: Notify,
     /// What was read of the platform's tables.
@@ -123,6 +125,7 @@
             loads: Mutex::default(),
             held: Mutex::default(),
             board: Board::default(),
+            listed: watch::Sender::new(false),
             rewrite: Notify::new(),
             tables: Tables::default(),
             orders: TaskTracker::new(),
@@ -134,6 +137,18 @@
         work(&mut lock(&self.members))
     }
 
+    /// The processes have been listed.
+    pub(crate) fn note_listed(&self) {
+        self.listed.send_replace(true);
+    }
+
+    /// Waits for a while until the processes have been listed.
+    pub(crate) async fn listed(&self, patience: Duration) {
+        let mut listed = self.listed.subscribe();
+        // Whoever waits goes on without.
+        let _ = timeout(patience, listed.wait_for(|listed| *listed)).await;
+    }
+
     /// Processes that are there, the own one included; `None` before they are listed.
     #[must_use]
     pub fn count(&self) -> Option<usize> {
--- a/crates/relay/src/peer/tables.rs
+++ b/crates/relay/src/peer/tables.rs
@@ -1,7 +1,7 @@
-//! What this process has read of the platform's tables, for other processes that ask it.
+//! What this process knows of the platform's tables, for other processes that ask it.
 //!
 //! Each question to the table service costs as much as a change does, and nearly all are answered with
-//! nothing new. In a large fleet a few processes read the tables and tell the others.
+//! nothing new. In a large fleet a few processes read the tables, and each tells a few others.
 
 use super::talk::Frame;
 use super::{Line, Peers};
@@ -11,31 +11,60 @@
 use crate::telemetry::millis;
 use decide::Map;
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use store::{Change, Changes, RowRevision};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, timeout};
 use wire::Sender;
 
-/// Time after a question of another process for which this one goes on to read the table for it.
-const ASKED: Duration = Duration::from_secs(4);
 /// Longest time that a question of another process waits here; by then it has read the table itself.
 const TELL: Duration = Duration::from_secs(3);
 /// Batches of changes that are kept for processes that are behind.
 const BATCHES: usize = 64;
-/// Bytes of changes that are told at most. More is read from the table: a small VM's link would be
-/// taken up for seconds by thirty copies of a whole configuration.
-const BYTES: usize = 8 << 10;
+/// Bytes that are told at most; more is read from the table.
+const MAX_BYTES: usize = 1 << 20;
+/// Revision that a process asks behind which knows nothing of a table.
+pub(crate) const NOTHING: RowRevision = 0;
 
 /// A row as it is told: JSON text, since the codec of links has no free form.
-type Row = (String, Option<String>);
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Row {
+    key: String,
+    /// None if the row is gone.
+    text: Option<String>,
+    revision: RowRevision,
+}
+
+impl Row {
+    fn new(change: &Change) -> Self {
+        Self {
+            key: change.key.clone(),
+            text: change.value.as_ref().map(ToString::to_string),
+            revision: change.revision,
+        }
+    }
+
+    fn bytes(&self) -> usize {
+        self.key.len() + self.text.as_ref().map_or(0, String::len)
+    }
+
+    /// A row that cannot be read as JSON is one that cannot be read here either.
+    fn change(self) -> Change {
+        let value = |text: String| serde_json::from_str(&text).unwrap_or_default();
+        Change {
+            key: self.key,
+            value: self.text.map(value),
+            revision: self.revision,
+        }
+    }
+}
 
 /// What a process tells of a table.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
-    /// Revision behind which the changes begin.
+    /// Revision behind which the changes begin; that of nothing if they are the whole table.
     pub before: RowRevision,
     /// Revision up to which they are complete.
     pub revision: RowRevision,
@@ -48,6 +77,12 @@
 }
 
 impl News {
+    /// Whether they are the whole table.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.before == NOTHING
+    }
+
     /// Latest moment at which nothing newer was in the table, for one who asked at `asked`.
     #[must_use]
     pub fn current(&self, asked: Duration) -> Duration {
@@ -58,21 +93,18 @@
         asked + offset
     }
 
-    /// The changes. A row that cannot be read as JSON is one that cannot be read here either.
+    /// The changes.
     #[must_use]
     pub fn changes(self) -> Changes {
-        let change = |(key, text): Row| Change {
-            key,
-            value: text.map(|text| serde_json::from_str(&text).unwrap_or_default()),
-        };
         Changes {
-            rows: self.rows.into_iter().map(change).collect(),
+            rows: self.rows.into_iter().map(Row::change).collect(),
             revision: self.revision,
+            clock: None,
         }
     }
 }
 
-/// Changes that were read in one go.
+/// Changes that became known in one go.
 #[derive(Clone, Debug)]
 struct Batch {
     revision: RowRevision,
@@ -88,13 +120,15 @@
     /// Latest moment at which nothing newer was there; none before the first reading.
     current: Option<Instant>,
     batches: VecDeque<Batch>,
+    /// All rows.
+    rows: BTreeMap<String, Row>,
     lapse: Option<Instant>,
 }
 
-/// What this process has read of a table in one go.
+/// What this process has learnt of a table in one go.
 #[derive(Debug)]
 pub(crate) struct Read<'a> {
-    /// Revision that was known before; none if the table was read as a whole.
+    /// Revision that was known before; none if this is the whole table.
     pub(crate) before: Option<RowRevision>,
     /// The answer.
     pub(crate) changes: &'a Changes,
@@ -107,16 +141,22 @@
 impl Known {
     fn take(&mut self, read: &Read<'_>) {
         let revision = read.changes.revision;
+        let rows: Vec<Row> = read.changes.rows.iter().map(Row::new).collect();
+        if read.before.is_none() {
+            self.rows.clear();
+        }
+        for row in &rows {
+            if row.text.is_some() {
+                self.rows.insert(row.key.clone(), row.clone());
+            } else {
+                self.rows.remove(&row.key);
+            }
+        }
         if read.before != Some(self.revision) {
             self.since = read.before.unwrap_or(revision);
             self.batches.clear();
         }
-        if read.before.is_some() && !read.changes.rows.is_empty() {
-            let row = |change: &Change| {
-                let text = change.value.as_ref().map(ToString::to_string);
-                (change.key.clone(), text)
-            };
-            let rows = read.changes.rows.iter().map(row).collect();
+        if read.before.is_some() && !rows.is_empty() {
             self.batches.push_back(Batch { revision, rows });
         }
         if self.batches.len() > BATCHES {
@@ -128,17 +168,22 @@
         self.lapse = read.lapse;
     }
 
-    /// What a process that knows the table up to `after` and asked at `asked` is told.
+    /// What a process that knows the table up to `after` and asked at `asked` is told: the changes
+    /// since then, or the whole table if not all of them are kept.
     fn news(&self, after: RowRevision, asked: Instant) -> Option<News> {
         let current = self.current?;
-        let newer = self.batches.iter().filter(|batch| batch.revision > after);
-        let rows: Vec<Row> = newer.flat_map(|batch| batch.rows.clone()).collect();
-        let bytes = |(key, text): &Row| key.len() + text.as_ref().map_or(0, String::len);
-        let fits = rows.iter().map(bytes).sum::<usize>() <= BYTES;
-        let before = if fits {
-            after.max(self.since)
+        let has_all = after != NOTHING && after >= self.since;
+        let rows: Vec<Row> = if has_all {
+            let newer = self.batches.iter().filter(|batch| batch.revision > after);
+            newer.flat_map(|batch| batch.rows.clone()).collect()
         } else {
-            self.revision
+            self.rows.values().cloned().collect()
+        };
+        let fits = rows.iter().map(Row::bytes).sum::<usize>() <= MAX_BYTES;
+        let before = match (fits, has_all) {
+            (true, true) => after,
+            (true, false) => NOTHING,
+            (false, _) => self.revision,
         };
         let later = millis(current.saturating_duration_since(asked));
         let sooner = millis(asked.saturating_duration_since(current));
@@ -155,28 +200,14 @@
     }
 }
 
-/// One table, and whether other processes rely on this one to read it.
+/// One table.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     known: watch::Sender<Known>,
-    /// When another process asked last.
-    asked: Mutex<Option<Instant>>,
-    /// Wakes the follower of the table, which may be waiting for another process's word.
-    wanted: Notify,
 }
 
 impl Table {
-    /// Whether other processes rely on this one to read the table.
-    pub(crate) fn is_asked(&self) -> bool {
-        lock(&self.asked).is_some_and(|asked| asked.elapsed() < ASKED)
-    }
-
-    /// Waits until another process asks that nobody has read the table for.
-    pub(crate) async fn wanted(&self) {
-        self.wanted.notified().await;
-    }
-
-    /// Takes in what this process has read.
+    /// Takes in what this process has read or was told.
     pub(crate) fn publish(&self, read: &Read<'_>) {
         self.known.send_modify(|known| known.take(read));
     }
@@ -185,10 +216,6 @@
     /// or once nothing newer was there after its question.
     async fn news(&self, after: RowRevision) -> Option<News> {
         let asked = Instant::now();
-        if !self.is_asked() {
-            self.wanted.notify_one();
-        }
-        *lock(&self.asked) = Some(asked);
         let mut known = self.known.subscribe();
         let says_something = |known: &Known| {
             let current = known.current;
--- a/crates/relay/tests/cold_runners.rs
+++ b/crates/relay/tests/cold_runners.rs
@@ -64,7 +64,7 @@
     let script = Script::new(vec![Told::Rows(rows)]);
     tokio::spawn(member::follow(relay.clone(), script));
     let now = relay.now();
-    relay.peers.members(|members| members.enlisted(now));
+    relay.peers.members(|members| members.enlisted(now, 1));
     sleep(SETTLED).await;
     relay
 }
--- a/crates/relay/tests/common/feed.rs
+++ b/crates/relay/tests/common/feed.rs
@@ -43,8 +43,8 @@
             None | Some(Told::Quiet) => {
                 sleep(wait).await;
                 Ok(Changes {
-                    rows: Vec::new(),
                     revision: 9,
+                    ..Changes::default()
                 })
             }
             Some(Told::Gap) => Err(Miss::Gap),
@@ -68,9 +68,14 @@
     let change = |(key, value): (&str, Option<Value>)| Change {
         key: key.to_owned(),
         value,
+        revision,
     };
     let rows = rows.into_iter().map(change).collect();
-    Changes { rows, revision }
+    Changes {
+        rows,
+        revision,
+        clock: None,
+    }
 }
 
 impl Feed for Script {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -382,7 +382,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         weight: 1.0,
         domain: "a".into(),
-        settled: false,
+        since: None,
     }
 }
 
--- a/crates/relay/tests/overlay_links.rs
+++ b/crates/relay/tests/overlay_links.rs
@@ -26,7 +26,7 @@
         address,
         domain: format!("domain-{}", number % 3).into(),
         weight: 1.0,
-        settled: false,
+        since: None,
     }
 }
 
@@ -64,7 +64,7 @@
         relay.peers.members(|members| {
             relays
                 .iter()
-                .for_each(|(_, other)| members.put(other.clone()));
+                .for_each(|(_, other)| members.put(other.clone(), 1));
             members.listed();
         });
         tokio::spawn(peer::keep(relay.clone()));
@@ -113,7 +113,7 @@
         let chosen: Vec<Vec<usize>> = (0..count)
             .map(|own| {
                 let mut members = Members::new(member(own, nowhere));
-                (0..count).for_each(|number| members.put(member(number, nowhere)));
+                (0..count).for_each(|number| members.put(member(number, nowhere), 1));
                 let number =
                     |member: &Member| member.id["relay-".len()..].parse().expect("a number");
                 members.neighbours(4).iter().map(number).collect()
--- a/crates/relay/tests/peer_orders.rs
+++ b/crates/relay/tests/peer_orders.rs
@@ -39,7 +39,7 @@
         address: listener.address().expect("bound"),
         weight: 1.0,
         domain: "a".into(),
-        settled: false,
+        since: None,
     };
     let relay = common::blank_as(fake.clone(), member.clone());
     relay.adopt(plan(1));
@@ -64,7 +64,7 @@
     for (node, peer) in [(&one, &other), (&other, &one)] {
         node.relay
             .peers
-            .members(|members| members.put(peer.member.clone()));
+            .members(|members| members.put(peer.member.clone(), 1));
     }
     let owner = one.relay.peers.members(|members| members.owner("stage/0"));
     if owner.id == one.member.id {
--- a/crates/relay/tests/runner_limit.rs
+++ b/crates/relay/tests/runner_limit.rs
@@ -136,13 +136,13 @@
             address: ([127, 0, 0, 1], 1).into(),
             weight: 1.0,
             domain: "a".into(),
-            settled: false,
+            since: None,
         };
         let relay = common::blank_as(Fake::default(), member(own));
         relay.adopt(common::plan(1));
         relay.update(vec![Change::Listed(runner("p-1", "plain"))]);
         relay.peers.members(|members| {
-            (0..20).for_each(|number| members.put(member(number)));
+            (0..20).for_each(|number| members.put(member(number), number as u64 + 1));
             members.listed();
         });
         limit(&relay, Some(Duration::from_secs(1)));
--- a/crates/relay/tests/tables_shared.rs
+++ b/crates/relay/tests/tables_shared.rs
@@ -25,14 +25,15 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         weight: 1.0,
         domain: "a".into(),
-        settled: false,
+        since: None,
     }
 }
 
 /// What a process of so many knows of the others.
 fn members(own: usize, count: usize) -> Members {
     let mut members = Members::new(member(own));
-    (0..count).for_each(|number| members.put(member(number)));
+    (0..count).for_each(|number| members.put(member(number), number as u64 + 1));
+    members.enlisted(Duration::ZERO, own as u64 + 1);
     members.listed();
     members
 }
@@ -94,21 +95,24 @@
     assert_eq!((rows.len(), &rows[0].value), (1, &None));
 }
 
-/// The reader has started anew and lacks the changes that came before. It says so; the other process
-/// would take what it is told for all there was, and keep a runner that has left.
+/// The process that tells has started anew and lacks the changes that came before. The other one would
+/// take what it is told for all there was, and keep a runner that has left: it is told the whole table,
+/// and that it is.
 #[tokio::test]
 async fn history_lacking() {
     let told = vec![Told::At(7, vec![("r-2", entry("plain"))])];
     let mut asking = Asking::new(told).await;
     let news = asking.news(4).await;
-    assert_eq!((news.before, news.revision), (7, 7));
+    assert_eq!((news.is_whole(), news.revision), (true, 7));
+    let rows = news.changes().rows;
+    assert_eq!((rows.len(), &*rows[0].key), (1, "r-2"));
 }
 
-/// A change is too large to be told to thirty processes by a small VM, whose callers would wait
-/// behind it. Those that ask read it from the table.
+/// A change is too large to be told to others by a small VM, whose callers would wait behind it. Those
+/// that ask read it from the table.
 #[tokio::test]
 async fn large_change() {
-    let long = "x".repeat(20_000);
+    let long = "x".repeat(2_000_000);
     let told = vec![
         Told::At(5, vec![]),
         Told::At(6, vec![("r-1", entry(&long))]),
@@ -119,6 +123,21 @@
     assert!(news.changes().rows.is_empty());
 }
 
+/// Guards against calls of each process that starts: one that knows nothing is told the whole table.
+#[tokio::test]
+async fn whole_table() {
+    let told = vec![
+        Told::At(5, vec![("r-1", entry("plain")), ("r-2", entry("plain"))]),
+        Told::At(6, vec![("r-1", None)]),
+    ];
+    let mut asking = Asking::new(told).await;
+    asking.news(5).await;
+    let news = asking.news(0).await;
+    assert_eq!((news.is_whole(), news.revision), (true, 6));
+    let rows = news.changes().rows;
+    assert_eq!((rows.len(), &*rows[0].key), (1, "r-2"));
+}
+
 /// Processes that ask must be told when nothing is new, too, and how old that word is: the reader may
 /// have been cut off since.
 #[tokio::test]
@@ -134,8 +153,8 @@
 /// itself before what it knows is too old.
 #[tokio::test(start_paused = true)]
 async fn tellers_gone() {
-    let relay = blank_as(Fake::default(), member(0));
-    relay.peers.members(|known| *known = members(0, 40));
+    let relay = blank_as(Fake::default(), member(39));
+    relay.peers.members(|known| *known = members(39, 40));
     assert!(relay.peers.members(|known| known.teller()).is_some());
     let quiet = (0..4).map(|_| Told::Quiet);
     let told = [Told::At(5, vec![("r-1", entry("plain"))])];
@@ -149,23 +168,92 @@
     assert!(relay.runner("r-1").is_none());
 }
 
+/// The one that tells each of so many processes; none for those that read.
+fn tellers(count: usize) -> Vec<Option<usize>> {
+    let number = |member: Member| member.id["relay-".len()..].parse().expect("a number");
+    let teller = |own: usize| members(own, count).teller().map(number);
+    (0..count).map(teller).collect()
+}
+
 /// Each process of a large fleet would ask the table service every few seconds, and once more for each
-/// change. Whatever the size, a few ask; a small fleet has nothing to gain.
+/// change. Whatever the size, two ask; a small fleet has nothing to gain.
 #[test]
 fn few_readers() {
-    let asked = |count: usize| {
-        let tellers = (0..count).map(|own| members(own, count).teller());
-        let tellers: BTreeSet<_> = tellers.flatten().map(|teller| teller.id).collect();
-        tellers.len()
+    let readers = |count: usize| {
+        tellers(count)
+            .iter()
+            .filter(|teller| teller.is_none())
+            .count()
+    };
+    assert_eq!([4, 30, 70, 300, 1_000].map(readers), [4, 2, 2, 2, 2]);
+}
+
+/// Guards against a process that tells so many others that its link or its processor is taken up, and
+/// against news that pass through so many that they come too late.
+#[test]
+fn short_ways() {
+    for (count, most) in [(30, 2), (300, 3), (1_000, 3)] {
+        let tellers = tellers(count);
+        let mut told = vec![0; count];
+        tellers
+            .iter()
+            .flatten()
+            .for_each(|teller| told[*teller] += 1);
+        assert!(told.iter().all(|told| *told <= 8), "{count}");
+        let steps = |own: usize| {
+            let way = std::iter::successors(Some(own), |at| tellers[*at]);
+            way.take(count).count() - 1
+        };
+        let longest = (0..count).map(steps).max();
+        assert_eq!(longest, Some(most), "{count}");
+        let depths = (0..count).map(|own| members(own, count).tree.depth() as usize);
+        assert_eq!(depths.max(), Some(most));
+    }
+}
+
+/// Guards against a fleet that relies on its smallest VMs, and on processes that have just started and
+/// know nothing.
+#[test]
+fn weak_and_new_last() {
+    let weak = Member {
+        weight: 0.1,
+        ..member(0)
     };
-    assert_eq!([4, 30, 70, 300].map(asked), [0, 2, 3, 10]);
+    let reads = |own: &usize| {
+        let mut known = match own {
+            0 => Members::new(weak.clone()),
+            own => Members::new(member(*own)),
+        };
+        (2..40).for_each(|number| known.put(member(number), number as u64 + 1));
+        known.put(weak.clone(), 1);
+        // It has written its row anew.
+        known.put(member(1), 99);
+        let revision = if *own == 1 { 99 } else { *own as u64 + 1 };
+        known.enlisted(Duration::ZERO, revision);
+        known.listed();
+        known.teller().is_none()
+    };
+    let readers = (0..40).filter(reads);
+    assert_eq!(readers.collect::<Vec<_>>(), [2, 3]);
+}
+
+/// Guards against calls of all that a process tells, when that has nothing new to tell.
+#[tokio::test(start_paused = true)]
+async fn stale_teller() {
+    let mut known = members(39, 40);
+    let teller = known.teller().expect("one of forty");
+    known.tree.note_stale(&teller.id);
+    let next = known.teller().expect("another one");
+    assert_ne!(next.id, teller.id);
+    sleep(Duration::from_secs(4)).await;
+    assert_eq!(known.teller(), Some(teller));
 }
 
 /// The process that tells is asked to stop, and ends with what it knows. The others turn to the next
 /// one at once, not when they miss it.
 #[test]
 fn teller_leaves() {
-    let mut known = members(0, 40);
+    let mut known = members(39, 40);
     let teller = known.teller().expect("one of forty");
     known.left(teller.id.clone(), teller.incarnation);
     let next = known.teller();
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -11,6 +11,8 @@
     pub key: String,
     /// Content; `None` if the row is gone.
     pub value: Option<Value>,
+    /// Revision of the row: that of the transaction that wrote or removed it.
+    pub revision: RowRevision,
 }
 
 /// A table as of one moment, or what has changed since one.
@@ -20,6 +22,8 @@
     pub rows: Vec<Change>,
     /// Revision up to which they are complete; the next question goes on from here.
     pub revision: RowRevision,
+    /// Reading of the service's steady clock, if it tells one.
+    pub clock: Option<Duration>,
 }
 
 /// Why changes cannot be told.
