--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -37,7 +37,7 @@
 pub(crate) const REWRITE_TIME: Duration = Duration::from_secs(5);
 
 /// Longest wait of a start for the list of the processes.
-const LIST_WAIT: Duration = Duration::from_millis(300);
+const LIST_WAIT: Duration = Duration::from_millis(1_500);
 
 /// A row that holds nothing usable.
 #[derive(Clone, Debug, PartialEq, Snafu)]
--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -3,9 +3,9 @@
 use super::Source;
 use crate::core::Relay;
 use crate::downstream::Downstream;
-use crate::member::{self, MemberId};
+use crate::member::{self, Member, MemberId};
 use crate::peer::News;
-use crate::peer::tables::{NOTHING, Read, Table};
+use crate::peer::tables::{Read, Table};
 use crate::telemetry::millis;
 use protocol::reader::{Reader, Take, Told};
 use rand::Rng;
@@ -31,6 +31,8 @@
 const LAPSE: Duration = Duration::from_millis(1_800);
 /// Longest wait of a start for a table that another process is asked for.
 const HELP: Duration = Duration::from_millis(600);
+/// Time after the start in which others may turn out to be there that rely on this process.
+const START: Duration = Duration::from_secs(5);
 /// What is added to the greatest age of knowledge for each step that the tables are away: whoever tells
 /// must notice first that it hears nothing.
 const STEP: Duration = Duration::from_millis(200);
@@ -64,6 +66,8 @@
     known: Arc<Table>,
     /// Whether nothing has been asked yet.
     fresh: bool,
+    /// Whether the next question is to be answered at once.
+    pub(crate) hurried: bool,
     /// Whether the last changes are the whole table.
     pub(crate) whole: bool,
     /// Whether they are the first of a table service that has come back from an older copy.
@@ -95,6 +99,7 @@
             reader: Reader::new(pace.most),
             known: relay.peers.tables.get(table),
             fresh: true,
+            hurried: false,
             source,
             table,
             pace,
@@ -192,10 +197,12 @@
             return None;
         }
         let current = self.current();
-        let news = relay.peers.news(relay, &teller, self.table, after);
+        let news = relay.peers.news(relay, &teller, self.table, Some(after));
         let news = timeout_at(until, news).await.ok().flatten();
         let changes = news.and_then(|news| self.take(relay, news, after, relay.at(asked)));
-        if changes.is_none() || self.current() <= current {
+        // One that is behind says nothing of the table.
+        let is_behind = |changes: &Changes| changes.rows.is_empty() && self.current() <= current;
+        if changes.as_ref().is_none_or(is_behind) {
             info!(relay.log, "no news from a peer"; "peer" => &*teller.id, "table" => self.table,
                 "age_ms" => millis(relay.now().saturating_sub(self.current())));
             relay
@@ -218,14 +225,28 @@
         if !std::mem::take(&mut self.fresh) || self.table == member::TABLE {
             return None;
         }
+        // Where many have started anew, the one that tells this one may be gone, and those that wrote
+        // their rows last are there.
         let draw = relay.random(|rng| rng.random::<u32>());
+        let teller = relay.peers.members(|members| members.teller())?;
+        let changes = self.ask_whole(relay, teller).await;
+        if changes.is_some() {
+            return changes;
+        }
         let helper = relay.peers.members(|members| members.helper(draw))?;
+        self.ask_whole(relay, helper).await
+    }
+
+    async fn ask_whole<D: Downstream>(
+        &mut self,
+        relay: &Arc<Relay<D>>,
+        helper: Member,
+    ) -> Option<Changes> {
         let asked = Instant::now();
-        let news = relay.peers.news(relay, &helper, self.table, NOTHING);
+        let news = relay.peers.news(relay, &helper, self.table, None);
         let news = timeout(HELP, news).await.ok().flatten();
         let Some(news) = news.filter(News::is_whole) else {
-            info!(relay.log, "no table from a peer, reading it"; "peer" => &*helper.id,
-                "table" => self.table);
+            info!(relay.log, "no table from a peer"; "peer" => &*helper.id, "table" => self.table);
             return None;
         };
         relay
@@ -256,7 +277,7 @@
             return None;
         }
         let told = Told {
-            before: news.before,
+            before: news.before.unwrap_or_default(),
             revision: news.revision,
             current: news.current(asked),
         };
@@ -348,10 +369,11 @@
         } else {
             self.pace.gather
         };
-        if let Some(told) = self.told.take().filter(|_| !paused) {
+        let hurried = std::mem::take(&mut self.hurried) || paused;
+        if let Some(told) = self.told.take().filter(|_| !hurried) {
             sleep_until(told + gather).await;
         }
-        let wait = self.wait(relay, shared, paused);
+        let wait = self.wait(relay, shared, hurried);
         let asked = Instant::now();
         let changes = self.source.changes(self.table, after, wait).await?;
         // One that says nothing new has waited for it all the time.
@@ -360,15 +382,20 @@
     }
 
     /// How long the next question waits for changes.
-    fn wait<D: Downstream>(&self, relay: &Relay<D>, shared: bool, paused: bool) -> Duration {
-        if paused {
+    fn wait<D: Downstream>(&self, relay: &Relay<D>, shared: bool, hurried: bool) -> Duration {
+        if hurried {
             return Duration::ZERO;
         }
         if self.lost.is_some() {
             return WAIT_LOST;
         }
         if !shared {
-            return self.pace.alone;
+            let is_new = relay.now() < START;
+            return if is_new {
+                self.pace.shared
+            } else {
+                self.pace.alone
+            };
         }
         if relay.peers.members(|members| members.teller()).is_some() {
             // It could not tell; another one may.
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -121,14 +121,19 @@
         }
     }
 
-    /// Takes in a row as of a revision.
-    pub fn put(&mut self, member: Member, revision: RowRevision) {
-        if member.id != self.own.id {
-            self.tree.put(&member, revision);
-            self.others.insert(member.id.clone(), member);
-        } else if member.incarnation != self.own.incarnation {
-            self.former = Some(member);
+    /// Takes in a row as of a revision; tells whether it is new.
+    pub fn put(&mut self, member: Member, revision: RowRevision) -> bool {
+        if member.id == self.own.id {
+            let is_former = member.incarnation != self.own.incarnation;
+            self.former = is_former.then_some(member);
+            return false;
+        }
+        if self.others.get(&member.id) == Some(&member) {
+            return false;
         }
+        self.tree.put(&member, revision);
+        self.others.insert(member.id.clone(), member);
+        true
     }
 
     /// Forgets a process whose row is gone.
@@ -304,7 +309,7 @@
 /// back from a copy that may not have it.
 pub async fn enlist<D: Downstream, T: Table>(relay: Arc<Relay<D>>, table: T) {
     let begun = Instant::now();
-    relay.peers.listed(LIST_WAIT).await;
+    relay.peers.members_read(LIST_WAIT).await;
     let mut member = relay.options.member.clone();
     let (since, is_settled) = relay.peers.members(|members| members.since());
     member.since = since.map(millis);
@@ -318,6 +323,7 @@
             members.roster.settle();
         }
     });
+    relay.peers.note_enlisted();
     loop {
         relay.peers.rewrite.notified().await;
         // All processes write again, on top of what all runners write.
@@ -367,7 +373,11 @@
         };
         info!(relay.log, "own row not written yet"; "error" => %error);
         let jitter = relay.random(|rng| rng.random_range(0.5..1.0));
-        sleep(pause.mul_f64(jitter)).await;
+        let told = match error {
+            Error::Unavailable { retry_after, .. } => retry_after,
+            _ => None,
+        };
+        sleep(pause.max(told.unwrap_or_default()).mul_f64(jitter)).await;
         pause = (pause * 2).min(PAUSE_MOST);
     }
 }
@@ -375,6 +385,7 @@
 /// Follows the rows of the other processes until the task is dropped.
 pub async fn follow<D: Downstream, S: Source>(relay: Arc<Relay<D>>, source: S) {
     let mut follower = Follower::new(&relay, source, TABLE, PACE);
+    let mut is_first = true;
     loop {
         let mut changes = follower.next(&relay).await;
         if follower.restored {
@@ -399,6 +410,14 @@
             members.listed();
             members.roster.read(follower.current());
         });
+        relay.peers.note_read();
+        if std::mem::take(&mut is_first) && !relay.peers.members(|members| members.share_tables()) {
+            // Many may be about to start together. Once the own row is there, so are those that were
+            // written before it.
+            relay.peers.enlisted(LIST_WAIT).await;
+            follower.hurried = true;
+            continue;
+        }
         relay.peers.note_listed();
     }
 }
@@ -410,9 +429,12 @@
     };
     match Member::deserialize(value) {
         Ok(member) => {
-            info!(relay.log, "member"; "member" => &*member.id, "address" => %member.address,
-                "incarnation" => member.incarnation);
-            members.put(member, change.revision);
+            let (id, address, incarnation) =
+                (member.id.clone(), member.address, member.incarnation);
+            if members.put(member, change.revision) {
+                info!(relay.log, "member"; "member" => &*id, "address" => %address,
+                    "incarnation" => incarnation);
+            }
         }
         Err(error) => {
             warn!(relay.log, "row of a member unreadable"; "row" => &change.key, "error" => %error);
--- a/crates/relay/src/member/tree.rs
+++ b/crates/relay/src/member/tree.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 pub struct Tree {
     own: MemberId,
+    /// Differs between processes.
+    draw: usize,
     rows: Map<MemberId, (RowRevision, f64)>,
     /// In order, if nothing has changed since.
     order: Option<Vec<Place>>,
@@ -40,6 +42,7 @@
     pub fn new(own: &Member) -> Self {
         Self {
             own: own.id.clone(),
+            draw: own.incarnation as usize,
             rows: Map::default(),
             order: None,
             stale: Map::default(),
@@ -77,12 +80,16 @@
         self.order.get_or_insert_with(|| sorted(rows))
     }
 
-    /// Position of the own process; last while its row is not written.
+    /// Position of the own process. While its row is not written it takes one among the later ones, so
+    /// that those which start together are told by different ones.
     fn position(&mut self) -> usize {
-        let own = self.own.clone();
+        let (own, draw) = (self.own.clone(), self.draw);
         let order = self.order();
         let found = order.iter().position(|(.., id)| *id == own);
-        found.unwrap_or(order.len())
+        found.unwrap_or_else(|| {
+            let later = order.len().div_ceil(2);
+            order.len() - draw % later.max(1)
+        })
     }
 
     /// Steps from the tables to the own process.
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -49,8 +49,8 @@
     loads: Mutex<Map<Cell, (Waits, Instant)>>,
     held: Mutex<Map<Cell, Held>>,
     pub(crate) board: Board,
-    /// Whether the processes have been listed.
-    listed: watch::Sender<bool>,
+    /// How far this process has got to know the others.
+    stage: watch::Sender<Stage>,
     /// Wakes the task that writes the own row.
     pub(crate) rewrite: Notify,
     /// What was read of the platform's tables.
@@ -59,6 +59,14 @@
     pub(crate) orders: TaskTracker,
 }
 
+/// How far a process has got after its start to know the others.
+#[derive(Clone, Copy, Debug, Default)]
+struct Stage {
+    is_read: bool,
+    is_enlisted: bool,
+    is_listed: bool,
+}
+
 /// Results that requests of this process hold in one cell.
 #[derive(Debug, Default)]
 struct Held {
@@ -125,7 +133,7 @@
             loads: Mutex::default(),
             held: Mutex::default(),
             board: Board::default(),
-            listed: watch::Sender::new(false),
+            stage: watch::Sender::default(),
             rewrite: Notify::new(),
             tables: Tables::default(),
             orders: TaskTracker::new(),
@@ -137,16 +145,40 @@
         work(&mut lock(&self.members))
     }
 
-    /// The processes have been listed.
+    /// The rows of the processes have been read.
+    pub(crate) fn note_read(&self) {
+        self.stage.send_modify(|stage| stage.is_read = true);
+    }
+
+    /// The own row is written.
+    pub(crate) fn note_enlisted(&self) {
+        self.stage.send_modify(|stage| stage.is_enlisted = true);
+    }
+
+    /// All processes are listed that are there, as far as can be known.
     pub(crate) fn note_listed(&self) {
-        self.listed.send_replace(true);
+        self.stage.send_modify(|stage| stage.is_listed = true);
     }
 
-    /// Waits for a while until the processes have been listed.
+    /// Waits for a while until the rows of the processes have been read.
+    pub(crate) async fn members_read(&self, patience: Duration) {
+        self.wait_for(patience, |stage| stage.is_read).await;
+    }
+
+    /// Waits for a while until the own row is written.
+    pub(crate) async fn enlisted(&self, patience: Duration) {
+        self.wait_for(patience, |stage| stage.is_enlisted).await;
+    }
+
+    /// Waits for a while until the processes are listed.
     pub(crate) async fn listed(&self, patience: Duration) {
-        let mut listed = self.listed.subscribe();
+        self.wait_for(patience, |stage| stage.is_listed).await;
+    }
+
+    async fn wait_for(&self, patience: Duration, reached: impl Fn(&Stage) -> bool) {
+        let mut stage = self.stage.subscribe();
         // Whoever waits goes on without.
-        let _ = timeout(patience, listed.wait_for(|listed| *listed)).await;
+        let _ = timeout(patience, stage.wait_for(|stage| reached(stage))).await;
     }
 
     /// Processes that are there, the own one included; `None` before they are listed.
--- a/crates/relay/src/peer/tables.rs
+++ b/crates/relay/src/peer/tables.rs
@@ -25,8 +25,6 @@
 const BATCHES: usize = 64;
 /// Bytes that are told at most; more is read from the table.
 const MAX_BYTES: usize = 1 << 20;
-/// Revision that a process asks behind which knows nothing of a table.
-pub(crate) const NOTHING: RowRevision = 0;
 
 /// A row as it is told: JSON text, since the codec of links has no free form.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -64,8 +62,8 @@
 /// What a process tells of a table.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
-    /// Revision behind which the changes begin; that of nothing if they are the whole table.
-    pub before: RowRevision,
+    /// Revision behind which the changes begin; none if they are the whole table.
+    pub before: Option<RowRevision>,
     /// Revision up to which they are complete.
     pub revision: RowRevision,
     rows: Vec<Row>,
@@ -80,7 +78,7 @@
     /// Whether they are the whole table.
     #[must_use]
     pub fn is_whole(&self) -> bool {
-        self.before == NOTHING
+        self.before.is_none()
     }
 
     /// Latest moment at which nothing newer was in the table, for one who asked at `asked`.
@@ -168,23 +166,20 @@
         self.lapse = read.lapse;
     }
 
-    /// What a process that knows the table up to `after` and asked at `asked` is told: the changes
-    /// since then, or the whole table if not all of them are kept.
-    fn news(&self, after: RowRevision, asked: Instant) -> Option<News> {
+    /// What a process that knows the table up to `after`, if at all, and asked at `asked` is told: the
+    /// changes since then, or the whole table if not all of them are kept.
+    fn news(&self, after: Option<RowRevision>, asked: Instant) -> Option<News> {
         let current = self.current?;
-        let has_all = after != NOTHING && after >= self.since;
-        let rows: Vec<Row> = if has_all {
-            let newer = self.batches.iter().filter(|batch| batch.revision > after);
-            newer.flat_map(|batch| batch.rows.clone()).collect()
-        } else {
-            self.rows.values().cloned().collect()
+        let kept = after.filter(|after| *after >= self.since);
+        let rows: Vec<Row> = match kept {
+            Some(after) => {
+                let newer = self.batches.iter().filter(|batch| batch.revision > after);
+                newer.flat_map(|batch| batch.rows.clone()).collect()
+            }
+            None => self.rows.values().cloned().collect(),
         };
         let fits = rows.iter().map(Row::bytes).sum::<usize>() <= MAX_BYTES;
-        let before = match (fits, has_all) {
-            (true, true) => after,
-            (true, false) => NOTHING,
-            (false, _) => self.revision,
-        };
+        let before = if fits { kept } else { Some(self.revision) };
         let later = millis(current.saturating_duration_since(asked));
         let sooner = millis(asked.saturating_duration_since(current));
         let signed = |span: u64| i64::try_from(span).unwrap_or(i64::MAX);
@@ -212,14 +207,14 @@
         self.known.send_modify(|known| known.take(read));
     }
 
-    /// What a process is told that knows the table up to `after`: as soon as there is something newer,
-    /// or once nothing newer was there after its question.
-    async fn news(&self, after: RowRevision) -> Option<News> {
+    /// What a process is told that knows the table up to `after`, if at all: as soon as there is
+    /// something newer, or once nothing newer was there after its question.
+    async fn news(&self, after: Option<RowRevision>) -> Option<News> {
         let asked = Instant::now();
         let mut known = self.known.subscribe();
         let says_something = |known: &Known| {
             let current = known.current;
-            current.is_some_and(|current| current >= asked || known.revision > after)
+            current.is_some_and(|current| current >= asked || Some(known.revision) > after)
         };
         // One that waits in vain is told what there is, and judges by itself how old that is.
         let _ = timeout(TELL, known.wait_for(says_something)).await;
@@ -250,7 +245,7 @@
     sender: Sender<Frame>,
     ticket: u64,
     table: String,
-    after: RowRevision,
+    after: Option<RowRevision>,
 ) {
     let table = relay.peers.tables.get(&table);
     let news = table.news(after).await;
@@ -278,7 +273,7 @@
         relay: &Arc<Relay<D>>,
         teller: &Member,
         table: &str,
-        after: RowRevision,
+        after: Option<RowRevision>,
     ) -> Option<News> {
         let Some(line) = self.line(relay, teller).await else {
             self.members(|members| members.suspect(teller));
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -100,8 +100,8 @@
         ticket: u64,
         /// The table.
         table: String,
-        /// Revision up to which the sender knows it.
-        after: RowRevision,
+        /// Revision up to which the sender knows it, if it does.
+        after: Option<RowRevision>,
     },
     /// What is new there, if the sender knows the table.
     News {
--- a/crates/relay/tests/overlay_links.rs
+++ b/crates/relay/tests/overlay_links.rs
@@ -62,9 +62,9 @@
     }
     for (relay, _) in &relays {
         relay.peers.members(|members| {
-            relays
-                .iter()
-                .for_each(|(_, other)| members.put(other.clone(), 1));
+            for (_, other) in &relays {
+                members.put(other.clone(), 1);
+            }
             members.listed();
         });
         tokio::spawn(peer::keep(relay.clone()));
@@ -113,7 +113,9 @@
         let chosen: Vec<Vec<usize>> = (0..count)
             .map(|own| {
                 let mut members = Members::new(member(own, nowhere));
-                (0..count).for_each(|number| members.put(member(number, nowhere), 1));
+                for number in 0..count {
+                    members.put(member(number, nowhere), 1);
+                }
                 let number =
                     |member: &Member| member.id["relay-".len()..].parse().expect("a number");
                 members.neighbours(4).iter().map(number).collect()
--- a/crates/relay/tests/runner_limit.rs
+++ b/crates/relay/tests/runner_limit.rs
@@ -142,7 +142,9 @@
         relay.adopt(common::plan(1));
         relay.update(vec![Change::Listed(runner("p-1", "plain"))]);
         relay.peers.members(|members| {
-            (0..20).for_each(|number| members.put(member(number), number as u64 + 1));
+            for number in 0..20 {
+                members.put(member(number), number as u64 + 1);
+            }
             members.listed();
         });
         limit(&relay, Some(Duration::from_secs(1)));
--- a/crates/relay/tests/tables_shared.rs
+++ b/crates/relay/tests/tables_shared.rs
@@ -7,7 +7,6 @@
 use relay::follow::{self, Source};
 use relay::member::{Member, Members};
 use relay::peer::{self, Frame, News};
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use store::RowRevision;
@@ -32,7 +31,9 @@
 /// What a process of so many knows of the others.
 fn members(own: usize, count: usize) -> Members {
     let mut members = Members::new(member(own));
-    (0..count).for_each(|number| members.put(member(number), number as u64 + 1));
+    for number in 0..count {
+        members.put(member(number), number as u64 + 1);
+    }
     members.enlisted(Duration::ZERO, own as u64 + 1);
     members.listed();
     members
@@ -61,9 +62,10 @@
         Self { sender, receiver }
     }
 
-    async fn news(&mut self, after: RowRevision) -> News {
+    async fn news(&mut self, after: impl Into<Option<RowRevision>>) -> News {
+        let after = after.into();
         let question = Frame::AskNews {
-            ticket: after,
+            ticket: 1,
             table: Script::RUNNERS.to_owned(),
             after,
         };
@@ -90,7 +92,7 @@
     ];
     let mut asking = Asking::new(told).await;
     let news = asking.news(5).await;
-    assert_eq!((news.before, news.revision), (5, 6));
+    assert_eq!((news.before, news.revision), (Some(5), 6));
     let rows = news.changes().rows;
     assert_eq!((rows.len(), &rows[0].value), (1, &None));
 }
@@ -119,7 +121,7 @@
     ];
     let mut asking = Asking::new(told).await;
     let news = asking.news(5).await;
-    assert_eq!((news.before, news.revision), (6, 6));
+    assert_eq!((news.before, news.revision), (Some(6), 6));
     assert!(news.changes().rows.is_empty());
 }
 
@@ -132,7 +134,7 @@
     ];
     let mut asking = Asking::new(told).await;
     asking.news(5).await;
-    let news = asking.news(0).await;
+    let news = asking.news(None).await;
     assert_eq!((news.is_whole(), news.revision), (true, 6));
     let rows = news.changes().rows;
     assert_eq!((rows.len(), &*rows[0].key), (1, "r-2"));
@@ -145,7 +147,7 @@
     let told = vec![Told::At(9, vec![("r-1", entry("plain"))])];
     let mut asking = Asking::new(told).await;
     let news = asking.news(9).await;
-    assert_eq!((news.before, news.revision), (9, 9));
+    assert_eq!((news.before, news.revision), (Some(9), 9));
     assert!(news.changes().rows.is_empty());
 }
 
@@ -224,7 +226,9 @@
             0 => Members::new(weak.clone()),
             own => Members::new(member(*own)),
         };
-        (2..40).for_each(|number| known.put(member(number), number as u64 + 1));
+        for number in 2..40 {
+            known.put(member(number), number as u64 + 1);
+        }
         known.put(weak.clone(), 1);
         // It has written its row anew.
         known.put(member(1), 99);
