--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod feed;
 pub(crate) mod link;
 mod parts;
+pub(crate) mod service;
 pub(crate) mod stage;
 
 use bytes::Bytes;
