--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -12,30 +12,20 @@
 //! add up by runner, the latest whole answer voids all crashes before it, and the latest trial counts.
 //! Merging the same state again changes nothing.
 
+mod suspect;
+
 use crate::id::ContentId;
 use foldhash::fast::{FixedState, RandomState};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::hash::{BuildHasher, Hash};
 use std::time::Duration;
+use suspect::{Ends, MAX_CRASHES, Moment, Span, Suspect};
 
 /// Runners that a request may end before it is held back.
 pub const CRASHES: u32 = 3;
-/// Least time between two crashes that are counted. Many runners may end in one moment, a whole
-/// failure domain for instance, and each had the same popular request.
-const MIN_SPACING: Duration = Duration::from_millis(250);
 /// Time after the loss of an answer in which the end of its runner is put down to the request.
 const LOSS_TTL: Duration = Duration::from_secs(5);
-/// How long a request is held back at first, and by what factor that grows with each trial that ends a
-/// runner. Where few
-/// runners serve popular requests, one that ends them all makes suspects of the others; they must be
-/// back soon, and what deserves it must end few runners more.
-const HOLD: Duration = Duration::from_secs(5);
-const HOLD_GROWTH: u32 = 4;
-/// Trials that make it longer.
-const MAX_GROWTHS: u32 = 5;
-/// Time after which a trial that has neither been answered nor ended a runner is made again.
-const OUTCOME: Duration = Duration::from_secs(3);
 /// Time between the moments at which one process after the other may try a request that is due. A
 /// trial is known everywhere by then, unless processes are cut off from one another.
 pub const TRIAL_STEP: Duration = Duration::from_millis(500);
@@ -43,19 +33,8 @@
 const SUSPECT_TTL: Duration = Duration::from_secs(3_600);
 /// What is added to moments, which may lie before the start of the process.
 const OFFSET: Duration = SUSPECT_TTL;
-/// Accuracy of moments that other processes tell: they are told as ages, and are on their way for a
-/// while.
-const TOLERANCE: Duration = Duration::from_secs(1);
-/// Difference between two moments of one attempt that are told by way of different processes.
-const ACCURACY: Duration = Duration::from_millis(20);
 /// Lost answers, and suspects, that are remembered at most.
 const CAPACITY: usize = 1_024;
-/// Crashes that are remembered of one suspect.
-const MAX_CRASHES: usize = 16;
-
-/// A moment, counted from [`OFFSET`] before the start of the process.
-type Moment = Duration;
-
 /// A runner that ended under a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash<R> {
@@ -130,178 +109,6 @@
     },
 }
 
-/// When a request was sent to a runner that ended under it, and when its answer was lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Span {
-    sent: Moment,
-    lost: Moment,
-}
-
-/// Crashes whose runners are not known: how many count, and when that was learnt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Kept {
-    count: u32,
-    at: Moment,
-}
-
-/// When runners ended, by the first answer that was lost there.
-type Ends<R> = HashMap<R, Moment, RandomState>;
-
-#[derive(Clone, Debug)]
-struct Suspect<R> {
-    /// Runners that it may have ended, in the order of their ends.
-    crashes: Vec<(R, Span)>,
-    kept: Option<Kept>,
-    trials: u32,
-    tried: Option<Moment>,
-    cleared: Option<Moment>,
-    /// When it was last asked for or told of.
-    used: Moment,
-}
-
-impl<R: Clone + Eq + Hash> Suspect<R> {
-    fn new(now: Moment) -> Self {
-        Self {
-            crashes: Vec::new(),
-            kept: None,
-            trials: 0,
-            tried: None,
-            cleared: None,
-            used: now,
-        }
-    }
-
-    /// Whether what happened at a moment counts for nothing, since the request was answered later.
-    fn is_void(&self, at: Moment) -> bool {
-        self.cleared
-            .is_some_and(|cleared| at <= cleared + TOLERANCE)
-    }
-
-    /// Takes in a crash; tells whether it was not known.
-    fn add(&mut self, runner: &R, span: Span) -> bool {
-        if self.is_void(span.lost) {
-            return false;
-        }
-        if let Some((_, known)) = self.crashes.iter_mut().find(|(known, _)| known == runner) {
-            // What is told on its way through many processes gets later with each. An earlier attempt may
-            // be the one that ended the runner.
-            let is_earlier = span.sent + ACCURACY < known.sent;
-            known.sent = span.sent.min(known.sent);
-            known.lost = span.lost.min(known.lost);
-            return is_earlier;
-        }
-        let place = self
-            .crashes
-            .partition_point(|(_, known)| known.lost <= span.lost);
-        self.crashes.insert(place, (runner.clone(), span));
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
-        }
-        true
-    }
-
-    /// Takes in crashes whose runners are not known; tells whether more count now.
-    fn keep(&mut self, count: u32, at: Moment) -> bool {
-        if self.is_void(at) || self.kept.is_some_and(|kept| kept.count >= count) {
-            return false;
-        }
-        self.kept = Some(Kept { count, at });
-        true
-    }
-
-    /// Takes in a trial; tells whether it was not known.
-    fn note_trial(&mut self, trials: u32, at: Moment) -> bool {
-        let is_later = self.tried.is_none_or(|tried| at > tried + TOLERANCE);
-        if self.is_void(at) || !is_later && trials <= self.trials {
-            return false;
-        }
-        self.trials = self.trials.max(trials);
-        self.tried = Some(self.tried.map_or(at, |tried| tried.max(at)));
-        true
-    }
-
-    /// Takes in a whole answer; tells whether it was not known.
-    fn clear(&mut self, at: Moment) -> bool {
-        if self.is_void(at) {
-            return false;
-        }
-        self.cleared = Some(at);
-        let void = |moment: Moment| moment <= at + TOLERANCE;
-        self.crashes.retain(|(_, span)| !void(span.lost));
-        self.kept = self.kept.filter(|kept| !void(kept.at));
-        if self.tried.is_none_or(void) {
-            (self.trials, self.tried) = (0, None);
-        }
-        true
-    }
-
-    /// Moments of the crashes that count: those under which the request had been sent before the runner
-    /// ended.
-    fn counted(&self, ends: &Ends<R>) -> impl DoubleEndedIterator<Item = Moment> {
-        let was_there = |(runner, span): &&(R, Span)| {
-            let end = ends.get(runner);
-            end.is_none_or(|end| span.sent <= *end)
-        };
-        let crashes = self.crashes.iter().filter(was_there);
-        crashes.map(|(_, span)| span.lost)
-    }
-
-    /// Crashes that count, but for those right after another one.
-    fn count(&self, ends: &Ends<R>) -> u32 {
-        let mut last: Option<Moment> = None;
-        let mut count = 0;
-        for lost in self.counted(ends) {
-            if last.is_none_or(|last| last + MIN_SPACING <= lost) {
-                last = Some(lost);
-                count += 1;
-            }
-        }
-        self.kept.map_or(count, |kept| kept.count.max(count))
-    }
-
-    fn is_held(&self, ends: &Ends<R>) -> bool {
-        self.count(ends) >= CRASHES
-    }
-
-    /// Whether anything speaks against the request.
-    fn is_suspect(&self, ends: &Ends<R>) -> bool {
-        self.count(ends) > 0
-    }
-
-    /// When it is due for a trial.
-    fn due(&self, ends: &Ends<R>) -> Moment {
-        let kept = self.kept.map(|kept| kept.at);
-        let last = self.last_crash(ends).max(kept).unwrap_or_default();
-        let hold = HOLD * HOLD_GROWTH.pow(self.trials.min(MAX_GROWTHS));
-        match self.tried {
-            // The trial has ended no runner so far; what became of it else says nothing.
-            Some(tried) if tried > last => tried + OUTCOME,
-            _ => last + hold,
-        }
-    }
-
-    fn last_crash(&self, ends: &Ends<R>) -> Option<Moment> {
-        self.counted(ends).next_back()
-    }
-
-    fn report(&self, content: ContentId, ends: &Ends<R>, now: Moment) -> Report<R> {
-        let ago = |at: Moment| now.saturating_sub(at);
-        let crash = |(runner, span): &(R, Span)| Crash {
-            runner: runner.clone(),
-            sent: ago(span.sent),
-            lost: ago(span.lost),
-        };
-        Report {
-            content,
-            crashes: self.crashes.iter().map(crash).collect(),
-            count: self.count(ends),
-            trials: self.trials,
-            tried: self.tried.map(ago),
-            cleared: self.cleared.map(ago),
-        }
-    }
-}
-
 /// An answer that was lost.
 #[derive(Clone, Debug)]
 struct Loss<R> {
