--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -272,6 +272,7 @@
         key: "soak".to_owned(),
         weight: 1.0,
         memory_mb: MEMORY_MB,
+        first_start: false,
         store,
         repeats: setting::relay::Repeats::default(),
         grace_s: GRACE_S,
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -57,6 +57,8 @@
     pub clock: Clock,
     /// Bytes that the process may take up.
     pub memory: usize,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
 }
 
 /// One process that takes requests and passes them on.
--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -29,8 +29,10 @@
 /// Time after the table service's return in which entries that lapsed meanwhile come back, by the
 /// platform's promise. Runners whose entries lapsed while the service was away are fine.
 const LAPSE: Duration = Duration::from_millis(1_800);
-/// Longest wait of a start for a table that another process is asked for.
-const HELP: Duration = Duration::from_millis(600);
+/// Longest wait of a start for a table that another process is asked for: where all start for the first
+/// time, and none serves yet, and where callers wait.
+const HELP_FIRST: Duration = Duration::from_millis(600);
+const HELP: Duration = Duration::from_millis(100);
 /// Time after the start in which others may turn out to be there that rely on this process.
 const START: Duration = Duration::from_secs(5);
 /// What is added to the greatest age of knowledge for each step that the tables are away: whoever tells
@@ -225,12 +227,10 @@
         if !std::mem::take(&mut self.fresh) || self.table == member::TABLE {
             return None;
         }
-        // Where many have started anew, the one that tells this one may be gone, and those that wrote
-        // their rows last are there.
         let draw = relay.random(|rng| rng.random::<u32>());
         let teller = relay.peers.members(|members| members.teller())?;
         let changes = self.ask_whole(relay, teller).await;
-        if changes.is_some() {
+        if changes.is_some() || !relay.options.first_start {
             return changes;
         }
         let helper = relay.peers.members(|members| members.helper(draw))?;
@@ -244,7 +244,12 @@
     ) -> Option<Changes> {
         let asked = Instant::now();
         let news = relay.peers.news(relay, &helper, self.table, None);
-        let news = timeout(HELP, news).await.ok().flatten();
+        let patience = if relay.options.first_start {
+            HELP_FIRST
+        } else {
+            HELP
+        };
+        let news = timeout(patience, news).await.ok().flatten();
         let Some(news) = news.filter(News::is_whole) else {
             info!(relay.log, "no table from a peer"; "peer" => &*helper.id, "table" => self.table);
             return None;
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -251,10 +251,10 @@
     /// The few processes that this one keeps links to, spread over the failure domains. Each process
     /// chooses for itself, and the links of all lead from any process to any other.
     #[must_use]
-    pub fn neighbours(&self, count: usize) -> Vec<Member> {
+    pub fn neighbours(&self, count: usize, is_gone: impl Fn(&MemberId) -> bool) -> Vec<Member> {
         let others: Map<&str, &Member> = self
             .reachable()
-            .filter(|member| !self.leaves(member))
+            .filter(|member| !self.leaves(member) && !is_gone(&member.id))
             .map(|member| (&*member.id, member))
             .collect();
         let candidates: Vec<subset::Candidate<'_>> = others
@@ -411,7 +411,8 @@
             members.roster.read(follower.current());
         });
         relay.peers.note_read();
-        if std::mem::take(&mut is_first) && !relay.peers.members(|members| members.share_tables()) {
+        let is_alone = !relay.peers.members(|members| members.share_tables());
+        if std::mem::take(&mut is_first) && is_alone && relay.options.first_start {
             // Many may be about to start together. Once the own row is there, so are those that were
             // written before it.
             relay.peers.enlisted(LIST_WAIT).await;
--- a/crates/relay/src/peer/overlay.rs
+++ b/crates/relay/src/peer/overlay.rs
@@ -9,8 +9,9 @@
 use super::talk::{self, Frame};
 use crate::core::{Relay, lock};
 use crate::downstream::Downstream;
-use crate::member::Member;
+use crate::member::{Member, MemberId};
 use crate::plan::Version;
+use decide::Map;
 use foldhash::fast::FixedState;
 use futures::future::join_all;
 use serde::{Deserialize, Serialize};
@@ -24,6 +25,8 @@
 const LINKS: usize = 4;
 /// Time between two comparisons.
 const PERIOD: Duration = Duration::from_secs(1);
+/// Time for which another process is chosen in place of one that was not reached.
+const UNREACHED: Duration = Duration::from_secs(2);
 /// Time after which a link on which a beat was not answered is given up.
 pub(super) const SILENCE: Duration = Duration::from_secs(3);
 
@@ -52,25 +55,38 @@
 pub async fn keep<D: Downstream>(relay: Arc<Relay<D>>) {
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    // Kept apart from the suspects of those who send work: processes that disagree on who does it get
+    // into one another's way.
+    let mut unreached: Map<MemberId, Instant> = Map::default();
     loop {
         ticks.tick().await;
-        let neighbours = relay.peers.members(|members| members.neighbours(LINKS));
+        unreached.retain(|_, until| *until > Instant::now());
+        let is_gone = |id: &MemberId| unreached.contains_key(id);
+        let neighbours = relay
+            .peers
+            .members(|members| members.neighbours(LINKS, is_gone));
         let beat = Beat::of(&relay);
         let beats = neighbours.iter().map(|member| send(&relay, member, beat));
-        join_all(beats).await;
+        let failed = join_all(beats).await.into_iter().flatten();
+        unreached.extend(failed.map(|id| (id, Instant::now() + UNREACHED)));
     }
 }
 
-async fn send<D: Downstream>(relay: &Arc<Relay<D>>, member: &Member, beat: Beat) {
+/// Gives the member if it was not reached.
+async fn send<D: Downstream>(
+    relay: &Arc<Relay<D>>,
+    member: &Member,
+    beat: Beat,
+) -> Option<MemberId> {
     let Some(line) = relay.peers.line(relay, member).await else {
-        relay.peers.members(|members| members.suspect(member));
-        return;
+        return Some(member.id.clone());
     };
     let answers = false;
     // One that is too full for it is compared a second later.
     if line.sender.try_send(&Frame::Beat { beat, answers }).is_ok() {
         line.beaten();
     }
+    None
 }
 
 impl Line {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -408,6 +408,7 @@
         regions: decide::Map::default(),
         clock: since_start,
         memory: MEMORY,
+        first_start: true,
     }
 }
 
--- a/crates/relay/tests/overlay_links.rs
+++ b/crates/relay/tests/overlay_links.rs
@@ -118,7 +118,11 @@
                 }
                 let number =
                     |member: &Member| member.id["relay-".len()..].parse().expect("a number");
-                members.neighbours(4).iter().map(number).collect()
+                members
+                    .neighbours(4, |_| false)
+                    .iter()
+                    .map(number)
+                    .collect()
             })
             .collect();
         assert!(chosen.iter().all(|chosen| chosen.len() == 4.min(count - 1)));
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -51,6 +51,7 @@
     Field::required("key", Shape::Text),
     Field::optional("weight", Shape::Amount),
     Field::optional("memory_mb", MEMORY),
+    Field::optional("first_start", Shape::Flag),
     Field::required("store", Shape::Address),
     Field::optional("repeats", REPEATS),
     Field::optional("warmup", WARMUP),
@@ -84,6 +85,9 @@
     /// Memory that the process may take up, in megabytes.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: usize,
+    /// Whether the whole system starts for the first time, and no callers wait.
+    #[serde(default)]
+    pub first_start: bool,
     /// The platform's table service.
     pub store: SocketAddr,
     /// Bound on second attempts of the whole fleet.
