--- a/crates/protocol/tests/reader_search.rs
+++ b/crates/protocol/tests/reader_search.rs
@@ -1,4 +1,5 @@
-//! Search over the shipped reader: a teller that is cut off from the table, words that are late.
+//! Search over the shipped reader: a teller that is cut off from the table or learns of it from another
+//! one, words that are late, tables that are told as a whole.
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod search;
@@ -13,6 +14,8 @@
 const CHANGES: RowRevision = 2;
 /// Greatest age at which the teller is relied on, in ticks.
 const MOST: u64 = 2;
+/// Age of what a teller is told by another process, in ticks.
+const AGE: u64 = 3;
 
 fn ticks(count: u64) -> Duration {
     Duration::from_secs(count)
@@ -30,6 +33,8 @@
     HideGap,
     /// The word of a teller that is behind counts as current.
     BehindIsCurrent,
+    /// A teller passes on what it was told as if it had read it at that moment.
+    PassedOnIsCurrent,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -37,10 +42,12 @@
     Tick,
     Change,
     TellerReads,
+    TellerIsTold,
     TellerStartsAnew,
     Cut,
     Ask,
     Answer,
+    AnswerWhole,
     Deliver,
 }
 
@@ -50,7 +57,8 @@
     /// Revision behind which it has all changes, and up to which.
     since: RowRevision,
     revision: RowRevision,
-    /// When it read them.
+    /// When it read them, and when it says so.
+    as_of: u64,
     read: u64,
     cut: bool,
 }
@@ -90,6 +98,7 @@
             teller: Teller {
                 since: 0,
                 revision: 0,
+                as_of: 0,
                 read: 0,
                 cut: false,
             },
@@ -110,10 +119,12 @@
             Step::Tick => next.tick(),
             Step::Change => next.change(),
             Step::TellerReads => next.teller_reads(),
+            Step::TellerIsTold => next.teller_is_told(),
             Step::TellerStartsAnew => next.teller_starts_anew(),
             Step::Cut => next.cut(),
             Step::Ask => next.ask(),
             Step::Answer => next.answer(),
+            Step::AnswerWhole => next.answer_whole(),
             Step::Deliver => next.deliver(),
         };
         possible.then_some(next)
@@ -152,10 +163,29 @@
     fn teller_reads(&mut self) -> bool {
         let news = (self.teller.revision, self.teller.read) != (self.head(), self.now);
         self.teller.revision = self.head();
-        self.teller.read = self.now;
+        (self.teller.as_of, self.teller.read) = (self.now, self.now);
         news && !self.teller.cut
     }
 
+    /// Another process tells the teller what it read some ticks ago, also where the table turns that away.
+    fn teller_is_told(&mut self) -> bool {
+        let Some(read) = self
+            .now
+            .checked_sub(AGE)
+            .filter(|read| *read > self.teller.as_of)
+        else {
+            return false;
+        };
+        let known = self.changed.iter().filter(|changed| **changed <= read);
+        self.teller.revision = known.count() as RowRevision - 1;
+        self.teller.as_of = read;
+        self.teller.read = match self.mutation {
+            Mutation::PassedOnIsCurrent => self.now,
+            _ => read,
+        };
+        true
+    }
+
     /// A new process reads the table as a whole and has no history.
     fn teller_starts_anew(&mut self) -> bool {
         self.teller.since = self.head();
@@ -197,6 +227,24 @@
         true
     }
 
+    /// The teller lacks what the other one asks for, and tells the whole table.
+    fn answer_whole(&mut self) -> bool {
+        let teller = &self.teller;
+        let Some(question) = self.question.as_mut().filter(|asked| asked.told.is_none()) else {
+            return false;
+        };
+        if question.after >= teller.since {
+            return false;
+        }
+        question.since = 0;
+        question.told = Some(Told {
+            before: 0,
+            revision: teller.revision,
+            current: ticks(teller.read),
+        });
+        true
+    }
+
     fn deliver(&mut self) -> bool {
         let Some(question) = self.question.take() else {
             return false;
@@ -236,10 +284,12 @@
             Step::Tick,
             Step::Change,
             Step::TellerReads,
+            Step::TellerIsTold,
             Step::TellerStartsAnew,
             Step::Cut,
             Step::Ask,
             Step::Answer,
+            Step::AnswerWhole,
             Step::Deliver,
         ];
         let steps = all.into_iter();
@@ -268,6 +318,7 @@
         Mutation::TrustForEver,
         Mutation::HideGap,
         Mutation::BehindIsCurrent,
+        Mutation::PassedOnIsCurrent,
     ];
     for mutation in mutations {
         let name = format!("{mutation:?}");
