--- a/crates/protocol/tests/quarantine_rules.rs
+++ b/crates/protocol/tests/quarantine_rules.rs
@@ -91,7 +91,7 @@
 
 /// Guards against a crash that is told late, after the answer which voids it.
 #[test]
-fn told_after_answer() {
+fn late_report() {
     let mut quarantine = held();
     let now = SECOND * 4;
     assert!(matches!(
--- a/crates/protocol/tests/reader_search.rs
+++ b/crates/protocol/tests/reader_search.rs
@@ -42,7 +42,7 @@
     Tick,
     Change,
     TellerReads,
-    TellerIsTold,
+    TellerLearns,
     TellerStartsAnew,
     Cut,
     Ask,
@@ -119,7 +119,7 @@
             Step::Tick => next.tick(),
             Step::Change => next.change(),
             Step::TellerReads => next.teller_reads(),
-            Step::TellerIsTold => next.teller_is_told(),
+            Step::TellerLearns => next.teller_learns(),
             Step::TellerStartsAnew => next.teller_starts_anew(),
             Step::Cut => next.cut(),
             Step::Ask => next.ask(),
@@ -168,7 +168,7 @@
     }
 
     /// Another process tells the teller what it read some ticks ago, also where the table turns that away.
-    fn teller_is_told(&mut self) -> bool {
+    fn teller_learns(&mut self) -> bool {
         let Some(read) = self
             .now
             .checked_sub(AGE)
@@ -284,7 +284,7 @@
             Step::Tick,
             Step::Change,
             Step::TellerReads,
-            Step::TellerIsTold,
+            Step::TellerLearns,
             Step::TellerStartsAnew,
             Step::Cut,
             Step::Ask,
--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -179,20 +179,20 @@
         pauses: u64,
     ) -> Result<Changes, Miss> {
         let paused = pauses > self.pauses;
-        if !paused && let Some(changes) = self.hear(relay).await {
+        if !paused && let Some(changes) = self.ask_peer(relay).await {
             return Ok(changes);
         }
         self.read(relay, paused).await
     }
 
     /// What another process tells, if there is one that can and it tells in time.
-    async fn hear<D: Downstream>(&mut self, relay: &Arc<Relay<D>>) -> Option<Changes> {
+    async fn ask_peer<D: Downstream>(&mut self, relay: &Arc<Relay<D>>) -> Option<Changes> {
         let Some(after) = self.reader.after() else {
-            return self.hear_whole(relay).await;
+            return self.ask_whole_table(relay).await;
         };
         let (teller, depth) = relay
             .peers
-            .members(|members| Some((members.teller()?, members.tree.depth())))?;
+            .members(|members| Some((members.upstream()?, members.tree.depth())))?;
         let until = relay.started() + self.reader.trusts_until()? + STEP * depth;
         let asked = Instant::now();
         if until <= asked {
@@ -213,7 +213,7 @@
         } else {
             relay
                 .peers
-                .members(|members| members.tree.note_told(&teller.id));
+                .members(|members| members.tree.note_answered(&teller.id));
         }
         if changes.is_some() {
             self.teller = Some(teller.id);
@@ -223,21 +223,21 @@
 
     /// The whole table from another process, at the start. The list of the processes itself is read: who
     /// else would tell whom to ask?
-    async fn hear_whole<D: Downstream>(&mut self, relay: &Arc<Relay<D>>) -> Option<Changes> {
+    async fn ask_whole_table<D: Downstream>(&mut self, relay: &Arc<Relay<D>>) -> Option<Changes> {
         if !std::mem::take(&mut self.fresh) || self.table == member::TABLE {
             return None;
         }
         let draw = relay.random(|rng| rng.random::<u32>());
-        let teller = relay.peers.members(|members| members.teller())?;
-        let changes = self.ask_whole(relay, teller).await;
+        let teller = relay.peers.members(|members| members.upstream())?;
+        let changes = self.fetch_whole(relay, teller).await;
         if changes.is_some() || !relay.options.first_start {
             return changes;
         }
         let helper = relay.peers.members(|members| members.helper(draw))?;
-        self.ask_whole(relay, helper).await
+        self.fetch_whole(relay, helper).await
     }
 
-    async fn ask_whole<D: Downstream>(
+    async fn fetch_whole<D: Downstream>(
         &mut self,
         relay: &Arc<Relay<D>>,
         helper: Member,
@@ -256,7 +256,7 @@
         };
         relay
             .peers
-            .members(|members| members.tree.note_told(&helper.id));
+            .members(|members| members.tree.note_answered(&helper.id));
         self.reader
             .read(news.revision, news.current(relay.at(asked)));
         self.note_era(relay, news.revision);
@@ -402,7 +402,7 @@
                 self.pace.alone
             };
         }
-        if relay.peers.members(|members| members.teller()).is_some() {
+        if relay.peers.members(|members| members.upstream()).is_some() {
             // It could not tell; another one may.
             return Duration::ZERO;
         }
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -208,9 +208,9 @@
 
     /// The process that tells this one what is new in the platform's tables; none if it reads them.
     #[must_use]
-    pub fn teller(&mut self) -> Option<Member> {
+    pub fn upstream(&mut self) -> Option<Member> {
         self.share_tables().then_some(())?;
-        let tellers = self.tree.tellers();
+        let tellers = self.tree.upstreams();
         tellers.iter().find_map(|id| self.can_tell(id))
     }
 
--- a/crates/relay/src/member/tree.rs
+++ b/crates/relay/src/member/tree.rs
@@ -71,7 +71,7 @@
     }
 
     /// A process told what is new.
-    pub fn note_told(&mut self, id: &MemberId) {
+    pub fn note_answered(&mut self, id: &MemberId) {
         self.last = Some(id.clone());
     }
 
@@ -106,7 +106,7 @@
 
     /// The process that tells the own one, and others that may where it cannot; none if the own process
     /// reads the tables, or must.
-    pub(super) fn tellers(&mut self) -> Vec<MemberId> {
+    pub(super) fn upstreams(&mut self) -> Vec<MemberId> {
         let Some(above) = above(self.position()) else {
             return Vec::new();
         };
--- a/crates/relay/tests/fleet_start.rs
+++ b/crates/relay/tests/fleet_start.rs
@@ -103,7 +103,7 @@
 /// Guards against a call of each process for each change: runners register one after the other, and a
 /// configuration follows.
 #[tokio::test]
-async fn changes_told() {
+async fn changes_passed_on() {
     let mut fleet = Fleet::new();
     for number in 0..40 {
         fleet.start(number).await;
--- a/crates/relay/tests/overlay_links.rs
+++ b/crates/relay/tests/overlay_links.rs
@@ -55,7 +55,7 @@
 
 /// Guards against processes that nobody tells anything since no work has led to a link between them.
 #[tokio::test]
-async fn told_without_work() {
+async fn announced_without_work() {
     let mut relays = Vec::new();
     for number in 0..6 {
         relays.push(relay(number).await);
@@ -80,7 +80,7 @@
 
 /// Guards against a link that lives on after its queue was full, and never tells what it missed.
 #[tokio::test]
-async fn told_after_beat() {
+async fn repeated_after_beat() {
     let (relay, _) = relay(0).await;
     let (sender, mut receiver) = link::open(&relay).await;
     let empty = peer::Beat::default();
--- a/crates/relay/tests/tables_shared.rs
+++ b/crates/relay/tests/tables_shared.rs
@@ -157,7 +157,7 @@
 async fn tellers_gone() {
     let relay = blank_as(Fake::default(), member(39));
     relay.peers.members(|known| *known = members(39, 40));
-    assert!(relay.peers.members(|known| known.teller()).is_some());
+    assert!(relay.peers.members(|known| known.upstream()).is_some());
     let quiet = (0..4).map(|_| Told::Quiet);
     let told = [Told::At(5, vec![("r-1", entry("plain"))])];
     let told = told
@@ -171,9 +171,9 @@
 }
 
 /// The one that tells each of so many processes; none for those that read.
-fn tellers(count: usize) -> Vec<Option<usize>> {
+fn upstreams(count: usize) -> Vec<Option<usize>> {
     let number = |member: Member| member.id["relay-".len()..].parse().expect("a number");
-    let teller = |own: usize| members(own, count).teller().map(number);
+    let teller = |own: usize| members(own, count).upstream().map(number);
     (0..count).map(teller).collect()
 }
 
@@ -182,7 +182,7 @@
 #[test]
 fn few_readers() {
     let readers = |count: usize| {
-        tellers(count)
+        upstreams(count)
             .iter()
             .filter(|teller| teller.is_none())
             .count()
@@ -195,7 +195,7 @@
 #[test]
 fn short_ways() {
     for (count, most) in [(30, 2), (300, 3), (1_000, 3)] {
-        let tellers = tellers(count);
+        let tellers = upstreams(count);
         let mut told = vec![0; count];
         tellers
             .iter()
@@ -235,7 +235,7 @@
         let revision = if *own == 1 { 99 } else { *own as u64 + 1 };
         known.enlisted(Duration::ZERO, revision);
         known.listed();
-        known.teller().is_none()
+        known.upstream().is_none()
     };
     let readers = (0..40).filter(reads);
     assert_eq!(readers.collect::<Vec<_>>(), [2, 3]);
@@ -243,14 +243,14 @@
 
 /// Guards against calls of all that a process tells, when that has nothing new to tell.
 #[tokio::test(start_paused = true)]
-async fn stale_teller() {
+async fn stale_upstream() {
     let mut known = members(39, 40);
-    let teller = known.teller().expect("one of forty");
+    let teller = known.upstream().expect("one of forty");
     known.tree.note_stale(&teller.id);
-    let next = known.teller().expect("another one");
+    let next = known.upstream().expect("another one");
     assert_ne!(next.id, teller.id);
     sleep(Duration::from_secs(4)).await;
-    assert_eq!(known.teller(), Some(teller));
+    assert_eq!(known.upstream(), Some(teller));
 }
 
 /// The process that tells is asked to stop, and ends with what it knows. The others turn to the next
@@ -258,8 +258,8 @@
 #[test]
 fn teller_leaves() {
     let mut known = members(39, 40);
-    let teller = known.teller().expect("one of forty");
+    let teller = known.upstream().expect("one of forty");
     known.left(teller.id.clone(), teller.incarnation);
-    let next = known.teller();
+    let next = known.upstream();
     assert!(next.is_none_or(|next| next.id != teller.id));
 }
