--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -153,7 +153,7 @@
     /// The runner's answer was lost: it may have ended under the request.
     pub fn lost(self) {
         self.relay.note_lost(self.content, &self.runner, self.sent);
-        quarantine::look_for(&self.relay, &self.runner);
+        quarantine::probe(&self.relay, &self.runner);
         self.failed();
     }
 
--- a/crates/relay/src/limit.rs
+++ b/crates/relay/src/limit.rs
@@ -19,10 +19,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time after which a limit is told again that still holds.
-const AGAIN: Duration = Duration::from_secs(15);
-/// Time after which a limit counts no more that nobody tells of.
-const LIFE: Duration = Duration::from_secs(60);
+/// Time after which a limit that still holds is announced again.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(15);
+/// Time after which a limit counts no more that nobody announces.
+const TTL: Duration = Duration::from_secs(60);
 
 /// What relays tell one another of a runner's limit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -46,41 +46,42 @@
 struct Limit {
     spacing: Option<Duration>,
     /// Moment of the answer that says so.
-    heard: Instant,
+    observed: Instant,
     /// When that was told last.
-    told: Instant,
+    announced: Instant,
     /// When this process last sent the runner a request, or learnt of the limit.
     sent: Instant,
 }
 
 impl Limits {
     /// Takes in what an answer says, or another process. Tells whether others should be told.
-    fn hear(&mut self, id: &RunnerId, spacing: Option<Duration>, heard: Instant) -> bool {
+    fn merge(&mut self, id: &RunnerId, spacing: Option<Duration>, observed: Instant) -> bool {
         let now = Instant::now();
-        self.known.retain(|_, limit| limit.heard + LIFE > now);
+        self.known.retain(|_, limit| limit.observed + TTL > now);
         let Some(limit) = self.known.get_mut(id) else {
             if spacing.is_some() {
-                let (told, sent) = (now, now);
+                let (announced, sent) = (now, now);
                 let limit = Limit {
                     spacing,
-                    heard,
-                    told,
+                    observed,
+                    announced,
                     sent,
                 };
                 self.known.insert(id.clone(), limit);
             }
             return spacing.is_some();
         };
-        if heard <= limit.heard {
+        if observed <= limit.observed {
             return false;
         }
-        let news = limit.spacing != spacing || now > limit.told + AGAIN && spacing.is_some();
+        let news = limit.spacing != spacing
+            || now > limit.announced + ANNOUNCE_INTERVAL && spacing.is_some();
         if limit.spacing.is_none() {
             limit.sent = now;
         }
-        (limit.spacing, limit.heard) = (spacing, heard);
+        (limit.spacing, limit.observed) = (spacing, observed);
         if news {
-            limit.told = now;
+            limit.announced = now;
         }
         news
     }
@@ -120,14 +121,14 @@
 impl Limit {
     /// Whether it asks for fewer requests, and was told lately.
     fn holds(&self) -> bool {
-        self.spacing.is_some() && self.heard.elapsed() < LIFE
+        self.spacing.is_some() && self.observed.elapsed() < TTL
     }
 
     fn notice(&self, id: &RunnerId) -> Notice {
         Notice {
             runner: id.clone(),
             spacing: self.spacing,
-            ago: self.heard.elapsed(),
+            ago: self.observed.elapsed(),
         }
     }
 }
@@ -159,29 +160,36 @@
                         spacing: asked @ Some(_),
                     },
             }) => {
-                self.hear_limit(&runner.id, *asked, Instant::now(), "its answer");
+                self.merge_limit(&runner.id, *asked, Instant::now(), "its answer");
             }
             // An answer to what was sent before the runner asked says nothing of it.
-            Ok(reply) if reply.proven => self.hear_limit(&runner.id, None, sent, "its answer"),
+            Ok(reply) if reply.proven => self.merge_limit(&runner.id, None, sent, "its answer"),
             _ => {}
         }
     }
 
     /// Takes in what another process tells of a runner's limit.
-    pub(crate) fn hear_notice(&self, notice: &Notice, origin: &str) {
-        let heard = Instant::now().checked_sub(notice.ago);
-        self.hear_limit(
+    pub(crate) fn merge_notice(&self, notice: &Notice, origin: &str) {
+        let observed = Instant::now().checked_sub(notice.ago);
+        self.merge_limit(
             &notice.runner,
             notice.spacing,
-            heard.unwrap_or(self.started()),
+            observed.unwrap_or(self.started()),
             origin,
         );
     }
 
-    fn hear_limit(&self, id: &RunnerId, spacing: Option<Duration>, heard: Instant, origin: &str) {
+    fn merge_limit(
+        &self,
+        id: &RunnerId,
+        spacing: Option<Duration>,
+        observed: Instant,
+        origin: &str,
+    ) {
         let notice = {
             let mut limits = lock(&self.limits);
-            if limits.known.is_empty() && spacing.is_none() || !limits.hear(id, spacing, heard) {
+            if limits.known.is_empty() && spacing.is_none() || !limits.merge(id, spacing, observed)
+            {
                 return;
             }
             limits.known.get(id).map(|limit| limit.notice(id))
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -7,7 +7,7 @@
 pub(crate) mod tables;
 mod talk;
 
-pub use board::{Board, Burdens, tell};
+pub use board::{Board, Burdens, exchange_burdens};
 pub use overlay::{Beat, keep};
 pub use serving::serve;
 pub use tables::News;
@@ -45,7 +45,7 @@
     key: Key,
     members: Mutex<Members>,
     slots: Mutex<Map<MemberId, Arc<Slot>>>,
-    voices: Mutex<Vec<Sender<Frame>>>,
+    subscribers: Mutex<Vec<Sender<Frame>>>,
     loads: Mutex<Map<Cell, (Waits, Instant)>>,
     held: Mutex<Map<Cell, Held>>,
     pub(crate) board: Board,
@@ -104,7 +104,7 @@
 #[derive(Debug)]
 pub(crate) struct Pending {
     next: u64,
-    heard: Instant,
+    received: Instant,
     /// When a beat was sent that has not been answered.
     beaten: Option<Instant>,
     waiting: Map<u64, oneshot::Sender<Outcome>>,
@@ -129,7 +129,7 @@
             key,
             members: Mutex::new(Members::new(own)),
             slots: Mutex::default(),
-            voices: Mutex::default(),
+            subscribers: Mutex::default(),
             loads: Mutex::default(),
             held: Mutex::default(),
             board: Board::default(),
@@ -196,7 +196,7 @@
             id: own.id.clone(),
             incarnation: own.incarnation,
         };
-        self.tell_all(&leaving);
+        self.broadcast(&leaving);
     }
 
     /// Waits until the orders of other processes have been carried out.
@@ -207,34 +207,35 @@
 
     /// Tells all linked processes which configuration is in force here.
     pub fn announce(&self, version: Version) {
-        self.tell_all(&Frame::Version(version));
+        self.broadcast(&Frame::Version(version));
     }
 
     /// Tells all linked processes which failure domains are drained.
     pub fn announce_drains(&self, drains: &Drains) {
-        self.tell_all(&Frame::Drains(drains.clone()));
+        self.broadcast(&Frame::Drains(drains.clone()));
     }
 
     /// Tells all linked processes of a request that ends runners.
     pub(crate) fn announce_suspicion(&self, suspicion: &Suspicion) {
-        self.tell_all(&Frame::Suspicion(suspicion.clone()));
+        self.broadcast(&Frame::Suspicion(suspicion.clone()));
     }
 
     /// Tells all linked processes of a runner's limit.
     pub(crate) fn announce_limit(&self, notice: &Notice) {
-        self.tell_all(&Frame::Limit(notice.clone()));
+        self.broadcast(&Frame::Limit(notice.clone()));
     }
 
     /// A link whose queue is full misses the frame; what it missed shows in the next beat.
-    fn tell_all(&self, frame: &Frame) {
-        lock(&self.voices).retain(|voice| voice.try_send(frame).is_ok() || !voice.is_lost());
+    fn broadcast(&self, frame: &Frame) {
+        lock(&self.subscribers)
+            .retain(|subscriber| subscriber.try_send(frame).is_ok() || !subscriber.is_lost());
     }
 
     /// From now on this process is told of what is announced.
-    pub(crate) fn listen(&self, voice: Sender<Frame>) {
-        let mut voices = lock(&self.voices);
-        voices.retain(|voice| !voice.is_lost());
-        voices.push(voice);
+    pub(crate) fn subscribe(&self, subscriber: Sender<Frame>) {
+        let mut subscribers = lock(&self.subscribers);
+        subscribers.retain(|subscriber| !subscriber.is_lost());
+        subscribers.push(subscriber);
     }
 
     /// Expected time until pieces of this rank that come now are made in a cell.
@@ -251,11 +252,11 @@
         let loads = lock(&self.loads);
         let fresh = loads
             .get(cell)
-            .filter(|(_, heard)| heard.elapsed() < LOAD_LIFE);
+            .filter(|(_, received)| received.elapsed() < LOAD_LIFE);
         fresh.map_or(batches.shape.call, |(waits, _)| waits.of(rank))
     }
 
-    pub(crate) fn told_load(&self, cell: Cell, waits: Waits) {
+    pub(crate) fn note_load(&self, cell: Cell, waits: Waits) {
         lock(&self.loads).insert(cell, (waits, Instant::now()));
     }
 
@@ -339,7 +340,7 @@
     fn new(incarnation: u64, sender: Sender<Frame>) -> Self {
         let pending = Pending {
             next: 0,
-            heard: Instant::now(),
+            received: Instant::now(),
             beaten: None,
             waiting: Map::default(),
             news: Map::default(),
@@ -355,7 +356,7 @@
         let (reply, outcome) = oneshot::channel();
         let mut pending = lock(&self.pending);
         if pending.waiting.is_empty() {
-            pending.heard = Instant::now();
+            pending.received = Instant::now();
         }
         let ticket = pending.ticket();
         pending.waiting.insert(ticket, reply);
--- a/crates/relay/src/peer/board.rs
+++ b/crates/relay/src/peer/board.rs
@@ -21,7 +21,7 @@
 /// thirty processes the one that adds up takes in 300 words a second.
 const EVERY: Duration = Duration::from_millis(100);
 /// Age up to which a word counts.
-const LIFE: Duration = Duration::from_millis(500);
+const TTL: Duration = Duration::from_millis(500);
 
 /// Calls at each runner.
 pub type Burdens = Vec<(RunnerId, Burden)>;
@@ -32,7 +32,7 @@
 
 #[derive(Debug)]
 struct Word {
-    heard: Instant,
+    received: Instant,
     burdens: Burdens,
 }
 
@@ -41,14 +41,14 @@
     pub fn exchange(&self, service: &ServiceId, from: MemberId, burdens: Burdens) -> Burdens {
         let mut board = lock(&self.0);
         let words = board.entry(service.clone()).or_default();
-        words.retain(|_, word| word.heard.elapsed() < LIFE);
+        words.retain(|_, word| word.received.elapsed() < TTL);
         let mut sums: Map<RunnerId, Burden> = Map::default();
         let others = words.iter().filter(|(member, _)| **member != from);
         for (runner, burden) in others.flat_map(|(_, word)| &word.burdens) {
             *sums.entry(runner.clone()).or_default() += *burden;
         }
         let word = Word {
-            heard: Instant::now(),
+            received: Instant::now(),
             burdens,
         };
         words.insert(from, word);
@@ -57,7 +57,7 @@
 }
 
 /// Tells of the own calls until the task is dropped.
-pub async fn tell<D: Downstream>(relay: Arc<Relay<D>>) {
+pub async fn exchange_burdens<D: Downstream>(relay: Arc<Relay<D>>) {
     if relay.options.policy.board == Policy::Naive {
         return;
     }
@@ -77,7 +77,7 @@
     let owner = relay.peers.members(|members| members.owner(&name));
     if owner.id == own {
         let others = relay.peers.board.exchange(&service, own, burdens);
-        heard(relay, &service, others);
+        take(relay, &service, others);
         return;
     }
     // Without a link, or with a full one, this word is left out: the next one tells as much.
@@ -91,7 +91,7 @@
 }
 
 /// Takes in what the other processes have at the runners.
-pub(super) fn heard<D: Downstream>(relay: &Relay<D>, service: &ServiceId, others: Burdens) {
+pub(super) fn take<D: Downstream>(relay: &Relay<D>, service: &ServiceId, others: Burdens) {
     let now = relay.now();
     relay.pool(service, |pool| pool.told(now, others));
 }
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -41,7 +41,7 @@
     sender: Sender<Frame>,
     mut receiver: Receiver<Frame>,
 ) {
-    relay.peers.listen(sender.clone());
+    relay.peers.subscribe(sender.clone());
     talk::greet(&relay, &sender);
     let mut orders = Orders {
         running: JoinSet::new(),
@@ -108,7 +108,7 @@
                 table,
                 after,
             } => {
-                let telling = tables::tell(relay.clone(), sender.clone(), ticket, table, after);
+                let telling = tables::answer(relay.clone(), sender.clone(), ticket, table, after);
                 tokio::spawn(telling);
             }
             Frame::Held { cell, results } => relay.batcher(&cell).hold(relay, &results),
--- a/crates/relay/src/peer/tables.rs
+++ b/crates/relay/src/peer/tables.rs
@@ -20,7 +20,7 @@
 use wire::Sender;
 
 /// Longest time that a question of another process waits here; by then it has read the table itself.
-const TELL: Duration = Duration::from_secs(3);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Batches of changes that are kept for processes that are behind.
 const BATCHES: usize = 64;
 /// Bytes that are told at most; more is read from the table.
@@ -217,7 +217,7 @@
             current.is_some_and(|current| current >= asked || Some(known.revision) > after)
         };
         // One that waits in vain is told what there is, and judges by itself how old that is.
-        let _ = timeout(TELL, known.wait_for(says_something)).await;
+        let _ = timeout(ANSWER_TIMEOUT, known.wait_for(says_something)).await;
         known.borrow().news(after, asked)
     }
 }
@@ -240,7 +240,7 @@
 }
 
 /// Answers another process's question, once there is something to say.
-pub(super) async fn tell<D: Downstream>(
+pub(super) async fn answer<D: Downstream>(
     relay: Arc<Relay<D>>,
     sender: Sender<Frame>,
     ticket: u64,
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -200,7 +200,7 @@
     line: Arc<Line>,
     receiver: Receiver<Frame>,
 ) {
-    relay.peers.listen(line.sender.clone());
+    relay.peers.subscribe(line.sender.clone());
     greet(&relay, &line.sender);
     tokio::spawn(read(relay, line, receiver));
 }
@@ -241,17 +241,17 @@
         let Ok(Some(frame)) = frame else { break };
         {
             let mut pending = lock(&line.pending);
-            pending.heard = Instant::now();
+            pending.received = Instant::now();
             pending.beaten = None;
         }
         match frame {
-            Frame::Elsewhere { service, burdens } => board::heard(&relay, &service, burdens),
+            Frame::Elsewhere { service, burdens } => board::take(&relay, &service, burdens),
             Frame::Outcome { ticket, outcome } => {
                 let reply = lock(&line.pending).waiting.remove(&ticket);
                 // Whoever waited may have left meanwhile.
                 let _ = reply.map(|reply| reply.send(outcome));
             }
-            Frame::Load { cell, waits } => relay.peers.told_load(cell, waits),
+            Frame::Load { cell, waits } => relay.peers.note_load(cell, waits),
             Frame::News { ticket, news } => {
                 let reply = lock(&line.pending).news.remove(&ticket);
                 // Whoever asked may have read the table meanwhile.
@@ -270,7 +270,7 @@
 impl Line {
     fn is_silent(&self) -> bool {
         let pending = lock(&self.pending);
-        let silent = pending.heard.elapsed();
+        let silent = pending.received.elapsed();
         let unanswered = pending
             .beaten
             .is_some_and(|at| at.elapsed() > overlay::SILENCE);
@@ -281,9 +281,9 @@
 /// Frames that both ends understand.
 pub(super) fn common<D: Downstream>(relay: &Arc<Relay<D>>, sender: &Sender<Frame>, frame: Frame) {
     match frame {
-        Frame::Version(version) => heard_version(relay, sender, version),
+        Frame::Version(version) => compare_version(relay, sender, version),
         Frame::Drains(drains) => relay.drain(&drains, PEER),
-        Frame::Limit(notice) => relay.hear_notice(&notice, PEER),
+        Frame::Limit(notice) => relay.merge_notice(&notice, PEER),
         Frame::Suspicion(suspicion) => relay.merge_suspicion(&suspicion, PEER),
         Frame::Beat { beat, answers } => overlay::compare(relay, sender, beat, answers),
         Frame::Leaving { id, incarnation } => {
@@ -308,7 +308,7 @@
 
 /// A process that the table service turns away still learns of a new configuration, and of keys
 /// that were taken away, from its peers.
-fn heard_version<D: Downstream>(relay: &Arc<Relay<D>>, sender: &Sender<Frame>, version: Version) {
+fn compare_version<D: Downstream>(relay: &Arc<Relay<D>>, sender: &Sender<Frame>, version: Version) {
     let behind = move |relay: &Relay<D>| relay.plan().is_none_or(|plan| plan.version < version);
     if !behind(relay) {
         return;
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -39,7 +39,7 @@
     unwritten: Mutex<BTreeSet<ContentId>>,
     changed: Notify,
     /// Runners that are being looked for.
-    looking: Mutex<BTreeSet<Start>>,
+    probed: Mutex<BTreeSet<Start>>,
 }
 
 impl State {
@@ -158,9 +158,9 @@
 /// Looks whether a runner has ended that has just lost an answer.
 ///
 /// Its entry may stay for seconds, in which the request that ended it would end the next ones.
-pub(crate) fn look_for<D: Downstream>(relay: &Arc<Relay<D>>, runner: &Arc<Runner>) {
-    let looked_for = start(runner);
-    if !lock(&relay.quarantine.looking).insert(looked_for.clone()) {
+pub(crate) fn probe<D: Downstream>(relay: &Arc<Relay<D>>, runner: &Arc<Runner>) {
+    let probed = start(runner);
+    if !lock(&relay.quarantine.probed).insert(probed.clone()) {
         return;
     }
     let (relay, runner) = (relay.clone(), runner.clone());
@@ -168,7 +168,7 @@
         if relay.downstream.has_ended(&runner).await {
             relay.note_ended(&runner);
         }
-        lock(&relay.quarantine.looking).remove(&looked_for);
+        lock(&relay.quarantine.probed).remove(&probed);
     });
 }
 
