--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -210,8 +210,8 @@
     #[must_use]
     pub fn upstream(&mut self) -> Option<Member> {
         self.share_tables().then_some(())?;
-        let tellers = self.tree.upstreams();
-        tellers.iter().find_map(|id| self.can_tell(id))
+        let upstreams = self.tree.upstreams();
+        upstreams.iter().find_map(|id| self.can_ask(id))
     }
 
     /// A process that has most likely been there for a while, to be asked for whole tables. `draw` picks
@@ -219,14 +219,14 @@
     #[must_use]
     pub fn helper(&self, draw: u32) -> Option<Member> {
         self.share_tables().then_some(())?;
-        self.tree.helper(draw, |id| self.can_tell(id))
+        self.tree.helper(draw, |id| self.can_ask(id))
     }
 
     /// The process of that name, if it may be asked.
-    fn can_tell(&self, id: &str) -> Option<Member> {
+    fn can_ask(&self, id: &str) -> Option<Member> {
         let member = self.others.get(id)?;
-        let can_tell = !self.is_suspect(member) && !self.leaves(member);
-        can_tell.then(|| member.clone())
+        let can_ask = !self.is_suspect(member) && !self.leaves(member);
+        can_ask.then(|| member.clone())
     }
 
     fn is_suspect(&self, member: &Member) -> bool {
--- a/crates/relay/src/member/tree.rs
+++ b/crates/relay/src/member/tree.rs
@@ -112,17 +112,17 @@
         };
         let before = self.order()[..=above].iter().rev();
         let before = before.take(TRIES).map(|(.., id)| id.clone());
-        let mut tellers: Vec<MemberId> = before.collect();
-        tellers.extend(self.last.clone());
-        tellers.retain(|id| !self.is_stale(id));
-        tellers
+        let mut upstreams: Vec<MemberId> = before.collect();
+        upstreams.extend(self.last.clone());
+        upstreams.retain(|id| !self.is_stale(id));
+        upstreams
     }
 
     /// One of the processes that wrote their rows last, which are most likely alive.
     pub(super) fn helper(
         &self,
         draw: u32,
-        can_tell: impl Fn(&str) -> Option<Member>,
+        can_ask: impl Fn(&str) -> Option<Member>,
     ) -> Option<Member> {
         let mut newest: Vec<(RowRevision, &MemberId)> = self
             .rows
@@ -133,7 +133,7 @@
         newest.sort_unstable();
         let newest = &newest[newest.len() / 2..];
         let (_, id) = newest.get(draw as usize % newest.len().max(1))?;
-        can_tell(id)
+        can_ask(id)
     }
 
     fn is_stale(&self, id: &MemberId) -> bool {
--- a/crates/relay/tests/fleet_start.rs
+++ b/crates/relay/tests/fleet_start.rs
@@ -64,16 +64,21 @@
 
     /// Waits until all processes know the configuration and this many runners.
     async fn informed(&self, runners: usize) {
+        self.until(|relay| {
+            let known = relay.fleet(|fleet| fleet.of("plain").len());
+            relay.informed() && known == Some(runners)
+        })
+        .await;
+    }
+
+    /// Waits until something holds for all processes.
+    async fn until(&self, holds: impl Fn(&Relay<Fake>) -> bool) {
         let all = async {
-            let knows = |relay: &Arc<Relay<Fake>>| {
-                let known = relay.fleet(|fleet| fleet.of("plain").len());
-                relay.informed() && known == Some(runners)
-            };
-            while !self.relays.iter().all(knows) {
+            while !self.relays.iter().all(|relay| holds(relay)) {
                 sleep(Duration::from_millis(5)).await;
             }
         };
-        timeout(LONG, all).await.expect("all are informed");
+        timeout(LONG, all).await.expect("all get there");
     }
 
     fn count(&self, name: &str) -> usize {
@@ -118,13 +123,8 @@
     }
     fleet.service.put("plans", "config", Some(json!(2)));
     fleet.informed(2 * RUNNERS).await;
-    let adopted = async {
-        let is_new = |relay: &Arc<Relay<Fake>>| relay.plan().is_some_and(|plan| plan.version == 2);
-        while !fleet.relays.iter().all(is_new) {
-            sleep(Duration::from_millis(5)).await;
-        }
-    };
-    timeout(LONG, adopted).await.expect("all have it");
+    let is_new = |relay: &Relay<Fake>| relay.plan().is_some_and(|plan| plan.version == 2);
+    fleet.until(is_new).await;
     let lists = |calls: &std::collections::BTreeMap<String, usize>| {
         let lists = calls.iter().filter(|(name, _)| name.starts_with("list"));
         lists.map(|(_, count)| count).sum::<usize>()
