A table that a peer knew long ago is not taken for the one that is

Found in reading the change: a process that starts took the whole table from any peer that told it, however old. A peer that is cut off from the store would have it send work to runners that have left, since moments before the own start can't be told apart by its clock. What is older than what others are relied on for is refused, and the rest counts as that much older until something newer is heard. old_table failed before.

--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -68,6 +68,8 @@
     known: Arc<Table>,
     /// Whether nothing has been asked yet.
     fresh: bool,
+    /// How much older the knowledge is than the start of the process, which its clock can't tell.
+    older: Duration,
     /// Whether the next question is to be answered at once.
     pub(crate) hurried: bool,
     /// Whether the last changes are the whole table.
@@ -101,6 +103,7 @@
             reader: Reader::new(pace.most),
             known: relay.peers.tables.get(table),
             fresh: true,
+            older: Duration::ZERO,
             hurried: false,
             source,
             table,
@@ -193,7 +196,8 @@
         let (teller, depth) = relay
             .peers
             .members(|members| Some((members.upstream()?, members.tree.depth())))?;
-        let until = relay.started() + self.reader.trusts_until()? + STEP * depth;
+        let until = self.reader.trusts_until()? + STEP * depth;
+        let until = relay.started() + until.saturating_sub(self.older);
         let asked = Instant::now();
         if until <= asked {
             return None;
@@ -250,13 +254,20 @@
             HELP
         };
         let news = timeout(patience, news).await.ok().flatten();
-        let Some(news) = news.filter(News::is_whole) else {
+        // One that is cut off may know the table as it was long ago, and nothing here is newer.
+        let whole = news.filter(|news| news.is_whole() && news.age() < self.pace.most);
+        let Some(news) = whole else {
             info!(relay.log, "no table from a peer"; "peer" => &*helper.id, "table" => self.table);
             return None;
         };
         relay
             .peers
             .members(|members| members.tree.note_answered(&helper.id));
+        // Moments before the start are not told apart. At a first start nothing has changed before.
+        self.older = match relay.options.first_start {
+            true => Duration::ZERO,
+            false => news.age().saturating_sub(relay.at(asked)),
+        };
         self.reader
             .read(news.revision, news.current(relay.at(asked)));
         self.note_era(relay, news.revision);
@@ -287,6 +298,9 @@
             current: news.current(asked),
         };
         let taken = self.reader.told(told);
+        if self.current() > Duration::ZERO {
+            self.older = Duration::ZERO;
+        }
         let changes = match taken {
             Take::Gap => return None,
             Take::Ignore => Changes {
@@ -335,6 +349,7 @@
             }
         };
         self.reader.read(changes.revision, relay.at(current));
+        self.older = Duration::ZERO;
         self.note_era(relay, changes.revision);
         self.told = (!changes.rows.is_empty()).then(Instant::now);
         self.teller = None;
--- a/crates/relay/src/peer/tables.rs
+++ b/crates/relay/src/peer/tables.rs
@@ -81,6 +81,13 @@
         self.before.is_none()
     }
 
+    /// Age of what is told when the question came.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        let before = self.current.min(0).unsigned_abs();
+        Duration::from_millis(before)
+    }
+
     /// Latest moment at which nothing newer was in the table, for one who asked at `asked`.
     #[must_use]
     pub fn current(&self, asked: Duration) -> Duration {
--- a/crates/relay/tests/tables_shared.rs
+++ b/crates/relay/tests/tables_shared.rs
@@ -41,6 +41,7 @@
 
 /// Asks a process that follows the list of runners, as another process does.
 struct Asking {
+    address: SocketAddr,
     sender: Sender<Frame>,
     receiver: Receiver<Frame>,
 }
@@ -59,7 +60,11 @@
         tokio::spawn(peer::serve(relay.clone(), listener));
         tokio::spawn(follow::runners(relay, Script::new(told)));
         let (sender, receiver) = wire::connect(address, &key).await.expect("linked");
-        Self { sender, receiver }
+        Self {
+            address,
+            sender,
+            receiver,
+        }
     }
 
     async fn news(&mut self, after: impl Into<Option<RowRevision>>) -> News {
@@ -151,6 +156,40 @@
     assert!(news.changes().rows.is_empty());
 }
 
+/// Guards against a start that takes a table as it was long ago for the one that is: whoever was asked
+/// is cut off from the table service, and would have the newcomer send work to runners that have left.
+#[tokio::test]
+async fn old_table() {
+    let quiet = Told::Away(LONG);
+    let told = vec![Told::At(5, vec![("r-old", entry("plain"))]), quiet];
+    let asking = Asking::new(told).await;
+    sleep(Duration::from_secs(2)).await;
+    let relay = blank_as(Fake::default(), member(39));
+    relay.peers.members(|known| {
+        *known = members(39, 40);
+        let upstream = known.upstream().expect("one of forty");
+        let address = asking.address;
+        known.put(
+            Member {
+                address,
+                ..upstream
+            },
+            5,
+        );
+    });
+    let told = [Told::At(7, vec![("r-new", entry("plain"))])];
+    let following = tokio::spawn(follow::runners(relay.clone(), Script::new(told)));
+    let listed = async {
+        while relay.fleet(|_| ()).is_none() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(LONG, listed).await.expect("a list");
+    following.abort();
+    let known = ["r-old", "r-new"].map(|id| relay.runner(id).is_some());
+    assert_eq!(known, [false, true]);
+}
+
 /// The process that should tell is gone, and with it all others that might. This one reads the list
 /// itself before what it knows is too old.
 #[tokio::test(start_paused = true)]
