--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -264,13 +264,8 @@
         if !self.is_suspect(content) {
             return Merge::Known;
         }
-        self.cleared(content, Duration::ZERO, now)
-    }
-
-    /// The request was answered so long ago.
-    pub fn cleared(&mut self, content: ContentId, ago: Duration, now: Duration) -> Merge {
         let report = Report {
-            cleared: Some(ago),
+            cleared: Some(Duration::ZERO),
             ..Report::new(content)
         };
         self.merge(&report, now)
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -333,7 +333,7 @@
         if let Some(revision) = write(&relay, &table, &member).await {
             relay
                 .peers
-                .members(|members| members.tree.put(&member, revision));
+                .members(|members| members.enlisted(relay.now(), revision));
             info!(relay.log, "own row written again");
         }
     }
