Calls that nothing can run are told so: each wait of an entry has a bound, and a line in the log

What callers saw: an accepted call without an answer for minutes, past any deadline, while new calls of the same kind were refused at once. Three ways to it: a call that waits for a declared model when no engine is left (any number of minutes), a call that waits for its turn behind what runs when the last target has left (until that ends, and a minute), and an agent that came back at another address in the same life of its VM, which no entry ever found.

Cause: what admission looks at was looked at once. decide::wait now bounds a wait by what is known of the targets: closed for half a second, unknown for six, an hour in all; requests of which a stage has run wait five minutes, since nobody can take them up anew. The waits for a turn and between attempts look every quarter of a second. A call that gives up its place in the queue gives its turn back. What runs is not touched. A target drained by the operator no longer counts as one that serves.

Agents: a runner that never ends a call or an order is given an hour beyond the deadline; a cancel that is not answered no longer keeps its task.

--- a/crates/agent/src/answer.rs
+++ b/crates/agent/src/answer.rs
@@ -70,6 +70,9 @@
     /// The call was cancelled while it ran.
     #[snafu(display("cancelled"))]
     Cancelled,
+    /// The runner took the call and never ended it.
+    #[snafu(display("no whole answer within {bound:?}"))]
+    Endless { bound: Duration },
 }
 
 /// How a call that was sent to the runner ended.
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -247,7 +247,9 @@
         };
         let core = self.clone();
         tokio::spawn(async move {
-            tokio::join!(core.runner.cancel(call), async {
+            // A runner that does not even answer this is cut off below, if it may be.
+            let cancel = timeout(CANCEL, core.runner.cancel(call));
+            let _ = tokio::join!(cancel, async {
                 if may_cut {
                     sleep(CANCEL).await;
                     job.cut.cancel();
--- a/crates/agent/src/fence.rs
+++ b/crates/agent/src/fence.rs
@@ -12,8 +12,10 @@
 use hyper::StatusCode;
 use protocol::fence::Verdict;
 use serde::Deserialize;
+use std::time::Duration;
 use store::Table;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 use wire::{Frame, Models, Sender};
 
 /// Table of the lease row.
@@ -21,6 +23,10 @@
 /// Key of the lease under which orders are given.
 const KEY: &str = "placement";
 
+/// Longest time that an engine may take for an order; a load may wait for the weight store. One that
+/// hangs would otherwise keep back all later orders, and its model would look as if it were loaded soon.
+const PATIENCE: Duration = Duration::from_secs(3_600);
+
 /// An order from an entry.
 #[derive(Debug)]
 pub(crate) struct Order {
@@ -127,6 +133,14 @@
 
 /// Sends an order to the engine. Without a whole answer the order may have taken effect.
 async fn pass(runner: &Runner, body: Bytes) -> Answer {
+    let answer = timeout(PATIENCE, send(runner, body)).await;
+    answer.unwrap_or_else(|_| {
+        let reason = format!("no answer from the engine within {PATIENCE:?}");
+        Answer::own(StatusCode::GATEWAY_TIMEOUT, &reason)
+    })
+}
+
+async fn send(runner: &Runner, body: Bytes) -> Answer {
     let response = match runner.order(body).await {
         Ok(response) => response,
         Err(error) => return Answer::own(StatusCode::BAD_GATEWAY, &error.to_string()),
--- a/crates/agent/src/job.rs
+++ b/crates/agent/src/job.rs
@@ -7,13 +7,17 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 use wire::{Frame, Work};
 
 /// When an entry may come back to a runner that could not be connected.
 const UNREACHABLE: Duration = Duration::from_secs(1);
 
+/// Longest time that a runner may take for a call beyond its deadline. One that hangs would otherwise
+/// hold its slot, and the caller its connection, for ever.
+const OVERTIME: Duration = Duration::from_secs(3_600);
+
 /// A call with its work.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -30,9 +34,11 @@
     core.telemetry
         .waited(&job.work.stage, job.offered.elapsed());
     let sent = Instant::now();
+    let bound = job.work.remaining.min(OVERTIME) + OVERTIME;
     let end = tokio::select! {
         end = drive(&core, &job, sent) => end,
         () = job.cut.cancelled() => Err(Fault::Cancelled),
+        () = sleep(bound) => Err(Fault::Endless { bound }),
     };
     core.telemetry.busy(&job.work.stage, sent.elapsed());
     core.finish(&job, end, sent.elapsed()).await;
--- a/crates/ctl/src/rig/bench.rs
+++ b/crates/ctl/src/rig/bench.rs
@@ -10,7 +10,7 @@
 use hyper::Method;
 use hyper::header::HeaderMap;
 use serde_json::{Value, json};
-use setting::{Operator, Platform, Policy};
+use setting::{Operator, Placement, Platform, Policy};
 use standin::log::{Ended, Execution};
 use standin::{Kind, Options, Server};
 use std::net::SocketAddr;
@@ -41,6 +41,8 @@
     pub runners: Vec<Runner>,
     /// All entries.
     pub entries: Vec<Vm>,
+    /// How entries that are started from now on place models.
+    pub placement: Placement,
     changes: u64,
 }
 
@@ -58,6 +60,7 @@
             vms: serve(Kind::Vm, free(), Options::default()).await?,
             runners: Vec::new(),
             entries: Vec::new(),
+            placement: Placement::default(),
             changes: 0,
         })
     }
@@ -133,10 +136,20 @@
     ///
     /// [`Error::Failed`] if it does not serve.
     pub async fn restart_agent(&mut self, id: &str) -> Result<(), Error> {
+        let index = self.index(id)?;
+        self.runners[index].vm.incarnation += 1;
+        self.move_agent(id).await
+    }
+
+    /// Starts an agent again that has ended, at another address in the same life of its VM.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if it does not serve.
+    pub async fn move_agent(&mut self, id: &str) -> Result<(), Error> {
         let index = self.index(id)?;
         let ready = self.fleet.agent(&self.runners[index].settings)?;
         let runner = &mut self.runners[index];
-        runner.vm.incarnation += 1;
         runner.vm.address = ready.listen;
         runner.vm.leaving = false;
         if runner.relay.is_some() {
@@ -312,16 +325,26 @@
     ///
     /// [`Error::Failed`] if one does not get there.
     pub async fn ready(&mut self) -> Result<(), Error> {
+        self.readable().await?;
+        let first = self.entries[0].address;
+        let revision = self.apply(first, &record::all(64)).await?;
+        self.in_force(revision).await?;
+        self.linked().await
+    }
+
+    /// Waits until the first entry reads the configuration.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if it does not.
+    pub async fn readable(&self) -> Result<(), Error> {
         let first = self.entries[0].address;
         until("an entry reads the configuration", || async {
             status(first)
                 .await
                 .is_some_and(|status| status["ready"] == true)
         })
-        .await?;
-        let revision = self.apply(first, &record::all(64)).await?;
-        self.in_force(revision).await?;
-        self.linked().await
+        .await
     }
 
     /// Waits until every entry has a revision in force.
@@ -403,7 +426,7 @@
             journal_beat_ms: 100,
             subset: 64,
             news: None,
-            placement: setting::Placement::default(),
+            placement: self.placement,
         }
     }
 }
--- a/crates/ctl/src/rig/record.rs
+++ b/crates/ctl/src/rig/record.rs
@@ -82,6 +82,29 @@
     ]
 }
 
+/// The service of engines with these models, the first of which is loaded at all times.
+#[must_use]
+pub fn model_service(models: &[&str]) -> Document {
+    let model = |(number, name): (usize, &&str)| {
+        let min = u32::from(number == 0);
+        json!({"name": name, "min": min, "max": 2})
+    };
+    let models: Vec<Value> = models.iter().enumerate().map(model).collect();
+    document(json!({
+        "schema": 2, "kind": "service", "name": ASSISTANT, "runner": "engine", "concurrency": 4,
+        "fencing": "checked", "models": models,
+    }))
+}
+
+/// A pipeline of one stage that is answered by the model of the same name.
+#[must_use]
+pub fn model_pipeline(model: &str) -> Document {
+    document(json!({
+        "schema": 2, "kind": "pipeline", "name": model, "version": 1, "deadline_ms": 10_000,
+        "stages": [{"name": "generate", "service": ASSISTANT, "model": model, "stream": true}],
+    }))
+}
+
 /// What a pipeline answers to a text whose runners bear the names of their services.
 #[must_use]
 pub fn expected(pipeline: &str, text: &str, tokens: u32) -> String {
--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -6,6 +6,7 @@
 use crate::rig::record::{ASSISTANT, LABEL, POOLS, REPORT};
 use crate::rig::runner::Plan;
 use crate::torture::demand::{self, Mix};
+use crate::torture::engines;
 use crate::torture::fault::Faults;
 use crate::torture::operators::{self, Ledger};
 use crate::torture::relays::{self, Trouble};
@@ -80,6 +81,8 @@
     },
 ];
 
+/// Name of the soak of engines that come and go.
+const ENGINES: &str = "engines";
 /// Name of the soak of relays, beside those of the deployments.
 const RELAYS: &str = "relays";
 
@@ -124,8 +127,8 @@
         options.optopt(
             "",
             "only",
-            "harness, proofreading, relays, poison, crowd-stream, crowd-safe, crowd-unsafe, limit or restore; \
-             the first three if not given",
+            "harness, proofreading, relays, engines, poison, crowd-stream, crowd-safe, crowd-unsafe, limit or \
+             restore; the first three if not given",
             "NAME",
         );
         options.optopt("", "logs", "directory for settings and logs", "DIR");
@@ -145,12 +148,14 @@
         }
         let only = matches.opt_str("only");
         let known = |name: &String| {
-            trouble(name).is_some() || DEPLOYMENTS.iter().any(|one| one.name == name)
+            name == ENGINES
+                || trouble(name).is_some()
+                || DEPLOYMENTS.iter().any(|one| one.name == name)
         };
         if let Some(name) = only.as_ref().filter(|name| !known(name)) {
             let message = format!(
-                "--only {name}: expected harness, proofreading, relays, poison, crowd-stream, crowd-safe, \
-                     crowd-unsafe, limit or restore"
+                "--only {name}: expected harness, proofreading, relays, engines, poison, crowd-stream, \
+                     crowd-safe, crowd-unsafe, limit or restore"
             );
             return Err(Error::usage(message));
         }
@@ -180,6 +185,12 @@
             clean &= verdict.is_clean();
             report(name, self.seed, time, &verdict.counts, &verdict.trails)?;
         }
+        if self.only.as_deref() == Some(ENGINES) {
+            let soaking = engines::soak(self.seed, time, logs.join(ENGINES), programs()?);
+            let verdict = soaking.await?;
+            clean &= verdict.is_clean();
+            report(ENGINES, self.seed, time, &verdict.counts, &verdict.trails)?;
+        }
         let deployments = (0..).zip(&DEPLOYMENTS);
         for (number, deployment) in deployments.filter(|(_, one)| wanted(one.name)) {
             let seed = self.seed.wrapping_mul(DEPLOYMENTS.len() as u64) + number;
--- a/crates/ctl/tests/model_routing.rs
+++ b/crates/ctl/tests/model_routing.rs
@@ -4,16 +4,26 @@
 mod bench;
 
 use bench::{Bench, call, get, pipeline, service, until};
+use ctl::rig::probe;
 use hyper::Method;
 use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 const RUN: &str = "/v1/pipelines/check/versions/";
 
+/// Time after a call at which the engine's agent ends.
+const BEFORE_END: Duration = Duration::from_millis(300);
+
 /// Runs a version of the pipeline.
 async fn run(bench: &Bench, entry: usize, version: u32) -> ctl::client::Answer {
+    run_at(bench.entry(entry), version).await
+}
+
+async fn run_at(entry: SocketAddr, version: u32) -> ctl::client::Answer {
     let path = format!("{RUN}{version}/run");
     let body = json!({"text": "a"}).to_string().into();
-    call(bench.entry(entry), Method::POST, &path, body).await
+    call(entry, Method::POST, &path, body).await
 }
 
 async fn executions(bench: &Bench, engine: usize) -> usize {
@@ -112,3 +122,28 @@
     .await;
     bench.stop();
 }
+
+/// Guards against a call that is never answered: it was accepted since the only engine had not said yet
+/// what it holds, and then the engine's agent went for good.
+#[tokio::test]
+async fn engine_gone() {
+    let mut bench = Bench::start("gone", false, &[&[]]).await;
+    let records = json!([service(false, &[("new", 0)]), pipeline(1, "new")]);
+    bench.apply(0, &records).await;
+    let other = 1 - bench.holder().await;
+    let entry = bench.entry(other);
+    let calling = tokio::spawn(run_at(entry, 1));
+    tokio::time::sleep(BEFORE_END).await;
+    // It comes back at an address that no list names.
+    bench.restart_agent(0).await;
+    let answer = tokio::time::timeout(probe::LIMIT, calling).await;
+    let answer = answer.expect("the call is answered").unwrap();
+    // On a busy machine the model may have been loaded before the agent ended.
+    if executions(&bench, 0).await == 0 {
+        assert_eq!(answer.status, 503);
+        let problem = answer.json::<serde_json::Value>().unwrap();
+        assert_eq!(problem["outcome"], "not_run");
+        assert!(answer.headers.contains_key("retry-after"));
+    }
+    bench.stop();
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`owner`]: which process does work that only one should do at a time
 //! * [`place`]: which models are loaded where
 //! * [`subset`]: which targets of a large pool a process keeps links to
+//! * [`wait`]: how long a call waits that no target has
 //! * [`warmup`]: how often each process may send to a runner that has just started
 
 pub mod admit;
@@ -29,6 +30,7 @@
 pub mod share;
 pub mod smooth;
 pub mod subset;
+pub mod wait;
 pub mod warmup;
 
 pub use either::Either;
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -114,6 +114,11 @@
         self.draining.store(true, Ordering::Release);
     }
 
+    /// Time since the start of the process.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// By when a stage of a job should start, and how urgent it is.
     pub fn slot(&self, job: &Job, position: usize) -> Slot {
         let since = |moment: Instant| moment.saturating_duration_since(self.started);
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -10,6 +10,7 @@
 use crate::service::models::Availability;
 use crate::service::{Overload, Turn};
 use crate::stage::Run;
+use crate::wait::{GivenUp, Waiter};
 use bytes::{Bytes, BytesMut};
 use protocol::claim::{self, Verdict};
 use std::sync::Arc;
@@ -175,18 +176,14 @@
 /// The later stages' services are asked first: a request is not refused there any more, and what
 /// its first stages cost would be wasted if it then waited far beyond its deadline.
 async fn admit<P: Platform>(core: &Arc<Core<P>>, job: &Job) -> Result<Turn, End> {
-    if let Some(stage) = job
-        .pipeline
-        .stages
-        .iter()
-        .find(|stage| !core.services.get(&stage.service).is_served())
-    {
+    let set = core.config.current();
+    let mut stages = job.pipeline.stages.iter();
+    if let Some(stage) = stages.find(|stage| !core.services.get(&stage.service).is_served(&set)) {
         return Err(End::NotRun {
             detail: format!("service {} has no target", stage.service),
             retry_after: NO_TARGET,
         });
     }
-    let set = core.config.current();
     for stage in &job.pipeline.stages {
         let service = core.services.get(&stage.service);
         let Some(model) = &stage.model else {
@@ -211,7 +208,17 @@
     let slot = core.slot(job, 0);
     let demand = core.demand(job, 0, &slot, &[]);
     let service = core.services.get(&job.pipeline.stages[0].service);
-    service.offer(&demand).await.map_err(refused)
+    let mut waiter = Waiter::new(core, job, 0, job.may_have_run());
+    match waiter.until(service.offer(&demand)).await {
+        Ok(offered) => offered.map_err(refused),
+        Err(GivenUp) => Err(End::NotRun {
+            detail: format!(
+                "service {} has lost its targets",
+                job.pipeline.stages[0].service
+            ),
+            retry_after: NO_TARGET,
+        }),
+    }
 }
 
 fn refused(overload: Overload) -> End {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`job`], [`answer`] and [`answers`]: one accepted request, what its caller gets, and for how
 //!   long it is kept
 //! * [`execute`]: a job from admission to its end; [`stage`]: one stage with all its attempts
+//! * [`wait`]: calls that no target has, and what ends their waits
 //! * [`claim`], [`journal`] and [`kept`]: idempotency keys, durable requests, the answers kept for
 //!   them; [`writes`]: their rows, many in one transaction
 //! * [`target`], [`service`], [`services`] and [`discovery`]: links to agents and who gets work
@@ -46,6 +47,7 @@
 pub mod stage;
 pub mod target;
 pub mod telemetry;
+pub mod wait;
 pub mod writes;
 
 pub use core::Core;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -84,6 +84,33 @@
     }
 }
 
+/// Calls of a service that wait for their turn or have it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Queue {
+    /// Calls that wait.
+    pub waiting: usize,
+    /// Calls that have their turn.
+    pub in_flight: u32,
+    /// Calls that may have it at once.
+    pub limit: u32,
+}
+
+/// A call's place in the queue. One that is left just as its turn comes gives the turn back: it would
+/// count as in flight for ever.
+struct Place<'a> {
+    service: &'a Service,
+    turn: oneshot::Receiver<()>,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.turn.close();
+        if self.turn.try_recv().is_ok() {
+            self.service.give_back("", None);
+        }
+    }
+}
+
 /// What the platform's list says of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listing {
@@ -151,6 +178,7 @@
         match state.targets.get(&id) {
             Some(known) if known.vm.incarnation > vm.incarnation => {}
             Some(known) if known.vm.incarnation == vm.incarnation => {
+                known.relocate(vm.address);
                 if vm.leaving {
                     known.leave();
                     state.pool.leave(&id);
@@ -194,14 +222,22 @@
         self.lock().pool.get(id).map_or(0, route::Target::in_flight)
     }
 
+    /// How far the service's turns are taken up.
+    pub fn queue(&self) -> Queue {
+        let state = self.lock();
+        let admission = &state.policy.admission;
+        Queue {
+            waiting: admission.queued(),
+            in_flight: admission.in_flight(),
+            limit: state.limit(),
+        }
+    }
+
     /// Whether any target may get new work.
-    pub fn is_served(&self) -> bool {
-        !self
-            .lock()
-            .pool
-            .targets()
-            .iter()
-            .all(route::Target::leaving)
+    pub fn is_served(&self, set: &Set) -> bool {
+        let state = self.lock();
+        let mut targets = state.targets.values();
+        targets.any(|target| target.is_open() && !set.drained(&target.vm.id))
     }
 
     /// Whether the service is too far behind for one more request.
@@ -268,8 +304,12 @@
     }
 
     async fn wait(self: &Arc<Self>, turn: oneshot::Receiver<()>, demand: &Demand) -> Turn {
+        let mut place = Place {
+            service: self,
+            turn,
+        };
         // The queue lives as long as the service, and this call holds the service.
-        let _ = turn.await;
+        let _ = (&mut place.turn).await;
         self.turn(demand)
     }
 
--- a/crates/entry/src/service/models.rs
+++ b/crates/entry/src/service/models.rs
@@ -15,8 +15,10 @@
 pub enum Availability {
     /// An engine that takes new work has it.
     Warm,
-    /// An engine loads it, or is soon to say what it holds.
-    Expected,
+    /// An engine loads it.
+    Loading,
+    /// An engine is soon to say for the first time what it holds.
+    Pending,
     /// No engine has it or loads it.
     Absent,
 }
@@ -29,15 +31,17 @@
             .targets
             .values()
             .filter(|target| target.is_open() && !set.drained(&target.vm.id));
-        let mut expected = false;
+        let (mut loading, mut pending) = (false, false);
         let warm = open.any(|target| {
-            expected |= target.engine.is_loading(model) || target.engine.is_pending();
+            loading |= target.engine.is_loading(model);
+            pending |= target.engine.is_pending();
             target.engine.holds(model)
         });
-        match (warm, expected) {
-            (true, _) => Availability::Warm,
-            (false, true) => Availability::Expected,
-            (false, false) => Availability::Absent,
+        match (warm, loading, pending) {
+            (true, ..) => Availability::Warm,
+            (_, true, _) => Availability::Loading,
+            (_, _, true) => Availability::Pending,
+            _ => Availability::Absent,
         }
     }
 
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -13,6 +13,7 @@
 use crate::job::Job;
 use crate::service::{Demand, Service, Turn};
 use crate::target::{Inbox, Message, Target};
+use crate::wait::{GivenUp, Waiter};
 use bytes::{Bytes, BytesMut};
 use decide::budget::Slot;
 use decide::route::TargetId;
@@ -67,6 +68,7 @@
     messages: mpsc::UnboundedReceiver<Message>,
     failure: Option<(u16, Bytes)>,
     began: Instant,
+    waiter: Waiter<'a, P>,
     pause: Duration,
 }
 
@@ -93,12 +95,13 @@
         let slot = core.slot(job, position);
         let demand = core.demand(job, position, &slot, &input);
         let (inbox, messages) = mpsc::unbounded_channel();
+        let ran = position > 0 || job.may_have_run();
         Self {
             core,
             job,
             spec,
             position: StageIndex::try_from(position).unwrap_or(StageIndex::MAX),
-            ran: position > 0 || job.may_have_run(),
+            ran,
             streamed,
             service,
             slot,
@@ -114,6 +117,7 @@
             messages,
             failure: None,
             began: Instant::now(),
+            waiter: Waiter::new(core, job, position, ran),
             pause: PAUSE_FIRST,
         }
     }
@@ -128,7 +132,7 @@
         loop {
             let turn = match turn.take() {
                 Some(turn) => turn,
-                None => self.service.push(&self.demand).await,
+                None => self.turn().await?,
             };
             match self.start(Some(turn)).await {
                 Ok(true) => {}
@@ -145,6 +149,15 @@
         }
     }
 
+    /// Waits for this call's turn.
+    async fn turn(&mut self) -> Result<Turn, End> {
+        let turn = self.service.push(&self.demand);
+        match self.waiter.until(turn).await {
+            Ok(turn) => Ok(turn),
+            Err(GivenUp) => Err(self.end()),
+        }
+    }
+
     /// Sends an attempt to a target, if one would take it.
     async fn start(&mut self, turn: Option<Turn>) -> Result<bool, End> {
         if !self.machine.may_start() {
@@ -182,6 +195,7 @@
             content: BytesMut::new(),
             over: false,
         });
+        self.waiter.taken();
         // A link that is gone tells the inbox.
         let _ = link.send(offer).await;
         Ok(true)
--- a/crates/entry/src/stage/meaning.rs
+++ b/crates/entry/src/stage/meaning.rs
@@ -43,3 +43,14 @@
         _ => (None, false),
     }
 }
+
+/// Why an attempt brought no answer, for the log.
+pub(super) fn reason(frame: Option<&Frame>) -> String {
+    match frame {
+        None => "link lost".to_owned(),
+        Some(Frame::Refuse { reason, .. }) => format!("refused: {reason:?}"),
+        Some(Frame::Fail { status, .. }) => format!("status {status}"),
+        Some(Frame::Break { reason, .. }) => reason.clone(),
+        Some(_) => "answer out of order".to_owned(),
+    }
+}
--- a/crates/entry/src/stage/retry.rs
+++ b/crates/entry/src/stage/retry.rs
@@ -4,7 +4,9 @@
 use crate::answer::End;
 use crate::core::Platform;
 use crate::service::models::Availability;
+use crate::wait::GivenUp;
 use decide::retry::Failure;
+use decide::wait::Outlook;
 use protocol::Attempt;
 use protocol::call;
 use rand::Rng;
@@ -12,7 +14,7 @@
 
 /// Longest pause between attempts.
 const PAUSE_MOST: Duration = Duration::from_millis(500);
-/// How long an accepted request waits for a target that would take its next stage.
+/// How long an accepted request is offered to targets that all refuse it.
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Lowest HTTP status that blames the runner rather than the input.
 const SERVER_ERROR: u16 = 500;
@@ -49,32 +51,31 @@
 
     /// Waits for a target that would take the stage; the pauses grow and differ.
     pub(super) async fn rest(&mut self) -> Result<(), End> {
-        let awaits = self.awaits_model();
-        if self.began.elapsed() > PATIENCE && !awaits {
+        self.want_model();
+        let refused = self.waiter.outlook() == Outlook::Open;
+        if refused && self.began.elapsed() > PATIENCE {
             return Err(self.end());
         }
         let most = self.pause.min(PAUSE_MOST);
         let pause = rand::rng().random_range(most / 2..=most);
-        tokio::time::sleep(pause).await;
+        let rested = self.waiter.until(tokio::time::sleep(pause)).await;
+        if rested == Err(GivenUp) {
+            return Err(self.end());
+        }
         self.pause = (self.pause * 2).min(PAUSE_MOST);
         self.tried.clear();
         Ok(())
     }
 
-    /// Whether the stage waits for a model that operators still want loaded. A load may take far
-    /// longer than any other wait, and the accepted request is to come late rather than never.
-    pub(super) fn awaits_model(&self) -> bool {
+    /// Makes the stage's model wanted if no engine has it: nobody else asks for it on behalf of a
+    /// request that is not refused.
+    fn want_model(&self) {
         let set = self.core.config.current();
-        let Some(model) = &self.spec.model else {
-            return false;
-        };
-        let availability = self.service.availability(model, &set);
-        if availability == Availability::Absent {
-            // Nobody else asks for the model on behalf of a request that is not refused.
+        if let Some(model) = &self.spec.model
+            && self.service.availability(model, &set) == Availability::Absent
+        {
             self.service.missed(model);
         }
-        let service = set.service(&self.spec.service);
-        service.is_some_and(|service| service.declares(model)) && availability != Availability::Warm
     }
 
     /// What the caller is told when the stage is not tried again.
--- a/crates/entry/src/stage/tries.rs
+++ b/crates/entry/src/stage/tries.rs
@@ -1,11 +1,13 @@
 //! What becomes of a stage's attempts.
 
-use super::meaning::{is_unreachable, refusal};
+use super::meaning::{is_unreachable, reason, refusal};
 use super::{Output, Run};
+use crate::caller::format_id;
 use crate::core::Platform;
 use crate::target::Message;
 use protocol::Attempt;
 use protocol::call;
+use slog::info;
 use std::time::Duration;
 use wire::Frame;
 
@@ -87,6 +89,9 @@
                 "unknown"
             }
         };
+        info!(self.core.log, "attempt without answer"; "request" => format_id(self.job.id),
+            "stage" => &self.spec.name, "vm" => id, "outcome" => outcome,
+            "reason" => reason(frame), "took_ms" => elapsed.as_millis() as u64);
         self.core
             .telemetry
             .attempt(&self.spec.name, outcome, elapsed);
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -5,6 +5,7 @@
 use protocol::{CallId, Fence};
 use slog::{Logger, error, info};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -59,6 +60,8 @@
     pub strays: AtomicU64,
     /// What is known of its engine, if it has one.
     pub engine: Engine,
+    /// Where its agent was last listed.
+    address: Mutex<SocketAddr>,
     leaving: AtomicBool,
     link: Mutex<Option<Sender>>,
     up: watch::Sender<bool>,
@@ -71,6 +74,7 @@
     pub fn start(vm: Vm, key: Key, log: Logger, observer: Arc<impl Observer>) -> Arc<Self> {
         let target = Arc::new(Self {
             leaving: AtomicBool::new(vm.leaving),
+            address: Mutex::new(vm.address),
             vm,
             strays: AtomicU64::default(),
             engine: Engine::default(),
@@ -88,6 +92,12 @@
         self.stop.cancel();
     }
 
+    /// Takes in where the agent is listed now. An agent that was started again in the same life of its
+    /// VM may serve at another address; a link that is up stays.
+    pub fn relocate(&self, address: SocketAddr) {
+        *self.address() = address;
+    }
+
     /// Whether there is a link now.
     pub fn is_linked(&self) -> bool {
         *self.up.borrow()
@@ -182,6 +192,10 @@
         }
     }
 
+    fn address(&self) -> MutexGuard<'_, SocketAddr> {
+        self.address.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn link(&self) -> MutexGuard<'_, Option<Sender>> {
         self.link.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -216,11 +230,12 @@
     let mut pause = RECONNECT_FIRST;
     let mut barred = false;
     while !target.stop.is_cancelled() {
-        match wire::connect(target.vm.address, &key).await {
+        let address = *target.address();
+        match wire::connect(address, &key).await {
             Ok((sender, receiver)) => {
                 pause = RECONNECT_FIRST;
                 barred = false;
-                info!(log, "link up"; "vm" => &target.vm.id);
+                info!(log, "link up"; "vm" => &target.vm.id, "address" => %address);
                 serve(&target, sender, receiver, &observer).await;
                 info!(log, "link lost"; "vm" => &target.vm.id);
             }
--- /dev/null
+++ b/crates/entry/src/wait.rs
@@ -0,0 +1,146 @@
+//! Waits of calls that no target has, and what ends them.
+
+use crate::caller::format_id;
+use crate::core::{Core, Platform};
+use crate::job::Job;
+use crate::service::Service;
+use crate::service::models::Availability;
+use decide::wait::{Bounds, Outlook, Verdict, Wait};
+use futures::FutureExt;
+use protocol::RequestId;
+use record::Set;
+use slog::info;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Longest time between two looks at what a waiting call waits for.
+const LOOK: Duration = Duration::from_millis(250);
+/// Time for which calls wait in bursts, so that nothing is said of it.
+const USUAL: Duration = Duration::from_secs(1);
+/// Bounds for a request of which nothing has run: it can be refused in truth, and is refused within a
+/// second of when a new one would be.
+const FRESH: Bounds = Bounds {
+    closed: Duration::from_millis(500),
+    unknown: Duration::from_secs(6),
+    total: Duration::from_secs(3_600),
+};
+/// Bounds for a request of which stages have run: nobody can take it up anew.
+const BEGUN: Bounds = Bounds {
+    closed: Duration::from_secs(300),
+    unknown: Duration::from_secs(300),
+    ..FRESH
+};
+
+/// One call that waits for a target, a turn or a model.
+pub struct Waiter<'a, P: Platform> {
+    core: &'a Arc<Core<P>>,
+    service: Arc<Service>,
+    request: RequestId,
+    stage: &'a record::Stage,
+    wait: Wait,
+    logged: bool,
+}
+
+/// The call has been given up: no target took it within the bounds of its wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GivenUp;
+
+impl<'a, P: Platform> Waiter<'a, P> {
+    /// A wait for a stage that begins now; `begun` says whether any of the request may have run.
+    pub fn new(core: &'a Arc<Core<P>>, job: &'a Job, position: usize, begun: bool) -> Self {
+        let stage = &job.pipeline.stages[position];
+        let bounds = if begun { BEGUN } else { FRESH };
+        Self {
+            core,
+            service: core.services.get(&stage.service),
+            request: job.id,
+            stage,
+            wait: Wait::new(bounds, core.now()),
+            logged: false,
+        }
+    }
+
+    /// Waits for something unless the call is given up before.
+    ///
+    /// # Errors
+    ///
+    /// [`GivenUp`], and why is in the log.
+    pub async fn until<T>(&mut self, work: impl Future<Output = T>) -> Result<T, GivenUp> {
+        let mut work = std::pin::pin!(work);
+        // Most calls have their turn at once, and need no look at what may go wrong.
+        if let Some(done) = work.as_mut().now_or_never() {
+            return Ok(done);
+        }
+        loop {
+            let pause = self.look()?;
+            tokio::select! {
+                biased;
+                done = &mut work => return Ok(done),
+                () = sleep(pause) => {}
+            }
+        }
+    }
+
+    /// A target has taken the call: what speaks against it later counts from then on.
+    pub fn taken(&mut self) {
+        self.wait.observe(Outlook::Open, self.core.now());
+    }
+
+    /// Whether the call may get a target, and after which time to look again.
+    fn look(&mut self) -> Result<Duration, GivenUp> {
+        let now = self.core.now();
+        let outlook = self.outlook();
+        let verdict = self.wait.observe(outlook, now);
+        self.log(outlook, verdict);
+        match verdict {
+            Verdict::Wait { until } => Ok(until.saturating_sub(now).min(LOOK)),
+            Verdict::GiveUp { .. } => Err(GivenUp),
+        }
+    }
+
+    /// Whether the call can get a target as things stand.
+    pub fn outlook(&self) -> Outlook {
+        let set = self.core.config.current();
+        outlook(&self.service, self.stage.model.as_deref(), &set)
+    }
+
+    fn log(&mut self, outlook: Outlook, verdict: Verdict) {
+        let now = self.core.now();
+        let usual = outlook == Outlook::Open && self.wait.elapsed(now) < USUAL;
+        let (message, until) = match verdict {
+            Verdict::Wait { .. } if self.logged || usual => return,
+            Verdict::Wait { until } => ("call waits", until),
+            Verdict::GiveUp { .. } => ("call given up", now),
+        };
+        self.logged = true;
+        let queue = self.service.queue();
+        info!(self.core.log, "{}", message; "request" => format_id(self.request),
+            "stage" => &self.stage.name, "service" => &self.stage.service, "model" => &self.stage.model,
+            "outlook" => outlook.name(), "revision" => self.core.config.revision(),
+            "waiting" => queue.waiting, "in_flight" => queue.in_flight, "limit" => queue.limit,
+            "waited_ms" => millis(self.wait.elapsed(now)),
+            "bound_ms" => millis(self.wait.elapsed(until)));
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Whether a call at a service, for a model if it names one, can get a target.
+#[must_use]
+pub fn outlook(service: &Service, model: Option<&str>, set: &Set) -> Outlook {
+    if !service.is_served(set) {
+        return Outlook::Closed;
+    }
+    let Some(model) = model else {
+        return Outlook::Open;
+    };
+    match service.availability(model, set) {
+        Availability::Warm => Outlook::Open,
+        Availability::Loading => Outlook::Loading,
+        Availability::Pending => Outlook::Unknown,
+        Availability::Absent => Outlook::Closed,
+    }
+}
