An ejected target that is the only one left gets work again

What callers saw: nobody served for as long as one looked (20 s) by the only engine that had a model, after its runner had been away for a moment; calls waited with the model loaded. Ruled out: a lost turn (in_flight 0), a stale belief about models.

Cause: the end of an ejection was looked at only when a call of the service was sent, answered or had failed. Where the ejected target is the only one that a call can go to, none is sent, and it stays out for good. Relays share the code: a service whose other runners had gone would have been refused to all beside one that lives.

Fix: ejections are looked at before each choice, and end at once where no other target takes work. The twin of the pool has the same rule.

--- a/crates/decide/src/route/pool.rs
+++ b/crates/decide/src/route/pool.rs
@@ -107,6 +107,7 @@
         let target = self.targets.pop()?;
         self.index.remove(id);
         self.others -= target.others;
+        self.readmit_last();
         Some(target)
     }
 
@@ -278,6 +279,7 @@
         };
         self.targets[place].leaving = true;
         self.delist(place);
+        self.readmit_last();
     }
 
     /// The target's engine said that it has stored these blocks.
@@ -294,10 +296,24 @@
     }
 
     /// Puts targets whose ejection is over back to work, on probation.
+    ///
+    /// To be called before each choice: where an ejected target is the only one that a call can go to,
+    /// no other call comes by that would end the ejection.
     pub fn readmit(&mut self, now: Duration) {
-        if self.due.is_none_or(|due| now < due) {
-            return;
+        if self.due.is_some_and(|due| due <= now) {
+            self.readmit_due(now);
+        }
+    }
+
+    /// Puts all ejected targets back to work if no other one is left: one that fails is better than
+    /// none.
+    fn readmit_last(&mut self) {
+        if self.live == 0 && self.due.is_some() {
+            self.readmit_due(Duration::MAX);
         }
+    }
+
+    fn readmit_due(&mut self, now: Duration) {
         for place in self.live..self.targets.len() {
             let target = &mut self.targets[place];
             if !target.leaving && target.health.due(now) {
--- a/crates/decide/tests/pool_model.rs
+++ b/crates/decide/tests/pool_model.rs
@@ -67,6 +67,13 @@
     }
 }
 
+/// Where no other target is left, those that are out come back.
+fn readmit_last(slow: &mut BTreeMap<TargetId, Slow>) {
+    if !slow.values().any(Slow::live) {
+        readmit(slow, u64::MAX);
+    }
+}
+
 fn failed(slow: &mut BTreeMap<TargetId, Slow>, id: &TargetId, now: u64, rule: &Ejection) {
     let out = slow.values().filter(|target| !target.live()).count() + 1;
     let allowed = out as f64 <= rule.cap * slow.len() as f64;
@@ -109,6 +116,7 @@
                 pool.remove(&name(id)).is_some(),
                 slow.remove(&name(id)).is_some()
             );
+            readmit_last(slow);
         }
         Step::Sent(id) => {
             pool.sent(&name(id), at);
@@ -139,6 +147,7 @@
             pool.leave(&name(id));
             slow.entry(name(id))
                 .and_modify(|target| target.leaving = true);
+            readmit_last(slow);
         }
         Step::Reported(id, limit) => {
             pool.reported(
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -341,6 +341,7 @@
     ) -> Option<Arc<Target>> {
         let now = self.now();
         let mut state = self.lock();
+        state.pool.readmit(now);
         let mut tried = tried.to_vec();
         if let Some(model) = &demand.model {
             tried.extend(state.without(model));
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -326,6 +326,7 @@
     };
     let processes = relay.processes();
     let id = relay.pool(&job.service, |pool| {
+        pool.readmit(call.now);
         relay.random(|rng| Affine::new(processes, shared).pick(pool, &call, rng))
     })?;
     relay.runner(&id)
