One request that ends runners no longer shuts a service of few runners

Runners that have ended go on to get requests for the three seconds for which the platform's list names them.

Change: relay::outage keeps runners from work at whose addresses nothing listens, until something does; a lost answer is followed by a look (a round trip) before the request goes on; crashes that others tell of are looked at too, since a relay that does not know of them counts runners as up that are not. protocol::quarantine::Standing: from its first crash a request never gets the last runner that stands, from its second one it goes on while more than half are up. It waits for half of its time, then it is refused with an honest Retry-After.

--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -95,6 +95,38 @@
     Trial,
 }
 
+/// The runners of one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Standing {
+    /// Runners that serve.
+    pub up: usize,
+    /// Runners that have ended lately and are not back.
+    pub down: usize,
+}
+
+impl Standing {
+    /// Whether a request may be sent to one of the runners under which so many have ended.
+    ///
+    /// Under one of them runners also end by chance, and it goes on to any but the last one. From the
+    /// second on, more than half are kept for the others. Where none that has ended may come back there
+    /// is nothing to wait for.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use protocol::quarantine::Standing;
+    ///
+    /// assert!(Standing { up: 2, down: 1 }.bears(1));
+    /// assert!(!Standing { up: 1, down: 1 }.bears(1));
+    /// assert!(Standing { up: 1, down: 1 }.bears(0));
+    /// ```
+    #[must_use]
+    pub fn bears(self, crashes: u32) -> bool {
+        let most_up = crashes == 1 || self.down < self.up;
+        crashes == 0 || self.down == 0 || self.up > 1 && most_up
+    }
+}
+
 /// What becomes of what another process tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Merge {
@@ -365,6 +397,13 @@
         suspect.is_some_and(|suspect| suspect.is_suspect(&self.ends))
     }
 
+    /// Runners that have ended under a request, those that ended in one moment included.
+    #[must_use]
+    pub fn crashes(&self, content: ContentId) -> u32 {
+        let suspect = self.suspects.get(&content);
+        suspect.map_or(0, |suspect| suspect.all(&self.ends))
+    }
+
     /// Whether a request is held back, so that its turn must be known.
     #[must_use]
     pub fn is_held(&self, content: ContentId) -> bool {
--- a/crates/protocol/src/quarantine/suspect.rs
+++ b/crates/protocol/src/quarantine/suspect.rs
@@ -160,6 +160,12 @@
         self.kept.map_or(count, |kept| kept.count.max(count))
     }
 
+    /// Crashes that count, also those right after another one.
+    pub(super) fn all(&self, ends: &Ends<R>) -> u32 {
+        let all = u32::try_from(self.counted(ends).count()).unwrap_or(u32::MAX);
+        self.kept.map_or(all, |kept| kept.count.max(all))
+    }
+
     pub(super) fn is_held(&self, ends: &Ends<R>) -> bool {
         self.count(ends) >= CRASHES
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::core::Relay;
 use crate::downstream::{Call, Downstream, Failure, NotRun, Reply};
 use crate::graph::{self, Inputs, Round};
+use crate::outage;
 use crate::plan::ServiceId;
 use crate::quarantine;
 use crate::request::{Answer, Body, ContentId, EventId, Refusal};
@@ -15,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Runners that refuse a request before it is given up; each costs a round trip only.
 const REFUSALS: u32 = 3;
@@ -27,8 +28,13 @@
 const FETCHED: Duration = Duration::from_millis(35);
 /// Part of the connections that a runner bears that all processes together may leave open unused.
 const IDLE_PART: usize = 3;
+/// Longest wait for whether a runner has ended that has lost an answer; it takes a round trip.
+const PROBE: Duration = Duration::from_millis(50);
 /// When a caller may come back whose request no runner took.
 const RETRY_FULL: Duration = Duration::from_millis(200);
+/// When a caller may come back to a service all of whose runners have ended: about the time that one
+/// takes to start.
+const RETRY_ENDED: Duration = Duration::from_secs(1);
 /// Parts of a stream that wait for a slow caller before its runner is read no further.
 const PARTS: usize = 32;
 
@@ -151,9 +157,25 @@
     }
 
     /// The runner's answer was lost: it may have ended under the request.
-    pub fn lost(self) {
+    ///
+    /// Waits a moment for the answer to that, so that a repeat does not meet the same runner, or a
+    /// second one that it would end as well.
+    pub async fn lost(self) {
         self.relay.note_lost(self.content, &self.runner, self.sent);
-        quarantine::probe(&self.relay, &self.runner);
+        self.probe().await;
+        self.failed();
+    }
+
+    async fn probe(&self) {
+        let (relay, runner) = (self.relay.clone(), self.runner.clone());
+        let probing = tokio::spawn(async move { outage::probe(&relay, &runner).await });
+        // It goes on where a runner that is silent has not answered by then.
+        let _ = timeout(PROBE, probing).await;
+    }
+
+    /// No connection to the runner came about.
+    async fn unreachable(self) {
+        self.probe().await;
         self.failed();
     }
 
@@ -220,7 +242,7 @@
         let Some(runner) = pick(job, &progress.tried, left) else {
             return Err(());
         };
-        if let Err(refusal) = quarantine::begin(job) {
+        if let Err(refusal) = quarantine::begin(job).await {
             progress.held = Some(refusal);
             return Err(());
         }
@@ -246,7 +268,7 @@
                 progress.ran += 1;
                 return Ok((flight, reply));
             }
-            Err(failure) => fail(flight, failure, progress),
+            Err(failure) => fail(flight, failure, progress).await,
         }
     }
 }
@@ -285,17 +307,19 @@
     calling.await
 }
 
-fn fail<D: Downstream>(flight: Flight<D>, failure: Failure, progress: &mut Progress) {
+async fn fail<D: Downstream>(flight: Flight<D>, failure: Failure, progress: &mut Progress) {
     match &failure {
         Failure::Lost { .. } => {
             progress.ran += 1;
-            flight.lost();
+            flight.lost().await;
         }
         Failure::NotRun { reason } => {
             progress.refused += 1;
-            // A full runner is not a faulty one.
-            if matches!(reason, NotRun::Unreachable { .. } | NotRun::Replaced) {
-                flight.failed();
+            match reason {
+                NotRun::Unreachable { .. } => flight.unreachable().await,
+                NotRun::Replaced => flight.failed(),
+                // A full runner is not a faulty one.
+                _ => {}
             }
         }
     }
@@ -314,7 +338,8 @@
     let relay = &job.relay;
     let closed = relay.closed(&job.service);
     let limited = relay.limited(&job.service);
-    let without = [tried, &closed, &limited, &job.abroad()].concat();
+    let absent = relay.absent(&job.service);
+    let without = [tried, &closed, &limited, &absent, &job.abroad()].concat();
     let shared = job.request.prompt.as_ref();
     let shared = shared.map_or(&[][..], |prompt| &prompt.shared);
     let call = route::Call {
@@ -435,7 +460,7 @@
     };
     info!(job.relay.log, "answer of no use"; "request" => &*job.request.id,
         "runner" => &*flight.runner.id, "status" => status, "reason" => &failure);
-    flight.lost();
+    flight.lost().await;
     progress.last = Some(Failure::Lost { reason: failure });
     None
 }
@@ -471,6 +496,10 @@
             reason: "no runner takes it in the regions that it may run in",
             retry_after: RETRY_FULL,
         },
+        None if job.relay.standing(&job.service).up == 0 => Refusal::Overloaded {
+            reason: "all runners have ended",
+            retry_after: RETRY_ENDED,
+        },
         _ if progress.ran == 0 => Refusal::Overloaded {
             reason: "no runner took it",
             retry_after: RETRY_FULL,
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -6,6 +6,7 @@
 use crate::limit::Limits;
 use crate::member::{Member, MemberId};
 use crate::memory::Memory;
+use crate::outage::Outages;
 use crate::pause::{Clock, Pause};
 use crate::peer::{Burdens, Peers};
 use crate::plan::{Batches, LAST_RANK, Plan, RegionId, ServiceId};
@@ -88,6 +89,7 @@
     pub(crate) drains: Mutex<Drains>,
     pub(crate) warmups: Mutex<Warmups>,
     pub(crate) quarantine: quarantine::State,
+    pub(crate) outages: Mutex<Outages>,
     pub(crate) limits: Mutex<Limits>,
     pools: Mutex<Map<ServiceId, Pool>>,
     repeats: Mutex<Bound>,
@@ -128,6 +130,7 @@
             drains: Mutex::default(),
             warmups: Mutex::default(),
             quarantine: quarantine::State::default(),
+            outages: Mutex::default(),
             limits: Mutex::default(),
             pools: Mutex::default(),
             quotas: Mutex::default(),
@@ -241,7 +244,11 @@
                 if let Change::Listed(runner) = &change {
                     self.note_cold(runner);
                 }
-                ended.extend(fleet.ends(&change).cloned());
+                let end = fleet.ends(&change).cloned();
+                if let Some(runner) = &end {
+                    self.note_down(runner);
+                }
+                ended.extend(end);
                 self.update_one(fleet, change, &mut services);
             }
         }
@@ -275,11 +282,14 @@
             "service" => before.as_ref().or(after.as_ref()).map(|runner| runner.service.to_string()),
             "address" => after.as_ref().map(|runner| runner.address.to_string()),
             "takes_work" => after.is_some());
-        if let Some(before) = before {
+        if let Some(before) = &before {
             self.pool(&before.service, |pool| drop(pool.remove(&id)));
             services.push(before.service.clone());
         }
         if let Some(after) = after {
+            if before.is_none_or(|before| before.started != after.started) {
+                lock(&self.outages).note_started(&after);
+            }
             let target = Target::new(id, after.domain.clone(), after.slots);
             self.pool(&after.service, |pool| pool.insert(target));
             services.push(after.service.clone());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 //! * [`event`]: where the events of a stream begin and end
 //! * [`pause`]: what is done after the process did not run for a while
 //! * [`warmup`]: runners that have just started and bear few requests
+//! * `outage`: runners that have ended and are not back
 //! * [`quarantine`]: requests that end the runners that run them
 //! * [`telemetry`]: counters and histograms
 
@@ -32,6 +33,7 @@
 pub mod limit;
 pub mod member;
 pub mod memory;
+mod outage;
 pub mod pause;
 pub mod peer;
 pub mod plan;
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -8,6 +8,7 @@
 use crate::drain::Drains;
 use crate::limit::Notice;
 use crate::member::MemberId;
+use crate::outage;
 use crate::plan::{Plan, Rank, ServiceId, Version};
 use crate::quarantine::Suspicion;
 use crate::request::RequestId;
@@ -284,7 +285,10 @@
         Frame::Version(version) => compare_version(relay, sender, version),
         Frame::Drains(drains) => relay.drain(&drains, PEER),
         Frame::Limit(notice) => relay.merge_notice(&notice, PEER),
-        Frame::Suspicion(suspicion) => relay.merge_suspicion(&suspicion, PEER),
+        Frame::Suspicion(suspicion) => {
+            relay.merge_suspicion(&suspicion, PEER);
+            outage::probe_named(relay, &suspicion);
+        }
         Frame::Beat { beat, answers } => overlay::compare(relay, sender, beat, answers),
         Frame::Leaving { id, incarnation } => {
             info!(relay.log, "peer leaves"; "peer" => &*id, "incarnation" => incarnation);
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -13,6 +13,7 @@
 use crate::telemetry::millis;
 use protocol::quarantine::{Merge, Pass, Quarantine, Report};
 use serde::{Deserialize, Serialize};
+use setting::Policy;
 use slog::{info, warn};
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
@@ -28,6 +29,10 @@
 
 /// Beginning of the keys of rows about requests that are held back.
 const PREFIX: &str = "quarantine/";
+/// Time between two looks whether enough runners are there.
+const RUNNERS_LOOK: Duration = Duration::from_millis(50);
+/// When to come back for runners that have ended: about the time that one takes to start.
+const RUNNERS_RETURN: Duration = Duration::from_secs(1);
 /// Pause after a row could not be written.
 const PAUSE: Duration = Duration::from_millis(400);
 
@@ -38,8 +43,6 @@
     /// Requests whose rows are out of date.
     unwritten: Mutex<BTreeSet<ContentId>>,
     changed: Notify,
-    /// Runners that are being looked for.
-    probed: Mutex<BTreeSet<Start>>,
 }
 
 impl State {
@@ -155,23 +158,6 @@
     }
 }
 
-/// Looks whether a runner has ended that has just lost an answer.
-///
-/// Its entry may stay for seconds, in which the request that ended it would end the next ones.
-pub(crate) fn probe<D: Downstream>(relay: &Arc<Relay<D>>, runner: &Arc<Runner>) {
-    let probed = start(runner);
-    if !lock(&relay.quarantine.probed).insert(probed.clone()) {
-        return;
-    }
-    let (relay, runner) = (relay.clone(), runner.clone());
-    tokio::spawn(async move {
-        if relay.downstream.has_ended(&runner).await {
-            relay.note_ended(&runner);
-        }
-        lock(&relay.quarantine.probed).remove(&probed);
-    });
-}
-
 /// Whether a request may be worked for.
 ///
 /// # Errors
@@ -187,14 +173,59 @@
     }
 }
 
+/// Waits until a request under which runners have ended may be sent to one, beside what is left of its
+/// service.
+///
+/// Each attempt may end one more. Sent on at once, a single request takes down all of the few runners
+/// of a small service, and nobody is served until one is back.
+///
+/// # Errors
+///
+/// [`Refusal::Poison`] if too few runners are left for half of the caller's time.
+async fn await_runners<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
+    let since = Instant::now();
+    let patience = job.left() / 2;
+    loop {
+        let standing = job.relay.standing(&job.service);
+        let (may_run, crashes) = {
+            let known = lock(&job.relay.quarantine.known);
+            let crashes = known.crashes(job.content);
+            (standing.bears(crashes), crashes)
+        };
+        let waited = since.elapsed();
+        let outcome = match (may_run, waited >= patience) {
+            (true, _) if waited < RUNNERS_LOOK => return Ok(()),
+            (true, _) => "sent",
+            (false, true) => "given up",
+            (false, false) => {
+                sleep(RUNNERS_LOOK).await;
+                continue;
+            }
+        };
+        info!(job.relay.log, "suspect waited for runners"; "request" => &*job.request.id,
+            "content" => content_name(job.content), "crashes" => crashes, "up" => standing.up,
+            "down" => standing.down, "runners_age_ms" => job.relay.list_age().map(millis),
+            "waited_ms" => millis(waited), "outcome" => outcome);
+        return match may_run {
+            true => Ok(()),
+            false => Err(Refusal::Poison {
+                retry_after: RUNNERS_RETURN,
+            }),
+        };
+    }
+}
+
 /// Whether a request may be sent to a runner now; counts it as the trial if it is one.
 ///
 /// Asked again here because its stages take time, in which others may have ended runners with it.
 ///
 /// # Errors
 ///
-/// As [`admit`].
-pub(crate) fn begin<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
+/// As [`admit`], also if too few runners are left to risk one.
+pub(crate) async fn begin<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
+    if job.relay.options.policy.suspects == Policy::Shipped {
+        await_runners(job).await?;
+    }
     if admit(job)? == Pass::Trial {
         info!(job.relay.log, "poison request tried again"; "request" => &*job.request.id,
             "content" => content_name(job.content));
--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -93,7 +93,7 @@
             if self.unread {
                 drop(flight);
             } else {
-                flight.lost();
+                flight.lost().await;
             }
             let Some((next, reply)) = self.go_on().await else {
                 return self.break_off(&reason).await;
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -233,6 +233,8 @@
     pub(crate) released: Arc<Mutex<Vec<Handle>>>,
     /// Time between requests that runners ask for in their answers.
     pub(crate) spacing: Arc<Mutex<Option<Duration>>>,
+    /// Body of the requests that end whatever runner they are sent to.
+    pub(crate) deadly: Arc<Mutex<Option<Bytes>>>,
     /// Runners at whose addresses nothing listens.
     pub(crate) ended: Arc<Mutex<Vec<String>>>,
 }
@@ -271,7 +273,11 @@
             let reason = NotRun::Unreachable { reason };
             return Err(Failure::NotRun { reason });
         }
-        let act = self.acts.lock().expect("no holder panics").pop_front();
+        let deadly = self.deadly.lock().expect("no holder panics").clone();
+        let act = match deadly.is_some_and(|deadly| deadly == call.message.body) {
+            true => Some(Act::Crash),
+            false => self.acts.lock().expect("no holder panics").pop_front(),
+        };
         sleep(Duration::from_millis(5)).await;
         let reply = |status, proven, body| Reply {
             status,
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -134,6 +134,14 @@
     /// runner is there, or all.
     #[serde(default)]
     pub warmup: Policy,
+    /// Whether runners get work at whose addresses nothing listens, though they are listed: not until
+    /// something does, or as any other.
+    #[serde(default)]
+    pub absent: Policy,
+    /// When a request goes to a further runner under which one has ended: once enough of the service's
+    /// runners are there, or at once.
+    #[serde(default)]
+    pub suspects: Policy,
 }
 
 /// Bound on second attempts to one service in any window.
