--- a/crates/protocol/tests/quarantine_rules.rs
+++ b/crates/protocol/tests/quarantine_rules.rs
@@ -138,3 +138,15 @@
     quarantine.lapse(POISON, SECOND, SECOND * 2);
     assert_eq!(quarantine.pass(POISON, 0, SECOND * 2), Pass::Free);
 }
+
+/// Guards against a request that ends its runner and is taken for one that came after the end: shortly
+/// before, the runner lost the answer of another one and lived on.
+#[test]
+fn loss_before_end() {
+    let mut quarantine = Quarantine::default();
+    let half = SECOND / 2;
+    quarantine.lost(8, 1, SECOND, SECOND + half);
+    quarantine.lost(POISON, 1, SECOND * 2, SECOND * 2 + half);
+    quarantine.ended(&1, SECOND * 2 + half);
+    assert_eq!(quarantine.crashes(POISON), 1);
+}
--- a/crates/relay/src/outage.rs
+++ b/crates/relay/src/outage.rs
@@ -8,7 +8,7 @@
 use crate::core::{Relay, lock};
 use crate::downstream::Downstream;
 use crate::plan::ServiceId;
-use crate::quarantine::{Start, Suspicion};
+use crate::quarantine::{Start, Suspicion, start};
 use crate::runner::{Runner, RunnerId};
 use crate::telemetry::millis;
 use decide::Map;
@@ -36,10 +36,6 @@
     ended: Map<ServiceId, VecDeque<(Start, Instant)>>,
 }
 
-fn start(runner: &Runner) -> Start {
-    (runner.id.clone(), runner.started)
-}
-
 impl Outages {
     fn note_ended(&mut self, runner: &Runner, now: Instant) {
         let ended = self.ended.entry(runner.service.clone()).or_default();
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -59,7 +59,7 @@
     crashes: u32,
 }
 
-fn start(runner: &Runner) -> Start {
+pub(crate) fn start(runner: &Runner) -> Start {
     (runner.id.clone(), runner.started)
 }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -235,6 +235,8 @@
     pub(crate) spacing: Arc<Mutex<Option<Duration>>>,
     /// Body of the requests that end whatever runner they are sent to.
     pub(crate) deadly: Arc<Mutex<Option<Bytes>>>,
+    /// Request whose pieces end whatever runner makes them.
+    pub(crate) deadly_piece: Arc<Mutex<Option<String>>>,
     /// Runners at whose addresses nothing listens.
     pub(crate) ended: Arc<Mutex<Vec<String>>>,
 }
@@ -326,6 +328,13 @@
             items: items.clone(),
         };
         self.carried.lock().expect("no holder panics").push(carried);
+        let deadly = self.deadly_piece.lock().expect("no holder panics").clone();
+        if deadly.is_some_and(|deadly| items.iter().any(|item| *item.id == *deadly)) {
+            let mut ended = self.ended.lock().expect("no holder panics");
+            ended.push(runner.id.to_string());
+            let reason = "reset".to_owned();
+            return Err(Failure::Lost { reason });
+        }
         let act = self
             .stage_acts
             .lock()
--- /dev/null
+++ b/crates/relay/tests/poison_unseen.rs
@@ -0,0 +1,98 @@
+//! Requests that end runners in ways that the evidence does not show.
+
+mod common;
+
+use common::stage::{cell, order};
+use common::{Act, Fake, body, ready, request, runner};
+use protocol::quarantine::CRASHES;
+use relay::Relay;
+use relay::batch::Order;
+use relay::runner::Change;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Time between two attempts.
+const PAUSE: Duration = Duration::from_millis(700);
+/// Time for which the platform's list names a runner after its end.
+const LISTED: Duration = Duration::from_secs(3);
+/// Attempts of the caller.
+const ATTEMPTS: usize = 9;
+
+/// A relay with a runner of each service for each attempt.
+fn relay() -> Arc<Relay<Fake>> {
+    let relay = ready(Fake::default());
+    let more = |service: &'static str| {
+        (3..=ATTEMPTS).map(move |number| {
+            let id = format!("{}-{number}", &service[..1]);
+            Change::Listed(runner(&id, service))
+        })
+    };
+    relay.update(more("plain").chain(more("stage")).collect());
+    relay
+}
+
+/// Takes a runner from the list some seconds after its end.
+fn unlist_later(relay: &Arc<Relay<Fake>>, id: String) {
+    let relay = relay.clone();
+    tokio::spawn(async move {
+        sleep(LISTED).await;
+        relay.update(vec![Change::Gone(id.as_str().into())]);
+    });
+}
+
+/// Guards against a request that silences one runner after the other, whose addresses refuse nobody:
+/// each is known to have ended only once the list says so.
+#[tokio::test(start_paused = true)]
+async fn silenced_runners() {
+    let relay = relay();
+    let mut silenced = BTreeSet::new();
+    for number in 0..ATTEMPTS {
+        *relay.downstream.acts.lock().expect("free") = [Act::Silent].into();
+        let mut attempt = request(&format!("q{number}"), "once");
+        attempt.patience = Some(PAUSE / 2);
+        let before = relay.downstream.sent().len();
+        body(relay.serve(attempt).await).await;
+        for call in relay.downstream.sent().split_off(before) {
+            if silenced.insert(call.runner.clone()) {
+                unlist_later(&relay, call.runner);
+            }
+        }
+        sleep(PAUSE / 2).await;
+    }
+    assert!(silenced.len() <= CRASHES as usize, "{silenced:?}");
+}
+
+/// Guards against a piece that ends each runner of its stage: calls carry the pieces of several requests,
+/// and nobody can tell which one it was.
+#[tokio::test(start_paused = true)]
+async fn deadly_piece() {
+    let relay = relay();
+    let mut ended = BTreeSet::new();
+    for number in 0..ATTEMPTS {
+        *relay.downstream.deadly_piece.lock().expect("free") = Some(format!("poison-{number}"));
+        let before = relay.downstream.carried().len();
+        let deadly = Order {
+            last: Instant::now() + PAUSE / 2,
+            ..order(&format!("poison-{number}"), 1)
+        };
+        let _ = relay.batcher(&cell()).submit(&relay, deadly).await;
+        for call in relay.downstream.carried().split_off(before) {
+            if !relay
+                .downstream
+                .ended
+                .lock()
+                .expect("free")
+                .contains(&call.runner)
+            {
+                continue;
+            }
+            if ended.insert(call.runner.clone()) {
+                unlist_later(&relay, call.runner);
+            }
+        }
+        sleep(PAUSE).await;
+    }
+    assert!(ended.len() <= CRASHES as usize, "{ended:?}");
+}
