--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -38,6 +38,8 @@
     Field::optional("fetched", shared::POLICY),
     Field::optional("board", shared::POLICY),
     Field::optional("warmup", shared::POLICY),
+    Field::optional("absent", shared::POLICY),
+    Field::optional("suspects", shared::POLICY),
 ]);
 
 const FIELDS: &[Field] = &[
