--- a/crates/setting/tests/file_findings.rs
+++ b/crates/setting/tests/file_findings.rs
@@ -38,6 +38,19 @@
     );
 }
 
+/// Guards against a relay that does not start since its settings name a decision that the checker does
+/// not know.
+#[test]
+fn policies_known() {
+    let policy = serde_json::to_string(&setting::relay::Policies::default()).unwrap();
+    let text = format!(
+        r#"{{"id": "relay-1", "place": {{"region": "ee-north", "domain": "a"}},
+        "listen": "127.0.0.1:0", "ready": "127.0.0.1:0", "metrics": "127.0.0.1:0",
+        "peers": "127.0.0.1:0", "key": "shared", "store": "127.0.0.1:1", "policy": {policy}}}"#
+    );
+    setting::relay::parse(&text, "relay.jsonc").unwrap();
+}
+
 /// An operator who mends one fault per start needs as many starts as there are faults, so that a
 /// fleet stays down longer than it has to. All faults of the file come at once.
 #[test]
