A piece that ends the runners of its stage is made apart, and held back after three

Cause, by traces of two kinds (forced order in virtual time, real processes): the process that forms the calls of a stage is told no content, and a lost call notes nothing of its requests; it is formed anew with the same pieces at once, so that one attempt ends three runners within 0.1 s. Ruled out: repeats by callers alone (one attempt suffices), late lists (no line of a suspect in any play).

Orders bear the content of their stage; a lost call makes suspects of all that it carried; suspects share calls with one another alone, first half of them, then each by itself, one content at one runner, at most half of a cell's runners, never the last one standing; crashes among suspects count however soon. All of it goes through the quarantine that plain requests use, so that all relays learn of it.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -6,10 +6,12 @@
 //! whatever arrives in between shares the next call.
 
 mod choice;
+mod isolation;
 mod outlook;
 mod rules;
 
 pub use choice::Choice;
+pub use isolation::{Content, Isolation, Space, Suspect};
 pub use outlook::{Free, Need, Offer, Outlook};
 pub use rules::Rules;
 
--- a/crates/decide/src/batch/choice.rs
+++ b/crates/decide/src/batch/choice.rs
@@ -35,6 +35,15 @@
         Self::Arrival(Arrival::new(shape))
     }
 
+    /// Shortest time in which a call ends.
+    #[must_use]
+    pub fn shortest(&self) -> Duration {
+        match self {
+            Self::Slack(former) => former.shape.shortest(),
+            Self::Arrival(former) => former.shape.shortest(),
+        }
+    }
+
     /// Takes over the shape that the configuration now gives.
     pub fn reshape(&mut self, shape: Shape) {
         match self {
--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -46,6 +46,8 @@
     pub sent: Duration,
     /// How long ago the answer was lost.
     pub lost: Duration,
+    /// Whether the runner had nothing to do then but requests under which others had ended before.
+    pub isolated: bool,
 }
 
 /// What one process knows of a suspect, as it tells the others.
@@ -149,6 +151,7 @@
     content: ContentId,
     runner: R,
     span: Span,
+    isolated: bool,
 }
 
 /// What one process knows of poison requests. Times are counted from its start; `R` names one start
@@ -212,8 +215,30 @@
         self.live == 0 && self.losses.is_empty()
     }
 
+    /// Whether runners have ended under any request.
+    #[must_use]
+    pub fn has_suspects(&self) -> bool {
+        self.live > 0
+    }
+
     /// The answer to a request was lost that had been sent to a runner at a moment.
     pub fn lost(&mut self, content: ContentId, runner: R, sent: Duration, now: Duration) {
+        self.note_loss(content, runner, sent, now, false);
+    }
+
+    /// The same for a request that was sent there apart from all others, since runners had ended under it.
+    pub fn lost_isolated(&mut self, content: ContentId, runner: R, sent: Duration, now: Duration) {
+        self.note_loss(content, runner, sent, now, true);
+    }
+
+    fn note_loss(
+        &mut self,
+        content: ContentId,
+        runner: R,
+        sent: Duration,
+        now: Duration,
+        isolated: bool,
+    ) {
         let span = Span {
             sent: sent + OFFSET,
             lost: now + OFFSET,
@@ -227,6 +252,7 @@
             content,
             runner,
             span,
+            isolated,
         });
     }
 
@@ -249,6 +275,7 @@
                 runner: loss.runner,
                 sent: at - loss.span.sent,
                 lost: at - loss.span.lost,
+                isolated: loss.isolated,
             };
             let report = Report {
                 crashes: vec![crash],
@@ -280,7 +307,7 @@
                     sent: at(crash.sent),
                     lost: at(crash.lost),
                 };
-                new |= suspect.add(&crash.runner, span);
+                new |= suspect.add(&crash.runner, span, crash.isolated);
             }
             if let Some(ago) = report.tried {
                 new |= suspect.note_trial(report.trials, at(ago));
@@ -305,11 +332,15 @@
         })
     }
 
+    /// A runner has answered something: answers that it lost before were not lost by its end.
+    pub fn lives(&mut self, runner: &R) {
+        self.losses.retain(|loss| loss.runner != *runner);
+    }
+
     /// A runner has answered the request. Others must be told if anything spoke against it.
     pub fn answered(&mut self, content: ContentId, runner: &R, now: Duration) -> Merge {
-        // The runner lives on: answers that it lost before were not lost by its end.
-        self.losses
-            .retain(|loss| loss.content != content && loss.runner != *runner);
+        self.lives(runner);
+        self.losses.retain(|loss| loss.content != content);
         if !self.is_suspect(content) {
             return Merge::Known;
         }
@@ -348,7 +379,7 @@
             let suspects = &self.suspects;
             let is_named = |runner: &R| {
                 let mut crashes = suspects.values().flat_map(|suspect| &suspect.crashes);
-                crashes.any(|(named, _)| named == runner)
+                crashes.any(|crash| crash.runner == *runner)
             };
             self.ends.retain(|runner, _| is_named(runner));
         }
@@ -395,7 +426,7 @@
         let hasher = FixedState::default();
         let one = |(content, suspect): (&ContentId, &Suspect<R>)| {
             let crashes = suspect.crashes.iter();
-            let crashes = crashes.map(|(runner, _)| hasher.hash_one(runner));
+            let crashes = crashes.map(|crash| hasher.hash_one((&crash.runner, crash.isolated)));
             let crashes = crashes.fold(0, u64::wrapping_add);
             let cleared = suspect.cleared.is_some();
             hasher.hash_one((content, crashes, suspect.trials, cleared))
--- a/crates/protocol/src/quarantine/suspect.rs
+++ b/crates/protocol/src/quarantine/suspect.rs
@@ -38,6 +38,15 @@
     pub(super) lost: Moment,
 }
 
+/// A runner that a request may have ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Ended<R> {
+    pub(super) runner: R,
+    pub(super) span: Span,
+    /// Whether the runner had nothing to do but requests under which others had ended before.
+    pub(super) isolated: bool,
+}
+
 /// Crashes whose runners are not known: how many count, and when that was learnt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Kept {
@@ -51,7 +60,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Suspect<R> {
     /// Runners that it may have ended, in the order of their ends.
-    pub(super) crashes: Vec<(R, Span)>,
+    pub(super) crashes: Vec<Ended<R>>,
     pub(super) kept: Option<Kept>,
     pub(super) trials: u32,
     pub(super) tried: Option<Moment>,
@@ -79,22 +88,29 @@
     }
 
     /// Takes in a crash; tells whether it was not known.
-    pub(super) fn add(&mut self, runner: &R, span: Span) -> bool {
+    pub(super) fn add(&mut self, runner: &R, span: Span, isolated: bool) -> bool {
         if self.is_void(span.lost) {
             return false;
         }
-        if let Some((_, known)) = self.crashes.iter_mut().find(|(known, _)| known == runner) {
+        let mut crashes = self.crashes.iter_mut();
+        if let Some(known) = crashes.find(|known| known.runner == *runner) {
             // What is told on its way through many processes gets later with each. An earlier attempt may
             // be the one that ended the runner.
-            let is_earlier = span.sent + ACCURACY < known.sent;
-            known.sent = span.sent.min(known.sent);
-            known.lost = span.lost.min(known.lost);
-            return is_earlier;
+            let is_earlier = span.sent + ACCURACY < known.span.sent;
+            let is_new = is_earlier || isolated && !known.isolated;
+            known.span.sent = span.sent.min(known.span.sent);
+            known.span.lost = span.lost.min(known.span.lost);
+            known.isolated |= isolated;
+            return is_new;
         }
-        let place = self
-            .crashes
-            .partition_point(|(_, known)| known.lost <= span.lost);
-        self.crashes.insert(place, (runner.clone(), span));
+        let ended = Ended {
+            runner: runner.clone(),
+            span,
+            isolated,
+        };
+        let earlier = |known: &Ended<R>| known.span.lost <= span.lost;
+        let place = self.crashes.partition_point(earlier);
+        self.crashes.insert(place, ended);
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
         }
@@ -128,7 +144,7 @@
         }
         self.cleared = Some(at);
         let void = |moment: Moment| moment <= at + TOLERANCE;
-        self.crashes.retain(|(_, span)| !void(span.lost));
+        self.crashes.retain(|crash| !void(crash.span.lost));
         self.kept = self.kept.filter(|kept| !void(kept.at));
         if self.tried.is_none_or(void) {
             (self.trials, self.tried) = (0, None);
@@ -136,23 +152,23 @@
         true
     }
 
-    /// Moments of the crashes that count: those under which the request had been sent before the runner
-    /// ended.
-    fn counted(&self, ends: &Ends<R>) -> impl DoubleEndedIterator<Item = Moment> {
-        let was_there = |(runner, span): &&(R, Span)| {
-            let end = ends.get(runner);
-            end.is_none_or(|end| span.sent <= *end)
+    /// The crashes that count: those under which the request had been sent before the runner ended.
+    fn counted(&self, ends: &Ends<R>) -> impl DoubleEndedIterator<Item = &Ended<R>> {
+        let was_there = |crash: &&Ended<R>| {
+            let end = ends.get(&crash.runner);
+            end.is_none_or(|end| crash.span.sent <= *end)
         };
-        let crashes = self.crashes.iter().filter(was_there);
-        crashes.map(|(_, span)| span.lost)
+        self.crashes.iter().filter(was_there)
     }
 
-    /// Crashes that count, but for those right after another one.
+    /// Crashes that count, but for those right after another one. What ended a runner that had only
+    /// suspects to work on was one of them, however soon.
     pub(super) fn count(&self, ends: &Ends<R>) -> u32 {
         let mut last: Option<Moment> = None;
         let mut count = 0;
-        for lost in self.counted(ends) {
-            if last.is_none_or(|last| last + MIN_SPACING <= lost) {
+        for crash in self.counted(ends) {
+            let lost = crash.span.lost;
+            if crash.isolated || last.is_none_or(|last| last + MIN_SPACING <= lost) {
                 last = Some(lost);
                 count += 1;
             }
@@ -188,15 +204,16 @@
     }
 
     pub(super) fn last_crash(&self, ends: &Ends<R>) -> Option<Moment> {
-        self.counted(ends).next_back()
+        self.counted(ends).next_back().map(|crash| crash.span.lost)
     }
 
     pub(super) fn report(&self, content: ContentId, ends: &Ends<R>, now: Moment) -> Report<R> {
         let ago = |at: Moment| now.saturating_sub(at);
-        let crash = |(runner, span): &(R, Span)| Crash {
-            runner: runner.clone(),
-            sent: ago(span.sent),
-            lost: ago(span.lost),
+        let crash = |crash: &Ended<R>| Crash {
+            runner: crash.runner.clone(),
+            sent: ago(crash.span.sent),
+            lost: ago(crash.span.lost),
+            isolated: crash.isolated,
         };
         Report {
             content,
--- a/crates/protocol/tests/quarantine_rules.rs
+++ b/crates/protocol/tests/quarantine_rules.rs
@@ -105,6 +105,7 @@
         runner: 5,
         sent: SECOND * 2,
         lost: SECOND * 2,
+        isolated: false,
     };
     let late = Report {
         crashes: vec![crash],
--- a/crates/relay/src/attempt/flight.rs
+++ b/crates/relay/src/attempt/flight.rs
@@ -10,10 +10,7 @@
 use decide::route::{self, Pool, Target, affine};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
-
-/// Longest wait for whether a runner has ended that has lost an answer; it takes a round trip.
-const PROBE: Duration = Duration::from_millis(50);
+use tokio::time::Instant;
 
 /// Calls that were at a runner when one was sent there.
 #[derive(Clone, Copy, Debug, Default)]
@@ -111,21 +108,16 @@
     /// Waits a moment for the answer to that, so that a repeat does not meet the same runner, or a
     /// second one that it would end as well.
     pub async fn lost(self) {
-        self.relay.note_lost(self.content, &self.runner, self.sent);
-        self.probe().await;
+        let isolated = false;
+        self.relay
+            .note_lost(self.content, &self.runner, self.sent, isolated);
+        outage::probe_briefly(&self.relay, &self.runner).await;
         self.failed();
     }
 
-    async fn probe(&self) {
-        let (relay, runner) = (self.relay.clone(), self.runner.clone());
-        let probing = tokio::spawn(async move { outage::probe(&relay, &runner).await });
-        // It goes on where a runner that is silent has not answered by then.
-        let _ = timeout(PROBE, probing).await;
-    }
-
     /// No connection to the runner came about.
     pub(super) async fn unreachable(self) {
-        self.probe().await;
+        outage::probe_briefly(&self.relay, &self.runner).await;
         self.failed();
     }
 
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -7,12 +7,13 @@
 mod launch;
 mod place;
 mod state;
+mod suspect;
 mod waiting;
 
 use crate::core::{Relay, lock};
 use crate::downstream::{Batch, Downstream, Failure, Handle, Made, NotRun, Source};
 use crate::plan::{Batches, LAST_RANK, Rank, ServiceId};
-use crate::request::RequestId;
+use crate::request::{ContentId, RequestId};
 use crate::runner::{DomainId, Runner};
 use crate::telemetry::millis;
 use launch::Launch;
@@ -154,6 +155,11 @@
     pub domain: Option<DomainId>,
     /// How long they wait for a runner of that domain.
     pub patience: Duration,
+    /// What the request asks for of this stage.
+    pub content: ContentId,
+    /// Whether they are sent to a runner although the request is held back, to learn whether it still
+    /// should be.
+    pub trial: bool,
 }
 
 /// Expected times until pieces are made, by the rank of their request: urgent ones are taken before
@@ -193,6 +199,9 @@
     /// No runner of the service takes work.
     #[snafu(display("no runner"))]
     NoRunner,
+    /// Runners have ended under them.
+    #[snafu(display("held back: runners ended under these pieces"))]
+    Poison,
 }
 
 /// What an order ends with: the results in the order of the pieces.
@@ -298,12 +307,12 @@
     }
 
     /// Starts calls as long as pieces wait and a runner is free.
-    fn pump(self: &Arc<Self>, relay: &Arc<Relay<D>>) {
+    pub(crate) fn pump(self: &Arc<Self>, relay: &Arc<Relay<D>>) {
         let Some(batches) = relay.batches(&self.cell.service) else {
             return;
         };
         loop {
-            let launch = lock(&self.state).launch(relay.started(), batches);
+            let launch = lock(&self.state).launch(relay, &self.cell.service, batches);
             let Some(launch) = launch else { break };
             relay.telemetry.batch(launch.items.len());
             tokio::spawn(self.clone().carry(relay.clone(), launch));
@@ -330,19 +339,27 @@
         let making = relay.downstream.make(&runner, items, patience, is_open);
         let result = self.until_fetched(&relay, &launch, making).await;
         let elapsed = begun.elapsed();
+        if let Err(failure) = &result {
+            suspect::note_failure(&relay, &launch, begun, failure).await;
+        }
         let spacing = asked_spacing(&result);
         let result = result.map(|batch| batch.made);
         info!(relay.log, "stage call";
             "service" => &*self.cell.service, "runner" => &*runner.id, "pieces" => count,
-            "requests" => self.requests(&launch),
+            "requests" => self.requests(&launch), "isolated" => launch.isolated,
             "expected_ms" => millis(launch.expected), "took_ms" => millis(elapsed),
             "waited_ms" => millis(waited), "runners_age_ms" => age.map(millis),
             "one_in_ms" => spacing.map(millis),
             "outcome" => result.as_ref().map_or_else(ToString::to_string, |made| outcome(made)));
-        {
+        let lives = result.is_ok();
+        let made = {
             let mut state = lock(&self.state);
-            state.finish(&relay, &self.cell.service, &launch, result, elapsed);
+            let made = state.finish(&relay, &self.cell.service, &launch, result, elapsed);
             state.space(&runner.id, begun, spacing);
+            made
+        };
+        if lives {
+            relay.note_made(&runner, made);
         }
         self.pump(&relay);
     }
--- a/crates/relay/src/batch/launch.rs
+++ b/crates/relay/src/batch/launch.rs
@@ -2,6 +2,7 @@
 
 use crate::downstream::{Handle, Item};
 use crate::plan::Batches;
+use crate::request::ContentId;
 use crate::runner::Runner;
 use decide::batch::Ticket;
 use std::sync::Arc;
@@ -20,6 +21,10 @@
     pub(super) runner: Arc<Runner>,
     pub(super) portions: Vec<(Ticket, Vec<u32>)>,
     pub(super) items: Vec<Item>,
+    /// What the requests ask for whose pieces it carries, each once.
+    pub(super) contents: Vec<ContentId>,
+    /// Whether it carries nothing but pieces under which runners have ended.
+    pub(super) isolated: bool,
     pub(super) released: Vec<Handle>,
     /// Whether the results must be given back before there is room for the call's.
     pub(super) tight: bool,
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -1,15 +1,19 @@
 //! What waits in a cell and what its runners do.
 
 use super::launch::Launch;
-use super::place::{Inflation, Judged, Kept, Place, free_places};
+use super::place::{Inflation, Judged, Kept, Place, Room, free_places};
+use super::suspect::POLL;
 use super::waiting::Waiting;
 use super::{Order, Outcome, Results, Spoiled, Waits};
 use crate::core::Relay;
 use crate::downstream::{Downstream, Failure, Handle, Made};
 use crate::plan::{Batches, Rank, ServiceId};
+use crate::request::ContentId;
 use crate::runner::{Runner, RunnerId};
 use decide::Map;
-use decide::batch::{Choice, Former, Free, Group, Need, Offer, Portion, Rules, Shape, Ticket};
+use decide::batch::{
+    Choice, Former, Free, Group, Isolation, Need, Offer, Portion, Rules, Shape, Ticket,
+};
 use setting::Policy;
 use setting::relay::Policies;
 use std::net::SocketAddr;
@@ -24,9 +28,11 @@
 
 #[derive(Debug, Default)]
 pub(super) struct State {
-    former: Option<Choice>,
-    waiting: Map<Ticket, Waiting>,
-    places: Vec<Place>,
+    pub(super) former: Option<Choice>,
+    /// Pieces under which runners have ended.
+    pub(super) isolation: Isolation,
+    pub(super) waiting: Map<Ticket, Waiting>,
+    pub(super) places: Vec<Place>,
     next: Ticket,
     /// When calls are looked for next without a cause.
     wakes: Option<Instant>,
@@ -36,6 +42,17 @@
     giving_back: bool,
 }
 
+/// The pieces of the next call.
+#[derive(Debug)]
+pub(super) struct Choosing {
+    /// Their runner's place.
+    pub(super) index: usize,
+    /// Room for their results there.
+    pub(super) room: Room,
+    pub(super) portions: Vec<Portion>,
+    pub(super) isolated: bool,
+}
+
 fn former(policy: Policies, shape: Shape) -> Choice {
     if policy.batches == Policy::Naive {
         return Choice::naive(shape);
@@ -168,6 +185,7 @@
             todo: (0..order.pieces).rev().collect(),
             made: vec![None; order.pieces as usize],
             since: Instant::now(),
+            company: 1,
             order,
             reply,
         };
@@ -181,7 +199,12 @@
     }
 
     /// The pieces of an order that still wait, as the former sees them.
-    fn group<D: Downstream>(&self, waiting: &Waiting, ticket: Ticket, relay: &Relay<D>) -> Group {
+    pub(super) fn group<D: Downstream>(
+        &self,
+        waiting: &Waiting,
+        ticket: Ticket,
+        relay: &Relay<D>,
+    ) -> Group {
         let order = &waiting.order;
         let domain = order.domain.clone().filter(|domain| {
             let there = |place: &Place| place.runner.domain == *domain;
@@ -210,14 +233,31 @@
     }
 
     /// The next call that can start now.
-    pub(super) fn launch(&mut self, started: Instant, batches: Batches) -> Option<Launch> {
+    pub(super) fn launch<D: Downstream>(
+        &mut self,
+        relay: &Relay<D>,
+        service: &ServiceId,
+        batches: Batches,
+    ) -> Option<Launch> {
         let now = Instant::now();
-        let at = now.saturating_duration_since(started);
+        let at = relay.at(now);
+        self.set_apart(relay, at);
         self.drop_useless(at, self.piece_time(&batches));
         let former = self.former.as_ref()?;
         let queue = self.piece_time(&batches) * former.waiting();
         let places = free_places(&self.places, batches, queue, now);
-        if former.waiting() == 0 || places.is_empty() {
+        let choice = match self.choose_suspects(relay, service, batches, &places) {
+            Some(choice) => choice,
+            None => self.choose(relay.started(), batches, &places)?,
+        };
+        Some(self.prepare(choice, batches, now))
+    }
+
+    /// The pieces of the next call, and the runner that makes them.
+    fn choose(&mut self, started: Instant, batches: Batches, places: &[usize]) -> Option<Choosing> {
+        let now = Instant::now();
+        let at = now.saturating_duration_since(started);
+        if places.is_empty() || self.former.as_ref()?.waiting() == 0 {
             return None;
         }
         let free = |place: &Place| Free {
@@ -230,7 +270,7 @@
         let former = self.former.as_mut()?;
         let tries = [Need::Near, Need::Any].into_iter();
         let mut tries = tries.flat_map(|need| places.iter().map(move |&index| (index, need)));
-        let (index, room, portions) = tries.find_map(|(index, need)| {
+        tries.find_map(|(index, need)| {
             let place = &mut self.places[index];
             let room = place.room(batches, now);
             let offer = Offer {
@@ -240,8 +280,23 @@
                 frees: &frees,
             };
             let portions = former.take(at, &offer);
-            (!portions.is_empty()).then_some((index, room, portions))
-        })?;
+            (!portions.is_empty()).then_some(Choosing {
+                index,
+                room,
+                portions,
+                isolated: false,
+            })
+        })
+    }
+
+    /// Binds chosen pieces to their runner.
+    fn prepare(&mut self, choice: Choosing, batches: Batches, now: Instant) -> Launch {
+        let Choosing {
+            index,
+            room,
+            portions,
+            isolated,
+        } = choice;
         let place = &mut self.places[index];
         let waiting = &self.waiting;
         let bytes = |portion: &Portion| {
@@ -263,6 +318,8 @@
             batches,
             portions: Vec::new(),
             items: Vec::new(),
+            contents: Vec::new(),
+            isolated,
             expected: Duration::ZERO,
             until: now,
             needed,
@@ -270,7 +327,7 @@
         };
         let launch = self.assemble(launch, &portions, now);
         self.places[index].calls.push(launch.until);
-        Some(launch)
+        launch
     }
 
     /// Binds the pieces of a call to its runner.
@@ -285,6 +342,9 @@
             let items = pieces.iter().map(|&piece| waiting.item(piece, now));
             launch.items.extend(items);
             launch.portions.push((portion.ticket, pieces));
+            if !launch.contents.contains(&waiting.order.content) {
+                launch.contents.push(waiting.order.content);
+            }
         }
         let count = u32::try_from(launch.items.len()).unwrap_or(u32::MAX);
         let shape = launch.batches.shape;
@@ -306,23 +366,28 @@
             .collect();
         for ticket in gone {
             former.withdraw(ticket);
+            self.isolation.withdraw(ticket);
             self.waiting.remove(&ticket);
         }
-        for ticket in former.expire(at, piece) {
+        let shortest = former.shortest();
+        let late = former.expire(at, piece).into_iter();
+        for ticket in late.chain(self.isolation.expire(at, shortest)) {
             self.end(ticket, Err(Spoiled::Late));
         }
     }
 
     /// Ends an order; whoever waited for it may be gone by now, which is no matter.
-    fn end(&mut self, ticket: Ticket, outcome: Outcome) {
+    pub(super) fn end(&mut self, ticket: Ticket, outcome: Outcome) {
         if let Some(former) = self.former.as_mut() {
             former.withdraw(ticket);
         }
+        self.isolation.withdraw(ticket);
         if let Some(waiting) = self.waiting.remove(&ticket) {
             let _ = waiting.reply.send(outcome);
         }
     }
 
+    /// Takes in what became of a call; gives what the orders asked for of which all is made now.
     pub(super) fn finish<D: Downstream>(
         &mut self,
         relay: &Relay<D>,
@@ -330,8 +395,10 @@
         launch: &Launch,
         result: Result<Vec<Made>, Failure>,
         elapsed: Duration,
-    ) {
+    ) -> Vec<ContentId> {
         self.judge(launch, &result, elapsed);
+        self.note_call(launch, &result);
+        let mut complete = Vec::new();
         let pieces = launch
             .portions
             .iter()
@@ -347,9 +414,12 @@
         for (ticket, piece) in pieces {
             let made = made.next().unwrap_or_else(|| unmade.clone());
             if let Some(outcome) = self.settle(relay, service, launch, (ticket, piece), made) {
+                let waiting = self.waiting.get(&ticket).filter(|_| outcome.is_ok());
+                complete.extend(waiting.map(|waiting| waiting.order.content));
                 self.end(ticket, outcome);
             }
         }
+        complete
     }
 
     /// Leaves a runner alone that asks for this time between its calls, the last of which began then.
@@ -426,6 +496,7 @@
                 waiting.todo.push(piece);
                 let waiting = self.waiting.get(&ticket)?;
                 let group = self.group(waiting, ticket, relay);
+                self.isolation.withdraw(ticket);
                 let former = self.former.as_mut()?;
                 former.withdraw(ticket);
                 former.push(group);
@@ -464,11 +535,16 @@
         let now = Instant::now();
         let rests = self.places.iter().filter_map(|place| place.rests_until);
         let rest = rests.filter(|until| *until > now).min();
-        let former = self.former.as_ref().filter(|former| former.waiting() > 0)?;
+        let suspects = (!self.isolation.is_empty()).then(|| now + POLL);
+        let former = self.former.as_ref()?;
+        if former.waiting() == 0 && suspects.is_none() {
+            return None;
+        }
         let at = now.saturating_duration_since(started);
         let moved = former.next(at).map(|moment| started + moment);
         let stuck = self.stuck_until(now);
-        let wake = rest.into_iter().chain(moved).chain(stuck).min()?;
+        let wakes = rest.into_iter().chain(moved).chain(stuck);
+        let wake = wakes.chain(suspects).min()?;
         if self
             .wakes
             .is_some_and(|planned| planned > now && planned <= wake)
--- a/crates/relay/src/batch/waiting.rs
+++ b/crates/relay/src/batch/waiting.rs
@@ -12,6 +12,8 @@
     pub(super) todo: Vec<u32>,
     pub(super) made: Vec<Option<Handle>>,
     pub(super) since: Instant,
+    /// Most suspects in a call that carries its pieces, if it becomes one.
+    pub(super) company: usize,
     pub(super) reply: oneshot::Sender<Outcome>,
 }
 
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -11,6 +11,7 @@
 use crate::peer::{Burdens, Peers};
 use crate::plan::{Batches, LAST_RANK, Plan, RegionId, ServiceId};
 use crate::quarantine;
+use crate::request::ContentId;
 use crate::runner::{Change, DomainId, Fleet, Runner};
 use crate::serve::RETRY_PART;
 use crate::telemetry::Telemetry;
@@ -406,6 +407,26 @@
         chosen.map_or_else(|| Cell::first(service), |share| share.cell.clone())
     }
 
+    /// The cell that makes the pieces of requests under which runners have ended: the same for each attempt,
+    /// so that one process sends them to one runner after the other.
+    pub(crate) fn suspect_cell(&self, service: &ServiceId, content: ContentId) -> Cell {
+        let shares = self.shares(service);
+        let place = content as usize % shares.len().max(1);
+        let share = shares.get(place);
+        share.map_or_else(|| Cell::first(service), |share| share.cell.clone())
+    }
+
+    /// Starts calls to runners of a service that serve again.
+    pub(crate) fn resume(self: &Arc<Self>, service: &ServiceId) {
+        let batchers = lock(&self.batchers);
+        let concerned = batchers.iter().filter(|(cell, _)| cell.service == *service);
+        let concerned: Vec<_> = concerned.map(|(_, batcher)| batcher.clone()).collect();
+        drop(batchers);
+        for batcher in concerned {
+            batcher.pump(self);
+        }
+    }
+
     /// The cells of a service, formed anew only when its runners change: at a thousand runners
     /// sorting them for each piece took longer than all else.
     pub fn shares(&self, service: &ServiceId) -> Arc<Vec<Share>> {
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -6,8 +6,9 @@
 use crate::downstream::{Downstream, Handle, Source};
 use crate::peer;
 use crate::plan::Route;
+use crate::quarantine;
 use crate::runner::{DomainId, Fleet};
-use crate::serve::Job;
+use crate::serve::{Job, content_name};
 use crate::telemetry::millis;
 use decide::Map;
 use decide::route::affine;
@@ -183,7 +184,15 @@
     let spec = &job.route.stages[stage];
     let (expected, expected_behind) = (job.waiting(stage), job.expected_behind(stage));
     let (domain, patience) = place(job, stage, &source, expected + expected_behind);
-    let cell = job.relay.cell(&spec.service, domain.as_deref(), patience);
+    let content = job.stage_content(stage);
+    let cell = match job.relay.is_suspect(content) {
+        true => job.relay.suspect_cell(&spec.service, content),
+        false => job.relay.cell(&spec.service, domain.as_deref(), patience),
+    };
+    let trial = match quarantine::begin_stage(job, stage) {
+        Ok(trial) => trial,
+        Err(held) => return (stage, cell, Err(held)),
+    };
     if round == Round::First {
         job.relay.count_first(&spec.service, job.pieces(stage));
     } else if !job.relay.may_repeat(&spec.service) {
@@ -205,13 +214,15 @@
         rank: job.rank,
         domain,
         patience,
+        content,
+        trial,
     };
     let (asked, wanted) = (Instant::now(), order.domain.clone());
     let outcome = peer::make(&job.relay, &cell, order).await;
     info!(job.relay.log, "stage"; "request" => &*job.request.id, "stage" => stage,
         "cell" => cell.name(), "owner" => &*job.relay.owner(&cell), "pieces" => job.pieces(stage),
         "expected_ms" => millis(expected), "domain" => wanted.as_deref(),
-        "patience_ms" => millis(patience),
+        "patience_ms" => millis(patience), "content" => content_name(content), "trial" => trial,
         "took_ms" => millis(asked.elapsed()),
         "outcome" => outcome.as_ref().map_or_else(ToString::to_string, |_| "made".to_owned()));
     (stage, cell, outcome)
--- a/crates/relay/src/outage.rs
+++ b/crates/relay/src/outage.rs
@@ -18,12 +18,14 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time between two looks whether a runner is back.
 const LOOK: Duration = Duration::from_millis(250);
 /// Time after which a runner that has not come back is taken to be lost for good.
 const LOST: Duration = Duration::from_secs(10);
+/// Longest wait for whether a runner has ended that has lost an answer.
+const PROBE: Duration = Duration::from_millis(50);
 
 /// What this process knows of such runners.
 #[derive(Debug, Default)]
@@ -138,9 +140,20 @@
             outages.note_back(&runner);
         }
         outages.probed.remove(&probed);
+        drop(outages);
+        relay.resume(&runner.service);
     });
 }
 
+/// The same, but waits for the outcome only for a moment: it takes a round trip, and goes on where a runner
+/// that is silent has not answered by then.
+pub(crate) async fn probe_briefly<D: Downstream>(relay: &Arc<Relay<D>>, runner: &Arc<Runner>) {
+    let (relay, runner) = (relay.clone(), runner.clone());
+    let probing = tokio::spawn(async move { probe(&relay, &runner).await });
+    // Whether it has ended shows in what is known of the runner.
+    let _ = timeout(PROBE, probing).await;
+}
+
 /// Looks whether runners have ended that another process names as having done so lately: each process
 /// would else send a request to find out, and count one more runner as serving until then.
 pub(crate) fn probe_named<D: Downstream>(relay: &Arc<Relay<D>>, suspicion: &Suspicion) {
--- a/crates/relay/src/peer/talk.rs
+++ b/crates/relay/src/peer/talk.rs
@@ -12,7 +12,7 @@
 use crate::outage;
 use crate::plan::{Rank, ServiceId, Version};
 use crate::quarantine::Suspicion;
-use crate::request::RequestId;
+use crate::request::{ContentId, RequestId};
 use crate::runner::DomainId;
 use serde::{Deserialize, Serialize};
 use slog::info;
@@ -159,6 +159,8 @@
     rank: Rank,
     domain: Option<DomainId>,
     patience: Duration,
+    content: ContentId,
+    trial: bool,
 }
 
 impl Sheet {
@@ -178,6 +180,8 @@
             rank: order.rank,
             domain: order.domain.clone(),
             patience: order.patience,
+            content: order.content,
+            trial: order.trial,
         }
     }
 
@@ -197,6 +201,8 @@
             rank: self.rank,
             domain: self.domain,
             patience: self.patience,
+            content: self.content,
+            trial: self.trial,
         }
     }
 }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -4,6 +4,7 @@
 //! table of the processes once a request is held back: one that starts later, or that no link leads
 //! to, reads it there.
 
+use crate::batch::Spoiled;
 use crate::core::{Relay, lock};
 use crate::downstream::Downstream;
 use crate::member;
@@ -65,9 +66,22 @@
 
 impl<D: Downstream> Relay<D> {
     /// The answer to a request was lost that had been sent to a runner at a moment.
-    pub(crate) fn note_lost(&self, content: ContentId, runner: &Runner, sent: Instant) {
+    ///
+    /// `isolated` tells whether the runner was sent nothing but such requests under which others had ended.
+    pub(crate) fn note_lost(
+        &self,
+        content: ContentId,
+        runner: &Runner,
+        sent: Instant,
+        isolated: bool,
+    ) {
         let (sent, now) = (self.at(sent), self.now());
-        lock(&self.quarantine.known).lost(content, start(runner), sent, now);
+        let mut known = lock(&self.quarantine.known);
+        if isolated {
+            known.lost_isolated(content, start(runner), sent, now);
+        } else {
+            known.lost(content, start(runner), sent, now);
+        }
     }
 
     /// A runner has ended without a word.
@@ -105,6 +119,30 @@
         self.take_in(content, merged, "its answer");
     }
 
+    /// A runner of a stage has answered a call, after which all is made of what these orders asked for.
+    pub(crate) fn note_made(&self, runner: &Runner, complete: Vec<ContentId>) {
+        {
+            let mut known = lock(&self.quarantine.known);
+            if known.is_idle() {
+                return;
+            }
+            known.lives(&start(runner));
+        }
+        for content in complete {
+            self.note_served(content, runner);
+        }
+    }
+
+    /// Whether runners have ended under any request, as far as is known.
+    pub(crate) fn has_suspects(&self) -> bool {
+        lock(&self.quarantine.known).has_suspects()
+    }
+
+    /// Reads what is known of such requests.
+    pub(crate) fn suspects<T>(&self, read: impl FnOnce(&Quarantine<Start>) -> T) -> T {
+        read(&lock(&self.quarantine.known))
+    }
+
     /// Passes on what is new, so that it reaches all processes that links lead to, and has the row of
     /// the request follow it.
     fn take_in(&self, content: ContentId, merged: Merge, origin: &str) {
@@ -137,6 +175,11 @@
         lock(&self.quarantine.known).digest()
     }
 
+    /// Whether runners have ended under a request.
+    pub(crate) fn is_suspect(&self, content: ContentId) -> bool {
+        lock(&self.quarantine.known).is_suspect(content)
+    }
+
     /// Whether a request is held back here.
     #[must_use]
     pub fn holds_back(&self, content: ContentId) -> bool {
@@ -162,14 +205,54 @@
 ///
 /// # Errors
 ///
-/// [`Refusal::Poison`] if it is held back.
-pub(crate) fn admit<D: Downstream>(job: &Job<D>) -> Result<Pass, Refusal> {
-    match job.relay.pass(job.content) {
-        Pass::Held(retry_after) => {
-            lock(&job.relay.quarantine.known).asked(job.content, job.relay.now());
-            Err(Refusal::Poison { retry_after })
+/// [`Refusal::Poison`] if it, or what it asks for of one of its stages, is held back.
+pub(crate) fn admit<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
+    let held = job.contents().filter_map(|content| held(job, content));
+    match held.max() {
+        Some(retry_after) => Err(Refusal::Poison { retry_after }),
+        None => Ok(()),
+    }
+}
+
+/// For how long a content of a request is still held back.
+fn held<D: Downstream>(job: &Job<D>, content: ContentId) -> Option<Duration> {
+    let Pass::Held(left) = job.relay.pass(content) else {
+        return None;
+    };
+    lock(&job.relay.quarantine.known).asked(content, job.relay.now());
+    Some(left)
+}
+
+/// Whether the pieces of a stage are sent to a runner only to learn whether they still should be held
+/// back; counts that as the trial.
+///
+/// # Errors
+///
+/// [`Spoiled::Poison`] if they are held back.
+pub(crate) fn begin_stage<D: Downstream>(job: &Job<D>, stage: usize) -> Result<bool, Spoiled> {
+    let content = job.stage_content(stage);
+    match job.relay.pass(content) {
+        Pass::Free => Ok(false),
+        Pass::Held(_) => Err(Spoiled::Poison),
+        Pass::Trial => {
+            begin_trial(job, content);
+            Ok(true)
         }
-        pass => Ok(pass),
+    }
+}
+
+/// When a request may come back whose pieces are held back, as the process knows that makes them.
+pub(crate) fn retry_after<D: Downstream>(job: &Job<D>) -> Duration {
+    let held = job.contents().filter_map(|content| held(job, content));
+    held.max().unwrap_or(RUNNERS_RETURN)
+}
+
+fn begin_trial<D: Downstream>(job: &Job<D>, content: ContentId) {
+    info!(job.relay.log, "poison request tried again"; "request" => &*job.request.id,
+        "content" => content_name(content));
+    let report = lock(&job.relay.quarantine.known).begin_trial(content, job.relay.now());
+    if let Some(report) = report {
+        job.relay.announce(&report);
     }
 }
 
@@ -221,18 +304,15 @@
 ///
 /// # Errors
 ///
-/// As [`admit`], also if too few runners are left to risk one.
+/// [`Refusal::Poison`] if it is held back, also if too few runners are left to risk one.
 pub(crate) async fn begin<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
     if job.relay.options.policy.suspects == Policy::Shipped {
         await_runners(job).await?;
     }
-    if admit(job)? == Pass::Trial {
-        info!(job.relay.log, "poison request tried again"; "request" => &*job.request.id,
-            "content" => content_name(job.content));
-        let report = lock(&job.relay.quarantine.known).begin_trial(job.content, job.relay.now());
-        if let Some(report) = report {
-            job.relay.announce(&report);
-        }
+    match job.relay.pass(job.content) {
+        Pass::Free => {}
+        Pass::Trial => begin_trial(job, job.content),
+        Pass::Held(retry_after) => return Err(Refusal::Poison { retry_after }),
     }
     Ok(())
 }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -81,6 +81,13 @@
     }
 }
 
+/// Tells the pieces of one stage of a request apart from those of other stages: a request may end the
+/// runners of one stage, whose calls carry its pieces, and none of another.
+#[must_use]
+pub fn stage_content(content: ContentId, stage: usize) -> ContentId {
+    foldhash::quality::FixedState::default().hash_one((content, stage))
+}
+
 /// The part of a request that is passed on as it is.
 #[derive(Clone, Debug)]
 pub struct Message {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -7,7 +7,7 @@
 use crate::graph::{self, Inputs, Round};
 use crate::plan::{Kind, Plan, Rank, Route, ServiceId, Workspace};
 use crate::quarantine;
-use crate::request::{Answer, ContentId, Refusal, Request};
+use crate::request::{self, Answer, ContentId, Refusal, Request};
 use crate::telemetry::millis;
 use setting::Policy;
 use slog::info;
@@ -195,6 +195,10 @@
         Spoiled::Failed => ("runners of a stage failed", RETRY_SOON),
         Spoiled::Ending => ("the process ends", RETRY_SOON),
         Spoiled::NoRunner => ("a stage has no runner", retry_busy(job)),
+        Spoiled::Poison => {
+            let retry_after = quarantine::retry_after(job);
+            return Refusal::Poison { retry_after };
+        }
     };
     Refusal::Overloaded {
         reason,
@@ -212,6 +216,19 @@
         left.saturating_sub(self.relay.pause.uncounted() - self.uncounted)
     }
 
+    /// What the request asks for of one stage.
+    #[must_use]
+    pub fn stage_content(&self, stage: usize) -> ContentId {
+        request::stage_content(self.content, stage)
+    }
+
+    /// What it asks for, of the runners of each of its stages and of its own.
+    pub(crate) fn contents(&self) -> impl Iterator<Item = ContentId> + '_ {
+        let stages = (0..self.route.stages.len()).filter(|&stage| self.pieces(stage) > 0);
+        let stages = stages.map(|stage| self.stage_content(stage));
+        std::iter::once(self.content).chain(stages)
+    }
+
     /// Whether the request is answered by a stream of events.
     #[must_use]
     pub fn streams(&self) -> bool {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -4,10 +4,13 @@
 pub(crate) mod feed;
 pub(crate) mod link;
 pub(crate) mod narrow;
+pub(crate) mod pair;
 mod parts;
 mod plans;
+pub(crate) mod poison;
 pub(crate) mod service;
 pub(crate) mod stage;
+pub(crate) mod ward;
 
 use bytes::Bytes;
 use decide::retry::window::Bound;
@@ -27,6 +30,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
+use ward::{Spot, Ward};
 
 /// An entry of a runner.
 pub(crate) fn entry(service: &str) -> Option<Value> {
@@ -53,6 +57,8 @@
 pub(crate) const PIECE: Duration = Duration::from_millis(20);
 /// Bytes that a relay may take up.
 pub(crate) const MEMORY: usize = 64 << 20;
+/// Time until a runner begins to answer a request.
+pub(crate) const ANSWER: Duration = Duration::from_millis(5);
 /// Time of a call none of whose pieces has room.
 pub(crate) const REFUSAL: Duration = Duration::from_millis(5);
 
@@ -109,6 +115,7 @@
 /// A call that a runner was sent.
 #[derive(Clone, Debug)]
 pub(crate) struct Sent {
+    pub(crate) at: Instant,
     pub(crate) runner: String,
     pub(crate) id: String,
     pub(crate) resume_after: Option<u64>,
@@ -121,6 +128,7 @@
 /// A call that carried pieces.
 #[derive(Clone, Debug)]
 pub(crate) struct Carried {
+    pub(crate) at: Instant,
     pub(crate) runner: String,
     pub(crate) items: Vec<Item>,
 }
@@ -148,6 +156,10 @@
     pub(crate) deadly_piece: Arc<Mutex<Option<String>>>,
     /// Runners at whose addresses nothing listens.
     pub(crate) ended: Arc<Mutex<Vec<String>>>,
+    /// Whether calls that runners were told nothing about are answered by streams.
+    pub(crate) streams: Arc<Mutex<bool>>,
+    /// Runners that fail, and requests that harm them.
+    pub(crate) ward: Ward,
 }
 
 impl Fake {
@@ -165,6 +177,19 @@
         self.carried.lock().expect("no holder panics").clone()
     }
 
+    /// An event after those that the caller has, if calls are answered by streams.
+    fn stream(&self, resume_after: Option<u64>) -> Option<Act> {
+        let event = match resume_after {
+            None => "id: 1\ndata: x\n\n",
+            Some(_) => "id: 2\ndata: y\n\n",
+        };
+        let streams = *self.streams.lock().expect("no holder panics");
+        streams.then(|| Act::Stream {
+            parts: vec![event],
+            end: End::Whole,
+        })
+    }
+
     async fn connect(&self, is_open: impl Fn() -> bool) -> Result<(), Failure> {
         let time = *self.connect_time.lock().expect("no holder panics");
         if !time.is_zero() {
@@ -186,6 +211,7 @@
     ) -> Result<Reply<Parts>, Failure> {
         self.connect(is_open).await?;
         self.sent.lock().expect("no holder panics").push(Sent {
+            at: Instant::now(),
             runner: runner.id.to_string(),
             id: call.id.to_string(),
             resume_after: call.resume_after,
@@ -204,7 +230,18 @@
             true => Some(Act::Crash),
             false => self.acts.lock().expect("no holder panics").pop_front(),
         };
-        sleep(Duration::from_millis(5)).await;
+        let act = act.or_else(|| self.stream(call.resume_after));
+        let harm = |spot| self.ward.harm([(&*call.id, spot, 0)]);
+        let cause = harm(Spot::Model);
+        let is_answered = cause.is_none();
+        tokio::select! {
+            biased;
+            effect = self.ward.fall(&runner.id, cause) => {
+                let failure = self.ward.outcome(&runner.id, effect, Duration::MAX);
+                return Err(failure.await);
+            }
+            () = sleep(ANSWER), if is_answered => {}
+        }
         let reply = |status, proven, body| Reply {
             status,
             proven,
@@ -222,7 +259,12 @@
                 proven,
                 body,
             } => Ok(reply(status, proven, parts(vec![body], End::Whole))),
-            Act::Stream { parts: events, end } => Ok(reply(200, true, parts(events, end))),
+            Act::Stream { parts: events, end } => {
+                let parts = self
+                    .ward
+                    .guard(&runner.id, parts(events, end), harm(Spot::Answer));
+                Ok(reply(200, true, parts))
+            }
             Act::Refuse(reason) => Err(Failure::NotRun { reason }),
             Act::Lose => Err(Failure::Lost {
                 reason: "reset".to_owned(),
@@ -250,10 +292,12 @@
         self.connect(is_open).await?;
         let count = u32::try_from(items.len()).expect("few items");
         let carried = Carried {
+            at: Instant::now(),
             runner: runner.id.to_string(),
             items: items.clone(),
         };
         self.carried.lock().expect("no holder panics").push(carried);
+        self.ward.connect(&runner.id)?;
         let deadly = self.deadly_piece.lock().expect("no holder panics").clone();
         if deadly.is_some_and(|deadly| items.iter().any(|item| *item.id == *deadly)) {
             let mut ended = self.ended.lock().expect("no holder panics");
@@ -272,7 +316,18 @@
             Some(Ok(made)) if refused(made) => REFUSAL,
             _ => CALL + PIECE * count,
         };
-        sleep(time.min(patience)).await;
+        let work = items
+            .iter()
+            .map(|item| (&*item.id, Spot::Stage(item.stage), item.piece));
+        let cause = self.ward.harm(work);
+        tokio::select! {
+            biased;
+            effect = self.ward.fall(&runner.id, cause) => {
+                let failure = self.ward.outcome(&runner.id, effect, patience);
+                return Err(failure.await);
+            }
+            () = sleep(time.min(patience)) => {}
+        }
         let made = |item: &Item| {
             let name = format!(
                 "{}/{}-{}-{}",
@@ -297,7 +352,7 @@
 
     async fn has_ended(&self, runner: &Runner) -> bool {
         let ended = self.ended.lock().expect("no holder panics");
-        ended.iter().any(|id| **id == *runner.id)
+        ended.iter().any(|id| **id == *runner.id) || self.ward.has_ended(&runner.id)
     }
 
     fn holder(&self, handle: &Handle) -> Option<SocketAddr> {
--- a/crates/relay/tests/common/stage.rs
+++ b/crates/relay/tests/common/stage.rs
@@ -20,6 +20,8 @@
         rank: 1,
         domain: None,
         patience: Duration::ZERO,
+        content: 1,
+        trial: false,
     }
 }
 
--- a/crates/relay/tests/overlay_links.rs
+++ b/crates/relay/tests/overlay_links.rs
@@ -46,6 +46,7 @@
         runner: (format!("x-{number}").as_str().into(), None),
         sent: Duration::from_secs(4 - number),
         lost: Duration::from_secs(4 - number),
+        isolated: false,
     };
     Suspicion {
         crashes: (1..=3).map(crash).collect(),
--- a/crates/relay/tests/poison_request.rs
+++ b/crates/relay/tests/poison_request.rs
@@ -230,6 +230,7 @@
         runner: ((*id).into(), None),
         sent: PAUSE * turn,
         lost: PAUSE * turn,
+        isolated: false,
     };
     let report = |first, runners: &[&str]| Suspicion {
         crashes: (first..).zip(runners).map(crash).collect(),
@@ -354,6 +355,7 @@
             runner: (format!("x-{number}").as_str().into(), None),
             sent: Duration::from_secs(3 - number),
             lost: Duration::from_secs(3 - number),
+            isolated: false,
         };
         let suspicion = Suspicion {
             crashes: vec![crash],
