--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -94,6 +94,25 @@
         "crowd-stream" => Some(Trouble::Crowd(Kind::Once)),
         "crowd-safe" => Some(Trouble::Crowd(Kind::Safe)),
         "crowd-unsafe" => Some(Trouble::Crowd(Kind::Unsafe)),
+        "piece-none" => Some(Trouble::Piece {
+            requests: 0,
+            stage: 0,
+        }),
+        "piece" => Some(Trouble::Piece {
+            requests: 1,
+            stage: 0,
+        }),
+        "piece-second" => Some(Trouble::Piece {
+            requests: 1,
+            stage: 1,
+        }),
+        "piece-two" => Some(Trouble::Piece {
+            requests: 2,
+            stage: 0,
+        }),
+        "silence-stream" => Some(Trouble::Silence(Kind::Stream)),
+        "silence-safe" => Some(Trouble::Silence(Kind::Safe)),
+        "silence-unsafe" => Some(Trouble::Silence(Kind::Unsafe)),
         "limit" => Some(Trouble::Limit),
         "restore" => Some(Trouble::Restore),
         _ => None,
@@ -127,8 +146,9 @@
         options.optopt(
             "",
             "only",
-            "harness, proofreading, relays, engines, poison, crowd-stream, crowd-safe, crowd-unsafe, limit or \
-             restore; the first three if not given",
+            "harness, proofreading, relays, engines, poison, crowd-stream, crowd-safe, crowd-unsafe, \
+             piece-none, piece, piece-second, piece-two, silence-stream, silence-safe, silence-unsafe, limit \
+             or restore; the first three if not given",
             "NAME",
         );
         options.optopt("", "logs", "directory for settings and logs", "DIR");
@@ -155,7 +175,8 @@
         if let Some(name) = only.as_ref().filter(|name| !known(name)) {
             let message = format!(
                 "--only {name}: expected harness, proofreading, relays, engines, poison, crowd-stream, \
-                     crowd-safe, crowd-unsafe, limit or restore"
+                     crowd-safe, crowd-unsafe, piece-none, piece, piece-second, piece-two, silence-stream, \
+                     silence-safe, silence-unsafe, limit or restore"
             );
             return Err(Error::usage(message));
         }
--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -22,16 +22,24 @@
 /// Key that is in every version of the configuration.
 pub const STAYS: &str = "key-stays";
 /// Runners of each service.
-const RUNNERS: [(&str, usize); 3] = [(PLAIN, 3), (MODEL, 4), (STAGE, 3)];
+pub const RUNNERS: Runners = [(PLAIN, 3), (MODEL, 4), (STAGE, 3)];
+/// The same where one request may reach several before the first of them is known to be silent.
+pub const MANY_RUNNERS: Runners = [(PLAIN, 9), (MODEL, 9), (STAGE, 3)];
 /// Time after which the entry of a runner lapses that a request has ended, and that after which the
 /// runner is back.
 const LAPSE: Duration = Duration::from_millis(1_000);
 const DOWN: Duration = Duration::from_millis(2_000);
+/// The same for a runner that a request has silenced.
+const SILENT_LAPSE: Duration = Duration::from_millis(2_700);
+const SILENT: Duration = Duration::from_millis(4_000);
 /// Time from the request to stop until a process is taken to hang, in seconds.
 pub const GRACE_S: f64 = 8.0;
 /// Time within which a runner that leaves must get no new work, in milliseconds.
 const DRAIN_MS: f64 = 3_000.0;
 
+/// Services, and how many runners each has.
+pub type Runners = [(&'static str, usize); 3];
+
 /// A key, and from when until when it was in force, as far as the operator was told.
 #[derive(Clone, Debug)]
 pub struct Key {
@@ -61,10 +69,29 @@
     pub door: Proxy,
     /// Unix millisecond of its start.
     pub started: u64,
-    /// Whether its entry has lapsed since a request ended it.
+    /// Whether its entry has lapsed since a request ended or silenced it.
     lapsed: bool,
 }
 
+/// Where runners are called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doors {
+    /// Behind connections that can be disturbed, which are accepted and closed at once while a runner
+    /// is down.
+    Proxied,
+    /// At the runners themselves, whose addresses refuse while they are down.
+    Direct,
+}
+
+impl Doors {
+    fn address(self, runner: &Runner, door: &Proxy) -> SocketAddr {
+        match self {
+            Self::Proxied => door.address(),
+            Self::Direct => runner.address(),
+        }
+    }
+}
+
 /// Everything of one soak.
 #[derive(Debug)]
 pub struct Cluster {
@@ -80,6 +107,7 @@
     pub log: Log,
     /// Keys so far.
     pub keys: Keys,
+    doors: Doors,
     version: u64,
 }
 
@@ -89,7 +117,13 @@
     /// # Errors
     ///
     /// [`Error::Failed`] if something does not start.
-    pub async fn start(logs: PathBuf, programs: PathBuf, world: &World) -> Result<Self, Error> {
+    pub async fn start(
+        logs: PathBuf,
+        programs: PathBuf,
+        doors: Doors,
+        runners: Runners,
+        world: &World,
+    ) -> Result<Self, Error> {
         let mut cluster = Self {
             fleet: Fleet::of(logs, programs)?,
             store: Store::start().await.map_err(|error| system(&error))?,
@@ -97,10 +131,11 @@
             targets: Vec::new(),
             log: Log::default(),
             keys: Keys::default(),
+            doors,
             version: 0,
         };
         cluster.configure();
-        for (service, count) in RUNNERS {
+        for (service, count) in runners {
             for number in 0..count {
                 cluster.target(service, number).await?;
             }
@@ -124,7 +159,7 @@
         let door = Proxy::start(runner.address())
             .await
             .map_err(|error| system(&error))?;
-        runner.known_at(door.address());
+        runner.known_at(self.doors.address(&runner, &door));
         self.targets.push(Target {
             id,
             service,
@@ -156,7 +191,7 @@
         self.store.list(&Entry {
             id: &target.id,
             service: target.service,
-            address: target.door.address(),
+            address: self.doors.address(&target.runner, &target.door),
             domain: &target.domain,
             started: target.started,
             leaving,
@@ -170,7 +205,7 @@
             .for_each(|target| target.runner.limit(Some(rate)));
     }
 
-    /// Lists no more the runners that a request has ended, and starts them again after a while.
+    /// Lists no more the runners that a request has ended or silenced, and starts them again after a while.
     ///
     /// # Errors
     ///
@@ -182,9 +217,13 @@
                 target.lapsed = false;
                 continue;
             };
-            if down >= DOWN {
+            let (lapse, over) = match target.runner.is_silent() {
+                true => (SILENT_LAPSE, SILENT),
+                false => (LAPSE, DOWN),
+            };
+            if down >= over {
                 self.revive(number).await?;
-            } else if down >= LAPSE && !target.lapsed {
+            } else if down >= lapse && !target.lapsed {
                 target.lapsed = true;
                 self.store.unlist(&target.id);
             }
--- a/crates/ctl/src/torture/relays/demand.rs
+++ b/crates/ctl/src/torture/relays/demand.rs
@@ -10,8 +10,8 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 use stub::caller::{Ask, Connection, Kind, USUAL, Word, unsent};
+use stub::harm::{DEADLY, POISON, SILENCER, deadly};
 use stub::now;
-use stub::runner::POISON;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
@@ -30,7 +30,12 @@
 /// attempts, and what half of them ask for.
 const BESIDE: Duration = Duration::from_millis(100);
 const POISON_TURNS: usize = 4;
-const OTHER_BODIES: [&str; 4] = ["a", "b", "c", "d"];
+/// Bodies of requests beside those that end or silence runners.
+pub const OTHER_BODIES: [&str; 4] = ["a", "b", "c", "d"];
+/// Time between two attempts of a request that ends or silences runners.
+const AGAIN: Duration = Duration::from_millis(400);
+/// Time before the first attempt whose pieces end runners, so that calls carry those of others as well.
+const OTHERS_FIRST: Duration = Duration::from_secs(2);
 /// Kinds that need no links between relays.
 const PLAIN_KINDS: [Kind; 4] = [Kind::Unsafe, Kind::Safe, Kind::Once, Kind::Stream];
 /// Longest time from the end of the last fault until all is served again.
@@ -116,6 +121,84 @@
     callers.join_all().await
 }
 
+/// Sends a request for a time, each time under a new name at the next relay.
+pub async fn repeat(
+    world: Arc<World>,
+    first: Duration,
+    time: Duration,
+    ask: impl Fn(usize) -> Ask,
+) -> Vec<Word> {
+    let end = Instant::now() + time;
+    sleep(first).await;
+    let mut callers = JoinSet::new();
+    let mut turn = 0;
+    while Instant::now() < end {
+        let entries = world.entries();
+        if let Some(entry) = entries.get(turn % entries.len().max(1)) {
+            callers.spawn(send_one(*entry, ask(turn)));
+        }
+        turn += 1;
+        sleep(AGAIN).await;
+    }
+    callers.join_all().await
+}
+
+/// Sends some requests whose pieces end the runners of a stage.
+pub async fn pieces(world: Arc<World>, requests: usize, stage: usize, time: Duration) -> Vec<Word> {
+    let mut callers = JoinSet::new();
+    for (request, body) in DEADLY.into_iter().enumerate().take(requests) {
+        let first = OTHERS_FIRST + AGAIN * request as u32 / requests as u32;
+        let ask = move |turn| usual(deadly(request, stage, turn), Kind::Staged, body);
+        callers.spawn(repeat(world.clone(), first, time, ask));
+    }
+    callers.join_all().await.into_iter().flatten().collect()
+}
+
+/// Sends a request that silences runners.
+pub async fn silencer(world: Arc<World>, kind: Kind, time: Duration) -> Vec<Word> {
+    let ask = move |turn| usual(format!("silencer{turn}"), kind, SILENCER);
+    repeat(world, Duration::ZERO, time, ask).await
+}
+
+/// Sends requests of other callers: each time one of each group, of a kind that is drawn from it.
+pub async fn others(
+    world: Arc<World>,
+    groups: &'static [&'static [Kind]],
+    seed: u64,
+    time: Duration,
+) -> Vec<Word> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let end = Instant::now() + time;
+    let mut callers = JoinSet::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        for kinds in groups {
+            number += 1;
+            let kind = kinds.choose(&mut rng).copied().unwrap_or(Kind::Safe);
+            let body = OTHER_BODIES.choose(&mut rng).copied().unwrap_or(USUAL);
+            if let Some(entry) = world.entries().choose(&mut rng) {
+                callers.spawn(send_one(
+                    *entry,
+                    usual(format!("other{number}"), kind, body),
+                ));
+            }
+        }
+        sleep(BESIDE).await;
+    }
+    callers.join_all().await
+}
+
+/// A request of a caller that waits for two seconds.
+fn usual(id: String, kind: Kind, body: &'static str) -> Ask {
+    Ask {
+        id,
+        kind,
+        key: STAYS.to_owned(),
+        patience: Duration::from_secs(2),
+        body,
+    }
+}
+
 async fn send_one(entry: SocketAddr, ask: Ask) -> Word {
     match Connection::open(entry).await {
         Some(mut connection) => connection.ask(ask).await,
--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -1,24 +1,29 @@
 //! What must not have happened, from what callers were told and what runners ran.
 
 use crate::torture::relays::cluster::{Key, Keys};
+use crate::torture::relays::demand::OTHER_BODIES;
 use crate::torture::world::{Span, World};
 use foldhash::fast::RandomState;
 use serde::Serialize;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Debug;
+use std::iter::Sum;
 use std::net::SocketAddr;
 use std::sync::PoisonError;
 use stub::Micros;
 use stub::caller::{Told, Word};
-use stub::runner::{EVENTS, POISON, Run, WORK, answer, event};
+use stub::harm::{SILENCER, is_harmful};
+use stub::runner::{EVENTS, Fall, Log, Run, WORK, answer, event};
 
 /// Time within which a change of the platform's tables is in force at every relay that is sound and
 /// reaches them all that time.
 pub const PROPAGATION: Micros = 4_000_000;
-/// Runners that a request may end before it must be known for it, and those that it may end later.
+/// Runners that a request may end or silence before it must be known for it, and those that it may end later.
 const POISONED: usize = 3;
 /// Time for which a relay must have been sound for what it does to be judged.
 const STABLE: Micros = 3_000_000;
+/// Time after the third runner that a request has silenced from which on the others are late.
+const SILENT_GRACE: Micros = 4_000_000;
 /// Time over which a runner's limit is judged, what it allows beyond the limit, and the time after
 /// which a relay keeps to what a runner has told it.
 const LIMITED: Micros = 4_000_000;
@@ -31,6 +36,52 @@
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
+/// Requests of a kind.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Share {
+    /// Sent.
+    pub sent: u64,
+    /// Answered whole and right.
+    pub answered: u64,
+    /// Told that they are held back.
+    pub held: u64,
+}
+
+impl Share {
+    /// Part of them that was answered.
+    #[must_use]
+    pub fn part(self) -> f64 {
+        self.answered as f64 / self.sent.max(1) as f64
+    }
+}
+
+impl Sum for Share {
+    fn sum<I: Iterator<Item = Self>>(shares: I) -> Self {
+        shares.fold(Self::default(), |all, share| Self {
+            sent: all.sent + share.sent,
+            answered: all.answered + share.answered,
+            held: all.held + share.held,
+        })
+    }
+}
+
+/// A request that ends or silences runners.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Harm {
+    /// Attempts.
+    pub sent: u64,
+    /// Told that they have not run, and of these that they are held back.
+    pub not_run: u64,
+    /// Told that they are held back.
+    pub held: u64,
+    /// Runners that it ended or silenced.
+    pub falls: u64,
+    /// Those after the first three.
+    pub beyond: u64,
+    /// Those some seconds after the third.
+    pub late: u64,
+}
+
 /// Counts of one soak.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Counts {
@@ -50,6 +101,10 @@
     pub beside: u64,
     /// Of those, answered whole and right.
     pub beside_answered: u64,
+    /// Sent beside those that end the runners of stages or silence runners, by kind.
+    pub others: BTreeMap<String, Share>,
+    /// Requests that end or silence runners, by body.
+    pub harm: BTreeMap<String, Harm>,
     /// Faults by kind.
     pub faults: BTreeMap<String, u64>,
     /// Violations by kind.
@@ -106,14 +161,50 @@
     answer(id)
 }
 
+fn is_not_run(word: &Word) -> bool {
+    matches!(word.told, Told::Whole { status, .. } if NOT_RUN.contains(&status))
+}
+
+fn is_held_back(word: &Word) -> bool {
+    matches!(&word.told, Told::Whole { text, .. } if text.contains(HELD_BACK))
+}
+
+/// Counts the runners that one request ended or silenced, in their order; those beyond the first three
+/// only where the relay that was asked was sound.
+fn count_falls(falls: &[(&Fall, &Word)], world: &World) -> Harm {
+    let mut harm = Harm {
+        falls: falls.len() as u64,
+        ..Harm::default()
+    };
+    let Some((third, _)) = falls.get(POISONED - 1) else {
+        return harm;
+    };
+    for (fall, word) in falls.iter().skip(POISONED) {
+        let calm_from = fall.started.saturating_sub(STABLE);
+        let disturbed = world.unheard(word.entry, calm_from, fall.started);
+        let is_silent = word.ask.body == SILENCER;
+        let grace = if is_silent { SILENT_GRACE } else { STABLE };
+        let is_late = fall.started > third.started + grace;
+        harm.beyond += u64::from(!disturbed);
+        harm.late += u64::from(!disturbed && is_late);
+    }
+    harm
+}
+
+fn by_id(words: &[Word]) -> HashMap<&str, &Word, RandomState> {
+    let named = words.iter().map(|word| (word.ask.id.as_str(), word));
+    named.collect()
+}
+
 /// Runs of each request.
 type Runs<'a> = HashMap<&'a str, Vec<&'a Run>, RandomState>;
 
 /// Judges all words and runs.
 #[must_use]
-pub fn judge(words: &[Word], runs: &[Run], keys: &Keys, world: &World) -> Verdict {
+pub fn judge(words: &[Word], log: &Log, keys: &Keys, world: &World) -> Verdict {
+    let (runs, falls) = (log.runs(), log.falls());
     let mut by_id = Runs::default();
-    for run in runs {
+    for run in &runs {
         by_id.entry(run.id.as_str()).or_default().push(run);
     }
     let mut verdict = Verdict::default();
@@ -129,9 +220,9 @@
         verdict.judge_key(word, &keys, world);
     }
     verdict.judge_leaving(words, &by_id, world);
-    verdict.judge_poison(words, runs, world);
-    verdict.judge_beside(words, runs);
-    verdict.judge_limits(words, runs, world);
+    verdict.judge_harm(words, &falls, world);
+    verdict.judge_beside(words, &runs, &falls);
+    verdict.judge_limits(words, &runs, world);
     verdict
 }
 
@@ -182,36 +273,51 @@
         }
     }
 
-    /// A request that has ended three runners reaches few more of them, whoever its caller asks.
-    fn judge_poison(&mut self, words: &[Word], runs: &[Run], world: &World) {
-        let mut ended: Vec<&Run> = runs.iter().filter(|run| run.poison).collect();
-        ended.sort_by_key(|run| run.started);
-        let Some(last) = ended.get(POISONED - 1).map(|run| run.started) else {
-            return;
-        };
-        let sound = |run: &Run| {
-            let word = words.iter().find(|word| word.ask.id == run.id);
-            let calm_from = run.started.saturating_sub(STABLE);
-            word.is_some_and(|word| !world.unheard(word.entry, calm_from, run.started))
-        };
-        let late = ended.iter().filter(|run| run.started > last + STABLE);
-        let late = late.filter(|run| sound(run)).count();
-        if late > POISONED {
-            let runners: Vec<&str> = ended.iter().map(|run| run.runner.as_str()).collect();
-            self.note("a request that ends runners sent on", &(late, runners));
+    /// A request that has ended or silenced three runners reaches few more of them, whoever its caller
+    /// asks.
+    fn judge_harm(&mut self, words: &[Word], falls: &[Fall], world: &World) {
+        let by_id = by_id(words);
+        let bodies = words.iter().map(|word| word.ask.body);
+        let bodies: BTreeSet<&str> = bodies.filter(|body| is_harmful(body)).collect();
+        for body in bodies {
+            let mut found: Vec<(&Fall, &Word)> = falls
+                .iter()
+                .filter_map(|fall| Some((fall, *by_id.get(fall.id.as_str())?)))
+                .filter(|(_, word)| word.ask.body == body)
+                .collect();
+            found.sort_by_key(|(fall, _)| fall.started);
+            let mut harm = count_falls(&found, world);
+            for word in words.iter().filter(|word| word.ask.body == body) {
+                harm.sent += 1;
+                harm.not_run += u64::from(is_not_run(word));
+                harm.held += u64::from(is_held_back(word));
+            }
+            self.counts.harm.insert(body.to_owned(), harm);
+            let judged = if body == SILENCER {
+                harm.beyond
+            } else {
+                harm.late
+            };
+            if judged > POISONED as u64 {
+                let runners: Vec<&str> = found.iter().map(|one| one.0.runner.as_str()).collect();
+                let what = "a request that ends or silences runners sent on";
+                self.note(what, &(body, judged, runners));
+            }
         }
     }
 
     /// Requests that end no runners are held back for a short while at most, though they were running
     /// where another one ended the runner.
-    fn judge_beside(&mut self, words: &[Word], runs: &[Run]) {
+    fn judge_beside(&mut self, words: &[Word], runs: &[Run], crashes: &[Fall]) {
         let mut ended: HashMap<&str, Vec<Micros>, RandomState> = HashMap::default();
-        let by_id: HashMap<&str, &Word, RandomState> = words
-            .iter()
-            .map(|word| (word.ask.id.as_str(), word))
-            .collect();
-        let crashes: Vec<&Run> = runs.iter().filter(|run| run.poison).collect();
-        for run in runs.iter().filter(|run| !run.poison) {
+        let by_id = by_id(words);
+        for crash in crashes {
+            let beside = crash.beside.iter();
+            for word in beside.filter_map(|id| by_id.get(id.as_str())) {
+                ended.entry(word.ask.body).or_default().push(crash.started);
+            }
+        }
+        for run in runs {
             let Some(word) = by_id.get(run.id.as_str()) else {
                 continue;
             };
@@ -222,16 +328,26 @@
             let moments = under.map(|crash| crash.started);
             ended.entry(word.ask.body).or_default().extend(moments);
         }
+        let others = words
+            .iter()
+            .filter(|word| OTHER_BODIES.contains(&word.ask.body));
+        for word in others {
+            let kind = format!("{:?}", word.ask.kind);
+            let share = self.counts.others.entry(kind).or_default();
+            share.sent += 1;
+            share.answered += u64::from(is_good(word, true));
+            share.held += u64::from(is_held_back(word));
+        }
         if crashes.is_empty() {
             return;
         }
-        for word in words.iter().filter(|word| word.ask.body != POISON) {
+        for word in words.iter().filter(|word| !is_harmful(word.ask.body)) {
             self.counts.beside += 1;
             self.counts.beside_answered += u64::from(is_good(word, true));
             let last = ended.get(word.ask.body).into_iter().flatten();
             let last = last.filter(|at| **at < word.sent).max();
             let over = last.is_none_or(|last| last + HELD < word.sent);
-            if over && matches!(&word.told, Told::Whole { text, .. } if text.contains(HELD_BACK)) {
+            if over && is_held_back(word) {
                 self.note("held back beside a request that ends runners", word);
             }
         }
@@ -239,10 +355,7 @@
 
     /// All relays together keep to the limit that a runner has named in answers that they passed on.
     fn judge_limits(&mut self, words: &[Word], runs: &[Run], world: &World) {
-        let by_id: HashMap<&str, &Word, RandomState> = words
-            .iter()
-            .map(|word| (word.ask.id.as_str(), word))
-            .collect();
+        let by_id = by_id(words);
         let mut told: HashMap<(&str, SocketAddr), Micros, RandomState> = HashMap::default();
         let limited = || runs.iter().filter(|run| run.limit.is_some());
         for run in limited() {
--- a/crates/ctl/tests/soak/mod.rs
+++ b/crates/ctl/tests/soak/mod.rs
@@ -9,7 +9,7 @@
 pub(crate) fn clean(trouble: Trouble, seed: u64, time: Duration, least: u64) -> Counts {
     let programs = Path::new(env!("CARGO_BIN_EXE_linnetdriftd")).parent();
     let runtime = tokio::runtime::Runtime::new().unwrap();
-    let folder = format!("soak-{trouble:?}-{seed}");
+    let folder = format!("soak-{trouble:?}-{seed}").replace([' ', ':', ',', '{', '}'], "");
     let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder);
     let soaking = soak(trouble, seed, time, logs, programs.unwrap().to_owned());
     let verdict = runtime.block_on(soaking).unwrap();
--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -12,147 +12,38 @@
 //! add up by runner, the latest whole answer voids all crashes before it, and the latest trial counts.
 //! Merging the same state again changes nothing.
 
+mod loss;
+mod report;
+mod silence;
+mod standing;
 mod suspect;
 
+pub use report::{Crash, Merge, Pass, Report, Silence};
+pub use standing::Standing;
+
 use crate::id::ContentId;
 use foldhash::fast::{FixedState, RandomState};
-use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, VecDeque};
+use loss::{Loss, Losses};
+use silence::Silences;
+use std::collections::HashMap;
 use std::hash::{BuildHasher, Hash};
 use std::time::Duration;
 use suspect::{Ends, MAX_CRASHES, Moment, Span, Suspect};
 
 /// Runners that a request may end before it is held back.
 pub const CRASHES: u32 = 3;
-/// Time after the loss of an answer in which the end of its runner is put down to the request.
-const LOSS_TTL: Duration = Duration::from_secs(5);
-/// Time within which the answer to a request is lost that was sent to a runner which had ended.
-const LOST_AT_ONCE: Duration = Duration::from_millis(250);
 /// Time between the moments at which one process after the other may try a request that is due. A
 /// trial is known everywhere by then, unless processes are cut off from one another.
 pub const TRIAL_STEP: Duration = Duration::from_millis(500);
+/// Runners that must be silent under a request before all processes are told of it. One may be slow, or
+/// have fallen silent by itself.
+pub const ANNOUNCED: u32 = 2;
 /// Time after which a suspect is forgotten that nobody asks for.
 const SUSPECT_TTL: Duration = Duration::from_secs(3_600);
 /// What is added to moments, which may lie before the start of the process.
 const OFFSET: Duration = SUSPECT_TTL;
 /// Lost answers, and suspects, that are remembered at most.
 const CAPACITY: usize = 1_024;
-/// A runner that ended under a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crash<R> {
-    /// The runner, as one start of it.
-    pub runner: R,
-    /// How long ago the request was sent there.
-    pub sent: Duration,
-    /// How long ago the answer was lost.
-    pub lost: Duration,
-    /// Whether the runner had nothing to do then but requests under which others had ended before.
-    pub isolated: bool,
-}
-
-/// What one process knows of a suspect, as it tells the others.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Report<R> {
-    /// What the request asks for.
-    pub content: ContentId,
-    /// Runners that it has ended.
-    pub crashes: Vec<Crash<R>>,
-    /// Crashes of it that count at the sender.
-    pub count: u32,
-    /// Times that it has been tried again, but for trials that ended no runner.
-    pub trials: u32,
-    /// How long ago it was tried last.
-    pub tried: Option<Duration>,
-    /// How long ago a runner answered it whole, if that has cleared it.
-    pub cleared: Option<Duration>,
-}
-
-impl<R> Report<R> {
-    /// Nothing but the name of a request.
-    #[must_use]
-    pub fn new(content: ContentId) -> Self {
-        Self {
-            content,
-            crashes: Vec::new(),
-            count: 0,
-            trials: 0,
-            tried: None,
-            cleared: None,
-        }
-    }
-
-    /// Whether the request is held back.
-    #[must_use]
-    pub fn is_held(&self) -> bool {
-        self.count >= CRASHES
-    }
-}
-
-/// Whether a request may be sent to a runner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Pass {
-    /// Nothing speaks against it.
-    Free,
-    /// Not before this time has passed.
-    Held(Duration),
-    /// It has been held back for long enough, and this process may try it.
-    Trial,
-}
-
-/// The runners of one service.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Standing {
-    /// Runners that serve.
-    pub up: usize,
-    /// Runners that have ended lately and are not back.
-    pub down: usize,
-}
-
-impl Standing {
-    /// Whether a request may be sent to one of the runners under which so many have ended.
-    ///
-    /// Under one of them runners also end by chance, and it goes on to any but the last one. From the
-    /// second on, more than half are kept for the others. Where none that has ended may come back there
-    /// is nothing to wait for.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use protocol::quarantine::Standing;
-    ///
-    /// assert!(Standing { up: 2, down: 1 }.bears(1));
-    /// assert!(!Standing { up: 1, down: 1 }.bears(1));
-    /// assert!(Standing { up: 1, down: 1 }.bears(0));
-    /// ```
-    #[must_use]
-    pub fn bears(self, crashes: u32) -> bool {
-        let most_up = crashes == 1 || self.down < self.up;
-        crashes == 0 || self.down == 0 || self.up > 1 && most_up
-    }
-}
-
-/// What becomes of what another process tells.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Merge {
-    /// All of it was known.
-    Known,
-    /// Some of it is new, and the others should be told.
-    New {
-        /// Whether the request was held back before.
-        was_held: bool,
-        /// Whether it is held back now.
-        is_held: bool,
-    },
-}
-
-/// An answer that was lost.
-#[derive(Clone, Debug)]
-struct Loss<R> {
-    content: ContentId,
-    runner: R,
-    span: Span,
-    isolated: bool,
-}
 
 /// What one process knows of poison requests. Times are counted from its start; `R` names one start
 /// of a runner.
@@ -177,31 +68,19 @@
 #[derive(Clone, Debug)]
 pub struct Quarantine<R> {
     suspects: HashMap<ContentId, Suspect<R>, RandomState>,
-    losses: VecDeque<Loss<R>>,
+    losses: Losses<R>,
+    silences: Silences<R>,
     ends: Ends<R>,
     /// Requests that something speaks against.
     live: usize,
 }
 
-/// When a runner ended that lost these answers: the first of them, but for those lost before another request
-/// was sent that it was at work on for a while.
-fn end_of<R>(losses: &VecDeque<Loss<R>>) -> Option<Moment> {
-    let worked = |loss: &&Loss<R>| loss.span.sent + LOST_AT_ONCE < loss.span.lost;
-    let lived = losses
-        .iter()
-        .filter(worked)
-        .map(|loss| loss.span.sent)
-        .max();
-    let lost = losses.iter().map(|loss| loss.span.lost);
-    lost.filter(|lost| lived.is_none_or(|lived| *lost > lived))
-        .min()
-}
-
 impl<R> Default for Quarantine<R> {
     fn default() -> Self {
         Self {
             suspects: HashMap::default(),
-            losses: VecDeque::new(),
+            losses: Losses::default(),
+            silences: Silences::default(),
             ends: HashMap::default(),
             live: 0,
         }
@@ -212,13 +91,73 @@
     /// Whether nothing speaks against any request, so that none need be looked up.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.live == 0 && self.losses.is_empty()
+        self.live == 0 && self.losses.is_empty() && self.silences.is_empty()
     }
 
-    /// Whether runners have ended under any request.
+    /// Whether runners have ended or been silent under any request.
     #[must_use]
     pub fn has_suspects(&self) -> bool {
-        self.live > 0
+        self.live > 0 || !self.silences.is_empty()
+    }
+
+    /// Something has come from a runner, whatever for.
+    pub fn observed(&mut self, runner: &R, now: Duration) {
+        self.silences.observe(runner, now + OFFSET);
+    }
+
+    /// A request has waited for a runner for so long that it is taken for silent if nothing has come from
+    /// it for anybody since the request was sent. Gives what the others must be told.
+    pub fn waited(
+        &mut self,
+        content: ContentId,
+        runner: &R,
+        sent: Duration,
+        now: Duration,
+    ) -> Option<Report<R>> {
+        if !self.silences.is_silent(runner, sent + OFFSET) {
+            return None;
+        }
+        // Should it turn out to have ended, the request was there.
+        self.lost(content, runner.clone(), sent, now);
+        let (sent, now) = (sent + OFFSET, now + OFFSET);
+        let new = self.silences.note(content, runner, sent, now, now);
+        new.then(|| self.report_at(content, now))
+    }
+
+    /// Runners that hold a request unanswered, and from which nothing has come since.
+    #[must_use]
+    pub fn exposure(&self, content: ContentId, now: Duration) -> u32 {
+        self.silences.count(content, now + OFFSET)
+    }
+
+    /// Runners that have ended under a request, and those that may have.
+    #[must_use]
+    pub fn risk(&self, content: ContentId, now: Duration) -> u32 {
+        self.crashes(content) + self.exposure(content, now)
+    }
+
+    /// A request is sent to a runner; [`Quarantine::over`] follows.
+    pub fn begin(&mut self, content: ContentId, runner: R) {
+        self.silences.begin(content, runner);
+    }
+
+    /// A request is in progress at a runner no more.
+    pub fn over(&mut self, content: ContentId, runner: &R) {
+        self.silences.end(content, runner);
+    }
+
+    /// Whether a request may be sent to one more runner beside those at which it is in progress: one that
+    /// nothing speaks against, or of which few runners are at risk.
+    #[must_use]
+    pub fn may_spread(&self, content: ContentId, now: Duration) -> bool {
+        let risk = self.risk(content, now);
+        let open = || self.silences.open(content, now + OFFSET);
+        risk == 0 || risk >= CRASHES || risk + open() < CRASHES
+    }
+
+    /// Runners that are silent, some more than once.
+    pub fn silent_runners(&self, now: Duration) -> impl Iterator<Item = &R> {
+        self.silences.runners(now + OFFSET)
     }
 
     /// The answer to a request was lost that had been sent to a runner at a moment.
@@ -243,12 +182,7 @@
             sent: sent + OFFSET,
             lost: now + OFFSET,
         };
-        self.losses
-            .retain(|loss| loss.span.lost + LOSS_TTL >= span.lost);
-        if self.losses.len() >= CAPACITY {
-            self.losses.pop_front();
-        }
-        self.losses.push_back(Loss {
+        self.losses.note(Loss {
             content,
             runner,
             span,
@@ -259,17 +193,8 @@
     /// A runner has ended without a word. Gives what the others must be told.
     pub fn ended(&mut self, runner: &R, now: Duration) -> Vec<Report<R>> {
         let at = now + OFFSET;
-        let (under, losses): (VecDeque<Loss<R>>, _) = std::mem::take(&mut self.losses)
-            .into_iter()
-            .filter(|loss| loss.span.lost + LOSS_TTL >= at)
-            .partition(|loss| loss.runner == *runner);
-        self.losses = losses;
-        let Some(end) = end_of(&under) else {
-            return Vec::new();
-        };
-        // What was sent later met a runner that had ended already.
-        let there = under.into_iter();
-        let there = there.filter(|loss| loss.span.sent <= end && end <= loss.span.lost);
+        self.silences.end_runner(runner);
+        let there = self.losses.at_end(runner, at).into_iter();
         let report = |loss: Loss<R>| {
             let crash = Crash {
                 runner: loss.runner,
@@ -296,6 +221,16 @@
             let end = self.ends.entry(crash.runner.clone()).or_insert(lost);
             *end = lost.min(*end);
         }
+        let is_exposed = self.take_silences(report, now);
+        if report.crashes.is_empty() && report.cleared.is_none() && report.tried.is_none() {
+            return match is_exposed {
+                true => Merge::New {
+                    was_held: self.is_held(report.content),
+                    is_held: self.is_held(report.content),
+                },
+                false => Merge::Known,
+            };
+        }
         self.change(report.content, now, |suspect, _, now| {
             let at = |ago: Duration| now.saturating_sub(ago);
             let mut new = false;
@@ -312,10 +247,33 @@
             if let Some(ago) = report.tried {
                 new |= suspect.note_trial(report.trials, at(ago));
             }
-            new
+            new || is_exposed
         })
     }
 
+    /// Takes in which runners are silent; tells whether some were not known to be.
+    fn take_silences(&mut self, report: &Report<R>, now: Duration) -> bool {
+        let now = now + OFFSET;
+        let at = |ago: Duration| now.saturating_sub(ago);
+        let known = self.suspects.get(&report.content);
+        let known = known.and_then(|suspect| suspect.cleared);
+        let cleared = report.cleared.map(at).max(known);
+        if let Some(cleared) = cleared {
+            self.silences.clear(report.content, cleared);
+        }
+        let mut new = false;
+        for silence in &report.silences {
+            let (sent, noted) = (at(silence.sent), at(silence.noted));
+            if cleared.is_some_and(|cleared| sent <= cleared) {
+                continue;
+            }
+            new |= self
+                .silences
+                .note(report.content, &silence.runner, sent, noted, now);
+        }
+        new
+    }
+
     /// Takes in crashes that were kept without the names of their runners.
     pub fn restore(&mut self, content: ContentId, count: u32, now: Duration) -> Merge {
         self.change(content, now, |suspect, _, now| suspect.keep(count, now))
@@ -334,14 +292,17 @@
 
     /// A runner has answered something: answers that it lost before were not lost by its end.
     pub fn lives(&mut self, runner: &R) {
-        self.losses.retain(|loss| loss.runner != *runner);
+        self.losses.forget_at(runner);
     }
 
     /// A runner has answered the request. Others must be told if anything spoke against it.
     pub fn answered(&mut self, content: ContentId, runner: &R, now: Duration) -> Merge {
         self.lives(runner);
-        self.losses.retain(|loss| loss.content != content);
-        if !self.is_suspect(content) {
+        self.observed(runner, now);
+        self.losses.forget_of(content);
+        let exposure = self.exposure(content, now);
+        self.silences.clear(content, now + OFFSET);
+        if !self.is_suspect(content) && exposure < ANNOUNCED {
             return Merge::Known;
         }
         let report = Report {
@@ -406,14 +367,21 @@
     /// it has done so, as far as it knows.
     #[must_use]
     pub fn pass(&self, content: ContentId, order: u32, now: Duration) -> Pass {
-        let held = self.suspects.get(&content);
-        let Some(held) = held.filter(|suspect| suspect.is_held(&self.ends)) else {
+        let now = now + OFFSET;
+        let suspect = self.suspects.get(&content);
+        let held = suspect.filter(|suspect| suspect.is_held(&self.ends));
+        let crashes = suspect.map_or(0, |suspect| suspect.count(&self.ends));
+        let exposure = self.silences.count(content, now);
+        if crashes + exposure < CRASHES {
             return Pass::Free;
-        };
-        let due = held.due(&self.ends) + TRIAL_STEP.saturating_mul(order);
-        match due.saturating_sub(now + OFFSET) {
-            Duration::ZERO => Pass::Trial,
-            left => Pass::Held(left),
+        }
+        let due = held.map(|held| held.due(&self.ends) + TRIAL_STEP.saturating_mul(order));
+        let resolved = self.silences.until(content, now);
+        let due = due.max(resolved).unwrap_or_default();
+        match (due.saturating_sub(now), held) {
+            (Duration::ZERO, Some(_)) => Pass::Trial,
+            (Duration::ZERO, None) => Pass::Free,
+            (left, _) => Pass::Held(left),
         }
     }
 
@@ -482,15 +450,28 @@
     /// What the others are told of a suspect.
     #[must_use]
     pub fn report(&self, content: ContentId, now: Duration) -> Option<Report<R>> {
-        let suspect = self.suspects.get(&content)?;
-        Some(suspect.report(content, &self.ends, now + OFFSET))
+        let is_known = self.suspects.contains_key(&content) || self.exposure(content, now) > 0;
+        is_known.then(|| self.report_at(content, now + OFFSET))
+    }
+
+    fn report_at(&self, content: ContentId, now: Moment) -> Report<R> {
+        let suspect = self.suspects.get(&content);
+        let report = suspect.map(|suspect| suspect.report(content, &self.ends, now));
+        Report {
+            silences: self.silences.report(content, now),
+            ..report.unwrap_or_else(|| Report::new(content))
+        }
     }
 
     /// All that is known, for a process that knows nothing.
     #[must_use]
     pub fn reports(&self, now: Duration) -> Vec<Report<R>> {
-        let mut contents: Vec<ContentId> = self.suspects.keys().copied().collect();
+        let suspects = self.suspects.keys().copied();
+        let mut contents: Vec<ContentId> = suspects
+            .chain(self.silences.contents(now + OFFSET))
+            .collect();
         contents.sort_unstable();
+        contents.dedup();
         let reports = contents.into_iter();
         reports
             .filter_map(|content| self.report(content, now))
--- /dev/null
+++ b/crates/protocol/src/quarantine/loss.rs
@@ -0,0 +1,84 @@
+//! Answers that were lost, for as long as the end of their runner may still become known.
+
+use super::CAPACITY;
+use super::suspect::{Moment, Span};
+use crate::id::ContentId;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Time after the loss of an answer in which the end of its runner is put down to the request.
+const TTL: Duration = Duration::from_secs(5);
+/// Time within which the answer to a request is lost that was sent to a runner which had ended.
+const LOST_AT_ONCE: Duration = Duration::from_millis(250);
+
+/// An answer that was lost.
+#[derive(Clone, Debug)]
+pub(super) struct Loss<R> {
+    pub(super) content: ContentId,
+    pub(super) runner: R,
+    pub(super) span: Span,
+    /// Whether the runner had nothing to do but requests under which others had ended before.
+    pub(super) isolated: bool,
+}
+
+/// Those of all runners.
+#[derive(Clone, Debug)]
+pub(super) struct Losses<R>(VecDeque<Loss<R>>);
+
+impl<R> Default for Losses<R> {
+    fn default() -> Self {
+        Self(VecDeque::new())
+    }
+}
+
+impl<R: Eq> Losses<R> {
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub(super) fn note(&mut self, loss: Loss<R>) {
+        self.0
+            .retain(|known| known.span.lost + TTL >= loss.span.lost);
+        if self.0.len() >= CAPACITY {
+            self.0.pop_front();
+        }
+        self.0.push_back(loss);
+    }
+
+    /// Removes those of a runner that has ended, and gives those that its end explains. What was sent later
+    /// met a runner that had ended already.
+    pub(super) fn at_end(&mut self, runner: &R, at: Moment) -> VecDeque<Loss<R>> {
+        let (mut under, losses): (VecDeque<Loss<R>>, _) = std::mem::take(&mut self.0)
+            .into_iter()
+            .filter(|loss| loss.span.lost + TTL >= at)
+            .partition(|loss| loss.runner == *runner);
+        self.0 = losses;
+        let end = end_of(&under);
+        under.retain(|loss| end.is_some_and(|end| loss.span.sent <= end && end <= loss.span.lost));
+        under
+    }
+
+    /// The runner has answered since: it did not lose them by its end.
+    pub(super) fn forget_at(&mut self, runner: &R) {
+        self.0.retain(|loss| loss.runner != *runner);
+    }
+
+    /// The request has been answered.
+    pub(super) fn forget_of(&mut self, content: ContentId) {
+        self.0.retain(|loss| loss.content != content);
+    }
+}
+
+/// When a runner ended that lost these answers: the first of them, but for those lost before another request
+/// was sent that it was at work on for a while.
+fn end_of<R>(losses: &VecDeque<Loss<R>>) -> Option<Moment> {
+    let worked = |loss: &&Loss<R>| loss.span.sent + LOST_AT_ONCE < loss.span.lost;
+    let lived = losses
+        .iter()
+        .filter(worked)
+        .map(|loss| loss.span.sent)
+        .max();
+    let lost = losses.iter().map(|loss| loss.span.lost);
+    lost.filter(|lost| lived.is_none_or(|lived| *lost > lived))
+        .min()
+}
--- a/crates/protocol/src/quarantine/suspect.rs
+++ b/crates/protocol/src/quarantine/suspect.rs
@@ -22,7 +22,7 @@
 const OUTCOME: Duration = Duration::from_secs(3);
 /// Accuracy of moments that other processes tell: they are told as ages, and are on their way for a
 /// while.
-const TOLERANCE: Duration = Duration::from_secs(1);
+pub(super) const TOLERANCE: Duration = Duration::from_secs(1);
 /// Difference between two moments of one attempt that are told by way of different processes.
 const ACCURACY: Duration = Duration::from_millis(20);
 /// Crashes that are remembered of one suspect.
@@ -222,6 +222,7 @@
             trials: self.trials,
             tried: self.tried.map(ago),
             cleared: self.cleared.map(ago),
+            silences: Vec::new(),
         }
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -6,7 +6,7 @@
 
 use crate::downstream::{Call, Downstream, Failure, NotRun, Reply};
 use crate::graph::{self, Inputs, Round};
-use crate::quarantine;
+use crate::quarantine::{self, SILENCE};
 use crate::request::{Answer, Body, EventId, Refusal};
 use crate::runner::{DomainId, Runner, RunnerId};
 use crate::serve::Job;
@@ -134,8 +134,10 @@
         let is_open = || job.relay.is_open(&flight.runner);
         let calling = job.relay.downstream.call(&flight.runner, call, is_open);
         let calling = until_fetched(calling, inputs);
+        let calling = until_begun(&flight, calling);
         let result = timeout_at(job.deadline, calling).await;
         let result = result.unwrap_or_else(|_| {
+            flight.waited();
             let reason = "no answer before the deadline".to_owned();
             Err(Failure::Lost { reason })
         });
@@ -144,6 +146,7 @@
         progress.is_paid &= result.as_ref().is_err_and(Failure::is_withdrawn);
         match result {
             Ok(reply) => {
+                flight.observed();
                 flight.begun();
                 progress.ran += 1;
                 return Ok((flight, reply));
@@ -187,6 +190,16 @@
     calling.await
 }
 
+/// Waits for the beginning of an answer; a runner from which nothing comes meanwhile may be silent.
+async fn until_begun<D: Downstream, T>(flight: &Flight<D>, calling: impl Future<Output = T>) -> T {
+    let mut calling = std::pin::pin!(calling);
+    tokio::select! {
+        result = &mut calling => return result,
+        () = sleep(SILENCE) => flight.waited(),
+    }
+    calling.await
+}
+
 async fn fail<D: Downstream>(flight: Flight<D>, failure: Failure, progress: &mut Progress) {
     match &failure {
         Failure::Lost { .. } => {
@@ -321,6 +334,9 @@
     let (status, headers) = (reply.status, reply.headers);
     let body = job.relay.answers.collect(reply.body);
     let body = timeout_at(job.deadline, body).await;
+    if body.is_err() {
+        flight.waited();
+    }
     let failure = match body {
         // A caller would take the status for the promise that nothing has run.
         Ok(Ok(_)) if !job.route.repeatable() && promises_not_run(status) => {
--- a/crates/relay/src/attempt/flight.rs
+++ b/crates/relay/src/attempt/flight.rs
@@ -46,6 +46,8 @@
     pub sent: Instant,
     reading: f64,
     content: ContentId,
+    /// When something last came from the runner for this call, or when that was sent.
+    sign: Instant,
     /// Calls that were at the runner when this one was sent, as far as was known.
     pub(super) before: Before,
     over: bool,
@@ -64,11 +66,14 @@
             }
             before
         });
+        job.relay.note_begun(job.content, &runner);
+        let now = Instant::now();
         Self {
             relay: job.relay.clone(),
             service: job.service.clone(),
             runner,
-            sent: Instant::now(),
+            sent: now,
+            sign: now,
             reading,
             content: job.content,
             before,
@@ -86,6 +91,18 @@
         }
     }
 
+    /// Something has come from the runner.
+    pub fn observed(&mut self) {
+        self.sign = Instant::now();
+        self.relay.note_sign(&self.runner, self.sign);
+    }
+
+    /// The call has waited for long, or its time is over: the runner may be silent.
+    pub fn waited(&self) {
+        self.relay
+            .note_waited(self.content, &self.runner, self.sign);
+    }
+
     /// The runner answered as it should; `elapsed` is the time that speaks for its speed.
     pub fn answered(mut self, elapsed: Duration) {
         self.over = true;
@@ -112,6 +129,10 @@
         self.relay
             .note_lost(self.content, &self.runner, self.sent, isolated);
         outage::probe_briefly(&self.relay, &self.runner).await;
+        if self.relay.is_open(&self.runner) && !self.relay.is_absent(&self.runner) {
+            self.relay
+                .note_unanswered(self.content, &self.runner, self.sent);
+        }
         self.failed();
     }
 
@@ -136,7 +157,9 @@
 impl<D: Downstream> Drop for Flight<D> {
     fn drop(&mut self) {
         self.begun();
+        self.relay.note_over(self.content, &self.runner);
         if !self.over {
+            self.waited();
             self.relay
                 .pool(&self.service, |pool| pool.returned(&self.runner.id));
         }
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -4,6 +4,7 @@
 //! runner's queue, until a runner is free: what waits here can still share a call, change its place
 //! or be withdrawn.
 
+mod form;
 mod launch;
 mod place;
 mod state;
--- a/crates/relay/src/batch/suspect.rs
+++ b/crates/relay/src/batch/suspect.rs
@@ -1,15 +1,16 @@
 //! Pieces under which runners of their stage have ended.
 
 use super::Spoiled;
+use super::form::Choosing;
 use super::launch::Launch;
-use super::state::{Choosing, State};
+use super::state::State;
 use crate::core::Relay;
 use crate::downstream::{Downstream, Failure, Made, NotRun};
 use crate::outage;
 use crate::plan::{Batches, ServiceId};
 use crate::request::ContentId;
 use decide::batch::{Former, Space, Suspect, Ticket};
-use protocol::quarantine::Standing;
+use protocol::quarantine::{Pass, Standing};
 use setting::Policy;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +54,12 @@
         Failure::NotRun { .. } => return,
     }
     outage::probe_briefly(relay, &launch.runner).await;
+    let is_lost = matches!(failure, Failure::Lost { .. });
+    if is_lost && relay.is_open(&launch.runner) && !relay.is_absent(&launch.runner) {
+        for content in &launch.contents {
+            relay.note_unanswered(*content, &launch.runner, begun);
+        }
+    }
 }
 
 impl State {
@@ -75,11 +82,16 @@
     fn beliefs<D: Downstream>(&self, relay: &Relay<D>) -> Vec<(Ticket, Belief)> {
         let waiting = self.waiting.iter();
         let waiting = waiting.filter(|(_, waiting)| !waiting.todo.is_empty());
+        let now = relay.now();
         relay.suspects(|known| {
-            let belief = |content: ContentId, trial: bool| match known.crashes(content) {
-                _ if known.is_held(content) && !trial => Belief::Held,
-                0 => Belief::Innocent,
-                crashes => Belief::Suspect(crashes),
+            let belief = |content: ContentId, trial: bool| {
+                let risk = known.risk(content, now);
+                let is_held = known.pass(content, 0, now) != Pass::Free;
+                match risk {
+                    _ if is_held && !trial => Belief::Held,
+                    0 => Belief::Innocent,
+                    risk => Belief::Suspect(risk),
+                }
             };
             waiting
                 .map(|(ticket, waiting)| {
@@ -148,7 +160,10 @@
             self.give_up(relay, ticket, standing);
         }
         let runners = self.places.len();
-        places.iter().find_map(|&index| {
+        let silent = relay.silent(service);
+        let sound = |index: &&usize| !silent.contains(&self.places[**index].runner.id);
+        let sound: Vec<usize> = places.iter().filter(sound).copied().collect();
+        sound.into_iter().find_map(|index| {
             let room = self.places[index].room(batches, now);
             let space = Space {
                 pieces: batches.shape.size,
--- a/crates/relay/src/downstream.rs
+++ b/crates/relay/src/downstream.rs
@@ -210,6 +210,10 @@
     /// reached may have.
     fn has_ended(&self, runner: &Runner) -> impl Future<Output = bool> + Send;
 
+    /// Whether the runner answers a question after its state, which costs it no work. One that does not
+    /// answer within a moment may be busy.
+    fn answers(&self, runner: &Runner) -> impl Future<Output = bool> + Send;
+
     /// Address of the runner that holds a result.
     fn holder(&self, handle: &Handle) -> Option<std::net::SocketAddr>;
 }
--- a/crates/relay/src/outage.rs
+++ b/crates/relay/src/outage.rs
@@ -99,13 +99,23 @@
         absent.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Whether nothing listens at a runner's address, as far as this process knows.
+    pub(crate) fn is_absent(&self, runner: &Runner) -> bool {
+        let outages = lock(&self.outages);
+        outages.absent(&runner.service).contains(&start(runner))
+    }
+
     /// The runners of a service, as far as this process knows.
     pub(crate) fn standing(&self, service: &ServiceId) -> Standing {
         let listed = self.fleet(|fleet| fleet.of(service).len()).unwrap_or(0);
+        let mut silent = self.silent(service);
         let mut outages = lock(&self.outages);
+        let absent = outages.absent(service);
+        silent.retain(|id| absent.iter().all(|(absent, _)| absent != id));
+        let away = absent.len() + silent.len();
         Standing {
-            up: listed.saturating_sub(outages.absent(service).len()),
-            down: outages.down(service, Instant::now()),
+            up: listed.saturating_sub(away),
+            down: outages.down(service, Instant::now()) + silent.len(),
         }
     }
 
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -226,6 +226,19 @@
         self.broadcast(&Frame::Suspicion(suspicion.clone()));
     }
 
+    /// Tells one process of such a request. Where no link comes about it is announced to all once more is
+    /// known of it.
+    pub(crate) async fn send_suspicion<D: Downstream>(
+        &self,
+        relay: &Arc<Relay<D>>,
+        member: &Member,
+        suspicion: Suspicion,
+    ) {
+        if let Some(line) = self.line(relay, member).await {
+            let _ = line.sender.try_send(&Frame::Suspicion(suspicion));
+        }
+    }
+
     /// Tells all linked processes of a runner's limit.
     pub(crate) fn announce_limit(&self, notice: &Notice) {
         self.broadcast(&Frame::Limit(notice.clone()));
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -12,7 +12,7 @@
 use crate::runner::{Runner, RunnerId};
 use crate::serve::{Job, content_name};
 use crate::telemetry::millis;
-use protocol::quarantine::{Merge, Pass, Quarantine, Report};
+use protocol::quarantine::{ANNOUNCED, Merge, Pass, Quarantine, Report};
 use serde::{Deserialize, Serialize};
 use setting::Policy;
 use slog::{info, warn};
@@ -34,6 +34,10 @@
 const RUNNERS_LOOK: Duration = Duration::from_millis(50);
 /// When to come back for runners that have ended: about the time that one takes to start.
 const RUNNERS_RETURN: Duration = Duration::from_secs(1);
+/// Time for which a request waits for a runner until the runner is taken for silent, if nothing comes from
+/// it for anybody; and the same where the request's own time is over.
+pub(crate) const SILENCE: Duration = Duration::from_secs(1);
+const SILENCE_LEAST: Duration = Duration::from_millis(100);
 /// Pause after a row could not be written.
 const PAUSE: Duration = Duration::from_millis(400);
 
@@ -99,15 +103,16 @@
     }
 
     /// Takes in what another process knows of a suspect.
-    pub fn merge_suspicion(&self, report: &Suspicion, origin: &str) {
+    pub fn merge_suspicion(self: &Arc<Self>, report: &Suspicion, origin: &str) {
         let merged = lock(&self.quarantine.known).merge(report, self.now());
         self.take_in(report.content, merged, origin);
     }
 
     /// A runner has answered a request as it should.
-    pub(crate) fn note_served(&self, content: ContentId, runner: &Runner) {
+    pub(crate) fn note_served(self: &Arc<Self>, content: ContentId, runner: &Runner) {
         let merged = {
             let mut known = lock(&self.quarantine.known);
+            known.observed(&start(runner), self.now());
             if known.is_idle() {
                 return;
             }
@@ -120,9 +125,10 @@
     }
 
     /// A runner of a stage has answered a call, after which all is made of what these orders asked for.
-    pub(crate) fn note_made(&self, runner: &Runner, complete: Vec<ContentId>) {
+    pub(crate) fn note_made(self: &Arc<Self>, runner: &Runner, complete: Vec<ContentId>) {
         {
             let mut known = lock(&self.quarantine.known);
+            known.observed(&start(runner), self.now());
             if known.is_idle() {
                 return;
             }
@@ -143,9 +149,87 @@
         read(&lock(&self.quarantine.known))
     }
 
+    /// Something has come from a runner, whatever for.
+    pub(crate) fn note_sign(&self, runner: &Runner, moment: Instant) {
+        let at = self.at(moment);
+        lock(&self.quarantine.known).observed(&start(runner), at);
+    }
+
+    /// Asks runners that are taken for silent under one request whether they live: a runner may be slow for
+    /// that request alone, and have had nothing else to do for this process.
+    fn check_silent(self: &Arc<Self>, report: &Suspicion) {
+        let silent = report.silences.iter();
+        let listed = silent.filter_map(|silence| self.runner(&silence.runner.0));
+        for runner in listed {
+            let relay = self.clone();
+            tokio::spawn(async move {
+                let asked = Instant::now();
+                if relay.downstream.answers(&runner).await {
+                    info!(relay.log, "runner not silent"; "runner" => &*runner.id,
+                        "after_ms" => millis(asked.elapsed()));
+                    relay.note_sign(&runner, Instant::now());
+                }
+            });
+        }
+    }
+
+    /// A request is sent to a runner.
+    pub(crate) fn note_begun(&self, content: ContentId, runner: &Runner) {
+        lock(&self.quarantine.known).begin(content, start(runner));
+    }
+
+    /// A request is in progress at a runner no more.
+    pub(crate) fn note_over(&self, content: ContentId, runner: &Runner) {
+        lock(&self.quarantine.known).over(content, &start(runner));
+    }
+
+    /// A request that was sent to a runner at a moment has waited for so long that the runner is silent if
+    /// nothing has come from it for anybody since.
+    pub(crate) fn note_waited(
+        self: &Arc<Self>,
+        content: ContentId,
+        runner: &Runner,
+        sent: Instant,
+    ) {
+        if sent.elapsed() >= SILENCE_LEAST {
+            self.note_unanswered(content, runner, sent);
+        }
+    }
+
+    /// The answer to a request was lost; the runner may have ended if nothing has come from it since.
+    ///
+    /// Announced to all processes once several runners are silent; before that to the one that adds them
+    /// up, since each attempt of a caller may reach another process.
+    pub(crate) fn note_unanswered(
+        self: &Arc<Self>,
+        content: ContentId,
+        runner: &Runner,
+        sent: Instant,
+    ) {
+        let (sent, now) = (self.at(sent), self.now());
+        let report = {
+            let mut known = lock(&self.quarantine.known);
+            known.waited(content, &start(runner), sent, now)
+        };
+        let Some(report) = report else { return };
+        info!(self.log, "runner silent under a request"; "runner" => &*runner.id,
+            "content" => content_name(content), "silent" => report.silences.len(),
+            "crashes" => report.count, "sent_ago_ms" => millis(now - sent));
+        if is_announced(&report) {
+            self.announce(&report);
+            self.check_silent(&report);
+            return;
+        }
+        let home = self.peers.members(|members| members.owner(&key(content)));
+        if home.id != self.options.member.id {
+            let relay = self.clone();
+            tokio::spawn(async move { relay.peers.send_suspicion(&relay, &home, report).await });
+        }
+    }
+
     /// Passes on what is new, so that it reaches all processes that links lead to, and has the row of
     /// the request follow it.
-    fn take_in(&self, content: ContentId, merged: Merge, origin: &str) {
+    fn take_in(self: &Arc<Self>, content: ContentId, merged: Merge, origin: &str) {
         let Merge::New { was_held, is_held } = merged else {
             return;
         };
@@ -153,8 +237,18 @@
         let Some(report) = report else { return };
         info!(self.log, "suspect"; "content" => content_name(content), "crashes" => report.count,
             "trials" => report.trials, "cleared_ago_ms" => report.cleared.map(millis),
-            "was_held" => was_held, "held" => is_held, "from" => origin);
-        self.announce(&report);
+            "silent" => report.silences.len(), "was_held" => was_held, "held" => is_held,
+            "from" => origin);
+        if is_announced(&report) {
+            self.announce(&report);
+        }
+        let is_home = || {
+            self.peers
+                .members(|members| members.owner(&key(content)).id)
+        };
+        if report.silences.len() >= ANNOUNCED as usize && is_home() == self.options.member.id {
+            self.check_silent(&report);
+        }
         if was_held != is_held && self.order(content) == 0 {
             self.quarantine.rewrite(content);
         }
@@ -193,12 +287,32 @@
     }
 
     fn pass(&self, content: ContentId) -> Pass {
-        if !self.holds_back(content) {
-            return Pass::Free;
+        let now = self.now();
+        // The place is looked up only where it matters.
+        let pass = lock(&self.quarantine.known).pass(content, 0, now);
+        if pass == Pass::Free {
+            return pass;
         }
         let order = self.order(content);
-        lock(&self.quarantine.known).pass(content, order, self.now())
+        lock(&self.quarantine.known).pass(content, order, now)
     }
+
+    /// Runners of a service from which nothing comes, as far as is known.
+    pub(crate) fn silent(&self, service: &str) -> BTreeSet<RunnerId> {
+        let known = lock(&self.quarantine.known);
+        let silent = known.silent_runners(self.now());
+        let listed = |id: &&RunnerId| {
+            let runner = self.runner(id);
+            runner.is_some_and(|runner| *runner.service == *service)
+        };
+        silent.map(|(id, _)| id).filter(listed).cloned().collect()
+    }
+}
+
+/// Whether all processes must know of it: one silent runner may be slow.
+fn is_announced(report: &Suspicion) -> bool {
+    let is_known_by_all = !report.crashes.is_empty() || report.cleared.is_some();
+    is_known_by_all || report.tried.is_some() || report.silences.len() >= ANNOUNCED as usize
 }
 
 /// Whether a request may be worked for.
@@ -272,8 +386,10 @@
         let standing = job.relay.standing(&job.service);
         let (may_run, crashes) = {
             let known = lock(&job.relay.quarantine.known);
-            let crashes = known.crashes(job.content);
-            (standing.bears(crashes), crashes)
+            let now = job.relay.now();
+            let risk = known.risk(job.content, now);
+            let may_spread = known.may_spread(job.content, now);
+            (may_spread && standing.bears(risk), risk)
         };
         let waited = since.elapsed();
         let outcome = match (may_run, waited >= patience) {
@@ -322,7 +438,7 @@
 }
 
 /// Takes in a row of the table of the processes, if it is about a request that is held back.
-pub(crate) fn take<D: Downstream>(relay: &Relay<D>, change: &store::Change) -> bool {
+pub(crate) fn take<D: Downstream>(relay: &Arc<Relay<D>>, change: &store::Change) -> bool {
     let Some(name) = change.key.strip_prefix(PREFIX) else {
         return false;
     };
--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -9,6 +9,7 @@
 use crate::graph::Inputs;
 use crate::memory::Memory;
 use crate::plan::FIRST_RANK;
+use crate::quarantine::SILENCE;
 use crate::request::{Broken, EventId};
 use crate::serve::Job;
 use crate::telemetry::millis;
@@ -78,7 +79,7 @@
     pub async fn run(mut self, flight: Flight<D>, body: D::Body) {
         let (mut flight, mut body) = (flight, body);
         loop {
-            let end = self.pass(&flight, body).await;
+            let end = self.pass(&mut flight, body).await;
             self.log(&flight, &end);
             let elapsed = flight.sent.elapsed();
             let reason = match end {
@@ -102,9 +103,10 @@
         }
     }
 
-    async fn pass(&mut self, flight: &Flight<D>, mut body: D::Body) -> End {
+    async fn pass(&mut self, flight: &mut Flight<D>, mut body: D::Body) -> End {
         let mut splitter = Splitter::default();
         let mut silent_since = Instant::now();
+        let mut is_noted = false;
         self.unread = false;
         loop {
             let part = tokio::select! {
@@ -112,12 +114,18 @@
                 part = body.next() => part,
                 () = self.parts.closed() => return End::Left,
                 () = sleep_until(self.job.deadline) => return End::Late,
+                () = sleep_until(silent_since + SILENCE), if !is_noted => {
+                    is_noted = true;
+                    flight.waited();
+                    continue;
+                }
                 () = sleep_until(silent_since + self.patience()) => {
                     return End::Broken(format!("silent at {}", flight.runner.id));
                 }
             };
             match part {
                 Some(Ok(bytes)) => {
+                    flight.observed();
                     if let Some(end) = self.take(splitter.push(&bytes)).await {
                         return end;
                     }
@@ -128,6 +136,7 @@
             }
             // A pause of the caller is no silence of the runner.
             silent_since = Instant::now();
+            is_noted = false;
         }
     }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -154,6 +154,8 @@
     pub(crate) deadly: Arc<Mutex<Option<Bytes>>>,
     /// Request whose pieces end whatever runner makes them.
     pub(crate) deadly_piece: Arc<Mutex<Option<String>>>,
+    /// Runners that answer nobody.
+    pub(crate) silent: Arc<Mutex<Vec<String>>>,
     /// Runners at whose addresses nothing listens.
     pub(crate) ended: Arc<Mutex<Vec<String>>>,
     /// Whether calls that runners were told nothing about are answered by streams.
@@ -269,7 +271,11 @@
             Act::Lose => Err(Failure::Lost {
                 reason: "reset".to_owned(),
             }),
-            Act::Silent => std::future::pending().await,
+            Act::Silent => {
+                let id = runner.id.to_string();
+                self.silent.lock().expect("no holder panics").push(id);
+                std::future::pending().await
+            }
             Act::Crash => {
                 let mut ended = self.ended.lock().expect("no holder panics");
                 ended.push(runner.id.to_string());
@@ -355,6 +361,11 @@
         ended.iter().any(|id| **id == *runner.id) || self.ward.has_ended(&runner.id)
     }
 
+    async fn answers(&self, runner: &Runner) -> bool {
+        let silent = self.silent.lock().expect("no holder panics");
+        self.ward.is_well(&runner.id) && silent.iter().all(|id| **id != *runner.id)
+    }
+
     fn holder(&self, handle: &Handle) -> Option<SocketAddr> {
         handle.split_once('/')?.0.parse().ok()
     }
