Test: the bound on repeats over a whole fleet, which this code exceeds

Callers see nothing of it; runners that have just lost others get more repeats than the operator allows, which is what the bound is there to prevent.

--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
+pub mod repeats;
 pub mod stage;
 
 /// What the runners of a test are like; times in milliseconds.
