The bound on repeats holds over the whole fleet, by construction

Callers saw nothing.

Cause: each process kept a bound of its own, and those did not add up. It compared its repeats with the requests of the window that ended with its own last repeat, so that no two processes counted the same requests, and the rule's windows were none of them; the oldest step of that window counted whole for requests too; requests of later stages counted from when the stage began; a process that started again got its part of the slack again, one that knew of no others divided by eight, one that joined spent while others had larger parts, and what one that left had spent was spent again by the others; a bound that was raised in one term and lowered in the other let both be spent.

Ruled out: that the loss of relays is the cause.

Now the repeats since any moment are at most half of the share of the requests since one window before that moment, plus the part of the slack. Two windows that follow one another hold at most twice what the larger does, which the rule counts, and what is linear in each process's requests is so in their sum. Parts of the slack are earned: none until a window after the start, or after all that act know a process that joins; none with an old list; by the most processes known within a window.

`Quota::first` takes the moment of arrival.

--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -185,7 +185,8 @@
     let (domain, patience) = place(job, stage, &source, expected + expected_behind);
     let cell = job.relay.cell(&spec.service, domain.as_deref(), patience);
     if round == Round::First {
-        job.relay.count_first(&spec.service, job.pieces(stage));
+        let (arrived, pieces) = (job.request.arrived, job.pieces(stage));
+        job.relay.count_first(&spec.service, arrived, pieces);
     } else if !job.relay.may_repeat(&spec.service) {
         return (stage, cell, Err(Spoiled::Failed));
     }
