--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -194,7 +194,8 @@
         Err(held) => return (stage, cell, Err(held)),
     };
     if round == Round::First {
-        job.relay.count_first(&spec.service, job.pieces(stage));
+        let (arrived, pieces) = (job.request.arrived, job.pieces(stage));
+        job.relay.count_first(&spec.service, arrived, pieces);
     } else if !job.relay.may_repeat(&spec.service) {
         return (stage, cell, Err(Spoiled::Failed));
     }
