--- a/crates/protocol/src/roster.rs
+++ b/crates/protocol/src/roster.rs
@@ -82,17 +82,11 @@
         Some(self.enlisted? + self.most + self.apart)
     }
 
-    /// Whether the names that are known are new enough to act on.
-    #[must_use]
-    pub fn is_current(&self, now: Duration) -> bool {
-        let fresh = |current: Duration| now.saturating_sub(current) <= self.most;
-        self.current.is_some_and(fresh)
-    }
-
     /// Whether the process may act now, if it has a place by the names that it knows.
     #[must_use]
     pub fn acts(&self, now: Duration) -> bool {
         let known = self.settles().is_some_and(|moment| moment <= now);
-        known && self.is_current(now)
+        let fresh = |current: Duration| now.saturating_sub(current) <= self.most;
+        known && self.current.is_some_and(fresh)
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -79,8 +79,7 @@
 /// [`Refusal`], of which only those that say so are given if no runner may have run it.
 pub async fn run<D: Downstream>(job: &Job<D>, mut inputs: Inputs<D>) -> Result<Answer, Refusal> {
     let mut progress = Progress::default();
-    let arrived = job.request.arrived;
-    job.relay.count_first(&job.service, arrived, 1);
+    job.relay.count_first(&job.service, 1);
     loop {
         let sent = send_anew(job, &mut inputs, &mut progress, job.request.resume_after).await;
         let Ok((flight, reply)) = sent else {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -17,7 +17,7 @@
 use crate::telemetry::Telemetry;
 use crate::warmup::Warmups;
 use decide::Map;
-use decide::retry::window::{Bound, Census, Quota};
+use decide::retry::window::{Bound, Quota};
 use decide::route::{Pool, Target};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -112,20 +112,12 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn peers(options: &Options) -> Peers {
-    let peers = Peers::new(options.member.clone(), options.key.clone());
-    if options.first_start {
-        peers.members(|members| members.census = Census::first());
-    }
-    peers
-}
-
 impl<D: Downstream> Relay<D> {
     /// A relay that knows nothing yet.
     #[must_use]
     pub fn new(options: Options, downstream: D, log: Logger, telemetry: Telemetry) -> Arc<Self> {
         Arc::new(Self {
-            peers: peers(&options),
+            peers: Peers::new(options.member.clone(), options.key.clone()),
             pause: Pause::new(options.clock),
             ending: CancellationToken::new(),
             requests: Memory::new(options.memory / BODIES_PART),
@@ -345,30 +337,17 @@
             .collect()
     }
 
-    /// Counts first attempts at a service of a request that came at this moment: one, or those of its
-    /// pieces.
-    pub fn count_first(&self, service: &ServiceId, arrived: Instant, count: u32) {
-        let arrived = self.at(arrived);
-        self.quota(service, |quota| quota.first(arrived, count));
+    /// Counts first attempts at a service: one of a request, or those of its pieces.
+    pub fn count_first(&self, service: &ServiceId, count: u32) {
+        let now = self.now();
+        self.quota(service, |quota| quota.first(now, count));
     }
 
     /// Whether a second attempt may be sent to a service now; if so, it is counted.
     pub fn may_repeat(&self, service: &ServiceId) -> bool {
         let now = self.now();
-        let sharers = self.sharers(now);
-        self.quota(service, |quota| quota.repeat(now, sharers))
-    }
-
-    /// By how many the slack for repeats is divided.
-    fn sharers(&self, now: Duration) -> usize {
-        let reach = lock(&self.repeats).reach();
-        // Nothing ran before the first start of all, and the settings say how many start.
-        let by_settings = self.options.first_start.then_some(self.options.processes);
-        self.peers.members(|members| {
-            let enlisted = members.roster.settles();
-            let by_settings = by_settings.filter(|_| enlisted.is_none());
-            by_settings.unwrap_or_else(|| members.sharers(now, reach))
-        })
+        let processes = self.processes();
+        self.quota(service, |quota| quota.repeat(now, processes))
     }
 
     /// The operator has changed the bound on second attempts.
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -194,8 +194,7 @@
         Err(held) => return (stage, cell, Err(held)),
     };
     if round == Round::First {
-        let (arrived, pieces) = (job.request.arrived, job.pieces(stage));
-        job.relay.count_first(&spec.service, arrived, pieces);
+        job.relay.count_first(&spec.service, job.pieces(stage));
     } else if !job.relay.may_repeat(&spec.service) {
         return (stage, cell, Err(Spoiled::Failed));
     }
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -13,7 +13,6 @@
 use crate::telemetry::millis;
 use decide::Map;
 use decide::owner::{Candidate, choose};
-use decide::retry::window::{Census, NO_PART};
 use decide::subset::{self, rank};
 use decide::warmup::Share;
 use protocol::roster::Roster;
@@ -53,8 +52,6 @@
 /// Processes from which on a few read the tables for all: fewer would ask the table service as often
 /// when each reads for itself.
 const SHARED_FROM: usize = 12;
-/// Time after which processes that start with the whole system know one another.
-const FIRST_LIST: Duration = Duration::from_secs(4);
 /// Longest wait of a start for the first list of the processes.
 const LIST_WAIT: Duration = Duration::from_secs(1);
 /// Mean time between two processes that write their rows again.
@@ -104,8 +101,6 @@
     leaving: bool,
     /// Whether this process takes part in work that only so many may do at a time.
     pub(crate) roster: Roster,
-    /// Whether this process has a part of the slack for repeats, and which.
-    pub(crate) census: Census,
 }
 
 impl Members {
@@ -123,7 +118,6 @@
             listed: false,
             leaving: false,
             roster: Roster::new(ROSTER_AGE, ROSTER_APART),
-            census: Census::default(),
         }
     }
 
@@ -182,21 +176,6 @@
         self.roster.enlisted(now);
     }
 
-    /// By how many the slack for repeats is divided, where spending reaches so far back.
-    pub(crate) fn sharers(&mut self, now: Duration, reach: Duration) -> usize {
-        if !self.roster.is_current(now) {
-            return NO_PART;
-        }
-        self.census.sharers(now, reach)
-    }
-
-    /// The rows have been read up to now.
-    fn note_count(&mut self, now: Duration) {
-        if let Some(count) = self.count() {
-            self.census.counted(now, count);
-        }
-    }
-
     /// When a row of this name was first written, by the table service's clock, and whether that is so
     /// long ago that all processes know of it.
     fn since(&self) -> (Option<Duration>, bool) {
@@ -343,10 +322,6 @@
         if is_settled {
             members.roster.settle();
         }
-        let first_list = relay.now() + FIRST_LIST;
-        let is_first = relay.options.first_start;
-        let known = members.roster.settles().filter(|_| !is_first);
-        members.census.known(known.unwrap_or(first_list));
     });
     relay.peers.note_enlisted();
     loop {
@@ -433,7 +408,6 @@
             }
             members.clock = members.clock.or(changes.clock);
             members.listed();
-            members.note_count(relay.now());
             members.roster.read(follower.current());
         });
         relay.peers.note_read();
