Review: what other losses hide, provisional losses, answers that say nothing of silence

From a reading by somebody who had not seen the earlier tries, and tests that failed on the merged code: a second lost answer at a runner that another one had shown to have ended blamed nobody until the list said so; a wait that was noted moved the end of its runner and excused what ended it; refusals, withdrawn calls and lost answers of runners that live were taken for silence, so that a service of two runners repeated no lost answer (answer_lost_safe, budget_spent failed); suspects went to runners that are absent.

Tests of protocol and relay: 48 binaries pass, none fails.

--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -103,6 +103,7 @@
     /// Something has come from a runner, whatever for.
     pub fn observed(&mut self, runner: &R, now: Duration) {
         self.silences.observe(runner, now + OFFSET);
+        self.losses.observe(runner);
     }
 
     /// A request has waited for a runner for so long that it is taken for silent if nothing has come from
@@ -118,7 +119,17 @@
             return None;
         }
         // Should it turn out to have ended, the request was there.
-        self.lost(content, runner.clone(), sent, now);
+        let span = Span {
+            sent: sent + OFFSET,
+            lost: now + OFFSET,
+        };
+        self.losses.note(Loss {
+            content,
+            runner: runner.clone(),
+            span,
+            isolated: false,
+            provisional: true,
+        });
         let (sent, now) = (sent + OFFSET, now + OFFSET);
         let new = self.silences.note(content, runner, sent, now, now);
         new.then(|| self.report_at(content, now))
@@ -187,6 +198,7 @@
             runner,
             span,
             isolated,
+            provisional: false,
         });
     }
 
--- a/crates/protocol/src/quarantine/loss.rs
+++ b/crates/protocol/src/quarantine/loss.rs
@@ -19,6 +19,8 @@
     pub(super) span: Span,
     /// Whether the runner had nothing to do but requests under which others had ended before.
     pub(super) isolated: bool,
+    /// Whether the answer may still come.
+    pub(super) provisional: bool,
 }
 
 /// Those of all runners.
@@ -54,7 +56,10 @@
             .partition(|loss| loss.runner == *runner);
         self.0 = losses;
         let end = end_of(&under);
-        under.retain(|loss| end.is_some_and(|end| loss.span.sent <= end && end <= loss.span.lost));
+        under.retain(|loss| {
+            let was_there = |end| loss.provisional || end <= loss.span.lost;
+            end.is_some_and(|end| loss.span.sent <= end && was_there(end))
+        });
         under
     }
 
@@ -63,6 +68,12 @@
         self.0.retain(|loss| loss.runner != *runner);
     }
 
+    /// Something has come from the runner: what waits for an answer there may still get it.
+    pub(super) fn observe(&mut self, runner: &R) {
+        self.0
+            .retain(|loss| !loss.provisional || loss.runner != *runner);
+    }
+
     /// The request has been answered.
     pub(super) fn forget_of(&mut self, content: ContentId) {
         self.0.retain(|loss| loss.content != content);
@@ -78,7 +89,10 @@
         .filter(worked)
         .map(|loss| loss.span.sent)
         .max();
-    let lost = losses.iter().map(|loss| loss.span.lost);
+    let is_final = |loss: &&Loss<R>| !loss.provisional;
+    let has_final = losses.iter().any(|loss| is_final(&loss));
+    let lost = losses.iter().filter(|loss| !has_final || is_final(loss));
+    let lost = lost.map(|loss| loss.span.lost);
     lost.filter(|lost| lived.is_none_or(|lived| *lost > lived))
         .min()
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -210,6 +210,7 @@
             // Nothing was sent: neither a try nor a refusal.
             if *reason == NotRun::Withdrawn {
                 progress.tried.pop();
+                flight.returned();
                 return;
             }
             progress.refused += 1;
@@ -217,7 +218,7 @@
                 NotRun::Unreachable { .. } => flight.unreachable().await,
                 NotRun::Replaced => flight.failed(),
                 // A full runner is not a faulty one.
-                _ => {}
+                _ => flight.returned(),
             }
         }
     }
--- a/crates/relay/src/attempt/flight.rs
+++ b/crates/relay/src/attempt/flight.rs
@@ -129,13 +129,14 @@
         self.relay
             .note_lost(self.content, &self.runner, self.sent, isolated);
         outage::probe_briefly(&self.relay, &self.runner).await;
-        if self.relay.is_open(&self.runner) && !self.relay.is_absent(&self.runner) {
-            self.relay
-                .note_unanswered(self.content, &self.runner, self.sent);
-        }
         self.failed();
     }
 
+    /// The call has not run, and says nothing against the runner.
+    pub(super) fn returned(mut self) {
+        self.sign = Instant::now();
+    }
+
     /// No connection to the runner came about.
     pub(super) async fn unreachable(self) {
         outage::probe_briefly(&self.relay, &self.runner).await;
--- a/crates/relay/src/batch/suspect.rs
+++ b/crates/relay/src/batch/suspect.rs
@@ -44,22 +44,20 @@
         return;
     }
     let is_unreached = |reason: &NotRun| matches!(reason, NotRun::Unreachable { .. });
+    let is_silent = begun.elapsed() >= launch.patience();
     match failure {
         Failure::Lost { .. } => {
             for content in &launch.contents {
                 relay.note_lost(*content, &launch.runner, begun, launch.isolated);
+                if is_silent {
+                    relay.note_waited(*content, &launch.runner, begun);
+                }
             }
         }
         Failure::NotRun { reason } if is_unreached(reason) => {}
         Failure::NotRun { .. } => return,
     }
     outage::probe_briefly(relay, &launch.runner).await;
-    let is_lost = matches!(failure, Failure::Lost { .. });
-    if is_lost && relay.is_open(&launch.runner) && !relay.is_absent(&launch.runner) {
-        for content in &launch.contents {
-            relay.note_unanswered(*content, &launch.runner, begun);
-        }
-    }
 }
 
 impl State {
@@ -160,8 +158,11 @@
             self.give_up(relay, ticket, standing);
         }
         let runners = self.places.len();
-        let silent = relay.silent(service);
-        let sound = |index: &&usize| !silent.contains(&self.places[**index].runner.id);
+        let (silent, absent) = (relay.silent(service), relay.absent(service));
+        let sound = |index: &&usize| {
+            let id = &self.places[**index].runner.id;
+            !silent.contains(id) && !absent.contains(id)
+        };
         let sound: Vec<usize> = places.iter().filter(sound).copied().collect();
         sound.into_iter().find_map(|index| {
             let room = self.places[index].room(batches, now);
--- a/crates/relay/src/outage.rs
+++ b/crates/relay/src/outage.rs
@@ -158,10 +158,16 @@
 /// The same, but waits for the outcome only for a moment: it takes a round trip, and goes on where a runner
 /// that is silent has not answered by then.
 pub(crate) async fn probe_briefly<D: Downstream>(relay: &Arc<Relay<D>>, runner: &Arc<Runner>) {
-    let (relay, runner) = (relay.clone(), runner.clone());
-    let probing = tokio::spawn(async move { probe(&relay, &runner).await });
+    let probing = {
+        let (relay, runner) = (relay.clone(), runner.clone());
+        tokio::spawn(async move { probe(&relay, &runner).await })
+    };
     // Whether it has ended shows in what is known of the runner.
     let _ = timeout(PROBE, probing).await;
+    if relay.is_absent(runner) {
+        // Found by another loss there, maybe before this one was noted.
+        relay.note_ended(runner);
+    }
 }
 
 /// Looks whether runners have ended that another process names as having done so lately: each process
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -185,27 +185,18 @@
 
     /// A request that was sent to a runner at a moment has waited for so long that the runner is silent if
     /// nothing has come from it for anybody since.
-    pub(crate) fn note_waited(
-        self: &Arc<Self>,
-        content: ContentId,
-        runner: &Runner,
-        sent: Instant,
-    ) {
-        if sent.elapsed() >= SILENCE_LEAST {
-            self.note_unanswered(content, runner, sent);
-        }
-    }
-
-    /// The answer to a request was lost; the runner may have ended if nothing has come from it since.
     ///
     /// Announced to all processes once several runners are silent; before that to the one that adds them
     /// up, since each attempt of a caller may reach another process.
-    pub(crate) fn note_unanswered(
+    pub(crate) fn note_waited(
         self: &Arc<Self>,
         content: ContentId,
         runner: &Runner,
         sent: Instant,
     ) {
+        if sent.elapsed() < SILENCE_LEAST {
+            return;
+        }
         let (sent, now) = (self.at(sent), self.now());
         let report = {
             let mut known = lock(&self.quarantine.known);
@@ -301,18 +292,18 @@
     pub(crate) fn silent(&self, service: &str) -> BTreeSet<RunnerId> {
         let known = lock(&self.quarantine.known);
         let silent = known.silent_runners(self.now());
-        let listed = |id: &&RunnerId| {
+        let listed = |(id, started): &&Start| {
             let runner = self.runner(id);
-            runner.is_some_and(|runner| *runner.service == *service)
+            runner.is_some_and(|runner| *runner.service == *service && runner.started == *started)
         };
-        silent.map(|(id, _)| id).filter(listed).cloned().collect()
+        silent.filter(listed).map(|(id, _)| id.clone()).collect()
     }
 }
 
 /// Whether all processes must know of it: one silent runner may be slow.
 fn is_announced(report: &Suspicion) -> bool {
-    let is_known_by_all = !report.crashes.is_empty() || report.cleared.is_some();
-    is_known_by_all || report.tried.is_some() || report.silences.len() >= ANNOUNCED as usize
+    let concerns_all = !report.crashes.is_empty() || report.cleared.is_some();
+    concerns_all || report.tried.is_some() || report.silences.len() >= ANNOUNCED as usize
 }
 
 /// Whether a request may be worked for.
@@ -387,7 +378,11 @@
         let (may_run, crashes) = {
             let known = lock(&job.relay.quarantine.known);
             let now = job.relay.now();
-            let risk = known.risk(job.content, now);
+            let risk = match known.risk(job.content, now) {
+                // A single answer was lost, or is late, at a runner that may live.
+                risk if risk < ANNOUNCED && known.crashes(job.content) == 0 => 0,
+                risk => risk,
+            };
             let may_spread = known.may_spread(job.content, now);
             (may_spread && standing.bears(risk), risk)
         };
