--- /dev/null
+++ b/crates/decide/tests/isolated_suspects.rs
@@ -0,0 +1,97 @@
+//! Groups under which runners have ended, in calls of their own.
+
+use decide::batch::{Group, Isolation, Portion, Space, Suspect};
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Runners of the cell.
+const RUNNERS: usize = 8;
+const SPACE: Space = Space {
+    pieces: 16,
+    room: 1_000,
+};
+
+fn suspect(ticket: u64, content: u64, crashes: u32) -> Suspect {
+    Suspect {
+        group: Group {
+            ticket,
+            pieces: 1,
+            result: 10,
+            due: SECOND,
+            last: SECOND * 4,
+            rank: 0,
+            domain: None,
+            since: Duration::ZERO,
+            patience: Duration::ZERO,
+        },
+        content,
+        crashes,
+        company: 4,
+        since: Duration::ZERO,
+    }
+}
+
+fn isolation(suspects: impl IntoIterator<Item = Suspect>) -> Isolation {
+    let mut isolation = Isolation::default();
+    suspects
+        .into_iter()
+        .for_each(|suspect| isolation.push(suspect));
+    isolation
+}
+
+/// Suspects of each call that may start now.
+fn calls(isolation: &mut Isolation, runners: usize, may_run: fn(u32) -> bool) -> Vec<usize> {
+    let take = || isolation.take(runners, SPACE, may_run);
+    let calls = std::iter::repeat_with(take).take_while(|call: &Vec<Portion>| !call.is_empty());
+    calls.map(|call| call.len()).collect()
+}
+
+/// Guards against a poison request that goes on to share its calls with all others that it met once.
+#[test]
+fn halves_share() {
+    let mut isolation = isolation((0..8).map(|number| suspect(number, number, 1)));
+    assert_eq!(calls(&mut isolation, RUNNERS, |_| true), [4, 4]);
+}
+
+/// Guards against a poison request that cannot be told from those that shared its second call.
+#[test]
+fn alone_later() {
+    let mut isolation = isolation((0..4).map(|number| suspect(number, number, 2)));
+    assert_eq!(calls(&mut isolation, RUNNERS, |_| true), [1, 1, 1, 1]);
+}
+
+/// Guards against attempts of one poison request that end several runners at a time.
+#[test]
+fn one_runner_each() {
+    let mut isolation = isolation((0..4).map(|number| suspect(number, 7, 1)));
+    assert_eq!(calls(&mut isolation, RUNNERS, |_| true), [1]);
+    isolation.ended(&[7]);
+    assert_eq!(calls(&mut isolation, RUNNERS, |_| true), [1]);
+}
+
+/// Guards against suspects that take all runners of a cell.
+#[test]
+fn half_of_runners() {
+    let mut isolation = isolation((0..8).map(|number| suspect(number, number, 2)));
+    assert_eq!(calls(&mut isolation, 3, |_| true).len(), 2);
+    isolation.ended(&[0]);
+    assert_eq!(calls(&mut isolation, 3, |_| true).len(), 1);
+}
+
+/// Guards against suspects that end the last runner which stands, and that wait for others in vain.
+#[test]
+fn waits_for_runners() {
+    let mut isolation = isolation([suspect(1, 1, 1), suspect(2, 2, 2)]);
+    assert_eq!(calls(&mut isolation, RUNNERS, |crashes| crashes < 2), [1]);
+    assert_eq!(isolation.give_up(SECOND, |crashes| crashes < 2), []);
+    assert_eq!(isolation.give_up(SECOND * 2, |crashes| crashes < 2), [2]);
+    assert!(isolation.is_empty());
+}
+
+/// Guards against pieces that are made although their request's time is over.
+#[test]
+fn too_late() {
+    let mut isolation = isolation([suspect(1, 1, 1)]);
+    assert_eq!(isolation.expire(SECOND * 3, SECOND), []);
+    assert_eq!(isolation.expire(SECOND * 4, SECOND), [1]);
+}
