--- a/crates/ctl/tests/piece_soak.rs
+++ b/crates/ctl/tests/piece_soak.rs
@@ -40,6 +40,6 @@
 
 /// Guards against two such requests that are taken for one another, or for those beside them.
 #[test]
-fn two_at_once() {
+fn two_deadly_pieces() {
     served(2, 0, 4, TWO);
 }
--- a/crates/decide/tests/repeat_bound.rs
+++ b/crates/decide/tests/repeat_bound.rs
@@ -157,7 +157,7 @@
 
 /// Guards against more repeats at a service than the bound of the whole fleet, in any window.
 #[test]
-fn bound_kept() {
+fn fleet_repeats_bounded() {
     let verdict = Verdict::of::<Shipped>(terms());
     verdict.print("shipped");
     assert!(verdict.broken.is_empty(), "{:?}", verdict.broken);
--- a/crates/protocol/tests/silent_runners.rs
+++ b/crates/protocol/tests/silent_runners.rs
@@ -67,6 +67,16 @@
     assert_eq!(other.merge(&cleared, SECOND * 3), Merge::Known);
     assert_eq!(other.merge(&report, SECOND * 3), Merge::Known);
     assert_eq!(other.exposure(7, SECOND * 3), 0);
+    // One that learns of the answer first.
+    let mut newcomer = Known::default();
+    newcomer.merge(
+        &Report {
+            silences: Vec::new(),
+            ..cleared
+        },
+        SECOND * 3,
+    );
+    assert_eq!(newcomer.merge(&report, SECOND * 3), Merge::Known);
 }
 
 /// Guards against the blame of requests that came to a runner which another one had silenced.
@@ -107,7 +117,7 @@
 fn wait_then_crash() {
     let mut known = Known::default();
     known.waited(8, &"a", Duration::ZERO, SECOND);
-    known.lost(7, "a", SECOND * 2, SECOND * 3);
+    known.lost(7, "a", SECOND * 3 - SECOND / 10, SECOND * 3);
     let reports = known.ended(&"a", SECOND * 3);
     assert!(reports.iter().any(|report| report.content == 7));
 }
