--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -12,6 +12,7 @@
 //! add up by runner, the latest whole answer voids all crashes before it, and the latest trial counts.
 //! Merging the same state again changes nothing.
 
+mod exposure;
 mod loss;
 mod report;
 mod silence;
@@ -100,77 +101,6 @@
         self.live > 0 || !self.silences.is_empty()
     }
 
-    /// Something has come from a runner, whatever for.
-    pub fn observed(&mut self, runner: &R, now: Duration) {
-        self.silences.observe(runner, now + OFFSET);
-        self.losses.observe(runner);
-    }
-
-    /// A request has waited for a runner for so long that it is taken for silent if nothing has come from
-    /// it for anybody since the request was sent. Gives what the others must be told.
-    pub fn waited(
-        &mut self,
-        content: ContentId,
-        runner: &R,
-        sent: Duration,
-        now: Duration,
-    ) -> Option<Report<R>> {
-        if !self.silences.is_silent(runner, sent + OFFSET) {
-            return None;
-        }
-        // Should it turn out to have ended, the request was there.
-        let span = Span {
-            sent: sent + OFFSET,
-            lost: now + OFFSET,
-        };
-        self.losses.note(Loss {
-            content,
-            runner: runner.clone(),
-            span,
-            isolated: false,
-            provisional: true,
-        });
-        let (sent, now) = (sent + OFFSET, now + OFFSET);
-        let new = self.silences.note(content, runner, sent, now, now);
-        new.then(|| self.report_at(content, now))
-    }
-
-    /// Runners that hold a request unanswered, and from which nothing has come since.
-    #[must_use]
-    pub fn exposure(&self, content: ContentId, now: Duration) -> u32 {
-        self.silences.count(content, now + OFFSET)
-    }
-
-    /// Runners that have ended under a request, and those that may have.
-    #[must_use]
-    pub fn risk(&self, content: ContentId, now: Duration) -> u32 {
-        self.crashes(content) + self.exposure(content, now)
-    }
-
-    /// A request is sent to a runner; [`Quarantine::over`] follows.
-    pub fn begin(&mut self, content: ContentId, runner: R) {
-        self.silences.begin(content, runner);
-    }
-
-    /// A request is in progress at a runner no more.
-    pub fn over(&mut self, content: ContentId, runner: &R) {
-        self.silences.end(content, runner);
-    }
-
-    /// Whether a request may be sent to one more runner beside those at which it is in progress: one that
-    /// nothing speaks against, or of which few runners are at risk.
-    #[must_use]
-    pub fn may_spread(&self, content: ContentId, now: Duration) -> bool {
-        let risk = self.risk(content, now);
-        let open = || self.silences.open(content, now + OFFSET);
-        risk == 0 || risk >= CRASHES || risk + open() < CRASHES
-    }
-
-    /// Runners that are silent, some more than once.
-    pub fn silent_runners(&self, now: Duration) -> impl Iterator<Item = &R> {
-        self.silences.runners(now + OFFSET)
-    }
-
     /// The answer to a request was lost that had been sent to a runner at a moment.
     pub fn lost(&mut self, content: ContentId, runner: R, sent: Duration, now: Duration) {
         self.note_loss(content, runner, sent, now, false);
@@ -263,29 +193,6 @@
         })
     }
 
-    /// Takes in which runners are silent; tells whether some were not known to be.
-    fn take_silences(&mut self, report: &Report<R>, now: Duration) -> bool {
-        let now = now + OFFSET;
-        let at = |ago: Duration| now.saturating_sub(ago);
-        let known = self.suspects.get(&report.content);
-        let known = known.and_then(|suspect| suspect.cleared);
-        let cleared = report.cleared.map(at).max(known);
-        if let Some(cleared) = cleared {
-            self.silences.clear(report.content, cleared);
-        }
-        let mut new = false;
-        for silence in &report.silences {
-            let (sent, noted) = (at(silence.sent), at(silence.noted));
-            if cleared.is_some_and(|cleared| sent <= cleared) {
-                continue;
-            }
-            new |= self
-                .silences
-                .note(report.content, &silence.runner, sent, noted, now);
-        }
-        new
-    }
-
     /// Takes in crashes that were kept without the names of their runners.
     pub fn restore(&mut self, content: ContentId, count: u32, now: Duration) -> Merge {
         self.change(content, now, |suspect, _, now| suspect.keep(count, now))
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -4,6 +4,10 @@
 //! table of the processes once a request is held back: one that starts later, or that no link leads
 //! to, reads it there.
 
+mod silence;
+
+pub(crate) use silence::SILENCE;
+
 use crate::batch::Spoiled;
 use crate::core::{Relay, lock};
 use crate::downstream::Downstream;
@@ -34,10 +38,6 @@
 const RUNNERS_LOOK: Duration = Duration::from_millis(50);
 /// When to come back for runners that have ended: about the time that one takes to start.
 const RUNNERS_RETURN: Duration = Duration::from_secs(1);
-/// Time for which a request waits for a runner until the runner is taken for silent, if nothing comes from
-/// it for anybody; and the same where the request's own time is over.
-pub(crate) const SILENCE: Duration = Duration::from_secs(1);
-const SILENCE_LEAST: Duration = Duration::from_millis(100);
 /// Pause after a row could not be written.
 const PAUSE: Duration = Duration::from_millis(400);
 
@@ -149,75 +149,6 @@
         read(&lock(&self.quarantine.known))
     }
 
-    /// Something has come from a runner, whatever for.
-    pub(crate) fn note_sign(&self, runner: &Runner, moment: Instant) {
-        let at = self.at(moment);
-        lock(&self.quarantine.known).observed(&start(runner), at);
-    }
-
-    /// Asks runners that are taken for silent under one request whether they live: a runner may be slow for
-    /// that request alone, and have had nothing else to do for this process.
-    fn check_silent(self: &Arc<Self>, report: &Suspicion) {
-        let silent = report.silences.iter();
-        let listed = silent.filter_map(|silence| self.runner(&silence.runner.0));
-        for runner in listed {
-            let relay = self.clone();
-            tokio::spawn(async move {
-                let asked = Instant::now();
-                if relay.downstream.answers(&runner).await {
-                    info!(relay.log, "runner not silent"; "runner" => &*runner.id,
-                        "after_ms" => millis(asked.elapsed()));
-                    relay.note_sign(&runner, Instant::now());
-                }
-            });
-        }
-    }
-
-    /// A request is sent to a runner.
-    pub(crate) fn note_begun(&self, content: ContentId, runner: &Runner) {
-        lock(&self.quarantine.known).begin(content, start(runner));
-    }
-
-    /// A request is in progress at a runner no more.
-    pub(crate) fn note_over(&self, content: ContentId, runner: &Runner) {
-        lock(&self.quarantine.known).over(content, &start(runner));
-    }
-
-    /// A request that was sent to a runner at a moment has waited for so long that the runner is silent if
-    /// nothing has come from it for anybody since.
-    ///
-    /// Announced to all processes once several runners are silent; before that to the one that adds them
-    /// up, since each attempt of a caller may reach another process.
-    pub(crate) fn note_waited(
-        self: &Arc<Self>,
-        content: ContentId,
-        runner: &Runner,
-        sent: Instant,
-    ) {
-        if sent.elapsed() < SILENCE_LEAST {
-            return;
-        }
-        let (sent, now) = (self.at(sent), self.now());
-        let report = {
-            let mut known = lock(&self.quarantine.known);
-            known.waited(content, &start(runner), sent, now)
-        };
-        let Some(report) = report else { return };
-        info!(self.log, "runner silent under a request"; "runner" => &*runner.id,
-            "content" => content_name(content), "silent" => report.silences.len(),
-            "crashes" => report.count, "sent_ago_ms" => millis(now - sent));
-        if is_announced(&report) {
-            self.announce(&report);
-            self.check_silent(&report);
-            return;
-        }
-        let home = self.peers.members(|members| members.owner(&key(content)));
-        if home.id != self.options.member.id {
-            let relay = self.clone();
-            tokio::spawn(async move { relay.peers.send_suspicion(&relay, &home, report).await });
-        }
-    }
-
     /// Passes on what is new, so that it reaches all processes that links lead to, and has the row of
     /// the request follow it.
     fn take_in(self: &Arc<Self>, content: ContentId, merged: Merge, origin: &str) {
@@ -287,17 +218,6 @@
         let order = self.order(content);
         lock(&self.quarantine.known).pass(content, order, now)
     }
-
-    /// Runners of a service from which nothing comes, as far as is known.
-    pub(crate) fn silent(&self, service: &str) -> BTreeSet<RunnerId> {
-        let known = lock(&self.quarantine.known);
-        let silent = known.silent_runners(self.now());
-        let listed = |(id, started): &&Start| {
-            let runner = self.runner(id);
-            runner.is_some_and(|runner| *runner.service == *service && runner.started == *started)
-        };
-        silent.filter(listed).map(|(id, _)| id.clone()).collect()
-    }
 }
 
 /// Whether all processes must know of it: one silent runner may be slow.
