--- a/crates/ctl/src/torture/relays/demand.rs
+++ b/crates/ctl/src/torture/relays/demand.rs
@@ -33,7 +33,7 @@
 /// Bodies of requests beside those that end or silence runners.
 pub const OTHER_BODIES: [&str; 4] = ["a", "b", "c", "d"];
 /// Time between two attempts of a request that ends or silences runners.
-const AGAIN: Duration = Duration::from_millis(400);
+const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 /// Time before the first attempt whose pieces end runners, so that calls carry those of others as well.
 const OTHERS_FIRST: Duration = Duration::from_secs(2);
 /// Kinds that need no links between relays.
@@ -138,7 +138,7 @@
             callers.spawn(send_one(*entry, ask(turn)));
         }
         turn += 1;
-        sleep(AGAIN).await;
+        sleep(RETRY_INTERVAL).await;
     }
     callers.join_all().await
 }
@@ -147,7 +147,7 @@
 pub async fn pieces(world: Arc<World>, requests: usize, stage: usize, time: Duration) -> Vec<Word> {
     let mut callers = JoinSet::new();
     for (request, body) in DEADLY.into_iter().enumerate().take(requests) {
-        let first = OTHERS_FIRST + AGAIN * request as u32 / requests as u32;
+        let first = OTHERS_FIRST + RETRY_INTERVAL * request as u32 / requests as u32;
         let ask = move |turn| usual(deadly(request, stage, turn), Kind::Staged, body);
         callers.spawn(repeat(world.clone(), first, time, ask));
     }
--- a/crates/protocol/src/quarantine/silence.rs
+++ b/crates/protocol/src/quarantine/silence.rs
@@ -107,11 +107,11 @@
         now: Moment,
     ) -> bool {
         self.expire(now);
-        let is_same = |held: &&Held<R>| {
+        let is_same = |held: &Held<R>| {
             let is_later = sent > held.sent + TOLERANCE;
             held.content == content && held.runner == *runner && !is_later
         };
-        let is_known = self.held.iter().any(|held| is_same(&held));
+        let is_known = self.held.iter().any(is_same);
         if noted + TTL < now || is_known || !self.is_silent(runner, sent) {
             return false;
         }
--- a/crates/protocol/tests/silent_runners.rs
+++ b/crates/protocol/tests/silent_runners.rs
@@ -50,9 +50,9 @@
     assert_eq!(known.exposure(7, SECOND * 3), 0);
 }
 
-/// Guards against reports that processes tell one another without end.
+/// Guards against reports that processes announce to one another without end.
 #[test]
-fn told_once() {
+fn announced_once() {
     let mut known = Known::default();
     let report = waited(&mut known, &RUNNERS).expect("new");
     let mut other = Known::default();
--- a/crates/relay/src/quarantine/silence.rs
+++ b/crates/relay/src/quarantine/silence.rs
@@ -14,8 +14,9 @@
 use tokio::time::Instant;
 
 /// Time for which a request waits for a runner until the runner is taken for silent, if nothing comes from
-/// it for anybody; and the same where the request's own time is over.
+/// it for anybody.
 pub(crate) const SILENCE: Duration = Duration::from_secs(1);
+/// The same, at least, where the request's own time is over or its caller has left.
 const SILENCE_LEAST: Duration = Duration::from_millis(100);
 
 impl<D: Downstream> Relay<D> {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -386,10 +386,15 @@
 }
 
 fn member() -> Member {
+    member_at("relay-1", SocketAddr::from(([127, 0, 0, 1], 1)))
+}
+
+/// A process in its first start.
+pub(crate) fn member_at(id: &str, address: SocketAddr) -> Member {
     Member {
-        id: "relay-1".into(),
+        id: id.into(),
         incarnation: 1,
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        address,
         weight: 1.0,
         domain: "a".into(),
         since: None,
--- a/crates/relay/tests/peer_orders.rs
+++ b/crates/relay/tests/peer_orders.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Act, End, Fake, blank, body, plan, request, runner};
+use common::{Act, End, Fake, blank, body, member_at, plan, request, runner};
 use relay::batch::Cell;
 use relay::downstream::Handle;
 use relay::member::Member;
@@ -33,14 +33,7 @@
     let fake = Fake::doing(events);
     let any = "127.0.0.1:0".parse().expect("an address");
     let listener = Listener::bind(any, Key::new("key")).await.expect("bound");
-    let member = Member {
-        id: id.into(),
-        incarnation: 1,
-        address: listener.address().expect("bound"),
-        weight: 1.0,
-        domain: "a".into(),
-        since: None,
-    };
+    let member = member_at(id, listener.address().expect("bound"));
     let relay = common::blank_as(fake.clone(), member.clone());
     relay.adopt(plan(1));
     let runners = [("p-1", "plain"), ("s-1", "stage"), ("s-2", "stage")];
--- a/crates/relay/tests/poison_linked.rs
+++ b/crates/relay/tests/poison_linked.rs
@@ -43,7 +43,7 @@
 /// Guards against a relay that admits a request which has ended three runners, as another relay knows that
 /// forms the calls.
 #[tokio::test(start_paused = true)]
-async fn told_to_admitting() {
+async fn announced_to_admitting() {
     let (admitting, owner) = harmed(Spot::Stage(0), Effect::Ends, STAGE, None).await;
     let innocent = |number: usize| asking(&format!("one-{number}"), "one");
     let (_, served) = tokio::join!(
