Admission lines name the shared parts of a request's prompt

The log could not tell whether requests that crash runners one after the other have a part in common: the content hash covers host, path, workspace and body, and no line named the parts. Each part now has a content id of its own, whatever precedes it in a prompt; routing goes on to use the hashes of whole prefixes, which are the same as before. cargo check of relay and platform with tests.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -88,6 +88,22 @@
     foldhash::quality::FixedState::default().hash_one((content, stage))
 }
 
+/// Content id of a prompt part. A part may crash the runners of every request that contains it,
+/// whatever else the request holds.
+///
+/// # Examples
+///
+/// ```
+/// use relay::request::part_content;
+///
+/// assert_eq!(part_content("5c1e07a2"), part_content("5c1e07a2"));
+/// assert_ne!(part_content("5c1e07a2"), part_content("91bd3f06"));
+/// ```
+#[must_use]
+pub fn part_content(id: &str) -> ContentId {
+    foldhash::quality::FixedState::default().hash_one(("part", id))
+}
+
 /// The part of a request that is forwarded unchanged.
 #[derive(Clone, Debug)]
 pub struct Message {
@@ -110,6 +126,8 @@
     pub output: u32,
     /// Prompt parts shared with other requests, in order.
     pub shared: Vec<PromptPart>,
+    /// Content ids of these parts. Each identifies one part alone, whatever precedes it.
+    pub part_contents: Vec<ContentId>,
 }
 
 impl Prompt {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -166,7 +166,7 @@
     let admitted = expected <= left || job.relay.options.policy.admission == Policy::Naive;
     let on_time = job.due.saturating_duration_since(Instant::now());
     info!(job.relay.log, "admission"; "request" => &*job.request.id,
-        "content" => content_name(job.content),
+        "content" => content_name(job.content), "parts" => part_names(job),
         "workspace" => job.workspace.as_ref().map(|workspace| workspace.name.to_string()),
         "rank" => job.rank, "comes_back" => job.is_retry, "expected_ms" => millis(expected),
         "left_ms" => millis(left),
@@ -186,6 +186,12 @@
     format!("{content:016x}")
 }
 
+/// Formats the content ids of a request's shared prompt parts for logs.
+fn part_names<D: Downstream>(job: &Job<D>) -> String {
+    let names = job.parts().iter().copied().map(content_name);
+    names.collect::<Vec<_>>().join(",")
+}
+
 fn retry_after_overload<D: Downstream>(job: &Job<D>) -> Duration {
     (job.remaining() / RETRY_TIME_DIVISOR).max(RETRY_AFTER_TRANSIENT)
 }
@@ -226,6 +232,12 @@
         request::stage_content(self.content, stage)
     }
 
+    /// Content ids of the request's shared prompt parts.
+    pub(crate) fn parts(&self) -> &[ContentId] {
+        let prompt = self.request.prompt.as_ref();
+        prompt.map_or(&[], |prompt| &prompt.part_contents)
+    }
+
     /// Content ids of the request itself and of each of its stages.
     pub(crate) fn contents(&self) -> impl Iterator<Item = ContentId> + '_ {
         let stages = (0..self.route.stages.len()).filter(|&stage| self.pieces(stage) > 0);
