--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -110,6 +110,8 @@
             requests: 2,
             stage: 0,
         }),
+        "part-stream" => Some(Scenario::Part(Kind::Stream)),
+        "part-once" => Some(Scenario::Part(Kind::Once)),
         "silence-stream" => Some(Scenario::Silence(Kind::Stream)),
         "silence-safe" => Some(Scenario::Silence(Kind::Safe)),
         "silence-unsafe" => Some(Scenario::Silence(Kind::Unsafe)),
@@ -147,7 +149,7 @@
             "",
             "only",
             "harness, proofreading, relays, engines, poison, crowd-stream, crowd-safe, crowd-unsafe, \
-             piece-none, piece, piece-second, piece-two, silence-stream, silence-safe, silence-unsafe, limit \
+             piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, silence-safe, silence-unsafe, limit \
              or restore; the first three if not given",
             "NAME",
         );
@@ -175,7 +177,7 @@
         if let Some(name) = only.as_ref().filter(|name| !known(name)) {
             let message = format!(
                 "--only {name}: expected harness, proofreading, relays, engines, poison, crowd-stream, \
-                     crowd-safe, crowd-unsafe, piece-none, piece, piece-second, piece-two, silence-stream, \
+                     crowd-safe, crowd-unsafe, piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, \
                      silence-safe, silence-unsafe, limit or restore"
             );
             return Err(Error::usage(message));
--- a/crates/ctl/src/torture/relays/demand.rs
+++ b/crates/ctl/src/torture/relays/demand.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 use stub::caller::{ClientRequest, Connection, Kind, RequestRecord, USUAL, unsent};
-use stub::harm::{DEADLY, POISON, SILENCER, deadly};
+use stub::harm::{DEADLY, DEADLY_PART, POISON, SILENCER, deadly};
 use stub::now;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -32,6 +32,9 @@
 const REQUESTS_PER_POISON: usize = 4;
 /// Bodies of requests beside those that crash runners or make them unresponsive.
 pub const OTHER_BODIES: [&str; 4] = ["a", "b", "c", "d"];
+/// Shared parts of the requests with a deadly part, and of the others.
+const DEADLY_PROMPT: &[&str] = &["a1", DEADLY_PART, "b2"];
+const OTHER_PROMPTS: [&[&str]; 3] = [&["a1", "b2"], &["a1", "c3"], &["a1"]];
 /// Time between two attempts of a request that crashes runners or makes them unresponsive.
 const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 /// Time before the first request whose pieces crash runners, so that calls also carry pieces of other
@@ -85,6 +88,7 @@
             key: PERMANENT_KEY.to_owned(),
             timeout: Duration::from_secs(2),
             body: POISON,
+            parts: &[],
         };
         if let Some(entry) = state.entries().choose(&mut rng).copied() {
             callers.spawn(send_one(entry, request));
@@ -114,6 +118,7 @@
             key: PERMANENT_KEY.to_owned(),
             timeout: Duration::from_secs(2),
             body,
+            parts: &[],
         };
         if turn % REQUESTS_PER_POISON == 0
             && let Some(entry) = entries.get(turn / REQUESTS_PER_POISON % entries.len().max(1))
@@ -158,6 +163,39 @@
     callers.join_all().await
 }
 
+/// Sends requests of which no two are alike, but whose prompts share a part that crashes runners, beside
+/// others of the same kind and caller with the same other parts. Returns the records of all.
+pub async fn deadly_parts(
+    state: Arc<SoakState>,
+    kind: Kind,
+    seed: u64,
+    time: Duration,
+) -> Vec<RequestRecord> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let end = Instant::now() + time;
+    let mut callers = JoinSet::new();
+    let mut turn = 0;
+    while Instant::now() < end {
+        let entries = state.entries();
+        let with_parts = |name: &str, parts| ClientRequest {
+            parts,
+            ..default_request(format!("{name}{turn}"), kind, USUAL)
+        };
+        if turn % REQUESTS_PER_POISON == 0
+            && let Some(entry) = entries.get(turn / REQUESTS_PER_POISON % entries.len().max(1))
+        {
+            callers.spawn(send_one(*entry, with_parts("part", DEADLY_PROMPT)));
+        }
+        let others = OTHER_PROMPTS.choose(&mut rng).copied().unwrap_or_default();
+        if let Some(entry) = entries.choose(&mut rng) {
+            callers.spawn(send_one(*entry, with_parts("other", others)));
+        }
+        turn += 1;
+        sleep(OTHERS_INTERVAL).await;
+    }
+    callers.join_all().await
+}
+
 /// Repeats requests whose pieces crash the runners of a stage.
 pub async fn deadly_pieces(
     state: Arc<SoakState>,
@@ -221,6 +259,7 @@
         key: PERMANENT_KEY.to_owned(),
         timeout: Duration::from_secs(2),
         body,
+        parts: &[],
     }
 }
 
@@ -278,6 +317,7 @@
         key: key.unwrap_or_default(),
         timeout: Duration::from_millis(rng.random_range(TIMEOUT_MS)),
         body: USUAL,
+        parts: &[],
     }
 }
 
@@ -299,6 +339,7 @@
                     key: PERMANENT_KEY.to_owned(),
                     timeout: Duration::from_secs(2),
                     body: USUAL,
+                    parts: &[],
                 };
                 records.push(match Connection::open(entry).await {
                     Some(mut connection) => connection.send(request).await,
--- a/crates/ctl/src/torture/relays/mod.rs
+++ b/crates/ctl/src/torture/relays/mod.rs
@@ -34,7 +34,8 @@
 pub enum Scenario {
     /// Faults that are drawn from the seed. Every second seed adds a poison request, and every fourth
     /// one a runner that announces a limit. Of the other seeds, every fourth one adds a request whose
-    /// pieces crash runners, and every fourth one a request that makes runners unresponsive.
+    /// pieces crash runners, every fourth one a request that makes runners unresponsive, and every fourth
+    /// one requests that share a prompt part which crashes runners.
     Drawn,
     /// A poison request without other faults.
     Poison,
@@ -47,6 +48,9 @@
         /// Index of the stage.
         stage: usize,
     },
+    /// Requests of a kind that share a prompt part which crashes runners, beside others of that kind,
+    /// without other faults.
+    Part(Kind),
     /// A request of a kind that makes runners unresponsive, beside others of their service, without
     /// other faults.
     Silence(Kind),
@@ -64,7 +68,7 @@
     fn layout(self) -> (RunnerAccess, Runners) {
         match self {
             Self::Piece { .. } => (RunnerAccess::Direct, RUNNERS),
-            Self::Silence(_) => (RunnerAccess::Direct, MANY_RUNNERS),
+            Self::Silence(_) | Self::Part(_) => (RunnerAccess::Direct, MANY_RUNNERS),
             _ => (RunnerAccess::Proxied, RUNNERS),
         }
     }
@@ -79,6 +83,9 @@
         let state = state.clone();
         let stage = usize::from(seed % 16 > 8);
         match self {
+            Self::Drawn if seed % 8 == 3 => {
+                tokio::spawn(demand::deadly_parts(state, Kind::Stream, seed ^ 4, time))
+            }
             Self::Drawn if seed % 8 == 5 => {
                 tokio::spawn(demand::deadly_pieces(state, 1, stage, time))
             }
@@ -125,6 +132,9 @@
         Scenario::Crowd(kind) => {
             tokio::spawn(demand::crowd_requests(state.clone(), kind, seed ^ 2, time))
         }
+        Scenario::Part(kind) => {
+            tokio::spawn(demand::deadly_parts(state.clone(), kind, seed ^ 2, time))
+        }
         Scenario::Piece { .. } => {
             let others = demand::other_requests(state.clone(), KINDS_BESIDE_PIECES, seed ^ 2, time);
             tokio::spawn(others)
--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -12,7 +12,7 @@
 use std::sync::PoisonError;
 use stub::Micros;
 use stub::caller::{RequestRecord, ResponseOutcome};
-use stub::harm::{SILENCER, is_harmful};
+use stub::harm::{DEADLY_PART, SILENCER};
 use stub::runner::{EVENTS, Log, Run, RunnerFailure, WORK, answer, event};
 
 /// Time within which a change of the platform's tables is in force at every relay that has no fault and
@@ -21,6 +21,9 @@
 /// Runners that a request may crash or make unresponsive before relays must recognize it, and those
 /// that it may crash later.
 const MAX_CRASHES: usize = 3;
+/// Runners that a prompt part may crash before relays must recognize it. Each of its requests is new to
+/// them, and those at the same runner are suspects as well.
+const MAX_PART_CRASHES: usize = 5;
 /// Time without faults after which the behavior of a relay is checked.
 const SETTLE_TIME: Micros = 3_000_000;
 /// Time after a request has made the third runner unresponsive from which on further ones count as late.
@@ -78,9 +81,9 @@
     pub held: u64,
     /// Runners that it crashed or made unresponsive.
     pub falls: u64,
-    /// Runners of these after the first three.
+    /// Runners of these after those by which the relays must recognize it.
     pub beyond: u64,
-    /// Runners of these that failed some seconds after the third.
+    /// Runners of these that failed some seconds later.
     pub late: u64,
 }
 
@@ -105,7 +108,7 @@
     pub beside_answered: u64,
     /// Requests sent beside those that crash the runners of stages or make runners unresponsive, by kind.
     pub others: BTreeMap<String, AnswerStats>,
-    /// Requests that crash runners or make them unresponsive, by body.
+    /// Requests that crash runners or make them unresponsive, by body or prompt part.
     pub harm: BTreeMap<String, HarmfulRequestStats>,
     /// Faults by kind.
     pub faults: BTreeMap<String, u64>,
@@ -171,8 +174,8 @@
     matches!(&record.outcome, ResponseOutcome::Whole { text, .. } if text.contains(QUARANTINE_TEXT))
 }
 
-/// Counts the failures of runners that one request caused, which are given in order of time. Failures
-/// after the first three count as `beyond` or `late` only if the relay that got the request had no fault.
+/// Counts the failures of runners that one request or prompt part caused, which are given in order of time.
+/// Failures after those by which it must be recognized count as `beyond` or `late` only if the relay that got the request had no fault.
 fn count_failures(
     failures: &[(&RunnerFailure, &RequestRecord)],
     state: &SoakState,
@@ -181,19 +184,27 @@
         falls: failures.len() as u64,
         ..HarmfulRequestStats::default()
     };
-    let Some((third, _)) = failures.get(MAX_CRASHES - 1) else {
+    let is_part = failures
+        .first()
+        .is_some_and(|(_, record)| record.request.harm() == Some(DEADLY_PART));
+    let max_crashes = if is_part {
+        MAX_PART_CRASHES
+    } else {
+        MAX_CRASHES
+    };
+    let Some((last, _)) = failures.get(max_crashes - 1) else {
         return stats;
     };
-    for (failure, record) in failures.iter().skip(MAX_CRASHES) {
+    for (failure, record) in failures.iter().skip(max_crashes) {
         let window_start = failure.started.saturating_sub(SETTLE_TIME);
         let disturbed = state.may_have_missed_updates(record.entry, window_start, failure.started);
-        let is_silent = record.request.body == SILENCER;
+        let is_silent = record.request.harm() == Some(SILENCER);
         let grace = if is_silent {
             UNRESPONSIVE_GRACE
         } else {
             SETTLE_TIME
         };
-        let is_late = failure.started > third.started + grace;
+        let is_late = failure.started > last.started + grace;
         stats.beyond += u64::from(!disturbed);
         stats.late += u64::from(!disturbed && is_late);
     }
@@ -295,23 +306,26 @@
         state: &SoakState,
     ) {
         let by_id = by_id(records);
-        let bodies = records.iter().map(|record| record.request.body);
-        let bodies: BTreeSet<&str> = bodies.filter(|body| is_harmful(body)).collect();
-        for body in bodies {
+        let causes: BTreeSet<&str> = records
+            .iter()
+            .filter_map(|record| record.request.harm())
+            .collect();
+        for cause in causes {
+            let is_cause = |record: &&RequestRecord| record.request.harm() == Some(cause);
             let mut found: Vec<(&RunnerFailure, &RequestRecord)> = failures
                 .iter()
                 .filter_map(|failure| Some((failure, *by_id.get(failure.id.as_str())?)))
-                .filter(|(_, record)| record.request.body == body)
+                .filter(|(_, record)| is_cause(record))
                 .collect();
             found.sort_by_key(|(failure, _)| failure.started);
             let mut stats = count_failures(&found, state);
-            for record in records.iter().filter(|record| record.request.body == body) {
+            for record in records.iter().filter(is_cause) {
                 stats.sent += 1;
                 stats.not_run += u64::from(is_not_run(record));
                 stats.held += u64::from(is_quarantined(record));
             }
-            self.counts.harm.insert(body.to_owned(), stats);
-            let counted = if body == SILENCER {
+            self.counts.harm.insert(cause.to_owned(), stats);
+            let counted = if cause == SILENCER {
                 stats.beyond
             } else {
                 stats.late
@@ -319,7 +333,7 @@
             if counted > MAX_CRASHES as u64 {
                 let runners: Vec<&str> = found.iter().map(|one| one.0.runner.as_str()).collect();
                 let what = "a request that ends or silences runners sent on";
-                self.record_violation(what, &(body, counted, runners));
+                self.record_violation(what, &(cause, counted, runners));
             }
         }
     }
@@ -364,7 +378,7 @@
         }
         for record in records
             .iter()
-            .filter(|record| !is_harmful(record.request.body))
+            .filter(|record| record.request.harm().is_none())
         {
             self.counts.beside += 1;
             self.counts.beside_answered += u64::from(is_good(record, true));
--- /dev/null
+++ b/crates/relay/tests/poison_part.rs
@@ -0,0 +1,136 @@
+//! Requests that share a prompt part which crashes the runners that begin to answer them.
+
+mod common;
+
+use common::faults::{Effect, Fault, FaultSite};
+use common::poison::{Reply, attempt_on, failures, maintain_list, relay, reply, send};
+use common::{Fake, Sent};
+use relay::request::{Prompt, part_content};
+use relay::{Relay, Request};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Prefix of the names of requests with the harmful part.
+const HARMFUL: &str = "harmful";
+/// Interval between two requests with the harmful part, and between two others.
+const HARMFUL_INTERVAL: Duration = Duration::from_millis(600);
+const SOUND_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which requests are sent.
+const DURATION: Duration = Duration::from_secs(30);
+/// Runners of the model, and the time that one needs to restart.
+const RUNNERS: usize = 12;
+const RESTART_TIME: Duration = Duration::from_secs(3);
+/// Number of crashes after which requests with the part must be recognized, the time that this may take,
+/// and the number of such requests that may reach runners later.
+const CRASHES: usize = 5;
+const RECOGNITION_TIME: Duration = Duration::from_secs(3);
+const MAX_LATER: usize = 3;
+/// Share of the other requests that must be answered once the part is recognized.
+const MIN_SERVED_SHARE: f64 = 0.9;
+
+/// A streaming request whose prompt has these shared parts; no two requests have the same body.
+fn request(id: &str, parts: &[&str]) -> Request {
+    let prompt = Prompt {
+        input: 1_000,
+        output: 100,
+        shared: Vec::new(),
+        part_contents: parts.iter().map(|part| part_content(part)).collect(),
+    };
+    Request {
+        prompt: Some(prompt),
+        ..attempt_on("once", id, id)
+    }
+}
+
+fn is_harmful(sent: &&Sent) -> bool {
+    sent.id.starts_with(HARMFUL)
+}
+
+/// Sends requests with these parts for a while, one every `interval`. Returns when each was sent and its
+/// reply.
+async fn send_for(
+    relay: Arc<Relay<Fake>>,
+    name: &'static str,
+    parts: &[&str],
+    interval: Duration,
+) -> Vec<(Instant, Reply)> {
+    let begun = Instant::now();
+    let mut attempts = Vec::new();
+    while begun.elapsed() < DURATION {
+        let id = format!("{name}-{}", attempts.len());
+        attempts.push((Instant::now(), send(&relay, request(&id, parts)).await));
+        sleep(interval).await;
+    }
+    let mut replies = Vec::new();
+    for (sent, attempt) in attempts {
+        replies.push((sent, reply(attempt).await));
+    }
+    replies
+}
+
+/// A relay at which each runner crashes that begins to answer a request with the harmful part.
+fn relay_with_fault() -> Arc<Relay<Fake>> {
+    let relay = relay(2, RUNNERS);
+    let fault = Fault::new(HARMFUL, FaultSite::Answer, Effect::Exits);
+    relay.downstream.faults.set([fault]);
+    maintain_list(&[&relay], Some(RESTART_TIME));
+    relay
+}
+
+/// Guards against requests that crash one runner after the other because they share only a part of their
+/// prompts, while sound requests with the same caller and the same other parts must be served.
+#[tokio::test(start_paused = true)]
+async fn shared_part_recognized() {
+    let relay = relay_with_fault();
+    let harmful = ["system", "deadly", "subject"];
+    let (_, sound) = tokio::join!(
+        send_for(relay.clone(), HARMFUL, &harmful, HARMFUL_INTERVAL),
+        send_for(
+            relay.clone(),
+            "sound",
+            &["system", "subject"],
+            SOUND_INTERVAL
+        ),
+    );
+    let crashes = relay.downstream.faults.failures();
+    let Some(fifth) = crashes.get(CRASHES - 1).or(crashes.last()) else {
+        panic!("no runner has crashed");
+    };
+    let recognized = fifth.at + RECOGNITION_TIME;
+    let sent = relay.downstream.sent();
+    let later = sent.iter().filter(is_harmful);
+    let later = later.filter(|sent| sent.at > recognized).count();
+    assert!(later <= MAX_LATER, "{later} of {:?}", failures(&relay));
+    let after = sound.iter().filter(|(sent, _)| *sent > recognized);
+    let after: Vec<&Reply> = after.map(|(_, reply)| reply).collect();
+    let served = after.iter().filter(|reply| reply.is_served()).count();
+    assert!(
+        served as f64 >= MIN_SERVED_SHARE * after.len() as f64,
+        "{served} of {}",
+        after.len()
+    );
+}
+
+/// Guards against a part that many requests share and that is held because runners crash for other reasons
+/// while they process it.
+#[tokio::test(start_paused = true)]
+async fn popular_part_served() {
+    let relay = relay_with_fault();
+    let crashing = {
+        let relay = relay.clone();
+        async move {
+            for number in 1..=RUNNERS {
+                sleep(HARMFUL_INTERVAL).await;
+                let id = format!("a-{number}");
+                relay.downstream.faults.end(&id);
+            }
+        }
+    };
+    let (_, popular) = tokio::join!(
+        crashing,
+        send_for(relay.clone(), "popular", &["system"], SOUND_INTERVAL)
+    );
+    let held = popular.iter().filter(|(_, reply)| reply.status == 503);
+    assert_eq!(held.count(), 0);
+}
