Quarantine prompt parts that crash runners, whatever else a request holds

Cause: a relay identifies a harmful request by a hash of host, path, workspace and body. Where only a part of the prompt is harmful, no two requests are alike, every one counts one crash, and none is ever held.

A request now has a content id for each shared part of its prompt beside that of the whole, and the same state machine keeps them: three exits of runners without a complete response to any request with that part hold it back at all relays and in the table, a complete response clears it, one trial is allowed after a while. Sound requests that share the caller and the other parts are answered in between and so clear these. No second mechanism, no change of the protocol's types.

--- a/crates/relay/src/attempt/in_flight.rs
+++ b/crates/relay/src/attempt/in_flight.rs
@@ -46,6 +46,8 @@
     pub sent_at: Instant,
     prefill_seconds: f64,
     content: ContentId,
+    /// Content ids of the request's shared prompt parts.
+    parts: Vec<ContentId>,
     /// When data last arrived from the runner for this call, or when the call was sent.
     last_activity: Instant,
     /// Load of the runner when this call was sent, as far as it was known.
@@ -77,11 +79,17 @@
             last_activity: now,
             prefill_seconds,
             content: job.content,
+            parts: job.parts().to_vec(),
             load_before,
             is_recorded: false,
         }
     }
 
+    /// Content ids of the request and of its shared prompt parts.
+    fn contents(&self) -> Vec<ContentId> {
+        [&[self.content], &*self.parts].concat()
+    }
+
     /// Notes that the response has started, by which time the runner has processed the prompt.
     pub(super) fn response_started(&mut self) {
         let prefill_seconds = std::mem::take(&mut self.prefill_seconds);
@@ -118,7 +126,7 @@
             pool.answered(&self.runner.id, now, &answer);
         });
         self.relay.telemetry.attempt("answered");
-        self.relay.record_answer(self.content, &self.runner);
+        self.relay.record_answer(&self.contents(), &self.runner);
     }
 
     /// Notes that the response was lost: the runner may have exited while running the request.
@@ -127,8 +135,10 @@
     /// crashes a second one.
     pub async fn lost(self) {
         let isolated = false;
-        self.relay
-            .record_lost_answer(self.content, &self.runner, self.sent_at, isolated);
+        for content in self.contents() {
+            self.relay
+                .record_lost_answer(content, &self.runner, self.sent_at, isolated);
+        }
         outage::probe_briefly(&self.relay, &self.runner).await;
         self.failed();
     }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -107,20 +107,26 @@
         self.propagate(report.content, merged, origin);
     }
 
-    /// Records that a runner has served a request successfully.
-    pub(crate) fn record_answer(self: &Arc<Self>, content: ContentId, runner: &Runner) {
-        let merged = {
+    /// Records that a runner has served a request with these contents successfully.
+    pub(crate) fn record_answer(self: &Arc<Self>, contents: &[ContentId], runner: &Runner) {
+        let merged: Vec<Merge> = {
             let mut known = lock(&self.quarantine.known);
-            known.runner_observed(&instance(runner), self.now());
+            let (runner, now) = (instance(runner), self.now());
+            known.runner_observed(&runner, now);
             if known.is_idle() {
                 return;
             }
-            known.answered(content, &instance(runner), self.now())
+            let contents = contents.iter();
+            contents
+                .map(|content| known.answered(*content, &runner, now))
+                .collect()
         };
-        if let Merge::New { was_held: true, .. } = merged {
-            self.quarantine.schedule_write(content);
+        for (content, merged) in contents.iter().zip(merged) {
+            if let Merge::New { was_held: true, .. } = merged {
+                self.quarantine.schedule_write(*content);
+            }
+            self.propagate(*content, merged, "response");
         }
-        self.propagate(content, merged, "response");
     }
 
     /// Records that a stage runner has answered a call; `complete` lists the requests whose pieces are all
@@ -134,9 +140,7 @@
             }
             known.runner_answered(&instance(runner));
         }
-        for content in complete {
-            self.record_answer(content, runner);
-        }
+        self.record_answer(&complete, runner);
     }
 
     /// Whether runners are known to have exited or become unresponsive during any request.
@@ -232,7 +236,8 @@
 ///
 /// # Errors
 ///
-/// [`Refusal::Poison`] if the request, or its content for one of its stages, is quarantined.
+/// [`Refusal::Poison`] if the request, a shared part of its prompt, or its content for one of its stages is
+/// quarantined.
 pub(crate) fn admit<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
     let remaining = job
         .contents()
@@ -342,16 +347,23 @@
 ///
 /// # Errors
 ///
-/// [`Refusal::Poison`] if the request is quarantined, or if too few runners are up to risk one.
+/// [`Refusal::Poison`] if the request or a shared part of its prompt is quarantined, or if too few runners
+/// are up to risk one.
 pub(crate) async fn admit_attempt<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
     if job.relay.options.policy.suspects == Policy::Shipped {
         await_runners(job).await?;
     }
-    match job.relay.admission(job.content) {
-        Admission::Free => {}
-        Admission::Trial => begin_trial(job, job.content),
-        Admission::Held(retry_after) => return Err(Refusal::Poison { retry_after }),
+    let mut trials = Vec::new();
+    for content in job.served_contents() {
+        match job.relay.admission(content) {
+            Admission::Free => {}
+            Admission::Trial => trials.push(content),
+            Admission::Held(retry_after) => return Err(Refusal::Poison { retry_after }),
+        }
     }
+    trials
+        .into_iter()
+        .for_each(|content| begin_trial(job, content));
     Ok(())
 }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -238,11 +238,17 @@
         prompt.map_or(&[], |prompt| &prompt.part_contents)
     }
 
-    /// Content ids of the request itself and of each of its stages.
+    /// Content ids of the request itself and of its shared prompt parts, any of which may crash the runner
+    /// that serves it.
+    pub(crate) fn served_contents(&self) -> impl Iterator<Item = ContentId> + '_ {
+        std::iter::once(self.content).chain(self.parts().iter().copied())
+    }
+
+    /// Content ids of the request itself, of its shared prompt parts and of each of its stages.
     pub(crate) fn contents(&self) -> impl Iterator<Item = ContentId> + '_ {
         let stages = (0..self.route.stages.len()).filter(|&stage| self.pieces(stage) > 0);
         let stages = stages.map(|stage| self.stage_content(stage));
-        std::iter::once(self.content).chain(stages)
+        self.served_contents().chain(stages)
     }
 
     /// Whether the response is a stream of events.
