Blame prompt parts only for crashes under different requests

A repetition of a request under which a runner has crashed says nothing about its parts. parts_of_repeated_request failed before.

--- a/crates/relay/src/attempt/in_flight.rs
+++ b/crates/relay/src/attempt/in_flight.rs
@@ -90,6 +90,15 @@
         [&[self.content], &*self.parts].concat()
     }
 
+    /// The contents that may have crashed the runner. If a runner has crashed under the same request before,
+    /// the repetition says nothing about its parts: only crashes under different requests do.
+    fn suspect_contents(&self) -> Vec<ContentId> {
+        if self.relay.is_suspect(self.content) {
+            return vec![self.content];
+        }
+        self.contents()
+    }
+
     /// Notes that the response has started, by which time the runner has processed the prompt.
     pub(super) fn response_started(&mut self) {
         let prefill_seconds = std::mem::take(&mut self.prefill_seconds);
@@ -135,7 +144,7 @@
     /// crashes a second one.
     pub async fn lost(self) {
         let isolated = false;
-        for content in self.contents() {
+        for content in self.suspect_contents() {
             self.relay
                 .record_lost_answer(content, &self.runner, self.sent_at, isolated);
         }
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -366,7 +366,7 @@
             completed
         };
         if has_response {
-            relay.record_batch_answer(&runner, completed);
+            relay.record_batch_answer(&runner, &completed);
         }
         self.dispatch(&relay);
     }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -131,7 +131,7 @@
 
     /// Records that a stage runner has answered a call; `complete` lists the requests whose pieces are all
     /// made now.
-    pub(crate) fn record_batch_answer(self: &Arc<Self>, runner: &Runner, complete: Vec<ContentId>) {
+    pub(crate) fn record_batch_answer(self: &Arc<Self>, runner: &Runner, complete: &[ContentId]) {
         {
             let mut known = lock(&self.quarantine.known);
             known.runner_observed(&instance(runner), self.now());
@@ -140,7 +140,7 @@
             }
             known.runner_answered(&instance(runner));
         }
-        self.record_answer(&complete, runner);
+        self.record_answer(complete, runner);
     }
 
     /// Whether runners are known to have exited or become unresponsive during any request.
--- a/crates/relay/tests/poison_part.rs
+++ b/crates/relay/tests/poison_part.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::faults::{Effect, Fault, FaultSite};
-use common::poison::{Reply, attempt_on, failures, maintain_list, relay, reply, send};
+use common::poison::{
+    Reply, WORKSPACE, attempt_on, failures, maintain_list, relay, reply, send, serve,
+};
 use common::{Fake, Sent};
 use relay::request::{Prompt, part_content};
 use relay::{Relay, Request};
@@ -112,6 +114,26 @@
     );
 }
 
+/// Guards against holding the parts of a request that crashes runners by itself, however often it is repeated:
+/// other requests with the same parts are sound.
+#[tokio::test(start_paused = true)]
+async fn parts_of_repeated_request() {
+    let relay = relay_with_fault();
+    for number in 0..CRASHES {
+        let id = format!("{HARMFUL}-{number}");
+        let attempt = Request {
+            message: request(HARMFUL, &[]).message,
+            ..request(&id, &["system", "subject"])
+        };
+        serve(&relay, attempt).await;
+        sleep(HARMFUL_INTERVAL).await;
+    }
+    assert!(relay.is_quarantined(request(HARMFUL, &[]).content(Some(WORKSPACE))));
+    for part in ["system", "subject"] {
+        assert!(!relay.is_quarantined(part_content(part)), "{part}");
+    }
+}
+
 /// Guards against a part that many requests share and that is held because runners crash for other reasons
 /// while they process it.
 #[tokio::test(start_paused = true)]
