Shed new connections while the process is behind

A balancer may hand most new connections to one relay for some seconds. It read them all, and requests of all its callers waited behind each other until their callers gave up, while other relays were idle.

The ingress closes a share of the new connections before it reads from them, as long as the tasks of new connections wait too long for their first turn; callers try another process. The decision is decide::shed, without network: the shortest delay in a window, multiplicative decrease and increase, one connection in each window in any case, so that a process that says it is ready never stands closed.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`owner`]: the process that does work which only one should do at a time
 //! * [`place`]: assignment of models to engines
 //! * [`share`]: one process's share of a runner's low rate limit
+//! * [`shed`]: new connections that an overloaded process turns away
 //! * [`smooth`]: exponentially weighted means and decay
 //! * [`subset`]: the targets of a large pool that a process keeps links to
 //! * [`wait`]: time limits for calls that have no target
@@ -30,6 +31,7 @@
 pub mod retry;
 pub mod route;
 pub mod share;
+pub mod shed;
 pub mod smooth;
 pub mod subset;
 pub mod wait;
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -45,6 +45,7 @@
     copies: Family<CopyLabels, Counter>,
     drained: Gauge,
     held: Gauge,
+    shed: Counter,
     era: Gauge,
 }
 
@@ -67,6 +68,7 @@
             copies: Family::default(),
             drained: Gauge::default(),
             held: Gauge::default(),
+            shed: Counter::default(),
             era: Gauge::default(),
         };
         registry.register(
@@ -109,6 +111,11 @@
             "Requests that are held back since runners ended under them",
             telemetry.held.clone(),
         );
+        registry.register(
+            "relay_connections_shed",
+            "Connections that were closed unread since the process was behind",
+            telemetry.shed.clone(),
+        );
         registry.register(
             "relay_store_era",
             "Times that the table service has come back from an older copy, as far as it was seen",
@@ -157,6 +164,11 @@
         self.copies.get_or_create(&CopyLabels { outcome }).inc();
     }
 
+    /// Counts a connection that was closed unread.
+    pub fn connection_shed(&self) {
+        self.shed.inc();
+    }
+
     /// Counts a call to the runner of a stage service.
     pub fn batch(&self, pieces: usize) {
         self.batches.inc();
