--- a/crates/decide/tests/connection_flood.rs
+++ b/crates/decide/tests/connection_flood.rs
@@ -49,7 +49,8 @@
             flood_rate
         };
         now += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / rate);
-        while let Some(start) = starts.pop_front_if(|start| *start <= now) {
+        while let Some(start) = starts.front().copied().filter(|start| *start <= now) {
+            starts.pop_front();
             shedder
                 .iter_mut()
                 .for_each(|shedder| shedder.started(start));
