Do not suspect prompt parts that were answered meanwhile

A part with which other requests have been answered since the lost one was sent did not crash that runner, so the process that lost the response does not suspect it in the first place. A part that no runner survives is never answered. answered_part_not_announced failed before.

--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -13,6 +13,7 @@
 //! merge: crashes are united by runner, the latest complete response voids all crashes before it,
 //! and the latest trial counts. Merging the same state again changes nothing.
 
+mod answers;
 mod availability;
 mod exposure;
 mod loss;
@@ -20,6 +21,7 @@
 mod silence;
 mod suspect;
 
+pub use answers::RecentAnswers;
 pub use availability::Availability;
 pub use report::{Admission, Crash, Merge, Report, Silence};
 
--- a/crates/relay/src/attempt/in_flight.rs
+++ b/crates/relay/src/attempt/in_flight.rs
@@ -90,13 +90,16 @@
         [&[self.content], &*self.parts].concat()
     }
 
-    /// The contents that may have crashed the runner. If a runner has crashed under the same request before,
+    /// The contents that may have crashed the runner: the request, and those of its parts with which no
+    /// request has been answered since it was sent. If a runner has crashed under the same request before,
     /// the repetition says nothing about its parts: only crashes under different requests do.
     fn suspect_contents(&self) -> Vec<ContentId> {
         if self.relay.is_suspect(self.content) {
             return vec![self.content];
         }
-        self.contents()
+        let mut contents = self.contents();
+        contents.retain(|content| !self.relay.is_part_answered_since(*content, self.sent_at));
+        contents
     }
 
     /// Notes that the response has started, by which time the runner has processed the prompt.
@@ -135,6 +138,7 @@
             pool.answered(&self.runner.id, now, &answer);
         });
         self.relay.telemetry.attempt("answered");
+        self.relay.record_answered_parts(&self.parts);
         self.relay.record_answer(&self.contents(), &self.runner);
     }
 
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -15,7 +15,9 @@
 use crate::runner::{Runner, RunnerId};
 use crate::serve::{Job, content_name};
 use crate::telemetry::millis;
-use protocol::quarantine::{ANNOUNCE_THRESHOLD, Admission, Merge, Quarantine, Report};
+use protocol::quarantine::{
+    ANNOUNCE_THRESHOLD, Admission, Merge, Quarantine, RecentAnswers, Report,
+};
 use serde::{Deserialize, Serialize};
 use setting::Policy;
 use slog::{info, warn};
@@ -44,6 +46,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct State {
     known: Mutex<Quarantine<RunnerInstance>>,
+    answered_parts: Mutex<RecentAnswers>,
     /// Requests whose rows are out of date.
     outdated: Mutex<BTreeSet<ContentId>>,
     changed: Notify,
@@ -129,6 +132,18 @@
         }
     }
 
+    /// Records a complete response to a request with these prompt parts.
+    pub(crate) fn record_answered_parts(&self, parts: &[ContentId]) {
+        let now = self.now();
+        let mut answered = lock(&self.quarantine.answered_parts);
+        parts.iter().for_each(|part| answered.record(*part, now));
+    }
+
+    /// Whether a request with this prompt part has been answered completely since `moment`.
+    pub(crate) fn is_part_answered_since(&self, part: ContentId, moment: Instant) -> bool {
+        lock(&self.quarantine.answered_parts).is_answered_since(part, self.at(moment))
+    }
+
     /// Records that a stage runner has answered a call; `complete` lists the requests whose pieces are all
     /// made now.
     pub(crate) fn record_batch_answer(self: &Arc<Self>, runner: &Runner, complete: &[ContentId]) {
--- a/crates/relay/tests/poison_part.rs
+++ b/crates/relay/tests/poison_part.rs
@@ -6,12 +6,12 @@
 use common::poison::{
     Reply, WORKSPACE, attempt_on, failures, maintain_list, relay, reply, send, serve,
 };
-use common::{Fake, Sent};
+use common::{Behavior, Fake, Sent, StreamEnd};
 use relay::request::{Prompt, part_content};
-use relay::{Relay, Request};
+use relay::{Relay, Request, peer};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Prefix of the names of requests with the harmful part.
 const HARMFUL: &str = "harmful";
@@ -28,6 +28,8 @@
 const CRASHES: usize = 5;
 const RECOGNITION_TIME: Duration = Duration::from_secs(3);
 const MAX_LATER: usize = 3;
+/// Upper limit for a step, even on a busy machine.
+const STEP_TIMEOUT: Duration = Duration::from_secs(60);
 /// Share of the other requests that must be answered once the part is recognized.
 const MIN_SERVED_SHARE: f64 = 0.9;
 
@@ -134,6 +136,48 @@
     }
 }
 
+/// Guards against announcing parts that cannot have crashed a runner, since other requests with them were
+/// answered meanwhile: each crash would be announced to all processes for every popular part, and cleared
+/// again.
+#[tokio::test]
+async fn answered_part_not_announced() {
+    let relay = relay(2, RUNNERS);
+    let (_sender, mut receiver) = common::link::open(&relay).await;
+    let silent = Behavior::Stream {
+        parts: vec!["id: 1\ndata: x\n\n"],
+        end: StreamEnd::Silent,
+    };
+    let fake = &relay.downstream;
+    fake.behaviors.lock().expect("free").push_back(silent);
+    let first = send(&relay, request("first", &["system", "deadly"])).await;
+    let sent = async {
+        while fake.sent().is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(STEP_TIMEOUT, sent).await.expect("sent");
+    let runner = fake.sent()[0].runner.clone();
+    assert!(
+        serve(&relay, request("second", &["system"]))
+            .await
+            .is_served()
+    );
+    fake.faults.end(&runner);
+    assert!(!reply(first).await.is_served());
+    let announced = async {
+        let mut contents = Vec::new();
+        while !contents.contains(&part_content("deadly")) {
+            let frame = receiver.recv().await.expect("linked").expect("open");
+            if let peer::Frame::Suspicion(suspicion) = frame {
+                contents.push(suspicion.content);
+            }
+        }
+        contents
+    };
+    let contents = timeout(STEP_TIMEOUT, announced).await.expect("announced");
+    assert!(!contents.contains(&part_content("system")), "{contents:?}");
+}
+
 /// Guards against a part that many requests share and that is held because runners crash for other reasons
 /// while they process it.
 #[tokio::test(start_paused = true)]
