Stop new work for runners whose responses say that they leave

Callers' requests reached a runner up to 11 s after one of its responses had said through the same relay that it leaves (bound 2 s): the store took no changes, the runner's entry still said ready, and the adapter did not read the header. Class: knowledge that arrives with an answer and is not used, as long as another source is silent. No log line and no test concerned it.

Calls that were chosen before ask again right before their first byte, as for other entries.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -137,8 +137,11 @@
         progress.tried.push(runner.id.clone());
         let call = build_call(job, inputs, remaining, resume_after);
         let mut in_flight = InFlightCall::new(job, runner);
-        let is_open = || job.relay.is_open(&in_flight.runner);
-        let response = job.relay.downstream.call(&in_flight.runner, call, is_open);
+        let observer = job.relay.observer(&in_flight.runner);
+        let response = job
+            .relay
+            .downstream
+            .call(&in_flight.runner, call, &observer);
         let response = release_inputs_when_fetched(response, inputs);
         let response = record_silence(&in_flight, response);
         let result = timeout_at(job.deadline, response).await;
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -339,9 +339,11 @@
         let items = std::mem::take(&mut batch_call.items);
         let count = items.len();
         let (waited, age) = (started_at.elapsed(), relay.runner_list_age());
-        let is_open = || relay.is_open(&runner);
+        let observer = relay.observer(&runner);
         let timeout = batch_call.timeout();
-        let running = relay.downstream.run_batch(&runner, items, timeout, is_open);
+        let running = relay
+            .downstream
+            .run_batch(&runner, items, timeout, &observer);
         let result = self
             .release_inputs_when_fetched(&relay, &batch_call, running)
             .await;
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -239,6 +239,23 @@
         }
     }
 
+    /// Stops new work for a runner that is shutting down, whatever its entry says; returns whether that is
+    /// new.
+    pub(crate) fn mark_leaving(&self, runner: &Runner) -> bool {
+        let is_new = {
+            let mut fleet = self.fleet.write().unwrap_or_else(PoisonError::into_inner);
+            fleet.get_or_insert_default().mark_leaving(runner)
+        };
+        if is_new {
+            let leaving = Runner {
+                leaving: true,
+                ..runner.clone()
+            };
+            self.change_fleet(vec![Change::Listed(leaving)]);
+        }
+        is_new
+    }
+
     fn change_fleet(&self, changes: Vec<Change>) {
         let mut services = Vec::new();
         let mut exited = Vec::new();
--- a/crates/relay/src/downstream.rs
+++ b/crates/relay/src/downstream.rs
@@ -161,6 +161,23 @@
     },
 }
 
+/// What the head of a runner's response says about the runner itself, whatever it was asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// Whether the runner is shutting down.
+    pub leaving: bool,
+}
+
+/// The relay's side of a call to a runner.
+pub trait CallObserver: Sync {
+    /// Whether the runner still accepts work. It is called once the connection is established,
+    /// immediately before the first byte is written.
+    fn is_open(&self) -> bool;
+
+    /// Takes the notice of each response, before the response is forwarded.
+    fn observe(&self, notice: Notice);
+}
+
 /// Client for the runners' protocol.
 pub trait Downstream: Clone + Send + Sync + 'static {
     /// Body of a runner's response. The stream ends without an error only if the body is complete.
@@ -170,9 +187,6 @@
     /// Sends a request and waits for the head of the response. Dropping the future cancels the call
     /// at the runner.
     ///
-    /// `is_open` returns whether the runner still accepts work. It is called once the connection is
-    /// established, immediately before the first byte is written.
-    ///
     /// # Errors
     ///
     /// [`Failure::NotRun`] only if it is certain that the request has not run.
@@ -180,10 +194,10 @@
         &self,
         runner: &Runner,
         call: Call,
-        is_open: impl Fn() -> bool + Send,
+        observer: &impl CallObserver,
     ) -> impl Future<Output = Result<Reply<Self::Body>, Failure>> + Send;
 
-    /// Has a runner process pieces; `is_open` as for [`Downstream::call`].
+    /// Has a runner process pieces.
     ///
     /// # Errors
     ///
@@ -193,7 +207,7 @@
         runner: &Runner,
         items: Vec<Item>,
         timeout: Duration,
-        is_open: impl Fn() -> bool + Send,
+        observer: &impl CallObserver,
     ) -> impl Future<Output = Result<BatchReply, Failure>> + Send;
 
     /// Tells a runner that these results are no longer needed.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod limit;
 pub mod member;
 pub mod memory;
+mod notice;
 mod outage;
 pub mod pause;
 pub mod peer;
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -2,7 +2,7 @@
 
 use crate::configuration::ServiceId;
 use decide::Map;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +12,9 @@
 /// Name of a failure domain.
 pub type DomainId = Arc<str>;
 
+/// Maximum number of remembered runners that have said that they are shutting down.
+const MAX_LEAVING: usize = 1_024;
+
 /// A runner, as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Runner {
@@ -66,13 +69,18 @@
     drained: BTreeSet<DomainId>,
     by_service: Map<ServiceId, Vec<Arc<Runner>>>,
     by_address: Map<SocketAddr, Arc<Runner>>,
+    /// Starts of runners that have said in a response that they are shutting down, oldest first. Their
+    /// entries may not say so yet, or may lapse and be listed once more.
+    leaving: VecDeque<(RunnerId, Option<u64>)>,
 }
 
 impl Fleet {
     /// Applies a change, and returns whether it has changed the runners that accept new work.
     pub fn apply(&mut self, change: Change) -> bool {
         match change {
-            Change::Listed(runner) if runner.leaving => self.forget(&runner.id),
+            Change::Listed(runner) if runner.leaving || self.is_leaving(&runner) => {
+                self.forget(&runner.id)
+            }
             Change::Listed(runner) if self.drained.contains(&runner.domain) => {
                 self.put_drained(runner)
             }
@@ -80,10 +88,31 @@
                 self.drained_runners.remove(&runner.id);
                 self.put(runner)
             }
-            Change::Gone(id) => self.forget(&id),
+            Change::Gone(id) => {
+                // Without a start time, the next entry of this name may be that of a new start.
+                self.leaving.retain(|known| *known != (id.clone(), None));
+                self.forget(&id)
+            }
         }
     }
 
+    /// Records that a runner has said that it is shutting down; returns whether that is new.
+    pub fn mark_leaving(&mut self, runner: &Runner) -> bool {
+        if self.is_leaving(runner) {
+            return false;
+        }
+        if self.leaving.len() >= MAX_LEAVING {
+            self.leaving.pop_front();
+        }
+        self.leaving.push_back((runner.id.clone(), runner.started));
+        true
+    }
+
+    fn is_leaving(&self, runner: &Runner) -> bool {
+        let mut leaving = self.leaving.iter();
+        leaving.any(|(id, started)| *id == runner.id && *started == runner.started)
+    }
+
     /// Drains exactly these failure domains. Returns the affected runners, whose entries must be applied
     /// again.
     pub fn drain(&mut self, domains: BTreeSet<DomainId>) -> Vec<Runner> {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -18,7 +18,8 @@
 use faults::{FaultSite, RunnerFaults};
 use parts::{Parts, parts};
 use relay::downstream::{
-    BatchReply, Call, Failure, Handle, Item, NotRun, PieceOutcome, Reply, Source as Origin,
+    BatchReply, Call, CallObserver, Failure, Handle, Item, NotRun, PieceOutcome, Reply,
+    Source as Origin,
 };
 use relay::member::Member;
 use relay::request::Message;
@@ -199,13 +200,16 @@
         })
     }
 
-    async fn connect(&self, is_open: impl Fn() -> bool) -> Result<(), Failure> {
+    async fn connect(&self, observer: &impl CallObserver) -> Result<(), Failure> {
         let time = *self.connect_time.lock().expect("no holder panics");
         if !time.is_zero() {
             sleep(time).await;
         }
         let reason = NotRun::Withdrawn;
-        is_open().then_some(()).ok_or(Failure::NotRun { reason })
+        observer
+            .is_open()
+            .then_some(())
+            .ok_or(Failure::NotRun { reason })
     }
 }
 
@@ -216,9 +220,9 @@
         &self,
         runner: &Runner,
         call: Call,
-        is_open: impl Fn() -> bool + Send,
+        observer: &impl CallObserver,
     ) -> Result<Reply<Parts>, Failure> {
-        self.connect(is_open).await?;
+        self.connect(observer).await?;
         self.sent.lock().expect("no holder panics").push(Sent {
             at: Instant::now(),
             runner: runner.id.to_string(),
@@ -300,9 +304,9 @@
         runner: &Runner,
         items: Vec<Item>,
         patience: Duration,
-        is_open: impl Fn() -> bool + Send,
+        observer: &impl CallObserver,
     ) -> Result<BatchReply, Failure> {
-        self.connect(is_open).await?;
+        self.connect(observer).await?;
         let count = u32::try_from(items.len()).expect("few items");
         let call = StageCall {
             at: Instant::now(),
