Suspect prompt parts only as a response begins

A harmful part crashes a runner as it begins to respond. Requests in the middle of their responses at the same runner had their parts suspected as well, and each suspicion is announced to all processes and cleared again by the next response. Weighed against telling one process per part, as for silent runners: it would open links from every relay to every other. exits_in_long_responses failed before. What is not known any more: a part that crashes runners later in their responses.

--- a/crates/relay/src/attempt/in_flight.rs
+++ b/crates/relay/src/attempt/in_flight.rs
@@ -12,6 +12,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Time after the beginning of its response for which a request's prompt parts may have crashed the runner. By
+/// then it has processed the prompt and generates tokens, as for any other request.
+const MAX_PART_CRASH_DELAY: Duration = Duration::from_millis(500);
+
 /// Calls in progress at a runner when another one was sent to it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunnerLoad {
@@ -48,6 +52,7 @@
     content: ContentId,
     /// Content ids of the request's shared prompt parts.
     parts: Vec<ContentId>,
+    response_started_at: Option<Instant>,
     /// When data last arrived from the runner for this call, or when the call was sent.
     last_activity: Instant,
     /// Load of the runner when this call was sent, as far as it was known.
@@ -80,6 +85,7 @@
             prefill_seconds,
             content: job.content,
             parts: job.parts().to_vec(),
+            response_started_at: None,
             load_before,
             is_recorded: false,
         }
@@ -91,10 +97,15 @@
     }
 
     /// The contents that may have crashed the runner: the request, and those of its parts with which no
-    /// request has been answered since it was sent. If a runner has crashed under the same request before,
-    /// the repetition says nothing about its parts: only crashes under different requests do.
+    /// request has been answered since it was sent.
+    ///
+    /// Parts are not suspected if the runner had been responding for a while, or if a runner has crashed
+    /// under the same request before: the repetition says nothing about its parts.
     fn suspect_contents(&self) -> Vec<ContentId> {
-        if self.relay.is_suspect(self.content) {
+        let is_responding = self
+            .response_started_at
+            .is_some_and(|started| started.elapsed() > MAX_PART_CRASH_DELAY);
+        if is_responding || self.relay.is_suspect(self.content) {
             return vec![self.content];
         }
         let mut contents = self.contents();
@@ -104,6 +115,7 @@
 
     /// Notes that the response has started, by which time the runner has processed the prompt.
     pub(super) fn response_started(&mut self) {
+        self.response_started_at = Some(Instant::now());
         let prefill_seconds = std::mem::take(&mut self.prefill_seconds);
         if prefill_seconds > 0.0 {
             self.relay.pool(&self.service, |pool| {
--- a/crates/relay/tests/poison_part.rs
+++ b/crates/relay/tests/poison_part.rs
@@ -7,6 +7,7 @@
     Reply, WORKSPACE, attempt_on, failures, maintain_list, relay, reply, send, serve,
 };
 use common::{Behavior, Fake, Sent, StreamEnd};
+use protocol::quarantine::CRASH_THRESHOLD;
 use relay::request::{Prompt, part_content};
 use relay::{Relay, Request, peer};
 use std::sync::Arc;
@@ -136,6 +137,38 @@
     }
 }
 
+/// Sends a request whose stream stops after its first event, and lets its runner exit after `delay`.
+async fn exit_during(relay: &Arc<Relay<Fake>>, id: &str, delay: Duration) {
+    let silent = Behavior::Stream {
+        parts: vec!["id: 1\ndata: x\n\n"],
+        end: StreamEnd::Silent,
+    };
+    let fake = &relay.downstream;
+    fake.behaviors.lock().expect("free").push_back(silent);
+    let attempt = send(relay, request(id, &["system"])).await;
+    sleep(delay).await;
+    let sent = fake.sent();
+    let call = sent.iter().find(|call| call.id == id).expect("sent");
+    fake.faults.end(&call.runner);
+    assert!(!reply(attempt).await.is_served());
+}
+
+/// Guards against holding a part because runners exit in the middle of long responses to it, while one under
+/// which runners exit as they begin to respond is held.
+#[tokio::test(start_paused = true)]
+async fn exits_in_long_responses() {
+    for (delay, is_held) in [(1_000, false), (50, true)] {
+        let relay = relay(2, RUNNERS);
+        for number in 0..CRASH_THRESHOLD {
+            let id = format!("r-{number}");
+            exit_during(&relay, &id, Duration::from_millis(delay)).await;
+            sleep(HARMFUL_INTERVAL).await;
+        }
+        let part = part_content("system");
+        assert_eq!(relay.is_quarantined(part), is_held, "{delay} ms");
+    }
+}
+
 /// Guards against announcing parts that cannot have crashed a runner, since other requests with them were
 /// answered meanwhile: each crash would be announced to all processes for every popular part, and cleared
 /// again.
