Keep to the rest that runners ask for

A runner that had turned a relay away and asked for 3 s of rest got 5 and 3 requests from it in that time: the adapter did not read the time that comes with a refusal, so that the runner was chosen again for the next request. The class is that of the leaving header: knowledge in a response that is not used.

The notice of a response carries the rest. A runner that rests is left out when a runner is chosen, asked for again right before the first byte of a call, gets no pieces of stages, and results that lie there are released later. Where all runners of a service rest, callers get the time until the first of them has rested, at once if that is beyond their deadline.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -260,11 +260,13 @@
     let throttled = relay.throttled(&job.service);
     let limited = relay.limited(&job.service);
     let absent = relay.absent(&job.service);
+    let resting = relay.resting(&job.service);
     let excluded = [
         tried,
         &throttled,
         &limited,
         &absent,
+        &resting,
         &job.runners_outside_regions(),
     ]
     .concat();
@@ -422,6 +424,9 @@
     if let (0, Some(quarantined)) = (progress.executions, &progress.quarantined) {
         return quarantined.clone();
     }
+    if let (0, Some(rest)) = (progress.executions, job.relay.remaining_rest(&job.service)) {
+        return Refusal::resting(rest);
+    }
     match &progress.last_failure {
         None if job.is_region_restricted() => Refusal::Overloaded {
             reason: "no runner takes it in the regions that it may run in",
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -288,7 +288,7 @@
     /// call would be filled mostly with such results.
     async fn release_pending(self: Arc<Self>, relay: Arc<Relay<D>>) {
         tokio::time::sleep(RELEASE_DELAY).await;
-        let released = lock(&self.state).take_released();
+        let released = lock(&self.state).take_released(&relay);
         for (runner, results) in released {
             tokio::spawn(release(relay.clone(), runner, results));
         }
--- a/crates/relay/src/batch/select.rs
+++ b/crates/relay/src/batch/select.rs
@@ -31,6 +31,7 @@
     ) -> Option<BatchCall> {
         let now = Instant::now();
         let at = relay.at(now);
+        self.pause_resting(relay);
         self.isolate_suspects(relay, at);
         self.drop_expired(at, self.piece_time(&batches));
         let batch_queue = self.batch_queue.as_ref()?;
@@ -43,6 +44,14 @@
         Some(self.prepare(selection, batches, now))
     }
 
+    /// Pauses the runners that have asked for rest.
+    fn pause_resting<D: Downstream>(&mut self, relay: &Relay<D>) {
+        for state in &mut self.runner_states {
+            let rest_end = relay.rest_end(&state.runner);
+            state.paused_until = state.paused_until.max(rest_end);
+        }
+    }
+
     /// Selects the pieces of the next call and its runner.
     fn select_pieces(
         &mut self,
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -71,14 +71,20 @@
         !std::mem::replace(&mut self.release_scheduled, true)
     }
 
-    /// Takes the released results, by the runner that stores them.
-    pub(super) fn take_released(&mut self) -> Vec<(Arc<Runner>, Vec<Handle>)> {
+    /// Takes the released results, by the runner that stores them. Those of runners that rest are left: they
+    /// are released with a later call, or expire.
+    pub(super) fn take_released<D: Downstream>(
+        &mut self,
+        relay: &Relay<D>,
+    ) -> Vec<(Arc<Runner>, Vec<Handle>)> {
         self.release_scheduled = false;
+        let is_awake = |state: &&mut RunnerState| relay.rest_end(&state.runner).is_none();
         let released = |state: &mut RunnerState| {
             let results = state.take_released();
             (!results.is_empty()).then(|| (state.runner.clone(), results))
         };
-        self.runner_states.iter_mut().filter_map(released).collect()
+        let states = self.runner_states.iter_mut().filter(is_awake);
+        states.filter_map(released).collect()
     }
 
     /// Marks a result as fetched by the call that needs it.
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -12,6 +12,7 @@
 use crate::peer::{CallLoads, Peers};
 use crate::quarantine;
 use crate::request::ContentId;
+use crate::rest::Rests;
 use crate::runner::{Change, DomainId, Fleet, Runner};
 use crate::serve::RETRY_TIME_DIVISOR;
 use crate::telemetry::Telemetry;
@@ -94,6 +95,7 @@
     pub(crate) quarantine: quarantine::State,
     pub(crate) outages: Mutex<Outages>,
     pub(crate) limits: Mutex<Limits>,
+    pub(crate) rests: Mutex<Rests>,
     pools: Mutex<Map<ServiceId, Pool>>,
     retry_bound: Mutex<RetryBound>,
     quotas: Mutex<Map<ServiceId, RetryQuota>>,
@@ -135,6 +137,7 @@
             quarantine: quarantine::State::default(),
             outages: Mutex::default(),
             limits: Mutex::default(),
+            rests: Mutex::default(),
             pools: Mutex::default(),
             quotas: Mutex::default(),
             batchers: Mutex::default(),
@@ -331,12 +334,15 @@
         self.fleet(|fleet| fleet.get(id).cloned()).flatten()
     }
 
-    /// Whether a runner that was chosen earlier still accepts new work under the same start time and address.
+    /// Whether a runner that was chosen earlier still accepts new work under the same start time and address,
+    /// and does not rest.
     #[must_use]
     pub(crate) fn is_open(&self, runner: &Runner) -> bool {
         let known = self.runner(&runner.id);
-        known
-            .is_some_and(|known| known.started == runner.started && known.address == runner.address)
+        let is_listed = known.is_some_and(|known| {
+            known.started == runner.started && known.address == runner.address
+        });
+        is_listed && self.rest_end(runner).is_none()
     }
 
     /// Whether this entry of a runner is current; runners of drained failure domains count too.
--- a/crates/relay/src/downstream.rs
+++ b/crates/relay/src/downstream.rs
@@ -166,6 +166,8 @@
 pub struct Notice {
     /// Whether the runner is shutting down.
     pub leaving: bool,
+    /// How long the runner wants no requests from this process, if it has turned the call away.
+    pub rest: Option<Duration>,
 }
 
 /// The relay's side of a call to a runner.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod quarantine;
 mod region;
 pub mod request;
+mod rest;
 pub mod runner;
 pub mod serve;
 pub mod splice;
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -23,6 +23,9 @@
         if notice.leaving {
             self.relay.record_leaving(self.runner);
         }
+        if let Some(rest) = notice.rest {
+            self.relay.record_rest(self.runner, rest);
+        }
     }
 }
 
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -235,6 +235,15 @@
 const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(300);
 
 impl Refusal {
+    /// Refuses a request because all runners of a service want no requests for this time.
+    #[must_use]
+    pub(crate) fn resting(retry_after: Duration) -> Self {
+        Self::Overloaded {
+            reason: "all runners have asked for rest",
+            retry_after,
+        }
+    }
+
     /// HTTP status.
     #[must_use]
     pub fn status(&self) -> u16 {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -161,6 +161,12 @@
 
 /// Refuses a request that cannot be served in time, before any work is spent on it.
 fn admit<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
+    let rests = job
+        .services()
+        .filter_map(|service| job.relay.remaining_rest(service));
+    if let Some(rest) = rests.max().filter(|rest| *rest >= job.remaining()) {
+        return Err(Refusal::resting(rest));
+    }
     let expected = job.expected();
     let left = job.remaining();
     let admitted = expected <= left || job.relay.options.policy.admission == Policy::Naive;
@@ -226,6 +232,13 @@
         left.saturating_sub(self.relay.pause.suspended() - self.suspended)
     }
 
+    /// Services that the request needs: its own, and those of its stages.
+    fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        let stages = self.route.stages.iter().enumerate();
+        let stages = stages.filter(|(index, _)| self.pieces(*index) > 0);
+        std::iter::once(&self.service).chain(stages.map(|(_, stage)| &stage.service))
+    }
+
     /// Content id of one stage of the request.
     #[must_use]
     pub fn stage_content(&self, stage: usize) -> ContentId {
