Soak: runners that say in their responses that they leave or want rest

The stand-in's runners say so without their entries; every eighth drawn soak has them, a soak of its own checks that a relay which has passed such a response on sends no new request 3 s later, and at most two between half a second after a rejection and the end of the rest.

--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -116,6 +116,7 @@
         "silence-safe" => Some(Scenario::Silence(Kind::Safe)),
         "silence-unsafe" => Some(Scenario::Silence(Kind::Unsafe)),
         "limit" => Some(Scenario::Limit),
+        "notices" => Some(Scenario::Notices),
         "restore" => Some(Scenario::Restore),
         _ => None,
     }
@@ -149,7 +150,7 @@
             "",
             "only",
             "harness, proofreading, relays, engines, poison, crowd-stream, crowd-safe, crowd-unsafe, \
-             piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, silence-safe, silence-unsafe, limit \
+             piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, silence-safe, silence-unsafe, limit, notices \
              or restore; the first three if not given",
             "NAME",
         );
@@ -178,7 +179,7 @@
             let message = format!(
                 "--only {name}: expected harness, proofreading, relays, engines, poison, crowd-stream, \
                      crowd-safe, crowd-unsafe, piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, \
-                     silence-safe, silence-unsafe, limit or restore"
+                     silence-safe, silence-unsafe, limit, notices or restore"
             );
             return Err(Error::usage(message));
         }
--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -206,6 +206,20 @@
             .for_each(|target| target.runner.announce_limit(Some(rate)));
     }
 
+    /// Has one runner of the model service say in its responses that it is shutting down, and another one turn
+    /// calls away and ask for rest. Their entries say nothing.
+    pub fn announce_notices(&self, rest: Duration) {
+        let mut models = self.targets.iter().filter(|target| target.service == MODEL);
+        models
+            .next()
+            .iter()
+            .for_each(|leaver| leaver.runner.announce_leaving());
+        models
+            .next()
+            .iter()
+            .for_each(|tired| tired.runner.ask_for_rest(rest));
+    }
+
     /// Removes the entries of runners that a request has crashed or made unresponsive, and restarts these
     /// runners after a while.
     ///
--- a/crates/ctl/src/torture/relays/mod.rs
+++ b/crates/ctl/src/torture/relays/mod.rs
@@ -23,6 +23,8 @@
 
 /// Requests per second that a runner with a limit announces.
 const ANNOUNCED_LIMIT: u32 = 2;
+/// Rest that a runner asks for.
+const REQUESTED_REST: Duration = Duration::from_secs(3);
 /// Kinds of requests sent beside those whose pieces crash runners, and beside those that make runners
 /// unresponsive.
 const KINDS_BESIDE_PIECES: &[&[Kind]] = &[&[Kind::Staged], &[Kind::Stream]];
@@ -35,7 +37,8 @@
     /// Faults that are drawn from the seed. Every second seed adds a poison request, and every fourth
     /// one a runner that announces a limit. Of the other seeds, every fourth one adds a request whose
     /// pieces crash runners, every fourth one a request that makes runners unresponsive, and every fourth
-    /// one requests that share a prompt part which crashes runners.
+    /// one requests that share a prompt part which crashes runners, and every fourth one runners that say
+    /// in their responses that they leave or want rest.
     Drawn,
     /// A poison request without other faults.
     Poison,
@@ -56,6 +59,9 @@
     Silence(Kind),
     /// A runner that announces a limit, without other faults.
     Limit,
+    /// A runner that says in its responses that it is shutting down and one that asks for rest, while their
+    /// entries say nothing, without other faults.
+    Notices,
     /// The table service is restored from an older backup, without other faults.
     Restore,
 }
@@ -103,6 +109,10 @@
         }
     }
 
+    fn has_notices(self, seed: u64) -> bool {
+        self == Self::Notices || self == Self::Drawn && seed % 8 == 1
+    }
+
     fn has_limit(self, seed: u64) -> bool {
         self == Self::Limit || self == Self::Drawn && seed % 4 == 0
     }
@@ -127,6 +137,9 @@
     if scenario.has_limit(seed) {
         cluster.announce_limit(ANNOUNCED_LIMIT);
     }
+    if scenario.has_notices(seed) {
+        cluster.announce_notices(REQUESTED_REST);
+    }
     let keys = cluster.keys.clone();
     let callers = match scenario {
         Scenario::Crowd(kind) => {
--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -34,6 +34,13 @@
 const LIMIT_TOLERANCE: f64 = 1.5;
 const LIMIT_ALLOWANCE: f64 = 5.0;
 const LIMIT_REPORT_DELAY: Micros = 500_000;
+/// Time within which a relay must stop sending new requests to a runner that has said, in a response which the
+/// relay has passed on, that it is shutting down.
+const LEAVING_DELAY: Micros = 3_000_000;
+/// Time after which a relay must keep to the rest that a runner has asked for, and the number of requests
+/// that may still reach the runner then.
+const REST_DELAY: Micros = 500_000;
+const MAX_RESTLESS_REQUESTS: usize = 2;
 /// Longest time for which a request that crashes no runners is quarantined, and the text that responses
 /// to quarantined requests contain.
 const MAX_QUARANTINE: Micros = 10_000_000;
@@ -245,6 +252,8 @@
     verdict.check_harmful_requests(records, &failures, state);
     verdict.check_others(records, &runs, &failures);
     verdict.check_rate_limits(records, &runs, state);
+    verdict.check_leaving_notices(records, &runs, state);
+    verdict.check_rests(records, log, state);
     verdict
 }
 
@@ -442,6 +451,67 @@
         }
     }
 
+    /// Checks that a relay which has passed on a response of a runner that is shutting down soon sends it no
+    /// more requests.
+    fn check_leaving_notices(
+        &mut self,
+        records: &[RequestRecord],
+        runs: &[Run],
+        state: &SoakState,
+    ) {
+        let by_id = by_id(records);
+        let mut noted: HashMap<(&str, SocketAddr), Micros, RandomState> = HashMap::default();
+        let leaving = || runs.iter().filter(|run| run.leaving);
+        for run in leaving() {
+            if let Some(record) = by_id.get(run.id.as_str())
+                && matches!(record.outcome, ResponseOutcome::Whole { proven: true, .. })
+            {
+                let first = noted.entry((run.runner.as_str(), record.entry));
+                let first = first.or_insert(record.done);
+                *first = record.done.min(*first);
+            }
+        }
+        for run in leaving() {
+            let Some(record) = by_id.get(run.id.as_str()) else {
+                continue;
+            };
+            let Some(noted) = noted.get(&(run.runner.as_str(), record.entry)) else {
+                continue;
+            };
+            let is_late = record.sent > noted + LEAVING_DELAY;
+            if is_late && !state.had_fault_at(record.entry, *noted, run.started) {
+                self.record_violation("new work at a runner that said it leaves", &(record, run));
+            }
+        }
+    }
+
+    /// Checks that a relay keeps to the rest that a runner has asked it for.
+    fn check_rests(&mut self, records: &[RequestRecord], log: &Log, state: &SoakState) {
+        let by_id = by_id(records);
+        let mut rejections: BTreeMap<(String, SocketAddr), Vec<(Micros, Micros)>> = BTreeMap::new();
+        for rejection in log.rejections() {
+            if let Some(record) = by_id.get(rejection.id.as_str()) {
+                let rest = rejection.rest.as_micros() as Micros;
+                let key = (rejection.runner, record.entry);
+                rejections
+                    .entry(key)
+                    .or_default()
+                    .push((rejection.at, rest));
+            }
+        }
+        for ((runner, entry), rejections) in rejections {
+            for (at, rest) in &rejections {
+                let rest_time = at + REST_DELAY..at + rest;
+                let again = rejections.iter().filter(|(at, _)| rest_time.contains(at));
+                let count = again.count();
+                if count > MAX_RESTLESS_REQUESTS && !state.had_fault_at(entry, *at, at + rest) {
+                    let found = (&runner, entry, count);
+                    self.record_violation("rest of a runner not kept", &found);
+                }
+            }
+        }
+    }
+
     /// Checks that keys in force are accepted and others rejected.
     fn check_key(&mut self, record: &RequestRecord, keys: &[Key], state: &SoakState) {
         let Some(key) = keys.iter().find(|key| key.text == record.request.key) else {
