Soak: most new connections go to one relay

A soak in which, from its fifth second on, eight times as many connections are opened, nine tenths of them to one relay. Requests that a relay has read must be served at least three quarters as often as before; those on connections that were closed unread do not count.

--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -117,6 +117,7 @@
         "silence-unsafe" => Some(Scenario::Silence(Kind::Unsafe)),
         "limit" => Some(Scenario::Limit),
         "notices" => Some(Scenario::Notices),
+        "flood" => Some(Scenario::Flood),
         "restore" => Some(Scenario::Restore),
         _ => None,
     }
@@ -150,8 +151,8 @@
             "",
             "only",
             "harness, proofreading, relays, engines, poison, crowd-stream, crowd-safe, crowd-unsafe, \
-             piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, silence-safe, silence-unsafe, limit, notices \
-             or restore; the first three if not given",
+             piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, silence-safe, silence-unsafe, limit, notices, \
+             flood or restore; the first three if not given",
             "NAME",
         );
         options.optopt("", "logs", "directory for settings and logs", "DIR");
@@ -179,7 +180,7 @@
             let message = format!(
                 "--only {name}: expected harness, proofreading, relays, engines, poison, crowd-stream, \
                      crowd-safe, crowd-unsafe, piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, \
-                     silence-safe, silence-unsafe, limit, notices or restore"
+                     silence-safe, silence-unsafe, limit, notices, flood or restore"
             );
             return Err(Error::usage(message));
         }
--- a/crates/ctl/src/torture/relays/demand.rs
+++ b/crates/ctl/src/torture/relays/demand.rs
@@ -45,22 +45,45 @@
 /// Longest time from the end of the last fault until all requests are served again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Sends random requests for a time. Returns their records.
+/// Period in which most new connections are opened to one relay, and more of them than before.
+#[derive(Clone, Copy, Debug)]
+pub struct Flood {
+    /// When it begins.
+    pub after: Duration,
+    /// Factor of the number of connections.
+    pub factor: f64,
+    /// Share of the connections that are opened to the first relay.
+    pub share: f64,
+}
+
+/// Sends random requests for a time, if `flood` is given with a flood up to the end. Returns their records.
 pub async fn send(
     state: Arc<SoakState>,
     keys: Keys,
     seed: u64,
     time: Duration,
+    flood: Option<Flood>,
 ) -> Vec<RequestRecord> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let end = Instant::now() + time;
+    let begun = Instant::now();
+    let end = begun + time;
     let mut callers = JoinSet::new();
     let mut number = 0_u64;
     while Instant::now() < end {
         let gap = -rng.random::<f64>().max(f64::MIN_POSITIVE).ln() / CONNECTIONS_PER_SECOND;
-        sleep(Duration::from_secs_f64(gap)).await;
+        let flood = flood.filter(|flood| begun.elapsed() >= flood.after);
+        sleep(Duration::from_secs_f64(
+            gap / flood.map_or(1.0, |flood| flood.factor),
+        ))
+        .await;
         number += 1;
-        let Some(entry) = state.entries().choose(&mut rng).copied() else {
+        let entries = state.entries();
+        let is_concentrated = flood.is_some_and(|flood| rng.random_bool(flood.share));
+        let entry = match is_concentrated {
+            true => entries.first(),
+            false => entries.choose(&mut rng),
+        };
+        let Some(entry) = entry.copied() else {
             continue;
         };
         let own = StdRng::seed_from_u64(rng.random());
--- a/crates/ctl/src/torture/relays/mod.rs
+++ b/crates/ctl/src/torture/relays/mod.rs
@@ -11,6 +11,7 @@
 use crate::Error;
 use crate::fleet::Signal;
 use crate::torture::relays::cluster::{Cluster, MANY_RUNNERS, RUNNERS, RunnerAccess, Runners};
+use crate::torture::relays::demand::Flood;
 use crate::torture::relays::fault::Faults;
 use crate::torture::relays::verdict::Verdict;
 use crate::torture::state::SoakState;
@@ -19,10 +20,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 use stub::caller::{Kind, RequestRecord};
+use stub::{Micros, now};
 use tokio::task::{JoinError, JoinHandle};
 
 /// Requests per second that a runner with a limit announces.
 const ANNOUNCED_LIMIT: u32 = 2;
+/// The flood of connections to one relay.
+const FLOOD: Flood = Flood {
+    after: Duration::from_secs(5),
+    factor: 8.0,
+    share: 0.9,
+};
 /// Rest that a runner asks for.
 const REQUESTED_REST: Duration = Duration::from_secs(3);
 /// Kinds of requests sent beside those whose pieces crash runners, and beside those that make runners
@@ -62,6 +70,9 @@
     /// A runner that says in its responses that it is shutting down and one that asks for rest, while their
     /// entries say nothing, without other faults.
     Notices,
+    /// Most new connections go to one relay from some time on, and there are more of them, without other
+    /// faults.
+    Flood,
     /// The table service is restored from an older backup, without other faults.
     Restore,
 }
@@ -140,6 +151,7 @@
     if scenario.has_notices(seed) {
         cluster.announce_notices(REQUESTED_REST);
     }
+    let begun = now();
     let keys = cluster.keys.clone();
     let callers = match scenario {
         Scenario::Crowd(kind) => {
@@ -160,7 +172,10 @@
             };
             tokio::spawn(demand::other_requests(state.clone(), same, seed ^ 2, time))
         }
-        _ => tokio::spawn(demand::send(state.clone(), keys, seed ^ 2, time)),
+        _ => {
+            let flood = (scenario == Scenario::Flood).then_some(FLOOD);
+            tokio::spawn(demand::send(state.clone(), keys, seed ^ 2, time, flood))
+        }
     };
     let harmful = scenario.spawn_harmful_requests(&state, seed, time);
     let mut faults = Faults::new(&mut cluster, state.clone(), seed ^ 3);
@@ -180,6 +195,9 @@
     write_lines(&logs.join("words"), &records)?;
     let mut verdict = verdict::check(&records, &cluster.log, &cluster.keys, &state);
     verdict.counts.faults = counts;
+    if scenario == Scenario::Flood {
+        verdict.check_flood(&records, begun + FLOOD.after.as_micros() as Micros);
+    }
     if !recovered {
         verdict.record_violation(
             "not recovered",
--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -9,6 +9,7 @@
 use std::fmt::Debug;
 use std::iter::Sum;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::PoisonError;
 use stub::Micros;
 use stub::caller::{RequestRecord, ResponseOutcome};
@@ -34,6 +35,8 @@
 const LIMIT_TOLERANCE: f64 = 1.5;
 const LIMIT_ALLOWANCE: f64 = 5.0;
 const LIMIT_REPORT_DELAY: Micros = 500_000;
+/// Minimum ratio of the served shares of requests during and before a flood of connections.
+const MIN_FLOOD_RATIO: f64 = 0.75;
 /// Time within which a relay must stop sending new requests to a runner that has said, in a response which the
 /// relay has passed on, that it is shutting down.
 const LEAVING_DELAY: Micros = 3_000_000;
@@ -485,6 +488,32 @@
         }
     }
 
+    /// Checks that requests which a relay has read are served about as often while most new connections go to
+    /// one relay as before. Connections that are closed unread do not count.
+    pub fn check_flood(&mut self, records: &[RequestRecord], from: Micros) {
+        let is_read = |record: &&RequestRecord| {
+            !matches!(
+                record.outcome,
+                ResponseOutcome::Closed | ResponseOutcome::Unreachable
+            )
+        };
+        let served_share = |within: Range<Micros>| {
+            let read = records.iter().filter(is_read);
+            let read: Vec<_> = read
+                .filter(|record| within.contains(&record.sent))
+                .collect();
+            let served = read.iter().filter(|record| is_good(record, true));
+            served.count() as f64 / read.len().max(1) as f64
+        };
+        let (before, during) = (
+            served_share(0..from),
+            served_share(from + SETTLE_TIME..Micros::MAX),
+        );
+        if during < MIN_FLOOD_RATIO * before {
+            self.record_violation("served less in a flood", &(before, during));
+        }
+    }
+
     /// Checks that a relay keeps to the rest that a runner has asked it for.
     fn check_rests(&mut self, records: &[RequestRecord], log: &Log, state: &SoakState) {
         let by_id = by_id(records);
