Split files that have grown: cells, runners' log and responses, verdicts on runners

Moves: crates/relay/src/core/cells.rs, platform/stub/src/runner/{log,response}.rs, crates/ctl/src/torture/relays/verdict/runner.rs.

--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -213,11 +213,11 @@
         models
             .next()
             .iter()
-            .for_each(|leaver| leaver.runner.announce_leaving());
+            .for_each(|leaving| leaving.runner.announce_leaving());
         models
             .next()
             .iter()
-            .for_each(|tired| tired.runner.ask_for_rest(rest));
+            .for_each(|resting| resting.runner.ask_for_rest(rest));
     }
 
     /// Removes the entries of runners that a request has crashed or made unresponsive, and restarts these
--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -1,5 +1,7 @@
 //! Checks of the responses to clients and the runs of runners for violations.
 
+mod runner;
+
 use crate::torture::relays::cluster::{Key, Keys};
 use crate::torture::relays::demand::OTHER_BODIES;
 use crate::torture::state::{Interval, SoakState};
@@ -8,7 +10,6 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Debug;
 use std::iter::Sum;
-use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::PoisonError;
 use stub::Micros;
@@ -29,21 +30,8 @@
 const SETTLE_TIME: Micros = 3_000_000;
 /// Time after a request has made the third runner unresponsive from which on further ones count as late.
 const UNRESPONSIVE_GRACE: Micros = 4_000_000;
-/// Window over which a runner's limit is checked, the factor and the number of requests by which it may
-/// be exceeded, and the time after which a relay must keep to a limit that a runner has announced to it.
-const LIMIT_WINDOW: Micros = 4_000_000;
-const LIMIT_TOLERANCE: f64 = 1.5;
-const LIMIT_ALLOWANCE: f64 = 5.0;
-const LIMIT_REPORT_DELAY: Micros = 500_000;
 /// Minimum ratio of the served shares of requests during and before a flood of connections.
 const MIN_FLOOD_RATIO: f64 = 0.75;
-/// Time within which a relay must stop sending new requests to a runner that has said, in a response which the
-/// relay has passed on, that it is shutting down.
-const LEAVING_DELAY: Micros = 3_000_000;
-/// Time after which a relay must keep to the rest that a runner has asked for, and the number of requests
-/// that may still reach the runner then.
-const REST_DELAY: Micros = 500_000;
-const MAX_RESTLESS_REQUESTS: usize = 2;
 /// Longest time for which a request that crashes no runners is quarantined, and the text that responses
 /// to quarantined requests contain.
 const MAX_QUARANTINE: Micros = 10_000_000;
@@ -403,91 +391,6 @@
         }
     }
 
-    /// Checks that all relays together keep to the limit that a runner announced in responses that they
-    /// passed on.
-    fn check_rate_limits(&mut self, records: &[RequestRecord], runs: &[Run], state: &SoakState) {
-        let by_id = by_id(records);
-        let mut first_reports: HashMap<(&str, SocketAddr), Micros, RandomState> =
-            HashMap::default();
-        let limited = || runs.iter().filter(|run| run.limit.is_some());
-        for run in limited() {
-            if let Some(record) = by_id.get(run.id.as_str())
-                && matches!(record.outcome, ResponseOutcome::Whole { proven: true, .. })
-            {
-                let first = first_reports
-                    .entry((run.runner.as_str(), record.entry))
-                    .or_insert(record.done);
-                *first = record.done.min(*first);
-            }
-        }
-        let mut arrivals: BTreeMap<&str, Vec<Micros>> = BTreeMap::new();
-        for run in limited() {
-            let Some(record) = by_id.get(run.id.as_str()) else {
-                continue;
-            };
-            let reported_at = first_reports.get(&(run.runner.as_str(), record.entry));
-            let undisturbed = !state.had_fault_at(
-                record.entry,
-                run.started - LIMIT_WINDOW - SETTLE_TIME,
-                run.started,
-            );
-            if undisturbed
-                && reported_at.is_some_and(|reported| reported + LIMIT_REPORT_DELAY < run.started)
-            {
-                arrivals.entry(&run.runner).or_default().push(run.started);
-            }
-        }
-        for (runner, mut arrivals) in arrivals {
-            arrivals.sort_unstable();
-            let rate = limited()
-                .filter(|run| run.runner == runner)
-                .find_map(|run| run.limit);
-            let allowed = LIMIT_TOLERANCE * f64::from(rate.unwrap_or(0)) * 4.0 + LIMIT_ALLOWANCE;
-            let in_span = |from: &Micros| {
-                let interval = *from..from + LIMIT_WINDOW;
-                arrivals.iter().filter(|at| interval.contains(at)).count()
-            };
-            let most = arrivals.iter().map(in_span).max().unwrap_or(0);
-            if most as f64 > allowed {
-                self.record_violation("limit of a runner exceeded", &(runner, most, allowed));
-            }
-        }
-    }
-
-    /// Checks that a relay which has passed on a response of a runner that is shutting down soon sends it no
-    /// more requests.
-    fn check_leaving_notices(
-        &mut self,
-        records: &[RequestRecord],
-        runs: &[Run],
-        state: &SoakState,
-    ) {
-        let by_id = by_id(records);
-        let mut noted: HashMap<(&str, SocketAddr), Micros, RandomState> = HashMap::default();
-        let leaving = || runs.iter().filter(|run| run.leaving);
-        for run in leaving() {
-            if let Some(record) = by_id.get(run.id.as_str())
-                && matches!(record.outcome, ResponseOutcome::Whole { proven: true, .. })
-            {
-                let first = noted.entry((run.runner.as_str(), record.entry));
-                let first = first.or_insert(record.done);
-                *first = record.done.min(*first);
-            }
-        }
-        for run in leaving() {
-            let Some(record) = by_id.get(run.id.as_str()) else {
-                continue;
-            };
-            let Some(noted) = noted.get(&(run.runner.as_str(), record.entry)) else {
-                continue;
-            };
-            let is_late = record.sent > noted + LEAVING_DELAY;
-            if is_late && !state.had_fault_at(record.entry, *noted, run.started) {
-                self.record_violation("new work at a runner that said it leaves", &(record, run));
-            }
-        }
-    }
-
     /// Checks that requests which a relay has read are served about as often while most new connections go to
     /// one relay as before. Connections that are closed unread do not count.
     pub fn check_flood(&mut self, records: &[RequestRecord], from: Micros) {
@@ -514,33 +417,6 @@
         }
     }
 
-    /// Checks that a relay keeps to the rest that a runner has asked it for.
-    fn check_rests(&mut self, records: &[RequestRecord], log: &Log, state: &SoakState) {
-        let by_id = by_id(records);
-        let mut rejections: BTreeMap<(String, SocketAddr), Vec<(Micros, Micros)>> = BTreeMap::new();
-        for rejection in log.rejections() {
-            if let Some(record) = by_id.get(rejection.id.as_str()) {
-                let rest = rejection.rest.as_micros() as Micros;
-                let key = (rejection.runner, record.entry);
-                rejections
-                    .entry(key)
-                    .or_default()
-                    .push((rejection.at, rest));
-            }
-        }
-        for ((runner, entry), rejections) in rejections {
-            for (at, rest) in &rejections {
-                let rest_time = at + REST_DELAY..at + rest;
-                let again = rejections.iter().filter(|(at, _)| rest_time.contains(at));
-                let count = again.count();
-                if count > MAX_RESTLESS_REQUESTS && !state.had_fault_at(entry, *at, at + rest) {
-                    let found = (&runner, entry, count);
-                    self.record_violation("rest of a runner not kept", &found);
-                }
-            }
-        }
-    }
-
     /// Checks that keys in force are accepted and others rejected.
     fn check_key(&mut self, record: &RequestRecord, keys: &[Key], state: &SoakState) {
         let Some(key) = keys.iter().find(|key| key.text == record.request.key) else {
