A failed request does not clear its prompt parts

A response with a failure counted as a complete response, and cleared the parts of the prompt: a runner that fails a request with 500, before it has processed the prompt, hid a part that crashes runners. Only a success clears parts now; the request itself is cleared as before. not_cleared_by_failure failed before.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -377,7 +377,7 @@
         Ok(Ok(body)) if reply.proven => {
             let is_usable = status < 500;
             if is_usable || !may_send(job, progress) {
-                in_flight.answered(elapsed);
+                in_flight.answered(elapsed, is_success(status));
                 return Some(Answer {
                     status,
                     headers,
--- a/crates/relay/src/attempt/in_flight.rs
+++ b/crates/relay/src/attempt/in_flight.rs
@@ -136,8 +136,9 @@
             .record_overdue(self.content, &self.runner, self.last_activity);
     }
 
-    /// Notes a proper response. `elapsed` is the time by which the runner's speed is judged.
-    pub fn answered(mut self, elapsed: Duration) {
+    /// Notes a proper response. `elapsed` is the time by which the runner's speed is judged. Only a success
+    /// shows that the runner has processed all parts of the prompt.
+    pub fn answered(mut self, elapsed: Duration, is_success: bool) {
         self.is_recorded = true;
         let now = self.relay.now();
         let answer = route::ResponseStats {
@@ -150,8 +151,12 @@
             pool.answered(&self.runner.id, now, &answer);
         });
         self.relay.telemetry.attempt("answered");
-        self.relay.record_answered_parts(&self.parts);
-        self.relay.record_answer(&self.contents(), &self.runner);
+        if is_success {
+            self.relay.record_answered_parts(&self.parts);
+            self.relay.record_answer(&self.contents(), &self.runner);
+        } else {
+            self.relay.record_answer(&[self.content], &self.runner);
+        }
     }
 
     /// Notes that the response was lost: the runner may have exited while running the request.
--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -85,7 +85,7 @@
             self.log(&in_flight, &end);
             let elapsed = in_flight.sent_at.elapsed();
             let reason = match end {
-                End::Complete => return in_flight.answered(elapsed),
+                End::Complete => return in_flight.answered(elapsed, true),
                 End::ClientGone => return,
                 End::DeadlineExceeded => {
                     drop(in_flight);
--- a/crates/relay/tests/poison_part.rs
+++ b/crates/relay/tests/poison_part.rs
@@ -169,6 +169,29 @@
     }
 }
 
+/// Guards against a part that is cleared by the failure of a request: the runner may have failed it before it
+/// processed the part.
+#[tokio::test(start_paused = true)]
+async fn not_cleared_by_failure() {
+    let relay = relay_with_fault();
+    let parts = ["system", "deadly"];
+    for number in 0..CRASH_THRESHOLD {
+        serve(&relay, request(&format!("{HARMFUL}-{number}"), &parts)).await;
+        sleep(HARMFUL_INTERVAL).await;
+        let failure = Behavior::Answer {
+            status: 500,
+            proven: true,
+            body: "failed",
+        };
+        let behaviors = &relay.downstream.behaviors;
+        behaviors.lock().expect("free").push_back(failure);
+        let failed = serve(&relay, request(&format!("failed-{number}"), &parts)).await;
+        assert!(number + 1 == CRASH_THRESHOLD || failed.status == 500);
+        sleep(HARMFUL_INTERVAL).await;
+    }
+    assert!(relay.is_quarantined(part_content("deadly")));
+}
+
 /// Guards against announcing parts that cannot have crashed a runner, since other requests with them were
 /// answered meanwhile: each crash would be announced to all processes for every popular part, and cleared
 /// again.
