Try quarantined contents apart where a request has several that are due

A harmful part and a sound one that came with it are held together at first. When both were due, the next harmful request was a trial of both, crashed its runner, and the sound part was held four times as long: requests with the sound part alone were refused for 20 s more. Requests in which several contents are due now count as ten ranks later, so that others get five seconds to clear the sound part. parts_tried_apart failed before; parts_tried_together guards the other side.

--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -39,6 +39,9 @@
 const RUNNERS_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Retry delay given to clients while runners are down: about the time that a runner takes to start.
 const RUNNER_START_TIME: Duration = Duration::from_secs(1);
+/// Rank, in the order in which processes may try a content, of requests in which several contents are due:
+/// other requests get as many turns to clear one of them.
+const JOINT_TRIAL_RANK: u32 = 10;
 /// Delay before a failed write of a row is repeated.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -229,14 +232,15 @@
         self.peers.members(|members| members.takeover_rank(&row))
     }
 
-    fn admission(&self, content: ContentId) -> Admission {
+    /// Whether a content may be sent to a runner now. `rank` is added to the position of this process.
+    fn admission(&self, content: ContentId, rank: u32) -> Admission {
         let now = self.now();
         // The position is computed only if the request is quarantined.
         let admission = lock(&self.quarantine.known).admission(content, 0, now);
         if admission == Admission::Free {
             return admission;
         }
-        let order = self.trial_order(content);
+        let order = self.trial_order(content).saturating_add(rank);
         lock(&self.quarantine.known).admission(content, order, now)
     }
 }
@@ -259,14 +263,14 @@
         .filter_map(|content| remaining_quarantine(job, content));
     match remaining.max() {
         Some(retry_after) => Err(Refusal::Poison { retry_after }),
-        None => Ok(()),
+        None => due_trials(job).map(drop),
     }
 }
 
 /// Remaining quarantine time of one of a request's contents, if it is quarantined. Marks the content as
 /// requested, so that it does not expire.
 fn remaining_quarantine<D: Downstream>(job: &Job<D>, content: ContentId) -> Option<Duration> {
-    let Admission::Held(remaining) = job.relay.admission(content) else {
+    let Admission::Held(remaining) = job.relay.admission(content, 0) else {
         return None;
     };
     lock(&job.relay.quarantine.known).touch(content, job.relay.now());
@@ -281,7 +285,7 @@
 /// [`StageError::Poison`] if the content is quarantined.
 pub(crate) fn begin_stage<D: Downstream>(job: &Job<D>, stage: usize) -> Result<bool, StageError> {
     let content = job.stage_content(stage);
-    match job.relay.admission(content) {
+    match job.relay.admission(content, 0) {
         Admission::Free => Ok(false),
         Admission::Held(_) => Err(StageError::Poison),
         Admission::Trial => {
@@ -368,20 +372,40 @@
     if job.relay.options.policy.suspects == Policy::Shipped {
         await_runners(job).await?;
     }
-    let mut trials = Vec::new();
-    for content in job.served_contents() {
-        match job.relay.admission(content) {
-            Admission::Free => {}
-            Admission::Trial => trials.push(content),
-            Admission::Held(retry_after) => return Err(Refusal::Poison { retry_after }),
-        }
+    for content in due_trials(job)? {
+        begin_trial(job, content);
     }
-    trials
-        .into_iter()
-        .for_each(|content| begin_trial(job, content));
     Ok(())
 }
 
+/// The quarantined contents of a request that would be tried if it were sent to a runner now.
+///
+/// If several of them are due, a crash would count against all, although one of them may be sound. Requests
+/// that contain only one of them are therefore tried first.
+///
+/// # Errors
+///
+/// [`Refusal::Poison`] if one of them may not be tried yet.
+fn due_trials<D: Downstream>(job: &Job<D>) -> Result<Vec<ContentId>, Refusal> {
+    let admissions = |rank: u32| {
+        let contents = job.served_contents();
+        let admissions = contents.map(|content| (content, job.relay.admission(content, rank)));
+        let mut due = Vec::new();
+        for (content, admission) in admissions {
+            match admission {
+                Admission::Free => {}
+                Admission::Trial => due.push(content),
+                Admission::Held(retry_after) => return Err(Refusal::Poison { retry_after }),
+            }
+        }
+        Ok(due)
+    };
+    match admissions(0)? {
+        due if due.len() > 1 => admissions(JOINT_TRIAL_RANK),
+        due => Ok(due),
+    }
+}
+
 fn key(content: ContentId) -> String {
     format!("{PREFIX}{}", content_name(content))
 }
--- a/crates/relay/tests/poison_part.rs
+++ b/crates/relay/tests/poison_part.rs
@@ -31,6 +31,8 @@
 const MAX_LATER: usize = 3;
 /// Upper limit for a step, even on a busy machine.
 const STEP_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time after the last crash for which a part is held at first.
+const INITIAL_HOLD: Duration = Duration::from_secs(5);
 /// Share of the other requests that must be answered once the part is recognized.
 const MIN_SERVED_SHARE: f64 = 0.9;
 
@@ -169,6 +171,38 @@
     }
 }
 
+/// Guards against a sound part that is held for long because it was tried together with a harmful one: a
+/// request that contains only the sound part must get the chance to clear it.
+#[tokio::test(start_paused = true)]
+async fn parts_tried_apart() {
+    let relay = relay_with_fault();
+    let harmful = |id: &str| request(&format!("{HARMFUL}-{id}"), &["deadly", "subject"]);
+    for number in 0..CRASH_THRESHOLD {
+        serve(&relay, harmful(&number.to_string())).await;
+        sleep(HARMFUL_INTERVAL).await;
+    }
+    assert!(relay.is_quarantined(part_content("subject")));
+    sleep(INITIAL_HOLD).await;
+    assert_eq!(serve(&relay, harmful("due")).await.status, 503);
+    let sound = |id: &str| request(id, &["subject"]);
+    assert!(serve(&relay, sound("trial")).await.is_served());
+    assert!(!serve(&relay, harmful("trial")).await.is_served());
+    assert!(serve(&relay, sound("later")).await.is_served());
+}
+
+/// Guards against parts that are never tried because all requests contain both of them.
+#[tokio::test(start_paused = true)]
+async fn parts_tried_together() {
+    let relay = relay_with_fault();
+    let parts = ["deadly", "subject"];
+    for number in 0..CRASH_THRESHOLD {
+        serve(&relay, request(&format!("{HARMFUL}-{number}"), &parts)).await;
+        sleep(HARMFUL_INTERVAL).await;
+    }
+    sleep(INITIAL_HOLD * 3).await;
+    assert!(serve(&relay, request("mended", &parts)).await.is_served());
+}
+
 /// Guards against a part that is cleared by the failure of a request: the runner may have failed it before it
 /// processed the part.
 #[tokio::test(start_paused = true)]
