A row of a quarantined request extends no hold that is known already

Each process that merged the row of a quarantined request dated its crashes to the arrival of the row. The row counts only where it names more crashes than are known. late_row_extends_no_hold failed before. Not new with prompt parts: whole requests were held as long.

--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -204,9 +204,11 @@
         })
     }
 
-    /// Records stored crashes whose runners are unknown.
+    /// Records stored crashes whose runners are unknown, unless as many are known.
     pub fn restore(&mut self, content: ContentId, count: u32, now: Duration) -> Merge {
-        self.change(content, now, |suspect, _, now| suspect.restore(count, now))
+        self.change(content, now, |suspect, exits, now| {
+            suspect.count(exits) < count && suspect.restore(count, now)
+        })
     }
 
     /// Records that the stored crashes were deleted at least `ago` ago, since the request was
--- a/crates/protocol/tests/quarantine_rules.rs
+++ b/crates/protocol/tests/quarantine_rules.rs
@@ -26,6 +26,21 @@
     }
 }
 
+/// Guards against a hold that starts over because the row of the quarantined request arrives late: it says
+/// nothing that the process does not know.
+#[test]
+fn late_row_extends_no_hold() {
+    let mut quarantine = held();
+    let due = due(&quarantine);
+    let arrival = due - SECOND / 2;
+    assert_eq!(quarantine.restore(POISON, 3, arrival), Merge::Known);
+    assert_eq!(quarantine.admission(POISON, 0, due), Admission::Trial);
+    assert!(matches!(
+        quarantine.restore(POISON, 4, arrival),
+        Merge::New { .. }
+    ));
+}
+
 /// Guards against a request that stays quarantined because the process that would try it is gone.
 #[test]
 fn next_process_makes_trial() {
