--- a/crates/ctl/tests/relay_soak.rs
+++ b/crates/ctl/tests/relay_soak.rs
@@ -34,3 +34,10 @@
 fn popular_beside_poison_soak() {
     soak::run_clean(Scenario::Drawn, 12, Duration::from_secs(15), 50);
 }
+
+/// Guards against a sound prompt part that is held beside a deadly one for longer than it takes to try it,
+/// while the table service is slow.
+#[test]
+fn sound_part_beside_deadly_one() {
+    soak::run_clean(Scenario::Drawn, 11, Duration::from_secs(15), 50);
+}
