--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -221,12 +221,12 @@
     }
 
     /// Removes the entries of runners that a request has crashed or made unresponsive, and restarts these
-    /// runners after a while.
+    /// runners after a while. A runner that was leaving no longer is after its restart.
     ///
     /// # Errors
     ///
     /// [`Error::Failed`] if an address is taken.
-    pub async fn maintain_runners(&mut self) -> Result<(), Error> {
+    pub async fn maintain_runners(&mut self, state: &SoakState) -> Result<(), Error> {
         for number in 0..self.targets.len() {
             let target = &mut self.targets[number];
             let Some(down) = target.runner.down_for() else {
@@ -239,6 +239,7 @@
             };
             if down >= restart_after {
                 self.restart_runner(number).await?;
+                state.end_leaving(&self.targets[number].id);
             } else if down >= unlist_after && !target.unlisted {
                 target.unlisted = true;
                 self.store.unlist(&target.id);
--- a/crates/ctl/src/torture/relays/fault.rs
+++ b/crates/ctl/src/torture/relays/fault.rs
@@ -146,7 +146,7 @@
             let step = tokio::select! {
                 step = self.schedule.step() => step,
                 () = sleep(CHECK_INTERVAL) => {
-                    self.cluster.maintain_runners().await?;
+                    self.cluster.maintain_runners(&self.state).await?;
                     continue;
                 }
             };
@@ -171,7 +171,7 @@
     pub async fn wait(&mut self, time: Duration) -> Result<(), Error> {
         let end = Instant::now() + time;
         while Instant::now() < end {
-            self.cluster.maintain_runners().await?;
+            self.cluster.maintain_runners(&self.state).await?;
             sleep(CHECK_INTERVAL).await;
         }
         Ok(())
@@ -249,7 +249,7 @@
             .iter()
             .any(|target| target.runner.down_for().is_some())
         {
-            self.cluster.maintain_runners().await?;
+            self.cluster.maintain_runners(&self.state).await?;
             sleep(CHECK_INTERVAL).await;
         }
         Ok(())
