A clear that voids nothing is not announced again

Relays announced the same clears to each other for seconds: ages of reports grow with each process that passes them on, so that under load a clear came back over a second later, counted as a newer one and was passed on again. Only the first clear of a content, and one that voids something, is news now; digests still settle what differs. repeated_clear_is_no_news failed before; the simulation of processes (150 seeds, each guard mutated) passes.

--- a/crates/protocol/src/quarantine/suspect.rs
+++ b/crates/protocol/src/quarantine/suspect.rs
@@ -141,19 +141,21 @@
         true
     }
 
-    /// Merges a complete response; returns whether it is new.
+    /// Merges a complete response; returns whether it is news: the first one, or one that voids something.
     pub(super) fn clear(&mut self, at: Moment) -> bool {
         if self.is_void(at) {
             return false;
         }
+        let is_first = self.cleared.is_none();
         self.cleared = Some(at);
         let void = |moment: Moment| moment <= at + CLOCK_TOLERANCE;
+        let before = (self.crashes.len(), self.restored, self.tried);
         self.crashes.retain(|crash| !void(crash.span.lost));
         self.restored = self.restored.filter(|restored| !void(restored.at));
         if self.tried.is_none_or(void) {
             (self.trials, self.tried) = (0, None);
         }
-        true
+        is_first || before != (self.crashes.len(), self.restored, self.tried)
     }
 
     /// Crashes that count: those where the request had been sent before the runner exited.
--- a/crates/protocol/tests/quarantine_rules.rs
+++ b/crates/protocol/tests/quarantine_rules.rs
@@ -26,6 +26,26 @@
     }
 }
 
+/// Guards against processes that announce a clear to each other for ever: reported times become later with
+/// each process that passes them on, and a clear that voids nothing is no news.
+#[test]
+fn repeated_clear_is_no_news() {
+    let mut quarantine = held();
+    let clear = Report {
+        cleared: Some(Duration::ZERO),
+        ..Report::new(POISON)
+    };
+    let first = quarantine.merge(&clear, SECOND * 4);
+    assert!(matches!(first, Merge::New { was_held: true, .. }));
+    assert_eq!(quarantine.merge(&clear, SECOND * 8), Merge::Known);
+    quarantine.answer_lost(POISON, 9, SECOND * 12, SECOND * 12);
+    quarantine.runner_exited(&9, SECOND * 12);
+    assert!(matches!(
+        quarantine.merge(&clear, SECOND * 14),
+        Merge::New { .. }
+    ));
+}
+
 /// Guards against a hold that starts over because the row of the quarantined request arrives late: it says
 /// nothing that the process does not know.
 #[test]
