Gates that decide which requests of a chain of stages may start

If nothing is started, the chain's own time is used instead of the learnt time: nothing would correct a learnt time that is longer than requests have left, and all of them would be refused for ever.

--- /dev/null
+++ b/crates/decide/src/flow/window.rs
@@ -0,0 +1,279 @@
+//! The gate that limits the pieces of started requests.
+
+use super::learnt::LearntTime;
+use super::outlook::Outlook;
+use super::queue::WaitQueue;
+use super::returns::ScheduledReturns;
+use super::work::{Work, used};
+use super::{Capacity, Demand, Gate, REVIEW_INTERVAL, Ticket, Verdict, wait_of};
+use crate::Map;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Work in progress, as a multiple of what the chain processes in its time without waits. Requests
+/// wait for the next call at each stage, so that less would leave calls partly empty.
+const HORIZON: f64 = 1.5;
+/// Largest horizon as a fraction of a request's own remaining time, so that work in progress alone
+/// does not make it late.
+const MAX_REMAINING_FRACTION: f64 = 0.9;
+/// Time after the expiry of a started request at which its credit is returned automatically.
+const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
+
+/// Starts requests while the pieces of started ones are within a window at each service.
+///
+/// The window is the number of pieces that the service processes within the horizon. The order of
+/// waiting requests is by rank, then by due time; those that can no longer be on time go last. A
+/// request that does not fit blocks those behind it, so that large requests do not starve.
+///
+/// # Examples
+///
+/// ```
+/// use decide::flow::{Capacity, Demand, Gate, Verdict, Window};
+/// use std::time::Duration;
+///
+/// let ms = Duration::from_millis;
+/// let mut gate = Window::new(Capacity { rates: vec![10.0], chain_time: ms(1_000) });
+/// let demand = Demand { rank: 0, pieces: vec![8], due: ms(4_000), expires_at: ms(6_000) };
+/// assert_eq!(gate.offer(ms(0), 1, demand.clone()), Verdict::Start);
+/// // 16 pieces take 1.6 s, which exceeds the horizon of 1.5 s by 0.1 s.
+/// let waits = Verdict::Wait { expected: ms(100) };
+/// assert_eq!(gate.offer(ms(0), 2, demand), waits);
+/// gate.finish(ms(900), 1);
+/// assert_eq!(gate.poll(ms(900)), [(2, Verdict::Start)]);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Window {
+    capacity: Capacity,
+    queue: WaitQueue,
+    started: Map<Ticket, Credit>,
+    /// Expiry times of the started requests.
+    expiries: BTreeSet<(Duration, Ticket)>,
+    /// Pieces of the started requests.
+    in_progress: Work,
+    learnt: LearntTime,
+    returns: ScheduledReturns,
+}
+
+/// A started request.
+#[derive(Clone, Debug)]
+struct Credit {
+    pieces: Vec<u32>,
+    started_at: Duration,
+    expires_at: Duration,
+}
+
+impl Window {
+    /// A gate of an idle chain.
+    #[must_use]
+    pub fn new(capacity: Capacity) -> Self {
+        Self {
+            capacity,
+            ..Self::default()
+        }
+    }
+
+    /// Number of waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Number of started requests.
+    #[must_use]
+    pub fn started(&self) -> usize {
+        self.started.len()
+    }
+
+    /// Pieces of started requests at a service.
+    #[must_use]
+    pub fn started_pieces(&self, service: usize) -> u64 {
+        self.in_progress.at(service)
+    }
+
+    /// Learnt time from the start of a request to the end of its chain, at least the chain's time
+    /// without waits.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use decide::flow::{Capacity, Window};
+    /// use std::time::Duration;
+    ///
+    /// let chain_time = Duration::from_millis(1_110);
+    /// let gate = Window::new(Capacity { rates: vec![10.0], chain_time });
+    /// assert_eq!(gate.learnt_time(), chain_time);
+    /// ```
+    #[must_use]
+    pub fn learnt_time(&self) -> Duration {
+        self.learnt.get(self.capacity.chain_time)
+    }
+
+    /// Time within which all work in progress must be done for a request with this much time left to
+    /// start.
+    fn horizon(&self, remaining: Duration) -> Duration {
+        let chain_time = self.capacity.chain_time;
+        let longest = chain_time.mul_f64(HORIZON);
+        let horizon = longest.min(remaining.mul_f64(MAX_REMAINING_FRACTION));
+        // A request with less time left is late in any case.
+        if horizon < chain_time {
+            longest
+        } else {
+            horizon
+        }
+    }
+
+    fn horizon_of(&self, now: Duration, demand: &Demand) -> f64 {
+        let remaining = demand.due.saturating_sub(now);
+        self.horizon(remaining).as_secs_f64()
+    }
+
+    fn fits(&self, now: Duration, demand: &Demand) -> bool {
+        let horizon = self.horizon_of(now, demand);
+        let mut services = used(&demand.pieces, &self.capacity.rates);
+        self.started.is_empty()
+            || services.all(|(service, own, rate)| {
+                (self.in_progress.at(service) + own) as f64 <= rate * horizon
+            })
+    }
+
+    /// Expected wait of a request before which these pieces wait.
+    fn wait(&self, now: Duration, ahead: &Work, demand: &Demand) -> Duration {
+        let horizon = self.horizon_of(now, demand);
+        let waits = used(&demand.pieces, &self.capacity.rates).map(|(service, own, rate)| {
+            let work = self.in_progress.at(service) + ahead.at(service) + own;
+            work as f64 / rate - horizon
+        });
+        wait_of(waits.fold(0.0, f64::max))
+    }
+
+    fn outlook(&self, now: Duration) -> Outlook {
+        // Without work in progress, nothing would correct a learnt time that is too long.
+        let run_time = if self.started.is_empty() {
+            self.capacity.chain_time
+        } else {
+            self.learnt_time()
+        };
+        Outlook::new(now, run_time, &self.capacity)
+    }
+
+    fn start(&mut self, now: Duration, ticket: Ticket, demand: Demand) -> Verdict {
+        self.in_progress.add(&demand.pieces);
+        self.expiries.insert((demand.expires_at, ticket));
+        let credit = Credit {
+            pieces: demand.pieces,
+            started_at: now,
+            expires_at: demand.expires_at,
+        };
+        self.started.insert(ticket, credit);
+        Verdict::Start
+    }
+
+    fn refuse(&mut self, now: Duration, demand: &Demand, wait: Duration) -> Verdict {
+        let retry_after = self
+            .returns
+            .schedule(now, wait, &demand.pieces, &self.capacity);
+        Verdict::Refuse { retry_after }
+    }
+
+    fn return_credit(&mut self, ticket: Ticket) -> Option<Credit> {
+        let credit = self.started.remove(&ticket)?;
+        self.expiries.remove(&(credit.expires_at, ticket));
+        self.in_progress.remove(&credit.pieces);
+        Some(credit)
+    }
+
+    fn return_expired(&mut self, now: Duration) {
+        while let Some((expires_at, ticket)) = self.expiries.first().copied() {
+            if expires_at + EXPIRY_MARGIN > now {
+                return;
+            }
+            self.return_credit(ticket);
+        }
+    }
+
+    fn refuse_hopeless(&mut self, now: Duration) -> Vec<(Ticket, Verdict)> {
+        let mut queue = std::mem::take(&mut self.queue);
+        let wait = |ahead: &Work, demand: &Demand| self.wait(now, ahead, demand);
+        let hopeless = queue.review(&self.outlook(now), wait);
+        self.queue = queue;
+        let refused = hopeless.into_iter();
+        refused
+            .map(|(ticket, demand, wait)| (ticket, self.refuse(now, &demand, wait)))
+            .collect()
+    }
+
+    /// Removes the first waiting request if it fits.
+    fn take_fitting(&mut self, now: Duration) -> Option<(Ticket, Demand)> {
+        let (position, demand) = self.queue.first()?;
+        let ticket = position.ticket;
+        if !self.fits(now, demand) {
+            return None;
+        }
+        Some((ticket, self.queue.remove(ticket)?))
+    }
+}
+
+impl Gate for Window {
+    fn set_capacity(&mut self, capacity: Capacity) {
+        self.capacity = capacity;
+    }
+
+    fn offer(&mut self, now: Duration, ticket: Ticket, demand: Demand) -> Verdict {
+        self.withdraw(now, ticket);
+        self.return_expired(now);
+        let wait = |ahead: &Work, demand: &Demand| self.wait(now, ahead, demand);
+        let placement = self.queue.place(ticket, &demand, &self.outlook(now), wait);
+        if placement.is_hopeless {
+            return self.refuse(now, &demand, placement.wait);
+        }
+        if self.queue.is_first(placement.position) && self.fits(now, &demand) {
+            return self.start(now, ticket, demand);
+        }
+        self.queue.insert(placement.position, demand);
+        Verdict::Wait {
+            expected: placement.wait,
+        }
+    }
+
+    fn finish(&mut self, now: Duration, ticket: Ticket) {
+        if let Some(credit) = self.return_credit(ticket) {
+            self.learnt.add(now.saturating_sub(credit.started_at));
+        }
+    }
+
+    fn withdraw(&mut self, _now: Duration, ticket: Ticket) {
+        self.return_credit(ticket);
+        self.queue.remove(ticket);
+    }
+
+    fn poll(&mut self, now: Duration) -> Vec<(Ticket, Verdict)> {
+        self.return_expired(now);
+        let mut verdicts = self.refuse_hopeless(now);
+        while let Some((ticket, demand)) = self.take_fitting(now) {
+            verdicts.push((ticket, self.start(now, ticket, demand)));
+        }
+        verdicts
+    }
+
+    fn next_wakeup(&self, now: Duration) -> Option<Duration> {
+        let review = (self.queue.len() > 0).then_some(now + REVIEW_INTERVAL);
+        let expiry = self.expiries.first();
+        let expiry = expiry.map(|(expires_at, _)| now.max(*expires_at + EXPIRY_MARGIN));
+        review.into_iter().chain(expiry).min()
+    }
+
+    fn expected_wait(&self, now: Duration, rank: u8) -> Duration {
+        let services = self.capacity.rates.len();
+        let smallest = Demand {
+            rank,
+            pieces: vec![1; services],
+            due: now
+                + self
+                    .capacity
+                    .chain_time
+                    .mul_f64(HORIZON / MAX_REMAINING_FRACTION),
+            expires_at: Duration::MAX,
+        };
+        self.wait(now, &self.queue.ahead_of_new(rank), &smallest)
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`limit`]: limits on the number of calls in flight
 //! * [`batch`]: forming batches of work items for runners that process several per call
 //! * [`budget`]: the latest start of each stage by which the request meets its deadline
+//! * [`flow`]: which requests of a chain of stages may start, and when
 //! * [`retry`]: retries, hedges and outlier ejection
 //! * [`demand`]: estimates of service time by class
 //! * [`owner`]: the process that does work which only one should do at a time
@@ -25,6 +26,7 @@
 pub mod budget;
 pub mod demand;
 mod either;
+pub mod flow;
 pub mod limit;
 pub mod owner;
 pub mod place;
