--- a/crates/decide/src/flow/paced.rs
+++ b/crates/decide/src/flow/paced.rs
@@ -119,7 +119,7 @@
         if self.queue.is_first(placement.position) && self.free_at <= now {
             return self.start(now, ticket, &demand);
         }
-        self.queue.insert(placement.position, demand);
+        self.queue.insert(now, placement.position, demand);
         Verdict::Wait {
             expected: placement.wait,
         }
--- a/crates/decide/src/flow/queue.rs
+++ b/crates/decide/src/flow/queue.rs
@@ -49,13 +49,20 @@
     pub(super) is_hopeless: bool,
 }
 
+/// A waiting request and the time from which it waits.
+#[derive(Clone, Debug)]
+struct Waiting {
+    demand: Demand,
+    since: Duration,
+}
+
 /// Ordered waiting requests, with the sum of their pieces for each rank.
 ///
 /// The sums make a new request cheap that is due after the waiting ones of its rank, as nearly all
 /// are, even if thousands wait.
 #[derive(Clone, Debug, Default)]
 pub(super) struct WaitQueue {
-    order: BTreeMap<Position, Demand>,
+    order: BTreeMap<Position, Waiting>,
     positions: Map<Ticket, Position>,
     sums: BTreeMap<(bool, u8), Work>,
 }
@@ -66,7 +73,8 @@
     }
 
     pub(super) fn first(&self) -> Option<(&Position, &Demand)> {
-        self.order.first_key_value()
+        let (position, waiting) = self.order.first_key_value()?;
+        Some((position, &waiting.demand))
     }
 
     /// Whether no waiting request goes before this position.
@@ -74,20 +82,28 @@
         self.first().is_none_or(|(first, _)| position < *first)
     }
 
-    pub(super) fn insert(&mut self, position: Position, demand: Demand) {
+    pub(super) fn insert(&mut self, now: Duration, position: Position, demand: Demand) {
+        self.insert_waiting(position, Waiting { demand, since: now });
+    }
+
+    fn insert_waiting(&mut self, position: Position, waiting: Waiting) {
         let sum = self.sums.entry((position.late, position.rank));
-        sum.or_default().add(&demand.pieces);
+        sum.or_default().add(&waiting.demand.pieces);
         self.positions.insert(position.ticket, position);
-        self.order.insert(position, demand);
+        self.order.insert(position, waiting);
     }
 
     pub(super) fn remove(&mut self, ticket: Ticket) -> Option<Demand> {
+        Some(self.remove_waiting(ticket)?.demand)
+    }
+
+    fn remove_waiting(&mut self, ticket: Ticket) -> Option<Waiting> {
         let position = self.positions.remove(&ticket)?;
-        let demand = self.order.remove(&position)?;
+        let waiting = self.order.remove(&position)?;
         if let Some(sum) = self.sums.get_mut(&(position.late, position.rank)) {
-            sum.remove(&demand.pieces);
+            sum.remove(&waiting.demand.pieces);
         }
-        Some(demand)
+        Some(waiting)
     }
 
     /// Pieces of the requests that go before this position.
@@ -98,8 +114,8 @@
         };
         let mut own_rank = sum.clone();
         let behind = self.order.range(position..=position.last_of_rank());
-        for (_, demand) in behind {
-            own_rank.remove(&demand.pieces);
+        for (_, waiting) in behind {
+            own_rank.remove(&waiting.demand.pieces);
         }
         ahead.add_work(&own_rank);
         ahead
@@ -133,7 +149,7 @@
     ) -> Placement {
         let at = |position: Position| {
             let wait = wait(&self.ahead_of(position), demand);
-            (position, wait, outlook.prospect(demand, wait))
+            (position, wait, outlook.prospect(demand, outlook.now, wait))
         };
         let mut placed = at(Position::new(ticket, demand));
         if placed.2 != Prospect::OnTime {
@@ -159,8 +175,8 @@
         let mut ahead = Work::default();
         let (mut late, mut moved, mut hopeless) = (Vec::new(), Vec::new(), Vec::new());
         for position in positions {
-            let demand = &self.order[&position];
-            if outlook.prospect(demand, wait(&ahead, demand)) == Prospect::OnTime {
+            let Waiting { demand, since } = &self.order[&position];
+            if outlook.prospect(demand, *since, wait(&ahead, demand)) == Prospect::OnTime {
                 ahead.add(&demand.pieces);
                 moved.extend(position.late.then_some((position, false)));
             } else {
@@ -168,9 +184,9 @@
             }
         }
         for position in late {
-            let demand = &self.order[&position];
+            let Waiting { demand, since } = &self.order[&position];
             let wait = wait(&ahead, demand);
-            if outlook.prospect(demand, wait) == Prospect::Hopeless {
+            if outlook.prospect(demand, *since, wait) == Prospect::Hopeless {
                 hopeless.push((position.ticket, wait));
             } else {
                 ahead.add(&demand.pieces);
@@ -185,8 +201,8 @@
 
     fn move_all(&mut self, moved: Vec<(Position, bool)>) {
         for (position, late) in moved {
-            if let Some(demand) = self.remove(position.ticket) {
-                self.insert(position.with_late(late), demand);
+            if let Some(waiting) = self.remove_waiting(position.ticket) {
+                self.insert_waiting(position.with_late(late), waiting);
             }
         }
     }
--- a/crates/decide/src/flow/window.rs
+++ b/crates/decide/src/flow/window.rs
@@ -229,7 +229,7 @@
         if self.queue.is_first(placement.position) && self.fits(now, &demand) {
             return self.start(now, ticket, demand);
         }
-        self.queue.insert(placement.position, demand);
+        self.queue.insert(now, placement.position, demand);
         Verdict::Wait {
             expected: placement.wait,
         }
