Releases go to the owner of the runner that stores the result

A release went to the owner of the cell in which the result was made. When runners join or leave, the result's runner may be in another cell by then, and the owner ignored the release: the result stayed stored until it expired.

The current cell is now looked up by the runner's address, in an index that is cached with the cells. An owner that does not have the runner forwards the release once (new frame ForwardedRelease, at the end of the enum). If no owner is known or no link to it is open, the runner itself is told, with releases of 25 ms collected in one message.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -5,6 +5,7 @@
 //! reordered or be cancelled.
 
 mod batch_call;
+mod cell_list;
 mod pending;
 mod runner_state;
 mod select;
@@ -18,6 +19,7 @@
 use crate::runner::{DomainId, Runner};
 use crate::telemetry::millis;
 use batch_call::BatchCall;
+pub use cell_list::CellList;
 use serde::{Deserialize, Serialize};
 use setting::Policy;
 use slog::{info, warn};
@@ -46,7 +48,7 @@
 const INPUT_FETCH_TIME: Duration = Duration::from_millis(60);
 
 /// Time for which results that are no longer needed are collected before their runners are notified.
-const RELEASE_DELAY: Duration = Duration::from_millis(25);
+pub(crate) const RELEASE_DELAY: Duration = Duration::from_millis(25);
 
 /// Maximum number of runners in a cell. At 8 pieces and 0.37 s per call, eight runners process 175
 /// pieces per second in 22 calls, which takes a few hundredths of a core. Larger cells hardly
@@ -264,21 +266,33 @@
     ///
     /// Some results may have been computed for another process that owned the cell before. They
     /// occupy room here as well, but their size is unknown.
-    pub fn release(self: &Arc<Self>, relay: &Arc<Relay<D>>, handles: &[Handle], kind: ReleaseKind) {
+    ///
+    /// Returns those at runners that are not in the cell.
+    pub fn release(
+        self: &Arc<Self>,
+        relay: &Arc<Relay<D>>,
+        handles: &[Handle],
+        kind: ReleaseKind,
+    ) -> Vec<Handle> {
+        let mut absent = Vec::new();
         let mut state = lock(&self.state);
         let keep = relay.batches(&self.cell.service);
         let expires_at = Instant::now() + keep.map_or(Duration::ZERO, |batches| batches.keep);
         for handle in handles {
             if let Some(address) = relay.downstream.holder(handle) {
-                match kind {
+                let is_present = match kind {
                     ReleaseKind::Fetched => state.fetched(address, handle),
                     ReleaseKind::Over => state.release(address, handle, expires_at),
+                };
+                if !is_present {
+                    absent.push(handle.clone());
                 }
             }
         }
         if kind == ReleaseKind::Over && state.schedule_release() {
             tokio::spawn(self.clone().release_pending(relay.clone()));
         }
+        absent
     }
 
     /// Drops results that are no longer needed, without waiting for the next call.
@@ -395,7 +409,9 @@
         }
         let inputs = lock(&self.state).inputs(batch_call);
         for results in inputs {
-            relay.peers.release(relay, results, ReleaseKind::Fetched);
+            relay
+                .peers
+                .release(relay, &results.handles, ReleaseKind::Fetched);
         }
         running.await
     }
@@ -430,7 +446,11 @@
 }
 
 /// Tells a runner to drop results.
-async fn release<D: Downstream>(relay: Arc<Relay<D>>, runner: Arc<Runner>, results: Vec<Handle>) {
+pub(crate) async fn release<D: Downstream>(
+    relay: Arc<Relay<D>>,
+    runner: Arc<Runner>,
+    results: Vec<Handle>,
+) {
     let count = results.len();
     if count == 0 {
         return;
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -59,11 +59,17 @@
         self.runner_states.is_empty()
     }
 
-    /// Marks a result as no longer needed.
-    pub(super) fn release(&mut self, address: SocketAddr, handle: &Handle, expires_at: Instant) {
-        if let Some(state) = self.at(address) {
-            state.release(handle, expires_at);
-        }
+    /// Marks a result as no longer needed; returns whether its runner is in the cell.
+    pub(super) fn release(
+        &mut self,
+        address: SocketAddr,
+        handle: &Handle,
+        expires_at: Instant,
+    ) -> bool {
+        let state = self.at(address);
+        state
+            .map(|state| state.release(handle, expires_at))
+            .is_some()
     }
 
     /// Whether the caller has to schedule the task that drops released results.
@@ -87,11 +93,10 @@
         states.filter_map(released).collect()
     }
 
-    /// Marks a result as fetched by the call that needs it.
-    pub(super) fn fetched(&mut self, address: SocketAddr, handle: &Handle) {
-        if let Some(state) = self.at(address) {
-            state.fetched(handle);
-        }
+    /// Marks a result as fetched by the call that needs it; returns whether its runner is in the cell.
+    pub(super) fn fetched(&mut self, address: SocketAddr, handle: &Handle) -> bool {
+        let state = self.at(address);
+        state.map(|state| state.fetched(handle)).is_some()
     }
 
     fn at(&mut self, address: SocketAddr) -> Option<&mut RunnerState> {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -2,7 +2,7 @@
 
 mod cells;
 
-use crate::batch::{Batcher, Cell, CellRunners};
+use crate::batch::{Batcher, Cell, CellList};
 use crate::configuration::{Configuration, RegionId, ServiceId};
 use crate::downstream::Downstream;
 use crate::drain::Drains;
@@ -103,7 +103,7 @@
     batchers: Mutex<Map<Cell, Arc<Batcher<D>>>>,
     /// Longest client timeout seen on each route.
     longest_timeouts: Mutex<Map<String, Duration>>,
-    cells: Mutex<Map<ServiceId, Arc<Vec<CellRunners>>>>,
+    cells: Mutex<Map<ServiceId, Arc<CellList>>>,
     /// When the list of runners was last known to be up to date.
     list_current_at: Mutex<Option<Instant>>,
     rng: Mutex<SmallRng>,
--- a/crates/relay/src/core/cells.rs
+++ b/crates/relay/src/core/cells.rs
@@ -1,11 +1,12 @@
 //! The cells of stage services and the batchers that form their calls.
 
 use super::{Relay, lock};
-use crate::batch::{Batcher, Cell, CellRunners};
+use crate::batch::{Batcher, Cell, CellList, CellRunners};
 use crate::configuration::{BatchSettings, LAST_RANK, ServiceId};
 use crate::downstream::Downstream;
 use crate::request::ContentId;
 use rand::Rng;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -74,17 +75,27 @@
 
     /// The cells of a service. They are cached until its runners change, since at a thousand runners sorting
     /// them for each piece dominated all other work.
-    pub fn cells(&self, service: &ServiceId) -> Arc<Vec<CellRunners>> {
+    pub fn cells(&self, service: &ServiceId) -> Arc<CellList> {
         // The lock is held throughout: a list that is read before a change and cached after it would
         // contain a runner that has left.
         let mut cells = lock(&self.cells);
         let form = || {
             let runners = self.fleet(|fleet| fleet.of(service).to_vec());
-            Arc::new(Cell::all(service, &runners.unwrap_or_default()))
+            Arc::new(CellList::new(Cell::all(
+                service,
+                &runners.unwrap_or_default(),
+            )))
         };
         cells.entry(service.clone()).or_insert_with(form).clone()
     }
 
+    /// The cell of the runner that listens on an address, if it accepts new work.
+    #[must_use]
+    pub(crate) fn cell_at(&self, address: &SocketAddr) -> Option<Cell> {
+        let service = self.fleet(|fleet| Some(fleet.at(address)?.service.clone()))??;
+        self.cells(&service).at(address).cloned()
+    }
+
     /// The batch settings of a service in the configuration in force, if its runners take pieces.
     #[must_use]
     pub fn batches(&self, service: &str) -> Option<BatchSettings> {
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -85,7 +85,7 @@
         let released: Vec<(usize, Results)> = released;
         for (_, results) in released {
             let peers = &self.relay.peers;
-            peers.release(&self.relay, results, ReleaseKind::Over);
+            peers.release(&self.relay, &results.handles, ReleaseKind::Over);
         }
     }
 }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -4,6 +4,7 @@
 mod call_loads;
 mod frame;
 mod overlay;
+mod results;
 mod serving;
 pub(crate) mod tables;
 mod transfer;
@@ -15,7 +16,7 @@
 pub use tables::TableUpdate;
 pub use transfer::Part;
 
-use crate::batch::{Cell, Order, Outcome, ReleaseKind, Results, StageError, WaitEstimates};
+use crate::batch::{Cell, Order, Outcome, StageError, WaitEstimates};
 use crate::configuration::{Rank, Version};
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle};
@@ -24,6 +25,7 @@
 use crate::member::{Member, MemberId, Members};
 use crate::quarantine::Suspicion;
 use decide::Map;
+use results::DirectReleases;
 use slog::{info, warn};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -51,6 +53,7 @@
     subscribers: Mutex<Vec<Sender<Frame>>>,
     wait_estimates: Mutex<Map<Cell, (WaitEstimates, Instant)>>,
     held_results: Mutex<Map<Cell, HeldResults>>,
+    direct_releases: Mutex<DirectReleases>,
     pub(crate) call_loads: CallLoadTable,
     /// What this process has completed of its own registration and of reading the list of processes.
     startup: watch::Sender<StartupState>,
@@ -138,6 +141,7 @@
             subscribers: Mutex::default(),
             wait_estimates: Mutex::default(),
             held_results: Mutex::default(),
+            direct_releases: Mutex::default(),
             call_loads: CallLoadTable::default(),
             startup: watch::Sender::default(),
             rewrite_own_row: Notify::new(),
@@ -311,36 +315,6 @@
             .results_if_owner_changed(owner)
     }
 
-    /// Notifies the owner of a cell that results were fetched or are not needed any more.
-    pub fn release<D: Downstream>(
-        &self,
-        relay: &Arc<Relay<D>>,
-        results: Results,
-        kind: ReleaseKind,
-    ) {
-        let Results { cell, handles } = &results;
-        if kind == ReleaseKind::Over
-            && let Some(held_results) = lock(&self.held_results).get_mut(cell)
-        {
-            for handle in handles {
-                held_results.results.remove(handle);
-            }
-        }
-        let owner = lock(&self.members).owner(&cell.name());
-        if owner.id == relay.options.member.id {
-            relay.batcher(cell).release(relay, handles, kind);
-            return;
-        }
-        let slot = lock(&self.links).get(&owner.id).cloned();
-        // Without a link, the results expire by themselves.
-        if let Some(link) = slot.and_then(|slot| slot.try_lock().ok()?.clone()) {
-            let _ = link.sender.try_send(&Frame::Release {
-                results,
-                spent: kind,
-            });
-        }
-    }
-
     /// The link to a process, which is opened if there is none.
     async fn link<D: Downstream>(
         &self,
--- a/crates/relay/src/peer/frame.rs
+++ b/crates/relay/src/peer/frame.rs
@@ -143,6 +143,14 @@
     },
     /// A part of a configuration.
     Part(Part),
+    /// A release that the sender received for a runner that another process forms the calls to. It is
+    /// not forwarded again.
+    ForwardedRelease {
+        /// The results.
+        results: Results,
+        /// Whether they were fetched or are not needed any more.
+        spent: ReleaseKind,
+    },
 }
 
 /// An order as it is sent to another process. Since the clocks of processes differ, its times are
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -1,6 +1,7 @@
 //! The accepting end of a link, which executes the orders of the other process.
 
 use super::frame::{self, Frame};
+use super::results::Hop;
 use super::{tables, transfer};
 use crate::batch::{Cell, Outcome, StageError};
 use crate::core::Relay;
@@ -126,9 +127,15 @@
             Frame::Release {
                 results,
                 spent: kind,
+            } => relay
+                .peers
+                .receive_release(relay, &results, kind, Hop::First),
+            Frame::ForwardedRelease {
+                results,
+                spent: kind,
             } => {
-                let batcher = relay.batcher(&results.cell);
-                batcher.release(relay, &results.handles, kind);
+                let peers = &relay.peers;
+                peers.receive_release(relay, &results, kind, Hop::Forwarded);
             }
             other => frame::handle_frame(relay, sender, other),
         }
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -14,6 +14,8 @@
 
 /// Maximum number of remembered runners that have said that they are shutting down.
 const MAX_LEAVING: usize = 1_024;
+/// Maximum number of remembered runners that no longer accept new work.
+const MAX_FORMER: usize = 1_024;
 
 /// A runner, as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
@@ -72,6 +74,8 @@
     /// Starts of runners that have said in a response that they are shutting down, oldest first. Their
     /// entries may not say so yet, or may lapse and be listed once more.
     leaving: VecDeque<(RunnerId, Option<u64>)>,
+    /// Runners that no longer accept new work, oldest first. Those that still run store results.
+    former: VecDeque<Arc<Runner>>,
 }
 
 impl Fleet {
@@ -163,6 +167,17 @@
         self.by_address.get(address)
     }
 
+    /// The runner that listens on an address, or the last one known to have done so.
+    #[must_use]
+    pub fn last_at(&self, address: &SocketAddr) -> Option<&Arc<Runner>> {
+        let former = || {
+            self.former
+                .iter()
+                .rfind(|runner| runner.address == *address)
+        };
+        self.at(address).or_else(former)
+    }
+
     /// Runners of a service that accept new work.
     #[must_use]
     pub fn of(&self, service: &str) -> &[Arc<Runner>] {
@@ -216,6 +231,11 @@
         {
             self.by_address.remove(&old.address);
         }
+        self.former.retain(|former| former.address != old.address);
+        if self.former.len() >= MAX_FORMER {
+            self.former.pop_front();
+        }
+        self.former.push_back(old);
         true
     }
 }
