Results are reported to each new owner of their runner

The results that requests hold were recorded by cell and reported only with the next order after the cell's owner had changed. A runner that moved to another cell was taken for empty there, and the old owner forgot what it knew of it.

The results are now recorded by runner, with the owner that knows of them, and reported by a task when the list of runners changes and every 200 ms (and, as before, ahead of an order). Reports and releases are queued under one lock, so that none overtakes the other. A batcher that loses a runner tells it to drop the results that were released. The others are kept while the runner is not listed at all, and so are results that are reported or made while the runner is not in the cell; they count when it joins. A runner whose entry changes without a restart keeps its state. The results of an order that was withdrawn when its outcome was already on the way are released.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -4,6 +4,7 @@
 //! runner is free, rather than in the runner's queue, so that they can still join a larger call, be
 //! reordered or be cancelled.
 
+mod absent;
 mod batch_call;
 mod cell_list;
 mod pending;
@@ -22,7 +23,7 @@
 pub use cell_list::CellList;
 use serde::{Deserialize, Serialize};
 use setting::Policy;
-use slog::{info, warn};
+use slog::{Logger, info, warn};
 use snafu::Snafu;
 use state::State;
 use std::marker::PhantomData;
@@ -259,7 +260,12 @@
         let cells = relay.cells(&self.cell.service);
         let cell = cells.get(self.cell.index);
         let runners = cell.map(|cell| cell.runners.clone());
-        lock(&self.state).refresh(runners.unwrap_or_default());
+        let is_listed = |address| relay.fleet(|fleet| fleet.at(&address).is_some()) == Some(true);
+        let released = lock(&self.state).refresh(runners.unwrap_or_default(), is_listed);
+        for (runner, results) in released {
+            let (downstream, log) = (relay.downstream.clone(), relay.log.clone());
+            tokio::spawn(async move { tell_runner(&downstream, &log, &runner, results).await });
+        }
     }
 
     /// Releases results.
@@ -289,12 +295,21 @@
                 }
             }
         }
-        if kind == ReleaseKind::Over && state.schedule_release() {
-            tokio::spawn(self.clone().release_pending(relay.clone()));
+        drop(state);
+        if kind == ReleaseKind::Over {
+            self.schedule_release(relay);
         }
         absent
     }
 
+    /// Schedules the task that drops released results, if there are any.
+    fn schedule_release(self: &Arc<Self>, relay: &Arc<Relay<D>>) {
+        let mut state = lock(&self.state);
+        if state.has_released() && state.schedule_release() {
+            tokio::spawn(self.clone().release_pending(relay.clone()));
+        }
+    }
+
     /// Drops results that are no longer needed, without waiting for the next call.
     ///
     /// If this process is killed, no other process knows which results are still stored at the
@@ -381,6 +396,7 @@
             state.apply_spacing(&runner.id, started_at, spacing);
             completed
         };
+        self.schedule_release(&relay);
         if has_response {
             relay.record_batch_answer(&runner, &completed);
         }
@@ -450,13 +466,22 @@
     relay: Arc<Relay<D>>,
     runner: Arc<Runner>,
     results: Vec<Handle>,
+) {
+    tell_runner(&relay.downstream, &relay.log, &runner, results).await;
+}
+
+async fn tell_runner<D: Downstream>(
+    downstream: &D,
+    log: &Logger,
+    runner: &Runner,
+    results: Vec<Handle>,
 ) {
     let count = results.len();
     if count == 0 {
         return;
     }
-    if let Err(error) = relay.downstream.release(&runner, results).await {
-        warn!(relay.log, "failed to release results; they will expire";
+    if let Err(error) = downstream.release(runner, results).await {
+        warn!(log, "failed to release results; they will expire";
             "runner" => &*runner.id, "results" => count, "error" => %error);
     }
 }
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -1,5 +1,6 @@
 //! State of a cell: the pending orders and its runners.
 
+use super::absent::AbsentResults;
 use super::batch_call::BatchCall;
 use super::pending::PendingOrder;
 use super::runner_state::{FinishedCall, Inflation, RunnerState, StoredResult};
@@ -9,7 +10,7 @@
 use crate::core::Relay;
 use crate::downstream::{Downstream, Failure, Handle, PieceOutcome};
 use crate::request::ContentId;
-use crate::runner::{Runner, RunnerId};
+use crate::runner::Runner;
 use decide::Map;
 use decide::batch::{BatchQueue, ConfiguredQueue, Group, GroupId, Isolation, Rules, Shape};
 use setting::Policy;
@@ -31,6 +32,7 @@
     pub(super) isolation: Isolation,
     pub(super) pending: Map<GroupId, PendingOrder>,
     pub(super) runner_states: Vec<RunnerState>,
+    absent_results: AbsentResults,
     next_group_id: GroupId,
     /// When the next dispatch without another cause is scheduled.
     next_wake: Option<Instant>,
@@ -66,10 +68,18 @@
         handle: &Handle,
         expires_at: Instant,
     ) -> bool {
-        let state = self.at(address);
-        state
-            .map(|state| state.release(handle, expires_at))
-            .is_some()
+        let Some(state) = self.at(address) else {
+            self.absent_results.forget(address, handle);
+            return false;
+        };
+        state.release(handle, expires_at);
+        true
+    }
+
+    /// Whether there are results that a runner has not been told to drop.
+    pub(super) fn has_released(&self) -> bool {
+        let mut states = self.runner_states.iter();
+        self.absent_results.has_released() || states.any(|state| !state.released.is_empty())
     }
 
     /// Whether the caller has to schedule the task that drops released results.
@@ -90,7 +100,8 @@
             (!results.is_empty()).then(|| (state.runner.clone(), results))
         };
         let states = self.runner_states.iter_mut().filter(is_awake);
-        states.filter_map(released).collect()
+        let absent = self.absent_results.take_released();
+        states.filter_map(released).chain(absent).collect()
     }
 
     /// Marks a result as fetched by the call that needs it; returns whether its runner is in the cell.
@@ -121,9 +132,10 @@
         bytes: u64,
         expires_at: Instant,
     ) {
-        if let Some(state) = self.at(address) {
-            let stored = StoredResult { bytes, expires_at };
-            state.results.entry(handle.clone()).or_insert(stored);
+        let stored = StoredResult { bytes, expires_at };
+        match self.at(address) {
+            Some(state) => drop(state.results.entry(handle.clone()).or_insert(stored)),
+            None => self.absent_results.store(address, handle.clone(), stored),
         }
     }
 
@@ -228,18 +240,48 @@
         }
     }
 
-    pub(super) fn refresh(&mut self, runners: Vec<Arc<Runner>>) {
-        self.runner_states
-            .retain(|state| runners.contains(&state.runner));
+    /// Updates the set of runners; returns the released results of those that are no longer in the
+    /// cell. `is_listed` tells whether a runner at this address accepts work.
+    ///
+    /// The stored results of a runner that is not listed for a moment are kept until it is back. Those
+    /// of a runner in another cell are reported to its owner by the processes that need them.
+    pub(super) fn refresh(
+        &mut self,
+        runners: Vec<Arc<Runner>>,
+        is_listed: impl Fn(SocketAddr) -> bool,
+    ) -> Vec<(Arc<Runner>, Vec<Handle>)> {
+        self.absent_results.expire(Instant::now());
+        let mut released = Vec::new();
+        for mut state in std::mem::take(&mut self.runner_states) {
+            let address = state.runner.address;
+            let mut present = runners.iter();
+            if let Some(runner) = present.find(|runner| runner.is_same_start(&state.runner)) {
+                state.runner = runner.clone();
+                self.runner_states.push(state);
+                continue;
+            }
+            let dropped = state.take_released();
+            if !dropped.is_empty() {
+                released.push((state.runner.clone(), dropped));
+            }
+            if !is_listed(address) {
+                for (handle, stored) in state.results {
+                    self.absent_results.store(address, handle, stored);
+                }
+            }
+        }
         for runner in runners {
             if self
                 .runner_states
                 .iter()
                 .all(|state| state.runner.id != runner.id)
             {
-                self.runner_states.push(RunnerState::new(runner));
+                let mut state = RunnerState::new(runner);
+                state.results = self.absent_results.take(state.runner.address);
+                self.runner_states.push(state);
             }
         }
+        released
     }
 
     /// Drops the orders whose requests are gone, and ends those that cannot be completed in time.
@@ -383,7 +425,7 @@
             let bytes = self.inflation.apply(bytes);
             let wanted = self.pending.contains_key(&group_id);
             self.store_result(
-                &batch_call.runner.id,
+                &batch_call.runner,
                 handle,
                 bytes,
                 batch_call.batches,
@@ -421,23 +463,25 @@
     /// Records a result at its runner; one that no order waits for is released at once.
     fn store_result(
         &mut self,
-        id: &RunnerId,
+        runner: &Arc<Runner>,
         handle: &Handle,
         bytes: u64,
         batches: BatchSettings,
         wanted: bool,
     ) {
-        let Some(state) = self
-            .runner_states
-            .iter_mut()
-            .find(|state| state.runner.id == *id)
-        else {
+        let expires_at = Instant::now() + batches.keep;
+        let stored = StoredResult { bytes, expires_at };
+        let Some(state) = self.at(runner.address) else {
+            // The runner left the cell during the call.
+            match wanted {
+                true => self
+                    .absent_results
+                    .store(runner.address, handle.clone(), stored),
+                false => self.absent_results.release(runner.clone(), handle.clone()),
+            }
             return;
         };
-        let expires_at = Instant::now() + batches.keep;
-        state
-            .results
-            .insert(handle.clone(), StoredResult { bytes, expires_at });
+        state.results.insert(handle.clone(), stored);
         if !wanted {
             state.released.push(handle.clone());
         }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -286,6 +286,7 @@
             }
         }
         for runner in exited {
+            self.peers.mark_unlisted(&runner.address);
             lock(&self.limits).forget(&runner.id);
             self.record_exit(&runner);
         }
@@ -298,6 +299,7 @@
         for batcher in batchers {
             batcher.refresh(self);
         }
+        self.peers.runners_changed.notify_one();
     }
 
     fn update_one(&self, fleet: &mut Fleet, change: Change, services: &mut Vec<ServiceId>) {
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -152,9 +152,6 @@
             break;
         };
         let handles = outcome?;
-        job.relay
-            .peers
-            .record_results(&cell, &handles, stages[stage].result);
         results[stage] = Some(handles.clone());
         inputs.stages.push((stage, Results { cell, handles }));
         let is_done = |before: usize| is_consumed(&job.route, &results, before);
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -3,6 +3,7 @@
 
 mod call_loads;
 mod frame;
+mod held;
 mod overlay;
 mod results;
 mod serving;
@@ -11,6 +12,7 @@
 
 pub use call_loads::{CallLoadTable, CallLoads, exchange_call_loads};
 pub use frame::{Frame, WireOrder};
+pub use held::report_held_results;
 pub use overlay::{StateDigest, maintain_links};
 pub use serving::serve;
 pub use tables::TableUpdate;
@@ -19,12 +21,13 @@
 use crate::batch::{Cell, Order, Outcome, StageError, WaitEstimates};
 use crate::configuration::{Rank, Version};
 use crate::core::{Relay, lock};
-use crate::downstream::{Downstream, Handle};
+use crate::downstream::Downstream;
 use crate::drain::Drains;
 use crate::limit::LimitNotice;
 use crate::member::{Member, MemberId, Members};
 use crate::quarantine::Suspicion;
 use decide::Map;
+use held::HeldResults;
 use results::DirectReleases;
 use slog::{info, warn};
 use std::sync::{Arc, Mutex};
@@ -52,7 +55,9 @@
     links: Mutex<Map<MemberId, Arc<LinkSlot>>>,
     subscribers: Mutex<Vec<Sender<Frame>>>,
     wait_estimates: Mutex<Map<Cell, (WaitEstimates, Instant)>>,
-    held_results: Mutex<Map<Cell, HeldResults>>,
+    held_results: Mutex<HeldResults>,
+    /// Wakes the task that reports held results to the owners of their runners.
+    pub(crate) runners_changed: Notify,
     direct_releases: Mutex<DirectReleases>,
     pub(crate) call_loads: CallLoadTable,
     /// What this process has completed of its own registration and of reading the list of processes.
@@ -75,30 +80,6 @@
     members_listed: bool,
 }
 
-/// Stored results that requests of this process still need in one cell.
-#[derive(Debug, Default)]
-struct HeldResults {
-    /// Id and incarnation of the cell's owner as of the last order.
-    owner: Option<(MemberId, u64)>,
-    results: Map<Handle, u64>,
-}
-
-impl HeldResults {
-    /// The results, if the owner differs from that of the last order.
-    fn results_if_owner_changed(&mut self, owner: &Member) -> Option<Vec<(Handle, u64)>> {
-        let current = (owner.id.clone(), owner.incarnation);
-        let previous = self.owner.replace(current.clone());
-        let changed =
-            previous.is_some_and(|previous| previous != current) && !self.results.is_empty();
-        changed.then(|| {
-            let results = self.results.iter();
-            results
-                .map(|(handle, bytes)| (handle.clone(), *bytes))
-                .collect()
-        })
-    }
-}
-
 /// The link to one process. The first task that finds none opens it while the others wait.
 type LinkSlot = tokio::sync::Mutex<Option<Arc<PeerLink>>>;
 
@@ -141,6 +122,7 @@
             subscribers: Mutex::default(),
             wait_estimates: Mutex::default(),
             held_results: Mutex::default(),
+            runners_changed: Notify::new(),
             direct_releases: Mutex::default(),
             call_loads: CallLoadTable::default(),
             startup: watch::Sender::default(),
@@ -296,25 +278,6 @@
         lock(&self.wait_estimates).insert(cell, (estimates, Instant::now()));
     }
 
-    /// Records results of a cell that a request needs from now on, each of this size.
-    pub fn record_results(&self, cell: &Cell, handles: &[Handle], bytes: u64) {
-        let mut held_results = lock(&self.held_results);
-        let results = &mut held_results.entry(cell.clone()).or_default().results;
-        results.extend(handles.iter().map(|handle| (handle.clone(), bytes)));
-    }
-
-    /// Results that must be reported to a new owner of a cell.
-    ///
-    /// Without the report, it would assume that the runners are empty, and schedule pieces for which
-    /// there is no room, until the results expire some seconds later.
-    fn results_for_new_owner(&self, cell: &Cell, owner: &Member) -> Option<Vec<(Handle, u64)>> {
-        let mut held_results = lock(&self.held_results);
-        held_results
-            .entry(cell.clone())
-            .or_default()
-            .results_if_owner_changed(owner)
-    }
-
     /// The link to a process, which is opened if there is none.
     async fn link<D: Downstream>(
         &self,
@@ -416,22 +379,18 @@
 ) -> Outcome {
     for _ in 0..MAX_OWNER_ATTEMPTS {
         let owner = relay.peers.members(|members| members.owner(&cell.name()));
-        let results = relay.peers.results_for_new_owner(cell, &owner);
+        // A lost link is detected when the order is sent.
+        relay.peers.report_results(relay, cell, &owner).await;
         if owner.id == relay.options.member.id {
-            if let Some(results) = results {
-                relay.batcher(cell).record_results(relay, &results);
-            }
             return execute_locally(relay, cell, order).await;
         }
-        if let (Some(results), Some(link)) = (results, relay.peers.link(relay, &owner).await) {
-            let cell = cell.clone();
-            // A lost link is detected when the order is sent.
-            let _ = link.sender.send(Frame::Held { cell, results }).await;
-        }
         let forwarded = forward_order(relay, &owner, cell, &order).await;
         match forwarded {
             ForwardOutcome::Completed(Err(StageError::NoRunner)) => break,
-            ForwardOutcome::Completed(outcome) => return outcome,
+            ForwardOutcome::Completed(outcome) => {
+                record_results(relay, (cell, &owner), &outcome, order.result_bytes);
+                return outcome;
+            }
             ForwardOutcome::Unreachable => relay.peers.members(|members| members.suspect(&owner)),
             ForwardOutcome::LinkLost => {
                 info!(relay.log, "link to peer lost while it executed an order"; "peer" => &*owner.id,
@@ -451,9 +410,24 @@
     cell: &Cell,
     order: Order,
 ) -> Outcome {
+    let bytes = order.result_bytes;
     let outcome = relay.batcher(cell).submit(relay, order).await;
     // The sender is dropped without an outcome only when the order has been withdrawn.
-    outcome.unwrap_or(Err(StageError::Failed))
+    let outcome = outcome.unwrap_or(Err(StageError::Failed));
+    record_results(relay, (cell, &relay.options.member), &outcome, bytes);
+    outcome
+}
+
+/// Records the results of an order, which the request needs from now on.
+fn record_results<D: Downstream>(
+    relay: &Relay<D>,
+    maker: (&Cell, &Member),
+    outcome: &Outcome,
+    bytes: u64,
+) {
+    if let Ok(handles) = outcome {
+        relay.peers.record_results_of(relay, maker, handles, bytes);
+    }
 }
 
 /// Result of forwarding an order to another process.
--- a/crates/relay/src/peer/frame.rs
+++ b/crates/relay/src/peer/frame.rs
@@ -275,8 +275,15 @@
             Frame::Elsewhere { service, burdens } => call_loads::apply(&relay, &service, burdens),
             Frame::Outcome { ticket, outcome } => {
                 let reply = lock(&link.pending).orders.remove(&ticket);
-                // The waiting task may have been dropped meanwhile.
-                let _ = reply.map(|reply| reply.send(outcome));
+                let unclaimed = match reply {
+                    Some(reply) => reply.send(outcome).err(),
+                    None => Some(outcome),
+                };
+                // The waiting task was dropped, and the other end had completed the order before it
+                // received the withdrawal.
+                if let Some(Ok(handles)) = unclaimed {
+                    relay.peers.release(&relay, &handles, ReleaseKind::Over);
+                }
             }
             Frame::Load {
                 cell,
--- a/crates/relay/src/peer/results.rs
+++ b/crates/relay/src/peer/results.rs
@@ -20,8 +20,20 @@
 pub(super) enum Hop {
     /// It comes from the process that needed the results.
     First,
-    /// It has been forwarded once, which ends the exchange between processes that disagree on the owner.
-    Forwarded,
+    /// Another process has forwarded it.
+    Second,
+    /// It is not forwarded any more, which ends the exchange between processes that disagree on the
+    /// owner.
+    Last,
+}
+
+impl Hop {
+    fn next(self) -> Self {
+        match self {
+            Self::First => Self::Second,
+            Self::Second | Self::Last => Self::Last,
+        }
+    }
 }
 
 /// Released results of which no process that forms calls can be told, by runner.
@@ -60,10 +72,7 @@
     ) {
         let batcher = relay.batcher(&results.cell);
         let absent = batcher.release(relay, &results.handles, kind);
-        match hop {
-            Hop::First => self.route_release(relay, &absent, kind, Hop::Forwarded),
-            Hop::Forwarded => self.release_directly(relay, &absent, kind),
-        }
+        self.route_release(relay, &absent, kind, hop.next());
     }
 
     fn route_release<D: Downstream>(
@@ -75,30 +84,48 @@
     ) {
         let mut by_cell: Map<Cell, Vec<Handle>> = Map::default();
         for (address, handles) in by_holder(relay, handles) {
-            match relay.cell_at(&address) {
-                Some(cell) => by_cell.entry(cell).or_default().extend(handles),
-                None => self.release_directly(relay, &handles, kind),
+            let keeper = match (hop, kind) {
+                (Hop::First, ReleaseKind::Over) => self.forget_results(&address, &handles),
+                _ => None,
+            };
+            match (relay.cell_at(&address), keeper) {
+                (Some(cell), _) => by_cell.entry(cell).or_default().extend(handles),
+                // The last owner may still list the runner, or will know it again when it is back.
+                (None, Some((cell, owner))) => {
+                    self.send_release(relay, &owner, Results { cell, handles }, kind, hop);
+                }
+                (None, None) => self.release_directly(relay, &handles, kind),
             }
         }
         for (cell, handles) in by_cell {
             let owner = lock(&self.members).owner(&cell.name());
-            if owner.id == relay.options.member.id {
-                let absent = relay.batcher(&cell).release(relay, &handles, kind);
-                self.release_directly(relay, &absent, kind);
-                continue;
-            }
-            let results = Results { cell, handles };
-            let spent = kind;
-            let frame = match hop {
-                Hop::First => Frame::Release { results, spent },
-                Hop::Forwarded => Frame::ForwardedRelease { results, spent },
-            };
-            if !self.try_send(&owner.id, &frame)
-                && let Frame::Release { results, .. } | Frame::ForwardedRelease { results, .. } =
-                    frame
-            {
-                self.release_directly(relay, &results.handles, kind);
-            }
+            self.send_release(relay, &owner.id, Results { cell, handles }, kind, hop);
+        }
+    }
+
+    fn send_release<D: Downstream>(
+        &self,
+        relay: &Arc<Relay<D>>,
+        owner: &MemberId,
+        results: Results,
+        kind: ReleaseKind,
+        hop: Hop,
+    ) {
+        if *owner == relay.options.member.id {
+            let batcher = relay.batcher(&results.cell);
+            let absent = batcher.release(relay, &results.handles, kind);
+            self.release_directly(relay, &absent, kind);
+            return;
+        }
+        let handles = results.handles.clone();
+        let spent = kind;
+        let is_sent = match hop {
+            Hop::First => self.try_send(owner, &Frame::Release { results, spent }),
+            Hop::Second => self.try_send(owner, &Frame::ForwardedRelease { results, spent }),
+            Hop::Last => false,
+        };
+        if !is_sent {
+            self.release_directly(relay, &handles, kind);
         }
     }
 
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -135,7 +135,7 @@
                 spent: kind,
             } => {
                 let peers = &relay.peers;
-                peers.receive_release(relay, &results, kind, Hop::Forwarded);
+                peers.receive_release(relay, &results, kind, Hop::Second);
             }
             other => frame::handle_frame(relay, sender, other),
         }
--- a/crates/relay/src/runner.rs
+++ b/crates/relay/src/runner.rs
@@ -41,6 +41,12 @@
 }
 
 impl Runner {
+    /// Whether two entries are of the same start of a runner, so that it still has its state.
+    #[must_use]
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.id == other.id && self.started == other.started && self.address == other.address
+    }
+
     /// Whether two entries of a runner are equal except for the remaining warm-up time.
     fn is_same(&self, other: &Self) -> bool {
         let cold = self.cold;
--- a/crates/relay/tests/common/pair.rs
+++ b/crates/relay/tests/common/pair.rs
@@ -38,6 +38,7 @@
             members.mark_listed();
         });
         tokio::spawn(peer::maintain_links(node.relay.clone()));
+        tokio::spawn(peer::report_held_results(node.relay.clone()));
     }
     sleep(LINK_TIME).await;
     let last = nodes.pop().expect("two");
--- a/crates/relay/tests/peer_orders.rs
+++ b/crates/relay/tests/peer_orders.rs
@@ -182,7 +182,8 @@
     let held: Vec<Handle> = (0..11)
         .map(|n| format!("{}/{n}", runner.address).into())
         .collect();
-    asking.relay.peers.record_results(&cell, &held, 100);
+    let relay = &asking.relay;
+    relay.peers.record_results(relay, &cell, &held, 100);
     asking
         .relay
         .peers
