Fewer runners change their cell when one joins or leaves

Cells were equal parts of the sorted list of runners, so that a runner that joined or left moved others near each boundary. Failure domains now get equal sections of a line of cells; runners choose within their section by weighted rendezvous hashing, and full cells keep those that rank highest for them. The number of cells stays ceil(runners / 8), and the largest cell exceeds the mean by at most one runner.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -7,6 +7,7 @@
 mod absent;
 mod batch_call;
 mod cell_list;
+mod partition;
 mod pending;
 mod runner_state;
 mod select;
@@ -70,12 +71,7 @@
     /// form the same cells, and the runners of a failure domain are mostly in one cell.
     #[must_use]
     pub fn all(service: &ServiceId, runners: &[Arc<Runner>]) -> Vec<CellRunners> {
-        let mut sorted = runners.to_vec();
-        sorted.sort_by(|one, other| (&one.domain, &one.id).cmp(&(&other.domain, &other.id)));
-        let (all, cells) = (sorted.len(), sorted.len().div_ceil(MAX_CELL_RUNNERS).max(1));
-        let part = |index: usize| all * index / cells;
-        let share = |index: usize| {
-            let runners = sorted[part(index)..part(index + 1)].to_vec();
+        let form = |(index, runners): (usize, Vec<Arc<Runner>>)| {
             let mut domains: Vec<DomainId> =
                 runners.iter().map(|runner| runner.domain.clone()).collect();
             domains.dedup();
@@ -89,7 +85,8 @@
                 domains,
             }
         };
-        (0..cells).map(share).collect()
+        let parts = partition::partition(runners).into_iter().enumerate();
+        parts.map(form).collect()
     }
 
     /// Key by which the owner of the cell is chosen.
