--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -4,7 +4,10 @@
 //! runner is free, rather than in the runner's queue, so that they can still join a larger call, be
 //! reordered or be cancelled.
 
+mod absent;
 mod batch_call;
+mod cell_list;
+mod partition;
 mod pending;
 mod runner_state;
 mod select;
@@ -18,9 +21,10 @@
 use crate::runner::{DomainId, Runner};
 use crate::telemetry::millis;
 use batch_call::BatchCall;
+pub use cell_list::CellList;
 use serde::{Deserialize, Serialize};
 use setting::Policy;
-use slog::{info, warn};
+use slog::{Logger, info, warn};
 use snafu::Snafu;
 use state::State;
 use std::marker::PhantomData;
@@ -46,7 +50,7 @@
 const INPUT_FETCH_TIME: Duration = Duration::from_millis(60);
 
 /// Time for which results that are no longer needed are collected before their runners are notified.
-const RELEASE_DELAY: Duration = Duration::from_millis(25);
+pub(crate) const RELEASE_DELAY: Duration = Duration::from_millis(25);
 
 /// Maximum number of runners in a cell. At 8 pieces and 0.37 s per call, eight runners process 175
 /// pieces per second in 22 calls, which takes a few hundredths of a core. Larger cells hardly
@@ -67,12 +71,7 @@
     /// form the same cells, and the runners of a failure domain are mostly in one cell.
     #[must_use]
     pub fn all(service: &ServiceId, runners: &[Arc<Runner>]) -> Vec<CellRunners> {
-        let mut sorted = runners.to_vec();
-        sorted.sort_by(|one, other| (&one.domain, &one.id).cmp(&(&other.domain, &other.id)));
-        let (all, cells) = (sorted.len(), sorted.len().div_ceil(MAX_CELL_RUNNERS).max(1));
-        let part = |index: usize| all * index / cells;
-        let share = |index: usize| {
-            let runners = sorted[part(index)..part(index + 1)].to_vec();
+        let form = |(index, runners): (usize, Vec<Arc<Runner>>)| {
             let mut domains: Vec<DomainId> =
                 runners.iter().map(|runner| runner.domain.clone()).collect();
             domains.dedup();
@@ -86,7 +85,8 @@
                 domains,
             }
         };
-        (0..cells).map(share).collect()
+        let parts = partition::partition(runners).into_iter().enumerate();
+        parts.map(form).collect()
     }
 
     /// Key by which the owner of the cell is chosen.
@@ -257,26 +257,52 @@
         let cells = relay.cells(&self.cell.service);
         let cell = cells.get(self.cell.index);
         let runners = cell.map(|cell| cell.runners.clone());
-        lock(&self.state).refresh(runners.unwrap_or_default());
+        let is_listed = |address| relay.fleet(|fleet| fleet.at(&address).is_some()) == Some(true);
+        let released = lock(&self.state).refresh(runners.unwrap_or_default(), is_listed);
+        for (runner, results) in released {
+            let (downstream, log) = (relay.downstream.clone(), relay.log.clone());
+            tokio::spawn(async move { tell_runner(&downstream, &log, &runner, results).await });
+        }
     }
 
     /// Releases results.
     ///
     /// Some results may have been computed for another process that owned the cell before. They
     /// occupy room here as well, but their size is unknown.
-    pub fn release(self: &Arc<Self>, relay: &Arc<Relay<D>>, handles: &[Handle], kind: ReleaseKind) {
+    ///
+    /// Returns those at runners that are not in the cell.
+    pub fn release(
+        self: &Arc<Self>,
+        relay: &Arc<Relay<D>>,
+        handles: &[Handle],
+        kind: ReleaseKind,
+    ) -> Vec<Handle> {
+        let mut absent = Vec::new();
         let mut state = lock(&self.state);
         let keep = relay.batches(&self.cell.service);
         let expires_at = Instant::now() + keep.map_or(Duration::ZERO, |batches| batches.keep);
         for handle in handles {
             if let Some(address) = relay.downstream.holder(handle) {
-                match kind {
+                let is_present = match kind {
                     ReleaseKind::Fetched => state.fetched(address, handle),
                     ReleaseKind::Over => state.release(address, handle, expires_at),
+                };
+                if !is_present {
+                    absent.push(handle.clone());
                 }
             }
         }
-        if kind == ReleaseKind::Over && state.schedule_release() {
+        drop(state);
+        if kind == ReleaseKind::Over {
+            self.schedule_release(relay);
+        }
+        absent
+    }
+
+    /// Schedules the task that drops released results, if there are any.
+    fn schedule_release(self: &Arc<Self>, relay: &Arc<Relay<D>>) {
+        let mut state = lock(&self.state);
+        if state.has_released() && state.schedule_release() {
             tokio::spawn(self.clone().release_pending(relay.clone()));
         }
     }
@@ -367,6 +393,7 @@
             state.apply_spacing(&runner.id, started_at, spacing);
             completed
         };
+        self.schedule_release(&relay);
         if has_response {
             relay.record_batch_answer(&runner, &completed);
         }
@@ -395,7 +422,9 @@
         }
         let inputs = lock(&self.state).inputs(batch_call);
         for results in inputs {
-            relay.peers.release(relay, results, ReleaseKind::Fetched);
+            relay
+                .peers
+                .release(relay, &results.handles, ReleaseKind::Fetched);
         }
         running.await
     }
@@ -430,13 +459,26 @@
 }
 
 /// Tells a runner to drop results.
-async fn release<D: Downstream>(relay: Arc<Relay<D>>, runner: Arc<Runner>, results: Vec<Handle>) {
+pub(crate) async fn release<D: Downstream>(
+    relay: Arc<Relay<D>>,
+    runner: Arc<Runner>,
+    results: Vec<Handle>,
+) {
+    tell_runner(&relay.downstream, &relay.log, &runner, results).await;
+}
+
+async fn tell_runner<D: Downstream>(
+    downstream: &D,
+    log: &Logger,
+    runner: &Runner,
+    results: Vec<Handle>,
+) {
     let count = results.len();
     if count == 0 {
         return;
     }
-    if let Err(error) = relay.downstream.release(&runner, results).await {
-        warn!(relay.log, "failed to release results; they will expire";
+    if let Err(error) = downstream.release(runner, results).await {
+        warn!(log, "failed to release results; they will expire";
             "runner" => &*runner.id, "results" => count, "error" => %error);
     }
 }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -2,7 +2,7 @@
 
 mod cells;
 
-use crate::batch::{Batcher, Cell, CellRunners};
+use crate::batch::{Batcher, Cell, CellList};
 use crate::configuration::{Configuration, RegionId, ServiceId};
 use crate::downstream::Downstream;
 use crate::drain::Drains;
@@ -103,7 +103,7 @@
     batchers: Mutex<Map<Cell, Arc<Batcher<D>>>>,
     /// Longest client timeout seen on each route.
     longest_timeouts: Mutex<Map<String, Duration>>,
-    cells: Mutex<Map<ServiceId, Arc<Vec<CellRunners>>>>,
+    cells: Mutex<Map<ServiceId, Arc<CellList>>>,
     /// When the list of runners was last known to be up to date.
     list_current_at: Mutex<Option<Instant>>,
     rng: Mutex<SmallRng>,
@@ -286,6 +286,7 @@
             }
         }
         for runner in exited {
+            self.peers.mark_unlisted(&runner.address);
             lock(&self.limits).forget(&runner.id);
             self.record_exit(&runner);
         }
@@ -298,6 +299,7 @@
         for batcher in batchers {
             batcher.refresh(self);
         }
+        self.peers.runners_changed.notify_one();
     }
 
     fn update_one(&self, fleet: &mut Fleet, change: Change, services: &mut Vec<ServiceId>) {
--- a/crates/relay/src/peer/frame.rs
+++ b/crates/relay/src/peer/frame.rs
@@ -143,6 +143,14 @@
     },
     /// A part of a configuration.
     Part(Part),
+    /// A release that the sender received for a runner that another process forms the calls to. It is
+    /// not forwarded again.
+    ForwardedRelease {
+        /// The results.
+        results: Results,
+        /// Whether they were fetched or are not needed any more.
+        spent: ReleaseKind,
+    },
 }
 
 /// An order as it is sent to another process. Since the clocks of processes differ, its times are
@@ -267,8 +275,15 @@
             Frame::Elsewhere { service, burdens } => call_loads::apply(&relay, &service, burdens),
             Frame::Outcome { ticket, outcome } => {
                 let reply = lock(&link.pending).orders.remove(&ticket);
-                // The waiting task may have been dropped meanwhile.
-                let _ = reply.map(|reply| reply.send(outcome));
+                let unclaimed = match reply {
+                    Some(reply) => reply.send(outcome).err(),
+                    None => Some(outcome),
+                };
+                // The waiting task was dropped, and the other end had completed the order before it
+                // received the withdrawal.
+                if let Some(Ok(handles)) = unclaimed {
+                    relay.peers.release(&relay, &handles, ReleaseKind::Over);
+                }
             }
             Frame::Load {
                 cell,
