Gates measure what the chain completes, and count only work that goes first

Cause: windows for the configured rates exceed what a chain completes, as calls are seldom full and runners wait for room: requests became late while the window was kept. And urgent requests waited for less urgent ones that they would pass at each stage. Change: windows are scaled by the measured throughput while requests wait; a request counts started pieces of its own and more urgent ranks, within an overall bound.

--- a/crates/decide/src/flow.rs
+++ b/crates/decide/src/flow.rs
@@ -9,6 +9,7 @@
 //! * [`Paced`]: starts requests at the rate of the slowest stage
 //! * [`Unlimited`]: the baseline, which starts all requests
 
+mod efficiency;
 mod learnt;
 mod outlook;
 mod paced;
--- a/crates/decide/src/flow/window.rs
+++ b/crates/decide/src/flow/window.rs
@@ -1,5 +1,6 @@
 //! The gate that limits the pieces of started requests.
 
+use super::efficiency::Efficiency;
 use super::learnt::LearntTime;
 use super::outlook::Outlook;
 use super::queue::WaitQueue;
@@ -7,7 +8,7 @@
 use super::work::{Work, used};
 use super::{Capacity, Demand, Gate, REVIEW_INTERVAL, Ticket, Verdict, wait_of};
 use crate::Map;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Work in progress, as a multiple of what the chain processes in its time without waits. Requests
@@ -16,6 +17,9 @@
 /// Largest horizon as a fraction of a request's own remaining time, so that work in progress alone
 /// does not make it late.
 const MAX_REMAINING_FRACTION: f64 = 0.9;
+/// Work in progress of all ranks together, as a multiple of the longest horizon. Urgent requests start
+/// beside less urgent ones up to this bound, since the results of all of them occupy room.
+const MAX_OVERCOMMIT: f64 = 1.25;
 /// Time after the expiry of a started request at which its credit is returned automatically.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
 
@@ -48,15 +52,17 @@
     started: Map<Ticket, Credit>,
     /// Expiry times of the started requests.
     expiries: BTreeSet<(Duration, Ticket)>,
-    /// Pieces of the started requests.
-    in_progress: Work,
+    /// Pieces of the started requests, by rank.
+    in_progress: BTreeMap<u8, Work>,
     learnt: LearntTime,
+    efficiency: Efficiency,
     returns: ScheduledReturns,
 }
 
 /// A started request.
 #[derive(Clone, Debug)]
 struct Credit {
+    rank: u8,
     pieces: Vec<u32>,
     started_at: Duration,
     expires_at: Duration,
@@ -87,7 +93,20 @@
     /// Pieces of started requests at a service.
     #[must_use]
     pub fn started_pieces(&self, service: usize) -> u64 {
-        self.in_progress.at(service)
+        self.started_up_to(u8::MAX, service)
+    }
+
+    /// Part of the configured rates that the chain reaches, by which windows are scaled.
+    #[must_use]
+    pub fn efficiency(&self) -> f64 {
+        self.efficiency.get()
+    }
+
+    /// Pieces of started requests at a service whose rank is this one or more urgent. Less urgent ones
+    /// let a request pass at each stage.
+    fn started_up_to(&self, rank: u8, service: usize) -> u64 {
+        let ranks = self.in_progress.range(..=rank);
+        ranks.map(|(_, work)| work.at(service)).sum()
     }
 
     /// Learnt time from the start of a request to the end of its chain, at least the chain's time
@@ -129,10 +148,18 @@
 
     fn fits(&self, now: Duration, demand: &Demand) -> bool {
         let horizon = self.horizon_of(now, demand);
+        let longest = self.capacity.chain_time.as_secs_f64() * HORIZON * MAX_OVERCOMMIT;
+        let efficiency = self.efficiency.get();
         let mut services = used(&demand.pieces, &self.capacity.rates);
+        let is_within =
+            |pieces: u64, rate: f64, horizon: f64| pieces as f64 <= rate * efficiency * horizon;
         self.started.is_empty()
             || services.all(|(service, own, rate)| {
-                (self.in_progress.at(service) + own) as f64 <= rate * horizon
+                is_within(
+                    self.started_up_to(demand.rank, service) + own,
+                    rate,
+                    horizon,
+                ) && is_within(self.started_pieces(service) + own, rate, longest)
             })
     }
 
@@ -140,8 +167,9 @@
     fn wait(&self, now: Duration, ahead: &Work, demand: &Demand) -> Duration {
         let horizon = self.horizon_of(now, demand);
         let waits = used(&demand.pieces, &self.capacity.rates).map(|(service, own, rate)| {
-            let work = self.in_progress.at(service) + ahead.at(service) + own;
-            work as f64 / rate - horizon
+            let started = self.started_up_to(demand.rank, service);
+            let work = started + ahead.at(service) + own;
+            work as f64 / (rate * self.efficiency.get()) - horizon
         });
         wait_of(waits.fold(0.0, f64::max))
     }
@@ -157,9 +185,11 @@
     }
 
     fn start(&mut self, now: Duration, ticket: Ticket, demand: Demand) -> Verdict {
-        self.in_progress.add(&demand.pieces);
+        let in_progress = self.in_progress.entry(demand.rank).or_default();
+        in_progress.add(&demand.pieces);
         self.expiries.insert((demand.expires_at, ticket));
         let credit = Credit {
+            rank: demand.rank,
             pieces: demand.pieces,
             started_at: now,
             expires_at: demand.expires_at,
@@ -178,7 +208,9 @@
     fn return_credit(&mut self, ticket: Ticket) -> Option<Credit> {
         let credit = self.started.remove(&ticket)?;
         self.expiries.remove(&(credit.expires_at, ticket));
-        self.in_progress.remove(&credit.pieces);
+        if let Some(in_progress) = self.in_progress.get_mut(&credit.rank) {
+            in_progress.remove(&credit.pieces);
+        }
         Some(credit)
     }
 
@@ -238,6 +270,7 @@
     fn finish(&mut self, now: Duration, ticket: Ticket) {
         if let Some(credit) = self.return_credit(ticket) {
             self.learnt.add(now.saturating_sub(credit.started_at));
+            self.efficiency.finished(&credit.pieces);
         }
     }
 
@@ -248,6 +281,9 @@
 
     fn poll(&mut self, now: Duration) -> Vec<(Ticket, Verdict)> {
         self.return_expired(now);
+        let is_waiting = self.queue.len() > 0;
+        self.efficiency
+            .update(now, &self.capacity.rates, is_waiting);
         let mut verdicts = self.refuse_hopeless(now);
         while let Some((ticket, demand)) = self.take_fitting(now) {
             verdicts.push((ticket, self.start(now, ticket, demand)));
--- a/crates/decide/src/flow/work.rs
+++ b/crates/decide/src/flow/work.rs
@@ -39,6 +39,13 @@
         wait_of(times.fold(0.0, f64::max))
     }
 
+    /// Largest ratio over all services of this work to what the service processes in `span`.
+    pub(super) fn utilization(&self, rates: &[f64], span: Duration) -> f64 {
+        let ratios = self.0.iter().zip(rates).filter(|(_, rate)| **rate > 0.0);
+        let ratios = ratios.map(|(pieces, rate)| *pieces as f64 / (rate * span.as_secs_f64()));
+        ratios.fold(0.0, f64::max)
+    }
+
     fn resize(&mut self, services: usize) {
         let services = services.max(self.0.len());
         self.0.resize(services, 0);
