Use the load that stage runners report for their speed

A stage runner that was slow stayed idle until its estimate had decayed, and one that had become slow was the first choice until a call to it had ended.

A value that cannot be decoded is counted (relay_malformed_loads) and ignored. A runner's slowness is still that of its own calls while one ended in the last 2 s; otherwise it is the reported one, if that is younger than 1 s, bounded to 1 to 4.

Releases of results now pass an observer, which only takes the load: as before, they neither depend on whether the runner accepts work nor set a rest.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -306,6 +306,11 @@
         }
     }
 
+    /// Records how many times longer than usual work takes at a runner according to the runner.
+    pub(crate) fn record_slowness(&self, runner: &Runner, slowness: f64) {
+        lock(&self.state).record_slowness(&runner.id, slowness);
+    }
+
     /// Expected times until pieces that arrive now are done.
     pub fn expected(&self, relay: &Relay<D>, batches: &BatchSettings) -> Option<WaitEstimates> {
         lock(&self.state).expected(relay.started(), batches)
@@ -435,7 +440,9 @@
     if count == 0 {
         return;
     }
-    if let Err(error) = relay.downstream.release(&runner, results).await {
+    let observer = relay.load_observer(&runner);
+    let released = relay.downstream.release(&runner, results, &observer);
+    if let Err(error) = released.await {
         warn!(relay.log, "failed to release results; they will expire";
             "runner" => &*runner.id, "results" => count, "error" => %error);
     }
--- a/crates/relay/src/batch/runner_state.rs
+++ b/crates/relay/src/batch/runner_state.rs
@@ -32,6 +32,14 @@
 /// Factor applied to a runner's slowness when a call to it is given up, since the call took at
 /// least that much longer.
 const FAILED_CALL_SLOWNESS: f64 = 2.0;
+/// Time for which a runner's own calls tell its slowness better than its reports, which may be wrong.
+const MEASURED_SLOWNESS_AGE: Duration = Duration::from_secs(2);
+/// Time for which a reported slowness is used. It changes many times a second.
+const REPORTED_SLOWNESS_AGE: Duration = Duration::from_secs(1);
+/// Bounds on a reported slowness. One below the minimum counts as usual: otherwise the other runners
+/// would be left idle for one that is said to be fast, and calls to it would be given up earlier.
+const MIN_REPORTED_SLOWNESS: f64 = 1.0;
+const MAX_REPORTED_SLOWNESS: f64 = 4.0;
 /// Slowness above which a runner is left idle while waiting for another runner would finish pieces
 /// sooner.
 const MAX_SLOWNESS: f64 = 2.0;
@@ -48,7 +56,10 @@
     /// again if that call fails.
     fetched: Vec<Handle>,
     slowness: f64,
-    slowness_updated: Instant,
+    /// When the last call ended that showed the slowness.
+    measured_at: Option<Instant>,
+    /// Slowness according to the runner, and when it said so.
+    reported_slowness: Option<(f64, Instant)>,
     failures: u32,
     pub(super) paused_until: Option<Instant>,
     /// Whether the runner has just rejected results, so that it stores more than is known here.
@@ -141,7 +152,8 @@
             released: Vec::new(),
             fetched: Vec::new(),
             slowness: 1.0,
-            slowness_updated: Instant::now(),
+            measured_at: None,
+            reported_slowness: None,
             failures: 0,
             paused_until: None,
             lacked_room: false,
@@ -149,14 +161,35 @@
         }
     }
 
-    /// How many times longer than expected the runner's calls take, decayed by the age of that
-    /// estimate.
+    /// How many times longer than expected the runner's calls take: according to its calls, or to
+    /// its own report where there is no recent call.
     pub(super) fn slowness(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.slowness_updated);
+        let is_within = |then: Instant, age| now.saturating_duration_since(then) < age;
+        let is_measured = self
+            .measured_at
+            .is_some_and(|then| is_within(then, MEASURED_SLOWNESS_AGE));
+        let reported = self
+            .reported_slowness
+            .filter(|(_, then)| !is_measured && is_within(*then, REPORTED_SLOWNESS_AGE));
+        reported.map_or_else(|| self.measured_slowness(now), |(reported, _)| reported)
+    }
+
+    /// Slowness according to the runner's calls, decayed by the age of that estimate.
+    fn measured_slowness(&self, now: Instant) -> f64 {
+        let Some(measured_at) = self.measured_at else {
+            return 1.0;
+        };
+        let age = now.saturating_duration_since(measured_at);
         let decayed = decide::smooth::decay(age, SLOWNESS_HALF_LIFE);
         1.0 + (self.slowness - 1.0) * decayed
     }
 
+    /// Records the slowness that the runner reports.
+    pub(super) fn record_reported_slowness(&mut self, slowness: f64, now: Instant) {
+        let slowness = slowness.clamp(MIN_REPORTED_SLOWNESS, MAX_REPORTED_SLOWNESS);
+        self.reported_slowness = Some((slowness, now));
+    }
+
     pub(super) fn has_slot(&self, batches: BatchSettings) -> bool {
         self.calls.len() < batches.slots as usize
     }
@@ -330,18 +363,18 @@
 
     fn update_slowness(&mut self, call: &FinishedCall<'_>, now: Instant) {
         let ratio = call.elapsed.as_secs_f64() / call.expected.as_secs_f64().max(0.001);
-        let decayed = self.slowness(now);
+        let decayed = self.measured_slowness(now);
         let sample = call.slowness * ratio;
         self.slowness = decayed + SLOWNESS_WEIGHT * (sample - decayed);
-        self.slowness_updated = now;
+        self.measured_at = Some(now);
     }
 
     fn fail(&mut self, now: Instant) {
         let pause = PAUSE_AFTER_FAILURE * 2_u32.pow(self.failures.min(MAX_PAUSE_DOUBLINGS));
         self.failures += 1;
         self.paused_until = Some(now + pause);
-        self.slowness = self.slowness(now) * FAILED_CALL_SLOWNESS;
-        self.slowness_updated = now;
+        self.slowness = self.measured_slowness(now) * FAILED_CALL_SLOWNESS;
+        self.measured_at = Some(now);
     }
 }
 
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -325,6 +325,14 @@
         }
     }
 
+    /// Records the slowness that a runner reports.
+    pub(super) fn record_slowness(&mut self, id: &str, slowness: f64) {
+        let mut states = self.runner_states.iter_mut();
+        if let Some(state) = states.find(|state| *state.runner.id == *id) {
+            state.record_reported_slowness(slowness, Instant::now());
+        }
+    }
+
     fn record_call(
         &mut self,
         batch_call: &BatchCall,
--- a/crates/relay/src/core/cells.rs
+++ b/crates/relay/src/core/cells.rs
@@ -63,15 +63,18 @@
 
     /// Starts waiting calls of a service after one of its runners has come back.
     pub(crate) fn restart_calls(self: &Arc<Self>, service: &ServiceId) {
-        let batchers = lock(&self.batchers);
-        let affected = batchers.iter().filter(|(cell, _)| cell.service == *service);
-        let affected: Vec<_> = affected.map(|(_, batcher)| batcher.clone()).collect();
-        drop(batchers);
-        for batcher in affected {
+        for batcher in self.batchers_of(service) {
             batcher.dispatch(self);
         }
     }
 
+    /// The batchers that form calls to a service in this process.
+    pub(crate) fn batchers_of(&self, service: &ServiceId) -> Vec<Arc<Batcher<D>>> {
+        let batchers = lock(&self.batchers);
+        let of_service = batchers.iter().filter(|(cell, _)| cell.service == *service);
+        of_service.map(|(_, batcher)| batcher.clone()).collect()
+    }
+
     /// The cells of a service. They are cached until its runners change, since at a thousand runners sorting
     /// them for each piece dominated all other work.
     pub fn cells(&self, service: &ServiceId) -> Arc<Vec<CellRunners>> {
--- a/crates/relay/src/downstream.rs
+++ b/crates/relay/src/downstream.rs
@@ -161,13 +161,30 @@
     },
 }
 
+/// Load of a runner when it sent a response, according to the runner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Calls that the runner is working on.
+    pub running: u32,
+    /// Calls that wait at the runner.
+    pub waiting: u32,
+    /// Calls that the runner can work on at the same time.
+    pub slots: u32,
+    /// How many times longer than usual work takes, if the runner has said so.
+    pub slowness: Option<f64>,
+}
+
 /// What the head of a runner's response says about the runner itself, whatever it was asked.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// Whether the runner is shutting down.
     pub leaving: bool,
     /// How long the runner wants no requests from this process, if it has turned the call away.
     pub rest: Option<Duration>,
+    /// Load of the runner, if it has sent a valid one.
+    pub load: Option<Load>,
+    /// Whether the runner has sent a load that could not be decoded.
+    pub is_load_malformed: bool,
 }
 
 /// The relay's side of a call to a runner.
@@ -221,6 +238,7 @@
         &self,
         runner: &Runner,
         handles: Vec<Handle>,
+        observer: &impl CallObserver,
     ) -> impl Future<Output = Result<(), Failure>> + Send;
 
     /// Whether the runner has exited, which is when nothing listens at its address any more. An
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -7,6 +7,23 @@
 use crate::runner::Runner;
 use slog::info;
 
+/// Observer of calls that are no work, which runners that accept no more work get as well.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadObserver<'a, D> {
+    relay: &'a Relay<D>,
+    runner: &'a Runner,
+}
+
+impl<D: Downstream> CallObserver for LoadObserver<'_, D> {
+    fn is_open(&self) -> bool {
+        true
+    }
+
+    fn observe(&self, notice: Notice) {
+        self.relay.record_load(self.runner, &notice);
+    }
+}
+
 /// Observer of calls to one runner.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunnerObserver<'a, D> {
@@ -26,6 +43,7 @@
         if let Some(rest) = notice.rest {
             self.relay.record_rest(self.runner, rest);
         }
+        self.relay.record_load(self.runner, &notice);
     }
 }
 
@@ -38,6 +56,27 @@
         }
     }
 
+    /// The observer of calls to a runner that are no work.
+    pub(crate) fn load_observer<'a>(&'a self, runner: &'a Runner) -> LoadObserver<'a, D> {
+        LoadObserver {
+            relay: self,
+            runner,
+        }
+    }
+
+    /// Records the load that a runner reports, where this process forms the runner's calls.
+    fn record_load(&self, runner: &Runner, notice: &Notice) {
+        if notice.is_load_malformed {
+            self.telemetry.malformed_load(&runner.service);
+        }
+        let Some(slowness) = notice.load.and_then(|load| load.slowness) else {
+            return;
+        };
+        for batcher in self.batchers_of(&runner.service) {
+            batcher.record_slowness(runner, slowness);
+        }
+    }
+
     /// Records that a runner has said that it is shutting down. It gets no new work until it has started
     /// again.
     fn record_leaving(&self, runner: &Runner) {
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -54,6 +54,7 @@
     shed: Counter,
     era: Gauge,
     prefill: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
+    malformed_loads: Family<ServiceLabels, Counter>,
 }
 
 impl Telemetry {
@@ -78,6 +79,7 @@
             shed: Counter::default(),
             era: Gauge::default(),
             prefill: Family::default(),
+            malformed_loads: Family::default(),
         };
         registry.register(
             "relay_requests",
@@ -134,6 +136,11 @@
             "Time that the runners of a service take to read a token of a prompt, as learnt, by service",
             telemetry.prefill.clone(),
         );
+        registry.register(
+            "relay_malformed_loads",
+            "Responses of runners whose load could not be decoded, by service",
+            telemetry.malformed_loads.clone(),
+        );
         telemetry
     }
 
@@ -149,6 +156,13 @@
         gauge.set(seconds_per_token * 1e6);
     }
 
+    /// Counts a response whose load could not be decoded.
+    pub(crate) fn malformed_load(&self, service: &str) {
+        let service = service.to_owned();
+        let labels = ServiceLabels { service };
+        self.malformed_loads.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of quarantined requests.
     pub fn held(&self, requests: usize) {
         self.held.set(i64::try_from(requests).unwrap_or(i64::MAX));
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -18,8 +18,8 @@
 use faults::{FaultSite, RunnerFaults};
 use parts::{Parts, parts};
 use relay::downstream::{
-    BatchReply, Call, CallObserver, Failure, Handle, Item, NotRun, PieceOutcome, Reply,
-    Source as Origin,
+    BatchReply, Call, CallObserver, Failure, Handle, Item, Load, NotRun, Notice, PieceOutcome,
+    Reply, Source as Origin,
 };
 use relay::member::Member;
 use relay::request::Message;
@@ -27,7 +27,7 @@
 use relay::{Downstream, Options, Relay, Request, Runner};
 use serde_json::{Value, json};
 use std::cell::Cell;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -165,6 +165,10 @@
     pub(crate) exited: Arc<Mutex<Vec<String>>>,
     /// Whether calls without a queued behavior are answered by streams.
     pub(crate) streams: Arc<Mutex<bool>>,
+    /// Loads that runners report with the responses to calls that contain pieces or release results.
+    pub(crate) loads: Arc<Mutex<HashMap<String, Load>>>,
+    /// Factor on the time that runners take for calls that contain pieces.
+    pub(crate) slowness: Arc<Mutex<HashMap<String, f64>>>,
     /// Injected faults.
     pub(crate) faults: RunnerFaults,
 }
@@ -200,6 +204,17 @@
         })
     }
 
+    /// Reports the load of a runner, if it has one.
+    fn report_load(&self, id: &str, observer: &impl CallObserver) {
+        if let Some(load) = self.loads.lock().expect("no holder panics").get(id) {
+            let load = Some(*load);
+            observer.observe(Notice {
+                load,
+                ..Notice::default()
+            });
+        }
+    }
+
     async fn connect(&self, observer: &impl CallObserver) -> Result<(), Failure> {
         let time = *self.connect_time.lock().expect("no holder panics");
         if !time.is_zero() {
@@ -338,7 +353,11 @@
         let time = match &behavior {
             // Pieces for whose results there is no space are not worked on.
             Some(Ok(outcomes)) if is_refused(outcomes) => REFUSAL,
-            _ => CALL + PIECE * count,
+            _ => {
+                let slowness = self.slowness.lock().expect("no holder panics");
+                let slowness = slowness.get(&*runner.id).copied().unwrap_or(1.0);
+                (CALL + PIECE * count).mul_f64(slowness)
+            }
         };
         let work = items
             .iter()
@@ -352,6 +371,7 @@
             }
             () = sleep(time.min(patience)) => {}
         }
+        self.report_load(&runner.id, observer);
         let made = |item: &Item| {
             let name = format!(
                 "{}/{}-{}-{}",
@@ -364,7 +384,13 @@
         Ok(BatchReply { outcomes, spacing })
     }
 
-    async fn release(&self, _runner: &Runner, handles: Vec<Handle>) -> Result<(), Failure> {
+    async fn release(
+        &self,
+        runner: &Runner,
+        handles: Vec<Handle>,
+        observer: &impl CallObserver,
+    ) -> Result<(), Failure> {
+        self.report_load(&runner.id, observer);
         let time = *self.release_time.lock().expect("no holder panics");
         sleep(time).await;
         self.released
