--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -16,7 +16,10 @@
 
 use crate::configuration::{BatchSettings, LAST_RANK, Rank, ServiceId};
 use crate::core::{Relay, lock};
-use crate::downstream::{BatchReply, Downstream, Failure, Handle, NotRun, PieceOutcome, Source};
+use crate::downstream::{
+    BatchReply, CallObserver, Downstream, Failure, Handle, NotRun, PieceOutcome, Source,
+};
+use crate::notice::Unobserved;
 use crate::request::{ContentId, RequestId};
 use crate::runner::{DomainId, Runner};
 use crate::telemetry::millis;
@@ -261,7 +264,9 @@
         let released = lock(&self.state).refresh(runners.unwrap_or_default(), is_listed);
         for (runner, results) in released {
             let (downstream, log) = (relay.downstream.clone(), relay.log.clone());
-            tokio::spawn(async move { tell_runner(&downstream, &log, &runner, results).await });
+            tokio::spawn(async move {
+                tell_runner(&downstream, &log, &runner, results, &Unobserved).await;
+            });
         }
     }
 
@@ -332,6 +337,11 @@
         }
     }
 
+    /// Records how many times longer than usual work takes at a runner according to the runner.
+    pub(crate) fn record_slowness(&self, runner: &Runner, slowness: f64) {
+        lock(&self.state).record_slowness(&runner.id, slowness);
+    }
+
     /// Expected times until pieces that arrive now are done.
     pub fn expected(&self, relay: &Relay<D>, batches: &BatchSettings) -> Option<WaitEstimates> {
         lock(&self.state).expected(relay.started(), batches)
@@ -464,7 +474,8 @@
     runner: Arc<Runner>,
     results: Vec<Handle>,
 ) {
-    tell_runner(&relay.downstream, &relay.log, &runner, results).await;
+    let observer = relay.load_observer(&runner);
+    tell_runner(&relay.downstream, &relay.log, &runner, results, &observer).await;
 }
 
 async fn tell_runner<D: Downstream>(
@@ -472,12 +483,13 @@
     log: &Logger,
     runner: &Runner,
     results: Vec<Handle>,
+    observer: &impl CallObserver,
 ) {
     let count = results.len();
     if count == 0 {
         return;
     }
-    if let Err(error) = downstream.release(runner, results).await {
+    if let Err(error) = downstream.release(runner, results, observer).await {
         warn!(log, "failed to release results; they will expire";
             "runner" => &*runner.id, "results" => count, "error" => %error);
     }
