Soak of relays with a chain of stages under a burst

Cause: no soak plays a chain of dependent stages with result storage that binds, so that results that are never released, and runners that come back into other cells, go unseen.

Meanwhile runners of the middle stage crash and return, runners are slow by a factor, one relay is frozen, one is killed and one is stopped. In addition to the checks of all soaks: a relay without faults closes no connection without a response, each piece is one of a request that was sent, and all result storage is free within the retention time and a second. The counts report how many results expired without being released although no relay or runner was frozen, stopped, killed or crashed while they could be stored. Soaks write all results and faults beside their logs. The other scenarios draw the same faults and requests as before.

--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -119,6 +119,7 @@
         "notices" => Some(Scenario::Notices),
         "flood" => Some(Scenario::Flood),
         "restore" => Some(Scenario::Restore),
+        "chain" => Some(Scenario::Chain),
         _ => None,
     }
 }
@@ -152,7 +153,7 @@
             "only",
             "harness, proofreading, relays, engines, poison, crowd-stream, crowd-safe, crowd-unsafe, \
              piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, silence-safe, silence-unsafe, limit, notices, \
-             flood or restore; the first three if not given",
+             flood, restore or chain; the first three if not given",
             "NAME",
         );
         options.optopt("", "logs", "directory for settings and logs", "DIR");
@@ -180,7 +181,7 @@
             let message = format!(
                 "--only {name}: expected harness, proofreading, relays, engines, poison, crowd-stream, \
                      crowd-safe, crowd-unsafe, piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, \
-                     silence-safe, silence-unsafe, limit, notices, flood or restore"
+                     silence-safe, silence-unsafe, limit, notices, flood, restore or chain"
             );
             return Err(Error::usage(message));
         }
--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -6,11 +6,12 @@
 use crate::rig::proxy::Proxy;
 use crate::rig::runner::place;
 use crate::torture::state::SoakState;
+use serde_json::Value;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use stub::config::{self, MODEL, PLAIN, STAGE};
+use stub::config::{self, CHAIN_SERVICES, MODEL, PLAIN, STAGE};
 use stub::runner::{Log, Runner};
 use stub::store::{Entry, Store};
 use stub::{Micros, now};
@@ -22,10 +23,10 @@
 /// Key that is part of every version of the configuration.
 pub const PERMANENT_KEY: &str = "key-stays";
 /// Runners of each service.
-pub const RUNNERS: Runners = [(PLAIN, 3), (MODEL, 4), (STAGE, 3)];
+pub const RUNNERS: Runners = &[(PLAIN, 3), (MODEL, 4), (STAGE, 3)];
 /// Runners of each service in soaks where one request may reach several runners before the first of
 /// them is known to be unresponsive.
-pub const MANY_RUNNERS: Runners = [(PLAIN, 9), (MODEL, 9), (STAGE, 3)];
+pub const MANY_RUNNERS: Runners = &[(PLAIN, 9), (MODEL, 9), (STAGE, 3)];
 /// Time after which the entry of a runner that a request has crashed is removed, and time after which
 /// the runner is restarted.
 const CRASHED_UNLIST_AFTER: Duration = Duration::from_millis(1_000);
@@ -39,7 +40,30 @@
 const DRAIN_MS: f64 = 3_000.0;
 
 /// Services and their numbers of runners.
-pub type Runners = [(&'static str, usize); 3];
+pub type Runners = &'static [(&'static str, usize)];
+
+/// What a cluster consists of.
+#[derive(Clone, Copy, Debug)]
+pub struct Layout {
+    /// How relays reach the runners.
+    pub access: RunnerAccess,
+    /// Runners of each service.
+    pub runners: Runners,
+    /// Configuration with a version and keys.
+    pub configuration: fn(u64, &[String]) -> Value,
+}
+
+impl Layout {
+    /// A layout with the routes that most soaks use.
+    #[must_use]
+    pub const fn new(access: RunnerAccess, runners: Runners) -> Self {
+        Self {
+            access,
+            runners,
+            configuration: config::configuration,
+        }
+    }
+}
 
 /// A key and the interval in which it was in force, as reported to the operator.
 #[derive(Clone, Debug)]
@@ -108,7 +132,7 @@
     pub log: Log,
     /// All keys so far.
     pub keys: Keys,
-    access: RunnerAccess,
+    layout: Layout,
     version: u64,
 }
 
@@ -121,8 +145,7 @@
     pub async fn start(
         logs: PathBuf,
         programs: PathBuf,
-        access: RunnerAccess,
-        runners: Runners,
+        layout: Layout,
         state: &SoakState,
     ) -> Result<Self, Error> {
         let mut cluster = Self {
@@ -132,11 +155,11 @@
             targets: Vec::new(),
             log: Log::default(),
             keys: Keys::default(),
-            access,
+            layout,
             version: 0,
         };
         cluster.publish_configuration();
-        for (service, count) in runners {
+        for &(service, count) in layout.runners {
             for number in 0..count {
                 cluster.add_target(service, number).await?;
             }
@@ -154,13 +177,16 @@
 
     async fn add_target(&mut self, service: &'static str, number: usize) -> Result<(), Error> {
         let id = format!("{service}-{number}");
-        let runner = Runner::start(&id, &self.log)
-            .await
-            .map_err(|error| io_error(&error))?;
+        let chain = CHAIN_SERVICES.iter().find(|one| one.name == service);
+        let runner = match chain {
+            Some(stage) => Runner::start_stage(&id, stage, &self.log).await,
+            None => Runner::start(&id, &self.log).await,
+        };
+        let runner = runner.map_err(|error| io_error(&error))?;
         let proxy = Proxy::start(runner.address())
             .await
             .map_err(|error| io_error(&error))?;
-        runner.set_advertised_address(self.access.address(&runner, &proxy));
+        runner.set_advertised_address(self.layout.access.address(&runner, &proxy));
         self.targets.push(Target {
             id,
             service,
@@ -192,7 +218,7 @@
         self.store.list(&Entry {
             id: &target.id,
             service: target.service,
-            address: self.access.address(&target.runner, &target.proxy),
+            address: self.layout.access.address(&target.runner, &target.proxy),
             domain: &target.domain,
             started: target.started,
             leaving,
@@ -273,7 +299,7 @@
         let valid = [PERMANENT_KEY.to_owned(), text.clone()];
         let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
         self.store
-            .configure(&config::configuration(self.version, &valid));
+            .configure(&(self.layout.configuration)(self.version, &valid));
         let accepted = now();
         let new = Key {
             text,
@@ -297,7 +323,7 @@
         let valid = keys.iter().filter(|key| key.until.is_none());
         let valid: Vec<String> = valid.map(|key| key.text.clone()).collect();
         self.store
-            .configure(&config::configuration(self.version, &valid));
+            .configure(&(self.layout.configuration)(self.version, &valid));
     }
 
     /// Waits until all relays are ready for clients.
--- a/crates/ctl/src/torture/relays/demand.rs
+++ b/crates/ctl/src/torture/relays/demand.rs
@@ -286,7 +286,7 @@
     }
 }
 
-async fn send_one(entry: SocketAddr, request: ClientRequest) -> RequestRecord {
+pub(super) async fn send_one(entry: SocketAddr, request: ClientRequest) -> RequestRecord {
     match Connection::open(entry).await {
         Some(mut connection) => connection.send(request).await,
         None => unsent(request, entry),
@@ -346,7 +346,7 @@
 
 /// Sends each kind of request to each relay after the last fault, repeatedly until all are served or
 /// the time is over. Returns the records of the last round.
-pub async fn check_recovery(cluster: &Cluster) -> Vec<RequestRecord> {
+pub async fn check_recovery(cluster: &Cluster, kinds: &[Kind]) -> Vec<RequestRecord> {
     let end = Instant::now() + RECOVERY_TIMEOUT;
     let mut round = 0;
     loop {
@@ -355,7 +355,7 @@
             let Some(entry) = cluster.fleet.ready(name).map(|ready| ready.listen) else {
                 continue;
             };
-            for kind in Kind::ALL {
+            for &kind in kinds {
                 let request = ClientRequest {
                     id: format!("{name}r{round}{kind:?}"),
                     kind,
--- a/crates/ctl/src/torture/relays/fault.rs
+++ b/crates/ctl/src/torture/relays/fault.rs
@@ -1,5 +1,7 @@
 //! Faults of a soak of relays, which are drawn from a seed, and their ends.
 
+mod chain;
+
 use crate::Error;
 use crate::fleet::Signal;
 use crate::rig::proxy::Mode;
@@ -38,6 +40,9 @@
 /// the update has propagated is a violation, and there must be time for such work to arrive.
 const LEAVING_EXTENSION: Duration = Duration::from_millis(PROPAGATION / 500);
 
+/// Factor by which calls with pieces take longer at a slow runner.
+const SLOWNESS: std::ops::Range<f64> = 2.0..5.0;
+
 /// Kinds of faults. `Store`, `Forget`, `Spoil` and `Configure` hit the table service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -54,6 +59,8 @@
     Forget,
     Spoil,
     Configure,
+    /// Calls with pieces take longer at a runner. Only soaks of chains use it.
+    Slow,
 }
 
 /// All kinds, repeated by weight: those that hit the whole system are drawn less often.
@@ -94,7 +101,7 @@
     fn excuses_violations(self) -> bool {
         !matches!(
             self,
-            Self::Reload | Self::Leave | Self::Forget | Self::Spoil | Self::Configure
+            Self::Reload | Self::Leave | Self::Forget | Self::Spoil | Self::Configure | Self::Slow
         )
     }
 
@@ -264,6 +271,11 @@
         };
         let number = self.rng.random_range(0..among);
         let duration = Duration::from_millis(self.rng.random_range(DURATION_MS));
+        self.start(kind, number, duration).await
+    }
+
+    /// Starts a fault if none that excludes it is active.
+    async fn start(&mut self, kind: Kind, number: usize, duration: Duration) -> Result<(), Error> {
         let excluded = |active: &ActiveFault| active.number == number && active.kind.excludes(kind);
         if self
             .schedule
@@ -341,6 +353,10 @@
                 .store
                 .write_invalid_entry(&format!("odd-{number}")),
             Kind::Configure => self.cluster.publish_configuration(),
+            Kind::Slow => {
+                let factor = self.rng.random_range(SLOWNESS);
+                self.cluster.targets[number].runner.set_slowness(factor);
+            }
         }
         Ok(true)
     }
@@ -405,6 +421,7 @@
             Kind::StoreLink => self.cluster.relays[number].1.set(Mode::Pass),
             Kind::RunnerLink => self.cluster.targets[number].proxy.set(Mode::Pass),
             Kind::Runner => self.cluster.targets[number].runner.set_fault(Fault::None),
+            Kind::Slow => self.cluster.targets[number].runner.set_slowness(1.0),
             Kind::Crash => self.cluster.restart_runner(number).await?,
             Kind::Leave => {
                 self.state.end_leaving(&subject);
--- a/crates/ctl/src/torture/relays/mod.rs
+++ b/crates/ctl/src/torture/relays/mod.rs
@@ -1,8 +1,10 @@
 //! The soak of relays: relay processes between clients and stand-ins of the users' platform.
 //!
 //! * [`cluster`]: the processes and the stand-ins; [`fault`]: the faults injected into them
-//! * [`demand`]: the clients' requests; [`verdict`]: checks of the responses and the runs
+//! * [`demand`]: the clients' requests; [`chain`]: those of a chain of stages
+//! * [`verdict`]: checks of the responses and the runs
 
+pub mod chain;
 pub mod cluster;
 pub mod demand;
 pub mod fault;
@@ -10,7 +12,7 @@
 
 use crate::Error;
 use crate::fleet::Signal;
-use crate::torture::relays::cluster::{Cluster, MANY_RUNNERS, RUNNERS, RunnerAccess, Runners};
+use crate::torture::relays::cluster::{Cluster, Layout, MANY_RUNNERS, RUNNERS, RunnerAccess};
 use crate::torture::relays::demand::Flood;
 use crate::torture::relays::fault::Faults;
 use crate::torture::relays::verdict::Verdict;
@@ -75,6 +77,9 @@
     Flood,
     /// The table service is restored from an older backup, without other faults.
     Restore,
+    /// A burst of requests with a chain of stages, while runners of the middle stage crash and return, runners
+    /// are slow, and relays are frozen, killed and stopped.
+    Chain,
 }
 
 impl Scenario {
@@ -82,11 +87,20 @@
         self == Self::Poison || self == Self::Drawn && seed % 2 == 0
     }
 
-    fn layout(self) -> (RunnerAccess, Runners) {
+    fn layout(self) -> Layout {
         match self {
-            Self::Piece { .. } => (RunnerAccess::Direct, RUNNERS),
-            Self::Silence(_) | Self::Part(_) => (RunnerAccess::Direct, MANY_RUNNERS),
-            _ => (RunnerAccess::Proxied, RUNNERS),
+            Self::Piece { .. } => Layout::new(RunnerAccess::Direct, RUNNERS),
+            Self::Silence(_) | Self::Part(_) => Layout::new(RunnerAccess::Direct, MANY_RUNNERS),
+            Self::Chain => chain::LAYOUT,
+            _ => Layout::new(RunnerAccess::Proxied, RUNNERS),
+        }
+    }
+
+    /// Kinds of requests that must be served after the faults.
+    fn kinds(self) -> Vec<Kind> {
+        match self {
+            Self::Chain => [&Kind::ALL[..], &Kind::CHAIN].concat(),
+            _ => Kind::ALL.to_vec(),
         }
     }
 
@@ -142,8 +156,7 @@
     programs: PathBuf,
 ) -> Result<Verdict, Error> {
     let state = Arc::new(SoakState::default());
-    let (access, runners) = scenario.layout();
-    let mut cluster = Cluster::start(logs.clone(), programs, access, runners, &state).await?;
+    let mut cluster = Cluster::start(logs.clone(), programs, scenario.layout(), &state).await?;
     cluster.wait_until_ready().await?;
     if scenario.has_limit(seed) {
         cluster.announce_limit(ANNOUNCED_LIMIT);
@@ -164,6 +177,10 @@
             let others = demand::other_requests(state.clone(), KINDS_BESIDE_PIECES, seed ^ 2, time);
             tokio::spawn(others)
         }
+        Scenario::Chain => {
+            chain::misreport_load(&cluster);
+            tokio::spawn(chain::send(state.clone(), seed ^ 2, time))
+        }
         Scenario::Silence(kind) => {
             let same = if kind.streams() {
                 STREAM_KINDS
@@ -182,22 +199,32 @@
     match scenario {
         Scenario::Drawn => faults.run(time).await?,
         Scenario::Restore => faults.restore(time).await?,
+        Scenario::Chain => faults.run_chain(time).await?,
         _ => faults.wait(time).await?,
     }
     let mut records = callers.await.map_err(|error| task_error(&error))?;
     records.extend(harmful.await.map_err(|error| task_error(&error))?);
     faults.wait_for_runners().await?;
     let (counts, stuck) = (faults.counts, faults.stuck);
-    let last = demand::check_recovery(&cluster).await;
+    let storage = match scenario {
+        Scenario::Chain => Some(chain::await_free_storage(&cluster.log).await),
+        _ => None,
+    };
+    let last = demand::check_recovery(&cluster, &scenario.kinds()).await;
     let recovered = last.iter().all(|record| verdict::is_good(record, true));
     records.extend(last);
     write_lines(&logs.join("falls"), &cluster.log.failures())?;
     write_lines(&logs.join("words"), &records)?;
+    write_lines(&logs.join("results"), &cluster.log.results())?;
+    write_lines(&logs.join("faults"), &[&state])?;
     let mut verdict = verdict::check(&records, &cluster.log, &cluster.keys, &state);
     verdict.counts.faults = counts;
     if scenario == Scenario::Flood {
         verdict.check_flood(&records, begun + FLOOD.after.as_micros() as Micros);
     }
+    if let Some(storage) = storage {
+        verdict.check_chain(&records, &cluster.log, &storage, &state);
+    }
     if !recovered {
         verdict.record_violation(
             "not recovered",
--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -1,7 +1,10 @@
 //! Checks of the responses to clients and the runs of runners for violations.
 
+mod chain;
 mod runner;
 
+pub use chain::ChainStats;
+
 use crate::torture::relays::cluster::{Key, Keys};
 use crate::torture::relays::demand::OTHER_BODIES;
 use crate::torture::state::{Interval, SoakState};
@@ -110,6 +113,9 @@
     pub harm: BTreeMap<String, HarmfulRequestStats>,
     /// Faults by kind.
     pub faults: BTreeMap<String, u64>,
+    /// Pieces of the stages, in a soak of a chain.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub chain: Option<ChainStats>,
     /// Violations by kind.
     pub violations: BTreeMap<String, u64>,
 }
--- a/crates/ctl/src/torture/state.rs
+++ b/crates/ctl/src/torture/state.rs
@@ -219,6 +219,14 @@
         self.lock().had_fault(subject, from, until)
     }
 
+    /// Whether any fault overlapped the interval between two times.
+    #[must_use]
+    pub fn had_any_fault(&self, from: Micros, until: Micros) -> bool {
+        let state = self.lock();
+        let mut faults = state.faults.iter();
+        faults.any(|interval| interval.overlaps(from, until))
+    }
+
     /// Whether a fault between two times may have kept updates of the table service from the process
     /// that served at an address.
     #[must_use]
