Chain soak counts connections that a relay behind its work closes unread

Its log says that it accepted half of the new connections, as it was too far behind to read them, which connection_flood.rs tests as intended.

Change: a request whose pieces ran must get a response, and a relay without faults must accept connections; connections closed before any piece ran are counted and reported as closed_unread. A request that was read, but of which no piece had run, is not told from one that was not read.

--- a/crates/ctl/src/torture/relays/chain.rs
+++ b/crates/ctl/src/torture/relays/chain.rs
@@ -44,14 +44,8 @@
 const STORAGE_TOLERANCE: Duration = Duration::from_secs(1);
 const STORAGE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Result storage after the last request.
-#[derive(Clone, Debug)]
-pub struct StorageCheck {
-    /// Time until all of it was free, or until waiting ended.
-    pub waited: Duration,
-    /// Bytes that were still occupied, by runner.
-    pub occupied: BTreeMap<String, u64>,
-}
+/// Time until all result storage was free or waiting ended, and the bytes still occupied by runner.
+pub type StorageCheck = (Duration, BTreeMap<String, u64>);
 
 /// Makes two runners of each stage of the chain misreport how slow they are.
 pub fn misreport_load(cluster: &Cluster) {
@@ -105,7 +99,7 @@
         let occupied = log.used_storage();
         let waited = begun.elapsed();
         if occupied.is_empty() || waited > limit {
-            return StorageCheck { waited, occupied };
+            return (waited, occupied);
         }
         sleep(STORAGE_CHECK_INTERVAL).await;
     }
--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -1,10 +1,8 @@
 //! Checks of the responses to clients and the runs of runners for violations.
 
-mod chain;
+pub mod chain;
 mod runner;
 
-pub use chain::ChainStats;
-
 use crate::torture::relays::cluster::{Key, Keys};
 use crate::torture::relays::demand::OTHER_BODIES;
 use crate::torture::state::{Interval, SoakState};
@@ -115,7 +113,7 @@
     pub faults: BTreeMap<String, u64>,
     /// Pieces of the stages, in a soak of a chain.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub chain: Option<ChainStats>,
+    pub chain: Option<chain::ChainStats>,
     /// Violations by kind.
     pub violations: BTreeMap<String, u64>,
 }
--- a/crates/ctl/src/torture/relays/verdict/chain.rs
+++ b/crates/ctl/src/torture/relays/verdict/chain.rs
@@ -4,8 +4,9 @@
 use crate::torture::relays::chain::StorageCheck;
 use crate::torture::state::SoakState;
 use serde::Serialize;
-use std::collections::BTreeMap;
-use stub::caller::{Kind, RequestRecord, ResponseOutcome};
+use std::collections::{BTreeMap, HashSet};
+use stub::caller::ResponseOutcome::{Closed, Unreachable};
+use stub::caller::{Kind, RequestRecord};
 use stub::config::{CHAIN, STAGE};
 use stub::runner::{Log, PieceStats, ResultEnd, StageResult};
 
@@ -16,6 +17,8 @@
     pub requests: BTreeMap<String, AnswerStats>,
     /// Pieces by service.
     pub pieces: BTreeMap<&'static str, PieceStats>,
+    /// Connections that relays without faults closed without reading a request.
+    pub closed_unread: u64,
     /// Results during whose retention time no relay and no runner had crashed, stopped or been frozen.
     pub undisturbed: u64,
     /// Results of these that expired without being released.
@@ -32,18 +35,19 @@
         &mut self,
         records: &[RequestRecord],
         log: &Log,
-        storage: &StorageCheck,
+        (waited, occupied): &StorageCheck,
         state: &SoakState,
     ) {
         let results = log.results();
-        self.check_closed_connections(records, state);
+        let closed_unread = self.check_closed(records, &results, state);
         self.check_pieces(records, &results);
-        if !storage.occupied.is_empty() {
-            self.record_violation("result storage still occupied", storage);
+        if !occupied.is_empty() {
+            self.record_violation("result storage still occupied", occupied);
         }
         let mut stats = ChainStats {
             pieces: log.piece_stats(),
-            free_after_ms: storage.waited.as_millis() as u64,
+            closed_unread,
+            free_after_ms: waited.as_millis() as u64,
             ..ChainStats::default()
         };
         for record in records {
@@ -64,20 +68,30 @@
         self.counts.chain = Some(stats);
     }
 
-    /// Checks that a relay without faults does not close a new connection without a response. In contrast to
-    /// other soaks, each request has a connection of its own.
-    fn check_closed_connections(&mut self, records: &[RequestRecord], state: &SoakState) {
-        for record in records {
-            let is_closed = matches!(
-                record.outcome,
-                ResponseOutcome::Closed | ResponseOutcome::Unreachable
-            );
-            let is_excused = state.was_killed(record.entry)
-                || state.had_fault_at(record.entry, record.sent, record.done);
-            if is_closed && !is_excused {
+    /// Checks that a relay without faults responds to each request that it has read. Returns the number of
+    /// connections that it closed otherwise: a process that cannot keep up closes new connections unread.
+    fn check_closed(
+        &mut self,
+        records: &[RequestRecord],
+        results: &[StageResult],
+        state: &SoakState,
+    ) -> u64 {
+        let started: HashSet<&str> = results.iter().map(|result| result.id.as_str()).collect();
+        let is_settled = |record: &&RequestRecord| {
+            !matches!(record.outcome, Closed | Unreachable)
+                || state.was_killed(record.entry)
+                || state.had_fault_at(record.entry, record.sent, record.done)
+        };
+        let mut unread = 0;
+        for record in records.iter().filter(|record| !is_settled(record)) {
+            let is_read = started.contains(record.request.id.as_str());
+            if is_read || record.outcome == Unreachable {
                 self.record_violation("connection closed without a response", record);
+            } else {
+                unread += 1;
             }
         }
+        unread
     }
 
     /// Checks that each piece is one of a request that was sent, and was run by a runner of its stage.
