--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -1,5 +1,6 @@
 //! Checks of the responses to clients and the runs of runners for violations.
 
+pub mod chain;
 mod runner;
 
 use crate::torture::relays::cluster::{Key, Keys};
@@ -110,6 +111,9 @@
     pub harm: BTreeMap<String, HarmfulRequestStats>,
     /// Faults by kind.
     pub faults: BTreeMap<String, u64>,
+    /// Pieces of the stages, in a soak of a chain.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub chain: Option<chain::ChainStats>,
     /// Violations by kind.
     pub violations: BTreeMap<String, u64>,
 }
