Requests of chains ask for a start credit before their first stage

Cause: requests whose stages depend on one another were admitted by the queue of their first stage alone. In a burst they filled the queues between the stages, became late together, and more than half of the refusals came after a stage had been made. Change: the owner of each cell of a chain's last service keeps a gate (decide::flow); the relay that serves a request asks it over its link, waits for the verdict and returns the credit when the stages are done or the request ends. A gate that does not respond is passed over; after three the request starts without a credit. Policy switch, log lines and metrics.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -6,6 +6,7 @@
 use crate::configuration::{Configuration, RegionId, ServiceId};
 use crate::downstream::Downstream;
 use crate::drain::Drains;
+use crate::flow::Gates;
 use crate::limit::Limits;
 use crate::member::{Member, MemberId};
 use crate::memory::MemoryBudget;
@@ -103,6 +104,7 @@
     retry_bound: Mutex<RetryBound>,
     quotas: Mutex<Map<ServiceId, RetryQuota>>,
     batchers: Mutex<Map<Cell, Arc<Batcher<D>>>>,
+    pub(crate) gates: Gates,
     /// Longest client timeout seen on each route.
     longest_timeouts: Mutex<Map<String, Duration>>,
     cells: Mutex<Map<ServiceId, Arc<CellList>>>,
@@ -145,6 +147,7 @@
             pools: Mutex::default(),
             quotas: Mutex::default(),
             batchers: Mutex::default(),
+            gates: Gates::default(),
             longest_timeouts: Mutex::default(),
             cells: Mutex::default(),
             list_current_at: Mutex::default(),
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -330,6 +330,20 @@
         self.request.pieces.get(stage).copied().unwrap_or(0)
     }
 
+    /// Time of all stages without waits, if each piece is made in a full call.
+    pub(crate) fn chain_time(&self) -> Duration {
+        let stages = &self.route.stages;
+        let mut ends: Vec<Duration> = Vec::new();
+        for (index, stage) in stages.iter().enumerate() {
+            let own = self.configuration.batches(&stage.service);
+            let own = own.filter(|_| self.pieces(index) > 0);
+            let own = own.map_or(Duration::ZERO, |batches| batches.shape.full());
+            let before = stage.after.iter().filter_map(|&before| ends.get(before));
+            ends.push(own + before.max().copied().unwrap_or_default());
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
     /// Minimum time from the end of a stage to the first event of the response.
     fn min_time_after(&self, stage: usize) -> Duration {
         let next = self.route.dependents(stage).filter(|&next| next > stage);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`serve`]: one request from its arrival to its response
 //! * `region`: restriction of requests to regions
 //! * [`graph`]: the stages of one request; [`batch`]: the calls that carry their pieces
+//! * [`flow`]: start credits for requests whose stages depend on one another
 //! * [`limit`]: rate limits that runners ask for
 //! * [`member`]: membership of the relay processes; [`peer`]: the protocol between them
 //! * [`attempt`]: the attempts of one request; [`splice`]: streams that continue on another runner
@@ -28,6 +29,7 @@
 pub mod downstream;
 pub mod drain;
 pub mod event;
+pub mod flow;
 pub mod follow;
 pub mod graph;
 pub mod limit;
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -2,6 +2,7 @@
 //! processes share, such as the configuration in force.
 
 mod call_loads;
+mod credits;
 mod frame;
 mod held;
 mod overlay;
@@ -11,6 +12,7 @@
 mod transfer;
 
 pub use call_loads::{CallLoadTable, CallLoads, exchange_call_loads};
+pub(crate) use credits::RemoteCredit;
 pub use frame::{Frame, WireOrder};
 pub use held::report_held_results;
 pub use overlay::{StateDigest, maintain_links};
@@ -23,6 +25,7 @@
 use crate::core::{Relay, lock};
 use crate::downstream::Downstream;
 use crate::drain::Drains;
+use crate::flow::Verdict;
 use crate::limit::LimitNotice;
 use crate::member::{Member, MemberId, Members};
 use crate::quarantine::Suspicion;
@@ -33,7 +36,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tables::Tables;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout};
 use tokio_util::task::TaskTracker;
 use transfer::Transfer;
@@ -98,11 +101,25 @@
     /// When the oldest unanswered heartbeat was sent.
     heartbeat_sent: Option<Instant>,
     orders: Map<u64, oneshot::Sender<Outcome>>,
+    /// Requests for credits that wait for their final verdict.
+    credits: Map<u64, mpsc::UnboundedSender<Verdict>>,
     /// Requests for updates of a table.
     updates: Map<u64, oneshot::Sender<Option<TableUpdate>>>,
 }
 
 impl Pending {
+    /// Whether the other end has to respond or report within the time-out of the link.
+    fn expects_frames(&self) -> bool {
+        !self.orders.is_empty() || !self.credits.is_empty()
+    }
+
+    /// Starts the time-out of the link if nothing was pending before.
+    fn expect_frames(&mut self) {
+        if !self.expects_frames() {
+            self.last_received = Instant::now();
+        }
+    }
+
     /// Allocates an id for one more order or request on the link.
     fn next_ticket(&mut self) -> u64 {
         let ticket = self.next;
@@ -323,6 +340,7 @@
             last_received: Instant::now(),
             heartbeat_sent: None,
             orders: Map::default(),
+            credits: Map::default(),
             updates: Map::default(),
         };
         Self {
@@ -335,9 +353,7 @@
     fn add_order(&self) -> (u64, oneshot::Receiver<Outcome>) {
         let (reply, outcome) = oneshot::channel();
         let mut pending = lock(&self.pending);
-        if pending.orders.is_empty() {
-            pending.last_received = Instant::now();
-        }
+        pending.expect_frames();
         let ticket = pending.next_ticket();
         pending.orders.insert(ticket, reply);
         (ticket, outcome)
--- a/crates/relay/src/peer/frame.rs
+++ b/crates/relay/src/peer/frame.rs
@@ -8,6 +8,7 @@
 use crate::core::{Relay, lock};
 use crate::downstream::{Downstream, Handle, Source};
 use crate::drain::Drains;
+use crate::flow::{self, Demand, Verdict};
 use crate::limit::LimitNotice;
 use crate::member::MemberId;
 use crate::outage;
@@ -151,6 +152,29 @@
         /// Whether they were fetched or are not needed any more.
         spent: ReleaseKind,
     },
+    /// Requests a start credit for a request.
+    AskCredit {
+        /// Id of the credit on this link.
+        ticket: u64,
+        /// Cell of the gate.
+        cell: Cell,
+        /// What the request needs.
+        demand: Demand,
+    },
+    /// Reports a decision on a requested credit.
+    Credit {
+        /// The credit.
+        ticket: u64,
+        /// The decision.
+        verdict: Verdict,
+    },
+    /// Returns a credit, or withdraws the request for it.
+    ReturnCredit {
+        /// The credit.
+        ticket: u64,
+        /// How its request has ended.
+        outcome: flow::Outcome,
+    },
 }
 
 /// An order as it is sent to another process. Since the clocks of processes differ, its times are
@@ -285,6 +309,7 @@
                     relay.peers.release(&relay, &handles, ReleaseKind::Over);
                 }
             }
+            Frame::Credit { ticket, verdict } => link.receive_verdict(ticket, verdict),
             Frame::Load {
                 cell,
                 waits: estimates,
@@ -305,6 +330,7 @@
     // Dropping the senders notifies all waiting tasks that the link is gone.
     let mut pending = lock(&link.pending);
     pending.orders.clear();
+    pending.credits.clear();
     pending.updates.clear();
 }
 
@@ -315,7 +341,7 @@
         let unanswered = pending
             .heartbeat_sent
             .is_some_and(|at| at.elapsed() > overlay::HEARTBEAT_TIMEOUT);
-        !pending.orders.is_empty() && idle > LINK_TIMEOUT || unanswered
+        pending.expects_frames() && idle > LINK_TIMEOUT || unanswered
     }
 }
 
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -1,5 +1,6 @@
 //! The accepting end of a link, which executes the orders of the other process.
 
+use super::credits::LinkCredits;
 use super::frame::{self, Frame};
 use super::results::Hop;
 use super::{tables, transfer};
@@ -18,9 +19,10 @@
 pub(super) const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Orders that are being executed for one link.
-struct LinkOrders {
+struct LinkOrders<D: Downstream> {
     running: JoinSet<(u64, Outcome)>,
     handles: Map<u64, (Cell, AbortHandle)>,
+    credits: LinkCredits<D>,
 }
 
 /// Accepts links from other processes until the task is dropped.
@@ -47,6 +49,7 @@
     let mut orders = LinkOrders {
         running: JoinSet::new(),
         handles: Map::default(),
+        credits: LinkCredits::default(),
     };
     let mut load_reports = interval(LOAD_REPORT_INTERVAL);
     load_reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -67,7 +70,7 @@
                 // The order was withdrawn.
                 Err(_) => Ok(()),
             },
-            _ = load_reports.tick(), if !orders.handles.is_empty() => orders.report_load(&relay, &sender).await,
+            _ = load_reports.tick(), if orders.is_in_use() => orders.report_load(&relay, &sender).await,
         };
         if sent.is_err() {
             break;
@@ -77,13 +80,8 @@
     transfer::link_lost(&relay, &sender);
 }
 
-impl LinkOrders {
-    fn handle_frame<D: Downstream>(
-        &mut self,
-        relay: &Arc<Relay<D>>,
-        sender: &Sender<Frame>,
-        frame: Frame,
-    ) {
+impl<D: Downstream> LinkOrders<D> {
+    fn handle_frame(&mut self, relay: &Arc<Relay<D>>, sender: &Sender<Frame>, frame: Frame) {
         match frame {
             Frame::Order {
                 ticket,
@@ -96,6 +94,12 @@
                 });
                 self.handles.insert(ticket, (cell, handle));
             }
+            Frame::AskCredit {
+                ticket,
+                cell,
+                demand,
+            } => self.credits.ask(relay, sender, ticket, &cell, &demand),
+            Frame::ReturnCredit { ticket, outcome } => self.credits.take_back(ticket, outcome),
             Frame::Withdraw { ticket } => {
                 if let Some((_, handle)) = self.handles.remove(&ticket) {
                     handle.abort();
@@ -141,13 +145,19 @@
         }
     }
 
-    async fn report_load<D: Downstream>(
+    /// Whether the other end awaits outcomes, and so reports of the load.
+    fn is_in_use(&self) -> bool {
+        !self.handles.is_empty() || !self.credits.is_empty()
+    }
+
+    async fn report_load(
         &self,
         relay: &Relay<D>,
         sender: &Sender<Frame>,
     ) -> Result<(), wire::Error> {
         let mut cells: Vec<&Cell> = Vec::new();
-        for (cell, _) in self.handles.values() {
+        let ordered = self.handles.values().map(|(cell, _)| cell);
+        for cell in ordered.chain(self.credits.cells()) {
             if !cells.contains(&cell) {
                 cells.push(cell);
             }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::configuration::{Configuration, Kind, Rank, Route, ServiceId, Workspace};
 use crate::core::Relay;
 use crate::downstream::Downstream;
+use crate::flow;
 use crate::graph::{self, Inputs, StageRun};
 use crate::quarantine;
 use crate::request::{self, Answer, ContentId, Refusal, Request};
@@ -107,7 +108,9 @@
     async fn run(self: &Arc<Self>, job: &Job<D>) -> Result<Answer, Refusal> {
         quarantine::admit(job)?;
         admit(job)?;
+        let credit = flow::start(job).await?;
         let inputs = self.run_stages(job).await?;
+        credit.finish(job);
         let answer = attempt::run(job, inputs).await?;
         let elapsed = job.request.arrived.elapsed();
         info!(self.log, "answered"; "request" => &*job.request.id, "route" => &job.route.name,
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -5,6 +5,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use store::era::Era;
@@ -24,6 +25,16 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CreditLabels {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CellLabels {
+    cell: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct TableAnswerLabels {
     from: &'static str,
@@ -50,6 +61,10 @@
     tables: Family<TableAnswerLabels, Counter>,
     copies: Family<CopyLabels, Counter>,
     drained: Gauge,
+    credits: Family<CreditLabels, Counter>,
+    credits_waiting: Family<CellLabels, Gauge>,
+    credit_wait: Histogram,
+    chain_estimate_error: Histogram,
     held: Gauge,
     shed: Counter,
     era: Gauge,
@@ -75,6 +90,10 @@
             tables: Family::default(),
             copies: Family::default(),
             drained: Gauge::default(),
+            credits: Family::default(),
+            credits_waiting: Family::default(),
+            credit_wait: metric::latency::histogram(),
+            chain_estimate_error: metric::latency::histogram(),
             held: Gauge::default(),
             shed: Counter::default(),
             era: Gauge::default(),
@@ -121,6 +140,26 @@
             "Requests that are held back since runners ended under them",
             telemetry.held.clone(),
         );
+        registry.register(
+            "relay_flow_verdicts",
+            "Requests for start credits, by outcome",
+            telemetry.credits.clone(),
+        );
+        registry.register(
+            "relay_flow_waiting",
+            "Requests that wait for a start credit, by cell of the gate",
+            telemetry.credits_waiting.clone(),
+        );
+        registry.register(
+            "relay_flow_wait_seconds",
+            "Time from asking for a start credit to the decision",
+            telemetry.credit_wait.clone(),
+        );
+        registry.register(
+            "relay_flow_estimate_error_seconds",
+            "Difference of the time that the stages of a request took from the expected time",
+            telemetry.chain_estimate_error.clone(),
+        );
         registry.register(
             "relay_connections_shed",
             "Connections that were closed unread since the process was behind",
@@ -163,6 +202,28 @@
         self.malformed_loads.get_or_create(&labels).inc();
     }
 
+    /// Counts a decision on a start credit.
+    pub(crate) fn credit(&self, outcome: &'static str) {
+        self.credits.get_or_create(&CreditLabels { outcome }).inc();
+    }
+
+    /// Sets the number of requests that wait at the gate of a cell.
+    pub(crate) fn credits_waiting(&self, cell: &str, waiting: usize) {
+        let cell = cell.to_owned();
+        let gauge = self.credits_waiting.get_or_create(&CellLabels { cell });
+        gauge.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+    }
+
+    /// Records how long a request waited for a decision on its start credit.
+    pub(crate) fn credit_wait(&self, waited: Duration) {
+        self.credit_wait.observe(waited.as_secs_f64());
+    }
+
+    /// Records by how much the time of a request's stages differed from the expected one.
+    pub(crate) fn chain_estimate_error(&self, error: Duration) {
+        self.chain_estimate_error.observe(error.as_secs_f64());
+    }
+
     /// Sets the number of quarantined requests.
     pub fn held(&self, requests: usize) {
         self.held.set(i64::try_from(requests).unwrap_or(i64::MAX));
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -40,6 +40,7 @@
     Field::optional("warmup", shared::POLICY),
     Field::optional("absent", shared::POLICY),
     Field::optional("suspects", shared::POLICY),
+    Field::optional("flow", shared::POLICY),
     Field::optional("prefill", shared::POLICY),
 ]);
 
@@ -156,6 +157,10 @@
     /// the service's runners are up, or at once.
     #[serde(default)]
     pub suspects: Policy,
+    /// When requests whose stages depend on one another start: once the stages together can complete
+    /// them in time, or as they arrive.
+    #[serde(default)]
+    pub flow: Policy,
     /// Speed at which model runners are assumed to read prompts: learnt from their responses, or a
     /// constant.
     #[serde(default)]
