Start calls when room for results comes free

Cause: pieces that wait because no runner has room were dispatched only by a new order, the end of a call or the expiry of stored results. Without either of the first two they waited until the results expired (up to 4 s), although these had been fetched or released long before.

Change: a fetched or released notice dispatches if pieces wait and a runner has a free slot.

Measured: the new test fails without the dispatch (the order ends only when results expire) and passes with it; it covers both kinds of notice.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -276,9 +276,15 @@
                 }
             }
         }
-        if kind == ReleaseKind::Over && state.schedule_release() {
+        let release_later = kind == ReleaseKind::Over && state.schedule_release();
+        let awaits_room = keep.is_some_and(|batches| state.awaits_room(batches));
+        drop(state);
+        if release_later {
             tokio::spawn(self.clone().release_pending(relay.clone()));
         }
+        if awaits_room {
+            self.dispatch(relay);
+        }
     }
 
     /// Drops results that are no longer needed, without waiting for the next call.
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -66,6 +66,18 @@
         }
     }
 
+    /// Whether pieces wait although a runner could take a call, as they do while no runner has room
+    /// for their results.
+    pub(super) fn awaits_room(&self, batches: BatchSettings) -> bool {
+        let waiting = self
+            .batch_queue
+            .as_ref()
+            .map_or(0, BatchQueue::waiting_pieces);
+        let now = Instant::now();
+        let free = |state: &RunnerState| state.has_slot(batches) && !state.is_paused(now);
+        waiting > 0 && self.runner_states.iter().any(free)
+    }
+
     /// Whether the caller has to schedule the task that drops released results.
     pub(super) fn schedule_release(&mut self) -> bool {
         !std::mem::replace(&mut self.release_scheduled, true)
--- a/crates/relay/tests/inputs_fetched.rs
+++ b/crates/relay/tests/inputs_fetched.rs
@@ -55,6 +55,28 @@
     assert_eq!(released, 4, "no more than the call needs");
 }
 
+/// Pieces that wait for room while no call is in progress are processed as soon as stored results
+/// have been fetched or released. No call ends that would start theirs, so they would wait until the
+/// results expire, seconds later, although the runners have room.
+#[tokio::test(start_paused = true)]
+async fn starts_when_room_comes_free() {
+    for kind in [ReleaseKind::Fetched, ReleaseKind::Over] {
+        let relay = ready(Fake::default());
+        let kept = fill(&relay).await;
+        let next = tokio::spawn({
+            let relay = relay.clone();
+            async move { make(&relay, "next").await }
+        });
+        sleep(Duration::from_millis(100)).await;
+        assert!(!next.is_finished(), "{kind:?}: there was room");
+        let released_at = Instant::now();
+        relay.batcher(&cell()).release(&relay, &kept, kind);
+        next.await.expect("made");
+        let took = released_at.elapsed();
+        assert!(took < Duration::from_secs(1), "{kind:?}: {took:?}");
+    }
+}
+
 /// Fetched results are kept as long as there is room. The call that fetched them may still fail,
 /// and without them its request would have to start over.
 #[tokio::test(start_paused = true)]
