Runners take groups of their own failure domain first

Cause: in a burst all runners are busy, most groups have waited for longer than max_domain_wait, and the order of due times gives them to whichever runner is free first, so that two in five fetch their inputs from another failure domain.

Change: a runner takes groups that prefer its own domain first, unless others of the same rank are due a full call earlier. Rule near_first, policy switch near_first (naive: the order of due times alone, as before).

A request from another domain may start up to one full call later.

Also tried and not kept: leaving a runner idle while the pieces of other domains are few (by fill of 0.25 or 0.5 of a call for 50 to 200 ms, by the expected arrivals of its own domain, until max_domain_wait is over).

--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -46,6 +46,7 @@
     }
     let rules = Rules {
         near: policy.near == Policy::Shipped,
+        near_first: policy.near_first == Policy::Shipped,
         whole: policy.whole == Policy::Shipped,
         small_first: policy.small_first == Policy::Shipped,
         give_up: policy.admission == Policy::Shipped,
