--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -297,10 +297,14 @@
                 }
             }
         }
+        let awaits_room = keep.is_some_and(|batches| state.awaits_room(batches));
         drop(state);
         if kind == ReleaseKind::Over {
             self.schedule_release(relay);
         }
+        if awaits_room {
+            self.dispatch(relay);
+        }
         absent
     }
 
