Gates learn the time of chains by rank

Change: the learnt time is kept by rank. The twin of the credits test checks the window of a request's own and more urgent ranks and the bound on all started work, which replaced the one window over all ranks.

--- a/crates/decide/src/flow/efficiency.rs
+++ b/crates/decide/src/flow/efficiency.rs
@@ -5,7 +5,7 @@
 
 /// Efficiency that is assumed without recent measurements. Calls are seldom full, and runners wait
 /// for room for results.
-const INITIAL: f64 = 0.9;
+const INITIAL: f64 = 1.0;
 /// Bounds of the efficiency. Calls end in groups, so that a single interval may show more than the
 /// configured rates; with a lower one, a short interruption would stop nearly all starts.
 const BOUNDS: (f64, f64) = (0.3, 1.0);
--- a/crates/decide/src/flow/outlook.rs
+++ b/crates/decide/src/flow/outlook.rs
@@ -1,5 +1,6 @@
 //! Whether a request can still be on time, or is worth waiting for at all.
 
+use super::learnt::LearntTimes;
 use super::{Capacity, Demand};
 use std::time::Duration;
 
@@ -24,34 +25,41 @@
 
 /// The state of a gate at one time on which prospects depend.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Outlook {
+pub(super) struct Outlook<'a> {
     pub(super) now: Duration,
-    /// Expected time from the start of a request to the end of its chain.
-    run_time: Duration,
-    max_late_wait: Duration,
+    /// Times from the start of a request to the end of its chain; without work in progress, nothing
+    /// would correct one that is too long.
+    learnt: Option<&'a LearntTimes>,
+    chain_time: Duration,
 }
 
-impl Outlook {
-    pub(super) fn new(now: Duration, run_time: Duration, capacity: &Capacity) -> Self {
+impl<'a> Outlook<'a> {
+    pub(super) fn new(now: Duration, learnt: Option<&'a LearntTimes>, capacity: &Capacity) -> Self {
         Self {
             now,
-            run_time,
-            max_late_wait: capacity.chain_time.mul_f64(MAX_LATE_WAIT),
+            learnt,
+            chain_time: capacity.chain_time,
         }
     }
 
+    fn run_time(&self, rank: u8) -> Duration {
+        let learnt = self.learnt.map(|learnt| learnt.get(rank, self.chain_time));
+        learnt.unwrap_or(self.chain_time)
+    }
+
     /// The prospect of a request that has waited since `since` and will for another `wait`.
     ///
     /// A late request lets all others pass. Judged by the remaining wait alone, it would stay until it
     /// expires while others arrive as fast as they start.
     pub(super) fn prospect(&self, demand: &Demand, since: Duration, wait: Duration) -> Prospect {
         let total_wait = self.now.saturating_sub(since) + wait;
-        let end = self.now + wait + self.run_time;
+        let run_time = self.run_time(demand.rank);
+        let end = self.now + wait + run_time;
         if end > demand.expires_at {
             Prospect::Hopeless
-        } else if self.now + wait.mul_f64(WAIT_MARGIN) + self.run_time <= demand.due {
+        } else if self.now + wait.mul_f64(WAIT_MARGIN) + run_time <= demand.due {
             Prospect::OnTime
-        } else if total_wait <= self.max_late_wait {
+        } else if total_wait <= self.chain_time.mul_f64(MAX_LATE_WAIT) {
             Prospect::Late
         } else {
             Prospect::Hopeless
--- a/crates/decide/src/flow/paced.rs
+++ b/crates/decide/src/flow/paced.rs
@@ -1,6 +1,6 @@
 //! The gate that starts requests at a steady rate.
 
-use super::learnt::LearntTime;
+use super::learnt::LearntTimes;
 use super::outlook::Outlook;
 use super::queue::WaitQueue;
 use super::returns::ScheduledReturns;
@@ -37,10 +37,11 @@
 pub struct Paced {
     capacity: Capacity,
     queue: WaitQueue,
-    started: Map<Ticket, Duration>,
+    /// Rank and start time of the started requests.
+    started: Map<Ticket, (u8, Duration)>,
     /// Time at which the slowest stage has done the started work.
     free_at: Duration,
-    learnt: LearntTime,
+    learnt: LearntTimes,
     returns: ScheduledReturns,
 }
 
@@ -66,11 +67,11 @@
         self.started.len()
     }
 
-    /// Learnt time from the start of a request to the end of its chain, at least the chain's time
+    /// Learnt time from the start of a request of this rank to the end of its chain, at least the chain's time
     /// without waits.
     #[must_use]
-    pub fn learnt_time(&self) -> Duration {
-        self.learnt.get(self.capacity.chain_time)
+    pub fn learnt_time(&self, rank: u8) -> Duration {
+        self.learnt.get(rank, self.capacity.chain_time)
     }
 
     fn wait(&self, now: Duration, ahead: &Work, demand: &Demand) -> Duration {
@@ -78,21 +79,16 @@
         self.free_at.saturating_sub(now) + ahead.time(&demand.pieces, rates)
     }
 
-    fn outlook(&self, now: Duration) -> Outlook {
-        // Without work in progress, nothing would correct a learnt time that is too long.
-        let run_time = if self.started.is_empty() {
-            self.capacity.chain_time
-        } else {
-            self.learnt_time()
-        };
-        Outlook::new(now, run_time, &self.capacity)
+    fn outlook(&self, now: Duration) -> Outlook<'_> {
+        let learnt = (!self.started.is_empty()).then_some(&self.learnt);
+        Outlook::new(now, learnt, &self.capacity)
     }
 
     fn start(&mut self, now: Duration, ticket: Ticket, demand: &Demand) -> Verdict {
         let time = work_time(&demand.pieces, &self.capacity.rates);
         let base = self.free_at.max(now.saturating_sub(MAX_CREDIT));
         self.free_at = (base + time).min(now + MAX_WAIT);
-        self.started.insert(ticket, now);
+        self.started.insert(ticket, (demand.rank, now));
         Verdict::Start
     }
 
@@ -126,8 +122,8 @@
     }
 
     fn finish(&mut self, now: Duration, ticket: Ticket) {
-        if let Some(started_at) = self.started.remove(&ticket) {
-            self.learnt.add(now.saturating_sub(started_at));
+        if let Some((rank, started_at)) = self.started.remove(&ticket) {
+            self.learnt.add(rank, now.saturating_sub(started_at));
         }
     }
 
--- a/crates/decide/src/flow/queue.rs
+++ b/crates/decide/src/flow/queue.rs
@@ -144,7 +144,7 @@
         &self,
         ticket: Ticket,
         demand: &Demand,
-        outlook: &Outlook,
+        outlook: &Outlook<'_>,
         wait: impl Fn(&Work, &Demand) -> Duration,
     ) -> Placement {
         let at = |position: Position| {
@@ -167,7 +167,7 @@
     /// returns the hopeless ones with their waits.
     pub(super) fn review(
         &mut self,
-        outlook: &Outlook,
+        outlook: &Outlook<'_>,
         wait: impl Fn(&Work, &Demand) -> Duration,
     ) -> Vec<(Ticket, Demand, Duration)> {
         let mut positions: Vec<Position> = self.order.keys().copied().collect();
--- a/crates/decide/src/flow/window.rs
+++ b/crates/decide/src/flow/window.rs
@@ -1,7 +1,7 @@
 //! The gate that limits the pieces of started requests.
 
 use super::efficiency::Efficiency;
-use super::learnt::LearntTime;
+use super::learnt::LearntTimes;
 use super::outlook::Outlook;
 use super::queue::WaitQueue;
 use super::returns::ScheduledReturns;
@@ -54,7 +54,7 @@
     expiries: BTreeSet<(Duration, Ticket)>,
     /// Pieces of the started requests, by rank.
     in_progress: BTreeMap<u8, Work>,
-    learnt: LearntTime,
+    learnt: LearntTimes,
     efficiency: Efficiency,
     returns: ScheduledReturns,
 }
@@ -109,7 +109,7 @@
         ranks.map(|(_, work)| work.at(service)).sum()
     }
 
-    /// Learnt time from the start of a request to the end of its chain, at least the chain's time
+    /// Learnt time from the start of a request of this rank to the end of its chain, at least the chain's time
     /// without waits.
     ///
     /// # Examples
@@ -120,11 +120,11 @@
     ///
     /// let chain_time = Duration::from_millis(1_110);
     /// let gate = Window::new(Capacity { rates: vec![10.0], chain_time });
-    /// assert_eq!(gate.learnt_time(), chain_time);
+    /// assert_eq!(gate.learnt_time(0), chain_time);
     /// ```
     #[must_use]
-    pub fn learnt_time(&self) -> Duration {
-        self.learnt.get(self.capacity.chain_time)
+    pub fn learnt_time(&self, rank: u8) -> Duration {
+        self.learnt.get(rank, self.capacity.chain_time)
     }
 
     /// Time within which all work in progress must be done for a request with this much time left to
@@ -174,14 +174,9 @@
         wait_of(waits.fold(0.0, f64::max))
     }
 
-    fn outlook(&self, now: Duration) -> Outlook {
-        // Without work in progress, nothing would correct a learnt time that is too long.
-        let run_time = if self.started.is_empty() {
-            self.capacity.chain_time
-        } else {
-            self.learnt_time()
-        };
-        Outlook::new(now, run_time, &self.capacity)
+    fn outlook(&self, now: Duration) -> Outlook<'_> {
+        let learnt = (!self.started.is_empty()).then_some(&self.learnt);
+        Outlook::new(now, learnt, &self.capacity)
     }
 
     fn start(&mut self, now: Duration, ticket: Ticket, demand: Demand) -> Verdict {
@@ -269,7 +264,8 @@
 
     fn finish(&mut self, now: Duration, ticket: Ticket) {
         if let Some(credit) = self.return_credit(ticket) {
-            self.learnt.add(now.saturating_sub(credit.started_at));
+            let elapsed = now.saturating_sub(credit.started_at);
+            self.learnt.add(credit.rank, elapsed);
             self.efficiency.finished(&credit.pieces);
         }
     }
--- a/crates/decide/tests/flow_credits.rs
+++ b/crates/decide/tests/flow_credits.rs
@@ -85,7 +85,7 @@
     assert_eq!(started(&gate.poll(ms(7_000))), [2]);
     gate.finish(ms(7_100), 1);
     assert_eq!(gate.started_pieces(0), 1);
-    assert_eq!(gate.learnt_time(), CHAIN_TIME);
+    assert_eq!(gate.learnt_time(0), CHAIN_TIME);
 }
 
 /// Runners and services may come and go while requests are started and waiting.
@@ -234,7 +234,7 @@
         assert_eq!(gate.offer(now, ticket, patient), Verdict::Start);
         gate.finish(now + ms(8_000), ticket);
     }
-    assert!(gate.learnt_time() > ms(7_500));
+    assert!(gate.learnt_time(0) > ms(7_500));
     let now = ms(1_000_000);
     let short = Demand {
         due: now + ms(4_000),
@@ -356,10 +356,12 @@
 
 impl Twin {
     fn pieces(&self, service: usize) -> u64 {
-        let pieces = self
-            .started
-            .values()
-            .map(|demand| demand.pieces.get(service));
+        self.pieces_up_to(u8::MAX, service)
+    }
+
+    fn pieces_up_to(&self, rank: u8, service: usize) -> u64 {
+        let started = self.started.values().filter(|demand| demand.rank <= rank);
+        let pieces = started.map(|demand| demand.pieces.get(service));
         pieces.map(|pieces| u64::from(*pieces.unwrap_or(&0))).sum()
     }
 
@@ -392,7 +394,9 @@
         let horizon = if horizon < 1.0 { longest } else { horizon };
         let mut services = demand.pieces.iter().zip(&self.rates).enumerate();
         services.all(|(service, (own, rate))| {
-            *own == 0 || self.pieces(service) as f64 <= rate * horizon + 1e-6
+            let ahead = self.pieces_up_to(demand.rank, service) as f64;
+            let all = self.pieces(service) as f64;
+            *own == 0 || ahead <= rate * horizon + 1e-6 && all <= rate * longest * 1.25 + 1e-6
         })
     }
 }
--- a/crates/relay/src/flow/gate.rs
+++ b/crates/relay/src/flow/gate.rs
@@ -5,7 +5,6 @@
 use crate::configuration::ServiceId;
 use crate::core::{Relay, lock};
 use crate::downstream::Downstream;
-use crate::telemetry::millis;
 use decide::Map;
 use decide::flow::{self, Capacity, Gate, Ticket, Verdict, Window};
 use decide::smooth::Ewma;
@@ -149,7 +148,7 @@
         }
         self.logged_at = Some(Instant::now());
         info!(relay.log, "gate in use"; "cell" => cell.name(), "waiting" => self.window.waiting(),
-            "started" => self.window.started(), "chain_ms" => millis(self.window.learnt_time()),
+            "started" => self.window.started(),
             "efficiency_percent" => (self.window.efficiency() * 100.0).round() as u64);
     }
 }
