Revert the near-first order; start calls for freed room only in an idle cell

Calls that start whenever any room comes free are nearly empty. What stays is the dispatch in a cell without a call in progress, where nothing else would start one until results expire.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -218,14 +218,8 @@
         self.shape = shape;
     }
 
-    /// Sorts the groups into the order in which they are taken, by a runner of this failure domain
-    /// or by any.
-    ///
-    /// A runner takes the groups of its own domain first, unless others of the same rank are due a
-    /// full call earlier. While all runners are busy, the order of due times alone gives most
-    /// groups to whichever runner is free first. Their inputs then cross failure domains, although
-    /// a runner near them will be free within a call.
-    fn sort(&mut self, now: Duration, domain: Option<&str>) {
+    /// Sorts the groups into the order in which they are taken.
+    fn sort(&mut self, now: Duration) {
         let end = now + self.shape.shortest();
         let weight = if self.rules.small_first {
             SIZE_WEIGHT
@@ -233,13 +227,7 @@
             0
         };
         let work = self.shape.piece * weight;
-        let domain = domain.filter(|_| self.rules.near && self.rules.near_first);
-        let full = self.shape.full();
-        let foreign_delay = |group: &Group| match domain {
-            Some(domain) if !group.is_near(domain) => full,
-            _ => Duration::ZERO,
-        };
-        let sort_time = |group: &Group| group.due + work * group.pieces + foreign_delay(group);
+        let sort_time = |group: &Group| group.due + work * group.pieces;
         self.groups
             .sort_by_key(|group| (group.due < end, group.rank, sort_time(group)));
     }
@@ -258,7 +246,7 @@
         if !self.rules.give_up {
             return remove_expired(&mut self.groups, self.shape, now);
         }
-        self.sort(now, None);
+        self.sort(now);
         let (call, shortest) = (self.shape.call, self.shape.shortest());
         let mut ahead = 0;
         let mut expired = Vec::new();
@@ -283,7 +271,7 @@
         if runner.required == RequiredGroup::Near && !self.groups.iter().any(near) {
             return Vec::new();
         }
-        self.sort(now, Some(runner.domain));
+        self.sort(now);
         let mut forecast = CallForecast::new(self.shape, runner.free_times);
         let any_domain = !self.rules.near;
         let eligible =
--- a/crates/decide/src/batch/rules.rs
+++ b/crates/decide/src/batch/rules.rs
@@ -14,9 +14,6 @@
 pub struct Rules {
     /// Groups wait for a runner close to their inputs if it will be free in time.
     pub near: bool,
-    /// Runners take groups close to their inputs before others that are due at about the same time;
-    /// applies only with `near`.
-    pub near_first: bool,
     /// Groups are not divided to fill up a call.
     pub whole: bool,
     /// Small groups go before larger ones that are due at about the same time.
@@ -30,7 +27,6 @@
     fn default() -> Self {
         Self {
             near: true,
-            near_first: true,
             whole: true,
             small_first: true,
             give_up: true,
--- a/crates/decide/tests/common/stage.rs
+++ b/crates/decide/tests/common/stage.rs
@@ -17,11 +17,6 @@
     pub domains: &'static [&'static str],
     /// Requests a second.
     pub rate: f64,
-    /// When the rate is higher, and by which factor.
-    pub burst: Option<Burst>,
-    /// Number of requests that arrive together with inputs in the same domain: those whose previous
-    /// stage was in the same call.
-    pub together: u32,
     /// Smallest and largest number of pieces in a request.
     pub pieces: (u32, u32),
     /// Time within which the pieces must be done to be on time.
@@ -30,38 +25,16 @@
     pub max_domain_wait: Duration,
     /// Number of results that a runner has room for.
     pub room: u64,
-    /// Shortest and longest time for which the results of a request are stored after all are done.
-    pub retention: (Duration, Duration),
+    /// Time for which the results of a request are stored after all are done.
+    pub retention: Duration,
     pub end: Duration,
 }
 
-/// A time of more requests.
-#[derive(Clone, Copy)]
-pub struct Burst {
-    pub start: Duration,
-    pub end: Duration,
-    pub factor: f64,
-}
-
-/// A free runner that could take a call, for rules on whether it waits for room.
-pub struct RoomState {
-    pub now: Duration,
-    pub free_since: Duration,
-    /// Room for this many results, when the runner stores any and now.
-    pub total: u64,
-    pub room: u64,
-    /// When stored results will be released, as far as this is known, and how many.
-    pub releases: Vec<(Duration, u64)>,
-    pub waiting_pieces: u32,
-}
-
 /// Results of a simulation.
 #[derive(Debug, Default)]
 pub struct Outcome {
     pub requests: u32,
     pub on_time: u32,
-    /// Pieces of calls that ended during the burst.
-    pub burst_pieces: u32,
     /// Pieces processed in the domain of their inputs, and in other domains.
     pub local: u32,
     pub remote: u32,
@@ -85,7 +58,6 @@
 struct Runner {
     /// End and contents of the call in progress.
     call: Option<(Duration, Vec<Portion>)>,
-    free_since: Duration,
     /// Results with the times from which and, once known, until which they take up room.
     stored: Vec<(Portion, Duration, Option<Duration>)>,
 }
@@ -108,19 +80,8 @@
 
 /// Simulates a workload. The inputs are in the domain of a runner that is chosen uniformly.
 pub fn simulate(queue: &mut impl BatchQueue, workload: &Workload, seed: u64) -> Outcome {
-    simulate_waits(queue, workload, seed, |_| false)
-}
-
-/// Simulates a workload whose runners do not start a call while `waits` says so.
-pub fn simulate_waits(
-    queue: &mut impl BatchQueue,
-    workload: &Workload,
-    seed: u64,
-    waits: impl Fn(&RoomState) -> bool,
-) -> Outcome {
     let mut simulation = Simulation {
         workload,
-        waits: &waits,
         now: Duration::ZERO,
         rng: SmallRng::seed_from_u64(seed),
         runners: workload.domains.iter().map(|_| Runner::default()).collect(),
@@ -142,7 +103,6 @@
 
 struct Simulation<'a> {
     workload: &'a Workload,
-    waits: &'a dyn Fn(&RoomState) -> bool,
     now: Duration,
     rng: SmallRng,
     runners: Vec<Runner>,
@@ -153,23 +113,12 @@
 impl Simulation<'_> {
     fn arrive(&mut self, queue: &mut impl BatchQueue) {
         let workload = self.workload;
-        let arrivals = workload.rate * self.burst_factor() / f64::from(workload.together);
-        if !self.rng.random_bool(arrivals * STEP.as_secs_f64()) {
+        if !self.rng.random_bool(workload.rate * STEP.as_secs_f64()) {
             return;
         }
-        let mut domain = None;
-        for _ in 0..workload.together {
-            let pieces = self.rng.random_range(workload.pieces.0..=workload.pieces.1);
-            let domains = workload.domains;
-            let domain =
-                *domain.get_or_insert_with(|| domains[self.rng.random_range(0..domains.len())]);
-            self.arrive_one(queue, pieces, domain);
-        }
-    }
-
-    fn arrive_one(&mut self, queue: &mut impl BatchQueue, pieces: u32, domain: &'static str) {
-        let workload = self.workload;
         self.outcome.requests += 1;
+        let pieces = self.rng.random_range(workload.pieces.0..=workload.pieces.1);
+        let domain = workload.domains[self.rng.random_range(0..workload.domains.len())];
         let group_id = u64::from(self.outcome.requests);
         queue.push(Group {
             group_id,
@@ -191,22 +140,11 @@
         });
     }
 
-    fn burst_factor(&self) -> f64 {
-        let burst = self.workload.burst.iter();
-        let mut active = burst.filter(|burst| (burst.start..burst.end).contains(&self.now));
-        active.next().map_or(1.0, |burst| burst.factor)
-    }
-
     fn complete_calls(&mut self) {
         for index in 0..self.runners.len() {
             let now = self.now;
             let call = self.runners[index].call.take_if(|(end, _)| *end <= now);
-            if call.is_some() {
-                self.runners[index].free_since = now;
-            }
             for portion in call.map_or_else(Vec::new, |(_, portions)| portions) {
-                let in_burst = self.burst_factor() > 1.0;
-                self.outcome.burst_pieces += if in_burst { portion.pieces } else { 0 };
                 self.complete_portion(portion);
             }
         }
@@ -224,13 +162,7 @@
         self.outcome.split += u32::from(request.calls > 1);
         self.outcome.on_time += u32::from(self.now <= request.arrived + self.workload.target_time);
         self.open.retain(|open| open.group_id != portion.group_id);
-        let (shortest, longest) = self.workload.retention;
-        let retention = if shortest < longest {
-            self.rng.random_range(shortest..longest)
-        } else {
-            shortest
-        };
-        self.release_results(portion.group_id, self.now + retention);
+        self.release_results(portion.group_id, self.now + self.workload.retention);
     }
 
     fn release_results(&mut self, group_id: u64, until: Duration) {
@@ -266,20 +198,6 @@
             .stored
             .retain(|(.., until)| until.is_none_or(|until| until > now));
         let room = runner.free(self.workload.room);
-        let releases = runner.stored.iter();
-        let releases =
-            releases.filter_map(|(portion, _, until)| Some(((*until)?, portion.pieces.into())));
-        let room_state = RoomState {
-            now,
-            free_since: runner.free_since,
-            total: self.workload.room,
-            room,
-            releases: releases.collect(),
-            waiting_pieces: queue.waiting_pieces(),
-        };
-        if (self.waits)(&room_state) {
-            return;
-        }
         let domain = self.workload.domains[index];
         let free_runner = FreeRunner {
             room,
--- a/crates/decide/tests/near_inputs.rs
+++ b/crates/decide/tests/near_inputs.rs
@@ -23,13 +23,11 @@
     shape: SHAPE,
     domains: &["a", "a", "b", "c", "d"],
     rate: 33.0,
-    burst: None,
-    together: 1,
     pieces: (5, 15),
     target_time: Duration::from_millis(900),
     max_domain_wait: Duration::from_millis(360),
     room: ROOM,
-    retention: (Duration::ZERO, Duration::ZERO),
+    retention: Duration::ZERO,
     end: Duration::from_secs(60),
 };
 
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -48,7 +48,6 @@
     }
     let rules = Rules {
         near: policy.near == Policy::Shipped,
-        near_first: policy.near_first == Policy::Shipped,
         whole: policy.whole == Policy::Shipped,
         small_first: policy.small_first == Policy::Shipped,
         give_up: policy.admission == Policy::Shipped,
@@ -83,8 +82,9 @@
         self.absent_results.has_released() || states.any(|state| !state.released.is_empty())
     }
 
-    /// Whether pieces wait although a runner could take a call, as they do while no runner has room
-    /// for their results.
+    /// Whether pieces wait although no call is in progress and a runner could take one, as they do while
+    /// no runner has room for their results. If a call is in progress, its end starts the next ones;
+    /// calls that start as soon as there is room for any result are nearly empty.
     pub(super) fn awaits_room(&self, batches: BatchSettings) -> bool {
         let waiting = self
             .batch_queue
@@ -92,7 +92,11 @@
             .map_or(0, BatchQueue::waiting_pieces);
         let now = Instant::now();
         let free = |state: &RunnerState| state.has_slot(batches) && !state.is_paused(now);
-        waiting > 0 && self.runner_states.iter().any(free)
+        let is_idle = self
+            .runner_states
+            .iter()
+            .all(|state| state.calls.is_empty());
+        waiting > 0 && is_idle && self.runner_states.iter().any(free)
     }
 
     /// Whether the caller has to schedule the task that drops released results.
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -33,7 +33,6 @@
     Field::optional("batches", shared::POLICY),
     Field::optional("admission", shared::POLICY),
     Field::optional("near", shared::POLICY),
-    Field::optional("near_first", shared::POLICY),
     Field::optional("whole", shared::POLICY),
     Field::optional("small_first", shared::POLICY),
     Field::optional("fetched", shared::POLICY),
@@ -130,10 +129,6 @@
     /// Where stages run: near their inputs as far as time allows, or on any free runner.
     #[serde(default)]
     pub near: Policy,
-    /// Which pieces a runner takes first among those that are due at about the same time: those
-    /// close to its own failure domain, or any. Has no effect if `near` is naive.
-    #[serde(default)]
-    pub near_first: Policy,
     /// How the pieces of a request are grouped: in one call as far as they fit, or as they fill
     /// calls.
     #[serde(default)]
