Connecting to a gate's owner counts towards its time to respond

Cause: requests for credits connect one after the other to a process that does not accept links, each for up to 0.3 s. The time to connect was not bounded by the owner's 0.3 s, and with four requests the last one started more than 0.7 s after it had asked. Change: one deadline of 0.3 s covers connecting, sending and the first verdict.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -15,6 +15,7 @@
 use crate::configuration::{Rank, ServiceId};
 use crate::core::Relay;
 use crate::downstream::Downstream;
+use crate::member::Member;
 use crate::peer::RemoteCredit;
 use crate::request::Refusal;
 use crate::serve::Job;
@@ -27,7 +28,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 /// Owners that are asked one after the other before a request starts without a credit.
 const MAX_OWNER_ATTEMPTS: usize = 3;
@@ -130,20 +131,7 @@
     let asked_at = Instant::now();
     for _ in 0..MAX_OWNER_ATTEMPTS {
         let owner = relay.peers.members(|members| members.owner(&cell.name()));
-        let demand = chain.demand(job);
-        let asked = if owner.id == relay.options.member.id {
-            let (credit, verdicts) = relay.ask_gate(&cell, &demand);
-            Some((Grant::Local(credit), verdicts))
-        } else {
-            let asked = relay.peers.ask_credit(relay, &owner, &cell, demand).await;
-            asked.map(|(credit, verdicts)| (Grant::Remote(credit), verdicts))
-        };
-        let verdict = match asked {
-            Some((grant, verdicts)) => await_verdict(job, verdicts)
-                .await?
-                .map(|verdict| (grant, verdict)),
-            None => None,
-        };
+        let verdict = ask(job, &owner, &cell, chain.demand(job)).await?;
         let Some((grant, verdict)) = verdict else {
             relay.peers.members(|members| members.suspect(&owner));
             continue;
@@ -164,20 +152,48 @@
     Ok(without())
 }
 
-/// Waits for the final verdict; returns `None` if the owner of the gate does not respond.
+/// Asks the owner of a gate for a credit and waits for the final verdict; returns `None` if the owner does
+/// not respond.
+async fn ask<D: Downstream>(
+    job: &Job<D>,
+    owner: &Member,
+    cell: &Cell,
+    demand: Demand,
+) -> Result<Option<(Grant<D>, Verdict)>, Refusal> {
+    let relay = &job.relay;
+    // The time to connect counts as well: requests connect one after the other to a process that does
+    // not accept links.
+    let first_until = Instant::now() + FIRST_VERDICT_TIMEOUT;
+    let (grant, verdicts) = if owner.id == relay.options.member.id {
+        let (credit, verdicts) = relay.ask_gate(cell, &demand);
+        (Grant::Local(credit), verdicts)
+    } else {
+        let asking = relay.peers.ask_credit(relay, owner, cell, demand);
+        let Ok(Some((credit, verdicts))) = timeout_at(first_until, asking).await else {
+            return Ok(None);
+        };
+        (Grant::Remote(credit), verdicts)
+    };
+    let verdict = await_verdict(job, verdicts, first_until).await?;
+    Ok(verdict.map(|verdict| (grant, verdict)))
+}
+
+/// Waits for the final verdict; returns `None` if the first one does not arrive in time, or if the link to
+/// the owner of the gate is closed.
 async fn await_verdict<D: Downstream>(
     job: &Job<D>,
     mut verdicts: Verdicts,
+    first_until: Instant,
 ) -> Result<Option<Verdict>, Refusal> {
-    let mut max_wait = FIRST_VERDICT_TIMEOUT;
+    let mut until = first_until;
     loop {
         let verdict = tokio::select! {
-            verdict = timeout(max_wait, verdicts.recv()) => verdict,
+            verdict = timeout_at(until, verdicts.recv()) => verdict,
             () = job.relay.ending.cancelled() => return Err(Refusal::NotReady),
         };
         match verdict {
             // The link is closed if the owner stops responding.
-            Ok(Some(Verdict::Wait { .. })) => max_wait = job.remaining(),
+            Ok(Some(Verdict::Wait { .. })) => until = Instant::now() + job.remaining(),
             Ok(Some(verdict)) => return Ok(Some(verdict)),
             Ok(None) | Err(_) => return Ok(None),
         }
