A gate without runners sets no limit

Cause: an owner that knew no runners of a service, for example because its list was not complete yet, computed a rate of 0 and refused all requests of the chain for 30 s, even though the relay that asked knew runners. Change: the rate of such a service is one that never limits. Result: credit_failures owner_without_runners failed before the change (503 with a Retry-After of 30 s after 0 s) and passes with it.

--- a/crates/relay/src/flow/gate.rs
+++ b/crates/relay/src/flow/gate.rs
@@ -20,6 +20,9 @@
 /// Interval at which waiting requests are reviewed while no credit comes back. It is short, since the
 /// first request starts as soon as it fits.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Rate in pieces per second of a service of which this process knows no runners, for example because its
+/// list is not complete yet. It sets no limit, since the process that asks knows runners.
+const UNKNOWN_RATE: f64 = 1e9;
 /// Interval at which the state of a gate in use is logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Weight of one request in the average time of a route's chains.
@@ -126,7 +129,10 @@
         }
         self.capacity_at = Some(Instant::now());
         let share = relay.share_of_runners(cell);
-        let rate = |service: &ServiceId| relay.full_rate(service) * share;
+        let rate = |service: &ServiceId| match relay.full_rate(service) * share {
+            rate if rate > 0.0 => rate,
+            _ => UNKNOWN_RATE,
+        };
         self.window.set_capacity(Capacity {
             rates: self.services.iter().map(rate).collect(),
             chain_time: self.chain_time,
