Owners drop credits whose return was lost

Cause: the gate takes an expired credit back, but the link kept its entry, its task and the load reports for it until the link was lost. Change: expired entries are dropped when the load is reported. Result: credit_failures reports_end_after_lost_return failed before the change and passes with it.

--- a/crates/relay/src/peer/credits.rs
+++ b/crates/relay/src/peer/credits.rs
@@ -8,9 +8,15 @@
 use crate::member::Member;
 use decide::Map;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use wire::Sender;
 
+/// Time after the expiry of a request at which its credit is dropped if its return was lost. It is longer
+/// than the gate's own margin, so that no credit is dropped before the gate takes it back.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(1_200);
+
 /// A credit of a gate in another process, or a request for one. It is returned when it is dropped; if the
 /// link is lost, the other process takes it back by itself.
 #[derive(Debug)]
@@ -86,7 +92,13 @@
 /// Credits that were granted over one link, and requests for them. Those that are left are returned when
 /// the link is lost.
 #[derive(Debug)]
-pub(super) struct LinkCredits<D: Downstream>(Map<u64, LocalCredit<D>>);
+pub(super) struct LinkCredits<D: Downstream>(Map<u64, LinkCredit<D>>);
+
+#[derive(Debug)]
+struct LinkCredit<D: Downstream> {
+    credit: LocalCredit<D>,
+    expires_at: Instant,
+}
 
 impl<D: Downstream> Default for LinkCredits<D> {
     fn default() -> Self {
@@ -105,20 +117,26 @@
         demand: &Demand,
     ) {
         let (credit, verdicts) = relay.ask_gate(cell, demand);
-        self.0.insert(ticket, credit);
+        let expires_at = Instant::now() + demand.expires + EXPIRY_MARGIN;
+        self.0.insert(ticket, LinkCredit { credit, expires_at });
         tokio::spawn(forward_verdicts(sender.clone(), ticket, verdicts));
     }
 
     /// Returns a credit.
     pub(super) fn take_back(&mut self, ticket: u64, outcome: Outcome) {
-        if let Some(mut credit) = self.0.remove(&ticket) {
-            credit.outcome = outcome;
+        if let Some(mut held) = self.0.remove(&ticket) {
+            held.credit.outcome = outcome;
         }
     }
 
+    /// Drops the credits whose requests have ended although no return has arrived.
+    pub(super) fn drop_expired(&mut self) {
+        self.0.retain(|_, held| held.expires_at > Instant::now());
+    }
+
     /// Cells whose gates have granted credits, or are asked for them.
     pub(super) fn cells(&self) -> impl Iterator<Item = &Cell> {
-        self.0.values().map(LocalCredit::cell)
+        self.0.values().map(|held| held.credit.cell())
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -70,7 +70,10 @@
                 // The order was withdrawn.
                 Err(_) => Ok(()),
             },
-            _ = load_reports.tick(), if orders.is_in_use() => orders.report_load(&relay, &sender).await,
+            _ = load_reports.tick(), if orders.is_in_use() => {
+                orders.credits.drop_expired();
+                orders.report_load(&relay, &sender).await
+            }
         };
         if sent.is_err() {
             break;
