Tests of start credits

Cause: relay::flow had no tests. Change: requests wait before their first stage, start when credits come back and are refused at once when they cannot be on time; credits come back however a request ends; also with the gate in another process. A link that acts as another process holds credits, and asks for one that only an empty gate grants.

--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 mod configurations;
+pub(crate) mod credits;
 pub(crate) mod faults;
 pub(crate) mod feed;
 pub(crate) mod link;
--- a/crates/relay/tests/common/pair.rs
+++ b/crates/relay/tests/common/pair.rs
@@ -66,7 +66,7 @@
 
 /// Advances time in small steps, each of which lets the links transfer what was sent. Otherwise the
 /// paused clock would jump to the next timeout. It stands still while a blocking task runs.
-async fn advance_time() {
+pub(crate) async fn advance_time() {
     loop {
         sleep(STEP).await;
         let _ = spawn_blocking(|| ()).await;
