Release the results of orders that nobody receives

An order that failed, expired or was withdrawn after some of its pieces were made lost the handles of their results, and so did one whose request ended during its last call. The results stayed at their runners until they expired after 4 s. finish_order now releases them.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -358,6 +358,8 @@
             relay.telemetry.batch(batch_call.items.len());
             tokio::spawn(self.clone().execute(relay.clone(), batch_call));
         }
+        // Orders that have expired may have left results.
+        self.schedule_release(relay);
         self.schedule_dispatch(relay);
     }
 
--- a/crates/relay/src/batch/pending.rs
+++ b/crates/relay/src/batch/pending.rs
@@ -2,6 +2,8 @@
 
 use super::{Order, Outcome};
 use crate::downstream::{Handle, Item};
+use crate::runner::Runner;
+use std::sync::Arc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -10,7 +12,8 @@
 pub(super) struct PendingOrder {
     pub(super) order: Order,
     pub(super) unsent: Vec<u32>,
-    pub(super) results: Vec<Option<Handle>>,
+    /// The results and the runners that store them.
+    pub(super) results: Vec<Option<(Arc<Runner>, Handle)>>,
     pub(super) arrived_at: Instant,
     /// Maximum number of suspect orders in a call that carries its pieces, if the order becomes
     /// suspect.
--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -286,9 +286,6 @@
 
     /// Drops the orders whose requests are gone, and ends those that cannot be completed in time.
     pub(super) fn drop_expired(&mut self, at: Duration, piece: Duration) {
-        let Some(batch_queue) = self.batch_queue.as_mut() else {
-            return;
-        };
         let cancelled: Vec<GroupId> = self
             .pending
             .iter()
@@ -296,10 +293,11 @@
             .map(|(group_id, _)| *group_id)
             .collect();
         for group_id in cancelled {
-            batch_queue.withdraw(group_id);
-            self.isolation.withdraw(group_id);
-            self.pending.remove(&group_id);
+            self.finish_order(group_id, Err(StageError::Ending));
         }
+        let Some(batch_queue) = self.batch_queue.as_mut() else {
+            return;
+        };
         let shortest = batch_queue.shortest();
         let expired = batch_queue.expire(at, piece).into_iter();
         for group_id in expired.chain(self.isolation.expire(at, shortest)) {
@@ -307,14 +305,26 @@
         }
     }
 
-    /// Ends an order. Its receiver may be gone by now, which is harmless.
+    /// Ends an order. Results that nobody receives, since the order has failed or its receiver is gone, are
+    /// released.
     pub(super) fn finish_order(&mut self, group_id: GroupId, outcome: Outcome) {
         if let Some(batch_queue) = self.batch_queue.as_mut() {
             batch_queue.withdraw(group_id);
         }
         self.isolation.withdraw(group_id);
-        if let Some(pending) = self.pending.remove(&group_id) {
-            let _ = pending.reply.send(outcome);
+        let Some(pending) = self.pending.remove(&group_id) else {
+            return;
+        };
+        let is_made = outcome.is_ok();
+        let is_received = pending.reply.send(outcome).is_ok();
+        if is_made && is_received {
+            return;
+        }
+        for (runner, handle) in pending.results.into_iter().flatten() {
+            match self.at(runner.address) {
+                Some(state) if state.results.contains_key(&handle) => state.released.push(handle),
+                _ => self.absent_results.release(runner, handle),
+            }
         }
     }
 
@@ -443,13 +453,10 @@
         let pending = self.pending.get_mut(&group_id)?;
         match piece_outcome {
             PieceOutcome::Done(handle) => {
-                pending.results[piece as usize] = Some(handle);
-                pending
-                    .results
-                    .iter()
-                    .cloned()
-                    .collect::<Option<Vec<_>>>()
-                    .map(Ok)
+                pending.results[piece as usize] = Some((batch_call.runner.clone(), handle));
+                let results = pending.results.iter();
+                let handles = results.map(|result| Some(result.as_ref()?.1.clone()));
+                handles.collect::<Option<Vec<_>>>().map(Ok)
             }
             PieceOutcome::Late => Some(Err(StageError::Late)),
             PieceOutcome::InputGone => Some(Err(StageError::InputGone)),
