Results of a runner's earlier start do not fill the later one

A cell keeps the stored results of a runner that is unlisted for a moment. If the runner had crashed and returned with a new start time, they were taken over: it was believed full, and got no full call until they would have expired (4 s). AbsentResults now records the start of the runner.

--- a/crates/relay/src/batch/state.rs
+++ b/crates/relay/src/batch/state.rs
@@ -266,7 +266,7 @@
             }
             if !is_listed(address) {
                 for (handle, stored) in state.results {
-                    self.absent_results.store(address, handle, stored);
+                    self.absent_results.store_at(&state.runner, handle, stored);
                 }
             }
         }
@@ -277,7 +277,7 @@
                 .all(|state| state.runner.id != runner.id)
             {
                 let mut state = RunnerState::new(runner);
-                state.results = self.absent_results.take(state.runner.address);
+                state.results = self.absent_results.take(&state.runner);
                 self.runner_states.push(state);
             }
         }
@@ -489,9 +489,7 @@
         let Some(state) = self.at(runner.address) else {
             // The runner left the cell during the call.
             match wanted {
-                true => self
-                    .absent_results
-                    .store(runner.address, handle.clone(), stored),
+                true => self.absent_results.store_at(runner, handle.clone(), stored),
                 false => self.absent_results.release(runner.clone(), handle.clone()),
             }
             return;
