Report held results again after a lost link and after a restart

A report of held results that was lost with its link was not repeated, since the reporting process recorded when it queued the report that the owner knows of the results. A lost link now clears that.

Results of a runner that had restarted were added to the entry of its earlier start, and forgotten with it when the owner changed. They now replace that entry.

Adds tests of two owners at the same time, an owner that was frozen, a lost link and a runner that returns with a new start time. link_lost_with_report and reported_after_restart fail without the change (no second report within 30 s; a call to the full runner) and pass with it.

--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -89,6 +89,7 @@
 /// A link with the orders and requests that await a response on it.
 #[derive(Debug)]
 pub(crate) struct PeerLink {
+    member: MemberId,
     incarnation: u64,
     sender: Sender<Frame>,
     pending: Mutex<Pending>,
@@ -316,7 +317,7 @@
         let connected = timeout(CONNECT_TIMEOUT, wire::connect(member.address, &self.key)).await;
         match connected {
             Ok(Ok((sender, receiver))) => {
-                let open = Arc::new(PeerLink::new(member.incarnation, sender));
+                let open = Arc::new(PeerLink::new(member, sender));
                 frame::spawn_reader(relay.clone(), open.clone(), receiver);
                 *link = Some(open.clone());
                 Some(open)
@@ -334,7 +335,7 @@
 }
 
 impl PeerLink {
-    fn new(incarnation: u64, sender: Sender<Frame>) -> Self {
+    fn new(member: &Member, sender: Sender<Frame>) -> Self {
         let pending = Pending {
             next: 0,
             last_received: Instant::now(),
@@ -344,7 +345,8 @@
             updates: Map::default(),
         };
         Self {
-            incarnation,
+            member: member.id.clone(),
+            incarnation: member.incarnation,
             sender,
             pending: Mutex::new(pending),
         }
--- a/crates/relay/src/peer/frame.rs
+++ b/crates/relay/src/peer/frame.rs
@@ -326,6 +326,7 @@
         }
     }
     link.sender.abort();
+    relay.peers.mark_link_lost(&link.member);
     transfer::link_lost(&relay, &link.sender);
     // Dropping the senders notifies all waiting tasks that the link is gone.
     let mut pending = lock(&link.pending);
--- a/crates/relay/src/peer/held.rs
+++ b/crates/relay/src/peer/held.rs
@@ -73,14 +73,21 @@
             let Some(address) = relay.downstream.holder(handle) else {
                 continue;
             };
-            let at_runner = held_results.entry(address).or_insert_with(|| {
-                let start = relay.fleet(|fleet| fleet.at(&address).map(|runner| start(runner)));
-                RunnerResults {
-                    start: start.flatten(),
+            let listed = relay.fleet(|fleet| fleet.at(&address).map(|runner| start(runner)));
+            let start = listed.flatten();
+            let is_lost = |known: &RunnerResults| {
+                known.start.is_some() && start.is_some() && known.start != start
+            };
+            if held_results.get(&address).is_some_and(is_lost) {
+                held_results.remove(&address);
+            }
+            let at_runner = held_results
+                .entry(address)
+                .or_insert_with(|| RunnerResults {
+                    start,
                     keeper: Some(maker.clone()),
                     results: Map::default(),
-                }
-            });
+                });
             if at_runner.keeper.as_ref() != Some(&maker) {
                 at_runner.keeper = None;
             }
@@ -113,6 +120,16 @@
         }
     }
 
+    /// Records that a process may not have received what was last sent to it, since the link was lost.
+    pub(super) fn mark_link_lost(&self, member: &MemberId) {
+        for at_runner in lock(&self.held_results).values_mut() {
+            let keeper = at_runner.keeper.as_ref();
+            if keeper.is_some_and(|(_, id, _)| id == member) {
+                at_runner.keeper = None;
+            }
+        }
+    }
+
     /// Reports the results at the runners of a cell to its owner, if it does not know of them.
     pub(super) async fn report_results<D: Downstream>(
         &self,
