Record a reported load in one cell rather than in all

Each response of a stage runner locked all batchers of its service in this process, and collected them in a list. Only the cell of the runner can know it. The tests of reported_slowness.rs pass as before; the cost was not measured.

--- a/crates/relay/src/core/cells.rs
+++ b/crates/relay/src/core/cells.rs
@@ -5,6 +5,7 @@
 use crate::configuration::{BatchSettings, LAST_RANK, ServiceId};
 use crate::downstream::Downstream;
 use crate::request::ContentId;
+use crate::runner::Runner;
 use rand::Rng;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -76,6 +77,12 @@
         of_service.map(|(_, batcher)| batcher.clone()).collect()
     }
 
+    /// The batcher that forms calls to a runner, if there is one in this process.
+    pub(crate) fn batcher_of(&self, runner: &Runner) -> Option<Arc<Batcher<D>>> {
+        let cell = self.cell_at(&runner.address)?;
+        lock(&self.batchers).get(&cell).cloned()
+    }
+
     /// The cells of a service. They are cached until its runners change, since at a thousand runners sorting
     /// them for each piece dominated all other work.
     pub fn cells(&self, service: &ServiceId) -> Arc<CellList> {
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -84,7 +84,7 @@
         let Some(slowness) = notice.load.and_then(|load| load.slowness) else {
             return;
         };
-        for batcher in self.batchers_of(&runner.service) {
+        if let Some(batcher) = self.batcher_of(runner) {
             batcher.record_slowness(runner, slowness);
         }
     }
