Bound the growth of the prefill estimate after a quiet time

One update could raise the estimate by 1% for each second since the last update or since the start of the process. The first burst after a quiet hour could so raise it at once to the time that its prompts queue. The time is now counted up to 10 s.

--- a/crates/decide/src/route/prefill.rs
+++ b/crates/decide/src/route/prefill.rs
@@ -21,6 +21,9 @@
 /// Largest growth of the estimate per second. In a burst of 5 to 7 s nearly all prompts queue; the
 /// estimate then rises by less than a tenth.
 const MAX_RISE_PER_SECOND: f64 = 0.01;
+/// Longest time whose growth one update may make up for. Otherwise the first burst after a quiet hour could
+/// raise the estimate at once to the time that its prompts queue.
+const MAX_UPDATE_TIME: Duration = Duration::from_secs(10);
 /// Weight, in responses, of the current time per token in an update. It decides if all prompts have
 /// about the same length, from which the base and the time per token cannot be told apart.
 const PRIOR_RESPONSES: f64 = 1.0;
@@ -156,7 +159,8 @@
     }
 
     fn update(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
+        let elapsed = now.saturating_sub(self.updated_at).min(MAX_UPDATE_TIME);
+        let elapsed = elapsed.as_secs_f64();
         self.updated_at = now;
         let fit = self.fit();
         let max_rise = 1.0 + MAX_RISE_PER_SECOND * elapsed;
--- a/crates/decide/tests/prefill_speed.rs
+++ b/crates/decide/tests/prefill_speed.rs
@@ -135,3 +135,22 @@
     let real = FAST.first_event(6_000).as_secs_f64();
     assert!((learnt / real - 1.0).abs() < 0.05, "{learnt} {real}");
 }
+
+/// Guards against the first burst after a quiet hour, in which all prompts queue: the estimate must not rise
+/// at once by what it could have risen within that hour.
+#[test]
+fn steady_after_quiet_hour() {
+    let mut estimator = PrefillEstimator::default();
+    for number in 0..24 {
+        let event = FirstEvent {
+            elapsed: Duration::from_secs(2),
+            unshared: 1_000,
+            tokens: 1_000,
+            in_progress: 0,
+        };
+        let now = Duration::from_secs(3_600) + Duration::from_millis(100) * number;
+        estimator.record(now, &event);
+    }
+    let (speed, initial) = (estimator.speed(), PrefillSpeed::default());
+    assert!(!speed.differs(&initial, 1.2), "{speed:?}");
+}
