--- a/crates/relay/tests/abandoned_results.rs
+++ b/crates/relay/tests/abandoned_results.rs
@@ -19,6 +19,12 @@
     released
 }
 
+/// Sets the outcomes of the next calls.
+fn respond(fake: &Fake, outcomes: impl IntoIterator<Item = Vec<PieceOutcome>>) {
+    let mut behaviors = fake.stage_behaviors.lock().expect("free");
+    behaviors.extend(outcomes.into_iter().map(Ok));
+}
+
 /// Guards against a request that ends during the only call with its pieces, while nothing else is ordered.
 #[tokio::test(start_paused = true)]
 async fn request_gone() {
@@ -42,9 +48,7 @@
         let relay = ready(fake.clone());
         let made: Handle = format!("{}/made", runner("s-1", "stage").address).into();
         let outcomes = vec![PieceOutcome::Done(made.clone()), outcome];
-        let mut behaviors = fake.stage_behaviors.lock().expect("free");
-        behaviors.push_back(Ok(outcomes));
-        drop(behaviors);
+        respond(&fake, [outcomes]);
         let outcome = relay.batcher(&cell()).submit(&relay, order("a", 2)).await;
         assert_eq!(outcome, Ok(Err(error)));
         sleep(CALL_AND_RELEASE).await;
@@ -58,11 +62,12 @@
     let fake = Fake::default();
     let relay = ready(fake.clone());
     let made: Handle = format!("{}/made", runner("s-1", "stage").address).into();
-    let mut behaviors = fake.stage_behaviors.lock().expect("free");
     let outcomes = vec![PieceOutcome::Done(made.clone()), PieceOutcome::NoRoom];
-    behaviors.push_back(Ok(outcomes));
-    behaviors.extend(std::iter::repeat_n(Ok(vec![PieceOutcome::NoRoom]), 1_000));
-    drop(behaviors);
+    respond(&fake, [outcomes]);
+    respond(
+        &fake,
+        std::iter::repeat_n(vec![PieceOutcome::NoRoom], 1_000),
+    );
     let outcome = relay.batcher(&cell()).submit(&relay, order("a", 2)).await;
     assert_eq!(outcome, Ok(Err(StageError::Late)));
     sleep(CALL_AND_RELEASE).await;
