--- a/crates/relay/tests/cell_costs.rs
+++ b/crates/relay/tests/cell_costs.rs
@@ -14,9 +14,9 @@
 
 const RUNNERS: usize = 1_000;
 const ROUNDS: u32 = 50;
-/// Longest time that a change of the list of runners may take. It took 4.5 ms with cell names formatted
-/// and choices sorted for each runner, and takes 2.0 to 2.8 ms on a shared machine.
-const MAX_CHANGE_TIME: Duration = Duration::from_millis(3);
+/// Longest time that a change of the list of runners may take. A small VM has a tenth of a core, so that
+/// all its requests wait for ten times as long.
+const MAX_CHANGE_TIME: Duration = Duration::from_millis(2);
 /// Longest time of a release: at 2,000 per second, 1% of a core.
 const MAX_RELEASE_TIME: Duration = Duration::from_micros(5);
 
@@ -31,7 +31,7 @@
 /// Guards against changes of the list that block a process with little processor time.
 #[test]
 #[ignore = "measures time"]
-fn change() {
+fn change_cost() {
     let runners: Vec<Arc<Runner>> = (0..RUNNERS).map(stage_runner).map(Arc::new).collect();
     let started = Instant::now();
     for _ in 0..ROUNDS {
@@ -45,7 +45,7 @@
 /// Guards against releases whose cost grows with the number of runners or of stored results.
 #[tokio::test]
 #[ignore = "measures time"]
-async fn release() {
+async fn release_cost() {
     let relay = ready(Fake::default());
     relay.update((0..RUNNERS).map(stage_runner).map(Change::Listed).collect());
     let addresses: Vec<SocketAddr> = (0..RUNNERS).map(|one| stage_runner(one).address).collect();
