Names of releases and reports: notify and queue

Renames only: tell_runner to notify_runner, is_told to is_queued and a test's name, and two comments in the field's terms. Lints of decide and relay, and the tests of releases, moved runners and changes of owners pass.

--- a/crates/decide/src/flow/returns.rs
+++ b/crates/decide/src/flow/returns.rs
@@ -1,4 +1,4 @@
-//! The work of refused requests that have been told to come back.
+//! The work of refused requests that are expected to retry.
 
 use super::{Capacity, wait_of};
 use std::time::Duration;
--- a/crates/decide/tests/chain_burst.rs
+++ b/crates/decide/tests/chain_burst.rs
@@ -249,7 +249,7 @@
 /// longer than the target, so that the gate can only refuse before work is done.
 ///
 /// Not asserted because they are missed: prompt refusals in A (the learnt time rises only as requests
-/// finish), and all targets if the stage is slow for 6 s only or the gate is not told that it is slow.
+/// finish), and all targets if the stage is slow for 6 s only or the gate does not know that it is slow.
 #[test]
 fn slow_stage() {
     let a = with_slow_stage(with_burst(chain_a(), 1.6));
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -25,7 +25,7 @@
 use crate::telemetry::millis;
 use batch_call::BatchCall;
 pub use cell_list::CellList;
-use release::tell_runner;
+use release::notify_runner;
 pub(crate) use release::{RELEASE_DELAY, release};
 use serde::{Deserialize, Serialize};
 use setting::Policy;
@@ -264,7 +264,7 @@
         for (runner, results) in released {
             let (downstream, log) = (relay.downstream.clone(), relay.log.clone());
             tokio::spawn(async move {
-                tell_runner(&downstream, &log, &runner, results, &Unobserved).await;
+                notify_runner(&downstream, &log, &runner, results, &Unobserved).await;
             });
         }
     }
--- a/crates/relay/src/batch/release.rs
+++ b/crates/relay/src/batch/release.rs
@@ -80,10 +80,10 @@
     results: Vec<Handle>,
 ) {
     let observer = relay.load_observer(&runner);
-    tell_runner(&relay.downstream, &relay.log, &runner, results, &observer).await;
+    notify_runner(&relay.downstream, &relay.log, &runner, results, &observer).await;
 }
 
-pub(super) async fn tell_runner<D: Downstream>(
+pub(super) async fn notify_runner<D: Downstream>(
     downstream: &D,
     log: &Logger,
     runner: &Runner,
--- a/crates/relay/src/peer/held.rs
+++ b/crates/relay/src/peer/held.rs
@@ -182,7 +182,7 @@
         if results.is_empty() {
             return;
         }
-        let is_told = match link {
+        let is_queued = match link {
             None => {
                 relay.batcher(cell).record_results(relay, &results);
                 true
@@ -193,7 +193,7 @@
             }
         };
         for address in reported {
-            if let Some(at_runner) = held_results.get_mut(&address).filter(|_| is_told) {
+            if let Some(at_runner) = held_results.get_mut(&address).filter(|_| is_queued) {
                 at_runner.keeper.clone_from(&current);
             }
         }
--- a/crates/relay/tests/misrouted_releases.rs
+++ b/crates/relay/tests/misrouted_releases.rs
@@ -43,7 +43,7 @@
 /// The runner has moved to another cell of the receiver, or is not listed any more. In both cases it
 /// is told to drop the result, also if the release has been forwarded before.
 #[tokio::test]
-async fn runner_is_told() {
+async fn runner_notified() {
     let fake = Fake::default();
     let relay = ready(fake.clone());
     relay.update(vec![Change::Gone("s-2".into())]);
