Log each decision on a retry with what the relay has counted

A retry that is refused left no line, and a granted one did not tell what it was compared with, so that a bound that is granted anew at each start, windows that do not add up and a wrong number of relays looked the same. A `retry` line now carries the retries and first attempts of the window, the allowed retries, the number of relays and the time since the start; a counter has granted and refused ones. The logic is untouched.

--- a/crates/decide/src/retry/window.rs
+++ b/crates/decide/src/retry/window.rs
@@ -31,6 +31,17 @@
     retries: u32,
 }
 
+/// What a process has counted within the window that ends now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// Retries that it has sent.
+    pub retries: u32,
+    /// First attempts that it has sent.
+    pub first_attempts: u32,
+    /// Retries that it may send.
+    pub allowed: f64,
+}
+
 /// One process's retries to one service.
 ///
 /// # Examples
@@ -80,20 +91,28 @@
 
     /// Whether one of `processes` may send a retry now. If so, the retry is counted.
     pub fn try_retry(&mut self, now: Duration, processes: usize) -> bool {
+        let usage = self.usage(now, processes);
+        if f64::from(usage.retries + 1) > usage.allowed {
+            return false;
+        }
+        self.bucket(now).retries += 1;
+        true
+    }
+
+    /// What one of `processes` has counted.
+    pub fn usage(&mut self, now: Duration, processes: usize) -> RetryUsage {
         self.bucket(now);
         let first_attempts: u32 = self
             .buckets
             .iter()
             .map(|bucket| bucket.first_attempts)
             .sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let part = self.bound.slack / processes.max(1) as f64;
-        let allowed = self.bound.ratio * f64::from(first_attempts) + part;
-        if f64::from(retries + 1) > allowed {
-            return false;
+        RetryUsage {
+            retries: self.buckets.iter().map(|bucket| bucket.retries).sum(),
+            first_attempts,
+            allowed: self.bound.ratio * f64::from(first_attempts) + part,
         }
-        self.bucket(now).retries += 1;
-        true
     }
 
     /// The current bucket, after dropping the buckets that have left the window.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -70,7 +70,8 @@
     /// Whether a retry may be sent. The retry is charged to the budget once for each call that is
     /// sent.
     fn try_retry<D: Downstream>(&mut self, job: &Job<D>) -> bool {
-        self.retry_counted = self.retry_counted || job.relay.try_retry(&job.service);
+        self.retry_counted =
+            self.retry_counted || job.relay.try_retry(&job.service, &job.request.id);
         self.retry_counted
     }
 }
--- a/crates/relay/src/batch/outcome.rs
+++ b/crates/relay/src/batch/outcome.rs
@@ -146,7 +146,9 @@
             PieceOutcome::Late => Some(Err(StageError::Late)),
             PieceOutcome::InputGone => Some(Err(StageError::InputGone)),
             // A piece without room has not been processed.
-            PieceOutcome::Failed if !relay.try_retry(service) => Some(Err(StageError::Failed)),
+            PieceOutcome::Failed if !relay.try_retry(service, &pending.order.id) => {
+                Some(Err(StageError::Failed))
+            }
             PieceOutcome::NoRoom | PieceOutcome::Failed => {
                 pending.unsent.push(piece);
                 let pending = self.pending.get(&group_id)?;
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -18,14 +18,14 @@
 use crate::rest::Rests;
 use crate::runner::{Change, DomainId, Fleet, Runner};
 use crate::serve::RETRY_TIME_DIVISOR;
-use crate::telemetry::Telemetry;
+use crate::telemetry::{Telemetry, millis};
 use crate::warmup::Warmups;
 use decide::Map;
 use decide::retry::window::{RetryBound, RetryQuota};
 use decide::route::{Pool, Target};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use slog::Logger;
+use slog::{Logger, info};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -383,11 +383,20 @@
         self.quota(service, |quota| quota.record_first_attempts(now, count));
     }
 
-    /// Takes a retry from a service's retry budget; returns whether there was one left.
-    pub fn try_retry(&self, service: &ServiceId) -> bool {
+    /// Takes a retry of a request from a service's retry budget; returns whether there was one left.
+    pub fn try_retry(&self, service: &ServiceId, request: &str) -> bool {
         let now = self.now();
         let processes = self.processes();
-        self.quota(service, |quota| quota.try_retry(now, processes))
+        let (granted, usage) = self.quota(service, |quota| {
+            let granted = quota.try_retry(now, processes);
+            (granted, quota.usage(now, processes))
+        });
+        self.telemetry.retry(granted);
+        info!(self.log, "retry"; "request" => request, "service" => &**service, "granted" => granted,
+            "retries" => usage.retries, "first_attempts" => usage.first_attempts,
+            "allowed" => usage.allowed, "processes" => processes,
+            "up_ms" => millis(now));
+        granted
     }
 
     /// Changes the limit on retries, as the operator has set it.
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -225,7 +225,7 @@
     if stage_run == StageRun::First {
         job.relay
             .count_first_attempts(&spec.service, job.pieces(stage));
-    } else if !job.relay.try_retry(&spec.service) {
+    } else if !job.relay.try_retry(&spec.service, &job.request.id) {
         return (stage, cell, Err(StageError::Failed));
     }
     let min_time_after = job.min_time_after(stage);
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -414,7 +414,7 @@
                 info!(relay.log, "link to peer lost while it executed an order"; "peer" => &*owner.id,
                     "request" => &*order.id, "stage" => order.stage);
                 relay.peers.members(|members| members.suspect(&owner));
-                if !relay.try_retry(&cell.service) {
+                if !relay.try_retry(&cell.service, &order.id) {
                     return Err(StageError::Failed);
                 }
             }
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -25,6 +25,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RetryLabels {
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CreditLabels {
     outcome: &'static str,
@@ -56,6 +61,7 @@
     latency: Latency,
     ended: Family<StatusLabels, Counter>,
     attempts: Family<AttemptLabels, Counter>,
+    retries: Family<RetryLabels, Counter>,
     batches: Counter,
     pieces: Counter,
     tables: Family<TableAnswerLabels, Counter>,
@@ -85,6 +91,7 @@
             ),
             ended: Family::default(),
             attempts: Family::default(),
+            retries: Family::default(),
             batches: Counter::default(),
             pieces: Counter::default(),
             tables: Family::default(),
@@ -110,6 +117,11 @@
             "Calls to runners, by outcome",
             telemetry.attempts.clone(),
         );
+        registry.register(
+            "relay_retries",
+            "Decisions on retries, by whether the bound on retries allowed them",
+            telemetry.retries.clone(),
+        );
         registry.register(
             "relay_batches",
             "Calls to the runners of stage services",
@@ -247,6 +259,12 @@
             .inc();
     }
 
+    /// Counts a decision on a retry.
+    pub(crate) fn retry(&self, granted: bool) {
+        let outcome = if granted { "granted" } else { "refused" };
+        self.retries.get_or_create(&RetryLabels { outcome }).inc();
+    }
+
     /// Counts an answer about table changes from a peer or from the table service itself.
     pub fn table_answer(&self, by_peer: bool) {
         let from = if by_peer { "peer" } else { "table" };
--- a/crates/relay/tests/last_check.rs
+++ b/crates/relay/tests/last_check.rs
@@ -64,7 +64,7 @@
 async fn no_retry_charged() {
     let relay = ready(Fake::default());
     // Exhausts the budget, with no first attempts to add to it.
-    while relay.try_retry(&"stage".into()) {}
+    while relay.try_retry(&"stage".into(), "other") {}
     let results = submit_and_leave(&relay).await;
     assert_eq!(results.map(|results| results.len()), Ok(4));
 }
