The bound on retries holds over the whole fleet, by construction

Callers saw nothing.

Cause: relays keep one bound in parts, and a part rested on what a process remembers or believes. A relay that starts again had counted nothing and took its part of the fixed number once more in the same window. Each relay compared its retries with the requests of the window that ends with its own last retry, so that no two counted the same ones. A relay that knew no others divided by eight; one that joined spent a part that others did not know of; a change of the bound let both be spent.

Now the requests of a window count by half, and so do those of the window before, which is linear in each relay's requests and so in their sum. The part of the fixed number is earned: none until a window after the start, or after all others know a relay with a new name; by the highest number of relays within a window. A grant ends after 300 ms; a retry that is not connected by then is withdrawn before its first byte and asks again. Quotas go by a clock that counts suspensions. The settings' number of relays has no default any more.

Simulated conditions gain `storms`, on by default, which changes no draw. `innocent_pieces_resent` gives its only relay the whole slack: with a quarter of it the thirteenth retry, after 24 requests, is refused as the bound asks; what it checks is untouched.

--- a/crates/decide/src/retry/window.rs
+++ b/crates/decide/src/retry/window.rs
@@ -3,15 +3,30 @@
 //! A failing runner makes every caller retry at the same time, and the retries of many processes
 //! add up at the remaining runners. The operator therefore bounds the retries of the whole fleet in
 //! any window to a ratio of the first attempts plus a fixed number. Each process applies the ratio
-//! to the first attempts that it sent itself and takes its part of the fixed number. The parts add
+//! to the first attempts that it sent itself and takes its share of the fixed number. The parts add
 //! up to the bound without communication between the processes.
+//!
+//! They add up only because all processes count first attempts in the same windows: for any window,
+//! half of those in it and half of those in the window before. Processes that each chose the better
+//! of the two, or the window that ends with their own last retry, would exceed the bound together.
+
+mod slack;
+
+pub use slack::SlackShare;
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Number of buckets in a window. The oldest bucket is dropped as a whole, so the count covers up to
-/// one bucket more than the window, never less.
-const BUCKETS: u32 = 20;
+/// Number of buckets in a window. First attempts count only where their whole bucket lies in the
+/// window, retries also where a part of it does.
+const BUCKETS: usize = 200;
+/// Windows over which first attempts are averaged.
+const WINDOWS: f64 = 2.0;
+/// Maximum time from when a client sends a request until it arrives at a process.
+const ARRIVAL_DELAY: Duration = Duration::from_millis(20);
+/// Maximum time from when a retry is granted until it arrives at its runner. A retry that is sent
+/// later needs another grant.
+pub const MAX_RETRY_TRANSIT: Duration = Duration::from_millis(300);
 
 /// Bound on the retries of the whole fleet, set by the operator.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,24 +39,63 @@
     pub window: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
+impl RetryBound {
+    /// Maximum time between the grants of two retries that may arrive within one window.
+    #[must_use]
+    pub fn reach(&self) -> Duration {
+        self.window + MAX_RETRY_TRANSIT
+    }
+
+    /// The lesser of each term of two bounds over the same window.
+    fn lesser(&self, other: &Self) -> Self {
+        Self {
+            ratio: self.ratio.min(other.ratio),
+            slack: self.slack.min(other.slack),
+            window: self.window,
+        }
+    }
+
+    /// Whether one of the two bounds allows at least as much as the other for any first attempts.
+    fn is_ordered(&self, other: &Self) -> bool {
+        let lesser = self.lesser(other);
+        lesser == *self || lesser == *other
+    }
+
+    fn bucket_length(&self) -> Duration {
+        let buckets = u32::try_from(BUCKETS).unwrap_or(u32::MAX);
+        (self.window / buckets).max(Duration::from_nanos(1))
+    }
+
+    /// Number of buckets that cover this time.
+    fn buckets(&self, time: Duration) -> usize {
+        let buckets = time.as_nanos().div_ceil(self.bucket_length().as_nanos());
+        usize::try_from(buckets).unwrap_or(usize::MAX)
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
-    number: u64,
     first_attempts: u32,
     retries: u32,
 }
 
-/// What a process has counted within the window that ends now.
+/// What a process has counted within the window that leaves the fewest retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryUsage {
     /// Retries that it has sent.
     pub retries: u32,
-    /// First attempts that it has sent.
+    /// First attempts in the window and the one before.
     pub first_attempts: u32,
     /// Retries that it may send.
     pub allowed: f64,
 }
 
+impl RetryUsage {
+    fn remaining(&self) -> f64 {
+        self.allowed - f64::from(self.retries)
+    }
+}
+
 /// One process's retries to one service.
 ///
 /// # Examples
@@ -53,13 +107,18 @@
 /// let bound = RetryBound { ratio: 0.5, slack: 4.0, window: Duration::from_secs(10) };
 /// let mut quota = RetryQuota::new(bound);
 /// let now = Duration::from_secs(1);
-/// quota.record_first_attempts(now, 2);
+/// quota.record_first_attempts(now, 4);
 /// let granted = (0..9).filter(|_| quota.try_retry(now, 4)).count();
-/// assert_eq!(granted, 2);
+/// assert_eq!(granted, 2, "one for the first attempts, one of the slack");
 /// ```
 #[derive(Clone, Debug)]
 pub struct RetryQuota {
     bound: RetryBound,
+    /// Bound that comes into force at a later time.
+    next_bound: Option<(Duration, RetryBound)>,
+    /// Number of the newest bucket.
+    newest: u64,
+    /// The newest first.
     buckets: VecDeque<Bucket>,
 }
 
@@ -69,76 +128,120 @@
     pub fn new(bound: RetryBound) -> Self {
         Self {
             bound,
+            next_bound: None,
+            newest: 0,
             buckets: VecDeque::new(),
         }
     }
 
-    /// Replaces the bound after a change of the settings. Earlier retries still count for a full window
-    /// from now. Earlier first attempts do not, since the new bound may have a shorter window.
+    /// Replaces the bound after a change of the settings. Earlier retries still count.
+    ///
+    /// A window in which the bound changes allows what one of the two bounds does. If neither allows
+    /// more than the other for any first attempts, processes that apply different ones would exceed
+    /// both, so the lesser of each term holds until such windows are over.
     pub fn set_bound(&mut self, now: Duration, bound: RetryBound) {
-        if bound == self.bound {
+        let latest = self.next_bound.map_or(self.bound, |(_, next)| next);
+        if bound == latest {
             return;
         }
+        if bound.window != self.bound.window {
+            self.restart(now, bound);
+        } else if self.bound.is_ordered(&bound) {
+            self.next_bound = None;
+            self.bound = bound;
+        } else {
+            self.next_bound = Some((now + self.bound.reach(), bound));
+            self.bound = self.bound.lesser(&bound);
+        }
+    }
+
+    /// Changes the length of the window. Earlier retries count for a full window from now. Earlier
+    /// first attempts do not, since the new window may be shorter.
+    fn restart(&mut self, now: Duration, bound: RetryBound) {
         let retries = self.buckets.iter().map(|bucket| bucket.retries).sum();
         *self = Self::new(bound);
-        self.bucket(now).retries = retries;
+        self.advance(now);
+        self.buckets[0].retries = retries;
     }
 
-    /// Records first attempts that were sent.
-    pub fn record_first_attempts(&mut self, now: Duration, count: u32) {
-        self.bucket(now).first_attempts += count;
+    /// Records first attempts of requests that arrived at this time, which may be earlier than now.
+    pub fn record_first_attempts(&mut self, arrived: Duration, count: u32) {
+        let number = self.number(arrived);
+        if self.buckets.is_empty() || number > self.newest {
+            self.advance(arrived);
+        }
+        let age = usize::try_from(self.newest - number).unwrap_or(usize::MAX);
+        // A request that arrived before all windows has no bucket.
+        if let Some(bucket) = self.buckets.get_mut(age) {
+            bucket.first_attempts += count;
+        }
     }
 
-    /// Whether one of `processes` may send a retry now. If so, the retry is counted.
-    pub fn try_retry(&mut self, now: Duration, processes: usize) -> bool {
-        let usage = self.usage(now, processes);
-        if f64::from(usage.retries + 1) > usage.allowed {
+    /// Whether one of `processes` that share the slack may send a retry now; none is a process
+    /// without a share. If so, the retry is counted.
+    pub fn try_retry(&mut self, now: Duration, processes: impl Into<Option<usize>>) -> bool {
+        if self.usage(now, processes).remaining() < 1.0 {
             return false;
         }
-        self.bucket(now).retries += 1;
+        self.buckets[0].retries += 1;
         true
     }
 
-    /// What one of `processes` has counted.
-    pub fn usage(&mut self, now: Duration, processes: usize) -> RetryUsage {
-        self.bucket(now);
-        let first_attempts: u32 = self
-            .buckets
-            .iter()
-            .map(|bucket| bucket.first_attempts)
-            .sum();
-        let part = self.bound.slack / processes.max(1) as f64;
-        RetryUsage {
-            retries: self.buckets.iter().map(|bucket| bucket.retries).sum(),
-            first_attempts,
-            allowed: self.bound.ratio * f64::from(first_attempts) + part,
+    /// What one of `processes` that share the slack has counted until now.
+    ///
+    /// Looking back is enough: first attempts that arrive later can only allow more.
+    pub fn usage(&mut self, now: Duration, processes: impl Into<Option<usize>>) -> RetryUsage {
+        self.advance(now);
+        if let Some((_, bound)) = self.next_bound.take_if(|(from, _)| *from <= now) {
+            self.bound = bound;
         }
+        let processes = processes.into();
+        let part = processes.map_or(0.0, |count| self.bound.slack / count.max(1) as f64);
+        let lead = self.lead();
+        let first_attempts = self.buckets.iter().map(|bucket| bucket.first_attempts);
+        let mut usage = RetryUsage {
+            retries: 0,
+            first_attempts: first_attempts.clone().take(lead).sum(),
+            allowed: 0.0,
+        };
+        let mut earlier = first_attempts.skip(lead);
+        let windows = self.buckets.iter().take(self.depth()).map(|bucket| {
+            usage.retries += bucket.retries;
+            usage.first_attempts += earlier.next().unwrap_or(0);
+            usage.allowed = self.bound.ratio / WINDOWS * f64::from(usage.first_attempts) + part;
+            usage
+        });
+        let fewest = windows.min_by(|a, b| a.remaining().total_cmp(&b.remaining()));
+        fewest.unwrap_or(usage)
     }
 
-    /// The current bucket, after dropping the buckets that have left the window.
-    fn bucket(&mut self, now: Duration) -> &mut Bucket {
-        let length = (self.bound.window / BUCKETS).as_nanos().max(1);
-        let number = u64::try_from(now.as_nanos() / length).unwrap_or(u64::MAX);
-        let oldest = number.saturating_sub(u64::from(BUCKETS));
-        while self
-            .buckets
-            .front()
-            .is_some_and(|bucket| bucket.number < oldest)
-        {
-            self.buckets.pop_front();
-        }
-        if self
-            .buckets
-            .back()
-            .is_none_or(|bucket| bucket.number < number)
-        {
-            self.buckets.push_back(Bucket {
-                number,
-                first_attempts: 0,
-                retries: 0,
-            });
+    /// Number of buckets in which retries may have been granted that arrive in one window with a
+    /// retry granted now.
+    fn depth(&self) -> usize {
+        BUCKETS + 2 + self.bound.buckets(MAX_RETRY_TRANSIT)
+    }
+
+    /// Number of buckets by which first attempts are counted further back than retries.
+    fn lead(&self) -> usize {
+        let excluded =
+            self.bound.buckets(MAX_RETRY_TRANSIT) + self.bound.buckets(ARRIVAL_DELAY) + 1;
+        BUCKETS.saturating_sub(excluded)
+    }
+
+    fn number(&self, at: Duration) -> u64 {
+        let number = at.as_nanos() / self.bound.bucket_length().as_nanos();
+        u64::try_from(number).unwrap_or(u64::MAX)
+    }
+
+    /// Starts the bucket of this time, and drops the buckets that no window contains any more.
+    fn advance(&mut self, now: Duration) {
+        let capacity = self.depth() + self.lead();
+        let number = self.number(now).max(self.newest);
+        let passed = usize::try_from(number - self.newest).unwrap_or(usize::MAX);
+        self.newest = number;
+        for _ in 0..passed.min(capacity) {
+            self.buckets.push_front(Bucket::default());
         }
-        let last = self.buckets.len() - 1;
-        &mut self.buckets[last]
+        self.buckets.resize(capacity, Bucket::default());
     }
 }
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -8,7 +8,11 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
+pub mod bound;
+pub mod policy;
+pub mod reference;
 pub mod repeats;
+pub mod script;
 pub mod stage;
 
 /// Parameters of a simulation; times are in milliseconds.
--- a/crates/decide/tests/common/repeats.rs
+++ b/crates/decide/tests/common/repeats.rs
@@ -21,6 +21,10 @@
 /// Time span in seconds whose requests a failing runner loses.
 const IN_FLIGHT_SECONDS: f64 = 0.5;
 
+/// Shares of the attempts that may fail in a phase.
+const STORMS: [f64; 4] = [0.01, 0.05, 0.3, 0.8];
+const CALM: [f64; 4] = [0.0, 0.01, 0.02, 0.05];
+
 /// Policy by which a process limits its retries.
 pub trait RetryPolicy {
     /// The policy of a process that starts. `is_first` tells whether it is its first start at the
@@ -53,6 +57,8 @@
     pub late: bool,
     /// Retries take time to arrive.
     pub transit: bool,
+    /// Many attempts fail at times.
+    pub storms: bool,
 }
 
 impl Conditions {
@@ -65,6 +71,7 @@
         rebinds: true,
         late: true,
         transit: true,
+        storms: true,
     };
 
     /// Only the conditions in this comma-separated list of names.
@@ -79,6 +86,7 @@
             rebinds: has("rebinds"),
             late: has("late"),
             transit: has("transit"),
+            storms: has("storms"),
         }
     }
 }
@@ -440,6 +448,10 @@
 
 fn random_phases(rng: &mut SmallRng, conditions: Conditions, count: usize) -> Vec<Phase> {
     let base = rng.random_range(60.0..200.0);
+    let failing = match conditions.storms {
+        true => STORMS,
+        false => CALM,
+    };
     let mut phases = Vec::new();
     let mut until = Duration::ZERO;
     while until < RUN_TIME {
@@ -454,7 +466,7 @@
             } else {
                 2.0 * base
             },
-            failing: [0.01, 0.05, 0.3, 0.8][rng.random_range(0..4)],
+            failing: failing[rng.random_range(0..failing.len())],
             weights: if conditions.uneven {
                 weights
             } else {
--- a/crates/decide/tests/repeat_bound.rs
+++ b/crates/decide/tests/repeat_bound.rs
@@ -3,109 +3,28 @@
 
 mod common;
 
-use common::repeats::{Conditions, RetryPolicy, Trace, configured, simulate};
-use decide::retry::window::{RetryBound, RetryQuota};
-use std::time::Duration;
+use common::bound::BoundCheck;
+use common::policy::{Drawn, Policy, Shipped};
+use common::reference::{Reference, Trailing, Variant, variant};
+use common::repeats::{Conditions, RetryPolicy, Trace, simulate};
+use common::script;
 
 /// Number of seeds that CI simulates; `REPEAT_PLAYS` overrides it.
 const SEEDS: u64 = 200;
-
-/// The policy of a relay.
-struct Shipped(RetryQuota);
-
-impl RetryPolicy for Shipped {
-    fn start(bound: RetryBound, _now: Duration, _is_first: bool) -> Self {
-        Self(RetryQuota::new(bound))
-    }
-
-    fn record_first_attempt(&mut self, now: Duration, _arrived: Duration) {
-        self.0.record_first_attempts(now, 1);
-    }
-
-    fn try_retry(&mut self, now: Duration, processes: Option<usize>) -> bool {
-        self.0.try_retry(now, configured(processes))
-    }
-
-    fn set_bound(&mut self, now: Duration, bound: RetryBound) {
-        self.0.set_bound(now, bound);
-    }
-}
-
-/// Nanoseconds since the start; signed because a window may begin before it.
-type Nanos = i64;
-
-fn nanos(at: Duration) -> Nanos {
-    i64::try_from(at.as_nanos()).unwrap_or(i64::MAX)
-}
-
-/// Check of the bound for the trace of one simulation.
-struct BoundCheck {
-    requests: Vec<Nanos>,
-    arrivals: Vec<Nanos>,
-    bounds: Vec<(RetryBound, Nanos, Nanos)>,
-    window: Nanos,
-}
-
-impl BoundCheck {
-    fn new(trace: &Trace) -> Self {
-        let all = |times: &[Duration]| times.iter().copied().map(nanos).collect();
-        let bounds = trace.bounds.iter();
-        Self {
-            requests: all(&trace.first_attempts),
-            arrivals: all(&trace.arrivals),
-            bounds: bounds
-                .map(|(bound, since, until)| (*bound, nanos(*since), nanos(*until)))
-                .collect(),
-            window: nanos(trace.bounds[0].0.window),
-        }
-    }
-
-    /// Number of the sorted times within the window that begins at `from`.
-    fn within(&self, times: &[Nanos], from: Nanos) -> f64 {
-        let begin = times.partition_point(|at| *at < from);
-        let inside = times[begin..].partition_point(|at| *at < from + self.window);
-        inside as f64
-    }
-
-    /// Retries that the service may receive in the window that begins at `from`.
-    fn allowed(&self, from: Nanos) -> f64 {
-        let requests = [0, self.window / 2, self.window]
-            .map(|earlier| self.within(&self.requests, from - earlier))
-            .into_iter()
-            .fold(0.0, f64::max);
-        let in_force = self
-            .bounds
-            .iter()
-            .filter(|(_, since, until)| from <= *until && from + self.window > *since);
-        in_force
-            .map(|(bound, ..)| bound.ratio * requests + bound.slack)
-            .fold(0.0, f64::max)
-    }
-
-    /// Largest excess of any window relative to what is allowed there; negative if none exceeds it.
-    ///
-    /// As the window moves, the excess grows only where a retry enters it, or where a request leaves one
-    /// of the three windows in which requests are counted.
-    fn worst_excess(&self) -> f64 {
-        let enters = self.arrivals.iter().map(|at| at - self.window + 1);
-        let leaves = self.requests.iter().flat_map(|at| {
-            let after = at + 1;
-            [after, after + self.window / 2, after + self.window]
-        });
-        let slack = self.bounds.iter().map(|(bound, ..)| bound.slack);
-        let slack = slack.fold(f64::MAX, f64::min);
-        let excess = |from| {
-            let repeats = self.within(&self.arrivals, from);
-            (repeats > slack).then(|| repeats / self.allowed(from) - 1.0)
-        };
-        enters.chain(leaves).filter_map(excess).fold(-1.0, f64::max)
-    }
-}
+/// Number of scripts that CI runs.
+const SCRIPTS: u64 = 1_000;
+/// Number of seeds on which refusals are counted; `REPEAT_PLAYS` overrides it.
+const REFUSAL_SEEDS: u64 = 100;
+/// Number of seeds on which variants are compared; `REPEAT_PLAYS` overrides it.
+const COMPARED_SEEDS: u64 = 2;
+/// Share of the requests that may be refused a retry in addition to those that the trailing window
+/// refuses.
+const MAX_ADDITIONAL_REFUSALS: f64 = 0.01;
 
 /// Number of seeds, from 0 on, which `REPEAT_PLAYS` overrides. `REPEAT_TERMS` selects the conditions.
-fn seeds() -> u64 {
+fn seeds(default: u64) -> u64 {
     let seeds = std::env::var("REPEAT_PLAYS").ok();
-    seeds.map_or(SEEDS, |seeds| seeds.parse().unwrap())
+    seeds.map_or(default, |seeds| seeds.parse().unwrap())
 }
 
 fn conditions() -> Conditions {
@@ -123,10 +42,9 @@
 }
 
 impl Summary {
-    fn of<G: RetryPolicy>(conditions: Conditions) -> Self {
+    fn of(traces: impl Iterator<Item = (u64, Trace)>) -> Self {
         let mut summary = Self::default();
-        for seed in 0..seeds() {
-            let trace = simulate::<G>(seed, conditions);
+        for (seed, trace) in traces {
             let worst_excess = BoundCheck::new(&trace).worst_excess();
             if worst_excess > 1e-9 {
                 summary.violations.push((seed, worst_excess));
@@ -138,6 +56,19 @@
         summary
     }
 
+    fn simulated<G: RetryPolicy>(conditions: Conditions, seeds: u64) -> Self {
+        Self::of((0..seeds).map(|seed| (seed, simulate::<G>(seed, conditions))))
+    }
+
+    fn scripted<P: Policy>(seeds: u64) -> Self {
+        Self::of((0..seeds).map(|seed| (seed, script::random(seed).run::<P>())))
+    }
+
+    /// Retries that were refused, relative to the requests.
+    fn refusals(&self) -> f64 {
+        self.refused as f64 / self.requests as f64
+    }
+
     fn worst_violation(&self) -> f64 {
         self.violations
             .iter()
@@ -161,7 +92,66 @@
 /// Guards against more retries at a service, in any window, than the bound of the whole fleet allows.
 #[test]
 fn fleet_repeats_bounded() {
-    let summary = Summary::of::<Shipped>(conditions());
+    let summary = Summary::simulated::<Drawn<Shipped>>(conditions(), seeds(SEEDS));
+    summary.print("shipped");
+    assert!(summary.violations.is_empty(), "{:?}", summary.violations);
+}
+
+/// Guards against the same where requests arrive in bursts and each process retries as much as it may.
+#[test]
+fn bursts_bounded() {
+    let summary = Summary::scripted::<Shipped>(seeds(SCRIPTS));
     summary.print("shipped");
     assert!(summary.violations.is_empty(), "{:?}", summary.violations);
 }
+
+/// Guards against a bound that is met by refusing far more retries while no process is lost and few
+/// attempts fail.
+#[test]
+fn few_refused() {
+    let conditions = Conditions::of("swings,uneven,late,transit");
+    let seeds = seeds(REFUSAL_SEEDS);
+    let shipped = Summary::simulated::<Drawn<Shipped>>(conditions, seeds);
+    let trailing = Summary::simulated::<Drawn<Trailing>>(conditions, seeds);
+    shipped.print("shipped");
+    trailing.print("trailing");
+    let additional = shipped.refusals() - trailing.refusals();
+    assert!(additional <= MAX_ADDITIONAL_REFUSALS, "{additional:.4}");
+}
+
+variant!(Whole);
+variant!(Current, WEIGHTS: [f64; 3] = [1.0, 0.0, 0.0]);
+variant!(Middle, WEIGHTS: [f64; 3] = [0.0, 1.0, 0.0]);
+variant!(Previous, WEIGHTS: [f64; 3] = [0.0, 0.0, 1.0]);
+variant!(Thirds, WEIGHTS: [f64; 3] = [0.33, 0.34, 0.33]);
+variant!(Mixed, WEIGHTS: [f64; 3] = [0.25, 0.5, 0.25]);
+
+/// Compares the windows in which first attempts may be counted: each keeps the bound, and refuses more
+/// or fewer retries.
+#[test]
+fn windows_compared() {
+    let (conditions, seeds) = (conditions(), seeds(COMPARED_SEEDS));
+    let trailing = Summary::simulated::<Drawn<Trailing>>(conditions, seeds);
+    trailing.print("trailing");
+    let kept = [
+        (
+            "shipped",
+            Summary::simulated::<Drawn<Shipped>>(conditions, seeds),
+        ),
+        ("whole", reference::<Whole>(conditions, seeds)),
+        ("current", reference::<Current>(conditions, seeds)),
+        ("middle", reference::<Middle>(conditions, seeds)),
+        ("previous", reference::<Previous>(conditions, seeds)),
+        ("thirds", reference::<Thirds>(conditions, seeds)),
+        ("mixed", reference::<Mixed>(conditions, seeds)),
+    ];
+    for (name, summary) in &kept {
+        summary.print(name);
+        assert!(summary.violations.is_empty(), "{name}");
+    }
+    assert!(!trailing.violations.is_empty());
+}
+
+fn reference<V: Variant>(conditions: Conditions, seeds: u64) -> Summary {
+    Summary::simulated::<Drawn<Reference<V>>>(conditions, seeds)
+}
--- a/crates/protocol/src/activation.rs
+++ b/crates/protocol/src/activation.rs
@@ -84,11 +84,17 @@
         Some(self.registered? + self.max_age + self.handover_gap)
     }
 
+    /// Whether the list is recent enough to act on.
+    #[must_use]
+    pub fn is_current(&self, now: Duration) -> bool {
+        let fresh = |current: Duration| now.saturating_sub(current) <= self.max_age;
+        self.current.is_some_and(fresh)
+    }
+
     /// Whether the process may act now, provided the known names give it a place.
     #[must_use]
     pub fn may_act(&self, now: Duration) -> bool {
         let known = self.known_from().is_some_and(|moment| moment <= now);
-        let fresh = |current: Duration| now.saturating_sub(current) <= self.max_age;
-        known && self.current.is_some_and(fresh)
+        known && self.is_current(now)
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -12,6 +12,7 @@
 use crate::serve::Job;
 use crate::splice;
 use crate::telemetry::millis;
+use decide::retry::window::MAX_RETRY_TRANSIT;
 use decide::route::{self, PrefixAffinity, Router};
 use slog::info;
 use std::sync::Arc;
@@ -51,9 +52,9 @@
     pub last_failure: Option<Failure>,
     /// Why the request was sent to no other runner, if it is quarantined.
     pub quarantined: Option<Refusal>,
-    /// Whether a retry has been charged to the budget for a call that was withdrawn before it was
-    /// sent.
-    retry_counted: bool,
+    /// Quota time until which the retry that was charged to the budget last may be sent, unless it has
+    /// been sent.
+    retry_expires_at: Option<Duration>,
 }
 
 /// A call whose response has started.
@@ -70,9 +71,15 @@
     /// Whether a retry may be sent. The retry is charged to the budget once for each call that is
     /// sent.
     fn try_retry<D: Downstream>(&mut self, job: &Job<D>) -> bool {
-        self.retry_counted =
-            self.retry_counted || job.relay.try_retry(&job.service, &job.request.id);
-        self.retry_counted
+        let now = job.relay.quota_time();
+        let granted = self
+            .retry_expires_at
+            .filter(|expires_at| now <= *expires_at);
+        self.retry_expires_at = granted.or_else(|| {
+            let granted = job.relay.try_retry(&job.service, &job.request.id);
+            granted.then_some(now + MAX_RETRY_TRANSIT)
+        });
+        self.retry_expires_at.is_some()
     }
 }
 
@@ -84,7 +91,8 @@
 /// have run it.
 pub async fn run<D: Downstream>(job: &Job<D>, mut inputs: Inputs<D>) -> Result<Answer, Refusal> {
     let mut progress = Progress::default();
-    job.relay.count_first_attempts(&job.service, 1);
+    job.relay
+        .count_first_attempts(&job.service, job.request.arrived, 1);
     loop {
         let sent =
             send_or_recompute_inputs(job, &mut inputs, &mut progress, job.request.resume_after)
@@ -139,6 +147,7 @@
         let call = build_call(job, inputs, remaining, resume_after);
         let mut in_flight = InFlightCall::new(job, runner);
         let observer = job.relay.observer(&in_flight.runner);
+        let observer = observer.expiring_at(progress.retry_expires_at);
         let response = job
             .relay
             .downstream
@@ -154,7 +163,9 @@
         log_call(job, &in_flight, remaining, inputs, progress, &result);
         job.relay
             .update_limit(&in_flight.runner, in_flight.sent_at, &result);
-        progress.retry_counted &= result.as_ref().is_err_and(Failure::is_withdrawn);
+        if !result.as_ref().is_err_and(Failure::is_withdrawn) {
+            progress.retry_expires_at = None;
+        }
         match result {
             Ok(reply) => {
                 in_flight.record_activity();
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -21,7 +21,7 @@
 use crate::telemetry::{Telemetry, millis};
 use crate::warmup::Warmups;
 use decide::Map;
-use decide::retry::window::{RetryBound, RetryQuota};
+use decide::retry::window::{RetryBound, RetryQuota, SlackShare};
 use decide::route::{Pool, Target};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -40,6 +40,9 @@
 /// much again.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
+/// Number of processes that is assumed until membership is known.
+const ASSUMED_PROCESSES: usize = 8;
+
 /// Options that a relay is started with.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -47,8 +50,8 @@
     pub domain: DomainId,
     /// Initial limit on the retries of all relays together.
     pub retry_bound: RetryBound,
-    /// Number of processes that share this limit, used until membership is known.
-    pub processes: usize,
+    /// Number of processes at the first start of the whole system, used until membership is known.
+    pub processes: Option<usize>,
     /// Membership entry of this process.
     pub member: Member,
     /// Key that all relay processes share.
@@ -123,8 +126,12 @@
     /// Creates a relay without a configuration or a list of runners.
     #[must_use]
     pub fn new(options: Options, downstream: D, log: Logger, telemetry: Telemetry) -> Arc<Self> {
+        let peers = Peers::new(options.member.clone(), options.key.clone());
+        if options.first_start {
+            peers.members(|members| members.slack_share = SlackShare::first_start());
+        }
         Arc::new(Self {
-            peers: Peers::new(options.member.clone(), options.key.clone()),
+            peers,
             pause: PauseDetector::new(options.clock),
             ending: CancellationToken::new(),
             requests: MemoryBudget::new(options.memory / BODY_MEMORY_DIVISOR),
@@ -377,16 +384,21 @@
             .collect()
     }
 
-    /// Counts first attempts at a service: that of a request, or those of its pieces.
-    pub fn count_first_attempts(&self, service: &ServiceId, count: u32) {
-        let now = self.now();
-        self.quota(service, |quota| quota.record_first_attempts(now, count));
+    /// Counts first attempts at a service of a request that arrived at this time: that of the request, or
+    /// those of its pieces.
+    pub fn count_first_attempts(&self, service: &ServiceId, arrived: Instant, count: u32) {
+        // It is unknown how long ago a request arrived that has been through a pause.
+        if self.pause.last_pause_end() > arrived {
+            return;
+        }
+        let arrived = self.at(arrived) + self.pause.suspended();
+        self.quota(service, |quota| quota.record_first_attempts(arrived, count));
     }
 
     /// Takes a retry of a request from a service's retry budget; returns whether there was one left.
     pub fn try_retry(&self, service: &ServiceId, request: &str) -> bool {
-        let now = self.now();
-        let processes = self.processes();
+        let now = self.quota_time();
+        let processes = self.slack_processes(now);
         let (granted, usage) = self.quota(service, |quota| {
             let granted = quota.try_retry(now, processes);
             (granted, quota.usage(now, processes))
@@ -402,16 +414,34 @@
     /// Changes the limit on retries, as the operator has set it.
     pub fn set_retry_bound(&self, bound: RetryBound) {
         *lock(&self.retry_bound) = bound;
-        let now = self.now();
+        let now = self.quota_time();
         for quota in lock(&self.quotas).values_mut() {
             quota.set_bound(now, bound);
         }
     }
 
+    /// Time since the relay started, including suspensions: retries are bounded in real time.
+    pub(crate) fn quota_time(&self) -> Duration {
+        self.check_for_pause();
+        self.now() + self.pause.suspended()
+    }
+
+    /// Number of processes that share the slack of the retry bound; `None` while this one has no share.
+    fn slack_processes(&self, now: Duration) -> Option<usize> {
+        let reach = lock(&self.retry_bound).reach();
+        // Nothing ran before the first start of the whole system.
+        let configured = self.options.processes.filter(|_| self.options.first_start);
+        self.peers.members(|members| match members.is_registered() {
+            true => members.slack_processes(self.now(), now, reach),
+            false => configured,
+        })
+    }
+
     /// Number of serving relay processes, including this one.
     #[must_use]
     pub fn processes(&self) -> usize {
-        self.peers.count().unwrap_or(self.options.processes)
+        let count = self.peers.count().or(self.options.processes);
+        count.unwrap_or(ASSUMED_PROCESSES)
     }
 
     fn quota<T>(&self, service: &ServiceId, work: impl FnOnce(&mut RetryQuota) -> T) -> T {
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -224,7 +224,7 @@
     };
     if stage_run == StageRun::First {
         job.relay
-            .count_first_attempts(&spec.service, job.pieces(stage));
+            .count_first_attempts(&spec.service, job.request.arrived, job.pieces(stage));
     } else if !job.relay.try_retry(&spec.service, &job.request.id) {
         return (stage, cell, Err(StageError::Failed));
     }
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -13,6 +13,7 @@
 use crate::telemetry::millis;
 use decide::Map;
 use decide::owner::{Candidate, choose};
+use decide::retry::window::SlackShare;
 use decide::subset::{self, rendezvous_hash};
 use decide::warmup::RateShare;
 use protocol::activation::Activation;
@@ -57,6 +58,8 @@
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Mean time between the writes of two processes that rewrite their rows.
 const REWRITE_SPACING: Duration = Duration::from_millis(10);
+/// Time after which processes that start with the whole system know one another.
+const FIRST_LIST_DELAY: Duration = Duration::from_secs(4);
 /// Maximum delay between two attempts to write the row of this process.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
@@ -102,6 +105,8 @@
     leaving: bool,
     /// Whether this process may do work that only a limited number of processes may do at a time.
     pub(crate) roster: Activation,
+    /// Share of this process in the slack of the retry bound, in time that includes suspensions.
+    pub(crate) slack_share: SlackShare,
 }
 
 impl Members {
@@ -119,6 +124,7 @@
             listed: false,
             leaving: false,
             roster: Activation::new(MAX_LIST_AGE, HANDOVER_DELAY),
+            slack_share: SlackShare::default(),
         }
     }
 
@@ -191,6 +197,35 @@
         (since.or(self.listed_clock), is_settled)
     }
 
+    /// Whether the row of this process has been written.
+    #[must_use]
+    pub fn is_registered(&self) -> bool {
+        self.roster.known_from().is_some()
+    }
+
+    /// Number of processes that share the slack of the retry bound if retries count for the duration
+    /// `reach`; `None` while this process has no share. `quota_time` is `now` including suspensions.
+    pub(crate) fn slack_processes(
+        &mut self,
+        now: Duration,
+        quota_time: Duration,
+        reach: Duration,
+    ) -> Option<usize> {
+        // Processes that joined since an old list was read have shares.
+        let is_current = self.roster.is_current(now);
+        is_current.then(|| self.slack_share.processes(quota_time, reach))?
+    }
+
+    /// Records the number of processes, all rows of which have been read.
+    fn record_count(&mut self, quota_time: Duration) {
+        if let Some(count) = self.count() {
+            self.slack_share.record_processes(quota_time, count);
+        }
+        if self.previous_row.is_some() {
+            self.slack_share.mark_restarted();
+        }
+    }
+
     /// Whether this process is one of the few that may send to a runner that has just started.
     /// Unreachable processes keep their places, since two processes that disagree on reachability would
     /// both send.
@@ -335,6 +370,11 @@
         if is_settled {
             members.roster.mark_known();
         }
+        let first_list = relay.now() + FIRST_LIST_DELAY;
+        let known_from = members.roster.known_from();
+        let known_from = known_from.filter(|_| !relay.options.first_start);
+        let known_from = known_from.unwrap_or(first_list) + relay.pause.suspended();
+        members.slack_share.mark_known(known_from);
     });
     relay.peers.mark_registered();
     loop {
@@ -414,6 +454,7 @@
             .rows
             .retain(|change| !quarantine::apply_row(&relay, change));
         quarantine::expire(&relay);
+        let quota_time = relay.quota_time();
         relay.peers.members(|members| {
             if follower.is_restored {
                 // The backup may contain the row of an earlier start of a process, which will rewrite
@@ -427,6 +468,7 @@
             }
             members.listed_clock = members.listed_clock.or(changes.clock);
             members.mark_listed();
+            members.record_count(quota_time);
             members.roster.read(follower.current());
         });
         relay.peers.mark_members_read();
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -6,6 +6,7 @@
 use crate::downstream::{CallObserver, Downstream, Notice};
 use crate::runner::Runner;
 use slog::info;
+use std::time::Duration;
 
 /// Observer of calls that are no work, which runners that accept no more work get as well.
 #[derive(Clone, Copy, Debug)]
@@ -41,11 +42,21 @@
 pub(crate) struct RunnerObserver<'a, D> {
     relay: &'a Relay<D>,
     runner: &'a Runner,
+    /// Quota time after which nothing is sent.
+    expires_at: Option<Duration>,
+}
+
+impl<D> RunnerObserver<'_, D> {
+    /// Observer of a call that is withdrawn if it has not been sent by this quota time.
+    pub(crate) fn expiring_at(self, expires_at: Option<Duration>) -> Self {
+        Self { expires_at, ..self }
+    }
 }
 
 impl<D: Downstream> CallObserver for RunnerObserver<'_, D> {
     fn is_open(&self) -> bool {
-        self.relay.is_open(self.runner)
+        let is_expired = |expires_at: Duration| expires_at < self.relay.quota_time();
+        !self.expires_at.is_some_and(is_expired) && self.relay.is_open(self.runner)
     }
 
     fn observe(&self, notice: Notice) {
@@ -65,6 +76,7 @@
         RunnerObserver {
             relay: self,
             runner,
+            expires_at: None,
         }
     }
 
--- a/crates/relay/src/pause.rs
+++ b/crates/relay/src/pause.rs
@@ -92,6 +92,11 @@
         lock(&self.last).suspended
     }
 
+    /// When the last pause ended, or when this process started.
+    pub(crate) fn last_pause_end(&self) -> Instant {
+        lock(&self.last).last_pause_end
+    }
+
     /// Checks the clocks, and returns the time since the last check if it includes a pause.
     fn check(&self) -> Option<Duration> {
         let mut last = lock(&self.last);
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -451,6 +451,15 @@
     relay_with(fake, options(member))
 }
 
+/// A relay without a configuration or a list of runners that starts while others are running.
+pub(crate) fn restarted(fake: Fake) -> Arc<Relay<Fake>> {
+    let options = Options {
+        first_start: false,
+        ..options(member())
+    };
+    relay_with(fake, options)
+}
+
 fn options(member: Member) -> Options {
     Options {
         domain: "a".into(),
@@ -459,7 +468,7 @@
             slack: 40.0,
             window: Duration::from_secs(10),
         },
-        processes: 4,
+        processes: Some(4),
         member,
         key: wire::Key::new("key"),
         policy: setting::relay::Policies::default(),
--- a/crates/relay/tests/poison_pieces.rs
+++ b/crates/relay/tests/poison_pieces.rs
@@ -9,6 +9,7 @@
     relay, replies, reply, retry_for, send, serve, share_call,
 };
 use common::{Fake, StageCall};
+use decide::retry::window::RetryBound;
 use protocol::quarantine::CRASH_THRESHOLD;
 use relay::{Relay, Request};
 use std::time::Duration;
@@ -22,6 +23,12 @@
 /// Trials of a quarantined request within that time.
 const TRIALS: usize = 2;
 
+/// Bound that gives the only relay the whole slack, a quarter of which is its share otherwise.
+const WHOLE_SLACK: RetryBound = RetryBound {
+    ratio: 0.2,
+    slack: 160.0,
+    window: Duration::from_secs(10),
+};
 /// Time after which earlier retries no longer count against the retry limit.
 const RETRY_WINDOW: Duration = Duration::from_secs(11);
 /// Maximum interval between two checks whether enough runners are up.
@@ -95,6 +102,7 @@
 #[tokio::test(start_paused = true)]
 async fn innocent_pieces_resent() {
     let relay = relay(STAGE_RUNNERS, 2);
+    relay.set_retry_bound(WHOLE_SLACK);
     relay.downstream.faults.set([crash(POISON)]);
     maintain_list(&[&relay], Some(RESTART_TIME));
     let begun = Instant::now();
--- a/crates/setting/src/relay.rs
+++ b/crates/setting/src/relay.rs
@@ -176,9 +176,10 @@
     pub slack: f64,
     /// Length of the window in seconds.
     pub window_s: f64,
-    /// Number of processes that share the bound, assumed by a process that does not know the others.
-    #[serde(default = "default_processes")]
-    pub processes: usize,
+    /// Number of processes that share the bound at the first start of the whole system, until they know
+    /// one another. If it is not set, only the ratio holds until then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub processes: Option<usize>,
 }
 
 impl Default for RetryBound {
@@ -188,7 +189,7 @@
             ratio: 0.1,
             slack: 20.0,
             window_s: 10.0,
-            processes: default_processes(),
+            processes: None,
         }
     }
 }
@@ -223,10 +224,6 @@
 
 /// More than the usual number of entry VMs, so that a process that knows no others uses a small
 /// part of the bound.
-fn default_processes() -> usize {
-    8
-}
-
 fn default_weight() -> f64 {
     1.0
 }
