A relay that starts again waits an interval before it sends to a cold runner

A runner that has just started takes a few requests a second of all relays together. Each relay that sends to it keeps an interval between two requests, known to that process alone. A relay that started again had forgotten when it last sent, and sent at once: more than the bound counts on within a second.

Now the interval also counts from the start. `sent_before_restart` was served twice within the interval before. The table service of the tests tells the time by its own clock, by which a row's age is known.

--- a/crates/relay/src/warmup.rs
+++ b/crates/relay/src/warmup.rs
@@ -40,10 +40,11 @@
         self.until.get(id).is_some_and(|until| *until > now)
     }
 
-    /// Whether the interval since this process's last request to the runner has passed.
-    fn is_interval_over(&self, id: &str, share: &RateShare, now: Instant) -> bool {
-        let sent = self.sent.get(id);
-        sent.is_none_or(|sent| now.saturating_duration_since(*sent) >= share.interval)
+    /// Whether the interval since this process's last request to the runner has passed, or since its
+    /// start: an earlier start may have sent one just before.
+    fn is_interval_over(&self, id: &str, interval: Duration, started: Instant) -> bool {
+        let last = self.sent.get(id).unwrap_or(&started);
+        last.elapsed() >= interval
     }
 }
 
@@ -100,11 +101,10 @@
         let Some(share) = self.share(warmup.rate) else {
             return cold;
         };
-        let now = Instant::now();
         let warmups = lock(&self.warmups);
         let open = |id: &RunnerId| {
             let may_send = self.peers.members(|members| members.may_send(&share, id));
-            may_send && warmups.is_interval_over(id, &share, now)
+            may_send && warmups.is_interval_over(id, share.interval, self.started())
         };
         cold.into_iter().filter(|id| !open(id)).collect()
     }
--- a/crates/relay/tests/cold_runners.rs
+++ b/crates/relay/tests/cold_runners.rs
@@ -3,20 +3,31 @@
 mod common;
 
 use common::feed::{FeedReply, ScriptedFeed};
-use common::{Fake, configuration, ready, request, runner};
+use common::service::Service as TableService;
+use common::{
+    Fake, configuration, configured, member_at, ready, request, runner, unconfigured_member,
+};
 use relay::configuration::{Configuration, Limits, Service, Warmup};
 use relay::drain::Drains;
+use relay::member::Member;
 use relay::runner::{Change, Runner};
 use relay::{Relay, member};
 use serde_json::{Value, json};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 const COLD: Duration = Duration::from_secs(3);
 /// Time after which a process's row is known to all others.
 const SETTLED: Duration = Duration::from_secs(20);
 
+/// Time after which a process that starts has listed the processes.
+const LISTED: Duration = Duration::from_millis(100);
+/// Interval between two requests of the only process to a cold runner.
+const COLD_INTERVAL: Duration = Duration::from_millis(700);
+
 /// The row of another process.
 fn row(id: &str) -> (&'static str, Option<Value>) {
     let member = json!({ "id": id, "incarnation": 1, "address": "127.0.0.1:1", "weight": 1.0 });
@@ -142,6 +153,38 @@
     assert!(relay.downstream.sent().is_empty());
 }
 
+/// Starts the relay again whose row is in this table, and returns it with its tasks.
+async fn registered(table: &TableService) -> (Arc<Relay<Fake>>, JoinSet<()>) {
+    let own = Member {
+        incarnation: rand::random(),
+        ..member_at("relay-1", SocketAddr::from(([127, 0, 0, 1], 1)))
+    };
+    let relay = configured(unconfigured_member(Fake::default(), own));
+    relay.adopt(warming());
+    let mut tasks = JoinSet::new();
+    tasks.spawn(member::follow(relay.clone(), table.clone()));
+    tasks.spawn(member::register(relay.clone(), table.clone()));
+    sleep(LISTED).await;
+    (relay, tasks)
+}
+
+/// Guards against a cold runner that gets a request from a process and another at once from its next start,
+/// which does not know of the first.
+#[tokio::test(start_paused = true)]
+async fn sent_before_restart() {
+    let table = TableService::new();
+    let (relay, tasks) = registered(&table).await;
+    sleep(SETTLED).await;
+    relay.update(vec![Change::Gone("p-2".into()), cold("p-1")]);
+    assert_eq!(relay.serve(request("a", "safe")).await.status, 200);
+    drop(tasks);
+    let (relay, _tasks) = registered(&table).await;
+    relay.update(vec![Change::Gone("p-2".into()), cold("p-1")]);
+    assert_eq!(relay.serve(request("b", "safe")).await.status, 503);
+    sleep(COLD_INTERVAL).await;
+    assert_eq!(relay.serve(request("c", "safe")).await.status, 200);
+}
+
 /// The runners of a drained failure domain were restarted in the meantime, and the domain gets work
 /// again. Their rows date from before the restart and do not show it until the next heartbeat.
 #[tokio::test(start_paused = true)]
--- a/crates/relay/tests/common/service.rs
+++ b/crates/relay/tests/common/service.rs
@@ -10,11 +10,12 @@
 use std::time::Duration;
 use store::{Change, Changes, Error, Feed, FeedError, Row, RowRevision, Table, Transaction};
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// The table service. Clones share its tables.
 #[derive(Clone, Debug)]
 pub(crate) struct Service {
+    started: Instant,
     state: Arc<Mutex<State>>,
     revision: watch::Sender<RowRevision>,
 }
@@ -30,6 +31,7 @@
 impl Service {
     pub(crate) fn new() -> Self {
         Self {
+            started: Instant::now(),
             state: Arc::default(),
             revision: watch::Sender::new(0),
         }
@@ -80,7 +82,7 @@
         Changes {
             rows: newer.map(change).collect(),
             revision: state.revision,
-            clock: Some(Duration::from_millis(state.revision)),
+            clock: Some(self.started.elapsed()),
         }
     }
 }
