Soak of relays: no service runs more retries than the bound of all relays

The drawn soak killed and restarted relays while runners failed, and nothing looked at how often requests ran again. The verdict now counts the runs beyond the first of each request, by service and window, against the bound of the settings that the relays have. Calls that a runner turns away are not in its log, so that less is counted than the bound is about.

--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -1,6 +1,7 @@
 //! Checks of the responses to clients and the runs of runners for violations.
 
 pub mod chain;
+mod retries;
 mod runner;
 
 use crate::torture::relays::cluster::{Key, Keys};
@@ -249,6 +250,7 @@
     verdict.check_rate_limits(records, &runs, state);
     verdict.check_leaving_notices(records, &runs, state);
     verdict.check_rests(records, log, state);
+    verdict.check_retry_bound(records, &by_id);
     verdict
 }
 
