--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the review's scripts, with the compiler alone.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+rustc --edition 2021 -O -o target/review/lab review/lab/main.rs
