--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -6,7 +6,9 @@
 mod http;
 mod json;
 mod ledger;
+mod proxy;
 mod runner;
+mod silent;
 mod store;
 mod system;
 
@@ -57,6 +59,7 @@
     ledger.note(&format!("case {case}, trouble: {with_trouble}"));
     let played = match case.as_str() {
         "extra" => extra::play(&ledger, with_trouble),
+        "silent" => silent::play(&ledger, with_trouble),
         _ => Err(format!("no case {case}")),
     };
     match played {
