--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -3,23 +3,23 @@
 //! Each process announces what it observes over the links of the overlay. Once a request is quarantined, it
 //! also writes a row to the membership table, for processes that start later or that no link reaches.
 
+mod admission;
 mod silence;
 
+pub(crate) use admission::{admit, admit_attempt, begin_stage, retry_after};
 pub(crate) use silence::SILENCE_TIMEOUT;
 
-use crate::batch::StageError;
 use crate::core::{Relay, lock};
 use crate::downstream::Downstream;
 use crate::member;
-use crate::request::{ContentId, Refusal};
+use crate::request::ContentId;
 use crate::runner::{Runner, RunnerId};
-use crate::serve::{Job, content_name};
+use crate::serve::content_name;
 use crate::telemetry::millis;
 use protocol::quarantine::{
     ANNOUNCE_THRESHOLD, Admission, Merge, Quarantine, RecentAnswers, Report,
 };
 use serde::{Deserialize, Serialize};
-use setting::Policy;
 use slog::{info, warn};
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
@@ -35,13 +35,6 @@
 
 /// Key prefix of the rows of quarantined requests.
 const PREFIX: &str = "quarantine/";
-/// Interval at which a suspect request checks whether enough runners are up.
-const RUNNERS_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Retry delay given to clients while runners are down: about the time that a runner takes to start.
-const RUNNER_START_TIME: Duration = Duration::from_secs(1);
-/// Rank, in the order in which processes may try a content, of requests in which several contents are due:
-/// other requests get as many turns to clear one of them.
-const JOINT_TRIAL_RANK: u32 = 10;
 /// Delay before a failed write of a row is repeated.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -251,161 +244,6 @@
     concerns_all || report.tried.is_some() || report.silences.len() >= ANNOUNCE_THRESHOLD as usize
 }
 
-/// Admits a request unless it is quarantined.
-///
-/// # Errors
-///
-/// [`Refusal::Poison`] if the request, a shared part of its prompt, or its content for one of its stages is
-/// quarantined.
-pub(crate) fn admit<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
-    let remaining = job
-        .contents()
-        .filter_map(|content| remaining_quarantine(job, content));
-    match remaining.max() {
-        Some(retry_after) => Err(Refusal::Poison { retry_after }),
-        None => due_trials(job).map(drop),
-    }
-}
-
-/// Remaining quarantine time of one of a request's contents, if it is quarantined. Marks the content as
-/// requested, so that it does not expire.
-fn remaining_quarantine<D: Downstream>(job: &Job<D>, content: ContentId) -> Option<Duration> {
-    let Admission::Held(remaining) = job.relay.admission(content, 0) else {
-        return None;
-    };
-    lock(&job.relay.quarantine.known).touch(content, job.relay.now());
-    Some(remaining)
-}
-
-/// Admits the pieces of a stage and returns whether they are a trial of a quarantined content. If so, the
-/// trial is recorded.
-///
-/// # Errors
-///
-/// [`StageError::Poison`] if the content is quarantined.
-pub(crate) fn begin_stage<D: Downstream>(job: &Job<D>, stage: usize) -> Result<bool, StageError> {
-    let content = job.stage_content(stage);
-    match job.relay.admission(content, 0) {
-        Admission::Free => Ok(false),
-        Admission::Held(_) => Err(StageError::Poison),
-        Admission::Trial => {
-            begin_trial(job, content);
-            Ok(true)
-        }
-    }
-}
-
-/// Retry delay of a request whose pieces were refused as quarantined by the process that makes them.
-pub(crate) fn retry_after<D: Downstream>(job: &Job<D>) -> Duration {
-    let remaining = job
-        .contents()
-        .filter_map(|content| remaining_quarantine(job, content));
-    remaining.max().unwrap_or(RUNNER_START_TIME)
-}
-
-fn begin_trial<D: Downstream>(job: &Job<D>, content: ContentId) {
-    info!(job.relay.log, "quarantined request retried as a trial"; "request" => &*job.request.id,
-        "content" => content_name(content));
-    let report = lock(&job.relay.quarantine.known).begin_trial(content, job.relay.now());
-    if let Some(report) = report {
-        job.relay.announce(&report);
-    }
-}
-
-/// Delays a suspect request until enough runners of its service are up to risk one of them.
-///
-/// Each attempt may crash another runner. Without the delay, a single request can crash all runners of a
-/// small service, which then serves nobody until one has restarted.
-///
-/// # Errors
-///
-/// [`Refusal::Poison`] if too few runners are up for half of the client's remaining time.
-async fn await_runners<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
-    let since = Instant::now();
-    let max_wait = job.remaining() / 2;
-    loop {
-        let availability = job.relay.availability(&job.service);
-        let (may_run, crashes) = {
-            let known = lock(&job.relay.quarantine.known);
-            let now = job.relay.now();
-            let risk = match known.risk(job.content, now) {
-                // A single response was lost or is late, and its runner may still be running.
-                risk if risk < ANNOUNCE_THRESHOLD && known.crashes(job.content) == 0 => 0,
-                risk => risk,
-            };
-            let may_spread = known.may_spread(job.content, now);
-            (may_spread && availability.allows_attempt(risk), risk)
-        };
-        let waited = since.elapsed();
-        let outcome = match (may_run, waited >= max_wait) {
-            (true, _) if waited < RUNNERS_POLL_INTERVAL => return Ok(()),
-            (true, _) => "sent",
-            (false, true) => "given up",
-            (false, false) => {
-                sleep(RUNNERS_POLL_INTERVAL).await;
-                continue;
-            }
-        };
-        info!(job.relay.log, "suspect request waited for runners"; "request" => &*job.request.id,
-            "content" => content_name(job.content), "crashes" => crashes, "up" => availability.up,
-            "down" => availability.down, "runners_age_ms" => job.relay.runner_list_age().map(millis),
-            "waited_ms" => millis(waited), "outcome" => outcome);
-        return match may_run {
-            true => Ok(()),
-            false => Err(Refusal::Poison {
-                retry_after: RUNNER_START_TIME,
-            }),
-        };
-    }
-}
-
-/// Admits an attempt to send a request to a runner. If the attempt is a trial, it is recorded.
-///
-/// The quarantine is checked here again, since equal requests may have crashed runners while the stages of
-/// this one were made.
-///
-/// # Errors
-///
-/// [`Refusal::Poison`] if the request or a shared part of its prompt is quarantined, or if too few runners
-/// are up to risk one.
-pub(crate) async fn admit_attempt<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
-    if job.relay.options.policy.suspects == Policy::Shipped {
-        await_runners(job).await?;
-    }
-    for content in due_trials(job)? {
-        begin_trial(job, content);
-    }
-    Ok(())
-}
-
-/// The quarantined contents of a request that would be tried if it were sent to a runner now.
-///
-/// If several of them are due, a crash would count against all, although one of them may be sound. Requests
-/// that contain only one of them are therefore tried first.
-///
-/// # Errors
-///
-/// [`Refusal::Poison`] if one of them may not be tried yet.
-fn due_trials<D: Downstream>(job: &Job<D>) -> Result<Vec<ContentId>, Refusal> {
-    let admissions = |rank: u32| {
-        let contents = job.served_contents();
-        let admissions = contents.map(|content| (content, job.relay.admission(content, rank)));
-        let mut due = Vec::new();
-        for (content, admission) in admissions {
-            match admission {
-                Admission::Free => {}
-                Admission::Trial => due.push(content),
-                Admission::Held(retry_after) => return Err(Refusal::Poison { retry_after }),
-            }
-        }
-        Ok(due)
-    };
-    match admissions(0)? {
-        due if due.len() > 1 => admissions(JOINT_TRIAL_RANK),
-        due => Ok(due),
-    }
-}
-
 fn key(content: ContentId) -> String {
     format!("{PREFIX}{}", content_name(content))
 }
