Relay: log each attempt of a suspect with what it was admitted by

A request had two numbers of crashes, those that count and all, in different lines, and an attempt that did not wait left no line.

--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -357,6 +357,14 @@
         suspect.map_or(0, |suspect| suspect.all(&self.exits))
     }
 
+    /// Number of crashes that count towards the quarantine of a request: those right after another
+    /// one count only if the request was isolated.
+    #[must_use]
+    pub fn distinct_crashes(&self, content: ContentId) -> u32 {
+        let suspect = self.suspects.get(&content);
+        suspect.map_or(0, |suspect| suspect.count(&self.exits))
+    }
+
     /// Whether a request is quarantined, so that its admission must be checked.
     #[must_use]
     pub fn is_held(&self, content: ContentId) -> bool {
--- a/crates/protocol/src/quarantine/exposure.rs
+++ b/crates/protocol/src/quarantine/exposure.rs
@@ -66,6 +66,12 @@
         self.silences.attempt_ended(content, runner);
     }
 
+    /// Number of runners at which this process has the request in progress.
+    #[must_use]
+    pub fn attempts_in_progress(&self, content: ContentId) -> usize {
+        self.silences.attempts(content)
+    }
+
     /// Whether a request may be sent to one more runner in addition to those at which it is in
     /// progress: if it is not under suspicion, or puts few runners at risk.
     #[must_use]
--- a/crates/protocol/src/quarantine/silence.rs
+++ b/crates/protocol/src/quarantine/silence.rs
@@ -187,6 +187,11 @@
         }
     }
 
+    /// Number of runners at which the request is in progress.
+    pub(super) fn attempts(&self, content: ContentId) -> usize {
+        self.in_progress.get(&content).map_or(0, Vec::len)
+    }
+
     /// Number of runners at which the request is in progress and that may have become unresponsive,
     /// excluding those that are known to be.
     pub(super) fn in_progress(&self, content: ContentId, now: Moment) -> u32 {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -92,7 +92,8 @@
         let reports = lock(&self.quarantine.known).runner_exited(&instance(runner), now);
         for report in reports {
             info!(self.log, "runner exited during a request"; "runner" => &*runner.id,
-                "content" => content_name(report.content), "crashes" => report.count);
+                "content" => content_name(report.content), "crashes" => report.count,
+                "exits" => self.suspects(|known| known.crashes(report.content)));
             self.announce(&report);
             if report.is_held() {
                 self.quarantine.schedule_write(report.content);
@@ -170,10 +171,13 @@
         let Merge::New { was_held, is_held } = merged else {
             return;
         };
-        let report = lock(&self.quarantine.known).report(content, self.now());
+        let (report, exits) = {
+            let known = lock(&self.quarantine.known);
+            (known.report(content, self.now()), known.crashes(content))
+        };
         let Some(report) = report else { return };
         info!(self.log, "suspect"; "content" => content_name(content), "crashes" => report.count,
-            "trials" => report.trials, "cleared_ago_ms" => report.cleared.map(millis),
+            "exits" => exits, "trials" => report.trials, "cleared_ago_ms" => report.cleared.map(millis),
             "silent" => report.silences.len(), "was_held" => was_held, "held" => is_held,
             "from" => origin);
         if must_announce(&report) {
--- a/crates/relay/src/quarantine/admission.rs
+++ b/crates/relay/src/quarantine/admission.rs
@@ -94,7 +94,7 @@
     let max_wait = job.remaining() / 2;
     loop {
         let availability = job.relay.availability(&job.service);
-        let (may_run, crashes) = {
+        let (may_run, risk, distinct, in_progress) = {
             let known = lock(&job.relay.quarantine.known);
             let now = job.relay.now();
             let risk = match known.risk(job.content, now) {
@@ -103,11 +103,18 @@
                 risk => risk,
             };
             let may_spread = known.may_spread(job.content, now);
-            (may_spread && availability.allows_attempt(risk), risk)
+            let may_run = may_spread && availability.allows_attempt(risk);
+            let in_progress = known.attempts_in_progress(job.content);
+            (
+                may_run,
+                risk,
+                known.distinct_crashes(job.content),
+                in_progress,
+            )
         };
         let waited = since.elapsed();
         let outcome = match (may_run, waited >= max_wait) {
-            (true, _) if waited < RUNNERS_POLL_INTERVAL => return Ok(()),
+            (true, _) if risk == 0 && waited < RUNNERS_POLL_INTERVAL => return Ok(()),
             (true, _) => "sent",
             (false, true) => "given up",
             (false, false) => {
@@ -115,9 +122,10 @@
                 continue;
             }
         };
-        info!(job.relay.log, "suspect request waited for runners"; "request" => &*job.request.id,
-            "content" => content_name(job.content), "crashes" => crashes, "up" => availability.up,
-            "down" => availability.down, "runners_age_ms" => job.relay.runner_list_age().map(millis),
+        info!(job.relay.log, "attempt of a suspect"; "request" => &*job.request.id,
+            "content" => content_name(job.content), "crashes" => distinct, "risk" => risk,
+            "in_progress" => in_progress, "up" => availability.up, "down" => availability.down,
+            "runners_age_ms" => job.relay.runner_list_age().map(millis),
             "waited_ms" => millis(waited), "outcome" => outcome);
         return match may_run {
             true => Ok(()),
