Quarantine: three crashes hold a request, also if they coincide

Callers saw runners of a plain service crash one after the other, each with the requests of others on it, more than three times after the third crash.

Cause: crashes within 250 ms of another one did not count, so that a failure domain that exits does not quarantine what its runners had in common. Until three crashes counted nothing bounded how many happened: the guard on attempts in progress left requests at risk three and more to the quarantine, and the quarantine left them to the guard. When a runner came back, all attempts that waited were sent, at all relays.

Now the third crash of whatever kind is the last without a trial. A coincidence is checked instead of presumed: the first trial is due at once, by one process at a time, the other attempts wait for its outcome, and its failure begins the hold. Later crashes extend the hold, whether a trial caused them or not. A trial that reached no runner is over. An attempt that is held while it waits is refused at once.

--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -3,10 +3,15 @@
 //! A client sends such a request again and again, each time with a new identity and to any process,
 //! and each attempt takes down a runner and everything that it serves. So requests are identified
 //! here by their content. A request that was in progress at a runner when the runner exited is a
-//! suspect, and one that has crashed several runners, one after another, is quarantined (held). A
-//! runner may also exit for any other reason during a request that many clients send; but then
-//! other runners answer that request, and the first complete response clears it. A quarantined
-//! request is tried again after a hold.
+//! suspect, and one that has crashed several runners is quarantined (held). A runner may also exit
+//! for any other reason during a request that many clients send; but then other runners answer that
+//! request, and the first complete response clears it. A quarantined request is tried again after a
+//! hold, by one process at a time.
+//!
+//! Many runners may exit at once, such as those of a failure domain, under a request that is not the
+//! cause. If the crashes of a request coincided, it is therefore tried again at once, but like any
+//! other trial by one process at a time. A bound that began only with distinct crashes would let the
+//! request crash any number of runners before.
 //!
 //! All processes must reach the same view, whichever way and in whichever order they get the
 //! reports. A report therefore contains the whole state of a request, and processing one is a
@@ -32,7 +37,7 @@
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hash};
 use std::time::Duration;
-use suspect::{ExitTimes, MAX_CRASHES, Moment, Span, Suspect};
+use suspect::{ExitTimes, MAX_CRASHES, Moment, Span, Suspect, Trial};
 
 /// Number of runners that a request may crash before it is quarantined.
 pub const CRASH_THRESHOLD: u32 = 3;
@@ -304,20 +309,22 @@
     #[must_use]
     pub fn admission(&self, content: ContentId, order: u32, now: Duration) -> Admission {
         let now = now + EPOCH_OFFSET;
-        let suspect = self.suspects.get(&content);
-        let held = suspect.filter(|suspect| suspect.is_held(&self.exits));
-        let crashes = suspect.map_or(0, |suspect| suspect.count(&self.exits));
+        let held = self.suspects.get(&content);
+        let held = held.filter(|suspect| suspect.is_held(&self.exits));
         let exposure = self.silences.count(content, now);
-        if crashes + exposure < CRASH_THRESHOLD {
+        if held.is_none() && self.crashes(content) + exposure < CRASH_THRESHOLD {
             return Admission::Free;
         }
         let due = held.map(|held| held.due(&self.exits) + TRIAL_STAGGER.saturating_mul(order));
         let resolved = self.silences.until(content, now);
-        let due = due.max(resolved).unwrap_or_default();
-        match (due.saturating_sub(now), held) {
-            (Duration::ZERO, Some(_)) => Admission::Trial,
+        let remaining = due.max(resolved).unwrap_or_default().saturating_sub(now);
+        let is_unconfirmed = held.is_some_and(|held| held.is_unconfirmed(&self.exits));
+        match (remaining, held) {
             (Duration::ZERO, None) => Admission::Free,
-            (left, _) => Admission::Held(left),
+            (Duration::ZERO, Some(_)) if is_unconfirmed => Admission::Turn,
+            (Duration::ZERO, Some(_)) => Admission::Trial,
+            (remaining, _) if is_unconfirmed => Admission::Deferred(remaining),
+            (remaining, _) => Admission::Held(remaining),
         }
     }
 
@@ -380,11 +387,21 @@
             let has_crashed = suspect.last_crash(exits) >= suspect.tried;
             suspect.trials += u32::from(has_crashed);
             suspect.tried = Some(now);
+            suspect.last_trial = Trial::Local;
             true
         });
         self.report(content, now)
     }
 
+    /// Records that an attempt of this process has reached no runner. If it was a trial, the process
+    /// may make another one at once.
+    pub fn attempt_not_run(&mut self, content: ContentId) {
+        let suspect = self.suspects.get_mut(&content);
+        if let Some(suspect) = suspect.filter(|suspect| suspect.last_trial == Trial::Local) {
+            suspect.last_trial = Trial::NotRun;
+        }
+    }
+
     /// Records that a quarantined request was requested.
     pub fn touch(&mut self, content: ContentId, now: Duration) {
         if let Some(suspect) = self.suspects.get_mut(&content) {
--- a/crates/protocol/src/quarantine/report.rs
+++ b/crates/protocol/src/quarantine/report.rs
@@ -36,7 +36,7 @@
     pub content: ContentId,
     /// Runners that crashed under it.
     pub crashes: Vec<Crash<R>>,
-    /// Number of its crashes that count at the sender.
+    /// Number of its crashes at the sender, including those right after another one.
     pub count: u32,
     /// Number of its trials, excluding those that crashed no runner.
     pub trials: u32,
@@ -63,7 +63,7 @@
         }
     }
 
-    /// Whether the request is quarantined.
+    /// Whether the request is sent only as a trial.
     #[must_use]
     pub fn is_held(&self) -> bool {
         self.count >= CRASH_THRESHOLD
@@ -75,6 +75,11 @@
 pub enum Admission {
     /// The request is not quarantined.
     Free,
+    /// The crashes of the request may be a coincidence, and this process may try it.
+    Turn,
+    /// The crashes of the request may be a coincidence, and another attempt shows within this time
+    /// whether they are.
+    Deferred(Duration),
     /// The request is quarantined for at least this time.
     Held(Duration),
     /// The hold has expired, and this process may try the request.
--- a/crates/protocol/src/quarantine/suspect.rs
+++ b/crates/protocol/src/quarantine/suspect.rs
@@ -10,13 +10,13 @@
 /// Minimum time between two crashes for both to count. Many runners may exit at once, such as a
 /// whole failure domain, and all may have had the same popular request.
 const MIN_SPACING: Duration = Duration::from_millis(250);
-/// Duration of the first hold, and the factor by which each trial that crashes a runner extends it.
+/// Duration of the first hold, and the factor by which each further crash extends it.
 /// If few runners serve popular requests, a request that crashes all of them makes the other
 /// requests suspects. Those must be admitted again soon, while an actual poison request must crash
 /// few more runners.
 const INITIAL_HOLD: Duration = Duration::from_secs(5);
 const HOLD_GROWTH: u32 = 4;
-/// Maximum number of trials that extend the hold.
+/// Maximum number of crashes that extend the hold.
 const MAX_GROWTHS: u32 = 5;
 /// Time after which a trial is repeated that has neither been answered nor crashed a runner.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -57,6 +57,17 @@
 /// Exit times of runners, taken from the first response that was lost there.
 pub(super) type ExitTimes<R> = HashMap<R, Moment, RandomState>;
 
+/// What is known of the last trial of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Trial {
+    /// Another process made it.
+    Remote,
+    /// This process made it.
+    Local,
+    /// This process made it, and it reached no runner.
+    NotRun,
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct Suspect<R> {
     /// Runners that the request may have crashed, in the order of their exits.
@@ -64,6 +75,7 @@
     pub(super) restored: Option<Restored>,
     pub(super) trials: u32,
     pub(super) tried: Option<Moment>,
+    pub(super) last_trial: Trial,
     pub(super) cleared: Option<Moment>,
     /// When the request was last requested or reported.
     pub(super) used: Moment,
@@ -76,6 +88,7 @@
             restored: None,
             trials: 0,
             tried: None,
+            last_trial: Trial::Remote,
             cleared: None,
             used: now,
         }
@@ -137,6 +150,7 @@
             return false;
         }
         self.trials = self.trials.max(trials);
+        self.last_trial = Trial::Remote;
         self.tried = Some(self.tried.map_or(at, |tried| tried.max(at)));
         true
     }
@@ -167,32 +181,58 @@
         self.crashes.iter().filter(was_there)
     }
 
-    /// Number of crashes that count, excluding those right after another one. If the runner had
-    /// only suspects to work on, one of them caused the crash, so it counts however soon it
-    /// follows.
-    pub(super) fn count(&self, exits: &ExitTimes<R>) -> u32 {
+    /// The crashes that count, excluding those right after another one. If the runner had only
+    /// suspects to work on, one of them caused the crash, so it counts however soon it follows.
+    fn distinct(&self, exits: &ExitTimes<R>) -> impl Iterator<Item = &CrashRecord<R>> {
         let mut last: Option<Moment> = None;
-        let mut count = 0;
-        for crash in self.counted(exits) {
+        self.counted(exits).filter(move |crash| {
             let lost = crash.span.lost;
-            if crash.isolated || last.is_none_or(|last| last + MIN_SPACING <= lost) {
+            let is_distinct = crash.isolated || last.is_none_or(|last| last + MIN_SPACING <= lost);
+            if is_distinct {
                 last = Some(lost);
-                count += 1;
             }
-        }
-        self.restored
-            .map_or(count, |restored| restored.count.max(count))
+            is_distinct
+        })
+    }
+
+    /// Number of crashes that count, excluding those right after another one.
+    pub(super) fn count(&self, exits: &ExitTimes<R>) -> u32 {
+        self.at_least_restored(self.distinct(exits).count())
     }
 
     /// Number of crashes that count, including those right after another one.
     pub(super) fn all(&self, exits: &ExitTimes<R>) -> u32 {
-        let all = u32::try_from(self.counted(exits).count()).unwrap_or(u32::MAX);
+        self.at_least_restored(self.counted(exits).count())
+    }
+
+    fn at_least_restored(&self, count: usize) -> u32 {
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
         self.restored
-            .map_or(all, |restored| restored.count.max(all))
+            .map_or(count, |restored| restored.count.max(count))
+    }
+
+    /// Number of distinct crashes after the one that reached the threshold.
+    fn later(&self, exits: &ExitTimes<R>) -> usize {
+        let third = self.counted(exits).nth(CRASH_THRESHOLD as usize - 1);
+        let third = third.map(|crash| crash.span.lost);
+        let restored = self.restored.map(|restored| restored.at);
+        let Some(threshold) = third.into_iter().chain(restored).min() else {
+            return 0;
+        };
+        let distinct = self.distinct(exits);
+        distinct.filter(|crash| crash.span.lost > threshold).count()
     }
 
+    /// Whether the request is sent only as a trial: it has crashed so many runners, whether or not
+    /// they crashed right after one another.
     pub(super) fn is_held(&self, exits: &ExitTimes<R>) -> bool {
-        self.count(exits) >= CRASH_THRESHOLD
+        self.all(exits) >= CRASH_THRESHOLD
+    }
+
+    /// Whether the crashes may be a coincidence, so that a trial is due at once: too few of them are
+    /// distinct, and no trial has failed yet.
+    pub(super) fn is_unconfirmed(&self, exits: &ExitTimes<R>) -> bool {
+        self.count(exits) < CRASH_THRESHOLD && self.later(exits) == 0
     }
 
     /// Whether any crash counts against the request.
@@ -204,10 +244,17 @@
     pub(super) fn due(&self, exits: &ExitTimes<R>) -> Moment {
         let restored = self.restored.map(|restored| restored.at);
         let last = self.last_crash(exits).max(restored).unwrap_or_default();
-        let hold = INITIAL_HOLD * HOLD_GROWTH.pow(self.trials.min(MAX_GROWTHS));
+        let growths = u32::try_from(self.later(exits)).unwrap_or(MAX_GROWTHS);
+        let hold = match self.is_unconfirmed(exits) {
+            // A crash of the trial is distinct from those before it.
+            true => MIN_SPACING,
+            false => INITIAL_HOLD * HOLD_GROWTH.pow(growths.min(MAX_GROWTHS)),
+        };
         match self.tried {
             // The trial has crashed no runner so far; any other outcome shows nothing.
-            Some(tried) if tried > last => tried + TRIAL_TIMEOUT,
+            Some(tried) if tried > last && self.last_trial != Trial::NotRun => {
+                tried + TRIAL_TIMEOUT
+            }
             _ => last + hold,
         }
     }
@@ -232,7 +279,7 @@
         Report {
             content,
             crashes: self.crashes.iter().map(crash).collect(),
-            count: self.count(exits),
+            count: self.all(exits),
             trials: self.trials,
             tried: self.tried.map(ago),
             cleared: self.cleared.map(ago),
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -125,23 +125,17 @@
         if remaining < MIN_CALL_TIME || !may_send(job, progress) {
             return Err(());
         }
-        let Some(mut runner) = pick_runner(job, &progress.tried, remaining) else {
+        let Some(runner) = pick_runner(job, &progress.tried, remaining) else {
             return Err(());
         };
         if let Err(refusal) = quarantine::admit_attempt(job).await {
             progress.quarantined = Some(refusal);
             return Err(());
         }
-        // The wait above may have taken seconds.
-        if !job.relay.is_open(&runner) {
-            let Some(other) = pick_runner(job, &progress.tried, job.remaining()) else {
-                return Err(());
-            };
-            runner = other;
-        }
-        if !progress.tried.is_empty() && !progress.try_retry(job) {
+        let Some(runner) = recheck_runner(job, runner, progress) else {
+            job.relay.record_not_run(job.content);
             return Err(());
-        }
+        };
         job.relay.record_send_time(&runner);
         progress.tried.push(runner.id.clone());
         let call = build_call(job, inputs, remaining, resume_after);
@@ -173,11 +167,32 @@
                 progress.executions += 1;
                 return Ok((in_flight, reply));
             }
-            Err(failure) => handle_failure(in_flight, failure, progress).await,
+            Err(failure) => {
+                if matches!(failure, Failure::NotRun { .. }) {
+                    job.relay.record_not_run(job.content);
+                }
+                handle_failure(in_flight, failure, progress).await;
+            }
         }
     }
 }
 
+/// The runner that an admitted attempt is sent to: the one that was picked before admission, which may have
+/// taken seconds, unless it takes no more work. `None` if there is no other, or if the attempt is a retry
+/// beyond the budget.
+fn recheck_runner<D: Downstream>(
+    job: &Job<D>,
+    picked: Arc<Runner>,
+    progress: &mut Progress,
+) -> Option<Arc<Runner>> {
+    let runner = match job.relay.is_open(&picked) {
+        true => picked,
+        false => pick_runner(job, &progress.tried, job.remaining())?,
+    };
+    let may_send = progress.tried.is_empty() || progress.try_retry(job);
+    may_send.then_some(runner)
+}
+
 /// Like [`send`], but recomputes the inputs once if they no longer exist. A runner that stores them
 /// may have crashed, or may have been told to drop them before they were fetched.
 ///
--- a/crates/relay/src/batch/suspect.rs
+++ b/crates/relay/src/batch/suspect.rs
@@ -89,7 +89,8 @@
         relay.suspects(|known| {
             let status = |content: ContentId, trial: bool| {
                 let risk = known.risk(content, now);
-                let is_quarantined = known.admission(content, 0, now) != Admission::Free;
+                let admission = known.admission(content, 0, now);
+                let is_quarantined = matches!(admission, Admission::Held(_) | Admission::Trial);
                 match risk {
                     _ if is_quarantined && !trial => ContentStatus::Quarantined,
                     0 => ContentStatus::Clear,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -86,14 +86,19 @@
         }
     }
 
+    /// Records that an attempt of a request has reached no runner.
+    pub(crate) fn record_not_run(&self, content: ContentId) {
+        lock(&self.quarantine.known).attempt_not_run(content);
+    }
+
     /// Records that a runner has exited without announcing it.
     pub(crate) fn record_exit(&self, runner: &Runner) {
         let now = self.now();
         let reports = lock(&self.quarantine.known).runner_exited(&instance(runner), now);
         for report in reports {
             info!(self.log, "runner exited during a request"; "runner" => &*runner.id,
-                "content" => content_name(report.content), "crashes" => report.count,
-                "exits" => self.suspects(|known| known.crashes(report.content)));
+                "content" => content_name(report.content), "exits" => report.count,
+                "crashes" => self.suspects(|known| known.distinct_crashes(report.content)));
             self.announce(&report);
             if report.is_held() {
                 self.quarantine.schedule_write(report.content);
@@ -171,13 +176,16 @@
         let Merge::New { was_held, is_held } = merged else {
             return;
         };
-        let (report, exits) = {
+        let (report, distinct) = {
             let known = lock(&self.quarantine.known);
-            (known.report(content, self.now()), known.crashes(content))
+            (
+                known.report(content, self.now()),
+                known.distinct_crashes(content),
+            )
         };
         let Some(report) = report else { return };
-        info!(self.log, "suspect"; "content" => content_name(content), "crashes" => report.count,
-            "exits" => exits, "trials" => report.trials, "cleared_ago_ms" => report.cleared.map(millis),
+        info!(self.log, "suspect"; "content" => content_name(content), "crashes" => distinct,
+            "exits" => report.count, "trials" => report.trials, "cleared_ago_ms" => report.cleared.map(millis),
             "silent" => report.silences.len(), "was_held" => was_held, "held" => is_held,
             "from" => origin);
         if must_announce(&report) {
--- a/crates/relay/src/quarantine/admission.rs
+++ b/crates/relay/src/quarantine/admission.rs
@@ -6,14 +6,14 @@
 use crate::request::{ContentId, Refusal};
 use crate::serve::{Job, content_name};
 use crate::telemetry::millis;
-use protocol::quarantine::{ANNOUNCE_THRESHOLD, Admission};
+use protocol::quarantine::{ANNOUNCE_THRESHOLD, Admission, Availability};
 use setting::Policy;
 use slog::info;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// Interval at which a suspect request checks whether enough runners are up.
-const RUNNERS_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which a suspect request checks whether it may be sent.
+const ADMISSION_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Retry delay given to clients while runners are down: about the time that a runner takes to start.
 const RUNNER_START_TIME: Duration = Duration::from_secs(1);
 /// Rank, in the order in which processes may try a content, of requests in which several contents are due:
@@ -55,7 +55,8 @@
 pub(crate) fn begin_stage<D: Downstream>(job: &Job<D>, stage: usize) -> Result<bool, StageError> {
     let content = job.stage_content(stage);
     match job.relay.admission(content, 0) {
-        Admission::Free => Ok(false),
+        // Suspect pieces are isolated, so that the same ones run on one runner at a time.
+        Admission::Free | Admission::Turn | Admission::Deferred(_) => Ok(false),
         Admission::Held(_) => Err(StageError::Poison),
         Admission::Trial => {
             begin_trial(job, content);
@@ -81,58 +82,87 @@
     }
 }
 
-/// Delays a suspect request until enough runners of its service are up to risk one of them.
+/// Delays a suspect request until it may be sent to a runner.
 ///
 /// Each attempt may crash another runner. Without the delay, a single request can crash all runners of a
-/// small service, which then serves nobody until one has restarted.
+/// small service, which then serves nobody until one has restarted. If the crashes of the request may be a
+/// coincidence, one attempt at a time shows whether they are, and the others wait for its outcome.
 ///
 /// # Errors
 ///
-/// [`Refusal::Poison`] if too few runners are up for half of the client's remaining time.
-async fn await_runners<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
+/// [`Refusal::Poison`] if the request is quarantined meanwhile, or if it may not be sent for half of the
+/// client's remaining time.
+async fn await_admission<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
     let since = Instant::now();
     let max_wait = job.remaining() / 2;
     loop {
-        let availability = job.relay.availability(&job.service);
-        let (may_run, risk, distinct, in_progress) = {
-            let known = lock(&job.relay.quarantine.known);
-            let now = job.relay.now();
-            let risk = match known.risk(job.content, now) {
-                // A single response was lost or is late, and its runner may still be running.
-                risk if risk < ANNOUNCE_THRESHOLD && known.crashes(job.content) == 0 => 0,
-                risk => risk,
-            };
-            let may_spread = known.may_spread(job.content, now);
-            let may_run = may_spread && availability.allows_attempt(risk);
-            let in_progress = known.attempts_in_progress(job.content);
-            (
-                may_run,
-                risk,
-                known.distinct_crashes(job.content),
-                in_progress,
-            )
-        };
+        let admission = job.relay.admission(job.content, 0);
+        let attempt = SuspectAttempt::new(job);
         let waited = since.elapsed();
-        let outcome = match (may_run, waited >= max_wait) {
-            (true, _) if risk == 0 && waited < RUNNERS_POLL_INTERVAL => return Ok(()),
-            (true, _) => "sent",
-            (false, true) => "given up",
-            (false, false) => {
-                sleep(RUNNERS_POLL_INTERVAL).await;
+        let (outcome, result) = match (admission, waited >= max_wait) {
+            (Admission::Held(retry_after), _) => ("held", Err(Refusal::Poison { retry_after })),
+            (Admission::Deferred(retry_after), true) => {
+                ("given up", Err(Refusal::Poison { retry_after }))
+            }
+            (Admission::Free | Admission::Turn | Admission::Trial, _) if attempt.may_run => {
+                ("sent", Ok(()))
+            }
+            (_, true) => {
+                let retry_after = RUNNER_START_TIME;
+                ("given up", Err(Refusal::Poison { retry_after }))
+            }
+            (_, false) => {
+                sleep(ADMISSION_POLL_INTERVAL).await;
                 continue;
             }
         };
+        if attempt.risk > 0 || waited >= ADMISSION_POLL_INTERVAL {
+            attempt.log(job, waited, outcome);
+        }
+        return result;
+    }
+}
+
+/// What decides on an attempt to send a request under which runners may have crashed.
+struct SuspectAttempt {
+    /// Number of runners that have crashed, or may have.
+    risk: u32,
+    /// Number of crashes that were not right after another one.
+    distinct_crashes: u32,
+    /// Number of runners at which this process has the request in progress.
+    in_progress: usize,
+    availability: Availability,
+    /// Whether enough runners of the service are up to risk one of them.
+    may_run: bool,
+}
+
+impl SuspectAttempt {
+    fn new<D: Downstream>(job: &Job<D>) -> Self {
+        let availability = job.relay.availability(&job.service);
+        let now = job.relay.now();
+        let known = lock(&job.relay.quarantine.known);
+        let risk = match known.risk(job.content, now) {
+            // A single response was lost or is late, and its runner may still be running.
+            risk if risk < ANNOUNCE_THRESHOLD && known.crashes(job.content) == 0 => 0,
+            risk => risk,
+        };
+        let may_spread = known.may_spread(job.content, now);
+        Self {
+            risk,
+            distinct_crashes: known.distinct_crashes(job.content),
+            in_progress: known.attempts_in_progress(job.content),
+            availability,
+            may_run: may_spread && availability.allows_attempt(risk),
+        }
+    }
+
+    fn log<D: Downstream>(&self, job: &Job<D>, waited: Duration, outcome: &str) {
         info!(job.relay.log, "attempt of a suspect"; "request" => &*job.request.id,
-            "content" => content_name(job.content), "crashes" => distinct, "risk" => risk,
-            "in_progress" => in_progress, "up" => availability.up, "down" => availability.down,
+            "content" => content_name(job.content), "crashes" => self.distinct_crashes,
+            "risk" => self.risk, "in_progress" => self.in_progress, "up" => self.availability.up,
+            "down" => self.availability.down,
             "runners_age_ms" => job.relay.runner_list_age().map(millis),
             "waited_ms" => millis(waited), "outcome" => outcome);
-        return match may_run {
-            true => Ok(()),
-            false => Err(Refusal::Poison {
-                retry_after: RUNNER_START_TIME,
-            }),
-        };
     }
 }
 
@@ -143,11 +173,11 @@
 ///
 /// # Errors
 ///
-/// [`Refusal::Poison`] if the request or a shared part of its prompt is quarantined, or if too few runners
-/// are up to risk one.
+/// [`Refusal::Poison`] if the request or a shared part of its prompt is quarantined, or if the request may
+/// not be sent in time.
 pub(crate) async fn admit_attempt<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
     if job.relay.options.policy.suspects == Policy::Shipped {
-        await_runners(job).await?;
+        await_admission(job).await?;
     }
     for content in due_trials(job)? {
         begin_trial(job, content);
@@ -170,8 +200,12 @@
         let mut due = Vec::new();
         for (content, admission) in admissions {
             match admission {
-                Admission::Free => {}
-                Admission::Trial => due.push(content),
+                // The crashes of a part are those of different requests, so that a coincidence of some
+                // of them does not defer all that share the part.
+                Admission::Turn | Admission::Deferred(_) if content != job.content => {}
+                // Waited for by now, unless the request has not come to its runner yet.
+                Admission::Free | Admission::Deferred(_) => {}
+                Admission::Turn | Admission::Trial => due.push(content),
                 Admission::Held(retry_after) => return Err(Refusal::Poison { retry_after }),
             }
         }
