A call that runs out of time does not show when its runner exits

Only a runner that is silent since the call was sent may have exited under it, and that was recorded before, as provisional.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -149,8 +149,8 @@
         let response = release_inputs_when_fetched(response, inputs);
         let response = record_silence(&in_flight, response);
         let result = timeout_at(job.deadline, response).await;
+        let is_timed_out = result.is_err();
         let result = result.unwrap_or_else(|_| {
-            in_flight.record_overdue();
             let reason = "no answer before the deadline".to_owned();
             Err(Failure::Lost { reason })
         });
@@ -167,6 +167,11 @@
                 progress.executions += 1;
                 return Ok((in_flight, reply));
             }
+            Err(failure) if is_timed_out => {
+                progress.executions += 1;
+                progress.last_failure = Some(failure);
+                in_flight.timed_out().await;
+            }
             Err(failure) => {
                 if matches!(failure, Failure::NotRun { .. }) {
                     job.relay.record_not_run(job.content);
@@ -395,9 +400,7 @@
     let (status, headers) = (reply.status, reply.headers);
     let body = job.relay.answers.collect(reply.body);
     let body = timeout_at(job.deadline, body).await;
-    if body.is_err() {
-        in_flight.record_overdue();
-    }
+    let is_timed_out = body.is_err();
     let failure = match body {
         // The client would take the status as a guarantee that the request has not run.
         Ok(Ok(_)) if !job.route.repeatable() && promises_not_run(status) => {
@@ -422,8 +425,11 @@
     };
     info!(job.relay.log, "response rejected"; "request" => &*job.request.id,
         "runner" => &*in_flight.runner.id, "status" => status, "reason" => &failure);
-    in_flight.lost().await;
     progress.last_failure = Some(Failure::Lost { reason: failure });
+    match is_timed_out {
+        true => in_flight.timed_out().await,
+        false => in_flight.lost().await,
+    }
     None
 }
 
--- a/crates/relay/src/attempt/in_flight.rs
+++ b/crates/relay/src/attempt/in_flight.rs
@@ -188,6 +188,14 @@
         self.failed();
     }
 
+    /// Notes that the call was given up because its time was over. That does not show when the runner
+    /// exits, should it do so: only a runner that has been silent may have exited under the call.
+    pub async fn timed_out(self) {
+        self.record_overdue();
+        outage::probe_briefly(&self.relay, &self.runner).await;
+        self.failed();
+    }
+
     /// Notes that the call has not run, which does not count against the runner.
     pub(super) fn not_run(mut self) {
         self.last_activity = Instant::now();
