Quarantine: one relay grants the trials of a request

When a trial was due for longer than the stagger between relays, for instance since attempts waited for runners, each relay took it for its turn: the return of one runner released a trial at every relay with an attempt, before any of them had heard of another. The number of runners crashed at once grew with the number of relays.

A relay now claims a trial from the one that owns the request's row by rendezvous, and sends the attempt only if it is granted. The claim carries what the claimant knows, the reply what the owner knows. An owner that cannot be reached is suspected as for orders, and the next one is asked; until a claim is answered no trial is made. A granted trial that reached no runner is claimed again at once.

one_at_return failed before (two runners crashed) and passes.

--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -41,8 +41,7 @@
 
 /// Number of runners that a request may crash before it is quarantined.
 pub const CRASH_THRESHOLD: u32 = 3;
-/// Delay between successive processes that may try a due request. It is long enough for all
-/// processes to learn of a trial, unless they are partitioned.
+/// Delay of a trial for each place in the order of trials.
 pub const TRIAL_STAGGER: Duration = Duration::from_millis(500);
 /// Number of runners that must be unresponsive under a request before all processes are notified of
 /// it. A single one may be slow, or unresponsive for another reason.
@@ -303,9 +302,8 @@
         }
     }
 
-    /// Whether a request may be sent to a runner now. `order` is the rank of this process among
-    /// those that may try it: the first one tries it as soon as it is due, and each next one only
-    /// if, as far as it knows, none before it has done so.
+    /// Whether a request may be sent to a runner now. A trial must be granted by the process that
+    /// grants the trials of the request. `order` delays trials: those that show less come later.
     #[must_use]
     pub fn admission(&self, content: ContentId, order: u32, now: Duration) -> Admission {
         let now = now + EPOCH_OFFSET;
@@ -379,6 +377,36 @@
         suspect.is_some_and(|suspect| suspect.is_held(&self.exits))
     }
 
+    /// Grants a trial of a request if one is due, and returns the report to send to other processes.
+    /// The trial is recorded, so that the next one is due only once its outcome is known or overdue.
+    pub fn grant_trial(
+        &mut self,
+        content: ContentId,
+        order: u32,
+        now: Duration,
+    ) -> Option<Report<R>> {
+        match self.admission(content, order, now) {
+            Admission::Turn | Admission::Trial => self.begin_trial(content, now),
+            Admission::Free | Admission::Deferred(_) | Admission::Held(_) => None,
+        }
+    }
+
+    /// Merges the report of a trial that another process has granted to this one.
+    pub fn trial_granted(&mut self, report: &Report<R>, now: Duration) -> Merge {
+        let merged = self.merge(report, now);
+        if let Some(suspect) = self.suspects.get_mut(&report.content) {
+            suspect.last_trial = Trial::Local;
+        }
+        merged
+    }
+
+    /// Whether the last trial was granted to this process and has reached no runner.
+    #[must_use]
+    pub fn is_trial_unused(&self, content: ContentId) -> bool {
+        let suspect = self.suspects.get(&content);
+        suspect.is_some_and(|suspect| suspect.last_trial == Trial::NotRun)
+    }
+
     /// Records that a due request is sent to a runner as a trial; unless the runner answers, the
     /// next trial comes later. Returns the report to send to other processes.
     pub fn begin_trial(&mut self, content: ContentId, now: Duration) -> Option<Report<R>> {
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -218,7 +218,7 @@
             .relay
             .cell(&spec.service, domain.as_deref(), max_domain_wait),
     };
-    let trial = match quarantine::begin_stage(job, stage) {
+    let trial = match quarantine::begin_stage(job, stage).await {
         Ok(trial) => trial,
         Err(error) => return (stage, cell, Err(error)),
     };
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -10,6 +10,7 @@
 mod serving;
 pub(crate) mod tables;
 mod transfer;
+mod trials;
 
 pub use call_loads::{CallLoadTable, CallLoads, exchange_call_loads};
 pub(crate) use credits::RemoteCredit;
@@ -28,7 +29,7 @@
 use crate::flow::Verdict;
 use crate::limit::LimitNotice;
 use crate::member::{Member, MemberId, Members};
-use crate::quarantine::Suspicion;
+use crate::quarantine::{Suspicion, TrialReply};
 use decide::Map;
 use held::HeldResults;
 use results::DirectReleases;
@@ -106,12 +107,14 @@
     credits: Map<u64, mpsc::UnboundedSender<Verdict>>,
     /// Requests for updates of a table.
     updates: Map<u64, oneshot::Sender<Option<TableUpdate>>>,
+    /// Claims of trials.
+    claims: Map<u64, oneshot::Sender<TrialReply>>,
 }
 
 impl Pending {
     /// Whether the other end has to respond or report within the time-out of the link.
     fn expects_frames(&self) -> bool {
-        !self.orders.is_empty() || !self.credits.is_empty()
+        !self.orders.is_empty() || !self.credits.is_empty() || !self.claims.is_empty()
     }
 
     /// Starts the time-out of the link if nothing was pending before.
@@ -343,6 +346,7 @@
             orders: Map::default(),
             credits: Map::default(),
             updates: Map::default(),
+            claims: Map::default(),
         };
         Self {
             member: member.id.clone(),
--- a/crates/relay/src/peer/frame.rs
+++ b/crates/relay/src/peer/frame.rs
@@ -12,7 +12,7 @@
 use crate::limit::LimitNotice;
 use crate::member::MemberId;
 use crate::outage;
-use crate::quarantine::Suspicion;
+use crate::quarantine::{Suspicion, TrialClaim, TrialReply};
 use crate::request::{ContentId, RequestId};
 use crate::runner::DomainId;
 use serde::{Deserialize, Serialize};
@@ -34,7 +34,7 @@
 const TABLE_READ_GRACE: Duration = Duration::from_millis(400);
 
 /// Origin of what a peer sent, for logs.
-const PEER: &str = "peer";
+pub(super) const PEER: &str = "peer";
 
 /// A message between two processes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -175,6 +175,20 @@
         /// How its request has ended.
         outcome: flow::Outcome,
     },
+    /// Claims a trial of a suspect request.
+    AskTrial {
+        /// Id of the claim on this link.
+        ticket: u64,
+        /// The claim.
+        claim: Box<TrialClaim>,
+    },
+    /// Replies to the claim of a trial.
+    Trial {
+        /// The claim.
+        ticket: u64,
+        /// The reply.
+        reply: Box<TrialReply>,
+    },
 }
 
 /// An order as it is sent to another process. Since the clocks of processes differ, its times are
@@ -310,6 +324,7 @@
                 }
             }
             Frame::Credit { ticket, verdict } => link.receive_verdict(ticket, verdict),
+            Frame::Trial { ticket, reply } => link.receive_reply(ticket, *reply),
             Frame::Load {
                 cell,
                 waits: estimates,
@@ -333,6 +348,7 @@
     pending.orders.clear();
     pending.credits.clear();
     pending.updates.clear();
+    pending.claims.clear();
 }
 
 impl PeerLink {
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -130,6 +130,11 @@
                     tables::send_update(relay.clone(), sender.clone(), ticket, table, after);
                 tokio::spawn(reply);
             }
+            Frame::AskTrial { ticket, claim } => {
+                let reply = Box::new(relay.receive_claim(&claim, frame::PEER));
+                // If the reply is lost, the trial counts as made.
+                let _ = sender.try_send(&Frame::Trial { ticket, reply });
+            }
             Frame::Held { cell, results } => relay.batcher(&cell).record_results(relay, &results),
             Frame::Release {
                 results,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -5,9 +5,11 @@
 
 mod admission;
 mod silence;
+mod trial;
 
 pub(crate) use admission::{admit, admit_attempt, begin_stage, retry_after};
 pub(crate) use silence::SILENCE_TIMEOUT;
+pub use trial::{TrialClaim, TrialReply};
 
 use crate::core::{Relay, lock};
 use crate::downstream::Downstream;
@@ -199,7 +201,7 @@
         {
             self.check_silent(&report);
         }
-        if was_held != is_held && self.trial_order(content) == 0 {
+        if was_held != is_held && self.row_rank(content) == 0 {
             self.quarantine.schedule_write(content);
         }
     }
@@ -231,22 +233,16 @@
         lock(&self.quarantine.known).is_held(content)
     }
 
-    /// Position of this process in the order in which processes may retry a quarantined request.
-    fn trial_order(&self, content: ContentId) -> u32 {
+    /// Position of this process in the order in which processes write the row of a quarantined request.
+    fn row_rank(&self, content: ContentId) -> u32 {
         let row = key(content);
         self.peers.members(|members| members.takeover_rank(&row))
     }
 
-    /// Whether a content may be sent to a runner now. `rank` is added to the position of this process.
-    fn admission(&self, content: ContentId, rank: u32) -> Admission {
-        let now = self.now();
-        // The position is computed only if the request is quarantined.
-        let admission = lock(&self.quarantine.known).admission(content, 0, now);
-        if admission == Admission::Free {
-            return admission;
-        }
-        let order = self.trial_order(content).saturating_add(rank);
-        lock(&self.quarantine.known).admission(content, order, now)
+    /// Whether a content may be sent to a runner now, or tried by a request at this place in the order of
+    /// trials.
+    fn admission(&self, content: ContentId, order: u32) -> Admission {
+        lock(&self.quarantine.known).admission(content, order, self.now())
     }
 }
 
@@ -289,7 +285,7 @@
     let expired = lock(&relay.quarantine.known).forget_old(relay.now());
     for content in expired {
         info!(relay.log, "quarantined request expired"; "content" => content_name(content));
-        if relay.trial_order(content) == 0 {
+        if relay.row_rank(content) == 0 {
             relay.quarantine.schedule_write(content);
         }
     }
@@ -300,7 +296,7 @@
 pub(crate) fn rewrite_rows<D: Downstream>(relay: &Relay<D>) {
     let suspicions = relay.suspicions().into_iter();
     let quarantined = suspicions.filter(Report::is_held);
-    for suspicion in quarantined.filter(|suspicion| relay.trial_order(suspicion.content) == 0) {
+    for suspicion in quarantined.filter(|suspicion| relay.row_rank(suspicion.content) == 0) {
         relay.quarantine.schedule_write(suspicion.content);
     }
 }
--- a/crates/relay/src/quarantine/admission.rs
+++ b/crates/relay/src/quarantine/admission.rs
@@ -1,5 +1,6 @@
 //! Decides whether a request that may be quarantined is sent to a runner, and when.
 
+use super::trial;
 use crate::batch::StageError;
 use crate::core::lock;
 use crate::downstream::Downstream;
@@ -16,8 +17,10 @@
 const ADMISSION_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Retry delay given to clients while runners are down: about the time that a runner takes to start.
 const RUNNER_START_TIME: Duration = Duration::from_secs(1);
-/// Rank, in the order in which processes may try a content, of requests in which several contents are due:
-/// other requests get as many turns to clear one of them.
+/// Divisor of the client's remaining time that gives how long a suspect request waits to be sent.
+const MAX_WAIT_DIVISOR: u32 = 2;
+/// Place in the order of trials of requests in which several contents are due: other requests come first and
+/// may clear one of them.
 const JOINT_TRIAL_RANK: u32 = 10;
 
 /// Admits a request unless it is quarantined.
@@ -46,22 +49,22 @@
     Some(remaining)
 }
 
-/// Admits the pieces of a stage and returns whether they are a trial of a quarantined content. If so, the
-/// trial is recorded.
+/// Admits the pieces of a stage and returns whether they are a trial of a quarantined content.
 ///
 /// # Errors
 ///
 /// [`StageError::Poison`] if the content is quarantined.
-pub(crate) fn begin_stage<D: Downstream>(job: &Job<D>, stage: usize) -> Result<bool, StageError> {
+pub(crate) async fn begin_stage<D: Downstream>(
+    job: &Job<D>,
+    stage: usize,
+) -> Result<bool, StageError> {
     let content = job.stage_content(stage);
     match job.relay.admission(content, 0) {
         // Suspect pieces are isolated, so that the same ones run on one runner at a time.
         Admission::Free | Admission::Turn | Admission::Deferred(_) => Ok(false),
         Admission::Held(_) => Err(StageError::Poison),
-        Admission::Trial => {
-            begin_trial(job, content);
-            Ok(true)
-        }
+        Admission::Trial if trial::claim(job, content, 0).await => Ok(true),
+        Admission::Trial => Err(StageError::Poison),
     }
 }
 
@@ -73,15 +76,6 @@
     remaining.max().unwrap_or(RUNNER_START_TIME)
 }
 
-fn begin_trial<D: Downstream>(job: &Job<D>, content: ContentId) {
-    info!(job.relay.log, "quarantined request retried as a trial"; "request" => &*job.request.id,
-        "content" => content_name(content));
-    let report = lock(&job.relay.quarantine.known).begin_trial(content, job.relay.now());
-    if let Some(report) = report {
-        job.relay.announce(&report);
-    }
-}
-
 /// Delays a suspect request until it may be sent to a runner.
 ///
 /// Each attempt may crash another runner. Without the delay, a single request can crash all runners of a
@@ -90,16 +84,14 @@
 ///
 /// # Errors
 ///
-/// [`Refusal::Poison`] if the request is quarantined meanwhile, or if it may not be sent for half of the
-/// client's remaining time.
-async fn await_admission<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
+/// [`Refusal::Poison`] if the request is quarantined meanwhile, or if it may not be sent before `give_up_at`.
+async fn await_admission<D: Downstream>(job: &Job<D>, give_up_at: Instant) -> Result<(), Refusal> {
     let since = Instant::now();
-    let max_wait = job.remaining() / 2;
     loop {
         let admission = job.relay.admission(job.content, 0);
         let attempt = SuspectAttempt::new(job);
         let waited = since.elapsed();
-        let (outcome, result) = match (admission, waited >= max_wait) {
+        let (outcome, result) = match (admission, Instant::now() >= give_up_at) {
             (Admission::Held(retry_after), _) => ("held", Err(Refusal::Poison { retry_after })),
             (Admission::Deferred(retry_after), true) => {
                 ("given up", Err(Refusal::Poison { retry_after }))
@@ -176,13 +168,35 @@
 /// [`Refusal::Poison`] if the request or a shared part of its prompt is quarantined, or if the request may
 /// not be sent in time.
 pub(crate) async fn admit_attempt<D: Downstream>(job: &Job<D>) -> Result<(), Refusal> {
-    if job.relay.options.policy.suspects == Policy::Shipped {
-        await_admission(job).await?;
+    let give_up_at = Instant::now() + job.remaining() / MAX_WAIT_DIVISOR;
+    loop {
+        if job.relay.options.policy.suspects == Policy::Shipped {
+            await_admission(job, give_up_at).await?;
+        }
+        let due = due_trials(job)?;
+        if claim_trials(job, &due).await {
+            return Ok(());
+        }
+        if Instant::now() >= give_up_at {
+            return Err(Refusal::Poison {
+                retry_after: RUNNER_START_TIME,
+            });
+        }
+        sleep(ADMISSION_POLL_INTERVAL).await;
     }
-    for content in due_trials(job)? {
-        begin_trial(job, content);
+}
+
+/// Claims the trials of these contents, all or none.
+async fn claim_trials<D: Downstream>(job: &Job<D>, due: &[ContentId]) -> bool {
+    let order = if due.len() > 1 { JOINT_TRIAL_RANK } else { 0 };
+    for (position, content) in due.iter().enumerate() {
+        if !trial::claim(job, *content, order).await {
+            let granted = due[..position].iter();
+            granted.for_each(|content| job.relay.record_not_run(*content));
+            return false;
+        }
     }
-    Ok(())
+    true
 }
 
 /// The quarantined contents of a request that would be tried if it were sent to a runner now.
--- a/crates/relay/tests/trial_outcome.rs
+++ b/crates/relay/tests/trial_outcome.rs
@@ -1,14 +1,16 @@
-//! Trials of a quarantined request that crash their runner after it has failed other requests.
+//! Trials of a quarantined request: which attempts are, and whether their crashes are known.
 
 mod common;
 
-use common::Fake;
 use common::faults::{Effect, Fault, FaultSite};
+use common::pair::pair;
 use common::poison::{
     POISON, Reply, WORKSPACE, assert_refused, attempt_on, failures, relay, replies, send, serve,
 };
+use common::{Fake, runner};
 use protocol::quarantine::Crash;
 use relay::quarantine::Suspicion;
+use relay::runner::Change;
 use relay::{Relay, Request};
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,9 +37,8 @@
     attempt_on("once", &format!("{POISON}-{number}"), POISON)
 }
 
-/// A relay that knows that three runners have crashed under the poison request.
-fn relay_with_quarantine() -> Arc<Relay<Fake>> {
-    let relay = relay(0, RUNNERS);
+/// Makes a relay learn that three runners have crashed under the poison request.
+fn quarantine(relay: &Arc<Relay<Fake>>) {
     let crash = |age: u32| Crash {
         runner: (format!("x-{age}").as_str().into(), None),
         sent: CRASH_INTERVAL * age,
@@ -49,7 +50,6 @@
         ..Suspicion::new(poison(0).content(Some(WORKSPACE)))
     };
     relay.merge_suspicion(&suspicion, "test");
-    relay
 }
 
 /// Sends the other requests shortly before the trial is due, then the trial, and asserts that its crash is
@@ -73,7 +73,8 @@
 /// run out of time there: it would be repeated after seconds.
 #[tokio::test(start_paused = true)]
 async fn crashes_after_timeout() {
-    let relay = relay_with_quarantine();
+    let relay = relay(0, RUNNERS);
+    quarantine(&relay);
     relay.downstream.faults.set([
         Fault::new(POISON, FaultSite::Model, Effect::Exits),
         Fault::new(OTHER, FaultSite::Model, Effect::Stalls),
@@ -84,3 +85,33 @@
     };
     assert_trial_counts(&relay, other).await;
 }
+
+/// Guards against trials of several relays that have attempts waiting when a runner is back, long after the
+/// hold has ended for each of them.
+#[tokio::test(start_paused = true)]
+async fn one_at_return() {
+    let (one, other) = pair(0, RUNNERS).await;
+    let relays = [one.relay, other.relay];
+    let fault = Fault::new(POISON, FaultSite::Model, Effect::Exits);
+    relays[0].downstream.faults.set([fault]);
+    relays.iter().for_each(quarantine);
+    sleep(HOLD).await;
+    for relay in &relays {
+        relay.update(vec![Change::Gone("a-3".into()), Change::Gone("a-4".into())]);
+    }
+    sleep(2 * CRASH_INTERVAL).await;
+    let mut waiting = Vec::new();
+    for (number, relay) in relays.iter().enumerate() {
+        let relay = relay.clone();
+        waiting.push(tokio::spawn(
+            async move { serve(&relay, poison(number)).await },
+        ));
+    }
+    sleep(LEAD).await;
+    assert!(failures(&relays[0]).is_empty());
+    for relay in &relays {
+        relay.update(vec![Change::Listed(runner("a-5", "plain"))]);
+    }
+    replies(waiting).await;
+    assert_eq!(failures(&relays[0]).len(), 1);
+}
