Quarantine: a silence that was noted before a runner's exit is not its exit

A noted silence says when the response was missed, not when the runner exited: its crash is reported with the time at which the exit became known. silence_before_exit_is_not_the_exit failed before (0 crashes, 1 wanted).

--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -153,10 +153,12 @@
         self.silences.runner_exited(runner);
         let explained = self.losses.take_for_exit(runner, at).into_iter();
         let report = |loss: Loss<R>| {
+            // While the response might still arrive, the runner may have been running.
+            let lost = if loss.provisional { at } else { loss.span.lost };
             let crash = Crash {
                 runner: loss.runner,
                 sent: at - loss.span.sent,
-                lost: at - loss.span.lost,
+                lost: at - lost,
                 isolated: loss.isolated,
             };
             let report = Report {
--- a/crates/protocol/tests/quarantine_rules.rs
+++ b/crates/protocol/tests/quarantine_rules.rs
@@ -195,3 +195,18 @@
     quarantine.runner_exited(&1, SECOND * 2 + half);
     assert_eq!(quarantine.crashes(POISON), 1);
 }
+
+/// Guards against the same because another process has found the runner silent before and takes that for the
+/// time of its exit.
+#[test]
+fn silence_before_exit_is_not_the_exit() {
+    let (mut one, mut other) = (Quarantine::default(), Quarantine::default());
+    one.runner_unresponsive(8, &1, SECOND, SECOND * 2);
+    other.answer_lost(POISON, 1, SECOND * 3, SECOND * 4);
+    other.runner_exited(&1, SECOND * 4);
+    for report in one.runner_exited(&1, SECOND * 4) {
+        other.merge(&report, SECOND * 4);
+    }
+    assert_eq!(other.crashes(POISON), 1);
+    assert_eq!(other.crashes(8), 1);
+}
