Quarantine: the crash of a trial counts whatever its runner lost before

The time of a runner's exit is taken from the first response that was lost there, in any process. A response that was lost for another reason some time before made a trial look as if it had been sent after the exit: its crash did not count, and the trial was made again after 3 s instead of 20 s.

A trial goes only to a runner that is up, and nothing else of its content is in progress, so that its crash is not judged by other losses. crashes_after_loss failed before (checked by taking the guard out) and passes.

--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -137,11 +137,13 @@
             sent: sent + EPOCH_OFFSET,
             lost: now + EPOCH_OFFSET,
         };
+        let suspect = self.suspects.get(&content);
         self.losses.record(Loss {
             content,
             runner,
             span,
             isolated,
+            is_trial: suspect.is_some_and(|suspect| suspect.is_own_trial(span.sent)),
             provisional: false,
         });
     }
@@ -160,6 +162,7 @@
                 sent: at - loss.span.sent,
                 lost: at - lost,
                 isolated: loss.isolated,
+                is_trial: loss.is_trial,
             };
             let report = Report {
                 crashes: vec![crash],
@@ -201,7 +204,7 @@
                     sent: at(crash.sent),
                     lost: at(crash.lost),
                 };
-                new |= suspect.add(&crash.runner, span, crash.isolated);
+                new |= suspect.add(crash, span);
             }
             if let Some(ago) = report.tried {
                 new |= suspect.record_trial(report.trials, at(ago));
@@ -337,7 +340,8 @@
         let hasher = FixedState::default();
         let one = |(content, suspect): (&ContentId, &Suspect<R>)| {
             let crashes = suspect.crashes.iter();
-            let crashes = crashes.map(|crash| hasher.hash_one((&crash.runner, crash.isolated)));
+            let crashes = crashes
+                .map(|crash| hasher.hash_one((&crash.runner, crash.isolated, crash.is_trial)));
             let crashes = crashes.fold(0, u64::wrapping_add);
             let cleared = suspect.cleared.is_some();
             hasher.hash_one((content, crashes, suspect.trials, cleared))
--- a/crates/protocol/src/quarantine/exposure.rs
+++ b/crates/protocol/src/quarantine/exposure.rs
@@ -37,6 +37,7 @@
             runner: runner.clone(),
             span,
             isolated: false,
+            is_trial: false,
             provisional: true,
         });
         let (sent, now) = (sent + EPOCH_OFFSET, now + EPOCH_OFFSET);
--- a/crates/protocol/src/quarantine/loss.rs
+++ b/crates/protocol/src/quarantine/loss.rs
@@ -20,6 +20,8 @@
     pub(super) span: Span,
     /// Whether the runner had no other work than requests under which runners had crashed before.
     pub(super) isolated: bool,
+    /// Whether the request was sent as a trial.
+    pub(super) is_trial: bool,
     /// Whether the response may still arrive.
     pub(super) provisional: bool,
 }
@@ -59,7 +61,7 @@
         let exit = exit_time(&runner_losses);
         runner_losses.retain(|loss| {
             let was_there = |exit| loss.provisional || exit <= loss.span.lost;
-            exit.is_some_and(|exit| loss.span.sent <= exit && was_there(exit))
+            loss.is_trial || exit.is_some_and(|exit| loss.span.sent <= exit && was_there(exit))
         });
         runner_losses
     }
--- a/crates/protocol/src/quarantine/report.rs
+++ b/crates/protocol/src/quarantine/report.rs
@@ -16,6 +16,8 @@
     pub lost: Duration,
     /// Whether the runner had no other work than requests under which runners had crashed before.
     pub isolated: bool,
+    /// Whether the request was sent as a trial.
+    pub is_trial: bool,
 }
 
 /// A runner that has sent nothing to anyone since a request was sent there.
--- a/crates/protocol/src/quarantine/suspect.rs
+++ b/crates/protocol/src/quarantine/suspect.rs
@@ -45,6 +45,9 @@
     pub(super) span: Span,
     /// Whether the runner had no other work than requests under which runners had crashed before.
     pub(super) isolated: bool,
+    /// Whether the request was sent as a trial, which only goes to runners that are up. Such a crash
+    /// counts even if another response was lost at the runner before.
+    pub(super) is_trial: bool,
 }
 
 /// Crashes whose runners are unknown: how many count, and when they became known.
@@ -100,26 +103,33 @@
             .is_some_and(|cleared| at <= cleared + CLOCK_TOLERANCE)
     }
 
-    /// Merges a crash; returns whether it is new.
-    pub(super) fn add(&mut self, runner: &R, span: Span, isolated: bool) -> bool {
+    /// Whether an attempt that this process sent at a given time was its last trial.
+    pub(super) fn is_own_trial(&self, sent: Moment) -> bool {
+        self.last_trial == Trial::Local && self.tried.is_some_and(|tried| tried <= sent)
+    }
+
+    /// Merges a crash with its times; returns whether it is new.
+    pub(super) fn add(&mut self, crash: &Crash<R>, span: Span) -> bool {
         if self.is_void(span.lost) {
             return false;
         }
         let mut crashes = self.crashes.iter_mut();
-        if let Some(known) = crashes.find(|known| known.runner == *runner) {
+        if let Some(known) = crashes.find(|known| known.runner == crash.runner) {
             // Reported times become later with each process that passes them on. An earlier attempt
             // may be the one that crashed the runner.
             let is_earlier = span.sent + SPAN_TOLERANCE < known.span.sent;
-            let is_new = is_earlier || isolated && !known.isolated;
+            let shows_more = crash.isolated && !known.isolated || crash.is_trial && !known.is_trial;
             known.span.sent = span.sent.min(known.span.sent);
             known.span.lost = span.lost.min(known.span.lost);
-            known.isolated |= isolated;
-            return is_new;
+            known.isolated |= crash.isolated;
+            known.is_trial |= crash.is_trial;
+            return is_earlier || shows_more;
         }
         let record = CrashRecord {
-            runner: runner.clone(),
+            runner: crash.runner.clone(),
             span,
-            isolated,
+            isolated: crash.isolated,
+            is_trial: crash.is_trial,
         };
         let earlier = |known: &CrashRecord<R>| known.span.lost <= span.lost;
         let place = self.crashes.partition_point(earlier);
@@ -176,7 +186,7 @@
     fn counted(&self, exits: &ExitTimes<R>) -> impl DoubleEndedIterator<Item = &CrashRecord<R>> {
         let was_there = |crash: &&CrashRecord<R>| {
             let exit = exits.get(&crash.runner);
-            exit.is_none_or(|exit| crash.span.sent <= *exit)
+            crash.is_trial || exit.is_none_or(|exit| crash.span.sent <= *exit)
         };
         self.crashes.iter().filter(was_there)
     }
@@ -291,6 +301,7 @@
             sent: ago(crash.span.sent),
             lost: ago(crash.span.lost),
             isolated: crash.isolated,
+            is_trial: crash.is_trial,
         };
         Report {
             content,
--- a/crates/protocol/tests/quarantine_rules.rs
+++ b/crates/protocol/tests/quarantine_rules.rs
@@ -147,6 +147,7 @@
         sent: SECOND * 2,
         lost: SECOND * 2,
         isolated: false,
+        is_trial: false,
     };
     let late = Report {
         crashes: vec![crash],
--- a/crates/relay/tests/overlay_links.rs
+++ b/crates/relay/tests/overlay_links.rs
@@ -47,6 +47,7 @@
         sent: Duration::from_secs(4 - number),
         lost: Duration::from_secs(4 - number),
         isolated: false,
+        is_trial: false,
     };
     Suspicion {
         crashes: (1..=3).map(crash).collect(),
--- a/crates/relay/tests/poison_request.rs
+++ b/crates/relay/tests/poison_request.rs
@@ -233,6 +233,7 @@
         sent: RETRY_DELAY * turn,
         lost: RETRY_DELAY * turn,
         isolated: false,
+        is_trial: false,
     };
     let report = |first, runners: &[&str]| Suspicion {
         crashes: (first..).zip(runners).map(crash).collect(),
@@ -359,6 +360,7 @@
             sent: Duration::from_secs(3 - number),
             lost: Duration::from_secs(3 - number),
             isolated: false,
+            is_trial: false,
         };
         let suspicion = Suspicion {
             crashes: vec![crash],
--- a/crates/relay/tests/trial_outcome.rs
+++ b/crates/relay/tests/trial_outcome.rs
@@ -7,11 +7,11 @@
 use common::poison::{
     POISON, Reply, WORKSPACE, assert_refused, attempt_on, failures, relay, replies, send, serve,
 };
-use common::{Fake, runner};
+use common::{Behavior, Fake, runner};
 use protocol::quarantine::Crash;
 use relay::quarantine::Suspicion;
 use relay::runner::Change;
-use relay::{Relay, Request};
+use relay::{Relay, Request, Runner};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -44,6 +44,7 @@
         sent: CRASH_INTERVAL * age,
         lost: CRASH_INTERVAL * age,
         isolated: false,
+        is_trial: false,
     };
     let suspicion = Suspicion {
         crashes: (0..3).map(crash).collect(),
@@ -86,6 +87,35 @@
     assert_trial_counts(&relay, other).await;
 }
 
+/// Guards against the same after its runner has lost the response to another request and kept running.
+#[tokio::test(start_paused = true)]
+async fn crashes_after_loss() {
+    let relay = relay(0, 0);
+    quarantine(&relay);
+    let fault = Fault::new(POISON, FaultSite::Model, Effect::Exits);
+    relay.downstream.faults.set([fault]);
+    sleep(HOLD - LEAD).await;
+    *relay.downstream.behaviors.lock().expect("free") = [Behavior::Lose].into();
+    assert!(
+        !serve(&relay, attempt_on("once", OTHER, OTHER))
+            .await
+            .is_served()
+    );
+    let used = relay.downstream.sent()[0].runner.clone();
+    let unused = ["p-1", "p-2"].into_iter().find(|id| *id != used);
+    relay.update(vec![Change::Listed(Runner {
+        leaving: true,
+        ..runner(unused.expect("two"), "plain")
+    })]);
+    sleep(2 * LEAD).await;
+    serve(&relay, poison(1)).await;
+    assert_eq!(failures(&relay), [(used, poison(1).id.to_string())]);
+    let started = ["a-3", "a-4", "a-5"].map(|id| Change::Listed(runner(id, "plain")));
+    relay.update(started.into());
+    sleep(TRIAL_TIMEOUT + CRASH_INTERVAL).await;
+    assert_refused(&relay, poison(2)).await;
+}
+
 /// Guards against trials of several relays that have attempts waiting when a runner is back, long after the
 /// hold has ended for each of them.
 #[tokio::test(start_paused = true)]
