Quarantine: silent runners count beside coinciding crashes as they did before

silent_stage failed since attempts are granted from the second crash on: two runners that had crashed and a third that was silent made a request wait for its turn, where three distinct ones held it. They hold it again. And the crash of a runner that was silent keeps the time at which the silence was noted, which tells distinct crashes apart, but is no longer taken for the time of the runner's exit; reporting it with the later time made crashes coincide that had not.

--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -158,14 +158,13 @@
         self.silences.runner_exited(runner);
         let explained = self.losses.take_for_exit(runner, at).into_iter();
         let report = |loss: Loss<R>| {
-            // While the response might still arrive, the runner may have been running.
-            let lost = if loss.provisional { at } else { loss.span.lost };
             let crash = Crash {
                 runner: loss.runner,
                 sent: at - loss.span.sent,
-                lost: at - lost,
+                lost: at - loss.span.lost,
                 isolated: loss.isolated,
                 is_trial: loss.is_trial,
+                is_silence: loss.provisional,
             };
             let report = Report {
                 crashes: vec![crash],
@@ -181,7 +180,8 @@
 
     /// Merges a report of another process.
     pub fn merge(&mut self, report: &Report<R>, now: Duration) -> Merge {
-        for crash in &report.crashes {
+        let losses = report.crashes.iter().filter(|crash| !crash.is_silence);
+        for crash in losses {
             let lost = (now + EPOCH_OFFSET).saturating_sub(crash.lost);
             let exit = self.exits.entry(crash.runner.clone()).or_insert(lost);
             *exit = lost.min(*exit);
@@ -325,7 +325,10 @@
             limited.map(|suspect| suspect.due(&self.exits) + TRIAL_STAGGER.saturating_mul(order));
         let resolved = self.silences.until(content, now);
         let remaining = due.max(resolved).unwrap_or_default().saturating_sub(now);
-        let is_unconfirmed = limited.is_some_and(|suspect| suspect.is_unconfirmed(&self.exits));
+        let is_unconfirmed = limited.is_some_and(|suspect| {
+            let distinct = suspect.count(&self.exits);
+            suspect.is_unconfirmed(&self.exits) && distinct + exposure < CRASH_THRESHOLD
+        });
         match (remaining, limited) {
             (Duration::ZERO, None) => Admission::Free,
             (Duration::ZERO, Some(_)) if is_unconfirmed => Admission::Turn,
--- a/crates/protocol/src/quarantine/report.rs
+++ b/crates/protocol/src/quarantine/report.rs
@@ -18,6 +18,8 @@
     pub isolated: bool,
     /// Whether the request was sent as a trial.
     pub is_trial: bool,
+    /// Whether the response was missed because the runner was silent. It may have exited later.
+    pub is_silence: bool,
 }
 
 /// A runner that has sent nothing to anyone since a request was sent there.
--- a/crates/protocol/src/quarantine/suspect.rs
+++ b/crates/protocol/src/quarantine/suspect.rs
@@ -48,6 +48,8 @@
     /// Whether the request was sent as a trial, which only goes to runners that are up. Such a crash
     /// counts even if another response was lost at the runner before.
     pub(super) is_trial: bool,
+    /// Whether the runner was silent before it exited, at an unknown time.
+    pub(super) is_silence: bool,
 }
 
 /// Crashes whose runners are unknown: how many count, and when they became known.
@@ -123,6 +125,7 @@
             known.span.lost = span.lost.min(known.span.lost);
             known.isolated |= crash.isolated;
             known.is_trial |= crash.is_trial;
+            known.is_silence &= crash.is_silence;
             return is_earlier || shows_more;
         }
         let record = CrashRecord {
@@ -130,6 +133,7 @@
             span,
             isolated: crash.isolated,
             is_trial: crash.is_trial,
+            is_silence: crash.is_silence,
         };
         let earlier = |known: &CrashRecord<R>| known.span.lost <= span.lost;
         let place = self.crashes.partition_point(earlier);
@@ -302,6 +306,7 @@
             lost: ago(crash.span.lost),
             isolated: crash.isolated,
             is_trial: crash.is_trial,
+            is_silence: crash.is_silence,
         };
         Report {
             content,
--- a/crates/protocol/tests/quarantine_rules.rs
+++ b/crates/protocol/tests/quarantine_rules.rs
@@ -148,6 +148,7 @@
         lost: SECOND * 2,
         isolated: false,
         is_trial: false,
+        is_silence: false,
     };
     let late = Report {
         crashes: vec![crash],
--- a/crates/relay/tests/overlay_links.rs
+++ b/crates/relay/tests/overlay_links.rs
@@ -48,6 +48,7 @@
         lost: Duration::from_secs(4 - number),
         isolated: false,
         is_trial: false,
+        is_silence: false,
     };
     Suspicion {
         crashes: (1..=3).map(crash).collect(),
--- a/crates/relay/tests/poison_request.rs
+++ b/crates/relay/tests/poison_request.rs
@@ -234,6 +234,7 @@
         lost: RETRY_DELAY * turn,
         isolated: false,
         is_trial: false,
+        is_silence: false,
     };
     let report = |first, runners: &[&str]| Suspicion {
         crashes: (first..).zip(runners).map(crash).collect(),
@@ -361,6 +362,7 @@
             lost: Duration::from_secs(3 - number),
             isolated: false,
             is_trial: false,
+            is_silence: false,
         };
         let suspicion = Suspicion {
             crashes: vec![crash],
--- a/crates/relay/tests/trial_outcome.rs
+++ b/crates/relay/tests/trial_outcome.rs
@@ -49,6 +49,7 @@
         lost: CRASH_INTERVAL * age,
         isolated: false,
         is_trial: false,
+        is_silence: false,
     };
     let suspicion = Suspicion {
         crashes: (0..crashes).map(crash).collect(),
