A runner that lacked inputs may be asked again once they are there

A stream whose runner had broken off was lost although a sound runner was left: that runner answered that an input no longer exists, the inputs were recomputed, and it stayed ruled out as one that had been tried. With two runners left nobody could resume the stream.

It is no longer counted among those tried. inputs_recomputed failed before: the stream ended after its first event.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -216,6 +216,8 @@
     }
     *inputs = graph::run(job, StageRun::Repeat).await.map_err(drop)?;
     progress.last_failure = None;
+    // The runner lacked nothing but the inputs.
+    progress.tried.pop();
     send(job, inputs, progress, resume_after).await
 }
 
--- a/crates/relay/tests/event_streams.rs
+++ b/crates/relay/tests/event_streams.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Behavior, Fake, StreamEnd, body, ready, request};
+use relay::downstream::NotRun;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -68,6 +69,20 @@
     assert_eq!((text.as_str(), complete), (ONE, false));
 }
 
+/// Guards against a runner that is ruled out because it lacked inputs, which have been recomputed since.
+#[tokio::test(start_paused = true)]
+async fn inputs_recomputed() {
+    let behaviors = vec![
+        stream(&[ONE], StreamEnd::Broken),
+        Behavior::Refuse(NotRun::InputGone),
+        stream(&[TWO], StreamEnd::Whole),
+    ];
+    let (fake, answer) = serve("staged", behaviors).await;
+    assert_eq!(answer, (200, [ONE, TWO].concat(), true));
+    let sent = fake.sent();
+    assert_eq!(sent[1].runner, sent[2].runner);
+}
+
 /// The runner that resumes ignores the event id and starts over. The client would read part of the
 /// text twice and take it for a complete response.
 #[tokio::test(start_paused = true)]
