A silent stream stays open until another runner has sent something

Callers saw streams end in the middle, with most of their time left, while their runner was sound: it had preempted the request and would have gone on. Around a stop of the relay that counts as a request lost.

Cause: a resumable stream without an event for a second or three gaps was closed before another runner had taken it. If the others were full, or no retry was granted (as for a while after a relay has started), or all had been tried, nothing was left. The class: what is in hand is given up for what is not.

Now another runner is asked in the meantime, and the response continues with whichever of the two sends something first. If nobody takes it, it stays open until the caller leaves or its time is over; later, at growing intervals and within the bound on retries, one runner at a time is asked again, also those that were full. Towards the rest of the relay the silent call counts as lost as before. A resume also ends with its caller now.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -48,6 +48,10 @@
     pub executions: u32,
     /// Number of runners that refused the request.
     pub refusals: u32,
+    /// Runners among those tried that refused the request, since it was last offered to all of them.
+    refused_by: Vec<RunnerId>,
+    /// Whether a call is in progress whose outcome is unknown.
+    is_calling: bool,
     /// Why the last runner gave no response.
     pub last_failure: Option<Failure>,
     /// Why the request was sent to no other runner, if it is quarantined.
@@ -68,6 +72,28 @@
         self.last_failure == Some(Failure::NotRun { reason })
     }
 
+    /// Notes that a call was dropped before its outcome was known: the runner may have run it.
+    pub(crate) fn cancel_call(&mut self) {
+        if std::mem::take(&mut self.is_calling) {
+            self.executions += 1;
+        }
+    }
+
+    /// Lets runners that have refused the request be asked again. A runner at capacity may have room later;
+    /// only one is asked in each further round.
+    pub(crate) fn begin_another_round(&mut self) {
+        let refused_by = std::mem::take(&mut self.refused_by);
+        self.tried.retain(|runner| !refused_by.contains(runner));
+        self.refusals = MAX_REFUSALS;
+    }
+
+    /// Lets the runner that lacked inputs be asked again, once they have been recomputed.
+    fn readmit_lacking_inputs(&mut self) {
+        self.last_failure = None;
+        self.tried.pop();
+        self.refused_by.pop();
+    }
+
     /// Whether a retry may be sent. The retry is charged to the budget once for each call that is
     /// sent.
     fn try_retry<D: Downstream>(&mut self, job: &Job<D>) -> bool {
@@ -148,7 +174,9 @@
             .call(&in_flight.runner, call, &observer);
         let response = release_inputs_when_fetched(response, inputs);
         let response = record_silence(&in_flight, response);
+        progress.is_calling = true;
         let result = timeout_at(job.deadline, response).await;
+        progress.is_calling = false;
         let is_timed_out = result.is_err();
         let result = result.unwrap_or_else(|_| {
             let reason = "no answer before the deadline".to_owned();
@@ -215,9 +243,7 @@
         return sent;
     }
     *inputs = graph::run(job, StageRun::Repeat).await.map_err(drop)?;
-    progress.last_failure = None;
-    // The runner lacked nothing but the inputs.
-    progress.tried.pop();
+    progress.readmit_lacking_inputs();
     send(job, inputs, progress, resume_after).await
 }
 
@@ -266,6 +292,7 @@
                 return;
             }
             progress.refusals += 1;
+            progress.refused_by.extend(progress.tried.last().cloned());
             match reason {
                 NotRun::Unreachable { .. } => in_flight.unreachable().await,
                 NotRun::Replaced => in_flight.failed(),
--- a/crates/relay/src/attempt/in_flight.rs
+++ b/crates/relay/src/attempt/in_flight.rs
@@ -92,6 +92,14 @@
         }
     }
 
+    /// A call that had been given up and whose runner goes on with it.
+    pub(crate) fn reattach(job: &Job<D>, runner: Arc<Runner>, sent_at: Instant) -> Self {
+        let mut call = Self::new(job, runner);
+        call.sent_at = sent_at;
+        call.response_started();
+        call
+    }
+
     /// Content ids of the request and of its shared prompt parts.
     fn contents(&self) -> Vec<ContentId> {
         [&[self.content], &*self.parts].concat()
--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -1,11 +1,14 @@
 //! Forwards a stream to the client, spliced from the streams of one or more runners.
 //!
 //! A runner may stop anywhere. Complete events are forwarded as they arrive. If the route allows
-//! it, another runner resumes after the last forwarded event.
+//! it, another runner resumes after the last forwarded event. The stream of a runner that is merely
+//! silent stays open until then: the runner may go on, and there may be no other one.
 
-use crate::attempt::{self, InFlightCall, Progress};
+mod successor;
+
+use crate::attempt::{InFlightCall, Progress};
 use crate::configuration::FIRST_RANK;
-use crate::downstream::{Downstream, Reply};
+use crate::downstream::Downstream;
 use crate::event::{Events, Splitter};
 use crate::graph::Inputs;
 use crate::memory::MemoryBudget;
@@ -20,26 +23,49 @@
 use tokio::sync::mpsc::{self, error::SendError};
 use tokio::time::{Instant, sleep_until};
 
-/// Minimum silence after which a stream counts as dead if another runner may resume it. Engines
-/// that are merely busy produce an event every few hundred milliseconds.
+/// Minimum silence after which another runner is asked to resume a stream. Engines that are merely
+/// busy produce an event every few hundred milliseconds.
 const MIN_SILENCE: Duration = Duration::from_millis(1_000);
-/// Silence after which a stream counts as dead, as a multiple of the longest pause that is still on
-/// time.
+/// Silence after which another runner is asked to resume a stream, as a multiple of the longest
+/// pause that is still on time.
 const SILENCE_GAPS: u32 = 3;
 /// Bytes that are buffered for a slow client before reading from its runner stops.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 /// Time without a read after which a runner may close a stream because nothing reads it.
 const UNREAD_LIMIT: Duration = Duration::from_secs(1);
 
+/// Why a silent stream counts as over, or is offered to another runner.
+const NO_DATA: &str = "no data from the runner in time";
+
 type Part = Result<Bytes, IncompleteBody>;
 type Parts = mpsc::Sender<Part>;
 
+/// The stream that a runner sends.
+struct Source<B> {
+    body: B,
+    splitter: Splitter,
+    /// What has been read from the body and not been processed; the inner value is `None` at its end.
+    read: Option<Option<Part>>,
+}
+
+impl<B> Source<B> {
+    fn new(body: B) -> Self {
+        Self {
+            body,
+            splitter: Splitter::default(),
+            read: None,
+        }
+    }
+}
+
 /// How a runner's stream ended.
 enum End {
     /// Completely.
     Complete,
     /// Before it was complete.
     Broken(String),
+    /// Not yet, but nothing has arrived for long.
+    Silent,
     /// The client has disconnected.
     ClientGone,
     /// The deadline of the request has passed.
@@ -79,41 +105,42 @@
 
     /// Forwards a runner's stream, and the streams of the runners that resume it.
     pub async fn run(mut self, in_flight: InFlightCall<D>, body: D::Body) {
-        let (mut in_flight, mut body) = (in_flight, body);
+        let (mut in_flight, mut source) = (in_flight, Source::new(body));
         loop {
-            let end = self.forward(&mut in_flight, body).await;
+            let end = self.forward(&mut in_flight, &mut source).await;
             self.log(&in_flight, &end);
             let elapsed = in_flight.sent_at.elapsed();
-            let reason = match end {
+            let successor = match end {
                 End::Complete => return in_flight.answered(elapsed, true),
-                End::ClientGone => return,
-                End::DeadlineExceeded => {
-                    drop(in_flight);
-                    return self.abort("deadline exceeded").await;
+                End::Silent => self.replace_silent(in_flight, source).await,
+                End::Broken(reason) => {
+                    drop(source);
+                    self.replace(in_flight, reason).await
+                }
+                End::ClientGone | End::DeadlineExceeded => {
+                    drop((in_flight, source));
+                    Err(end)
                 }
-                End::Broken(reason) => reason,
             };
-            if self.was_unread {
-                drop(in_flight);
-            } else {
-                in_flight.lost().await;
-            }
-            let Some((next, reply)) = self.resume().await else {
-                return self.abort(&reason).await;
+            (in_flight, source) = match successor {
+                Ok(successor) => successor,
+                Err(end) => return self.finish(end).await,
             };
-            (in_flight, body) = (next, reply.body);
         }
     }
 
-    async fn forward(&mut self, in_flight: &mut InFlightCall<D>, mut body: D::Body) -> End {
-        let mut splitter = Splitter::default();
+    async fn forward(
+        &mut self,
+        in_flight: &mut InFlightCall<D>,
+        source: &mut Source<D::Body>,
+    ) -> End {
         let mut silent_since = Instant::now();
         let mut is_overdue_recorded = false;
         self.was_unread = false;
         loop {
             let part = tokio::select! {
                 biased;
-                part = body.next() => part,
+                part = next_part(source) => part,
                 () = self.parts.closed() => return End::ClientGone,
                 () = sleep_until(self.job.deadline) => return End::DeadlineExceeded,
                 () = sleep_until(silent_since + SILENCE_TIMEOUT), if !is_overdue_recorded => {
@@ -121,14 +148,12 @@
                     in_flight.record_overdue();
                     continue;
                 }
-                () = sleep_until(silent_since + self.silence_limit()) => {
-                    return End::Broken(format!("no data from runner {} in time", in_flight.runner.id));
-                }
+                () = sleep_until(silent_since + self.silence_limit()) => return End::Silent,
             };
             match part {
                 Some(Ok(bytes)) => {
                     in_flight.record_activity();
-                    let events = splitter.push(&bytes);
+                    let events = source.splitter.push(&bytes);
                     if events.is_some() && self.is_first_response() {
                         in_flight.record_first_event(&self.job);
                     }
@@ -137,7 +162,7 @@
                     }
                 }
                 Some(Err(error)) => return End::Broken(error.reason),
-                None if splitter.rest().is_empty() => return End::Complete,
+                None if source.splitter.rest().is_empty() => return End::Complete,
                 None => return End::Broken("stream ended within an event".to_owned()),
             }
             // A pause of the client does not count as silence of the runner.
@@ -197,8 +222,8 @@
             && !self.job.is_retry
     }
 
-    /// How long silence is tolerated. Where no other runner may resume, this is the whole timeout
-    /// of the route.
+    /// How long silence is tolerated before another runner is asked to resume. Where none may, this is
+    /// the whole timeout of the route.
     fn silence_limit(&self) -> Duration {
         if !self.job.route.repeatable() {
             return self.job.route.timeout;
@@ -210,27 +235,6 @@
         limit
     }
 
-    /// Asks another runner to resume after the last forwarded event.
-    async fn resume(&mut self) -> Option<(InFlightCall<D>, Reply<D::Body>)> {
-        if !self.job.route.repeatable() {
-            return None;
-        }
-        let job = self.with_top_priority();
-        let sent = attempt::send_or_recompute_inputs(
-            &job,
-            &mut self.inputs,
-            &mut self.progress,
-            self.last_event,
-        )
-        .await;
-        let (in_flight, reply) = sent.ok()?;
-        if reply.proven && (200..300).contains(&reply.status) {
-            return Some((in_flight, reply));
-        }
-        in_flight.failed();
-        None
-    }
-
     /// The request with top priority, and due after half of its remaining time or the target of its
     /// route, whichever is longer, if the client has received part of the response.
     ///
@@ -246,14 +250,24 @@
         job
     }
 
+    /// Ends the response as incomplete, unless its client has disconnected.
+    async fn finish(self, end: End) {
+        let reason = match end {
+            End::Complete | End::ClientGone => return,
+            End::Broken(reason) => reason,
+            End::Silent => NO_DATA.to_owned(),
+            End::DeadlineExceeded => "deadline exceeded".to_owned(),
+        };
+        self.abort(reason).await;
+    }
+
     /// Closes the client's connection without marking the response as complete. The client may
     /// already have disconnected, which is harmless.
-    async fn abort(self, reason: &str) {
+    async fn abort(self, reason: String) {
         info!(self.job.relay.log, "stream aborted"; "request" => &*self.job.request.id,
-            "reason" => reason, "last_event" => self.last_event, "tried" => self.progress.tried.len(),
+            "reason" => &reason, "last_event" => self.last_event, "tried" => self.progress.tried.len(),
             "resumable" => self.job.route.repeatable(),
             "after_ms" => millis(self.job.request.arrived.elapsed()));
-        let reason = reason.to_owned();
         let _ = self.parts.send(Err(IncompleteBody { reason })).await;
     }
 
@@ -261,6 +275,7 @@
         let outcome = match end {
             End::Complete => "complete",
             End::Broken(reason) => reason,
+            End::Silent => NO_DATA,
             End::ClientGone => "client disconnected",
             End::DeadlineExceeded => "deadline exceeded",
         };
@@ -269,3 +284,14 @@
             "parts" => self.events, "after_ms" => millis(self.job.request.arrived.elapsed()));
     }
 }
+
+/// The next part of a stream; `None` at its end.
+async fn next_part<B>(source: &mut Source<B>) -> Option<Part>
+where
+    B: futures::Stream<Item = Part> + Unpin,
+{
+    match source.read.take() {
+        Some(part) => part,
+        None => source.body.next().await,
+    }
+}
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -17,7 +17,7 @@
 pub(crate) use configurations::{configuration, configuration_with_routes};
 use decide::retry::window::RetryBound;
 use faults::{FaultSite, RunnerFaults};
-use parts::{Parts, parts};
+use parts::{Parts, parts, paused};
 use relay::downstream::{
     BatchReply, Call, CallObserver, Failure, Handle, Item, Load, NotRun, Notice, PieceOutcome,
     Reply, Source as Origin,
@@ -100,6 +100,12 @@
         parts: Vec<&'static str>,
         end: StreamEnd,
     },
+    /// Streams these parts, pauses, and streams the rest.
+    Paused {
+        before: Vec<&'static str>,
+        pause: Duration,
+        after: Vec<&'static str>,
+    },
     /// Refuses the call.
     Refuse(NotRun),
     /// Accepts the call and loses the response.
@@ -294,6 +300,11 @@
                         .guard(&runner.id, parts(events, end), fault(FaultSite::Answer));
                 Ok(reply(200, true, parts))
             }
+            Behavior::Paused {
+                before,
+                pause,
+                after,
+            } => Ok(reply(200, true, paused(before, pause, after))),
             Behavior::Refuse(reason) => Err(Failure::NotRun { reason }),
             Behavior::Lose => Err(Failure::Lost {
                 reason: "reset".to_owned(),
--- a/crates/relay/tests/common/parts.rs
+++ b/crates/relay/tests/common/parts.rs
@@ -33,3 +33,20 @@
         StreamEnd::Silent => Box::pin(futures::StreamExt::chain(parts, stream::pending())),
     }
 }
+
+/// A body with a pause between two of its parts.
+pub(crate) fn paused(
+    before: Vec<&'static str>,
+    pause: Duration,
+    after: Vec<&'static str>,
+) -> Parts {
+    let pausing = stream::once(async move {
+        sleep(pause).await;
+        Ok(Bytes::new())
+    });
+    let before = futures::StreamExt::chain(parts(before, StreamEnd::Whole), pausing);
+    Box::pin(futures::StreamExt::chain(
+        before,
+        parts(after, StreamEnd::Whole),
+    ))
+}
