--- a/crates/ctl/tests/relay_stops.rs
+++ b/crates/ctl/tests/relay_stops.rs
@@ -4,13 +4,19 @@
 
 use ctl::fleet::{Fleet, Signal};
 use ctl::rig::probe::wait_until;
+use hyper::StatusCode;
 use platform::name;
+use serde_json::Value;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::ExitStatus;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use stub::caller::{ClientRequest, Connection, Kind, ResponseOutcome, USUAL, is_ready};
-use stub::config::{self, HOST, MODEL, PLAIN, STAGE};
+use stub::caller::{
+    ClientRequest, Connection, Kind, RequestRecord, ResponseOutcome, USUAL, is_ready,
+};
+use stub::config::{self, CHAIN, HOST, MODEL, PLAIN, StageService};
 use stub::runner::{EVENTS, Log, Runner, answer, event};
 use stub::server;
 use stub::store::{Entry, Store};
@@ -142,9 +148,24 @@
     }
 }
 
-/// Size of a response that its client reads late, in bytes.
-const LATE_BYTES: usize = 100_000;
-/// Receive buffer of that client, in bytes.
+fn is_whole(record: &RequestRecord) -> bool {
+    matches!(&record.outcome, ResponseOutcome::Whole { status: 200, text, .. }
+        if *text == expected(&record.request))
+}
+
+/// The text of a request without a body to the route of this kind, up to the blank line.
+fn head(id: &str, route: &str) -> String {
+    let (id_name, key, deadline) = (name::ATTEMPT_ID, name::API_KEY, name::DEADLINE);
+    let milliseconds = CLIENT_TIMEOUT.as_millis();
+    format!(
+        "POST /{route}/x HTTP/1.1\r\nHost: {HOST}\r\n{id_name}: {id}\r\n{key}: {KEY}\r\n\
+         {deadline}: {milliseconds}\r\nContent-Length: 0\r\n"
+    )
+}
+
+/// Size of a long response, in bytes.
+const LONG_BYTES: usize = 100_000;
+/// Receive buffer of a slow client, in bytes.
 const RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
 
 async fn connect_slowly(address: SocketAddr) -> TcpStream {
@@ -153,18 +174,25 @@
     socket.connect(address).await.unwrap()
 }
 
-/// Starts a runner whose responses are long, and returns its address.
-async fn start_long_runner() -> SocketAddr {
+/// Starts a runner whose responses are long and begin after a while. Returns its address, and the number of
+/// requests that it has got.
+async fn start_long_runner(time: Duration) -> (SocketAddr, Arc<AtomicUsize>) {
     let (listener, address) = server::listen().await.unwrap();
-    server::spawn(listener, |request| async move {
-        let id = request.headers().get(name::ATTEMPT_ID).cloned();
-        let mut answer = server::complete(hyper::StatusCode::OK, vec![b'x'; LATE_BYTES]);
-        if let Some(id) = id {
-            answer.headers_mut().insert(name::SEAL, id);
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = requests.clone();
+    server::spawn(listener, move |request| {
+        count.fetch_add(1, Ordering::SeqCst);
+        async move {
+            sleep(time).await;
+            let id = request.headers().get(name::ATTEMPT_ID).cloned();
+            let mut answer = server::complete(StatusCode::OK, vec![b'x'; LONG_BYTES]);
+            if let Some(id) = id {
+                answer.headers_mut().insert(name::SEAL, id);
+            }
+            Ok(answer)
         }
-        Ok(answer)
     });
-    address
+    (address, requests)
 }
 
 /// Guards against the loss of the end of a response whose client reads it only after the process has exited.
@@ -172,16 +200,12 @@
 fn exit_before_client_reads() {
     run(async {
         let mut bench = Bench::start("relay_stops_late").await;
-        let runner = start_long_runner().await;
+        let (runner, _) = start_long_runner(Duration::ZERO).await;
         bench.list("long-0", PLAIN, runner);
         let address = bench.relay("relay-1", 1.0, 3.0).await;
         let mut client = connect_slowly(address).await;
         bench.fleet.signal("relay-1", Signal::Terminate).unwrap();
-        let (id, key, deadline) = (name::ATTEMPT_ID, name::API_KEY, name::DEADLINE);
-        let text = format!(
-            "POST /safe/x HTTP/1.1\r\nHost: {HOST}\r\n{id}: late\r\n{key}: {KEY}\r\n{deadline}: 3000\r\n\
-             Content-Length: 0\r\n\r\n"
-        );
+        let text = head("late", "safe") + "\r\n";
         client.write_all(text.as_bytes()).await.unwrap();
         let status = bench.exit("relay-1").await;
         assert!(status.success(), "{status}");
@@ -189,7 +213,46 @@
         let read = timeout(TIMEOUT, client.read_to_end(&mut bytes)).await;
         let text = String::from_utf8_lossy(&bytes);
         let body = text.split_once("\r\n\r\n").unwrap().1;
-        assert_eq!(body.len(), LATE_BYTES, "{read:?}");
+        assert_eq!(body.len(), LONG_BYTES, "{read:?}");
+    });
+}
+
+/// Grace period of a process that a request reaches late, or that waits for another relay, in seconds.
+const LONG_GRACE_S: f64 = 6.0;
+/// Time from the signal to stop until the rest of the request's head arrives: after connections were closed, and
+/// before requests are refused.
+const REST_DELAY: Duration = Duration::from_millis(4_100);
+/// Time that its runner takes, longer than the process has left.
+const RUNNER_TIME: Duration = Duration::from_millis(2_000);
+
+/// Guards against a request that is read and passed on long after connections were closed, since the first bytes of
+/// its head had arrived before, and then cut off at the end of the grace period.
+#[test]
+fn exit_under_late_head() {
+    run(async {
+        let mut bench = Bench::start("relay_stops_head").await;
+        let (runner, requests) = start_long_runner(RUNNER_TIME).await;
+        bench.list("long-0", PLAIN, runner);
+        let address = bench.relay("relay-1", 1.0, LONG_GRACE_S).await;
+        let mut client = TcpStream::connect(address).await.unwrap();
+        let text = head("late", "safe");
+        client.write_all(text.as_bytes()).await.unwrap();
+        bench.fleet.signal("relay-1", Signal::Terminate).unwrap();
+        sleep(REST_DELAY).await;
+        // The connection may have been closed.
+        drop(client.write_all(b"\r\n").await);
+        let mut bytes = Vec::new();
+        let read = timeout(TIMEOUT, client.read_to_end(&mut bytes)).await;
+        let text = String::from_utf8_lossy(&bytes);
+        let status = bench.exit("relay-1").await;
+        assert!(status.success(), "{status}");
+        let is_whole = text.starts_with("HTTP/1.1 200") && text.len() > LONG_BYTES;
+        let is_refused = text.starts_with("HTTP/1.1 503");
+        let requests = requests.load(Ordering::SeqCst);
+        assert!(
+            is_whole || is_refused || requests == 0,
+            "{requests} passed on, {read:?}: {text:?}"
+        );
     });
 }
 
@@ -239,9 +302,7 @@
             continue;
         }
         passed_on += 1;
-        let is_whole = matches!(&record.outcome, ResponseOutcome::Whole { status: 200, text, .. }
-            if *text == expected(&record.request));
-        assert!(is_whole, "{record:?}");
+        assert!(is_whole(&record), "{record:?}");
     }
     passed_on
 }
@@ -262,44 +323,64 @@
     });
 }
 
-/// Factor by which a call with pieces is slowed down, so that it ends between the time at which an idle process
-/// exits and the end of its grace period.
-const SLOWNESS: f64 = 27.0;
+/// A service whose calls end between the time at which an idle process exits and the end of its grace period.
+static SLOW_SERVICE: StageService = StageService {
+    name: CHAIN[0],
+    batch: 8,
+    call_ms: (1_800, 5),
+    slots: 1,
+    room: 500_000,
+    result_bytes: 8_000,
+    handle_s: 4,
+};
+
+/// The configuration in which the first service of the chain is the slow one.
+fn slow_configuration() -> Value {
+    let mut configuration = config::chain_configuration(1, &[KEY.to_owned()]);
+    let services = configuration["services"].as_array_mut().unwrap();
+    let slow = services
+        .iter_mut()
+        .find(|one| one["name"] == SLOW_SERVICE.name);
+    slow.unwrap()["pieces"]["call_ms"] = SLOW_SERVICE.call_ms.0.into();
+    configuration
+}
+
+/// Stops one of two relays while the first one has pieces computed for a request at the second one.
+async fn exit_under_order(test: &str, stopped: &str, grace_s: f64) {
+    let mut bench = Bench::start(test).await;
+    bench.store.configure(&slow_configuration());
+    bench.runner(MODEL).await;
+    let slow = Runner::start_stage("slow-0", &SLOW_SERVICE, &bench.log);
+    let slow = slow.await.unwrap();
+    bench.list("slow-0", SLOW_SERVICE.name, slow.address());
+    // The first relay owns all cells.
+    bench.relay("relay-1", 1.0, grace_s).await;
+    let other = bench.relay("relay-2", 1e-9, grace_s).await;
+    let mut connection = Connection::open(other).await.unwrap();
+    let sent = tokio::spawn(async move { connection.send(request("slow", Kind::First)).await });
+    let log = bench.log.clone();
+    let pieces = || log.results().iter().filter(|one| one.id == "slow").count();
+    let begun = wait_until("the call has begun", || async { pieces() > 0 });
+    begun.await.unwrap();
+    bench.fleet.signal(stopped, Signal::Terminate).unwrap();
+    let record = sent.await.unwrap();
+    let status = bench.exit(stopped).await;
+    assert!(is_whole(&record), "{} pieces, {record:?}", pieces());
+    let expected_pieces = Kind::First.pieces().iter().sum::<u64>();
+    assert_eq!(pieces() as u64, expected_pieces);
+    assert!(status.success(), "{status}");
+}
 
 /// Guards against the loss of pieces that a stopping relay computes for another one: the other relay's request
 /// fails, or all of them are computed again.
 #[test]
 fn exit_under_order_of_peer() {
-    run(async {
-        let mut bench = Bench::start("relay_stops_orders").await;
-        bench.runner(MODEL).await;
-        bench.runner(STAGE).await;
-        // The first relay owns all cells.
-        bench.relay("relay-1", 1.0, GRACE_S).await;
-        let other = bench.relay("relay-2", 1e-9, GRACE_S).await;
-        let mut connection = Connection::open(other).await.unwrap();
-        let first = connection.send(request("first", Kind::Staged)).await;
-        assert!(
-            matches!(first.outcome, ResponseOutcome::Whole { status: 200, .. }),
-            "{first:?}"
-        );
-        bench.runners[1].set_slowness(SLOWNESS);
-        let sent =
-            tokio::spawn(async move { connection.send(request("slow", Kind::Staged)).await });
-        let log = bench.log.clone();
-        let pieces = || log.results().iter().filter(|one| one.id == "slow").count();
-        wait_until("the call has begun", || async { pieces() > 0 })
-            .await
-            .unwrap();
-        bench.runners[1].set_slowness(1.0);
-        bench.fleet.signal("relay-1", Signal::Terminate).unwrap();
-        let record = sent.await.unwrap();
-        let expected_pieces = Kind::Staged.pieces().iter().sum::<u64>();
-        let status = bench.exit("relay-1").await;
-        let is_whole = matches!(&record.outcome, ResponseOutcome::Whole { status: 200, text, .. }
-            if *text == expected(&record.request));
-        assert!(is_whole, "{} pieces, {record:?}", pieces());
-        assert_eq!(pieces() as u64, expected_pieces);
-        assert!(status.success(), "{status}");
-    });
+    run(exit_under_order("relay_stops_orders", "relay-1", GRACE_S));
+}
+
+/// Guards against a request that a stopping relay loses because another one computes its pieces.
+#[test]
+fn exit_under_order_at_peer() {
+    let test = exit_under_order("relay_stops_ordered", "relay-2", LONG_GRACE_S);
+    run(test);
 }
