--- a/crates/ctl/tests/relay_stops.rs
+++ b/crates/ctl/tests/relay_stops.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use stub::caller::{
-    ClientRequest, Connection, Kind, RequestRecord, ResponseOutcome, USUAL, is_ready,
+    ClientRequest, Connection, Kind, RequestRecord, ResponseOutcome, USUAL, is_ready, unsent,
 };
 use stub::config::{self, CHAIN, HOST, MODEL, PLAIN, StageService};
 use stub::runner::{EVENTS, Log, Runner, answer, event};
@@ -264,31 +264,39 @@
 /// Grace period in seconds. Connections are closed after a half of it at the latest.
 const GRACE_S: f64 = 3.0;
 
-/// Stops a process while clients send on connections that they have opened before. Returns the number of requests
-/// that runners got.
+/// Stops a process while clients send: on connections that have carried a request before, on those that have not,
+/// and on new ones. Returns the number of requests that runners got.
 async fn exit_under_requests(bench: &mut Bench, round: usize) -> usize {
     let relay = format!("relay-{round}");
     let address = bench.relay(&relay, 1.0, GRACE_S).await;
     let mut connections = Vec::new();
     for number in 0..CLIENTS {
-        let mut connection = Connection::open(address).await.unwrap();
-        // Half of the connections have carried a request before.
-        if number % 4 < 2 {
+        let mut connection = match number % 4 {
+            3 => None,
+            _ => Connection::open(address).await,
+        };
+        if let (0 | 1, Some(connection)) = (number % 4, &mut connection) {
             let early = request(&format!("early{round}x{number}"), Kind::Safe);
-            connection.send(early).await;
+            assert!(is_whole(&connection.send(early).await));
         }
         connections.push((number, connection));
     }
     bench.fleet.signal(&relay, Signal::Terminate).unwrap();
     let closing_at = Instant::now() + Duration::from_secs_f64(GRACE_S / 2.0);
-    let clients = connections.into_iter().map(|(number, mut connection)| {
+    let clients = connections.into_iter().map(|(number, connection)| {
         tokio::spawn(async move {
             let offset = STEP * u32::try_from(number).unwrap();
             sleep_until(closing_at + offset - STEP * 30).await;
-            let kind = [Kind::Safe, Kind::Stream][number % 2];
-            connection
-                .send(request(&format!("late{round}x{number}"), kind))
-                .await
+            let kind = [Kind::Safe, Kind::Stream][number / 4 % 2];
+            let request = request(&format!("late{round}x{number}"), kind);
+            let connection = match connection {
+                Some(connection) => Some(connection),
+                None => Connection::open(address).await,
+            };
+            match connection {
+                Some(mut connection) => connection.send(request).await,
+                None => unsent(request, address),
+            }
         })
     });
     let clients: Vec<_> = clients.collect();
