Handlers of signals are installed before anything starts

SIGTERM on the line `starting` killed the process in 13 and 17 of 24 starts, SIGHUP in 7, also after the line `started`: the handlers were installed as the process began to wait for the signals, after it had bound its addresses and written its row. They now come first, and what has arrived meanwhile counts. stop_while_starting and reload_while_starting failed before.

--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -1,7 +1,8 @@
 //! Roles of `linnetdriftd`.
 
 use crate::error::FileSnafu;
-use crate::{Error, command, output, signal};
+use crate::signal::{ReloadSignals, StopSignals};
+use crate::{Error, command, output};
 use getopts::Options;
 use serde::Serialize;
 use slog::{Logger, info, warn};
@@ -69,16 +70,24 @@
         Invocation::Print(text) => output::line(text),
         Invocation::Entry(settings) => {
             let log = metric::log::logger("entry", &settings.id);
-            multi_thread_runtime()?.block_on(log_lifecycle(log.clone(), run_entry(*settings, log)))
+            multi_thread_runtime()?.block_on(async {
+                let stop = StopSignals::install();
+                log_lifecycle(log.clone(), run_entry(*settings, log, stop)).await
+            })
         }
         Invocation::Agent(settings) => {
             let log = metric::log::logger("agent", &settings.id);
-            multi_thread_runtime()?.block_on(log_lifecycle(log.clone(), run_agent(*settings, log)))
+            multi_thread_runtime()?.block_on(async {
+                let stop = StopSignals::install();
+                log_lifecycle(log.clone(), run_agent(*settings, log, stop)).await
+            })
         }
         Invocation::Relay { settings, path } => {
             let log = metric::log::logger_to(std::io::stdout(), "relay", &settings.id);
-            single_thread_runtime()?
-                .block_on(log_lifecycle(log.clone(), run_relay(*settings, path, log)))
+            single_thread_runtime()?.block_on(async {
+                let signals = (StopSignals::install(), ReloadSignals::install());
+                log_lifecycle(log.clone(), run_relay(*settings, path, log, signals)).await
+            })
         }
     }
 }
@@ -173,7 +182,7 @@
     std::fs::read_to_string(path).context(FileSnafu { path })
 }
 
-async fn run_entry(settings: setting::Entry, log: Logger) -> Result<(), Error> {
+async fn run_entry(settings: setting::Entry, log: Logger, stop: StopSignals) -> Result<(), Error> {
     let id = settings.id.clone();
     let ready = |ready: entry::Ready| {
         print_ready(&Ready {
@@ -184,13 +193,13 @@
             metrics: ready.metrics,
         });
     };
-    let result = entry::run(settings, log, ready, signal::wait_for_stop()).await;
+    let result = entry::run(settings, log, ready, stop.wait()).await;
     result.map_err(|error| Error::Failed {
         reason: error.to_string(),
     })
 }
 
-async fn run_agent(settings: setting::Agent, log: Logger) -> Result<(), Error> {
+async fn run_agent(settings: setting::Agent, log: Logger, stop: StopSignals) -> Result<(), Error> {
     let id = settings.id.clone();
     let ready = |ready: agent::Ready| {
         print_ready(&Ready {
@@ -201,19 +210,24 @@
             metrics: ready.metrics,
         });
     };
-    let result = agent::run(settings, log, ready, signal::wait_for_stop()).await;
+    let result = agent::run(settings, log, ready, stop.wait()).await;
     result.map_err(|error| Error::Failed {
         reason: error.to_string(),
     })
 }
 
-async fn run_relay(settings: setting::Relay, path: String, log: Logger) -> Result<(), Error> {
+async fn run_relay(
+    settings: setting::Relay,
+    path: String,
+    log: Logger,
+    (stop, reloads): (StopSignals, ReloadSignals),
+) -> Result<(), Error> {
     // The log is written to the same output and contains the addresses. A line printed here could
     // be interleaved with one from the logging thread, which would make both unreadable.
     let ready = |_: platform::Ready| {};
     let (settings_sender, settings) = watch::channel(settings);
-    let reloading = signal::on_reload(|| reload(&path, &settings_sender, &log));
-    let running = platform::run(settings, log.clone(), ready, signal::wait_for_stop());
+    let reloading = reloads.run(|| reload(&path, &settings_sender, &log));
+    let running = platform::run(settings, log.clone(), ready, stop.wait());
     let result = tokio::select! {
         result = running => result,
         never = reloading => match never {},
--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -22,7 +22,8 @@
 pub mod system;
 
 use crate::command::{Command, Help};
-use crate::{Common, Error, Format, option, output, signal};
+use crate::signal::StopSignals;
+use crate::{Common, Error, Format, option, output};
 use arm::Arm;
 use deployment::DEPLOYMENTS;
 use getopts::{Matches, Options};
@@ -94,7 +95,7 @@
     async fn run(self, _common: &Common) -> Result<(), Error> {
         tokio::select! {
             result = self.arms() => result,
-            () = signal::wait_for_stop() => Err(Error::Failed {
+            () = StopSignals::install().wait() => Err(Error::Failed {
                 reason: "interrupted by a signal".to_owned(),
             }),
         }
--- a/crates/ctl/src/standin.rs
+++ b/crates/ctl/src/standin.rs
@@ -1,7 +1,8 @@
 //! `standin`: runs a stand-in for a platform service or a runner as a separate process.
 
 use crate::command::{Command, Help};
-use crate::{Common, Error, option, output, signal};
+use crate::signal::StopSignals;
+use crate::{Common, Error, option, output};
 use getopts::{Matches, Options};
 use serde::Serialize;
 use standin::{Kind, Server};
@@ -61,7 +62,7 @@
             listen: server.address(),
         };
         output::json(&ready)?;
-        signal::wait_for_stop().await;
+        StopSignals::install().wait().await;
         server.stop().await;
         Ok(())
     }
