A relay that stops finishes the pieces that it makes for others

A relay without requests of its own exited 1.5 s after SIGTERM, under a call with pieces for another relay, whose request was then refused: the stop waited for a tracker of orders to which nothing was ever added. Each order now holds a token of it until its outcome has been sent, and the links are flushed before the process exits. exit_under_order_of_peer failed before.

--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -76,6 +76,9 @@
     pub(crate) orders: TaskTracker,
 }
 
+/// Longest wait until queued frames have been passed to the operating system, before the process exits.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
 /// Steps that a process has completed since its start to register and to learn of the others.
 #[derive(Clone, Copy, Debug, Default)]
 struct StartupState {
@@ -219,10 +222,14 @@
         self.broadcast(&leaving);
     }
 
-    /// Waits until the orders of other processes have been executed.
+    /// Waits until the orders of other processes have been executed and their outcomes sent.
     pub async fn finish_orders(&self) {
         self.orders.close();
         self.orders.wait().await;
+        let links = lock(&self.subscribers).clone();
+        // A link that is lost has nobody who waits for an outcome.
+        let flushing = links.iter().map(|link| timeout(FLUSH_TIME, link.flush()));
+        drop(futures::future::join_all(flushing).await);
     }
 
     /// Announces to all linked processes which configuration is in force here.
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::task::task_tracker::TaskTrackerToken;
 use wire::{Listener, Receiver, Sender};
 
 /// Interval at which the load of cells with pending orders is reported.
@@ -21,10 +22,18 @@
 /// Orders that are being executed for one link.
 struct LinkOrders<D: Downstream> {
     running: JoinSet<(u64, Outcome)>,
-    handles: Map<u64, (Cell, AbortHandle)>,
+    pending: Map<u64, PendingOrder>,
     credits: LinkCredits<D>,
 }
 
+/// An order whose outcome has not been sent.
+struct PendingOrder {
+    cell: Cell,
+    handle: AbortHandle,
+    /// Keeps a process that stops from exiting.
+    _token: TaskTrackerToken,
+}
+
 /// Accepts links from other processes until the task is dropped.
 pub async fn serve<D: Downstream>(relay: Arc<Relay<D>>, listener: Listener<Frame>) {
     loop {
@@ -48,7 +57,7 @@
     frame::send_state(&relay, &sender);
     let mut orders = LinkOrders {
         running: JoinSet::new(),
-        handles: Map::default(),
+        pending: Map::default(),
         credits: LinkCredits::default(),
     };
     let mut load_reports = interval(LOAD_REPORT_INTERVAL);
@@ -64,8 +73,9 @@
             },
             Some(ended) = orders.running.join_next() => match ended {
                 Ok((ticket, outcome)) => {
-                    orders.handles.remove(&ticket);
-                    sender.send(Frame::Outcome { ticket, outcome }).await
+                    let sent = sender.send(Frame::Outcome { ticket, outcome }).await;
+                    orders.pending.remove(&ticket);
+                    sent
                 }
                 // The order was withdrawn.
                 Err(_) => Ok(()),
@@ -95,7 +105,12 @@
                 let handle = self.running.spawn(async move {
                     (ticket, outcome.await.unwrap_or(Err(StageError::Failed)))
                 });
-                self.handles.insert(ticket, (cell, handle));
+                let order = PendingOrder {
+                    cell,
+                    handle,
+                    _token: relay.peers.orders.token(),
+                };
+                self.pending.insert(ticket, order);
             }
             Frame::AskCredit {
                 ticket,
@@ -104,8 +119,8 @@
             } => self.credits.ask(relay, sender, ticket, &cell, &demand),
             Frame::ReturnCredit { ticket, outcome } => self.credits.take_back(ticket, outcome),
             Frame::Withdraw { ticket } => {
-                if let Some((_, handle)) = self.handles.remove(&ticket) {
-                    handle.abort();
+                if let Some(order) = self.pending.remove(&ticket) {
+                    order.handle.abort();
                 }
             }
             Frame::Burdens {
@@ -155,7 +170,7 @@
 
     /// Whether the other end awaits outcomes, and so reports of the load.
     fn is_in_use(&self) -> bool {
-        !self.handles.is_empty() || !self.credits.is_empty()
+        !self.pending.is_empty() || !self.credits.is_empty()
     }
 
     async fn report_load(
@@ -164,7 +179,7 @@
         sender: &Sender<Frame>,
     ) -> Result<(), wire::Error> {
         let mut cells: Vec<&Cell> = Vec::new();
-        let ordered = self.handles.values().map(|(cell, _)| cell);
+        let ordered = self.pending.values().map(|order| &order.cell);
         for cell in ordered.chain(self.credits.cells()) {
             if !cells.contains(&cell) {
                 cells.push(cell);
