--- a/crates/ctl/tests/relay_stops.rs
+++ b/crates/ctl/tests/relay_stops.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use ctl::fleet::{Fleet, Signal};
+use ctl::fleet::{Fleet, Ready, Signal};
 use ctl::rig::probe::wait_until;
 use hyper::StatusCode;
 use platform::name;
@@ -75,6 +75,14 @@
 
     /// Starts a relay and waits until it is ready.
     async fn relay(&mut self, id: &str, weight: f64, grace_s: f64) -> SocketAddr {
+        let ready = self.start_relay(id, weight, grace_s);
+        let probe = ready.ready.unwrap();
+        let is_ready = wait_until("the relay is ready", || is_ready(probe));
+        is_ready.await.unwrap();
+        ready.listen
+    }
+
+    fn start_relay(&mut self, id: &str, weight: f64, grace_s: f64) -> Ready {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let place = setting::Place {
             region: "r".to_owned(),
@@ -99,12 +107,7 @@
             drain_ms: 3_000.0,
             policy: setting::relay::Policies::default(),
         };
-        let ready = self.fleet.relay(&settings).unwrap();
-        let probe = ready.ready.unwrap();
-        wait_until("the relay is ready", || is_ready(probe))
-            .await
-            .unwrap();
-        ready.listen
+        self.fleet.relay(&settings).unwrap()
     }
 
     /// Waits until a process has exited.
@@ -217,6 +220,60 @@
     });
 }
 
+/// Grace period of a process that is stopped as soon as it has started, in seconds.
+const SHORT_GRACE_S: f64 = 2.0;
+/// Clients of such a process.
+const EARLY_CLIENTS: usize = 8;
+
+/// Sends one request after the other until the process accepts no more, and returns their records.
+async fn send_until_closed(address: SocketAddr, client: String) -> Vec<RequestRecord> {
+    let mut records = Vec::new();
+    while let Some(mut connection) = Connection::open(address).await {
+        while connection.is_open().await {
+            let number = records.len();
+            let kind = [Kind::Safe, Kind::Stream][number % 2];
+            let request = request(&format!("{client}x{number}"), kind);
+            records.push(connection.send(request).await);
+        }
+    }
+    records
+}
+
+/// Guards against requests that a process passes on to a runner and does not answer because the signal to stop
+/// arrives while it starts.
+#[test]
+fn exit_after_start() {
+    run(async {
+        let mut bench = Bench::start("relay_stops_start").await;
+        bench.runner(PLAIN).await;
+        bench.runner(MODEL).await;
+        let mut passed_on = 0;
+        for round in 0..ROUNDS {
+            let relay = format!("relay-{round}");
+            let address = bench.start_relay(&relay, 1.0, SHORT_GRACE_S).listen;
+            let clients = (0..EARLY_CLIENTS).map(|client| {
+                tokio::spawn(send_until_closed(address, format!("{round}x{client}")))
+            });
+            let clients: Vec<_> = clients.collect();
+            sleep(STEP * u32::try_from(round).unwrap()).await;
+            bench.fleet.signal(&relay, Signal::Terminate).unwrap();
+            let status = bench.exit(&relay).await;
+            assert!(status.success(), "{status}");
+            for client in clients {
+                let runs = bench.log.runs();
+                for record in client.await.unwrap() {
+                    if runs.iter().any(|run| run.id == record.request.id) {
+                        passed_on += 1;
+                        assert!(is_whole(&record), "{record:?}");
+                    }
+                }
+            }
+        }
+        println!("{passed_on} requests passed on and answered completely");
+        assert!(passed_on > 0);
+    });
+}
+
 /// Grace period of a process that a request reaches late, or that waits for another relay, in seconds.
 const LONG_GRACE_S: f64 = 6.0;
 /// Time from the signal to stop until the rest of the request's head arrives: after connections were closed, and
