Numbers from outside are bounded where they are read

Cause: times and sizes of rows, headers, responses and settings went unchecked into sums. A runner's row with `cold_left_ms` between 9.3e21 and 1.8e22 gave a moment that does not exist (warmup.rs, `mark_cold`): the panic ended the task that follows runners and configuration, at every relay and for good. Others of the class, found by the new property tests and by reading: - `Keep-Alive: timeout=` of 1.5e19 s in a runner's response: the task of each request to that runner panicked - a configuration with such a target latency: each request panicked; with `after` a stage that does not exist: the same (by reading) - token counts whose sum exceeds 32 bits: a panic with overflow checks, a wrong sum without - a count of pieces of hundreds of millions: 4 and more bytes allocated for each, 17 GB for the largest; a count above 32 bits silently skipped the stage (by reading) - an era of the store that no revision can have: all later responses counted as older, so no table was followed - a window of retries of a nanosecond: 300 million buckets for each service (calculated)

Sums in `decide::batch`, `decide::retry::window` and the relay saturate, and times in peers' frames are cut.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -57,7 +57,7 @@
     /// ```
     #[must_use]
     pub fn time(&self, pieces: u32) -> Duration {
-        self.call + self.piece * pieces
+        self.call.saturating_add(self.piece.saturating_mul(pieces))
     }
 
     /// Time of a full call.
@@ -106,7 +106,7 @@
     /// A group that is already late loses nothing by waiting. A group that is not late may go to
     /// another domain before it would be late.
     fn any_domain_from(&self, shape: Shape, now: Duration) -> Duration {
-        let wait_end = self.arrived_at + self.max_domain_wait;
+        let wait_end = self.arrived_at.saturating_add(self.max_domain_wait);
         let before_due = |time: Duration| self.due.saturating_sub(time);
         let late = before_due(shape.time(self.pieces)) < now;
         if late {
@@ -220,14 +220,15 @@
 
     /// Sorts the groups into the order in which they are taken.
     fn sort(&mut self, now: Duration) {
-        let end = now + self.shape.shortest();
+        let end = now.saturating_add(self.shape.shortest());
         let weight = if self.rules.small_first {
             SIZE_WEIGHT
         } else {
             0
         };
-        let work = self.shape.piece * weight;
-        let sort_time = |group: &Group| group.due + work * group.pieces;
+        let work = self.shape.piece.saturating_mul(weight);
+        let work = |group: &Group| work.saturating_mul(group.pieces);
+        let sort_time = |group: &Group| group.due.saturating_add(work(group));
         self.groups
             .sort_by_key(|group| (group.due < end, group.rank, sort_time(group)));
     }
@@ -251,13 +252,16 @@
         let mut ahead = 0;
         let mut expired = Vec::new();
         self.groups.retain(|group| {
-            let wait = piece * ahead;
-            let late = group.due < now + shortest;
-            let cannot_finish = now + wait.div_f64(MAX_QUEUE_SPEEDUP) + shortest > group.expires_at;
+            let wait = piece.saturating_mul(ahead);
+            let late = group.due < now.saturating_add(shortest);
+            let cannot_finish = now
+                .saturating_add(wait.div_f64(MAX_QUEUE_SPEEDUP))
+                .saturating_add(shortest)
+                > group.expires_at;
             let crowded_out = late && wait > call;
             let keep = !cannot_finish && !crowded_out;
             if keep {
-                ahead += group.pieces;
+                ahead = group.pieces.saturating_add(ahead);
             } else {
                 expired.push(group.group_id);
             }
@@ -300,14 +304,14 @@
     }
 
     fn waiting_pieces(&self) -> u32 {
-        self.groups.iter().map(|group| group.pieces).sum()
+        count_pieces(self.groups.iter())
     }
 
     fn pieces_ahead(&self, now: Duration, rank: u8) -> u32 {
-        let end = now + self.shape.shortest();
+        let end = now.saturating_add(self.shape.shortest());
         let before = |group: &&Group| group.due >= end && group.rank <= rank;
         let groups = self.groups.iter().filter(before);
-        groups.map(|group| group.pieces).sum()
+        count_pieces(groups)
     }
 }
 
@@ -351,9 +355,14 @@
     portions
 }
 
+fn count_pieces<'a>(groups: impl Iterator<Item = &'a Group>) -> u32 {
+    let pieces = groups.map(|group| group.pieces);
+    pieces.fold(0, u32::saturating_add)
+}
+
 /// Removes and returns the groups that would expire before a call that starts now ends.
 fn remove_expired(groups: &mut Vec<Group>, shape: Shape, now: Duration) -> Vec<GroupId> {
-    let end = now + shape.shortest();
+    let end = now.saturating_add(shape.shortest());
     let expired = groups.iter().filter(|group| group.expires_at < end);
     let expired = expired.map(|group| group.group_id).collect();
     groups.retain(|group| group.expires_at >= end);
@@ -416,7 +425,7 @@
     }
 
     fn waiting_pieces(&self) -> u32 {
-        self.groups.iter().map(|group| group.pieces).sum()
+        count_pieces(self.groups.iter())
     }
 
     fn pieces_ahead(&self, _now: Duration, _rank: u8) -> u32 {
--- a/crates/decide/src/batch/forecast.rs
+++ b/crates/decide/src/batch/forecast.rs
@@ -131,7 +131,7 @@
     fn with_pieces(self, pieces: u32, shape: Shape) -> Self {
         let Some(free_pieces) = self.free_pieces.checked_sub(pieces) else {
             return Self {
-                at: self.at + shape.full(),
+                at: self.at.saturating_add(shape.full()),
                 free_pieces: shape.size.saturating_sub(pieces),
             };
         };
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`admit`]: admission of requests, and the order in which calls start
 //! * [`limit`]: limits on the number of calls in flight
 //! * [`batch`]: forming batches of work items for runners that process several per call
+//! * [`bound`]: bounds of the numbers that other programs state
 //! * [`budget`]: the latest start of each stage by which the request meets its deadline
 //! * [`flow`]: which requests of a chain of stages may start, and when
 //! * [`retry`]: retries, hedges and outlier ejection
@@ -23,6 +24,7 @@
 
 pub mod admit;
 pub mod batch;
+pub mod bound;
 pub mod budget;
 pub mod demand;
 mod either;
--- a/crates/decide/src/retry/window.rs
+++ b/crates/decide/src/retry/window.rs
@@ -20,6 +20,10 @@
 /// Number of buckets in a window. First attempts count only where their whole bucket lies in the
 /// window, retries also where a part of it does.
 const BUCKETS: usize = 200;
+/// Shortest bucket. The buckets of a window and of [`MAX_RETRY_TRANSIT`] are kept for each service; a window of
+/// a nanosecond would need hundreds of millions. A shorter window than all buckets counts as that long, which
+/// allows no more retries.
+const MIN_BUCKET: Duration = Duration::from_micros(50);
 /// Windows over which first attempts are averaged.
 const WINDOWS: f64 = 2.0;
 /// Maximum time from when a client sends a request until it arrives at a process.
@@ -43,7 +47,7 @@
     /// Maximum time between the grants of two retries that may arrive within one window.
     #[must_use]
     pub fn reach(&self) -> Duration {
-        self.window + MAX_RETRY_TRANSIT
+        self.window.saturating_add(MAX_RETRY_TRANSIT)
     }
 
     /// The lesser of each term of two bounds over the same window.
@@ -63,7 +67,7 @@
 
     fn bucket_length(&self) -> Duration {
         let buckets = u32::try_from(BUCKETS).unwrap_or(u32::MAX);
-        (self.window / buckets).max(Duration::from_nanos(1))
+        (self.window / buckets).max(MIN_BUCKET)
     }
 
     /// Number of buckets that cover this time.
@@ -150,7 +154,7 @@
             self.next_bound = None;
             self.bound = bound;
         } else {
-            self.next_bound = Some((now + self.bound.reach(), bound));
+            self.next_bound = Some((now.saturating_add(self.bound.reach()), bound));
             self.bound = self.bound.lesser(&bound);
         }
     }
@@ -173,7 +177,7 @@
         let age = usize::try_from(self.newest - number).unwrap_or(usize::MAX);
         // A request that arrived before all windows has no bucket.
         if let Some(bucket) = self.buckets.get_mut(age) {
-            bucket.first_attempts += count;
+            bucket.first_attempts = bucket.first_attempts.saturating_add(count);
         }
     }
 
@@ -201,13 +205,17 @@
         let first_attempts = self.buckets.iter().map(|bucket| bucket.first_attempts);
         let mut usage = RetryUsage {
             retries: 0,
-            first_attempts: first_attempts.clone().take(lead).sum(),
+            first_attempts: first_attempts
+                .clone()
+                .take(lead)
+                .fold(0, u32::saturating_add),
             allowed: 0.0,
         };
         let mut earlier = first_attempts.skip(lead);
         let windows = self.buckets.iter().take(self.depth()).map(|bucket| {
             usage.retries += bucket.retries;
-            usage.first_attempts += earlier.next().unwrap_or(0);
+            let next = earlier.next().unwrap_or(0);
+            usage.first_attempts = usage.first_attempts.saturating_add(next);
             usage.allowed = self.bound.ratio / WINDOWS * f64::from(usage.first_attempts) + part;
             usage
         });
--- a/crates/decide/src/retry/window/slack.rs
+++ b/crates/decide/src/retry/window/slack.rs
@@ -65,7 +65,7 @@
     /// Number of processes that share the slack if retries count for the duration `reach`; `None`
     /// while this process has no share.
     pub fn processes(&mut self, now: Duration, reach: Duration) -> Option<usize> {
-        let is_past = |time: Duration| time + reach <= now;
+        let is_past = |time: Duration| time.saturating_add(reach) <= now;
         let has_share = match self.is_first_start {
             true => self.known_from? <= now,
             false => is_past(self.known_from?),
--- a/crates/decide/src/route/affinity.rs
+++ b/crates/decide/src/route/affinity.rs
@@ -113,7 +113,8 @@
         let Some((first, rest)) = self.parts.split_first() else {
             return vec![0.0; targets.len()];
         };
-        let rest_tokens: u32 = rest.iter().map(|part| part.tokens).sum();
+        let rest_tokens = rest.iter().map(|part| part.tokens);
+        let rest_tokens = rest_tokens.fold(0, u32::saturating_add);
         let full_prefix = self.parts.last().map_or(first.block, |part| part.block);
         let mut indices: Vec<usize> = (0..targets.len()).collect();
         sort_by_hash(&mut indices, targets, first.block);
@@ -128,7 +129,10 @@
                 + ORDER_COST_S * position as f64;
         }
         for &mut index in outside {
-            costs[index] = REREAD_WEIGHT * self.speed.read_seconds(rest_tokens + first.tokens)
+            costs[index] = REREAD_WEIGHT
+                * self
+                    .speed
+                    .read_seconds(rest_tokens.saturating_add(first.tokens))
                 + ORDER_COST_S * size as f64;
         }
         costs
--- a/crates/decide/src/route/prefill.rs
+++ b/crates/decide/src/route/prefill.rs
@@ -92,7 +92,8 @@
     /// How much the response says about an idle engine. Other calls delay it, and it is not known
     /// which shared parts were read.
     fn weight(&self) -> f64 {
-        let certain = f64::from(self.unshared + 1) / f64::from(self.tokens.max(self.unshared) + 1);
+        let tokens = self.tokens.max(self.unshared);
+        let certain = (f64::from(self.unshared) + 1.0) / (f64::from(tokens) + 1.0);
         (1.0 + certain) / (1.0 + f64::from(self.in_progress))
     }
 }
--- a/crates/decide/src/warmup.rs
+++ b/crates/decide/src/warmup.rs
@@ -5,6 +5,7 @@
 //! processes send, chosen by names alone, and each keeps a fixed interval between two requests.
 //! Together they stay under the limit in any second without communicating.
 
+use crate::bound::MAX_TIME;
 pub use crate::share::RateShare;
 use std::time::Duration;
 
@@ -50,7 +51,8 @@
             .unwrap_or(max_senders)
             .clamp(1, max_senders);
         let per_sender = limit.max_per_second / senders;
-        let mean_interval = Duration::from_secs_f64(f64::from(senders) / limit.rate);
+        let mean_interval = Duration::try_from_secs_f64(f64::from(senders) / limit.rate);
+        let mean_interval = mean_interval.unwrap_or(MAX_TIME);
         Some(Self {
             senders: senders as usize,
             interval: mean_interval.max(WINDOW / per_sender + INTERVAL_MARGIN),
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -25,11 +25,12 @@
 use crate::telemetry::millis;
 use batch_call::BatchCall;
 pub use cell_list::CellList;
+use decide::bound::MAX_PIECES;
 use release::notify_runner;
 pub(crate) use release::{RELEASE_DELAY, release};
 use serde::{Deserialize, Serialize};
 use setting::Policy;
-use slog::info;
+use slog::{info, warn};
 use snafu::Snafu;
 use state::State;
 use std::marker::PhantomData;
@@ -243,6 +244,11 @@
             let _ = reply.send(Err(StageError::NoRunner));
             return outcome;
         };
+        if order.pieces > MAX_PIECES {
+            warn!(relay.log, "too many pieces"; "request" => &*order.id, "pieces" => order.pieces);
+            let _ = reply.send(Err(StageError::Failed));
+            return outcome;
+        }
         let mut state = lock(&self.state);
         if state.is_empty() {
             let _ = reply.send(Err(StageError::NoRunner));
--- a/crates/relay/src/batch/runner_state.rs
+++ b/crates/relay/src/batch/runner_state.rs
@@ -221,8 +221,9 @@
         let results = &self.results;
         self.released.retain(|handle| results.contains_key(handle));
         self.fetched.retain(|handle| results.contains_key(handle));
-        let stored = self.stored() + self.unknown_results(now);
-        let droppable = self.bytes(&self.released) + self.bytes(&self.fetched);
+        let stored = self.stored().saturating_add(self.unknown_results(now));
+        let droppable = self.bytes(&self.released);
+        let droppable = droppable.saturating_add(self.bytes(&self.fetched));
         Room {
             free: batches
                 .room
@@ -273,13 +274,16 @@
 
     /// Size of all results in bytes.
     fn stored(&self) -> u64 {
-        self.results.values().map(|stored| stored.bytes).sum()
+        let bytes = self.results.values().map(|stored| stored.bytes);
+        bytes.fold(0, u64::saturating_add)
     }
 
     /// Size of these results in bytes.
     fn bytes(&self, handles: &[Handle]) -> u64 {
         let stored = handles.iter().filter_map(|handle| self.results.get(handle));
-        stored.map(|stored| stored.bytes).sum()
+        stored
+            .map(|stored| stored.bytes)
+            .fold(0, u64::saturating_add)
     }
 
     /// Marks a result as no longer needed; a result from before this process owned the cell may be
--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -8,6 +8,7 @@
 use crate::peer::TableUpdate;
 use crate::peer::tables::{Table, TableRead};
 use crate::telemetry::millis;
+use decide::bound::MAX_TIME;
 use protocol::reader::{PeerUpdate, Reader, UpdateAction};
 use rand::Rng;
 use slog::{info, warn};
@@ -309,7 +310,7 @@
             .read(update.revision, update.current(relay.at(requested_at)));
         self.note_era(relay, update.revision);
         self.note_withheld(update.withheld);
-        let grace_until = update.lapse.map(|left| Instant::now() + left);
+        let grace_until = update.lapse.map(|left| Instant::now() + left.min(MAX_TIME));
         let changes = update.changes();
         self.publish(relay, None, &changes, grace_until);
         self.upstream = Some(peer.id);
@@ -325,7 +326,7 @@
         after: RowRevision,
         requested_at: Duration,
     ) -> Option<Changes> {
-        let grace_until = update.lapse.map(|left| Instant::now() + left);
+        let grace_until = update.lapse.map(|left| Instant::now() + left.min(MAX_TIME));
         let (is_whole, withheld) = (update.is_whole(), update.withheld);
         if era::of(update.revision) > era::of(after) {
             // Only the table itself can tell what a backup lacks.
--- a/crates/relay/src/graph.rs
+++ b/crates/relay/src/graph.rs
@@ -286,9 +286,12 @@
     expected: Duration,
 ) -> (Option<DomainId>, Duration) {
     let spec = &job.route.stages[stage];
-    let bytes = |stage: usize| job.route.stages[stage].result * u64::from(job.pieces(stage));
-    let input_bytes: u64 = spec.after.iter().map(|&before| bytes(before)).sum();
-    let input_bytes = input_bytes * u64::from(job.pieces(stage));
+    let pieces = |stage: usize| u64::from(job.pieces(stage));
+    let size = |stage: usize| job.route.stages.get(stage).map_or(0, |spec| spec.result);
+    let bytes = |stage: usize| size(stage).saturating_mul(pieces(stage));
+    let inputs = spec.after.iter().map(|&before| bytes(before));
+    let input_bytes = inputs.fold(0, u64::saturating_add);
+    let input_bytes = input_bytes.saturating_mul(pieces(stage));
     let output_bytes = bytes(stage);
     let (domain, crossing_bytes) = match source {
         Source::Inputs(handles) if input_bytes > output_bytes => {
--- a/crates/relay/src/peer/credits.rs
+++ b/crates/relay/src/peer/credits.rs
@@ -7,6 +7,7 @@
 use crate::flow::{Demand, LocalCredit, Outcome, Verdict, Verdicts};
 use crate::member::Member;
 use decide::Map;
+use decide::bound::MAX_TIME;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -117,7 +118,7 @@
         demand: &Demand,
     ) {
         let (credit, verdicts) = relay.ask_gate(cell, demand);
-        let expires_at = Instant::now() + demand.expires + EXPIRY_MARGIN;
+        let expires_at = Instant::now() + demand.expires.min(MAX_TIME) + EXPIRY_MARGIN;
         self.0.insert(ticket, LinkCredit { credit, expires_at });
         tokio::spawn(forward_verdicts(sender.clone(), ticket, verdicts));
     }
--- a/crates/relay/src/peer/frame.rs
+++ b/crates/relay/src/peer/frame.rs
@@ -15,6 +15,7 @@
 use crate::quarantine::{Suspicion, TrialClaim, TrialReply};
 use crate::request::{ContentId, RequestId};
 use crate::runner::DomainId;
+use decide::bound::MAX_TIME;
 use serde::{Deserialize, Serialize};
 use slog::info;
 use std::sync::Arc;
@@ -243,11 +244,11 @@
             source: self.source,
             inputs: self.inputs,
             result_bytes: self.result,
-            due: now + self.due,
-            expires_at: now + self.last,
+            due: now + self.due.min(MAX_TIME),
+            expires_at: now + self.last.min(MAX_TIME),
             rank: self.rank,
             domain: self.domain,
-            max_domain_wait: self.patience,
+            max_domain_wait: self.patience.min(MAX_TIME),
             content: self.content,
             trial: self.trial,
         }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -134,8 +134,8 @@
     /// Number of tokens not shared with other requests, which a runner has to process in any case.
     #[must_use]
     pub fn unshared(&self) -> u32 {
-        let shared: u32 = self.shared.iter().map(|part| part.tokens).sum();
-        self.input.saturating_sub(shared)
+        let tokens = self.shared.iter().map(|part| part.tokens);
+        tokens.fold(self.input, u32::saturating_sub)
     }
 }
 
--- a/crates/relay/src/warmup.rs
+++ b/crates/relay/src/warmup.rs
@@ -6,6 +6,7 @@
 use crate::runner::{Fleet, Runner, RunnerId};
 use crate::telemetry::millis;
 use decide::Map;
+use decide::bound::MAX_TIME;
 use decide::warmup::{RateLimit, RateShare};
 use setting::Policy;
 use slog::info;
@@ -59,7 +60,7 @@
         let was_cold = {
             let mut warmups = lock(&self.warmups);
             let was_cold = warmups.is_cold(&runner.id, now);
-            warmups.set(&runner.id, now + time);
+            warmups.set(&runner.id, now + time.min(MAX_TIME));
             was_cold
         };
         if !was_cold && !time.is_zero() {
--- a/crates/store/src/era.rs
+++ b/crates/store/src/era.rs
@@ -13,6 +13,9 @@
 /// Number of low bits of a revision that contain the number.
 const NUMBER_BITS: u32 = 44;
 
+/// Largest era that a revision can have.
+pub const MAX: Era = Era::MAX >> NUMBER_BITS;
+
 /// Combines an era and a number into a revision.
 ///
 /// # Examples
