Logs: lines that cannot be written are dropped

Cause: with the standard output closed, each write fails. `fuse` turned the failure into a panic: first of the thread that writes, and from then on of each task that logs a line.

Change: the results of both drains are ignored, so that the thread writes on and lines are dropped.

Result: `lines_dropped` failed before ("slog-async failed with panic", the second line was never written) and passes; a relay process with a closed output was not played.

--- a/crates/metric/src/log.rs
+++ b/crates/metric/src/log.rs
@@ -13,7 +13,8 @@
 }
 
 /// Creates a logger to a writer. Logging never blocks: while the writer is slow, lines wait in a
-/// bounded queue, and further ones are dropped and counted.
+/// bounded queue, and further ones are dropped and counted. Lines that cannot be written are dropped as well: the
+/// process serves on when its output is closed.
 pub fn logger_to(
     writer: impl std::io::Write + Send + 'static,
     role: &'static str,
@@ -26,11 +27,11 @@
         ))
         .set_newlines(true)
         .build()
-        .fuse();
+        .ignore_res();
     let drain = slog_async::Async::new(lines)
         .chan_size(QUEUE_LINES)
         .build()
-        .fuse();
+        .ignore_res();
     Logger::root(Stamp(drain), o!("role" => role, "id" => id.to_owned()))
 }
 
