--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -5,6 +5,7 @@
 use crate::core::Relay;
 use crate::downstream::Downstream;
 use crate::member::{self, Member, MemberId};
+use crate::pause::Following;
 use crate::peer::TableUpdate;
 use crate::peer::tables::{Table, TableRead};
 use crate::telemetry::millis;
@@ -63,6 +64,7 @@
 
 /// One process's view of a table.
 pub(crate) struct Follower<S> {
+    _following: Following,
     source: S,
     table: &'static str,
     intervals: PollIntervals,
@@ -102,8 +104,8 @@
         table: &'static str,
         intervals: PollIntervals,
     ) -> Self {
-        relay.pause.add_follower();
         Self {
+            _following: relay.pause.add_follower(),
             pauses: relay.pause.count(),
             reader: Reader::new(intervals.max_age),
             published: relay.peers.tables.get(table),
--- a/crates/relay/src/pause.rs
+++ b/crates/relay/src/pause.rs
@@ -70,6 +70,20 @@
     behind: usize,
 }
 
+/// A task that follows a table. If one that has ended still counted, requests would wait in vain for its answer
+/// after each pause.
+#[derive(Debug)]
+pub(crate) struct Following(watch::Sender<Followers>);
+
+impl Drop for Following {
+    fn drop(&mut self) {
+        self.0.send_modify(|followers| {
+            followers.all = followers.all.saturating_sub(1);
+            followers.behind = followers.behind.min(followers.all);
+        });
+    }
+}
+
 impl PauseDetector {
     pub(crate) fn new(clock: Clock) -> Self {
         let now = Instant::now();
@@ -125,9 +139,10 @@
         (behind && Instant::now() < until).then_some(until)
     }
 
-    /// Registers a task that follows a table.
-    pub(crate) fn add_follower(&self) {
+    /// Registers a task that follows a table, until the result is dropped.
+    pub(crate) fn add_follower(&self) -> Following {
         self.followers.send_modify(|followers| followers.all += 1);
+        Following(self.followers.clone())
     }
 
     /// Number of pauses detected.
--- a/crates/relay/tests/process_paused.rs
+++ b/crates/relay/tests/process_paused.rs
@@ -135,3 +135,23 @@
     assert_eq!(remaining.len(), 2);
     assert!(remaining[1] + PAUSE <= remaining[0], "{remaining:?}");
 }
+
+/// The task that followed the runners has ended and was started anew. If the old one still counted, requests
+/// would wait in vain for its answer after each pause.
+#[tokio::test(start_paused = true)]
+async fn ended_follower() {
+    let fake = Fake::default();
+    let replies = vec![FeedReply::Rows(vec![("p-1", entry("plain"))])];
+    let (relay, ended) = relay_following(&fake, replies).await;
+    ended.abort();
+    assert!(ended.await.is_err());
+    let feed = ScriptedFeed::new(runner_replaced());
+    let _following = tokio::spawn(follow::runner_table(relay.clone(), feed));
+    sleep(Duration::from_millis(700)).await;
+    suspend();
+    assert!(!relay.is_caught_up());
+    let started = Instant::now();
+    let answer = body(relay.serve(request("a", "safe")).await).await;
+    assert_eq!(answer.0, 200);
+    assert!(started.elapsed() < UPDATE_WAIT, "{:?}", started.elapsed());
+}
