--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -5,9 +5,11 @@
 use crate::core::Relay;
 use crate::downstream::Downstream;
 use crate::member::{self, Member, MemberId};
+use crate::pause::Following;
 use crate::peer::TableUpdate;
 use crate::peer::tables::{Table, TableRead};
 use crate::telemetry::millis;
+use decide::bound::MAX_TIME;
 use protocol::reader::{PeerUpdate, Reader, UpdateAction};
 use rand::Rng;
 use slog::{info, warn};
@@ -62,6 +64,7 @@
 
 /// One process's view of a table.
 pub(crate) struct Follower<S> {
+    _following: Following,
     source: S,
     table: &'static str,
     intervals: PollIntervals,
@@ -101,8 +104,8 @@
         table: &'static str,
         intervals: PollIntervals,
     ) -> Self {
-        relay.pause.add_follower();
         Self {
+            _following: relay.pause.add_follower(),
             pauses: relay.pause.count(),
             reader: Reader::new(intervals.max_age),
             published: relay.peers.tables.get(table),
@@ -309,7 +312,7 @@
             .read(update.revision, update.current(relay.at(requested_at)));
         self.note_era(relay, update.revision);
         self.note_withheld(update.withheld);
-        let grace_until = update.lapse.map(|left| Instant::now() + left);
+        let grace_until = update.lapse.map(|left| Instant::now() + left.min(MAX_TIME));
         let changes = update.changes();
         self.publish(relay, None, &changes, grace_until);
         self.upstream = Some(peer.id);
@@ -325,7 +328,7 @@
         after: RowRevision,
         requested_at: Duration,
     ) -> Option<Changes> {
-        let grace_until = update.lapse.map(|left| Instant::now() + left);
+        let grace_until = update.lapse.map(|left| Instant::now() + left.min(MAX_TIME));
         let (is_whole, withheld) = (update.is_whole(), update.withheld);
         if era::of(update.revision) > era::of(after) {
             // Only the table itself can tell what a backup lacks.
