Relay: changes are in force in time while connections to the store are silent

Cause: a question about a table waits 4 s for changes and was given up 0.7 s later. If all open connections went silent without a reset, the question was lost until then, and so was one that was asked on an idle connection 0.5 s after a change. The time-out counted as an outage, which put removals of runners off by another 1.8 s. TCP keep-alive shows nothing as long as a host in between acknowledges.

The responses for the operator's table and for the runners alternate, at fixed times 1.85 s apart, so that the first overdue one shows a silence soon. The interval is 3.7 s instead of 4 s.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -2,9 +2,11 @@
 
 mod budget;
 mod follower;
+mod schedule;
 
 pub use budget::StalenessBudget;
-pub(crate) use follower::{Follower, PollIntervals};
+pub(crate) use follower::Follower;
+pub(crate) use schedule::PollIntervals;
 
 use crate::configuration::Configuration;
 use crate::core::Relay;
@@ -28,13 +30,25 @@
 /// client's margin, and changes in the meantime are received that late: within five seconds of the
 /// service's return. Where others read the table, their updates are trusted for less than the time that
 /// a leaving runner goes on to serve.
+///
+/// The responses for the two tables alternate. If all connections to the service go silent, the first
+/// response that is overdue shows it for both: 1.85 s later at most if nothing has changed before, and
+/// 0.55 s more after changes. With 4 s, a dropped key could run until 0.1 s before the bound of 3 s; with
+/// 3.6 s, the calls would grow by a tenth.
 const POLL_INTERVALS: PollIntervals = PollIntervals {
     debounce: Duration::from_millis(500),
-    standalone: Duration::from_secs(4),
+    standalone: Duration::from_millis(3_700),
+    offset: Duration::ZERO,
     shared: Duration::from_secs(1),
     max_age: budget::MAX_PEER_AGE,
 };
 
+/// Intervals at which the runners are polled: halfway between the responses for the operator's table.
+const RUNNER_INTERVALS: PollIntervals = PollIntervals {
+    offset: Duration::from_millis(1_850),
+    ..POLL_INTERVALS
+};
+
 /// Time within which runners and operators rewrite what was lost when the table service was restored
 /// from an older backup; it includes the time after which the entry of an unresponsive runner expires.
 pub(crate) const REWRITE_GRACE_PERIOD: Duration = Duration::from_secs(5);
@@ -228,7 +242,7 @@
 
 /// Follows the runner table until the task is dropped.
 pub async fn runner_table<D: Downstream, S: TableSource>(relay: Arc<Relay<D>>, source: S) {
-    let mut follower = Follower::new(&relay, source, S::RUNNER_TABLE, POLL_INTERVALS);
+    let mut follower = Follower::new(&relay, source, S::RUNNER_TABLE, RUNNER_INTERVALS);
     let mut deferred = Deferred::default();
     loop {
         let changes = tokio::select! {
--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -2,6 +2,7 @@
 
 use super::TableSource;
 use super::budget::{HOP_DELAY, StalenessBudget};
+use super::schedule::PollIntervals;
 use crate::core::Relay;
 use crate::downstream::Downstream;
 use crate::member::{self, Member, MemberId};
@@ -46,20 +47,6 @@
 /// Origin of changes that were read from the table itself, for logs.
 const TABLE_ORIGIN: &str = "table";
 
-/// Intervals at which a table is polled for changes.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct PollIntervals {
-    /// Delay after changes before the next request if each process reads the table for itself. Rows
-    /// change in groups, and each request costs a call.
-    pub(crate) debounce: Duration,
-    /// Maximum wait of a request if each process reads the table for itself.
-    pub(crate) standalone: Duration,
-    /// Time within which a process that reads the table for others learns whether something has changed.
-    pub(crate) shared: Duration,
-    /// Maximum age of updates from peers.
-    pub(crate) max_age: Duration,
-}
-
 /// One process's view of a table.
 pub(crate) struct Follower<S> {
     source: S,
@@ -496,7 +483,7 @@
             return if is_new {
                 self.intervals.shared
             } else {
-                self.intervals.standalone
+                self.intervals.standalone_wait(relay.now())
             };
         }
         if relay.peers.members(|members| members.upstream()).is_some() {
