--- a/crates/decide/tests/stated_bounds.rs
+++ b/crates/decide/tests/stated_bounds.rs
@@ -1,4 +1,6 @@
 //! Decisions on times, sizes and counts of any magnitude.
+//!
+//! `LINNETDRIFT_DECODE_CASES` sets the number of cases of each test, and `LINNETDRIFT_DECODE_SEED` their seed.
 
 use decide::batch::{BatchQueue, FreeRunner, Group, RequiredGroup, Shape, SlackQueue};
 use decide::bound;
@@ -8,6 +10,9 @@
 use proptest::test_runner::RngSeed;
 use std::time::Duration;
 
+/// Cases of each test unless the environment says otherwise.
+const CASES: u32 = 256;
+const SEED: u64 = 20_261_204;
 /// Largest peak memory of the test process, in megabytes.
 const MAX_PEAK_MB: u64 = 500;
 
@@ -19,10 +24,16 @@
     kilobytes.unwrap_or(0) / 1024
 }
 
+fn environment(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
 fn config() -> ProptestConfig {
+    let cases = environment("LINNETDRIFT_DECODE_CASES").and_then(|cases| cases.try_into().ok());
+    let seed = environment("LINNETDRIFT_DECODE_SEED").unwrap_or(SEED);
     ProptestConfig {
-        cases: 256,
-        rng_seed: RngSeed::Fixed(20_261_204),
+        cases: cases.unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(seed),
         failure_persistence: None,
         ..ProptestConfig::default()
     }
