A pause costs a stream none of its chances

Each round now counts its own refusals, a break ends the pause and opens a round with all of them, and the runner that lacked inputs is known by its id. A second call of a request is charged to the bound on retries even if its first runner had lacked inputs, and so is one that follows a cancelled one. The log tells a stream that continues from one that is taken over.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -40,15 +40,19 @@
 const STREAM_BUFFER_PARTS: usize = 32;
 
 /// Progress of a request over its attempts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Progress {
     /// Runners that the request was sent to.
     pub tried: Vec<RunnerId>,
     /// Number of runners that may have run the request.
     pub executions: u32,
-    /// Number of runners that refused the request.
+    /// Number of calls that were sent.
+    sends: u32,
+    /// Number of runners that refused the request in the current round.
     pub refusals: u32,
-    /// Runners among those tried that refused the request, since it was last offered to all of them.
+    /// Refusals after which no other runner is asked in the current round.
+    max_refusals: u32,
+    /// Runners among those tried that refused the request in the current round.
     refused_by: Vec<RunnerId>,
     /// Whether a call is in progress whose outcome is unknown.
     is_calling: bool,
@@ -61,6 +65,23 @@
     retry_expires_at: Option<Duration>,
 }
 
+impl Default for Progress {
+    fn default() -> Self {
+        Self {
+            tried: Vec::new(),
+            executions: 0,
+            sends: 0,
+            refusals: 0,
+            max_refusals: MAX_REFUSALS,
+            refused_by: Vec::new(),
+            is_calling: false,
+            last_failure: None,
+            quarantined: None,
+            retry_expires_at: None,
+        }
+    }
+}
+
 /// A call whose response has started.
 pub type StartedCall<D> = (InFlightCall<D>, Reply<<D as Downstream>::Body>);
 
@@ -76,22 +97,30 @@
     pub(crate) fn cancel_call(&mut self) {
         if std::mem::take(&mut self.is_calling) {
             self.executions += 1;
+            self.retry_expires_at = None;
         }
     }
 
-    /// Lets runners that have refused the request be asked again. A runner at capacity may have room later;
-    /// only one is asked in each further round.
-    pub(crate) fn begin_another_round(&mut self) {
+    /// Lets runners that have refused the request be asked again: a runner at capacity may have room later.
+    pub(crate) fn begin_round(&mut self) {
         let refused_by = std::mem::take(&mut self.refused_by);
         self.tried.retain(|runner| !refused_by.contains(runner));
-        self.refusals = MAX_REFUSALS;
+        self.refusals = 0;
+        self.max_refusals = MAX_REFUSALS;
+    }
+
+    /// As [`Progress::begin_round`], but the first refusal ends the round.
+    pub(crate) fn begin_single_round(&mut self) {
+        self.begin_round();
+        self.max_refusals = 0;
     }
 
     /// Lets the runner that lacked inputs be asked again, once they have been recomputed.
     fn readmit_lacking_inputs(&mut self) {
         self.last_failure = None;
-        self.tried.pop();
-        self.refused_by.pop();
+        if let Some(runner) = self.refused_by.pop() {
+            self.tried.retain(|tried| *tried != runner);
+        }
     }
 
     /// Whether a retry may be sent. The retry is charged to the budget once for each call that is
@@ -164,6 +193,7 @@
         };
         job.relay.record_send_time(&runner);
         progress.tried.push(runner.id.clone());
+        progress.sends += 1;
         let call = build_call(job, inputs, remaining, resume_after);
         let mut in_flight = InFlightCall::new(job, runner);
         let observer = job.relay.observer(&in_flight.runner);
@@ -222,7 +252,7 @@
         true => picked,
         false => pick_runner(job, &progress.tried, job.remaining())?,
     };
-    let may_send = progress.tried.is_empty() || progress.try_retry(job);
+    let may_send = progress.sends == 0 || progress.try_retry(job);
     may_send.then_some(runner)
 }
 
@@ -288,6 +318,7 @@
             // Nothing was sent, so this counts neither as an attempt nor as a refusal.
             if *reason == NotRun::Withdrawn {
                 progress.tried.pop();
+                progress.sends -= 1;
                 in_flight.not_run();
                 return;
             }
@@ -306,7 +337,7 @@
 
 /// Whether the request may be sent to another runner.
 fn may_send<D: Downstream>(job: &Job<D>, progress: &Progress) -> bool {
-    if progress.refusals > MAX_REFUSALS || progress.input_gone() {
+    if progress.refusals > progress.max_refusals || progress.input_gone() {
         return false;
     }
     progress.executions == 0 || (job.route.repeatable() && progress.executions < job.route.attempts)
--- a/crates/relay/src/splice/successor.rs
+++ b/crates/relay/src/splice/successor.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Longest time for which two runners may work on a stream: from the head of the second one's response, with
-/// which it has begun, until the first one's stream is closed.
+/// which it has begun, until the first one's stream is closed, whether or not the second one has sent more.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 /// Factor by which the pause grows between two attempts to have a stream resumed while its runner is silent.
 const PAUSE_FACTOR: u32 = 2;
@@ -113,13 +113,38 @@
                 return Err(End::Broken(reason.clone()));
             }
             self.log_unresumed(&silent);
-            match self.watch(pin!(sleep(pause)), &mut silent.source).await {
-                Watched::Done(()) => {}
-                Watched::WentOn => return self.continue_silent(silent),
-                Watched::Ended(end) => return Err(end),
+            if silent.source.is_ok() {
+                match self.pause(pause, &mut silent.source).await {
+                    Watched::Done(()) => {}
+                    Watched::WentOn => return self.continue_silent(silent),
+                    Watched::Ended(end) => return Err(end),
+                }
+            }
+            match silent.source {
+                Ok(_) => self.progress.begin_single_round(),
+                // All that is left is another runner.
+                Err(_) => self.progress.begin_round(),
             }
             pause *= PAUSE_FACTOR;
-            self.progress.begin_another_round();
+        }
+    }
+
+    /// Waits for a time, or until a silent stream goes on, breaks off or the response is over.
+    async fn pause(
+        &self,
+        time: Duration,
+        silent: &mut Result<Source<D::Body>, String>,
+    ) -> Watched<()> {
+        let part = tokio::select! {
+            biased;
+            part = next_of(silent) => part,
+            () = sleep(time) => return Watched::Done(()),
+            () = self.parts.closed() => return Watched::Ended(End::ClientGone),
+            () = sleep_until(self.job.deadline) => return Watched::Ended(End::DeadlineExceeded),
+        };
+        match record_part(part, silent) {
+            true => Watched::WentOn,
+            false => Watched::Done(()),
         }
     }
 
@@ -189,8 +214,11 @@
         watch(work, silent, &self.parts, self.job.deadline).await
     }
 
-    fn continue_silent(&self, silent: SilentCall<D::Body>) -> Successor<D> {
-        self.log_successor(&silent, &silent.runner);
+    fn continue_silent(&mut self, silent: SilentCall<D::Body>) -> Successor<D> {
+        self.progress.begin_round();
+        info!(self.job.relay.log, "silent stream continues"; "request" => &*self.job.request.id,
+            "runner" => &*silent.runner.id, "last_event" => self.last_event,
+            "waited_ms" => millis(silent.silent_since.elapsed()));
         let in_flight = InFlightCall::reattach(&self.job, silent.runner, silent.sent_at);
         match silent.source {
             Ok(source) => Ok((in_flight, source)),
@@ -199,7 +227,7 @@
     }
 
     fn log_successor(&self, silent: &SilentCall<D::Body>, successor: &Runner) {
-        info!(self.job.relay.log, "silent stream continues"; "request" => &*self.job.request.id,
+        info!(self.job.relay.log, "silent stream taken over"; "request" => &*self.job.request.id,
             "runner" => &*silent.runner.id, "successor" => &*successor.id,
             "last_event" => self.last_event, "waited_ms" => millis(silent.silent_since.elapsed()));
     }
@@ -241,14 +269,25 @@
             () = parts.closed() => return Watched::Ended(End::ClientGone),
             () = sleep_until(deadline) => return Watched::Ended(End::DeadlineExceeded),
         };
-        match (part, &mut *silent) {
-            (Some(Err(error)), _) => *silent = Err(error.reason),
-            (part, Ok(source)) => {
-                source.read = Some(part);
-                return Watched::WentOn;
-            }
-            (_, Err(_)) => {}
+        if record_part(part, silent) {
+            return Watched::WentOn;
+        }
+    }
+}
+
+/// Keeps what has been read from a silent stream, or notes that it has broken off. Returns whether it went on,
+/// or ended completely.
+fn record_part<B>(part: Option<Part>, silent: &mut Result<Source<B>, String>) -> bool {
+    match (part, &mut *silent) {
+        (Some(Err(error)), _) => {
+            *silent = Err(error.reason);
+            false
+        }
+        (part, Ok(source)) => {
+            source.read = Some(part);
+            true
         }
+        (_, Err(_)) => false,
     }
 }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -106,6 +106,12 @@
         pause: Duration,
         after: Vec<&'static str>,
     },
+    /// As [`Behavior::Paused`], but the stream breaks off at its end.
+    PausedBroken {
+        before: Vec<&'static str>,
+        pause: Duration,
+        after: Vec<&'static str>,
+    },
     /// Refuses the call.
     Refuse(NotRun),
     /// Accepts the call and loses the response.
@@ -122,6 +128,8 @@
     Whole,
     Broken,
     Silent,
+    /// Reading on panics.
+    Panic,
 }
 
 /// A call that was sent to a runner.
@@ -304,7 +312,20 @@
                 before,
                 pause,
                 after,
-            } => Ok(reply(200, true, paused(before, pause, after))),
+            } => Ok(reply(
+                200,
+                true,
+                paused(before, pause, after, StreamEnd::Whole),
+            )),
+            Behavior::PausedBroken {
+                before,
+                pause,
+                after,
+            } => Ok(reply(
+                200,
+                true,
+                paused(before, pause, after, StreamEnd::Broken),
+            )),
             Behavior::Refuse(reason) => Err(Failure::NotRun { reason }),
             Behavior::Lose => Err(Failure::Lost {
                 reason: "reset".to_owned(),
--- a/crates/relay/tests/common/parts.rs
+++ b/crates/relay/tests/common/parts.rs
@@ -30,6 +30,10 @@
             parts,
             stream::iter([Err(broken)]),
         )),
+        StreamEnd::Panic => Box::pin(futures::StreamExt::chain(
+            parts,
+            stream::poll_fn(|_| panic!("a fault of the reader")),
+        )),
         StreamEnd::Silent => Box::pin(futures::StreamExt::chain(parts, stream::pending())),
     }
 }
@@ -39,14 +43,12 @@
     before: Vec<&'static str>,
     pause: Duration,
     after: Vec<&'static str>,
+    end: StreamEnd,
 ) -> Parts {
     let pausing = stream::once(async move {
         sleep(pause).await;
         Ok(Bytes::new())
     });
     let before = futures::StreamExt::chain(parts(before, StreamEnd::Whole), pausing);
-    Box::pin(futures::StreamExt::chain(
-        before,
-        parts(after, StreamEnd::Whole),
-    ))
+    Box::pin(futures::StreamExt::chain(before, parts(after, end)))
 }
--- a/crates/relay/tests/paused_streams.rs
+++ b/crates/relay/tests/paused_streams.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Behavior, Fake, StreamEnd, body, configured, ready, request, restarted};
+use common::{Behavior, Fake, StreamEnd, body, configured, ready, request, restarted, runner};
 use relay::Relay;
 use relay::downstream::NotRun;
 use relay::runner::Change;
@@ -39,6 +39,22 @@
     }
 }
 
+/// A stream that pauses, sends more and breaks off.
+fn breaking(before: &[&'static str], pause_ms: u64, after: &[&'static str]) -> Behavior {
+    Behavior::PausedBroken {
+        before: before.to_vec(),
+        pause: Duration::from_millis(pause_ms),
+        after: after.to_vec(),
+    }
+}
+
+/// A relay with a third runner of the service.
+fn with_three_runners(fake: Fake) -> Arc<Relay<Fake>> {
+    let relay = ready(fake);
+    relay.update(vec![Change::Listed(runner("p-3", "plain"))]);
+    relay
+}
+
 async fn serve(relay: &Arc<Relay<Fake>>, route: &str) -> (u16, String, bool) {
     body(relay.serve(request("a", route)).await).await
 }
@@ -169,3 +185,61 @@
     sleep(Duration::from_millis(50)).await;
     assert_eq!(busy(&relay), 0);
 }
+
+/// Guards against a stream that breaks off during a pause and is offered to nobody from then on.
+#[tokio::test(start_paused = true)]
+async fn breaks_within_pause() {
+    let behaviors = [breaking(&[ONE], 2_600, &[]), FULL, FULL, whole(&[TWO])];
+    let relay = ready(Fake::with_behaviors(behaviors));
+    let expected = (200, [ONE, TWO].concat(), true);
+    assert_eq!(serve(&relay, "stream").await, expected);
+}
+
+/// Guards against a stream that is lost at one refusal because it has paused before it broke off.
+#[tokio::test(start_paused = true)]
+async fn refused_after_pause() {
+    let behaviors = [
+        breaking(&[ONE], 1_500, &[]),
+        FULL,
+        FULL,
+        FULL,
+        whole(&[TWO]),
+    ];
+    let relay = with_three_runners(Fake::with_behaviors(behaviors));
+    let expected = (200, [ONE, TWO].concat(), true);
+    assert_eq!(serve(&relay, "stream").await, expected);
+}
+
+/// Guards against refusals during a pause that count against a stream that has gone on and breaks off later.
+#[tokio::test(start_paused = true)]
+async fn breaks_after_refusals() {
+    let behaviors = [breaking(&[ONE], 2_600, &[TWO]), FULL, FULL, whole(&[THREE])];
+    let relay = ready(Fake::with_behaviors(behaviors));
+    let expected = (200, [ONE, TWO, THREE].concat(), true);
+    assert_eq!(serve(&relay, "stream").await, expected);
+}
+
+/// Guards against a silent runner that is asked to resume its own stream because another one lacked inputs
+/// which could not be recomputed at first.
+#[tokio::test(start_paused = true)]
+async fn inputs_recomputed_late() {
+    for _ in 0..10 {
+        let silent = Behavior::Stream {
+            parts: vec![ONE],
+            end: StreamEnd::Silent,
+        };
+        let lacking = Behavior::Refuse(NotRun::InputGone);
+        let fake = Fake::with_behaviors([silent, lacking, whole(&[TWO]), whole(&[TWO])]);
+        let relay = with_three_runners(fake.clone());
+        let answer = relay.serve(request("a", "staged")).await;
+        relay.update(vec![Change::Gone("s-1".into()), Change::Gone("s-2".into())]);
+        let returning = relay.clone();
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(1_900)).await;
+            returning.update(vec![Change::Listed(runner("s-3", "stage"))]);
+        });
+        assert_eq!(body(answer).await, (200, [ONE, TWO].concat(), true));
+        let sent = fake.sent();
+        assert!(sent[1..].iter().all(|call| call.runner != sent[0].runner));
+    }
+}
