A stream whose forwarder panics does not look complete

The channel to the client closed as after the last event. Its last place is now reserved for the error that marks an incomplete response, which is sent if the forwarder is dropped before the end. forwarder_panics guards it; on the code before, by reading, its response looked complete.

--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -2,7 +2,8 @@
 //!
 //! A runner may stop anywhere. Complete events are forwarded as they arrive. If the route allows
 //! it, another runner resumes after the last forwarded event. The stream of a runner that is merely
-//! silent stays open until then: the runner may go on, and there may be no other one.
+//! silent stays open until another one has begun to resume it: the runner may go on, and there may be
+//! no other one.
 
 mod successor;
 
@@ -20,7 +21,7 @@
 use futures::StreamExt;
 use slog::info;
 use std::time::Duration;
-use tokio::sync::mpsc::{self, error::SendError};
+use tokio::sync::mpsc::{self, OwnedPermit, error::SendError};
 use tokio::time::{Instant, sleep_until};
 
 /// Minimum silence after which another runner is asked to resume a stream. Engines that are merely
@@ -34,6 +35,8 @@
 /// Time without a read after which a runner may close a stream because nothing reads it.
 const UNREAD_LIMIT: Duration = Duration::from_secs(1);
 
+/// Parts of the channel to the client that are reserved for the end of an incomplete response.
+const ENDING_PARTS: usize = 1;
 /// Why a silent stream counts as over, or is offered to another runner.
 const NO_DATA: &str = "no data from the runner in time";
 
@@ -72,12 +75,31 @@
     DeadlineExceeded,
 }
 
+/// Room for the error that ends an incomplete response, which is sent if it is dropped. A response whose
+/// forwarder panics must not look complete.
+struct Ending(Option<OwnedPermit<Part>>);
+
+impl Ending {
+    fn abort(&mut self, reason: String) {
+        if let Some(permit) = self.0.take() {
+            permit.send(Err(IncompleteBody { reason }));
+        }
+    }
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        self.abort("the stream was dropped".to_owned());
+    }
+}
+
 /// Forwards a stream to a client.
 pub struct StreamForwarder<D: Downstream> {
     job: Job<D>,
     inputs: Inputs<D>,
     progress: Progress,
     parts: Parts,
+    ending: Ending,
     /// Memory for data that the client has not read yet.
     memory: MemoryBudget,
     /// Whether the runner's stream was left unread for so long that the runner may have closed it
@@ -91,7 +113,9 @@
     /// Creates a forwarder that has forwarded nothing yet.
     pub fn new(job: Job<D>, inputs: Inputs<D>, progress: Progress, parts: Parts) -> Self {
         let last_event = job.request.resume_after;
+        let ending = Ending(parts.clone().try_reserve_owned().ok());
         Self {
+            ending,
             job,
             inputs,
             progress,
@@ -111,7 +135,10 @@
             self.log(&in_flight, &end);
             let elapsed = in_flight.sent_at.elapsed();
             let successor = match end {
-                End::Complete => return in_flight.answered(elapsed, true),
+                End::Complete => {
+                    self.ending.0.take();
+                    return in_flight.answered(elapsed, true);
+                }
                 End::Silent => self.replace_silent(in_flight, source).await,
                 End::Broken(reason) => {
                     drop(source);
@@ -124,7 +151,7 @@
             };
             (in_flight, source) = match successor {
                 Ok(successor) => successor,
-                Err(end) => return self.finish(end).await,
+                Err(end) => return self.finish(end),
             };
         }
     }
@@ -198,7 +225,7 @@
     /// yet.
     async fn send(&self, bytes: Bytes) -> Result<(), SendError<Part>> {
         // A client that keeps up uses no budget.
-        if self.parts.capacity() == self.parts.max_capacity() {
+        if self.parts.capacity() + ENDING_PARTS == self.parts.max_capacity() {
             return self.parts.send(Ok(bytes)).await;
         }
         let own = self.memory.reserve(bytes.len()).await;
@@ -251,24 +278,24 @@
     }
 
     /// Ends the response as incomplete, unless its client has disconnected.
-    async fn finish(self, end: End) {
+    fn finish(self, end: End) {
         let reason = match end {
             End::Complete | End::ClientGone => return,
             End::Broken(reason) => reason,
             End::Silent => NO_DATA.to_owned(),
             End::DeadlineExceeded => "deadline exceeded".to_owned(),
         };
-        self.abort(reason).await;
+        self.abort(reason);
     }
 
     /// Closes the client's connection without marking the response as complete. The client may
     /// already have disconnected, which is harmless.
-    async fn abort(self, reason: String) {
+    fn abort(mut self, reason: String) {
         info!(self.job.relay.log, "stream aborted"; "request" => &*self.job.request.id,
             "reason" => &reason, "last_event" => self.last_event, "tried" => self.progress.tried.len(),
             "resumable" => self.job.route.repeatable(),
             "after_ms" => millis(self.job.request.arrived.elapsed()));
-        let _ = self.parts.send(Err(IncompleteBody { reason })).await;
+        self.ending.abort(reason);
     }
 
     fn log(&self, in_flight: &InFlightCall<D>, end: &End) {
--- a/crates/relay/tests/event_streams.rs
+++ b/crates/relay/tests/event_streams.rs
@@ -153,3 +153,10 @@
     let (_, answer) = serve("stream", vec![forged(), stream(&[ONE], StreamEnd::Whole)]).await;
     assert_eq!(answer, (200, ONE.to_owned(), true));
 }
+
+/// Guards against a stream that looks complete because the task that forwards it has panicked.
+#[tokio::test(start_paused = true)]
+async fn forwarder_panics() {
+    let (_, (_, text, complete)) = serve("stream", vec![stream(&[ONE], StreamEnd::Panic)]).await;
+    assert_eq!((text.as_str(), complete), (ONE, false));
+}
