A process that stops says so on links that are opened later

The announcement reached the links that were open at that moment. A process that started or linked afterwards sent orders until the exit and lost them with it.

--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -198,6 +198,12 @@
         (since.or(self.listed_clock), is_settled)
     }
 
+    /// Whether this process has announced that it stops.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.leaving
+    }
+
     /// Whether the row of this process has been written.
     #[must_use]
     pub fn is_registered(&self) -> bool {
--- a/crates/relay/src/peer/frame.rs
+++ b/crates/relay/src/peer/frame.rs
@@ -269,6 +269,14 @@
 /// Sends a peer the state that all processes share: drained failure domains, runner limits, suspected
 /// requests and the version of the configuration in force.
 pub(super) fn send_state<D: Downstream>(relay: &Relay<D>, sender: &Sender<Frame>) {
+    let own = &relay.options.member;
+    if relay.peers.members(|members| members.is_stopping()) {
+        // The other end may have started, or have opened the link, since this was announced.
+        let _ = sender.try_send(&Frame::Leaving {
+            id: own.id.clone(),
+            incarnation: own.incarnation,
+        });
+    }
     let drains = relay.drains();
     if drains.revision > 0 {
         // The drains come first: a peer that fetches the configuration from here must know them by then.
--- a/crates/relay/tests/peer_orders.rs
+++ b/crates/relay/tests/peer_orders.rs
@@ -215,3 +215,14 @@
     });
     assert_eq!(chosen[0], chosen[1]);
 }
+
+/// Guards against orders for a process that stops from one that has linked to it since it announced its stop.
+#[tokio::test]
+async fn linked_after_announcement() {
+    let (asking, owner) = pair().await;
+    owner.relay.peers.announce_leaving(&owner.member);
+    assert_eq!(serve(&asking).await.0, 200);
+    let before = owner.fake.stage_calls().len();
+    assert_eq!(serve(&asking).await.0, 200);
+    assert_eq!(owner.fake.stage_calls().len(), before);
+}
