--- a/crates/ctl/tests/relay_stops.rs
+++ b/crates/ctl/tests/relay_stops.rs
@@ -282,34 +282,48 @@
 /// Time that its runner takes, longer than the process has left.
 const RUNNER_TIME: Duration = Duration::from_millis(2_000);
 
+/// Stops a process when a request has arrived but for its last bytes, which follow long after connections were
+/// closed.
+async fn exit_under_late_rest(name: &str, text: &str, rest: &str) {
+    let mut bench = Bench::start(name).await;
+    let (runner, requests) = start_long_runner(RUNNER_TIME).await;
+    bench.list("long-0", PLAIN, runner);
+    let address = bench.relay("relay-1", 1.0, LONG_GRACE_S).await;
+    let mut client = TcpStream::connect(address).await.unwrap();
+    client.write_all(text.as_bytes()).await.unwrap();
+    bench.fleet.signal("relay-1", Signal::Terminate).unwrap();
+    sleep(REST_DELAY).await;
+    // The connection may have been closed.
+    drop(client.write_all(rest.as_bytes()).await);
+    let mut bytes = Vec::new();
+    let read = timeout(TIMEOUT, client.read_to_end(&mut bytes)).await;
+    let text = String::from_utf8_lossy(&bytes);
+    let status = bench.exit("relay-1").await;
+    assert!(status.success(), "{status}");
+    let is_whole = text.starts_with("HTTP/1.1 200") && text.len() > LONG_BYTES;
+    let is_refused = text.starts_with("HTTP/1.1 503");
+    let requests = requests.load(Ordering::SeqCst);
+    assert!(
+        is_whole || is_refused || requests == 0,
+        "{requests} passed on, {read:?}: {text:?}"
+    );
+}
+
 /// Guards against a request that is read and passed on long after connections were closed, since the first bytes of
 /// its head had arrived before, and then cut off at the end of the grace period.
 #[test]
 fn exit_under_late_head() {
     run(async {
-        let mut bench = Bench::start("relay_stops_head").await;
-        let (runner, requests) = start_long_runner(RUNNER_TIME).await;
-        bench.list("long-0", PLAIN, runner);
-        let address = bench.relay("relay-1", 1.0, LONG_GRACE_S).await;
-        let mut client = TcpStream::connect(address).await.unwrap();
-        let text = head("late", "safe");
-        client.write_all(text.as_bytes()).await.unwrap();
-        bench.fleet.signal("relay-1", Signal::Terminate).unwrap();
-        sleep(REST_DELAY).await;
-        // The connection may have been closed.
-        drop(client.write_all(b"\r\n").await);
-        let mut bytes = Vec::new();
-        let read = timeout(TIMEOUT, client.read_to_end(&mut bytes)).await;
-        let text = String::from_utf8_lossy(&bytes);
-        let status = bench.exit("relay-1").await;
-        assert!(status.success(), "{status}");
-        let is_whole = text.starts_with("HTTP/1.1 200") && text.len() > LONG_BYTES;
-        let is_refused = text.starts_with("HTTP/1.1 503");
-        let requests = requests.load(Ordering::SeqCst);
-        assert!(
-            is_whole || is_refused || requests == 0,
-            "{requests} passed on, {read:?}: {text:?}"
-        );
+        exit_under_late_rest("relay_stops_head", &head("late", "safe"), "\r\n").await;
+    });
+}
+
+/// Guards against the same for a request whose body is not complete when connections are closed.
+#[test]
+fn exit_under_late_body() {
+    run(async {
+        let head = head("late", "safe").replace("Content-Length: 0", "Content-Length: 2");
+        exit_under_late_rest("relay_stops_body", &(head + "\r\nx"), "y").await;
     });
 }
 
