--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -33,7 +33,7 @@
 ///
 /// The responses for the two tables alternate. If all connections to the service go silent, the first
 /// response that is overdue shows it for both: 1.85 s later at most if nothing has changed before, and
-/// 0.55 s more after changes. With 4 s, a dropped key could run until 0.1 s before the bound of 3 s; with
+/// 0.55 s more after changes. With 4 s, a dropped key could run until 0.15 s before the bound of 3 s; with
 /// 3.6 s, the calls would grow by a tenth.
 const POLL_INTERVALS: PollIntervals = PollIntervals {
     debounce: Duration::from_millis(500),
