Soak: relays stopped during long streams

Cause: the streams of the soaks last 160 ms, and one that ends early is no violation there, so that losses around a stop are not seen. Change: the scenario Stops, with runners that take seconds and pause streams, clients that keep connections, and an account of what became of each request.

--- a/crates/ctl/src/torture/command.rs
+++ b/crates/ctl/src/torture/command.rs
@@ -120,6 +120,7 @@
         "flood" => Some(Scenario::Flood),
         "restore" => Some(Scenario::Restore),
         "chain" => Some(Scenario::Chain),
+        "stops" => Some(Scenario::Stops),
         _ => None,
     }
 }
@@ -153,7 +154,7 @@
             "only",
             "harness, proofreading, relays, engines, poison, crowd-stream, crowd-safe, crowd-unsafe, \
              piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, silence-safe, silence-unsafe, limit, notices, \
-             flood, restore or chain; the first three if not given",
+             flood, restore, chain or stops; the first three if not given",
             "NAME",
         );
         options.optopt("", "logs", "directory for settings and logs", "DIR");
@@ -181,7 +182,7 @@
             let message = format!(
                 "--only {name}: expected harness, proofreading, relays, engines, poison, crowd-stream, \
                      crowd-safe, crowd-unsafe, piece-none, piece, piece-second, piece-two, part-stream, part-once, silence-stream, \
-                     silence-safe, silence-unsafe, limit, notices, flood, restore or chain"
+                     silence-safe, silence-unsafe, limit, notices, flood, restore, chain or stops"
             );
             return Err(Error::usage(message));
         }
--- a/crates/ctl/src/torture/relays/mod.rs
+++ b/crates/ctl/src/torture/relays/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! * [`cluster`]: the processes and the stand-ins; [`fault`]: the faults injected into them
 //! * [`demand`]: the clients' requests; [`chain`]: those of a chain of stages
+//! * [`stops`]: relays that are stopped and started again during long streams
 //! * [`verdict`]: checks of the responses and the runs
 
 pub mod chain;
 pub mod cluster;
 pub mod demand;
 pub mod fault;
+pub mod stops;
 pub mod verdict;
 
 use crate::Error;
@@ -80,6 +82,9 @@
     /// A burst of requests with a chain of stages, while runners of the middle stage crash and return, runners
     /// are slow, and relays are frozen, killed and stopped.
     Chain,
+    /// Relays are stopped and started again, in turn and together, during streams of several seconds that
+    /// runners pause, without other faults.
+    Stops,
 }
 
 impl Scenario {
@@ -92,6 +97,7 @@
             Self::Piece { .. } => Layout::new(RunnerAccess::Direct, RUNNERS),
             Self::Silence(_) | Self::Part(_) => Layout::new(RunnerAccess::Direct, MANY_RUNNERS),
             Self::Chain => chain::LAYOUT,
+            Self::Stops => stops::LAYOUT,
             _ => Layout::new(RunnerAccess::Proxied, RUNNERS),
         }
     }
@@ -155,6 +161,9 @@
     logs: PathBuf,
     programs: PathBuf,
 ) -> Result<Verdict, Error> {
+    if scenario == Scenario::Stops {
+        return stops::soak(seed, time, logs, programs).await;
+    }
     let state = Arc::new(SoakState::default());
     let mut cluster = Cluster::start(logs.clone(), programs, scenario.layout(), &state).await?;
     cluster.wait_until_ready().await?;
--- a/crates/ctl/src/torture/relays/verdict.rs
+++ b/crates/ctl/src/torture/relays/verdict.rs
@@ -6,6 +6,7 @@
 
 use crate::torture::relays::cluster::{Key, Keys};
 use crate::torture::relays::demand::OTHER_BODIES;
+use crate::torture::relays::stops::account::StopStats;
 use crate::torture::state::{Interval, SoakState};
 use foldhash::fast::RandomState;
 use serde::Serialize;
@@ -39,7 +40,7 @@
 const MAX_QUARANTINE: Micros = 10_000_000;
 const QUARANTINE_TEXT: &str = "held back";
 /// Status codes that promise that a request has not run and never will.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+pub const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
 /// Counts of the requests of one kind.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -115,6 +116,9 @@
     /// Pieces of the stages, in a soak of a chain.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub chain: Option<chain::ChainStats>,
+    /// What became of the requests, in a soak with stops.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub stops: Option<StopStats>,
     /// Violations by kind.
     pub violations: BTreeMap<String, u64>,
 }
