--- a/crates/ctl/src/torture/relays/stops/account.rs
+++ b/crates/ctl/src/torture/relays/stops/account.rs
@@ -36,7 +36,7 @@
     Left,
     /// It ended at its deadline.
     Late,
-    /// Its runner was still at work at the end of the grace period.
+    /// Its connection ended at the end of the grace period, while its runner was still at work.
     Unfinished,
     /// The connection ended before the request was passed on.
     Unread,
@@ -180,7 +180,8 @@
             sent if sent <= stopped + LATE_SENT => Moment::Stopping,
             _ => Moment::Closing,
         };
-        if moment != Moment::Closing && moment != Moment::Serving && runs.iter().any(is_late) {
+        let is_early = matches!(moment, Moment::InProgress | Moment::Stopping);
+        if is_early && record.done >= late.start && runs.iter().any(is_late) {
             return Fate::Unfinished;
         }
         Fate::Lost(moment)
--- a/crates/ctl/src/torture/relays/stops/driver.rs
+++ b/crates/ctl/src/torture/relays/stops/driver.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -30,6 +30,9 @@
 /// Bounds of the time for which a relay is down and of the least time for which it serves, in milliseconds.
 const DOWN_MS: Range<u64> = 100..800;
 const UP_MS: Range<u64> = 0..3_000;
+/// Bounds of the factor by which a seed lengthens the times between rounds and for which relays serve. A relay
+/// has a share of the fixed retries only after ten seconds, and half a minute after its first start.
+const UP_FACTOR: RangeInclusive<u32> = 1..=6;
 /// Bounds of the time between two reloads and between two versions of the configuration, in milliseconds.
 const RELOAD_MS: Range<u64> = 200..1_500;
 const CONFIGURE_MS: Range<u64> = 500..3_000;
@@ -57,6 +60,7 @@
     balancer: &'a Arc<Balancer>,
     state: &'a SoakState,
     rng: StdRng,
+    up_factor: u32,
     phases: Vec<Phase>,
     /// Stops to come: when at the earliest, and which relay.
     stops: Vec<(Instant, usize)>,
@@ -77,11 +81,13 @@
         seed: u64,
     ) -> Self {
         let count = cluster.relays.len();
+        let mut rng = StdRng::seed_from_u64(seed);
         let driver = Self {
             cluster,
             balancer,
             state,
-            rng: StdRng::seed_from_u64(seed),
+            up_factor: rng.random_range(UP_FACTOR),
+            rng,
             phases: vec![Phase::Serving(Instant::now()); count],
             stops: Vec::new(),
             starts: vec![1; count],
@@ -149,7 +155,7 @@
         }
         self.count(if is_together { "Together" } else { "InTurn" });
         let gap_ms = if is_together { TOGETHER_MS } else { IN_TURN_MS };
-        let mut at = now + self.draw(ROUND_MS);
+        let mut at = now + self.draw(ROUND_MS) * self.up_factor;
         for number in order {
             self.stops.push((at, number));
             at += self.draw(gap_ms.clone());
@@ -245,7 +251,7 @@
         self.cluster.start_relay(number, self.state)?;
         self.announce(number);
         self.count("Start");
-        self.phases[number] = Phase::Serving(Instant::now() + self.draw(UP_MS));
+        self.phases[number] = Phase::Serving(Instant::now() + self.draw(UP_MS) * self.up_factor);
         Ok(())
     }
 
