Soak of stops: clock of the table service, exits, list of losses

Cause: the stand-in table service reported no clock, so that a relay that started again had no share of the fixed retries for half a minute. Change: the table service of this scenario reports its clock; a process is late if it is seen to run after its grace period; the file losses lists all lost requests with their log lines.

--- a/crates/ctl/src/torture/relays/chain.rs
+++ b/crates/ctl/src/torture/relays/chain.rs
@@ -28,6 +28,7 @@
         (CHAIN[2], 4),
     ],
     configuration: chain_configuration,
+    has_clock: false,
 };
 /// Requests per second outside the burst, and the factor during the burst.
 const RATE: f64 = 25.0;
--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -51,6 +51,9 @@
     pub runners: Runners,
     /// Configuration with a version and keys.
     pub configuration: fn(u64, &[String]) -> Value,
+    /// Whether the table service reports its clock. Only then a relay that starts again knows how long its row
+    /// has existed.
+    pub has_clock: bool,
 }
 
 impl Layout {
@@ -61,6 +64,7 @@
             access,
             runners,
             configuration: config::configuration,
+            has_clock: false,
         }
     }
 }
@@ -158,6 +162,9 @@
             layout,
             version: 0,
         };
+        if layout.has_clock {
+            cluster.store.report_clock();
+        }
         cluster.publish_configuration();
         for &(service, count) in layout.runners {
             for number in 0..count {
--- a/crates/ctl/src/torture/relays/stops.rs
+++ b/crates/ctl/src/torture/relays/stops.rs
@@ -33,6 +33,7 @@
     access: RunnerAccess::Direct,
     runners: &[(PLAIN, 3), (MODEL, 4), (STAGE, 3)],
     configuration: stop_configuration,
+    has_clock: true,
 };
 /// Requests that a runner runs at once. All streams of the clients together occupy most of the slots.
 const SLOTS: usize = 6;
@@ -82,7 +83,7 @@
     let fates = account.settle(&records);
     let trace = Trace::read(&logs, &fates)?;
     verdict.check_stops(&records, &fates, &trace);
-    verdict.check_exits(&balancer.instances());
+    write_text(&logs.join("losses"), &verdict.violations.join("\n"))?;
     verdict.counts.faults = counts;
     for what in stuck {
         verdict.record_violation("planned stop", &what);
@@ -95,7 +96,15 @@
     if !logs.exists() {
         return Ok(());
     }
-    std::fs::remove_dir_all(logs).map_err(|error| Error::Failed {
+    std::fs::remove_dir_all(logs).map_err(|error| failed(&error))
+}
+
+fn write_text(path: &Path, text: &str) -> Result<(), Error> {
+    std::fs::write(path, text).map_err(|error| failed(&error))
+}
+
+fn failed(error: &std::io::Error) -> Error {
+    Error::Failed {
         reason: error.to_string(),
-    })
+    }
 }
--- a/crates/ctl/src/torture/relays/stops/account.rs
+++ b/crates/ctl/src/torture/relays/stops/account.rs
@@ -1,6 +1,6 @@
 //! What became of each request of a soak with stops.
 
-use super::balancer::{Balancer, Instance};
+use super::balancer::Balancer;
 use super::trace::Trace;
 use crate::torture::relays::cluster::GRACE_S;
 use crate::torture::relays::verdict::{NOT_RUN, Verdict};
@@ -236,15 +236,4 @@
         }
         self.counts.stops = Some(stats);
     }
-
-    /// Checks that no process was killed, since it outlasted its grace period.
-    pub fn check_exits(&mut self, instances: &[Instance]) {
-        let grace = (GRACE_S * 1e6) as Micros;
-        for instance in instances {
-            let took = instance.stopped.zip(instance.exited);
-            if took.is_some_and(|(stopped, exited)| exited > stopped + grace) {
-                self.record_violation("exit after the grace period", instance);
-            }
-        }
-    }
 }
--- a/crates/ctl/src/torture/relays/stops/driver.rs
+++ b/crates/ctl/src/torture/relays/stops/driver.rs
@@ -17,8 +17,6 @@
 
 /// Time between two steps.
 const STEP: Duration = Duration::from_millis(10);
-/// Time beyond its grace period within which the exit of a process is noticed.
-const EXIT_TOLERANCE: Duration = Duration::from_millis(200);
 /// Bounds of the times between two rounds of stops, between two stops of a round in turn and between those of
 /// a round of relays that stop together, in milliseconds.
 const ROUND_MS: Range<u64> = 300..2_000;
@@ -175,11 +173,12 @@
                 continue;
             }
             let extra = self.draw_second_signal(now);
+            self.signal(number, Signal::Terminate)?;
+            // On a busy machine, sending a signal may take long.
             if let Some(listen) = self.listen(number) {
                 self.balancer.record_stop(listen);
             }
-            self.signal(number, Signal::Terminate)?;
-            self.phases[number] = Phase::Stopping(now, extra);
+            self.phases[number] = Phase::Stopping(Instant::now(), extra);
         }
         self.stops = later;
         Ok(())
@@ -215,8 +214,9 @@
         Ok(())
     }
 
-    /// Whether a process that was asked to stop has exited. One that outlasts its grace period is killed, as
-    /// the platform does, and recorded.
+    /// Whether a process that was asked to stop has exited. One that is seen to run after its grace period is
+    /// killed, as the platform does, and recorded. An exit that is merely noticed late, after the disk has kept
+    /// this task waiting for seconds, does not count against the process.
     fn has_exited(&mut self, number: usize, since: Instant) -> Result<bool, Error> {
         let id = self.id(number);
         let Some(listen) = self.listen(number) else {
@@ -229,7 +229,7 @@
             }
             return Ok(true);
         }
-        if since.elapsed() < Duration::from_secs_f64(GRACE_S) + EXIT_TOLERANCE {
+        if since.elapsed() < Duration::from_secs_f64(GRACE_S) {
             return Ok(false);
         }
         self.stuck
--- a/crates/ctl/src/torture/relays/stops/trace.rs
+++ b/crates/ctl/src/torture/relays/stops/trace.rs
@@ -1,6 +1,7 @@
 //! What the relays' logs say of requests that were lost.
 
 use super::account::Fate;
+use super::failed;
 use crate::Error;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -105,9 +106,3 @@
     });
     words.collect::<Vec<_>>().join(" ")
 }
-
-fn failed(error: &std::io::Error) -> Error {
-    Error::Failed {
-        reason: error.to_string(),
-    }
-}
