--- a/crates/ctl/src/torture/relays/stops.rs
+++ b/crates/ctl/src/torture/relays/stops.rs
@@ -63,7 +63,8 @@
     let mut driver = Driver::new(&mut cluster, &balancer, &state, seed ^ 3);
     driver.run(time).await?;
     let (counts, stuck) = (std::mem::take(&mut driver.counts), driver.stuck.clone());
-    let records = clients.join().await.map_err(|error| task_error(&error))?;
+    let usage = clients.join().await.map_err(|error| task_error(&error))?;
+    let records = usage.records;
     let mut verdict = Verdict::default();
     // The relays stop at the same time; one after the other they would take longer.
     for (settings, _) in &cluster.relays {
@@ -83,6 +84,9 @@
     let fates = account.settle(&records);
     let trace = Trace::read(&logs, &fates)?;
     verdict.check_stops(&records, &fates, &trace);
+    if let Some(stats) = &mut verdict.counts.stops {
+        stats.closed_unused = usage.closed_unused;
+    }
     write_text(&logs.join("losses"), &verdict.violations.join("\n"))?;
     verdict.counts.faults = counts;
     for what in stuck {
--- a/crates/ctl/src/torture/relays/stops/account.rs
+++ b/crates/ctl/src/torture/relays/stops/account.rs
@@ -64,6 +64,8 @@
     pub fates: BTreeMap<String, u64>,
     /// Lost requests by cause.
     pub losses: BTreeMap<String, u64>,
+    /// Connections that a relay had closed before their first request.
+    pub closed_unused: u64,
 }
 
 /// A request that was lost or answered wrongly, with the lines of the logs that concern it.
--- a/crates/ctl/src/torture/relays/stops/clients.rs
+++ b/crates/ctl/src/torture/relays/stops/clients.rs
@@ -74,7 +74,16 @@
 
 /// Running clients.
 #[derive(Debug)]
-pub struct Clients(Vec<JoinHandle<Vec<RequestRecord>>>);
+pub struct Clients(Vec<JoinHandle<Usage>>);
+
+/// What clients have done.
+#[derive(Clone, Debug, Default)]
+pub struct Usage {
+    /// Records of the requests that were sent.
+    pub records: Vec<RequestRecord>,
+    /// Connections that the relay had closed before the first request.
+    pub closed_unused: u64,
+}
 
 impl Clients {
     /// Starts clients that begin requests for a time.
@@ -90,22 +99,24 @@
             rng: StdRng::seed_from_u64(rng.random()),
             balancer: balancer.clone(),
             end: Instant::now() + time,
-            records: Vec::new(),
+            usage: Usage::default(),
         });
         Self(clients.map(|client| tokio::spawn(client.run())).collect())
     }
 
-    /// Waits until all requests have ended. Returns their records.
+    /// Waits until all requests have ended.
     ///
     /// # Errors
     ///
     /// [`JoinError`] if a client panicked.
-    pub async fn join(self) -> Result<Vec<RequestRecord>, JoinError> {
-        let mut records = Vec::new();
+    pub async fn join(self) -> Result<Usage, JoinError> {
+        let mut all = Usage::default();
         for client in self.0 {
-            records.extend(client.await?);
+            let usage = client.await?;
+            all.records.extend(usage.records);
+            all.closed_unused += usage.closed_unused;
         }
-        Ok(records)
+        Ok(all)
     }
 }
 
@@ -116,11 +127,11 @@
     rng: StdRng,
     balancer: Arc<Balancer>,
     end: Instant,
-    records: Vec<RequestRecord>,
+    usage: Usage,
 }
 
 impl Client {
-    async fn run(mut self) -> Vec<RequestRecord> {
+    async fn run(mut self) -> Usage {
         while Instant::now() < self.end {
             let entry = self.balancer.choose(&mut self.rng);
             let opened = match entry {
@@ -133,7 +144,7 @@
             };
             self.use_connection(entry, connection).await;
         }
-        self.records
+        self.usage
     }
 
     async fn open(&mut self, entry: SocketAddr) -> Option<Connection> {
@@ -148,19 +159,21 @@
         if self.habit == Habit::Early {
             self.wait_unused(entry).await;
         }
-        let mut has_crossed = false;
+        let (mut has_crossed, mut is_used) = (false, false);
         while Instant::now() < self.end {
             if self.habit == Habit::Crossing && !has_crossed {
                 has_crossed = self.wait_for_closing(entry).await;
             }
             if !connection.is_open().await {
+                self.usage.closed_unused += u64::from(!is_used);
                 return;
             }
+            is_used = true;
             let (request, reading) = self.draw();
             let record = connection.send_patiently(request, reading).await;
             let is_usable = matches!(record.outcome, ResponseOutcome::Whole { .. });
             let was_sent = record.outcome != ResponseOutcome::Unreachable;
-            self.records.extend(was_sent.then_some(record));
+            self.usage.records.extend(was_sent.then_some(record));
             if !is_usable {
                 return;
             }
