--- a/crates/ctl/src/torture/relays/stops/driver.rs
+++ b/crates/ctl/src/torture/relays/stops/driver.rs
@@ -34,11 +34,11 @@
 /// Bounds of the time between two reloads and between two versions of the configuration, in milliseconds.
 const RELOAD_MS: Range<u64> = 200..1_500;
 const CONFIGURE_MS: Range<u64> = 500..3_000;
-/// Probabilities that a relay that is stopped is also told to reload or told to stop again, and bounds of the
+/// Probabilities that a relay that is stopped gets SIGHUP or a second SIGTERM as well, and bounds of the
 /// time until then, in milliseconds.
 const RELOAD_PROBABILITY: f64 = 0.3;
-const AGAIN_PROBABILITY: f64 = 0.2;
-const AGAIN_MS: Range<u64> = 0..4_000;
+const SECOND_STOP_PROBABILITY: f64 = 0.2;
+const SECOND_SIGNAL_DELAY_MS: Range<u64> = 0..4_000;
 
 /// What a relay does.
 #[derive(Clone, Copy, Debug)]
@@ -186,11 +186,12 @@
 
     fn draw_second_signal(&mut self, now: Instant) -> Option<(Instant, Signal)> {
         let draw: f64 = self.rng.random();
-        let wait = self.draw(AGAIN_MS);
+        let wait = self.draw(SECOND_SIGNAL_DELAY_MS);
         if draw < RELOAD_PROBABILITY {
             return Some((now, Signal::Reload));
         }
-        (draw < RELOAD_PROBABILITY + AGAIN_PROBABILITY).then_some((now + wait, Signal::Terminate))
+        (draw < RELOAD_PROBABILITY + SECOND_STOP_PROBABILITY)
+            .then_some((now + wait, Signal::Terminate))
     }
 
     fn step(&mut self, number: usize) -> Result<(), Error> {
