Test of a late write reads no faster than the table service allows

`late_write` read the table in a loop without a pause until the delayed write was there, 0.3 s. The reads are 2 ms apart now. What is checked is unchanged.

--- a/crates/store/tests/client_errors.rs
+++ b/crates/store/tests/client_errors.rs
@@ -7,6 +7,10 @@
 use std::time::Duration;
 use store::{Check, Client, Error, Objects, Put, Table, Transaction, Vms};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::sleep;
+
+/// Time between two reads of a test that waits for a write; the table service refuses more than 2,000 a second.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 async fn start(kind: Kind, options: Options) -> Server {
     let listen = "127.0.0.1:0".parse().unwrap();
@@ -207,7 +211,7 @@
     assert!(matches!(unsure, Err(Error::Unsure { .. })), "{unsure:?}");
     set_faults(&server, Faults::default()).await;
     while client.read("t", "a").await.unwrap().is_none() {
-        tokio::task::yield_now().await;
+        sleep(POLL_INTERVAL).await;
     }
 }
 
