Soak of stops: a request that is cut long after it was sent counts as lost

A connection that ended without an answer counted as one that closed before the request was read if no runner had the request, however long that took. Such a request is lost as well, unless it ended within 200 ms or at its deadline. The test while_serving asserted the opposite for one that ended after a second; that case stands in ended_late_unread now, with the stricter result. Logs of a failed soak of relays are kept in a folder of its own; the next run with the same seed overwrote them.

--- a/crates/ctl/src/torture/relays/stops/account.rs
+++ b/crates/ctl/src/torture/relays/stops/account.rs
@@ -18,6 +18,9 @@
 const LATE_SENT: Micros = 3_000_000;
 /// Tolerance of the comparison of a response's end with the client's deadline.
 const DEADLINE_TOLERANCE: Micros = 50_000;
+/// Time after a request was sent until which its connection may end without an answer if no runner has it: it may
+/// have crossed the closing of its connection.
+const UNREAD_SLACK: Micros = 200_000;
 
 /// What became of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,9 +41,10 @@
     Late,
     /// Its connection ended at the end of the grace period, while its runner was still at work.
     Unfinished,
-    /// The connection ended before the request was passed on.
+    /// The connection ended soon after the request was sent, and before it was passed on.
     Unread,
-    /// The connection ended without a complete response after the request was passed on.
+    /// The connection ended without a complete response after the request was passed on, or later than it may end
+    /// otherwise.
     Lost(Moment),
 }
 
@@ -152,7 +156,8 @@
             ResponseOutcome::Silent => Fate::Left,
             ResponseOutcome::Unreachable => Fate::Unread,
             ResponseOutcome::Broken { .. } | ResponseOutcome::Closed => {
-                if runs.is_empty() && !has_pieces {
+                let is_soon = record.done <= record.sent + UNREAD_SLACK;
+                if runs.is_empty() && !has_pieces && is_soon {
                     return Fate::Unread;
                 }
                 self.cut_off(record, runs)
@@ -160,7 +165,7 @@
         }
     }
 
-    /// What became of a request that was passed on and whose connection has ended.
+    /// What became of a request whose connection has ended although it was passed on or had time to be read.
     fn cut_off(&self, record: &RequestRecord, runs: &[&Run]) -> Fate {
         let timeout = record.request.timeout.as_micros() as Micros;
         if record.done + DEADLINE_TOLERANCE >= record.sent + timeout {
--- a/crates/ctl/tests/soak/mod.rs
+++ b/crates/ctl/tests/soak/mod.rs
@@ -3,7 +3,7 @@
 use ctl::torture::relays::verdict::Counts;
 use ctl::torture::relays::{Scenario, soak};
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Soaks relays under a scenario. Fails if there are violations or too few requests were answered.
 pub(crate) fn run_clean(
@@ -16,13 +16,29 @@
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let folder = format!("soak-{scenario:?}-{seed}").replace([' ', ':', ',', '{', '}'], "");
     let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder);
-    let soak = soak(scenario, seed, time, logs, programs.unwrap().to_owned());
-    let verdict = runtime.block_on(soak).unwrap();
-    assert!(verdict.is_clean(), "seed {seed}: {:#?}", verdict.violations);
+    let programs = programs.unwrap().to_owned();
+    let verdict = runtime.block_on(soak(scenario, seed, time, logs.clone(), programs));
+    let verdict = verdict.unwrap();
+    let is_served = verdict.counts.answered > min_answered;
+    if verdict.is_clean() && is_served {
+        return verdict.counts;
+    }
+    let kept = keep(&logs);
     assert!(
-        verdict.counts.answered > min_answered,
-        "{:?}",
+        verdict.is_clean(),
+        "seed {seed}, logs in {kept:?}: {:#?}",
+        verdict.violations
+    );
+    panic!(
+        "seed {seed}, logs in {kept:?}, too few answers: {:?}",
         verdict.counts
     );
-    verdict.counts
+}
+
+/// Moves the logs of a failed soak to where no later one overwrites them.
+fn keep(logs: &Path) -> PathBuf {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let kept = logs.with_extension(format!("failed-{}", since.as_secs()));
+    std::fs::rename(logs, &kept).unwrap();
+    kept
 }
--- a/crates/ctl/tests/stop_account.rs
+++ b/crates/ctl/tests/stop_account.rs
@@ -127,10 +127,6 @@
     let lost = Fate::Lost(Moment::Serving);
     assert_eq!(fate("given-up", SECOND, broken("")), lost);
     assert_eq!(fate("given-up", SECOND, ResponseOutcome::Closed), lost);
-    assert_eq!(
-        fate("unknown", SECOND, ResponseOutcome::Closed),
-        Fate::Unread
-    );
     assert_eq!(fate("given-up", 9 * SECOND, broken("")), Fate::Late);
     assert_eq!(
         fate("given-up", SECOND, ResponseOutcome::Silent),
@@ -144,6 +140,30 @@
     assert_eq!(fate("unknown", SECOND, refused()), Fate::Refused);
 }
 
+/// Guards against requests that no runner has, and whose connection ends long after they were sent, that go unnoticed.
+#[tokio::test]
+async fn ended_late_unread() {
+    let scene = Scene::new().await;
+    let sent = now();
+    let fate = |after, outcome| scene.fate("unknown", sent, sent + after, outcome);
+    let serving = Fate::Lost(Moment::Serving);
+    let slack = SECOND / 5;
+    assert_eq!(fate(slack, ResponseOutcome::Closed), Fate::Unread);
+    assert_eq!(fate(slack + 1, ResponseOutcome::Closed), serving);
+    assert_eq!(fate(slack, broken("")), Fate::Unread);
+    assert_eq!(fate(slack + 1, broken("")), serving);
+    assert_eq!(fate(9 * SECOND, ResponseOutcome::Closed), Fate::Late);
+    let unsent = ResponseOutcome::Unreachable;
+    assert_eq!(fate(slack + 1, unsent), Fate::Unread);
+    scene.balancer.record_stop(scene.entry);
+    let stopped = scene.balancer.instance(scene.entry).unwrap().stopped;
+    let at = |seconds: u64| stopped.unwrap() + seconds * SECOND;
+    let fate = |sent, done| scene.fate("unknown", sent, done, ResponseOutcome::Closed);
+    let in_progress = Fate::Lost(Moment::InProgress);
+    assert_eq!(fate(at(0) - 1, at(7)), in_progress);
+    assert_eq!(fate(at(4), at(5)), Fate::Lost(Moment::Closing));
+}
+
 /// Guards against an excuse for losses around a stop that covers more than runners that were still at work at the
 /// end of the grace period on requests that were sent early enough.
 #[tokio::test]
