Entry: a stop awaits the rest of a request for a second

An entry that stopped waited without a bound for each connection on which a part of a request's head, or of its body, had arrived: it never ended if the rest did not follow.

The rest of a body has a second from the beginning of the stop and the rest of a head one from the closing of connections. After that the request is refused as not run, or its connection is closed if no request is in progress on it and no response is on its way. What is in progress on a connection is known as in platform/, whose socket and account now stand in the crate connection for both. With it, connections of an entry also wait for their client when they are closed, as those of a relay do.

Failed before (entry_stops, an entry as a process): stop_under_partial_head, stop_under_partial_body: entry-1 did not exit in time (30 s)

--- a/platform/src/activity.rs
+++ b/crates/connection/src/activity.rs
@@ -6,7 +6,7 @@
 /// Requests of a connection, and what of their responses has been handed to the operating system. Clones
 /// share the state.
 #[derive(Clone, Debug)]
-pub(crate) struct Activity(Arc<Mutex<State>>);
+pub struct Activity(Arc<Mutex<State>>);
 
 #[derive(Debug)]
 struct State {
@@ -26,10 +26,12 @@
 
 /// A request in progress on its connection.
 #[derive(Debug)]
-pub(crate) struct RequestGuard(Activity);
+pub struct RequestGuard(Activity);
 
 impl Activity {
-    pub(crate) fn new() -> Self {
+    /// A connection that has carried nothing yet.
+    #[must_use]
+    pub fn new() -> Self {
         let state = State {
             in_progress: 0,
             is_mid_request: false,
@@ -47,7 +49,8 @@
     }
 
     /// Begins with the head of a request.
-    pub(crate) fn begin(&self) -> RequestGuard {
+    #[must_use]
+    pub fn begin(&self) -> RequestGuard {
         self.state().is_mid_request = true;
         self.change_in_progress(1);
         RequestGuard(self.clone())
@@ -60,79 +63,91 @@
     }
 
     /// Records that bytes of the client have been read. While a request is in progress they are its own.
-    pub(crate) fn record_read(&self) {
+    pub fn record_read(&self) {
         let mut state = self.state();
         state.is_mid_request |= state.in_progress == 0;
     }
 
     /// Whether a part of a request has been read, and not all of it.
-    pub(crate) fn is_mid_request(&self) -> bool {
+    #[must_use]
+    pub fn is_mid_request(&self) -> bool {
         self.state().is_mid_request
     }
 
     /// Records that the operating system has taken bytes.
-    pub(crate) fn record_written(&self) {
+    pub fn record_written(&self) {
         let mut state = self.state();
         state.blocked_since = None;
         state.last_change = Instant::now();
     }
 
     /// Records that the operating system takes no more bytes until the client has read some.
-    pub(crate) fn record_blocked(&self) {
+    pub fn record_blocked(&self) {
         let mut state = self.state();
         state.blocked_since.get_or_insert_with(Instant::now);
     }
 
     /// Records that the sending side has been closed, after all bytes have been written.
-    pub(crate) fn record_closed(&self) {
+    pub fn record_closed(&self) {
         self.state().is_closed = true;
     }
 
     /// Records why the connection is closed, before its requests are dropped.
-    pub(crate) fn close(&self, reason: String) {
+    pub fn close(&self, reason: String) {
         self.state().close_reason = Some(reason);
     }
 
     /// Why the connection is closed, if it is.
-    pub(crate) fn close_reason(&self) -> Option<String> {
+    #[must_use]
+    pub fn close_reason(&self) -> Option<String> {
         self.state().close_reason.clone()
     }
 
     /// Since when the client has neither had a request in progress nor read its response; none if it is
     /// active.
-    pub(crate) fn idle_since(&self) -> Option<Instant> {
+    #[must_use]
+    pub fn idle_since(&self) -> Option<Instant> {
         let state = self.state();
         let unused = (state.in_progress == 0).then_some(state.last_change);
         state.blocked_since.or(unused)
     }
 
     /// Whether nothing is in progress until the client sends another request.
-    pub(crate) fn awaits_request(&self) -> bool {
+    #[must_use]
+    pub fn awaits_request(&self) -> bool {
         let state = self.state();
         state.in_progress == 0 && state.blocked_since.is_none() && !state.is_closed
     }
 
     /// Id of the request whose response the client has not read completely, if its end has been handed over.
-    pub(crate) fn unsent_response(&self) -> Option<String> {
+    #[must_use]
+    pub fn unsent_response(&self) -> Option<String> {
         let state = self.state();
         let is_unsent = state.in_progress == 0 && state.blocked_since.is_some();
         is_unsent.then(|| state.last_request.clone())
     }
 }
 
+impl Default for Activity {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl RequestGuard {
     /// The connection that the request came on.
-    pub(crate) fn activity(&self) -> &Activity {
+    #[must_use]
+    pub fn activity(&self) -> &Activity {
         &self.0
     }
 
     /// Records that all of this request has been read.
-    pub(crate) fn request_read(&self) {
+    pub fn request_read(&self) {
         self.0.state().is_mid_request = false;
     }
 
     /// Records that the end of the response to this request has been handed over.
-    pub(crate) fn complete(&self, request: &str) {
+    pub fn complete(&self, request: &str) {
         self.0.state().last_request = request.to_owned();
     }
 }
--- a/platform/src/socket.rs
+++ b/crates/connection/src/socket.rs
@@ -1,6 +1,6 @@
 //! A client's socket: records when the client reads, and closes without losing what is on its way.
 
-use crate::activity::Activity;
+use crate::Activity;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -18,7 +18,7 @@
 
 /// A client's socket.
 #[derive(Debug)]
-pub(crate) struct Socket {
+pub struct Socket {
     stream: TcpStream,
     activity: Activity,
     /// Ends the wait for the client, once the sending side has been closed.
@@ -26,7 +26,9 @@
 }
 
 impl Socket {
-    pub(crate) fn new(stream: TcpStream, activity: Activity) -> Self {
+    /// Records in `activity` what happens on the socket.
+    #[must_use]
+    pub fn new(stream: TcpStream, activity: Activity) -> Self {
         Self {
             stream,
             activity,
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -3,6 +3,7 @@
 pub mod stream;
 
 use crate::answer::{Answer, RequestOutcome};
+use crate::body;
 use crate::core::{Core, Platform};
 use crate::execute;
 use crate::job::Job;
@@ -11,7 +12,7 @@
 use crate::problem::{Outcome, Problem};
 use crate::stored_answer::{self, StoredAnswer};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use protocol::RequestId;
 use record::{Pipeline, RecordSet};
 use serde::Serialize;
@@ -25,8 +26,6 @@
 const MAX_INPUT: usize = 16 << 20;
 /// Maximum deadline that a caller may request.
 const MAX_DEADLINE: Duration = Duration::from_secs(3600);
-/// `retry_after` of an entry that is stopping: the caller can retry immediately, at another entry.
-const DRAIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Media type of event streams.
 pub const EVENT_STREAM: &str = "text/event-stream";
 
@@ -160,10 +159,7 @@
     request: Request,
 ) -> Result<Arc<Job>, Problem> {
     if core.is_draining() {
-        return Err(Problem::not_run(
-            "this entry is stopping",
-            DRAIN_RETRY_AFTER,
-        ));
+        return Err(body::stopping());
     }
     if !core.config.is_ready() {
         return Err(Problem::not_run(
@@ -174,7 +170,7 @@
     let options = RunOptions::from_request(&request)?;
     let set = core.config.current();
     let pipeline = find_pipeline(&set, &request)?;
-    let input = read_input(request).await?;
+    let input = read_input(core, request).await?;
     let now = Instant::now();
     let deadline = options
         .deadline
@@ -221,11 +217,8 @@
     })
 }
 
-async fn read_input(request: Request) -> Result<Bytes, Problem> {
-    let body = Limited::new(request.into_body(), MAX_INPUT).collect().await;
-    let body = body
-        .map_err(|error| bad_request(format!("input: {error}")))?
-        .to_bytes();
+async fn read_input<P: Platform>(core: &Arc<Core<P>>, request: Request) -> Result<Bytes, Problem> {
+    let body = body::read(core, request, "input", MAX_INPUT).await?;
     serde_json::from_slice::<&RawValue>(&body)
         .map_err(|error| bad_request(format!("input is no JSON: {error}")))?;
     Ok(body)
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -12,6 +12,7 @@
 use crate::peers::Peers;
 use crate::placement::lease::Lease;
 use crate::prefix;
+use crate::server::REST_TIME;
 use crate::service::Demand;
 use crate::services::Services;
 use crate::telemetry::Telemetry;
@@ -19,11 +20,11 @@
 use decide::budget::StageSchedule;
 use record::service::Runner;
 use slog::Logger;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use store::{Objects, Table, Vms};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// The platform services that an entry needs.
@@ -68,7 +69,7 @@
     /// for it for a limited time.
     pub tasks: TaskTracker,
     started: Instant,
-    draining: AtomicBool,
+    draining: CancellationToken,
 }
 
 impl<P: Platform> Core<P> {
@@ -100,18 +101,24 @@
             requests: TaskTracker::new(),
             tasks: TaskTracker::new(),
             started,
-            draining: AtomicBool::new(false),
+            draining: CancellationToken::new(),
         }
     }
 
     /// Whether a planned stop has begun, so that new requests are refused.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+        self.draining.is_cancelled()
     }
 
     /// Begins a planned stop.
     pub fn drain(&self) {
-        self.draining.store(true, Ordering::Release);
+        self.draining.cancel();
+    }
+
+    /// Waits until the rest of a request that arrived before a planned stop is no longer awaited.
+    pub async fn rest_overdue(&self) {
+        self.draining.cancelled().await;
+        sleep(REST_TIME).await;
     }
 
     /// Returns the time since the start of the process.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,7 @@
 //! * [`core`]: shared state of an entry
 //! * [`server`]: listener, TLS and routes
 //! * [`caller`]: HTTP interface for callers; [`operator`]: HTTP interface for operators;
-//!   [`problem`]: error responses
+//!   [`body`]: bodies of their requests; [`problem`]: error responses
 //! * [`job`], [`answer`] and [`answers`]: an accepted request, its answer, and the retention of
 //!   answers
 //! * [`execute`]: a job from admission to its end; [`stage`]: one stage with all its attempts
@@ -24,6 +24,7 @@
 
 pub mod answer;
 pub mod answers;
+pub mod body;
 pub mod budgets;
 pub mod caller;
 pub mod claim;
@@ -33,6 +34,7 @@
 pub mod engine;
 pub mod execute;
 pub mod fields;
+mod in_progress;
 pub mod job;
 pub mod journal;
 pub mod news;
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -1,11 +1,12 @@
 //! HTTP interface for operators: records, changes, history and status.
 
+use crate::body;
 use crate::config::accept::{self, Refusal};
 use crate::config::rows::{Change, Stored};
 use crate::core::{Core, Platform};
 use crate::problem::Problem;
 use crate::target::Target;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use protocol::Revision;
 use record::RecordSet;
 use serde::{Deserialize, Serialize};
@@ -109,7 +110,7 @@
         let detail = "no operator of this deployment has this token";
         return Problem::rejected(StatusCode::UNAUTHORIZED, detail).response();
     };
-    let change = match read_change(request).await {
+    let change = match read_change(&core, request).await {
         Ok(change) => change,
         Err(problem) => return problem.response(),
     };
@@ -123,13 +124,12 @@
     }
 }
 
-async fn read_change(request: Request) -> Result<accept::Request, Problem> {
+async fn read_change<P: Platform>(
+    core: &Core<P>,
+    request: Request,
+) -> Result<accept::Request, Problem> {
     let bad = |detail: String| Problem::rejected(StatusCode::BAD_REQUEST, detail);
-    let body = Limited::new(request.into_body(), MAX_CHANGE)
-        .collect()
-        .await
-        .map_err(|error| bad(format!("change: {error}")))?
-        .to_bytes();
+    let body = body::read(core, request, "change", MAX_CHANGE).await?;
     let change: accept::Request =
         serde_json::from_slice(&body).map_err(|error| bad(format!("change: {error}")))?;
     if change.token.is_empty() {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,12 +1,16 @@
 //! Listener, TLS and routes.
 
 use crate::core::{Core, Platform};
+use crate::in_progress::InProgress;
 use crate::{caller, operator};
+use connection::{Activity, Socket};
+use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -14,10 +18,13 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
 use tokio_rustls::TlsAcceptor;
 use tokio_util::sync::CancellationToken;
 use viz::{Request, Responder, Response, Router, Tree};
 
+/// Time that the rest of a request gets to arrive once an entry stops.
+pub(crate) const REST_TIME: Duration = Duration::from_secs(1);
 /// Timeout of a TLS handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept, which avoids a busy loop while file descriptors are exhausted.
@@ -56,8 +63,8 @@
 
 /// Serves until `stop`, then waits until every open connection has finished its requests.
 ///
-/// There is no time limit: the server of the HTTP library closes connections after ten seconds,
-/// which would interrupt streams at a planned stop.
+/// There is no time limit for requests in progress: the server of the HTTP library closes connections
+/// after ten seconds, which would interrupt streams at a planned stop.
 pub async fn serve<P: Platform>(
     core: Arc<Core<P>>,
     listener: TcpListener,
@@ -73,17 +80,16 @@
         };
         match accepted {
             Ok((stream, address)) => {
-                let tree = tree.clone();
-                let graceful = graceful.clone();
-                tokio::spawn(serve_connection(
-                    stream,
+                let server = ConnectionServer {
                     address,
-                    tls.clone(),
-                    tree,
-                    graceful,
-                ));
+                    tree: tree.clone(),
+                    graceful: graceful.clone(),
+                    activity: Activity::new(),
+                    stop: stop.clone(),
+                };
+                tokio::spawn(server.serve(stream, tls.clone()));
             }
-            Err(_) => tokio::time::sleep(RETRY_DELAY).await,
+            Err(_) => sleep(RETRY_DELAY).await,
         }
     }
     drop(listener);
@@ -100,46 +106,70 @@
             Ok(graceful) => return Some(graceful),
             Err(shared) => graceful = shared,
         }
-        tokio::time::sleep(RETRY_DELAY).await;
+        sleep(RETRY_DELAY).await;
     }
 }
 
-async fn serve_connection(
-    stream: TcpStream,
+/// What the server of one connection needs.
+struct ConnectionServer {
     address: SocketAddr,
-    tls: Option<TlsAcceptor>,
     tree: Arc<Tree>,
     graceful: Arc<GracefulShutdown>,
-) {
-    if stream.set_nodelay(true).is_err() {
-        return;
+    activity: Activity,
+    stop: CancellationToken,
+}
+
+impl ConnectionServer {
+    async fn serve(self, stream: TcpStream, tls: Option<TlsAcceptor>) {
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let stream = Socket::new(stream, self.activity.clone());
+        match tls {
+            None => self.serve_http(stream).await,
+            Some(tls_acceptor) => {
+                let handshake = timeout(HANDSHAKE_TIMEOUT, tls_acceptor.accept(stream));
+                if let Ok(Ok(stream)) = handshake.await {
+                    self.serve_http(stream).await;
+                }
+            }
+        }
     }
-    match tls {
-        None => serve_http(stream, address, tree, graceful).await,
-        Some(tls_acceptor) => {
-            let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, tls_acceptor.accept(stream));
-            if let Ok(Ok(stream)) = handshake.await {
-                serve_http(stream, address, tree, graceful).await;
+
+    async fn serve_http(self, stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static) {
+        let builder = Builder::new(TokioExecutor::new());
+        let responder = Responder::new(self.tree, Some(self.address));
+        let activity = self.activity.clone();
+        let service = service_fn(move |request| {
+            let guard = activity.begin();
+            let responding = responder.call(request);
+            async move {
+                let response = responding.await?;
+                Ok::<_, Infallible>(response.map(|body| InProgress::new(body, guard)))
             }
+        });
+        let connection = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        let connection = self.graceful.watch(connection);
+        drop(self.graceful);
+        tokio::select! {
+            biased;
+            // Connection errors are caused by the client and are not reported.
+            _ = connection => {}
+            () = rest_overdue(&self.activity, &self.stop) => {}
         }
     }
 }
 
-async fn serve_http(
-    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
-    address: SocketAddr,
-    tree: Arc<Tree>,
-    graceful: Arc<GracefulShutdown>,
-) {
-    let builder = Builder::new(TokioExecutor::new());
-    let responder = Responder::new(tree, Some(address));
-    let connection = builder
-        .serve_connection(TokioIo::new(stream), responder)
-        .into_owned();
-    let connection = graceful.watch(connection);
-    drop(graceful);
-    // Connection errors are caused by the client and are not reported.
-    let _ = connection.await;
+/// Waits until a stopping entry no longer awaits the rest of a request's head. A connection with a request in
+/// progress is closed by the HTTP library after the response.
+async fn rest_overdue(activity: &Activity, stop: &CancellationToken) {
+    stop.cancelled().await;
+    sleep(REST_TIME).await;
+    if !activity.awaits_request() {
+        std::future::pending::<()>().await;
+    }
 }
 
 /// Reads the certificate and key of the listener for callers and operators.
