--- a/crates/connection/src/activity.rs
+++ b/crates/connection/src/activity.rs
@@ -74,6 +74,13 @@
         self.state().is_mid_request
     }
 
+    /// Whether a part of a request has been read, and not all of its head.
+    #[must_use]
+    pub fn is_mid_head(&self) -> bool {
+        let state = self.state();
+        state.in_progress == 0 && state.is_mid_request
+    }
+
     /// Records that the operating system has taken bytes.
     pub fn record_written(&self) {
         let mut state = self.state();
