Daemon: SIGHUP ends no entry or agent

These roles had no handler for the signal, whose default action ends the process with all requests in progress. They read their settings only when they start, so the signal is logged and has no other effect.

Failed before: reload_ends_nothing: entry-1 exited with signal: 1 (SIGHUP)

--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -71,15 +71,15 @@
         Invocation::Entry(settings) => {
             let log = metric::log::logger("entry", &settings.id);
             multi_thread_runtime()?.block_on(async {
-                let stop = StopSignals::install();
-                log_lifecycle(log.clone(), run_entry(*settings, log, stop)).await
+                let signals = (StopSignals::install(), ReloadSignals::install());
+                log_lifecycle(log.clone(), run_entry(*settings, log, signals)).await
             })
         }
         Invocation::Agent(settings) => {
             let log = metric::log::logger("agent", &settings.id);
             multi_thread_runtime()?.block_on(async {
-                let stop = StopSignals::install();
-                log_lifecycle(log.clone(), run_agent(*settings, log, stop)).await
+                let signals = (StopSignals::install(), ReloadSignals::install());
+                log_lifecycle(log.clone(), run_agent(*settings, log, signals)).await
             })
         }
         Invocation::Relay { settings, path } => {
@@ -182,7 +182,11 @@
     std::fs::read_to_string(path).context(FileSnafu { path })
 }
 
-async fn run_entry(settings: setting::Entry, log: Logger, stop: StopSignals) -> Result<(), Error> {
+async fn run_entry(
+    settings: setting::Entry,
+    log: Logger,
+    (stop, reloads): (StopSignals, ReloadSignals),
+) -> Result<(), Error> {
     let id = settings.id.clone();
     let ready = |ready: entry::Ready| {
         print_ready(&Ready {
@@ -193,13 +197,18 @@
             metrics: ready.metrics,
         });
     };
-    let result = entry::run(settings, log, ready, stop.wait()).await;
+    let running = entry::run(settings, log.clone(), ready, stop.wait());
+    let result = ignore_reloads(reloads, &log, running).await;
     result.map_err(|error| Error::Failed {
         reason: error.to_string(),
     })
 }
 
-async fn run_agent(settings: setting::Agent, log: Logger, stop: StopSignals) -> Result<(), Error> {
+async fn run_agent(
+    settings: setting::Agent,
+    log: Logger,
+    (stop, reloads): (StopSignals, ReloadSignals),
+) -> Result<(), Error> {
     let id = settings.id.clone();
     let ready = |ready: agent::Ready| {
         print_ready(&Ready {
@@ -210,12 +219,29 @@
             metrics: ready.metrics,
         });
     };
-    let result = agent::run(settings, log, ready, stop.wait()).await;
+    let running = agent::run(settings, log.clone(), ready, stop.wait());
+    let result = ignore_reloads(reloads, &log, running).await;
     result.map_err(|error| Error::Failed {
         reason: error.to_string(),
     })
 }
 
+/// Serves a role that reads its settings only when it starts. Without a handler, a signal to reload them would end
+/// the process.
+async fn ignore_reloads<T>(
+    reloads: ReloadSignals,
+    log: &Logger,
+    role: impl Future<Output = T>,
+) -> T {
+    let ignoring = reloads.run(|| {
+        warn!(log, "reload ignored"; "reason" => "this role reads its settings only when it starts");
+    });
+    tokio::select! {
+        result = role => result,
+        never = ignoring => match never {},
+    }
+}
+
 async fn run_relay(
     settings: setting::Relay,
     path: String,
--- a/crates/ctl/tests/entry_stops.rs
+++ b/crates/ctl/tests/entry_stops.rs
@@ -1,4 +1,4 @@
-//! Entries that stop while callers' requests have arrived in part.
+//! Entries that stop while callers' requests have arrived in part, and signals that are not a stop.
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
@@ -45,3 +45,19 @@
         Linnetdrift-Workspace: w\r\nContent-Length: 20\r\n\r\n{";
     stop_under("entry-stops-body", text);
 }
+
+/// Guards against a process that ends, with its requests, by a signal to reload its settings, since it has no
+/// handler for it.
+#[test]
+fn reload_ends_nothing() {
+    run("entry-stops-reload", async |mut bench| {
+        bench.entry("entry-1").await.unwrap();
+        bench.runner("one", Plan::new(ASSISTANT, 16)).await.unwrap();
+        bench.ready().await.unwrap();
+        for id in ["entry-1", "one"] {
+            bench.fleet.signal(id, Signal::Reload).unwrap();
+            sleep(SETTLE).await;
+            assert!(bench.is_running(id).unwrap(), "{id} has ended");
+        }
+    });
+}
