Accept all connections again when few arrive after a flood

Callers saw connections closed unread by a relay with next to nothing to do, for as long as few new ones arrived after an overload. The accepted share grew by a quarter per measurement, and a measurement took three accepted connections; at a group of five connections every three seconds it grew once in several seconds.

The share now grows by time: a prompt start after a window without an excessive delay ends a measurement, and each such window counts.

--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -14,11 +14,13 @@
 /// Minimum length of a measurement. A process with a CPU quota stands still for most of a tenth of
 /// a second at a time without being overloaded.
 const WINDOW: Duration = Duration::from_millis(100);
-/// Minimum number of delays in a measurement.
+/// Minimum number of delays in a measurement, unless the last excessive delay was a window ago: few connections
+/// arrive then.
 const MIN_SAMPLES: u32 = 3;
 /// Largest reduction of the accepted share after one measurement.
 const MAX_REDUCTION: f64 = 0.5;
-/// Factor by which the accepted share grows after a measurement without excessive delay.
+/// Factor by which the accepted share grows after a measurement without excessive delay, and for each further
+/// window without one.
 const GROWTH: f64 = 1.25;
 /// Smallest accepted share.
 const MIN_SHARE: f64 = 0.01;
@@ -50,6 +52,7 @@
     waiting: VecDeque<Duration>,
     last_accepted: Option<Duration>,
     window_start: Duration,
+    last_behind: Duration,
     samples: u32,
     shortest_delay: Duration,
 }
@@ -61,6 +64,7 @@
             waiting: VecDeque::new(),
             last_accepted: None,
             window_start: Duration::ZERO,
+            last_behind: Duration::ZERO,
             samples: 0,
             shortest_delay: Duration::MAX,
         }
@@ -104,14 +108,20 @@
     fn record(&mut self, now: Duration, delay: Duration) {
         self.samples += 1;
         self.shortest_delay = delay.min(self.shortest_delay);
-        if self.samples < MIN_SAMPLES || now < self.window_start + WINDOW {
+        if delay > MAX_DELAY {
+            self.last_behind = now;
+        }
+        let calm = now.saturating_sub(self.window_start.max(self.last_behind));
+        let is_enough = self.samples >= MIN_SAMPLES || calm >= WINDOW;
+        if !is_enough || now < self.window_start + WINDOW {
             return;
         }
         let share = if self.shortest_delay > MAX_DELAY {
             let ratio = MAX_DELAY.div_duration_f64(self.shortest_delay);
             self.accepted_share * ratio.max(MAX_REDUCTION)
         } else {
-            self.accepted_share * GROWTH
+            let windows = calm.div_duration_f64(WINDOW).floor().max(1.0);
+            self.accepted_share * GROWTH.powf(windows)
         };
         self.accepted_share = share.clamp(MIN_SHARE, 1.0);
         self.window_start = now;
--- a/crates/decide/tests/connection_flood.rs
+++ b/crates/decide/tests/connection_flood.rs
@@ -144,3 +144,43 @@
         assert_eq!(shed, 0, "seed {seed}");
     }
 }
+
+/// Guards against an idle process that closes connections long after a flood, because too few have arrived since
+/// for the accepted share to grow.
+#[test]
+fn rare_after_flood() {
+    let at = Duration::from_millis;
+    let mut shedder = ConnectionShedder::default();
+    for turn in 0..100 {
+        if shedder.accepts(at(100 * turn), 0.99) {
+            shedder.started(at(100 * turn + 60));
+        }
+    }
+    assert!(shedder.accepted_share() < 0.1);
+    for pause in [3_000, 6_000, 9_000] {
+        let accepts = (0..5).map(|turn| {
+            let now = at(10_000 + pause + 20 * turn);
+            let is_accepted = shedder.accepts(now, 0.99);
+            if is_accepted {
+                shedder.started(now + at(1));
+            }
+            is_accepted
+        });
+        let accepted: Vec<bool> = accepts.collect();
+        assert_eq!(accepted, [true; 5], "after {pause} ms");
+    }
+}
+
+/// Guards against an overload that one connection without delay hides.
+#[test]
+fn one_prompt_start() {
+    let at = Duration::from_millis;
+    let mut shedder = ConnectionShedder::default();
+    for turn in 0..100 {
+        let delay = if turn % 10 == 9 { 1 } else { 60 };
+        if shedder.accepts(at(100 * turn), 0.99) {
+            shedder.started(at(100 * turn + delay));
+        }
+    }
+    assert!(shedder.accepted_share() < 0.1);
+}
