--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -24,31 +24,36 @@
 use store::{Changes, Feed};
 use tokio::time::Instant;
 
-/// Intervals at which configuration and runners are polled.
+/// Intervals at which the operator's table is polled.
 ///
-/// A request that the service accepted before it stopped responding times out after its wait and the
-/// client's margin, and changes in the meantime are received that late: within five seconds of the
-/// service's return. Where others read the table, their updates are trusted for less than the time that
-/// a leaving runner goes on to serve.
-///
-/// The responses for the two tables alternate. If all connections to the service go silent, the first
-/// response that is overdue shows it for both: 1.85 s later at most if nothing has changed before, and
-/// 0.55 s more after changes. With 4 s, a dropped key could run until 0.15 s before the bound of 3 s; with
-/// 3.6 s, the calls would grow by a tenth.
-const POLL_INTERVALS: PollIntervals = PollIntervals {
-    debounce: Duration::from_millis(500),
-    standalone: Duration::from_millis(3_700),
-    offset: Duration::ZERO,
+/// A dropped key must not be used for more than 3 s after connections to the service have gone silent, and
+/// only an overdue response shows that. Therefore the next response is due 2.45 s after the last one, also
+/// after changes, and overdue 0.3 s later. If all connections are silent, it shows this for the other tables,
+/// too. Where others read the table, their updates are trusted for less than the time that a leaving runner
+/// goes on to serve.
+const OPERATOR_INTERVALS: PollIntervals = PollIntervals {
+    debounce: DEBOUNCE,
+    standalone: OPERATOR_WAIT,
+    after_changes: OPERATOR_WAIT.saturating_sub(DEBOUNCE),
     shared: Duration::from_secs(1),
     max_age: budget::MAX_PEER_AGE,
 };
 
-/// Intervals at which the runners are polled: halfway between the responses for the operator's table.
+/// Intervals at which the runners are polled. The responses for the operator's table show soon whether a
+/// question is lost, so that these can be rare.
 const RUNNER_INTERVALS: PollIntervals = PollIntervals {
-    offset: Duration::from_millis(1_850),
-    ..POLL_INTERVALS
+    standalone: RUNNER_WAIT,
+    after_changes: RUNNER_WAIT,
+    ..OPERATOR_INTERVALS
 };
 
+/// Delay after changes before the next request.
+const DEBOUNCE: Duration = Duration::from_millis(500);
+/// Wait of a request for changes of the operator's table.
+const OPERATOR_WAIT: Duration = Duration::from_millis(2_450);
+/// Wait of a request for changes of the runners. Both together make as many calls as requests of 3.7 s do.
+const RUNNER_WAIT: Duration = Duration::from_millis(7_350);
+
 /// Time within which runners and operators rewrite what was lost when the table service was restored
 /// from an older backup; it includes the time after which the entry of an unresponsive runner expires.
 pub(crate) const REWRITE_GRACE_PERIOD: Duration = Duration::from_secs(5);
@@ -121,7 +126,7 @@
         relay.options.drain,
         StalenessBudget::new(relay.options.drain),
     );
-    if is_shared && !budget.allows(POLL_INTERVALS.shared, levels) {
+    if is_shared && !budget.allows(OPERATOR_INTERVALS.shared, levels) {
         warn!(relay.log, "leaving runners may get work after the time limit"; "bound_ms" => millis(bound),
             "longest_ms" => millis(budget.max_delay(levels)), "levels" => levels);
     }
@@ -131,7 +136,7 @@
 pub async fn operator_table<D: Downstream, S: TableSource>(relay: Arc<Relay<D>>, source: S) {
     // Large rows are withheld from updates, since configurations are fetched from peers in parts.
     let mut follower =
-        Follower::new(&relay, source, S::OPERATOR_TABLE, POLL_INTERVALS).withholding();
+        Follower::new(&relay, source, S::OPERATOR_TABLE, OPERATOR_INTERVALS).withholding();
     // This is the state of the table alone: what peers have announced may be newer, and must not be
     // mixed with older changes from the table.
     let mut drains = Drains::default();
--- a/crates/relay/src/follow/follower.rs
+++ b/crates/relay/src/follow/follower.rs
@@ -449,10 +449,15 @@
             self.intervals.debounce
         };
         let skip_wait = std::mem::take(&mut self.skip_wait) || was_paused;
-        if let Some(received) = self.last_changes.take().filter(|_| !skip_wait) {
+        let last_changes = self.last_changes.take().filter(|_| !skip_wait);
+        if let Some(received) = last_changes {
             sleep_until(received + debounce).await;
         }
-        let wait = self.poll_wait(relay, is_shared, skip_wait);
+        let standalone = match last_changes {
+            Some(_) => self.intervals.after_changes,
+            None => self.intervals.standalone,
+        };
+        let wait = self.poll_wait(relay, (!is_shared).then_some(standalone), skip_wait);
         let requested_at = Instant::now();
         let changes = self.source.changes(self.table, after, wait).await?;
         // A response without changes after the full wait shows that there were none until the end of the
@@ -468,11 +473,12 @@
         ))
     }
 
-    /// How long the next request waits for changes.
+    /// How long the next request waits for changes; `standalone` if each process reads the table for
+    /// itself.
     fn poll_wait<D: Downstream>(
         &self,
         relay: &Relay<D>,
-        is_shared: bool,
+        standalone: Option<Duration>,
         skip_wait: bool,
     ) -> Duration {
         if skip_wait {
@@ -481,12 +487,12 @@
         if self.outage_since.is_some() {
             return OUTAGE_POLL_WAIT;
         }
-        if !is_shared {
+        if let Some(standalone) = standalone {
             let is_new = relay.now() < STARTUP_PERIOD;
             return if is_new {
                 self.intervals.shared
             } else {
-                self.intervals.standalone_wait(relay.now())
+                standalone
             };
         }
         if relay.peers.members(|members| members.upstream()).is_some() {
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -39,7 +39,7 @@
 const POLL_INTERVALS: PollIntervals = PollIntervals {
     debounce: Duration::from_secs(2),
     standalone: Duration::from_secs(15),
-    offset: Duration::ZERO,
+    after_changes: Duration::from_secs(15),
     shared: Duration::from_secs(5),
     max_age: MAX_AGE,
 };
