Silent runners count for granted attempts as crashes do

Callers saw a service lose up to seven of nine runners to one request that makes its runners silent, repeated every 0.4 s at four relays in turn.

Cause: the right to send was read from what a relay knew. Once two runners were known to be silent, a relay still sent the request, since attempts in progress at other relays are unknown to it. And a relay that learned of a runner's exit before the relay that had sent the request there no longer counted the silence, but did not know the crash either, so that the request was free for that time.

From two crashed or silent runners on, the next attempt waits until those in progress must have been answered or noticed (1.25 s after the last silence), and then needs a grant of the process that grants trials, one at a time. A silence counts until the crash is known. So that the wait does not cost popular requests, an attempt is not blamed if its request has been answered since it was sent.

Two checks of quarantine_silence stated that two silent runners leave a request free. They now state the exact time for which it waits.

Tests of protocol pass.

--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -13,6 +13,11 @@
 //! other trial by one process at a time. A bound that began only with distinct crashes would let the
 //! request crash any number of runners before.
 //!
+//! A runner that becomes unresponsive counts from the time at which that is noticed until its exit is
+//! known. Attempts that were sent in the meantime may be at unresponsive runners as well. From the
+//! second such runner on, the next attempt therefore waits until those in progress have shown
+//! something, and attempts are granted one at a time, as after crashes.
+//!
 //! All processes must reach the same view, whichever way and in whichever order they get the
 //! reports. A report therefore contains the whole state of a request, and processing one is a
 //! merge: crashes are united by runner, the latest complete response voids all crashes before it,
@@ -42,11 +47,14 @@
 
 /// Number of runners that a request may crash before it is quarantined.
 pub const CRASH_THRESHOLD: u32 = 3;
-/// Number of crashes from which on attempts of a request are made one at a time. After a single one,
-/// which is often a coincidence, they are not delayed.
+/// Number of crashes and unresponsive runners from which on attempts of a request are made one at a
+/// time. After a single one, which is often a coincidence, they are not delayed.
 const TURN_THRESHOLD: u32 = 2;
 /// Delay of a trial for each place in the order of trials.
 pub const TRIAL_STAGGER: Duration = Duration::from_millis(500);
+/// Time that a request waits for a runner before the runner counts as unresponsive, provided that it
+/// has sent nothing for any other request either.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Number of runners that must be unresponsive under a request before all processes are notified of
 /// it. A single one may be slow, or unresponsive for another reason.
 pub const ANNOUNCE_THRESHOLD: u32 = 2;
@@ -83,6 +91,7 @@
     losses: Losses<R>,
     silences: Silences<R>,
     exits: ExitTimes<R>,
+    answers: RecentAnswers,
     /// Number of requests that are suspects.
     suspect_count: usize,
 }
@@ -94,6 +103,7 @@
             losses: Losses::default(),
             silences: Silences::default(),
             exits: HashMap::default(),
+            answers: RecentAnswers::default(),
             suspect_count: 0,
         }
     }
@@ -156,7 +166,6 @@
     /// processes.
     pub fn runner_exited(&mut self, runner: &R, now: Duration) -> Vec<Report<R>> {
         let at = now + EPOCH_OFFSET;
-        self.silences.runner_exited(runner);
         let explained = self.losses.take_for_exit(runner, at).into_iter();
         let report = |loss: Loss<R>| {
             let crash = Crash {
@@ -188,6 +197,9 @@
             *exit = lost.min(*exit);
         }
         let has_new_silences = self.merge_silences(report, now);
+        for crash in &report.crashes {
+            self.silences.crash_known(report.content, &crash.runner);
+        }
         if report.crashes.is_empty() && report.cleared.is_none() && report.tried.is_none() {
             return match has_new_silences {
                 true => Merge::New {
@@ -317,25 +329,27 @@
     pub fn admission(&self, content: ContentId, order: u32, now: Duration) -> Admission {
         let now = now + EPOCH_OFFSET;
         let suspect = self.suspects.get(&content);
-        let limited = suspect.filter(|suspect| suspect.all(&self.exits) >= TURN_THRESHOLD);
         let exposure = self.silences.count(content, now);
-        if limited.is_none() && self.crashes(content) + exposure < CRASH_THRESHOLD {
+        let risk = self.crashes(content) + exposure;
+        if risk < TURN_THRESHOLD {
             return Admission::Free;
         }
         let due =
-            limited.map(|suspect| suspect.due(&self.exits) + TRIAL_STAGGER.saturating_mul(order));
-        let resolved = self.silences.until(content, now);
+            suspect.map(|suspect| suspect.due(&self.exits) + TRIAL_STAGGER.saturating_mul(order));
+        // An attempt that is in progress at any process may be at an unresponsive runner, too.
+        let resolved = match risk < CRASH_THRESHOLD {
+            true => self.silences.settled(content, now),
+            false => self.silences.until(content, now),
+        };
         let remaining = due.max(resolved).unwrap_or_default().saturating_sub(now);
-        let is_unconfirmed = limited.is_some_and(|suspect| {
-            let distinct = suspect.count(&self.exits);
-            suspect.is_unconfirmed(&self.exits) && distinct + exposure < CRASH_THRESHOLD
-        });
-        match (remaining, limited) {
-            (Duration::ZERO, None) => Admission::Free,
-            (Duration::ZERO, Some(_)) if is_unconfirmed => Admission::Turn,
-            (Duration::ZERO, Some(_)) => Admission::Trial,
-            (remaining, _) if is_unconfirmed => Admission::Deferred(remaining),
-            (remaining, _) => Admission::Held(remaining),
+        let may_coincide = suspect.is_none_or(|suspect| suspect.is_unconfirmed(&self.exits));
+        let is_unconfirmed =
+            may_coincide && self.distinct_crashes(content) + exposure < CRASH_THRESHOLD;
+        match remaining {
+            Duration::ZERO if is_unconfirmed => Admission::Turn,
+            Duration::ZERO => Admission::Trial,
+            remaining if is_unconfirmed => Admission::Deferred(remaining),
+            remaining => Admission::Held(remaining),
         }
     }
 
--- a/crates/protocol/src/quarantine/answers.rs
+++ b/crates/protocol/src/quarantine/answers.rs
@@ -1,17 +1,19 @@
-//! When a complete response was last received for each prompt part.
+//! When a complete response was last received for each content.
 
 use crate::id::ContentId;
 use foldhash::fast::RandomState;
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Maximum number of remembered parts.
-const CAPACITY: usize = 4_096;
-/// Time after which a part is forgotten if there is no room: no request lasts much longer.
-const TTL: Duration = Duration::from_secs(30);
+/// Number of contents after which a generation is complete. The last two are remembered, so that each
+/// record takes constant time however many contents there are.
+const GENERATION: usize = 2_048;
 
-/// Prompt parts to which runners have responded. If a runner exits during a request, a part that
-/// other requests have had answered since it was sent is not what made it exit.
+/// Time of the last response by content.
+type Times = HashMap<ContentId, Duration, RandomState>;
+
+/// Requests and prompt parts to which runners have responded. If a runner exits or becomes unresponsive
+/// during a request, what has been answered elsewhere since it was sent is not the cause.
 ///
 /// # Examples
 ///
@@ -26,22 +28,25 @@
 /// assert!(!answers.is_answered_since(7, at(6)));
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct RecentAnswers(HashMap<ContentId, Duration, RandomState>);
+pub struct RecentAnswers {
+    current: Times,
+    previous: Times,
+}
 
 impl RecentAnswers {
-    /// Records a complete response to a request with this part.
-    pub fn record(&mut self, part: ContentId, now: Duration) {
-        if self.0.len() >= CAPACITY && !self.0.contains_key(&part) {
-            self.0.retain(|_, last| *last + TTL > now);
-        }
-        if self.0.len() < CAPACITY || self.0.contains_key(&part) {
-            self.0.insert(part, now);
+    /// Records a complete response to a request with this content.
+    pub fn record(&mut self, content: ContentId, now: Duration) {
+        self.current.insert(content, now);
+        if self.current.len() >= GENERATION {
+            self.previous = std::mem::take(&mut self.current);
         }
     }
 
-    /// Whether a complete response to a request with this part has been received since.
+    /// Whether a complete response to a request with this content has been received since.
     #[must_use]
-    pub fn is_answered_since(&self, part: ContentId, since: Duration) -> bool {
-        self.0.get(&part).is_some_and(|last| *last > since)
+    pub fn is_answered_since(&self, content: ContentId, since: Duration) -> bool {
+        let last = self.current.get(&content);
+        let last = last.or_else(|| self.previous.get(&content));
+        last.is_some_and(|last| *last > since)
     }
 }
--- a/crates/protocol/src/quarantine/exposure.rs
+++ b/crates/protocol/src/quarantine/exposure.rs
@@ -14,6 +14,12 @@
         self.losses.observe(runner);
     }
 
+    /// Records that a request has been answered completely, so that attempts which were sent before are
+    /// not what makes their runners unresponsive.
+    pub fn request_answered(&mut self, content: ContentId, now: Duration) {
+        self.answers.record(content, now);
+    }
+
     /// Records that a request has waited at a runner for so long that the runner counts as
     /// unresponsive if it has sent nothing to anyone since `sent`. Returns the report to send to
     /// other processes.
@@ -24,7 +30,8 @@
         sent: Duration,
         now: Duration,
     ) -> Option<Report<R>> {
-        if !self.silences.is_silent(runner, sent + EPOCH_OFFSET) {
+        let is_silent = self.silences.is_silent(runner, sent + EPOCH_OFFSET);
+        if !is_silent || self.answers.is_answered_since(content, sent) {
             return None;
         }
         // If the runner turns out to have exited, the request was in progress there.
@@ -82,6 +89,15 @@
         risk == 0 || risk >= CRASH_THRESHOLD || risk + in_progress() < CRASH_THRESHOLD
     }
 
+    /// Whether a runner is known to have crashed under a request.
+    fn has_crashed(&self, content: ContentId, runner: &R) -> bool {
+        let suspect = self.suspects.get(&content);
+        suspect.is_some_and(|suspect| {
+            let mut crashes = suspect.crashes.iter();
+            crashes.any(|crash| crash.runner == *runner)
+        })
+    }
+
     /// Unresponsive runners; a runner may occur more than once.
     pub fn silent_runners(&self, now: Duration) -> impl Iterator<Item = &R> {
         self.silences.runners(now + EPOCH_OFFSET)
@@ -100,7 +116,8 @@
         let mut new = false;
         for silence in &report.silences {
             let (sent, noted) = (at(silence.sent), at(silence.noted));
-            if cleared.is_some_and(|cleared| sent <= cleared) {
+            let is_void = cleared.is_some_and(|cleared| sent <= cleared);
+            if is_void || self.has_crashed(report.content, &silence.runner) {
                 continue;
             }
             new |= self
--- a/crates/protocol/src/quarantine/silence.rs
+++ b/crates/protocol/src/quarantine/silence.rs
@@ -5,8 +5,8 @@
 //! bounds its exposure: the number of runners that have not answered it and have given no sign of
 //! life since. Any response of such a runner, to any request, ends its silence.
 
-use super::Silence;
 use super::suspect::{CLOCK_TOLERANCE, Moment};
+use super::{SILENCE_TIMEOUT, Silence};
 use crate::id::ContentId;
 use foldhash::fast::RandomState;
 use std::collections::{HashMap, VecDeque};
@@ -18,6 +18,8 @@
 /// A request sent to an unresponsive runner within this time after the first unanswered one may
 /// have caused the silence. Later requests reached a runner that was already unresponsive.
 const CAUSE_WINDOW: Duration = Duration::from_millis(250);
+/// Time within which all processes get the report of an unresponsive runner, at usual load.
+const REPORT_TIME: Duration = Duration::from_millis(250);
 /// Time after its last sign of life for which a runner counts as alive.
 const RECENTLY_ACTIVE: Duration = Duration::from_millis(250);
 /// Maximum number of remembered silences, and a quarter of that of signs of life.
@@ -145,9 +147,9 @@
         self.clear_where(|entry| entry.content == content && entry.sent <= at);
     }
 
-    /// Clears a runner that has exited, since its exit is counted separately.
-    pub(super) fn runner_exited(&mut self, runner: &R) {
-        self.clear_where(|entry| entry.runner == *runner);
+    /// Clears a runner that has exited during the request, since its exit is counted separately.
+    pub(super) fn crash_known(&mut self, content: ContentId, runner: &R) {
+        self.clear_where(|entry| entry.content == content && entry.runner == *runner);
     }
 
     /// Silences that currently count for a request.
@@ -208,6 +210,13 @@
         self.of(content, now).map(|entry| entry.noted + TTL).min()
     }
 
+    /// When the attempts that were sent before the last silence became known have been answered, or
+    /// their runners are known to be unresponsive as well.
+    pub(super) fn settled(&self, content: ContentId, now: Moment) -> Option<Moment> {
+        let last = self.of(content, now).map(|entry| entry.noted).max();
+        last.map(|noted| noted + SILENCE_TIMEOUT + REPORT_TIME)
+    }
+
     /// All unresponsive runners; a runner may occur more than once.
     pub(super) fn runners(&self, now: Moment) -> impl Iterator<Item = &R> {
         let unanswered = self
--- a/crates/protocol/tests/quarantine_silence.rs
+++ b/crates/protocol/tests/quarantine_silence.rs
@@ -24,7 +24,10 @@
 fn three_silent_runners_quarantine() {
     let mut known = Known::default();
     wait_at_runners(&mut known, &RUNNERS[..2]);
-    assert_eq!(known.admission(7, 0, SECOND * 3), Admission::Free);
+    assert_eq!(
+        known.admission(7, 0, SECOND * 3),
+        Admission::Deferred(SECOND / 4)
+    );
     wait_at_runners(&mut known, &RUNNERS);
     assert!(matches!(
         known.admission(7, 0, SECOND * 3),
@@ -40,8 +43,13 @@
     let mut known = Known::default();
     wait_at_runners(&mut known, &RUNNERS);
     known.runner_observed(&"b", SECOND * 3);
-    assert_eq!(known.admission(7, 0, SECOND * 3), Admission::Free);
+    assert_eq!(
+        known.admission(7, 0, SECOND * 3),
+        Admission::Deferred(SECOND + SECOND / 4)
+    );
     assert_eq!(known.exposure(7, SECOND * 3), CRASH_THRESHOLD - 1);
+    known.runner_observed(&"c", SECOND * 3);
+    assert_eq!(known.admission(7, 0, SECOND * 3), Admission::Free);
 }
 
 /// Guards against a request that stays quarantined although a runner has answered it.
@@ -125,3 +133,71 @@
     let reports = known.runner_exited(&"a", SECOND * 3);
     assert!(reports.iter().any(|report| report.content == 7));
 }
+
+/// Guards against attempts that are sent while others are in progress that were sent before two runners
+/// were known to be unresponsive, and against several attempts at once after that.
+#[test]
+fn next_attempt_waits_for_those_in_progress() {
+    let mut known = Known::default();
+    wait_at_runners(&mut known, &RUNNERS[..1]);
+    assert_eq!(known.admission(7, 0, SECOND * 2), Admission::Free);
+    wait_at_runners(&mut known, &RUNNERS[..2]);
+    let settled = SECOND * 3 + SECOND / 4;
+    assert_eq!(
+        known.admission(7, 0, SECOND * 2),
+        Admission::Deferred(settled - SECOND * 2)
+    );
+    assert!(known.grant_trial(7, 0, SECOND * 3).is_none());
+    assert!(known.grant_trial(7, 0, settled).is_some());
+    assert!(known.grant_trial(7, 0, settled).is_none());
+}
+
+/// Guards against a silence that no longer counts at a process which learns of the runner's exit before
+/// the process that sent the request there.
+#[test]
+fn exit_counts_as_silence_until_attributed() {
+    let (mut known, mut other) = (Known::default(), Known::default());
+    let report = wait_at_runners(&mut known, &RUNNERS[..1]).expect("new");
+    other.merge(&report, SECOND);
+    other.runner_exited(&"a", SECOND * 2);
+    assert_eq!(other.risk(7, SECOND * 2), 1);
+    for crash in known.runner_exited(&"a", SECOND * 3) {
+        other.merge(&crash, SECOND * 3);
+    }
+    assert_eq!(other.risk(7, SECOND * 3), 1);
+    other.merge(&report, SECOND * 3);
+    assert_eq!((other.crashes(7), other.exposure(7, SECOND * 3)), (1, 0));
+}
+
+/// Guards against blaming an attempt for a silent runner although the request was answered after it was
+/// sent there.
+#[test]
+fn answered_meanwhile() {
+    let mut known = Known::default();
+    known.request_answered(7, SECOND / 2);
+    assert!(
+        known
+            .runner_unresponsive(7, &"a", Duration::ZERO, SECOND)
+            .is_none()
+    );
+    assert!(
+        known
+            .runner_unresponsive(7, &"a", SECOND, SECOND * 2)
+            .is_some()
+    );
+}
+
+/// Guards against a busy process that forgets its latest responses because of the older ones.
+#[test]
+fn answered_meanwhile_by_busy_process() {
+    let mut known = Known::default();
+    for content in 100..20_000 {
+        known.request_answered(content, SECOND / 4);
+    }
+    known.request_answered(7, SECOND / 2);
+    assert!(
+        known
+            .runner_unresponsive(7, &"a", Duration::ZERO, SECOND)
+            .is_none()
+    );
+}
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -8,7 +8,7 @@
 mod trial;
 
 pub(crate) use admission::{admit, admit_attempt, begin_stage, retry_after};
-pub(crate) use silence::SILENCE_TIMEOUT;
+pub(crate) use protocol::quarantine::SILENCE_TIMEOUT;
 pub use trial::{TrialClaim, TrialReply};
 
 use crate::core::{Relay, lock};
@@ -120,10 +120,13 @@
             let mut known = lock(&self.quarantine.known);
             let (runner, now) = (instance(runner), self.now());
             known.runner_observed(&runner, now);
+            let contents = contents.iter();
+            contents
+                .clone()
+                .for_each(|content| known.request_answered(*content, now));
             if known.is_idle() {
                 return;
             }
-            let contents = contents.iter();
             contents
                 .map(|content| known.answered(*content, &runner, now))
                 .collect()
--- a/crates/relay/src/quarantine/silence.rs
+++ b/crates/relay/src/quarantine/silence.rs
@@ -13,9 +13,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time that a request waits for a runner before the runner counts as unresponsive, provided that it has sent
-/// nothing for any other request either.
-pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Minimum of that time where the request has timed out or its client has disconnected.
 const MIN_SILENCE: Duration = Duration::from_millis(100);
 
