Relays whose lists differ announce a silent runner to all

Cause: a single silent runner is reported only to the process that counts them, which each relay chooses from its own list of processes. Lists are polled every two seconds. A report that could not be sent to that process was dropped as well.

While its list has changed within the last four seconds, and where the process that counts cannot be reached, a relay announces a single silent runner to all.

silenced_while_lists_differ fails without the announcement (504 instead of 503).

--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -103,6 +103,8 @@
     /// Tree over which changes of the tables are distributed.
     pub tree: Tree,
     listed: bool,
+    /// When the list last changed.
+    changed_at: Instant,
     leaving: bool,
     /// Whether this process may do work that only a limited number of processes may do at a time.
     pub(crate) roster: Activation,
@@ -123,6 +125,7 @@
             previous_row: None,
             listed_clock: None,
             listed: false,
+            changed_at: Instant::now(),
             leaving: false,
             roster: Activation::new(MAX_LIST_AGE, HANDOVER_DELAY),
             slack_share: SlackShare::default(),
@@ -141,13 +144,23 @@
         }
         self.tree.put(&member, revision);
         self.others.insert(member.id.clone(), member);
+        self.changed_at = Instant::now();
         true
     }
 
     /// Removes a process whose row was deleted.
     pub fn remove(&mut self, id: &str) {
         self.tree.remove(id);
-        self.others.remove(id);
+        if self.others.remove(id).is_some() {
+            self.changed_at = Instant::now();
+        }
+    }
+
+    /// Whether the list has changed so recently that other processes may not know of it, and may choose
+    /// other owners.
+    #[must_use]
+    pub fn is_changing(&self) -> bool {
+        self.changed_at.elapsed() < FIRST_LIST_DELAY
     }
 
     /// Suspects a process that could not be reached, for a short time.
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -247,17 +247,18 @@
         self.broadcast(&Frame::Suspicion(suspicion.clone()));
     }
 
-    /// Sends a suspected request to one process. If no link can be opened, the suspicion is announced to
-    /// all processes once more is known of it.
+    /// Sends a suspected request to one process; returns whether a link has accepted it.
     pub(crate) async fn send_suspicion<D: Downstream>(
         &self,
         relay: &Arc<Relay<D>>,
         member: &Member,
-        suspicion: Suspicion,
-    ) {
-        if let Some(link) = self.link(relay, member).await {
-            let _ = link.sender.try_send(&Frame::Suspicion(suspicion));
-        }
+        suspicion: &Suspicion,
+    ) -> bool {
+        let Some(link) = self.link(relay, member).await else {
+            return false;
+        };
+        let frame = Frame::Suspicion(suspicion.clone());
+        link.sender.try_send(&frame).is_ok()
     }
 
     /// Announces a runner's limit to all linked processes.
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -193,7 +193,7 @@
             "exits" => report.count, "trials" => report.trials, "cleared_ago_ms" => report.cleared.map(millis),
             "silent" => report.silences.len(), "was_held" => was_held, "held" => is_held,
             "from" => origin);
-        if must_announce(&report) {
+        if self.must_announce(&report) {
             self.announce(&report);
         }
         let owner = || {
@@ -209,6 +209,12 @@
         }
     }
 
+    /// Whether a report must be sent to all processes. A single unresponsive runner may merely be slow; it is
+    /// reported to the process that counts them, unless processes may disagree on which one that is.
+    fn must_announce(&self, report: &Suspicion) -> bool {
+        concerns_all(report) || self.peers.members(|members| members.is_changing())
+    }
+
     fn announce(&self, report: &Suspicion) {
         self.telemetry
             .held(lock(&self.quarantine.known).held_count());
@@ -249,10 +255,10 @@
     }
 }
 
-/// Whether a report must be sent to all processes. A single unresponsive runner may merely be slow.
-fn must_announce(report: &Suspicion) -> bool {
-    let concerns_all = !report.crashes.is_empty() || report.cleared.is_some();
-    concerns_all || report.tried.is_some() || report.silences.len() >= ANNOUNCE_THRESHOLD as usize
+/// Whether a report shows more than a single unresponsive runner.
+fn concerns_all(report: &Suspicion) -> bool {
+    let is_suspect = !report.crashes.is_empty() || report.cleared.is_some();
+    is_suspect || report.tried.is_some() || report.silences.len() >= ANNOUNCE_THRESHOLD as usize
 }
 
 fn key(content: ContentId) -> String {
--- a/crates/relay/src/quarantine/silence.rs
+++ b/crates/relay/src/quarantine/silence.rs
@@ -1,8 +1,9 @@
 //! Detection of runners that become unresponsive while they serve a request.
 
-use super::{RunnerInstance, Suspicion, instance, key, must_announce};
+use super::{RunnerInstance, Suspicion, concerns_all, instance, key};
 use crate::core::{Relay, lock};
 use crate::downstream::Downstream;
+use crate::member::Member;
 use crate::request::ContentId;
 use crate::runner::{Runner, RunnerId};
 use crate::serve::content_name;
@@ -75,15 +76,16 @@
         info!(self.log, "runner unresponsive during a request"; "runner" => &*runner.id,
             "content" => content_name(content), "silent" => report.silences.len(),
             "crashes" => report.count, "sent_ago_ms" => millis(now - sent));
-        if must_announce(&report) {
-            self.announce(&report);
+        if concerns_all(&report) {
             self.check_silent(&report);
+        }
+        if self.must_announce(&report) {
+            self.announce(&report);
             return;
         }
         let owner = self.peers.members(|members| members.owner(&key(content)));
         if owner.id != self.options.member.id {
-            let relay = self.clone();
-            tokio::spawn(async move { relay.peers.send_suspicion(&relay, &owner, report).await });
+            tokio::spawn(report_to_owner(self.clone(), owner, report));
         }
     }
 
@@ -98,3 +100,12 @@
         silent.filter(listed).map(|(id, _)| id.clone()).collect()
     }
 }
+
+/// Reports an unresponsive runner to the process that counts them, or to all if that one cannot be reached.
+async fn report_to_owner<D: Downstream>(relay: Arc<Relay<D>>, owner: Member, report: Suspicion) {
+    if !relay.peers.send_suspicion(&relay, &owner, &report).await {
+        info!(relay.log, "unresponsive runner announced: its owner cannot be reached";
+            "content" => content_name(report.content), "owner" => &*owner.id);
+        relay.announce(&report);
+    }
+}
--- a/crates/relay/tests/poison_two_relays.rs
+++ b/crates/relay/tests/poison_two_relays.rs
@@ -5,9 +5,9 @@
 use common::faults::{Effect, Fault, FaultSite};
 use common::pair::{Node, pair};
 use common::poison::{
-    INNOCENT, POISON, RESTART_TIME, RETRY_DELAY, RETRY_PERIOD, STAGE_RUNNERS, assert_refused,
-    assert_served, attempt, calls, failures, is_quarantined, maintain_list, retry_for, serve,
-    share_call,
+    INNOCENT, POISON, RESTART_TIME, RETRY_DELAY, RETRY_PERIOD, STAGE_RUNNERS, WORKSPACE,
+    assert_refused, assert_served, attempt, calls, failures, is_quarantined, maintain_list,
+    retry_for, serve, share_call,
 };
 use protocol::quarantine::CRASH_THRESHOLD;
 use relay::Request;
@@ -25,6 +25,8 @@
 const BUSY_AFTER: Duration = Duration::from_millis(100);
 /// Number of runners of the model, so many that few attempts meet one that is unresponsive already.
 const MODEL_RUNNERS: usize = 100;
+/// Time in which an announcement arrives.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(100);
 /// Number of relays.
 const RELAYS: usize = 2;
 
@@ -136,6 +138,40 @@
     assert!((1..=max_failures).contains(&failures.len()), "{failures:?}");
 }
 
+/// Guards against relays that each report unresponsive runners to another process while their lists of
+/// processes differ, so that no process counts all of them.
+#[tokio::test(start_paused = true)]
+async fn silenced_while_lists_differ() {
+    let (one, other) = pair_with_fault(FaultSite::Model, Effect::Silent, STAGE_RUNNERS, None).await;
+    let row = format!("quarantine/{:016x}", poison(0).content(Some(WORKSPACE)));
+    let is_owner = |node: &Node| {
+        let owner = node.relay.peers.members(|members| members.owner(&row));
+        owner.id == node.member.id
+    };
+    let (counting, unaware) = match is_owner(&one) {
+        true => (&one, &other),
+        false => (&other, &one),
+    };
+    // The process takes itself for the one that counts as well.
+    unaware
+        .relay
+        .peers
+        .members(|members| members.remove(&counting.member.id));
+    assert!(is_owner(counting) && is_owner(unaware));
+    let attempt = |number: usize| Request {
+        timeout: Some(SHORT_TIMEOUT),
+        ..poison(number)
+    };
+    for (number, node) in [unaware, counting].into_iter().enumerate() {
+        assert_eq!(serve(&node.relay, attempt(number)).await.status, 504);
+    }
+    sleep(ANNOUNCEMENT_TIME).await;
+    for (number, node) in [unaware, counting].into_iter().enumerate() {
+        assert_eq!(serve(&node.relay, attempt(10 + number)).await.status, 503);
+    }
+    assert_eq!(failures(&one.relay).len(), 2);
+}
+
 /// Guards against the loss of innocent pieces that the owner of the cell has put into a call with a poison
 /// request: the relay that admitted them must still get their results.
 #[tokio::test(start_paused = true)]
