--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -26,16 +26,14 @@
 use batch_call::BatchCall;
 pub use cell_list::CellList;
 use decide::bound::MAX_PIECES;
-use futures::FutureExt;
 use release::notify_runner;
 pub(crate) use release::{RELEASE_DELAY, release};
 use serde::{Deserialize, Serialize};
 use setting::Policy;
-use slog::{Logger, error, info, warn};
+use slog::{info, warn};
 use snafu::Snafu;
 use state::State;
 use std::marker::PhantomData;
-use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -334,7 +332,6 @@
         let running = relay
             .downstream
             .run_batch(&runner, items, timeout, &observer);
-        let running = lost_if_panicked(&relay.log, &runner, running);
         let result = self
             .release_inputs_when_fetched(&relay, &batch_call, running)
             .await;
@@ -412,21 +409,6 @@
     }
 }
 
-/// Counts a call that panics as lost. Its pieces are then made elsewhere; otherwise nobody would end their orders,
-/// and a stopping process would wait for those of other processes.
-async fn lost_if_panicked<T>(
-    log: &Logger,
-    runner: &Runner,
-    call: impl Future<Output = Result<T, Failure>>,
-) -> Result<T, Failure> {
-    let ended = AssertUnwindSafe(call).catch_unwind().await;
-    ended.unwrap_or_else(|_| {
-        error!(log, "call panicked"; "runner" => &*runner.id);
-        let reason = "the call panicked".to_owned();
-        Err(Failure::Lost { reason })
-    })
-}
-
 /// Interval between calls that a runner asks for, if any.
 fn asked_spacing(result: &Result<BatchReply, Failure>) -> Option<Duration> {
     match result {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -30,7 +30,6 @@
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -173,8 +172,6 @@
     pub(crate) spacing: Arc<Mutex<Option<Duration>>>,
     /// Body of the requests that crash any runner that they are sent to.
     pub(crate) crash_body: Arc<Mutex<Option<Bytes>>>,
-    /// Whether calls that contain pieces panic.
-    pub(crate) stage_panics: Arc<AtomicBool>,
     /// Request whose pieces crash any runner that makes them.
     pub(crate) crash_piece: Arc<Mutex<Option<String>>>,
     /// Runners that are unresponsive.
@@ -368,10 +365,6 @@
             .lock()
             .expect("no holder panics")
             .push(call);
-        assert!(
-            !self.stage_panics.load(Ordering::SeqCst),
-            "a fault of the call"
-        );
         self.faults.connect(&runner.id)?;
         let crash_piece = self.crash_piece.lock().expect("no holder panics").clone();
         if crash_piece.is_some_and(|id| items.iter().any(|item| *item.id == *id)) {
