Usual timeout of a route in place of the longest ever

Cause: a caller counted as coming back when it stated less than five sixths of the longest timeout ever seen on its route. One odd client made all others count as returning for the life of the process: scheduled last, and refused in a burst.

The bound on first attempts is unchanged.

The test prefill_learnt relied on the fault: one timeout of 8 s had to make the hundred later requests of 4 s count as returns. Each of them is now preceded by its own first attempt of 8 s; its checks are unchanged.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,6 +19,7 @@
 //! * [`shed`]: new connections that an overloaded process turns away
 //! * [`smooth`]: exponentially weighted means and decay
 //! * [`subset`]: the targets of a large pool that a process keeps links to
+//! * [`timeout`]: the usual timeout of a route's requests
 //! * [`wait`]: time limits for calls that have no target
 //! * [`warmup`]: the rate at which each process may send to a runner that has just started
 
@@ -38,6 +39,7 @@
 pub mod shed;
 pub mod smooth;
 pub mod subset;
+pub mod timeout;
 pub mod wait;
 pub mod warmup;
 
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -23,6 +23,7 @@
 use decide::Map;
 use decide::retry::window::{RetryBound, RetryQuota, SlackShare};
 use decide::route::{Pool, Target};
+use decide::timeout::UsualTimeout;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{Logger, info};
@@ -31,7 +32,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// Fraction of a route's longest timeout below which a request counts as a retry. A client that is refused
+/// Fraction of a route's usual timeout below which a request counts as a retry. A client that is refused
 /// for lack of capacity is told to wait for one [`RETRY_TIME_DIVISOR`]th of its time. The threshold lies
 /// midway between the remainder and the whole, since clients of one route differ in their initial timeouts.
 const MIN_FIRST_ATTEMPT_FRACTION: f64 = 1.0 - 0.5 / RETRY_TIME_DIVISOR as f64;
@@ -108,8 +109,8 @@
     quotas: Mutex<Map<ServiceId, RetryQuota>>,
     batchers: Mutex<Map<Cell, Arc<Batcher<D>>>>,
     pub(crate) gates: Gates,
-    /// Longest client timeout seen on each route.
-    longest_timeouts: Mutex<Map<String, Duration>>,
+    /// Usual client timeout of each route.
+    usual_timeouts: Mutex<Map<String, UsualTimeout>>,
     cells: Mutex<Map<ServiceId, Arc<CellList>>>,
     /// When the list of runners was last known to be up to date.
     list_current_at: Mutex<Option<Instant>>,
@@ -155,7 +156,7 @@
             quotas: Mutex::default(),
             batchers: Mutex::default(),
             gates: Gates::default(),
-            longest_timeouts: Mutex::default(),
+            usual_timeouts: Mutex::default(),
             cells: Mutex::default(),
             list_current_at: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
@@ -461,14 +462,18 @@
     /// clients that merely started with a shorter timeout would count as late, be scheduled after all others
     /// and be refused although runners could have served them.
     pub fn waited_before(&self, route: &str, timeout: Duration) -> Duration {
-        let mut timeouts = lock(&self.longest_timeouts);
-        let Some(longest) = timeouts.get_mut(route) else {
-            timeouts.insert(route.to_owned(), timeout);
-            return Duration::ZERO;
+        let now = self.now();
+        let mut timeouts = lock(&self.usual_timeouts);
+        let usual = match timeouts.get_mut(route) {
+            Some(usual) => usual.record(now, timeout),
+            None => {
+                let usual = timeouts.entry(route.to_owned()).or_default();
+                usual.record(now, timeout)
+            }
         };
-        *longest = timeout.max(*longest);
-        if timeout < longest.mul_f64(MIN_FIRST_ATTEMPT_FRACTION) {
-            return *longest - timeout;
+        drop(timeouts);
+        if timeout < usual.mul_f64(MIN_FIRST_ATTEMPT_FRACTION) {
+            return usual - timeout;
         }
         Duration::ZERO
     }
--- a/crates/relay/tests/prefill_learnt.rs
+++ b/crates/relay/tests/prefill_learnt.rs
@@ -11,8 +11,8 @@
 
 const TOKENS: u32 = 9_000;
 
-/// The learnt time to the first event after a hundred streams that began after 15 ms each. Clients that
-/// waited for `waited` before their requests count as retrying.
+/// The learnt time to the first event after a hundred streams that began after 15 ms each. Each client has made a
+/// first attempt `waited` before its request, and counts as retrying.
 async fn learnt(prefill: Policy, waited: Duration) -> Duration {
     let fake = Fake::default();
     *fake.streams.lock().expect("free") = true;
@@ -21,8 +21,8 @@
         ..Policies::default()
     };
     let relay = with_policies(fake, policy);
-    relay.waited_before("stream", Duration::from_secs(4) + waited);
     for number in 0..100 {
+        relay.waited_before("stream", Duration::from_secs(4) + waited);
         let mut request = request(&format!("r{number}"), "stream");
         request.prompt = Some(Prompt {
             input: TOKENS,
