A call whose task panics gives back its slot and its pieces

Cause: only the task of a call recorded its end. After a panic the call counted as in progress for good: its slot at the runner was lost, its pieces waited until they expired, and an order of another relay waited until its deadline and held a stop.

Change: the task owns the unsettled call. Dropping it before an outcome is recorded logs an error and settles the call as one whose response was lost, in a task of its own.

Result: slots_returned (first call never made again within 3 s) and order_of_peer (503 after 4 s) failed before and pass. release_panics passed before as well.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -15,6 +15,7 @@
 mod select;
 mod state;
 mod suspect;
+mod unsettled;
 
 use crate::configuration::{BatchSettings, LAST_RANK, Rank, ServiceId};
 use crate::core::{Relay, lock};
@@ -38,6 +39,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use unsettled::UnsettledCall;
 
 /// A partition of the runners of a stage service, for which one process forms the batches. A
 /// process that formed the batches of all runners of a large service would need more CPU time than
@@ -318,14 +320,17 @@
         let started_at = Instant::now();
         let runner = batch_call.runner.clone();
         let released = std::mem::take(&mut batch_call.released);
+        let items = std::mem::take(&mut batch_call.items);
+        let count = items.len();
+        let batch_call = Arc::new(batch_call);
+        let unsettled =
+            UnsettledCall::new(self.clone(), relay.clone(), batch_call.clone(), started_at);
         let releasing = release(relay.clone(), runner.clone(), released);
         if batch_call.release_first {
             releasing.await;
         } else {
             tokio::spawn(releasing);
         }
-        let items = std::mem::take(&mut batch_call.items);
-        let count = items.len();
         let (waited, age) = (started_at.elapsed(), relay.runner_list_age());
         let observer = relay.observer(&runner);
         let timeout = batch_call.timeout();
@@ -355,6 +360,7 @@
             state.apply_spacing(&runner.id, started_at, spacing);
             completed
         };
+        unsettled.settled();
         self.schedule_release(&relay);
         if has_response {
             relay.record_batch_answer(&runner, &completed);
--- a/crates/relay/tests/common/credits.rs
+++ b/crates/relay/tests/common/credits.rs
@@ -79,6 +79,16 @@
         }
     }
 
+    /// The decision on a credit that had to wait.
+    pub(crate) async fn final_verdict(&mut self, ticket: u64) -> Verdict {
+        loop {
+            match self.verdict(ticket).await {
+                Verdict::Wait { .. } => {}
+                verdict => return verdict,
+            }
+        }
+    }
+
     /// Whether a report of the load arrives within this time.
     pub(crate) async fn is_reported_to(&mut self, time: Duration) -> bool {
         let report = async {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod feed;
 pub(crate) mod link;
 pub(crate) mod pair;
+pub(crate) mod panics;
 mod parts;
 pub(crate) mod poison;
 pub(crate) mod service;
@@ -17,6 +18,7 @@
 pub(crate) use configurations::{configuration, configuration_with_routes};
 use decide::retry::window::RetryBound;
 use faults::{FaultSite, RunnerFaults};
+use panics::{Panics, Site};
 use parts::{Parts, parts, paused};
 use relay::downstream::{
     BatchReply, Call, CallObserver, Failure, Handle, Item, Load, NotRun, Notice, PieceOutcome,
@@ -186,6 +188,8 @@
     pub(crate) slowness: Arc<Mutex<HashMap<String, f64>>>,
     /// Injected faults.
     pub(crate) faults: RunnerFaults,
+    /// Injected panics.
+    pub(crate) panics: Panics,
 }
 
 impl Fake {
@@ -230,6 +234,11 @@
         }
     }
 
+    fn is_exited(&self, id: &str) -> bool {
+        let exited = self.exited.lock().expect("no holder panics");
+        exited.iter().any(|exited| exited == id) || self.faults.has_exited(id)
+    }
+
     async fn connect(&self, observer: &impl CallObserver) -> Result<(), Failure> {
         let time = *self.connect_time.lock().expect("no holder panics");
         if !time.is_zero() {
@@ -263,7 +272,7 @@
             reuse: call.reuse,
             workspace: call.workspace.as_deref().map(str::to_owned),
         });
-        if self.has_exited(runner).await {
+        if self.is_exited(&runner.id) {
             let reason = "refused".to_owned();
             let reason = NotRun::Unreachable { reason };
             return Err(Failure::NotRun { reason });
@@ -355,6 +364,7 @@
         observer: &impl CallObserver,
     ) -> Result<BatchReply, Failure> {
         self.connect(observer).await?;
+        self.panics.reach(Site::Batch);
         let count = u32::try_from(items.len()).expect("few items");
         let call = StageCall {
             at: Instant::now(),
@@ -423,6 +433,7 @@
         handles: Vec<Handle>,
         observer: &impl CallObserver,
     ) -> Result<(), Failure> {
+        self.panics.reach(Site::Release);
         self.report_load(&runner.id, observer);
         let time = *self.release_time.lock().expect("no holder panics");
         sleep(time).await;
@@ -434,8 +445,8 @@
     }
 
     async fn has_exited(&self, runner: &Runner) -> bool {
-        let exited = self.exited.lock().expect("no holder panics");
-        exited.iter().any(|id| **id == *runner.id) || self.faults.has_exited(&runner.id)
+        self.panics.reach(Site::HasExited);
+        self.is_exited(&runner.id)
     }
 
     async fn responds(&self, runner: &Runner) -> bool {
@@ -444,6 +455,7 @@
     }
 
     fn holder(&self, handle: &Handle) -> Option<SocketAddr> {
+        self.panics.reach(Site::Holder);
         handle.split_once('/')?.0.parse().ok()
     }
 }
@@ -514,13 +526,17 @@
 }
 
 fn relay_with(fake: Fake, options: Options) -> Arc<Relay<Fake>> {
+    logging_relay(fake, options, metric::log::discard())
+}
+
+fn logging_relay(fake: Fake, options: Options, log: slog::Logger) -> Arc<Relay<Fake>> {
     let mut registry = metric::Registry::default();
-    Relay::new(
-        options,
-        fake,
-        metric::log::discard(),
-        Telemetry::new(&mut registry),
-    )
+    Relay::new(options, fake, log, Telemetry::new(&mut registry))
+}
+
+/// A relay without a configuration or a list of runners that logs there.
+pub(crate) fn with_log(fake: Fake, log: slog::Logger) -> Arc<Relay<Fake>> {
+    logging_relay(fake, options(member()), log)
 }
 
 /// A relay with [`configuration`] in force and two runners of each service.
