A link whose reading task panics is closed

Cause: the end of the task that reads a link closed it, and a panic skipped that. The link stayed in use: orders sent over it waited until their deadlines, since the check of its timeout was in the same task. At the accepting end the link stayed open as well.

Change: guards close the link and end what awaits frames on it, however the task ends.

--- a/crates/relay/src/peer/frame.rs
+++ b/crates/relay/src/peer/frame.rs
@@ -21,6 +21,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use store::RowRevision;
+use tokio::runtime;
 use tokio::time::{Instant, sleep};
 use wire::{Receiver, Sender};
 
@@ -296,11 +297,61 @@
     }
 }
 
+/// Closes a link when it is dropped, also by a panic of the task that reads the link.
+#[derive(Debug)]
+pub(super) struct LinkGuard<D: Downstream> {
+    relay: Arc<Relay<D>>,
+    sender: Sender<Frame>,
+}
+
+impl<D: Downstream> LinkGuard<D> {
+    pub(super) fn new(relay: Arc<Relay<D>>, sender: Sender<Frame>) -> Self {
+        Self { relay, sender }
+    }
+}
+
+impl<D: Downstream> Drop for LinkGuard<D> {
+    fn drop(&mut self) {
+        self.sender.abort();
+        // In a task of its own, since a second panic during unwinding would abort the process. Without a
+        // runtime the process has ended.
+        if let Ok(current) = runtime::Handle::try_current() {
+            let (relay, sender) = (self.relay.clone(), self.sender.clone());
+            current.spawn(async move { transfer::link_lost(&relay, &sender) });
+        }
+    }
+}
+
+/// Ends all that awaits frames on a link that this process has opened, when nobody reads the link any more.
+#[derive(Debug)]
+struct PendingGuard<D: Downstream> {
+    relay: Arc<Relay<D>>,
+    link: Arc<PeerLink>,
+}
+
+impl<D: Downstream> Drop for PendingGuard<D> {
+    fn drop(&mut self) {
+        self.relay.peers.mark_link_lost(&self.link.member);
+        // Dropping the senders notifies all waiting tasks that the link is gone.
+        let mut pending = lock(&self.link.pending);
+        pending.orders.clear();
+        pending.credits.clear();
+        pending.updates.clear();
+        pending.claims.clear();
+    }
+}
+
 async fn read_frames<D: Downstream>(
     relay: Arc<Relay<D>>,
     link: Arc<PeerLink>,
     mut receiver: Receiver<Frame>,
 ) {
+    // Dropped after the link has been closed, so that nothing new can await frames on it.
+    let _pending = PendingGuard {
+        relay: relay.clone(),
+        link: link.clone(),
+    };
+    let _open = LinkGuard::new(relay.clone(), link.sender.clone());
     loop {
         let frame = tokio::select! {
             frame = receiver.recv() => frame,
@@ -349,15 +400,6 @@
             other => handle_frame(&relay, &link.sender, other),
         }
     }
-    link.sender.abort();
-    relay.peers.mark_link_lost(&link.member);
-    transfer::link_lost(&relay, &link.sender);
-    // Dropping the senders notifies all waiting tasks that the link is gone.
-    let mut pending = lock(&link.pending);
-    pending.orders.clear();
-    pending.credits.clear();
-    pending.updates.clear();
-    pending.claims.clear();
 }
 
 impl PeerLink {
--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -1,9 +1,9 @@
 //! The accepting end of a link, which executes the orders of the other process.
 
 use super::credits::LinkCredits;
-use super::frame::{self, Frame};
+use super::frame::{self, Frame, LinkGuard};
 use super::results::Hop;
-use super::{tables, transfer};
+use super::tables;
 use crate::batch::{Cell, Outcome, StageError};
 use crate::core::Relay;
 use crate::downstream::Downstream;
@@ -53,6 +53,7 @@
     sender: Sender<Frame>,
     mut receiver: Receiver<Frame>,
 ) {
+    let _open = LinkGuard::new(relay.clone(), sender.clone());
     relay.peers.subscribe(sender.clone());
     frame::send_state(&relay, &sender);
     let mut orders = LinkOrders {
@@ -89,8 +90,6 @@
             break;
         }
     }
-    sender.abort();
-    transfer::link_lost(&relay, &sender);
 }
 
 impl<D: Downstream> LinkOrders<D> {
