A runner is probed again after a probe that panicked

Cause: a runner was marked as being probed, and as absent, until the end of the probe or of the wait for its return. After a panic, or when the request that probed was dropped, an exited runner was never found again, and an absent one got no work until it had started anew.

Change: a guard owns both marks.

--- a/crates/relay/src/outage.rs
+++ b/crates/relay/src/outage.rs
@@ -18,6 +18,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Interval at which an absent runner is probed.
@@ -125,33 +126,70 @@
     }
 }
 
+/// A runner that is being probed, or watched until it is back. Dropping it ends both, also by a panic or with the
+/// request that probes: the next lost response then leads to a new probe.
+#[derive(Debug)]
+struct ProbedRunner<D: Downstream> {
+    relay: Arc<Relay<D>>,
+    runner: Arc<Runner>,
+    is_absent: bool,
+}
+
+impl<D: Downstream> ProbedRunner<D> {
+    /// Returns `None` if the runner is being probed already.
+    fn new(relay: &Arc<Relay<D>>, runner: &Arc<Runner>) -> Option<Self> {
+        let is_new = lock(&relay.outages).probed.insert(instance(runner));
+        is_new.then(|| Self {
+            relay: relay.clone(),
+            runner: runner.clone(),
+            is_absent: false,
+        })
+    }
+
+    fn mark_absent(&mut self) {
+        lock(&self.relay.outages).set_absent(&self.runner, true);
+        self.is_absent = true;
+    }
+}
+
+impl<D: Downstream> Drop for ProbedRunner<D> {
+    fn drop(&mut self) {
+        let mut outages = lock(&self.relay.outages);
+        outages.probed.remove(&instance(&self.runner));
+        if !self.is_absent {
+            return;
+        }
+        outages.set_absent(&self.runner, false);
+        drop(outages);
+        // In a task of its own, since a second panic during unwinding would abort the process. Without a
+        // runtime the process has ended.
+        if let Ok(runtime) = Handle::try_current() {
+            let (relay, service) = (self.relay.clone(), self.runner.service.clone());
+            runtime.spawn(async move { relay.restart_calls(&service) });
+        }
+    }
+}
+
 /// Probes a runner that has lost a response or could not be reached. If it has exited, it gets no work
 /// until it is back.
 pub(crate) async fn probe<D: Downstream>(relay: &Arc<Relay<D>>, runner: &Arc<Runner>) {
-    let probed = instance(runner);
-    if !lock(&relay.outages).probed.insert(probed.clone()) {
+    let Some(mut probed) = ProbedRunner::new(relay, runner) else {
         return;
-    }
+    };
     if !relay.downstream.has_exited(runner).await {
-        lock(&relay.outages).probed.remove(&probed);
         return;
     }
     info!(relay.log, "runner absent"; "runner" => &*runner.id, "service" => &*runner.service,
         "address" => runner.address.to_string(), "runners_age_ms" => relay.runner_list_age().map(millis));
-    lock(&relay.outages).set_absent(runner, true);
+    probed.mark_absent();
     relay.record_outage(runner);
     relay.record_exit(runner);
-    let (relay, runner) = (relay.clone(), runner.clone());
     tokio::spawn(async move {
-        let back = await_return(&relay, &runner).await;
-        let mut outages = lock(&relay.outages);
-        outages.set_absent(&runner, false);
-        if back {
-            outages.remove_exit(&runner);
+        let (relay, runner) = (&probed.relay, &probed.runner);
+        if await_return(relay, runner).await {
+            lock(&relay.outages).remove_exit(runner);
         }
-        outages.probed.remove(&probed);
-        drop(outages);
-        relay.restart_calls(&runner.service);
+        drop(probed);
     });
 }
 
