A gate is polled on after a poll that panicked

Cause: each poll scheduled the next one at its end. After a panic, requests waited until another one asked or returned a credit.

Change: a guard schedules the next poll, however a poll ends.

--- a/crates/relay/src/flow/gate.rs
+++ b/crates/relay/src/flow/gate.rs
@@ -11,6 +11,7 @@
 use slog::info;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
@@ -159,8 +160,40 @@
     }
 }
 
+/// Schedules the next poll of a gate when it is dropped, also by a panic, if requests wait there.
+struct NextPoll<D: Downstream> {
+    relay: Arc<Relay<D>>,
+    cell: Cell,
+    gate: Arc<Mutex<CellGate>>,
+}
+
+impl<D: Downstream> Drop for NextPoll<D> {
+    fn drop(&mut self) {
+        let mut state = lock(&self.gate);
+        if state.window.waiting() == 0 || state.is_polled {
+            return;
+        }
+        // Without a runtime the process has ended.
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
+        state.is_polled = true;
+        let (relay, cell, gate) = (self.relay.clone(), self.cell.clone(), self.gate.clone());
+        runtime.spawn(async move {
+            sleep(POLL_INTERVAL).await;
+            lock(&gate).is_polled = false;
+            poll(&relay, &cell, &gate);
+        });
+    }
+}
+
 /// Reviews the waiting requests of a gate, and sends the verdicts.
 fn poll<D: Downstream>(relay: &Arc<Relay<D>>, cell: &Cell, gate: &Arc<Mutex<CellGate>>) {
+    let _next = NextPoll {
+        relay: relay.clone(),
+        cell: cell.clone(),
+        gate: gate.clone(),
+    };
     let mut state = lock(gate);
     state.refresh_capacity(relay, cell);
     let verdicts = state.window.poll(relay.now());
@@ -169,17 +202,6 @@
     relay
         .telemetry
         .credits_waiting(&cell.name(), state.window.waiting());
-    let is_due = state.window.waiting() > 0 && !state.is_polled;
-    if !is_due {
-        return;
-    }
-    state.is_polled = true;
-    let (relay, cell, gate) = (relay.clone(), cell.clone(), gate.clone());
-    tokio::spawn(async move {
-        sleep(POLL_INTERVAL).await;
-        lock(&gate).is_polled = false;
-        poll(&relay, &cell, &gate);
-    });
 }
 
 impl<D: Downstream> Relay<D> {
