A fetch is watched on after its watcher has panicked

Cause: the task that changes to another source counted as running for good after a panic, and a fetch that stalled was not taken up elsewhere.

Change: the task owns its mark; when it ends while a fetch is in progress, another one is started.

Result: watched_again failed before (no other source asked) and passes.

--- a/crates/relay/src/peer/transfer.rs
+++ b/crates/relay/src/peer/transfer.rs
@@ -20,6 +20,7 @@
 use std::io::{Read, Write};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::time::sleep;
 use wire::Sender;
 
@@ -314,8 +315,22 @@
     state.reset_if_restarted(request, now)
 }
 
+/// The task that watches the fetch. When it ends, also by a panic, a fetch in progress gets another one.
+struct Watcher<D: Downstream>(Arc<Relay<D>>);
+
+impl<D: Downstream> Drop for Watcher<D> {
+    fn drop(&mut self) {
+        lock(&self.0.peers.transfer.state).is_watched = false;
+        spawn_watcher(&self.0);
+    }
+}
+
 /// Starts a task that switches to another source when one does not respond, until the fetch has ended.
 fn spawn_watcher<D: Downstream>(relay: &Arc<Relay<D>>) {
+    // Without a runtime the process has ended.
+    let Ok(runtime) = Handle::try_current() else {
+        return;
+    };
     {
         let mut state = lock(&relay.peers.transfer.state);
         if state.is_watched || state.fetch.progress().is_none() {
@@ -324,20 +339,23 @@
         state.is_watched = true;
     }
     let relay = relay.clone();
-    tokio::spawn(async move {
+    runtime.spawn(async move {
+        // Created once the task runs: a runtime that shuts down drops new tasks at once, and each would start
+        // the next one.
+        let watcher = Watcher(relay);
+        let relay = &watcher.0;
         loop {
             sleep(PART_TIMEOUT).await;
             let now = relay.now();
             let request = {
                 let mut state = lock(&relay.peers.transfer.state);
                 if state.fetch.progress().is_none() {
-                    state.is_watched = false;
                     return;
                 }
                 let request = state.fetch.tick(now);
                 state.reset_if_restarted(request, now)
             };
-            request_part(&relay, request);
+            request_part(relay, request);
         }
     });
 }
