Panics are logged with their place and counted

Cause: a panic ends its task alone, and only its text on standard error told of it, unless the task has an owner.

--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -4,10 +4,12 @@
 //! * [`latency`]: latency histograms of requests by workspace and class
 //! * [`serve()`]: the `/metrics` endpoint
 //! * [`log`]: the structured logger
+//! * [`panic`]: panics, logged and counted
 
 pub mod label;
 pub mod latency;
 pub mod log;
+pub mod panic;
 pub mod serve;
 
 pub use label::LabelLimiter;
