An order whose task has ended without an outcome is reported as failed

Cause: each unsuccessful end of an order's task was taken for its withdrawal. The order stayed pending, which holds a stop, and the other relay waited until its deadline.

Change: only orders that are no longer pending count as withdrawn; for others the other relay is told of the failure.

No test: the task only awaits a channel, so that no call to a runner can make it panic.

--- a/crates/relay/src/peer/serving.rs
+++ b/crates/relay/src/peer/serving.rs
@@ -11,7 +11,7 @@
 use slog::warn;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::{AbortHandle, JoinError, JoinSet};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::task::task_tracker::TaskTrackerToken;
 use wire::{Listener, Receiver, Sender};
@@ -78,8 +78,14 @@
                     orders.pending.remove(&ticket);
                     sent
                 }
-                // The order was withdrawn.
-                Err(_) => Ok(()),
+                Err(ended) => match orders.fail(&ended) {
+                    Some(ticket) => {
+                        let outcome = Err(StageError::Failed);
+                        sender.send(Frame::Outcome { ticket, outcome }).await
+                    }
+                    // The order was withdrawn.
+                    None => Ok(()),
+                },
             },
             _ = load_reports.tick(), if orders.is_in_use() => {
                 orders.credits.drop_expired();
@@ -167,6 +173,14 @@
         }
     }
 
+    /// Removes the order whose task has ended without an outcome; `None` if it was withdrawn.
+    fn fail(&mut self, ended: &JoinError) -> Option<u64> {
+        let mut pending = self.pending.iter();
+        let found = pending.find(|(_, order)| order.handle.id() == ended.id());
+        let ticket = found.map(|(ticket, _)| *ticket)?;
+        self.pending.remove(&ticket).map(|_| ticket)
+    }
+
     /// Whether the other end awaits outcomes, and so reports of the load.
     fn is_in_use(&self) -> bool {
         !self.pending.is_empty() || !self.credits.is_empty()
