The panic hook is removed at the end of the process

Cause: the hook held a logger for good, and the last lines of a log are written when its last logger is dropped. The line stopped was lost.

Change: the hook is owned by the role that runs and removed with it.

--- a/crates/ctl/src/daemon.rs
+++ b/crates/ctl/src/daemon.rs
@@ -70,7 +70,7 @@
         Invocation::Print(text) => output::line(text),
         Invocation::Entry(settings) => {
             let log = metric::log::logger("entry", &settings.id);
-            metric::panic::install(log.clone());
+            let _hook = metric::panic::install(log.clone());
             multi_thread_runtime()?.block_on(async {
                 let stop = StopSignals::install();
                 log_lifecycle(log.clone(), run_entry(*settings, log, stop)).await
@@ -78,7 +78,7 @@
         }
         Invocation::Agent(settings) => {
             let log = metric::log::logger("agent", &settings.id);
-            metric::panic::install(log.clone());
+            let _hook = metric::panic::install(log.clone());
             multi_thread_runtime()?.block_on(async {
                 let stop = StopSignals::install();
                 log_lifecycle(log.clone(), run_agent(*settings, log, stop)).await
@@ -86,7 +86,7 @@
         }
         Invocation::Relay { settings, path } => {
             let log = metric::log::logger_to(std::io::stdout(), "relay", &settings.id);
-            metric::panic::install(log.clone());
+            let _hook = metric::panic::install(log.clone());
             single_thread_runtime()?.block_on(async {
                 let signals = (StopSignals::install(), ReloadSignals::install());
                 log_lifecycle(log.clone(), run_relay(*settings, path, log, signals)).await
--- a/crates/metric/src/panic.rs
+++ b/crates/metric/src/panic.rs
@@ -23,13 +23,29 @@
     static TASK: &'static str;
 }
 
-/// Logs each panic of this process from now on as an error with its place, and counts it. Replaces the hook
-/// that prints panics to standard error, which may block.
-pub fn install(log: Logger) {
+/// Removes the hook of [`install`] when it is dropped. The hook holds a logger, and the last lines of a log are
+/// written when its last logger is dropped.
+#[derive(Debug)]
+#[must_use = "the hook is removed when this is dropped"]
+pub struct Hook(());
+
+impl Drop for Hook {
+    fn drop(&mut self) {
+        // A thread that panics cannot change the hook.
+        if !std::thread::panicking() {
+            drop(std::panic::take_hook());
+        }
+    }
+}
+
+/// Logs each panic of this process as an error with its place, and counts it, until the result is dropped.
+/// Replaces the hook that prints panics to standard error, which may block.
+pub fn install(log: Logger) -> Hook {
     std::panic::set_hook(Box::new(move |panic| {
         PANICS.inc();
         report(&log, panic);
     }));
+    Hook(())
 }
 
 /// Registers the number of panics.
