Soak of relays: runners stop announcing notices before the check of recovery

A runner that turns all calls away and asks for three seconds of rest did so until the end, also during the check of recovery, so that the last fault had not ended.

The notices now end, by a restart of both runners, before the check, which demands the same as before, and of these runners as well.

--- a/crates/ctl/src/torture/relays/cluster.rs
+++ b/crates/ctl/src/torture/relays/cluster.rs
@@ -253,6 +253,21 @@
             .for_each(|resting| resting.runner.ask_for_rest(rest));
     }
 
+    /// Restarts the runners that announce notices, which ends these.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Failed`] if an address is taken.
+    pub async fn end_notices(&mut self) -> Result<(), Error> {
+        let targets = self.targets.iter().enumerate();
+        let models = targets.filter(|(_, target)| target.service == MODEL);
+        let announcing: Vec<usize> = models.map(|(number, _)| number).take(2).collect();
+        for number in announcing {
+            self.restart_runner(number).await?;
+        }
+        Ok(())
+    }
+
     /// Removes the entries of runners that a request has crashed or made unresponsive, and restarts these
     /// runners after a while. A runner that was leaving no longer is after its restart.
     ///
--- a/crates/ctl/src/torture/relays/mod.rs
+++ b/crates/ctl/src/torture/relays/mod.rs
@@ -215,6 +215,9 @@
     records.extend(harmful.await.map_err(|error| task_error(&error))?);
     faults.wait_for_runners().await?;
     let (counts, stuck) = (faults.counts, faults.stuck);
+    if scenario.has_notices(seed) {
+        cluster.end_notices().await?;
+    }
     let storage = match scenario {
         Scenario::Chain => Some(chain::await_free_storage(&cluster.log).await),
         _ => None,
