--- a/crates/ctl/src/torture/relays/stops.rs
+++ b/crates/ctl/src/torture/relays/stops.rs
@@ -24,14 +24,21 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
-use stub::config::{MODEL, PLAIN, STAGE, stop_configuration};
+use stub::config::{CHAIN, MODEL, PLAIN, STAGE, stop_configuration};
 use stub::runner::Pace;
 use trace::Trace;
 
 /// Runners and routes.
 pub const LAYOUT: Layout = Layout {
     access: RunnerAccess::Direct,
-    runners: &[(PLAIN, 3), (MODEL, 4), (STAGE, 3)],
+    runners: &[
+        (PLAIN, 3),
+        (MODEL, 4),
+        (STAGE, 3),
+        (CHAIN[0], 2),
+        (CHAIN[1], 3),
+        (CHAIN[2], 3),
+    ],
     configuration: stop_configuration,
     has_clock: true,
 };
@@ -55,7 +62,7 @@
     cluster.wait_until_ready().await?;
     let pace = Pace { seed, slots: SLOTS };
     let paced = cluster.targets.iter();
-    for target in paced.filter(|target| target.service != STAGE) {
+    for target in paced.filter(|target| [MODEL, PLAIN].contains(&target.service)) {
         target.runner.set_pace(pace);
     }
     let balancer = Arc::new(Balancer::default());
--- a/crates/ctl/src/torture/relays/stops/clients.rs
+++ b/crates/ctl/src/torture/relays/stops/clients.rs
@@ -18,10 +18,11 @@
 use tokio::time::{Instant, sleep};
 
 /// Kinds of requests, with weights.
-const KINDS: [(Kind, u32); 5] = [
+const KINDS: [(Kind, u32); 6] = [
     (Kind::Stream, 6),
     (Kind::Once, 3),
-    (Kind::Staged, 4),
+    (Kind::Staged, 3),
+    (Kind::Chain, 2),
     (Kind::Safe, 3),
     (Kind::Unsafe, 2),
 ];
--- a/crates/ctl/src/torture/relays/stops/driver.rs
+++ b/crates/ctl/src/torture/relays/stops/driver.rs
@@ -30,7 +30,8 @@
 const UP_MS: Range<u64> = 0..3_000;
 /// Bounds of the factor by which a seed lengthens the times between rounds and for which relays serve. A relay
 /// has a share of the fixed retries only after ten seconds, and half a minute after its first start.
-const UP_FACTOR: RangeInclusive<u32> = 1..=6;
+/// With a factor of 0, relays are stopped again as soon as they serve.
+const UP_FACTOR: RangeInclusive<u32> = 0..=6;
 /// Bounds of the time between two reloads and between two versions of the configuration, in milliseconds.
 const RELOAD_MS: Range<u64> = 200..1_500;
 const CONFIGURE_MS: Range<u64> = 500..3_000;
@@ -39,6 +40,11 @@
 const RELOAD_PROBABILITY: f64 = 0.3;
 const SECOND_STOP_PROBABILITY: f64 = 0.2;
 const SECOND_SIGNAL_DELAY_MS: Range<u64> = 0..4_000;
+/// Probability that a seed has slow processors, and bounds of the times for which a relay then runs and is
+/// suspended in turn, in milliseconds.
+const SLOW_PROBABILITY: f64 = 0.4;
+const RUNNING_MS: Range<u64> = 20..120;
+const SUSPENDED_MS: Range<u64> = 20..150;
 
 /// What a relay does.
 #[derive(Clone, Copy, Debug)]
@@ -64,6 +70,8 @@
     stops: Vec<(Instant, usize)>,
     /// Starts so far of each relay.
     starts: Vec<u32>,
+    /// On slow processors: until when each relay runs or is suspended, and whether it is suspended.
+    slices: Option<Vec<(Instant, bool)>>,
     /// Number of signals and changes by kind.
     pub counts: BTreeMap<String, u64>,
     /// Relays that did not stop properly.
@@ -85,6 +93,9 @@
             balancer,
             state,
             up_factor: rng.random_range(UP_FACTOR),
+            slices: rng
+                .random_bool(SLOW_PROBABILITY)
+                .then(|| vec![(Instant::now(), false); count]),
             rng,
             phases: vec![Phase::Serving(Instant::now()); count],
             stops: Vec::new(),
@@ -123,15 +134,51 @@
             }
             for number in 0..self.phases.len() {
                 self.step(number)?;
+                self.slice(number, now)?;
             }
             let is_serving = |phase: &Phase| matches!(phase, Phase::Serving(_));
             if now >= end && self.phases.iter().all(is_serving) {
-                return Ok(());
+                return self.resume_all();
             }
             sleep(STEP).await;
         }
     }
 
+    /// Suspends or resumes a relay if its time is over.
+    fn slice(&mut self, number: usize, now: Instant) -> Result<(), Error> {
+        let Some((_, is_suspended)) = self
+            .slices
+            .as_ref()
+            .map(|slices| slices[number])
+            .filter(|(until, _)| now >= *until)
+        else {
+            return Ok(());
+        };
+        let (signal, time) = match is_suspended {
+            true => (Signal::Continue, RUNNING_MS),
+            false => (Signal::Stop, SUSPENDED_MS),
+        };
+        let until = now + self.draw(time);
+        let is_up = self.signal(number, signal)?;
+        if let Some(slices) = &mut self.slices {
+            slices[number] = (until, is_up && !is_suspended);
+        }
+        Ok(())
+    }
+
+    /// Resumes relays that are suspended, before something that may keep this task from doing so in time.
+    fn resume_all(&mut self) -> Result<(), Error> {
+        let mut slices = self.slices.take();
+        let all = slices.iter_mut().flatten().enumerate();
+        for (number, (_, is_suspended)) in all {
+            if std::mem::take(is_suspended) {
+                self.signal(number, Signal::Continue)?;
+            }
+        }
+        self.slices = slices;
+        Ok(())
+    }
+
     fn draw(&mut self, bounds: Range<u64>) -> Duration {
         Duration::from_millis(self.rng.random_range(bounds))
     }
@@ -249,6 +296,7 @@
             reason: error.to_string(),
         })?;
         self.starts[number] += 1;
+        self.resume_all()?;
         self.cluster.start_relay(number, self.state)?;
         self.announce(number);
         self.count("Start");
@@ -266,14 +314,15 @@
         }
     }
 
-    /// Sends a signal to a relay, unless it is down.
-    fn signal(&mut self, number: usize, signal: Signal) -> Result<(), Error> {
+    /// Sends a signal to a relay, unless it is down. Returns whether it is up.
+    fn signal(&mut self, number: usize, signal: Signal) -> Result<bool, Error> {
         let id = self.id(number);
         if !self.cluster.fleet.has(&id) {
-            return Ok(());
+            return Ok(false);
         }
         self.count(&format!("{signal:?}"));
-        self.cluster.fleet.signal(&id, signal)
+        self.cluster.fleet.signal(&id, signal)?;
+        Ok(true)
     }
 
     fn id(&self, number: usize) -> String {
