Relay: plain responses without end leave memory to others

Cause: the memory for responses is shared, and a response was read until it was whole or its deadline had passed. One without end took all of it and then waited for more, and no other response was read meanwhile.

Change: a plain response that is longer than that memory is rejected as lost, and one that holds more than a sixteenth of it waits for more for 1 s at most in all. A limit of a quarter was tried and dropped: a response of 12 MiB with a budget of 16 MiB, which stop_slow_clients reads, was rejected.

--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -4,10 +4,18 @@
 //! counted from when their bytes arrive until the last of them has been written, so that a process on a
 //! small VM is not killed for lack of memory because of unread bytes.
 
+use crate::request::IncompleteBody;
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, StreamExt};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, timeout};
+
+/// Part of the budget beyond which a body is large.
+const LARGE_DIVISOR: usize = 16;
+/// Longest time for which a body waits for memory in all, if it is large.
+const LARGE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A limit on the bytes of bodies that are buffered at a time. Clones share the limit.
 ///
@@ -30,6 +38,10 @@
     limit: u32,
 }
 
+fn incomplete(reason: String) -> IncompleteBody {
+    IncompleteBody { reason }
+}
+
 /// A reservation of bytes, which is returned when it is dropped.
 #[derive(Debug)]
 pub struct MemoryReservation(Option<OwnedSemaphorePermit>);
@@ -72,20 +84,32 @@
         MemoryReservation(permit.await.ok())
     }
 
-    /// Reads a whole body, waiting for memory as needed.
+    /// Reads a whole body, waiting for memory as needed. Bodies of several peers that send without end must
+    /// not wait for one another, so that a large one waits for a short time only.
     ///
     /// # Errors
     ///
-    /// The body's own error.
-    pub async fn collect<E>(
+    /// The body's own error, or one that says that it is longer than the whole budget or found no memory.
+    pub async fn collect(
         &self,
-        mut body: impl Stream<Item = Result<Bytes, E>> + Unpin,
-    ) -> Result<Bytes, E> {
+        mut body: impl Stream<Item = Result<Bytes, IncompleteBody>> + Unpin,
+    ) -> Result<Bytes, IncompleteBody> {
         let mut whole = BytesMut::new();
         let mut reserved = MemoryReservation::none();
+        let mut patience = LARGE_TIMEOUT;
         while let Some(part) = body.next().await {
             let part = part?;
-            reserved.add(self.reserve(part.len()).await);
+            if whole.len() + part.len() > self.limit as usize {
+                return Err(incomplete(format!("body longer than {} bytes", self.limit)));
+            }
+            let more = self.reserve(part.len());
+            let waits_since = Instant::now();
+            let more = match whole.len() > self.limit as usize / LARGE_DIVISOR {
+                true => timeout(patience, more).await,
+                false => Ok(more.await),
+            };
+            reserved.add(more.map_err(|_| incomplete("no memory for the body".to_owned()))?);
+            patience = patience.saturating_sub(waits_since.elapsed());
             whole.extend_from_slice(&part);
         }
         Ok(reserved.attach(whole.freeze()))
