Relay: streams without events end

Cause: what a runner sent was kept until an event was whole, without a limit, and counted as activity. A runner that sent without a pause also kept the deadline of the request from being looked at.

Change: an event may have 1 MiB; a longer one breaks the stream off, and another runner resumes it. The deadline is looked at before each part.

--- a/crates/relay/src/splice.rs
+++ b/crates/relay/src/splice.rs
@@ -32,6 +32,8 @@
 const SILENCE_GAPS: u32 = 3;
 /// Bytes that are buffered for a slow client before reading from its runner stops.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
+/// Longest event, in bytes. Events hold a few tokens of text; what a runner sends without end is none.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Time without a read after which a runner may close a stream because nothing reads it.
 const UNREAD_LIMIT: Duration = Duration::from_secs(1);
 
@@ -165,6 +167,10 @@
         let mut is_overdue_recorded = false;
         self.was_unread = false;
         loop {
+            // A runner that sends without a pause would keep the branch below from being looked at.
+            if Instant::now() >= self.job.deadline {
+                return End::DeadlineExceeded;
+            }
             let part = tokio::select! {
                 biased;
                 part = next_part(source) => part,
@@ -187,6 +193,9 @@
                     if let Some(end) = self.forward_events(events).await {
                         return end;
                     }
+                    if source.splitter.rest().len() > MAX_EVENT_BYTES {
+                        return End::Broken(format!("event longer than {MAX_EVENT_BYTES} bytes"));
+                    }
                 }
                 Some(Err(error)) => return End::Broken(error.reason),
                 None if source.splitter.rest().is_empty() => return End::Complete,
