The least suspected pieces get a returned runner first

Where runners of a small stage are down, all suspects wait for the next one that comes back. It was given to them by rank and due time, so that a request during which two runners had exited could crash it before requests that had merely shared one call with it.

Suspects are now taken by the number of runners that exited during them, then by rank and due time.

least_suspected_first fails before (the more suspected one is taken). Tests of decide and relay pass. This does not mend two_deadly_pieces: while each of the suspects has one crash, nothing tells them apart, and the first return comes about as late as the deadline of the requests that wait.

--- a/crates/decide/src/batch/isolation.rs
+++ b/crates/decide/src/batch/isolation.rs
@@ -134,7 +134,8 @@
     /// number of crashes, whether the service has enough runners left for one more attempt.
     ///
     /// The same content runs on one runner at a time, and at most half of the runners process suspects, so
-    /// that the others are free for all other pieces.
+    /// that the others are free for all other pieces. Those during which the fewest runners exited come
+    /// first: they are the least likely to crash a runner that the others wait for.
     pub fn take(
         &mut self,
         runners: usize,
@@ -145,7 +146,7 @@
             return Vec::new();
         }
         self.waiting
-            .sort_by_key(|suspect| (suspect.group.rank, suspect.group.due));
+            .sort_by_key(|suspect| (suspect.crashes, suspect.group.rank, suspect.group.due));
         let mut call = Call::new(space);
         for suspect in &self.waiting {
             let is_running = self
--- a/crates/decide/tests/isolated_suspects.rs
+++ b/crates/decide/tests/isolated_suspects.rs
@@ -99,3 +99,23 @@
     assert_eq!(isolation.expire(SECOND * 3, SECOND), []);
     assert_eq!(isolation.expire(SECOND * 4, SECOND), [1]);
 }
+
+/// Guards against a runner that comes back and is crashed by a likely poison request, while requests that
+/// merely shared one call with it wait for the same runner.
+#[test]
+fn least_suspected_first() {
+    let likely = suspect(1, 1, 2);
+    let unlikely = Suspect {
+        group: Group {
+            due: SECOND * 2,
+            ..suspect(2, 2, 1).group
+        },
+        ..suspect(2, 2, 1)
+    };
+    let mut isolation = isolation([likely, unlikely]);
+    let first = isolation.take(2, CAPACITY, |_| true);
+    assert_eq!(
+        first.iter().map(|one| one.group_id).collect::<Vec<_>>(),
+        [2]
+    );
+}
