--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -4,7 +4,7 @@
 //! * [`latency`]: latency histograms of requests by workspace and class
 //! * [`serve()`]: the `/metrics` endpoint
 //! * [`log`]: the structured logger
-//! * [`panic`]: panics, logged and counted
+//! * [`mod@panic`]: panics, logged and counted
 
 pub mod label;
 pub mod latency;
