Review: runners that leave get requests too late while a question about them is lost

Cause: questions about the runners wait for 7.35 s, and a lost one is found by an answer about the operator's table, every 2.45 s, which is longer than drain_ms. Ruled out: silence of all channels at once.

--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review that are shown by a script: `lab CASE FOLDER`, run in the repository.
 
 mod base;
+mod leave;
 mod poison;
 
 use std::path::Path;
@@ -21,6 +22,7 @@
         base::cannot_run("no temporary folder");
     }
     let held = match case.as_str() {
+        "leave" => leave::run(&temporary, has_trouble),
         "poison" => poison::run(&temporary, has_trouble),
         _ => base::cannot_run("no such case"),
     };
